Lay out the workspace, shared types and the core's events and effects

Packages, build, formatter and linter settings, strong ids and units, errors as values, the state chart binder, the log event catalogue, and the public headers that the packages agree on.

--- /dev/null
+++ b/src/cmake/PackageTargets.cmake
@@ -0,0 +1,55 @@
+# dotterelshed_library(NAME DEPENDS ...): builds src/lib<NAME>/*.cc into a
+# static library dotterelshed_<NAME>; files named *_unittest.cc become one
+# Catch2 program registered with CTest.
+# dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc.
+
+set(DOTTERELSHED_PACKAGES base config core platform peer backend host)
+
+function(dotterelshed_link target)
+  foreach(dep IN LISTS ARGN)
+    if(dep IN_LIST DOTTERELSHED_PACKAGES)
+      target_link_libraries(${target} PUBLIC dotterelshed_${dep})
+    elseif(dep MATCHES "_dep$")
+      target_link_libraries(${target} PUBLIC PkgConfig::${dep})
+    else()
+      target_link_libraries(${target} PUBLIC ${dep})
+    endif()
+  endforeach()
+endfunction()
+
+function(dotterelshed_library name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  set(folder ${PROJECT_SOURCE_DIR}/src/lib${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc ${folder}/*.c++)
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_unittest\\.cc$")
+  list(FILTER tests INCLUDE REGEX "_unittest\\.cc$")
+
+  if(NOT sources)
+    set(sources ${PROJECT_SOURCE_DIR}/src/cmake/empty.cc)
+  endif()
+  add_library(dotterelshed_${name} STATIC ${sources})
+  target_include_directories(dotterelshed_${name} PUBLIC
+    ${PROJECT_SOURCE_DIR}/src/include ${PROJECT_SOURCE_DIR}/src/lib${name})
+  dotterelshed_link(dotterelshed_${name} ${ARG_DEPENDS} Threads::Threads)
+
+  if(tests)
+    add_executable(${name}_unittests ${tests}
+      ${PROJECT_SOURCE_DIR}/src/cmake/catch_main.cc)
+    target_link_libraries(${name}_unittests PRIVATE dotterelshed_${name})
+    target_compile_definitions(${name}_unittests PRIVATE
+      DOTTERELSHED_CHARTS_DIR="${PROJECT_SOURCE_DIR}/src/charts")
+    add_test(NAME unit_${name} COMMAND ${name}_unittests)
+  endif()
+endfunction()
+
+function(dotterelshed_program name)
+  cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+  set(folder ${PROJECT_SOURCE_DIR}/src/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(${name} ${sources})
+  dotterelshed_link(${name} ${ARG_DEPENDS} Boost::program_options)
+endfunction()
--- /dev/null
+++ b/src/cmake/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/cmake/empty.cc
@@ -0,0 +1,1 @@
+// Keeps a package without sources buildable.
--- /dev/null
+++ b/src/include/dotterelshed/action_lane.h
@@ -0,0 +1,49 @@
+#ifndef DOTTERELSHED_ACTION_LANE_H_
+#define DOTTERELSHED_ACTION_LANE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/call.h"
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// Claims of non-idempotent calls as they stand in the platform. A claim is
+/// written before the call is sent; only its claimer may send, once.
+
+namespace dotterelshed {
+
+using LaneId = StrongId<struct LaneIdTag>;
+
+/// One non-idempotent call: claimed, and later its result.
+struct ClaimRecord {
+  IdempotencyKey m_key;
+  /// Content digest; the same key with other content is refused.
+  Digest m_content;
+  RequestId m_request;
+  ProgramId m_program;
+  HostRef m_claimer;
+  /// Distinguishes our own write when the platform's answer was lost.
+  std::string m_nonce;
+  bool m_has_result = false;
+  OutcomeKind m_outcome = OutcomeKind::kUnknown;
+  int m_http_status = 0;
+  std::string m_answer;
+  /// Wall-clock second of the claim, for retention.
+  std::int64_t m_claimed_at_s = 0;
+};
+
+/// One platform object that holds the claims of all keys hashed to it.
+struct LaneObject {
+  LaneId m_lane;
+  ResourceVersion m_version;
+  std::vector<ClaimRecord> m_claims;
+  /// Names of full, sealed objects of this lane, newest last.
+  std::vector<LaneId> m_sealed;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ACTION_LANE_H_
--- /dev/null
+++ b/src/include/dotterelshed/actions.h
@@ -0,0 +1,89 @@
+#ifndef DOTTERELSHED_ACTIONS_H_
+#define DOTTERELSHED_ACTIONS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/action_lane.h"
+#include "dotterelshed/core_effects.h"
+#include "dotterelshed/core_events.h"
+#include "dotterelshed/ids.h"
+
+/// @file
+/// Claims that make non-idempotent calls run at most once. Free functions over
+/// ActionBook, one per host; claims of one lane are committed in groups.
+
+namespace dotterelshed {
+
+/// State of a host's claims; defined in src/libcore.
+struct ActionBook;
+
+struct ActionOptions {
+  HostRef m_self;
+  std::uint64_t m_seed = 1;
+  int m_lane_count = 16;
+  /// Claims gathered for this long go into one write.
+  Duration m_group_window = std::chrono::milliseconds(3);
+  /// A claim that the platform did not confirm by then is given up.
+  Duration m_claim_timeout = std::chrono::seconds(3);
+  Bytes m_max_lane_bytes{512 * 1024};
+  /// Finished claims are kept this long.
+  Duration m_retention = std::chrono::hours(24);
+  int m_max_waiting = 4096;
+};
+
+/// What became of one wish to claim.
+struct ClaimDecision {
+  enum class Verdict {
+    kGranted,       ///< Ours, written; send once, now.
+    kHasResult,     ///< Ran before; m_record has the answer.
+    kUnknown,       ///< Claimed before without a result; never re-sent.
+    kOtherContent,  ///< The key was used for another call; refuse.
+    kNotClaimed,    ///< Certain: nobody claimed the key; did not run.
+    kCannotTell,    ///< The key's record can't be read; say unknown.
+  };
+  RequestId m_request;
+  Verdict m_verdict = Verdict::kCannotTell;
+  ClaimRecord m_record;
+};
+
+struct ActionStep {
+  Effects m_effects;
+  std::vector<ClaimDecision> m_decisions;
+};
+
+auto MakeActionBook(const ActionOptions& options)
+    -> std::shared_ptr<ActionBook>;
+
+/// Asks for the right to send @p call, which has a key. @p first is true when
+/// this host made the key itself, for a turn that cannot have run before.
+auto RequestClaim(ActionBook& book,
+                  const CallRequest& call,
+                  bool first,
+                  TimePoint now) -> ActionStep;
+
+/// Writes down how a granted call ended. An uncertain end is not written: the
+/// claim stays without result and is listed for a person.
+auto RecordActionResult(ActionBook& book,
+                        const RequestId& request,
+                        OutcomeKind outcome,
+                        int http_status,
+                        const std::string& answer,
+                        TimePoint now) -> ActionStep;
+
+auto OnLaneArrived(ActionBook& book, const LaneArrived& event, TimePoint now)
+    -> ActionStep;
+
+/// Group commits that are due, timeouts, retention.
+auto TickActions(ActionBook& book, TimePoint now) -> ActionStep;
+
+/// True while a claim or result of this host waits for the platform.
+auto ActionsPending(const ActionBook& book) -> bool;
+
+auto DumpActions(const ActionBook& book, TimePoint now) -> std::string;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ACTIONS_H_
--- /dev/null
+++ b/src/include/dotterelshed/membership_messages.h
@@ -0,0 +1,122 @@
+#ifndef DOTTERELSHED_MEMBERSHIP_MESSAGES_H_
+#define DOTTERELSHED_MEMBERSHIP_MESSAGES_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/call.h"
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// One-way messages of membership and configuration roll-out, and the domain
+/// table. Each may be lost, doubled, delayed or overtaken.
+
+namespace dotterelshed {
+
+/// Where a host listens, "IP:port".
+struct HostAddresses {
+  /// For other hosts.
+  std::string m_peer;
+  /// For callers and operators.
+  std::string m_http;
+};
+
+/// Host to its domain's lead, once per heartbeat interval.
+struct Heartbeat {
+  HostRef m_from;
+  DomainId m_domain;
+  HostAddresses m_addresses;
+  ResourceVersion m_table_version;
+  Generation m_generation;
+  bool m_has_disk = false;
+  bool m_draining = false;
+  /// Content digests that this host newly put under quarantine.
+  std::vector<Digest> m_quarantined;
+  /// Calls that its pools could take on from other domains.
+  int m_headroom = 0;
+};
+
+/// What one host is, as its domain's lead sees it.
+struct MemberInfo {
+  HostRef m_host;
+  HostAddresses m_addresses;
+  bool m_alive = true;
+  bool m_draining = false;
+  bool m_has_disk = false;
+  Generation m_generation;
+  int m_headroom = 0;
+};
+
+/// Owners of one pool at one term.
+struct PoolAssignment {
+  PoolId m_pool;
+  ServiceId m_service;
+  Term m_term;
+  HostRef m_primary;
+  /// Empty host id while the pool has no copy holder.
+  HostRef m_holder;
+};
+
+/// A host as its domain's table records it.
+struct MemberRecord {
+  Incarnation m_incarnation;
+  HostAddresses m_addresses;
+};
+
+/// The platform object of one failure domain. Changed only by conditional
+/// update.
+struct DomainTable {
+  DomainId m_domain;
+  ResourceVersion m_version;
+  Term m_lead_term;
+  HostRef m_lead;
+  std::map<PoolId, PoolAssignment> m_pools;
+  /// Hosts that may own pools, with the start that was last seen.
+  std::map<HostId, MemberRecord> m_members;
+};
+
+/// Lead to every host of its domain, in answer to heartbeats.
+struct DomainDigest {
+  HostRef m_from;
+  /// Absent when the receiver's heartbeat showed that it has this version.
+  std::optional<DomainTable> m_table;
+  ResourceVersion m_table_version;
+  Generation m_generation;
+  std::vector<MemberInfo> m_members;
+  /// Tables of other domains that changed since the last digest.
+  std::vector<DomainTable> m_remote_tables;
+  std::vector<Digest> m_quarantined;
+  /// False while the lead can't reach the platform.
+  bool m_platform_reachable = true;
+};
+
+/// How far the configuration has come in one domain.
+struct DomainStatus {
+  DomainId m_domain;
+  /// In force on every live host of the domain.
+  Generation m_in_force;
+  /// Live hosts that are still behind the newest generation known here.
+  std::vector<HostId> m_behind;
+};
+
+/// Asks a peer for its configuration, if newer than m_have.
+struct ConfigRequest {
+  HostRef m_from;
+  Generation m_have;
+};
+
+/// A configuration text with its generation. With a base generation set, the
+/// text holds only the sections that differ from it.
+struct ConfigOffer {
+  HostRef m_from;
+  Generation m_generation;
+  std::optional<Generation> m_base;
+  std::string m_text;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_MEMBERSHIP_MESSAGES_H_
--- /dev/null
+++ b/src/include/dotterelshed/ownership.h
@@ -0,0 +1,105 @@
+#ifndef DOTTERELSHED_OWNERSHIP_H_
+#define DOTTERELSHED_OWNERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/core_effects.h"
+#include "dotterelshed/core_events.h"
+#include "dotterelshed/ids.h"
+#include "dotterelshed/membership_messages.h"
+
+/// @file
+/// Membership of a failure domain, its lead, and who owns which pool. The
+/// domain table changes only through conditional update; heartbeats carry
+/// everything else.
+
+namespace dotterelshed {
+
+/// State of one host's view of its domain; defined in src/libcore.
+struct Ownership;
+
+struct OwnershipOptions {
+  HostRef m_self;
+  DomainId m_domain;
+  HostAddresses m_addresses;
+  bool m_has_disk = false;
+  std::uint64_t m_seed = 1;
+  Duration m_heartbeat_interval = std::chrono::milliseconds(500);
+  int m_missed_heartbeats = 4;
+  Duration m_rank_delay = std::chrono::milliseconds(300);
+  /// Endpoints in one pool at most.
+  int m_max_pool_endpoints = 64;
+};
+
+/// A change in what this host owns.
+struct RoleChange {
+  PoolAssignment m_before;
+  PoolAssignment m_after;
+};
+
+struct OwnershipStep {
+  Effects m_effects;
+  /// Pools whose assignment in this domain changed, old to new.
+  std::vector<RoleChange> m_changes;
+  /// Content digests that are newly under quarantine domain-wide.
+  std::vector<Digest> m_quarantined;
+};
+
+auto MakeOwnership(const OwnershipOptions& options)
+    -> std::shared_ptr<Ownership>;
+
+/// Pools follow from the configuration: each service's endpoints in this
+/// domain, cut into pools.
+auto SetOwnershipConfig(Ownership& ownership,
+                        const DeskConfig& config,
+                        TimePoint now) -> OwnershipStep;
+auto OnHeartbeat(Ownership& ownership, const Heartbeat& message, TimePoint now)
+    -> OwnershipStep;
+auto OnDigest(Ownership& ownership, const DomainDigest& message, TimePoint now)
+    -> OwnershipStep;
+auto OnTableArrived(Ownership& ownership,
+                    const TableArrived& event,
+                    TimePoint now) -> OwnershipStep;
+auto OnHostListed(Ownership& ownership, const HostListed& event, TimePoint now)
+    -> OwnershipStep;
+auto TickOwnership(Ownership& ownership, TimePoint now) -> OwnershipStep;
+
+/// Starts to give this host's roles away; Drained turns true when none is
+/// left.
+auto StartDrain(Ownership& ownership, TimePoint now) -> OwnershipStep;
+auto Drained(const Ownership& ownership) -> bool;
+
+/// Tells peers of content that crashed endpoints here.
+auto AnnounceQuarantine(Ownership& ownership, const Digest& content) -> void;
+/// What the next heartbeat says of this host's spare capacity.
+auto AnnounceHeadroom(Ownership& ownership, int headroom) -> void;
+
+/// Assignment of a pool in any domain whose table is known.
+auto FindPool(const Ownership& ownership, const PoolId& pool)
+    -> const PoolAssignment*;
+/// Pools of one service in a domain, ordered by id.
+auto PoolsOf(const Ownership& ownership,
+             const DomainId& domain,
+             const ServiceId& service) -> std::vector<PoolId>;
+/// Endpoints of a pool in this host's domain, from the configuration.
+auto PoolEndpoints(const Ownership& ownership, const PoolId& pool)
+    -> std::vector<EndpointConfig>;
+/// Where a host listens, if known.
+auto FindAddresses(const Ownership& ownership, const HostId& host)
+    -> std::optional<HostAddresses>;
+/// Hosts of this domain that count as alive, self included.
+auto LiveMembers(const Ownership& ownership, TimePoint now)
+    -> std::vector<MemberInfo>;
+/// False while the lead of this domain can't reach the platform.
+auto PlatformReachable(const Ownership& ownership) -> bool;
+
+auto DumpOwnership(const Ownership& ownership, TimePoint now) -> std::string;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_OWNERSHIP_H_
