Let the core answer for stored requests, seeds and owned endpoints

The daemon needs to ask for an answer by request id alone, to greet seed peers when the platform is out of reach, and to know which endpoints to poll.

--- a/src/include/dotterelshed/call.h
+++ b/src/include/dotterelshed/call.h
@@ -50,6 +50,7 @@
   kEndpointError,     ///< The endpoint answered with an error; 502.
   kClaimedElsewhere,  ///< Another request holds this key; 409.
   kKeyUnreadable,     ///< The key's record can't be read now; 503.
+  kNoRecord,          ///< No request of this id is on record; 404.
 };
 
 /// Stable lower-case name with underscores.
--- a/src/include/dotterelshed/core.h
+++ b/src/include/dotterelshed/core.h
@@ -3,7 +3,9 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "dotterelshed/core_effects.h"
 #include "dotterelshed/core_events.h"
@@ -74,6 +76,14 @@
 auto RouteCall(const HostCore& core, const CallRequest& call, TimePoint now)
     -> Route;
 
+/// Endpoints of the pools that this host is primary of; the daemon polls their
+/// load, cache events and holds.
+auto OwnedEndpoints(const HostCore& core) -> std::vector<EndpointConfig>;
+
+/// Where @p host listens, if known.
+auto AddressesOf(const HostCore& core, const HostId& host)
+    -> std::optional<HostAddresses>;
+
 /// Stable JSON of the whole state, for dumps and status.
 auto DumpCore(const HostCore& core, TimePoint now) -> std::string;
 
--- a/src/include/dotterelshed/core_effects.h
+++ b/src/include/dotterelshed/core_effects.h
@@ -24,6 +24,12 @@
   PeerMessage m_message;
 };
 
+/// Send once to every seed peer address of the settings; used by a host that
+/// can't learn its domain's lead from the platform.
+struct SendSeeds {
+  PeerMessage m_message;
+};
+
 /// Run one attempt of a call; AttemptFinished follows, always.
 struct StartAttempt {
   AttemptId m_attempt;
@@ -113,6 +119,7 @@
 };
 
 using Effect = std::variant<SendPeer,
+                            SendSeeds,
                             StartAttempt,
                             CancelAttempt,
                             FinishCall,
--- a/src/include/dotterelshed/core_events.h
+++ b/src/include/dotterelshed/core_events.h
@@ -35,6 +35,13 @@
   ProgramId m_program;
 };
 
+/// Somebody asks again for the answer of a request whose body isn't at hand.
+/// FinishCall follows: the stored answer, or kUnknown with kNoRecord.
+struct AnswerAsked {
+  RequestId m_request;
+  ProgramId m_program;
+};
+
 struct PeerArrived {
   PeerMessage m_message;
 };
@@ -113,6 +120,7 @@
 using Event = std::variant<CallArrived,
                            CallCancelled,
                            ProgramEndAsked,
+                           AnswerAsked,
                            PeerArrived,
                            AttemptProgressed,
                            AttemptFinished,
--- a/src/libbase/call.cc
+++ b/src/libbase/call.cc
@@ -58,6 +58,8 @@
       return "claimed_elsewhere";
     case ReasonCode::kKeyUnreadable:
       return "key_unreadable";
+    case ReasonCode::kNoRecord:
+      return "no_record";
   }
   return "none";
 }
