--- a/src/libpeer/call_codec_unittest.cc
+++ b/src/libpeer/call_codec_unittest.cc
@@ -35,16 +35,15 @@
 }
 
 TEST_CASE("an answer keeps its outcome, token and retry time") {
-  const CallAnswer answer{
-      .m_request = RequestId("r"),
-      .m_outcome = OutcomeKind::kNotRun,
-      .m_reason = ReasonCode::kDraining,
-      .m_retry_after = Duration(5),
-      .m_token = ContinuationToken{
-          .m_program = ProgramId("west.1"),
-          .m_turn = Turn(2),
-          .m_chain = Digest("abc"),
-          .m_holders = {{HostId("h1"), Incarnation(4)}}}};
+  const CallAnswer answer{.m_request = RequestId("r"),
+                          .m_outcome = OutcomeKind::kNotRun,
+                          .m_reason = ReasonCode::kDraining,
+                          .m_retry_after = Duration(5),
+                          .m_token = ContinuationToken{
+                              .m_program = ProgramId("west.1"),
+                              .m_turn = Turn(2),
+                              .m_chain = Digest("abc"),
+                              .m_holders = {{HostId("h1"), Incarnation(4)}}}};
   capnp::MallocMessageBuilder message;
   auto builder = message.initRoot<wire::CallAnswer>();
   WriteAnswer(answer, builder);
