--- a/src/include/dotterelshed/turn_messages.h
+++ b/src/include/dotterelshed/turn_messages.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_TURN_MESSAGES_H_
 #define DOTTERELSHED_TURN_MESSAGES_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,14 +33,46 @@
   bool m_provisional = false;
 };
 
-/// Money set aside for an attempt that has not been settled.
+/// Money set aside for a call that has not been settled. A program has at most
+/// one, since its calls run one after the other.
 struct Reservation {
   RequestId m_request;
-  ProgramId m_program;
   Turn m_turn;
+  /// Upper bound of all attempts of the call together.
+  Cost m_amount;
+  /// Who runs the call, and in which term.
+  HostRef m_host;
+  Term m_term;
+  /// Taken out of that host's escrow and not out of the common budget.
+  bool m_from_escrow = false;
+};
+
+/// What one host spent in one term. Only that host adds to it, so that two
+/// versions are merged by taking the larger amount.
+struct SpendEntry {
+  HostRef m_host;
+  Term m_term;
+  bool m_from_escrow = false;
+  Cost m_amount;
+};
+
+/// Money that only @p m_host may spend, in @p m_term, without asking another
+/// host. It only ever shrinks, so that two versions are merged by taking the
+/// smaller amount.
+struct EscrowEntry {
+  HostRef m_host;
+  Term m_term;
   Cost m_amount;
 };
 
+/// Budget of a root program and its sub-agents.
+struct BudgetLedger {
+  ProgramId m_root;
+  Cost m_budget;
+  std::vector<SpendEntry> m_spends;
+  std::vector<EscrowEntry> m_escrows;
+};
+
 /// KV memory that an endpoint keeps for a program.
 struct HoldRecord {
   HoldId m_id;
@@ -54,10 +87,12 @@
   ProgramId m_root;
   AccountId m_account;
   ClassId m_class;
-  Cost m_budget;
-  Cost m_spent;
+  /// Number of the last change by a primary; later changes have higher ones.
+  std::int64_t m_sequence = 0;
+  /// Highest turn for which a reservation was ever made.
+  Turn m_tried;
   std::vector<TurnRecord> m_turns;
-  std::vector<Reservation> m_open;
+  std::optional<Reservation> m_open;
   std::vector<HoldRecord> m_holds;
   bool m_ended = false;
 };
@@ -67,9 +102,12 @@
   PoolId m_pool;
   Term m_term;
   HostRef m_from;
+  ProgramId m_program;
+  std::int64_t m_sequence = 0;
   Reservation m_reservation;
   /// Chain digest that the primary continues from; empty for a new program.
   Digest m_previous_chain;
+  BudgetLedger m_ledger;
   /// Sent with a program's first reservation.
   std::optional<ProgramRecord> m_new_program;
 };
@@ -78,21 +116,25 @@
   PoolId m_pool;
   Term m_term;
   HostRef m_from;
-  RequestId m_request;
   ProgramId m_program;
+  std::int64_t m_sequence = 0;
   bool m_accepted = false;
   /// Highest term that the holder has seen.
   Term m_highest;
 };
 
-/// Primary to copy holder: record this turn and settle its reservation.
+/// Primary to copy holder: settle the reservation and, if the turn was decided,
+/// record it.
 struct AppendRequest {
   PoolId m_pool;
   Term m_term;
   HostRef m_from;
   ProgramId m_program;
+  std::int64_t m_sequence = 0;
   Digest m_previous_chain;
-  TurnRecord m_record;
+  /// Absent when the call did not use up its turn.
+  std::optional<TurnRecord> m_record;
+  BudgetLedger m_ledger;
   std::vector<HoldRecord> m_holds;
   bool m_ended = false;
 };
@@ -101,8 +143,8 @@
   PoolId m_pool;
   Term m_term;
   HostRef m_from;
-  RequestId m_request;
   ProgramId m_program;
+  std::int64_t m_sequence = 0;
   bool m_accepted = false;
   Term m_highest;
 };
@@ -114,6 +156,7 @@
   Term m_term;
   HostRef m_from;
   std::vector<ProgramRecord> m_programs;
+  std::vector<BudgetLedger> m_ledgers;
   /// Position of this piece and whether it is the last one.
   int m_part = 0;
   bool m_last = true;
@@ -126,7 +169,9 @@
   HostRef m_from;
   int m_part = 0;
   bool m_accepted = false;
+  Term m_highest;
   std::vector<ProgramRecord> m_longer;
+  std::vector<BudgetLedger> m_ledgers;
 };
 
 /// Asks a host for everything it holds of a pool, or of one program.
@@ -143,6 +188,7 @@
   HostRef m_from;
   std::optional<ProgramId> m_program;
   std::vector<ProgramRecord> m_programs;
+  std::vector<BudgetLedger> m_ledgers;
 };
 
 }  // namespace dotterelshed
