--- a/src/include/dotterelshed/action_lane.h
+++ b/src/include/dotterelshed/action_lane.h
@@ -31,6 +31,8 @@
   OutcomeKind m_outcome = OutcomeKind::kUnknown;
   int m_http_status = 0;
   std::string m_answer;
+  /// True when the answer was longer than what a lane keeps.
+  bool m_answer_cut = false;
   /// Wall-clock second of the claim, for retention.
   std::int64_t m_claimed_at_s = 0;
 };
@@ -42,6 +44,8 @@
   std::vector<ClaimRecord> m_claims;
   /// Names of full, sealed objects of this lane, newest last.
   std::vector<LaneId> m_sealed;
+  /// Number of the next sealed object; only ever grows.
+  std::int64_t m_next_seal = 1;
 };
 
 }  // namespace dotterelshed
--- a/src/include/dotterelshed/actions.h
+++ b/src/include/dotterelshed/actions.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "dotterelshed/action_lane.h"
 #include "dotterelshed/core_effects.h"
 #include "dotterelshed/core_events.h"
+#include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
 
 /// @file
@@ -31,6 +33,16 @@
   Bytes m_max_lane_bytes{512 * 1024};
   /// Finished claims are kept this long.
   Duration m_retention = std::chrono::hours(24);
+  /// A granted call must be sent within this time or not at all.
+  Duration m_grant_window = std::chrono::seconds(1);
+  /// Wall-clock time at TimePoint zero, for retention. While absent, nothing
+  /// is ever dropped for its age.
+  std::optional<Duration> m_wall_clock_offset;
+  std::string m_charts_dir;
+  /// Longest answer that is kept for a repeat of the call.
+  Bytes m_max_answer_bytes{32 * 1024};
+  /// Sealed objects per lane; at the limit new claims are refused.
+  int m_max_sealed = 64;
   int m_max_waiting = 4096;
 };
 
@@ -47,6 +59,8 @@
   RequestId m_request;
   Verdict m_verdict = Verdict::kCannotTell;
   ClaimRecord m_record;
+  /// For kGranted: not to be sent after this; then record kNotRun instead.
+  TimePoint m_send_by;
 };
 
 struct ActionStep {
@@ -54,8 +68,9 @@
   std::vector<ClaimDecision> m_decisions;
 };
 
+/// Fails when the chart "action" is missing or unsound.
 auto MakeActionBook(const ActionOptions& options)
-    -> std::shared_ptr<ActionBook>;
+    -> Result<std::shared_ptr<ActionBook>>;
 
 /// Asks for the right to send @p call, which has a key. @p first is true when
 /// this host made the key itself, for a turn that cannot have run before.
@@ -65,7 +80,8 @@
                   TimePoint now) -> ActionStep;
 
 /// Writes down how a granted call ended. An uncertain end is not written: the
-/// claim stays without result and is listed for a person.
+/// claim stays without result and is listed for a person. With kNotRun the key
+/// may be claimed again.
 auto RecordActionResult(ActionBook& book,
                         const RequestId& request,
                         OutcomeKind outcome,
--- a/src/include/dotterelshed/core_effects.h
+++ b/src/include/dotterelshed/core_effects.h
@@ -33,6 +33,9 @@
   Term m_fence;
   /// Prefix to keep after the call; empty for none.
   HoldId m_hold;
+  /// When set and passed at the moment of sending, the call is not sent and
+  /// ends as kRefused.
+  std::optional<TimePoint> m_send_by;
 };
 
 struct CancelAttempt {
@@ -62,6 +65,11 @@
   LaneObject m_lane_object;
 };
 
+/// Delete a sealed lane object that is past its retention.
+struct DeleteLane {
+  LaneId m_lane;
+};
+
 /// Read the configuration from the platform, since @p m_seen is newer.
 struct ReadConfig {
   Generation m_seen;
@@ -120,6 +128,7 @@
                             PutTable,
                             ReadLane,
                             PutLane,
+                            DeleteLane,
                             ReadConfig,
                             ConfigInForce,
                             SetLeadDuty,
--- a/src/include/dotterelshed/membership_messages.h
+++ b/src/include/dotterelshed/membership_messages.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_MEMBERSHIP_MESSAGES_H_
 #define DOTTERELSHED_MEMBERSHIP_MESSAGES_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,13 @@
   std::vector<Digest> m_quarantined;
   /// Calls that its pools could take on from other domains.
   int m_headroom = 0;
+  /// DomainDigest::m_news of the last digest from the receiver; 0 asks for
+  /// everything.
+  std::int64_t m_news_seen = 0;
+  /// Pools of this host whose copy holder has not confirmed its copy.
+  std::vector<PoolId> m_unconfirmed;
+  /// Pools of this host that must not be moved by plan now.
+  std::vector<PoolId> m_pinned;
 };
 
 /// What one host is, as its domain's lead sees it.
@@ -83,12 +91,26 @@
   HostRef m_from;
   /// Absent when the receiver's heartbeat showed that it has this version.
   std::optional<DomainTable> m_table;
+  /// When set, m_table holds only pools and members that differ from this
+  /// version, and the removed ones are named below.
+  std::optional<ResourceVersion> m_table_base;
+  std::vector<PoolId> m_removed_pools;
+  std::vector<HostId> m_removed_members;
   ResourceVersion m_table_version;
   Generation m_generation;
+  /// Number of the newest change below; echoed in the next heartbeat. Changes
+  /// after the echoed number are sent again until they are echoed.
+  std::int64_t m_news = 0;
+  /// True when m_members is the whole membership and not only changes.
+  bool m_all_members = false;
   std::vector<MemberInfo> m_members;
-  /// Tables of other domains that changed since the last digest.
+  /// Tables of other domains.
   std::vector<DomainTable> m_remote_tables;
   std::vector<Digest> m_quarantined;
+  /// Pools of the domain whose copy holder has not confirmed its copy.
+  std::vector<PoolId> m_unconfirmed;
+  /// False when the sender is not the lead and has not heard from it lately.
+  bool m_lead_heard = true;
   /// False while the lead can't reach the platform.
   bool m_platform_reachable = true;
 };
@@ -115,6 +137,8 @@
   Generation m_generation;
   std::optional<Generation> m_base;
   std::string m_text;
+  /// Digest of the whole text, checked after the difference was applied.
+  Digest m_digest;
 };
 
 }  // namespace dotterelshed
--- a/src/include/dotterelshed/ownership.h
+++ b/src/include/dotterelshed/ownership.h
@@ -10,6 +10,7 @@
 
 #include "dotterelshed/core_effects.h"
 #include "dotterelshed/core_events.h"
+#include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/membership_messages.h"
 
@@ -34,6 +35,7 @@
   Duration m_rank_delay = std::chrono::milliseconds(300);
   /// Endpoints in one pool at most.
   int m_max_pool_endpoints = 64;
+  std::string m_charts_dir;
 };
 
 /// A change in what this host owns.
@@ -50,8 +52,9 @@
   std::vector<Digest> m_quarantined;
 };
 
+/// Fails when one of the charts "host" and "pool" is missing or unsound.
 auto MakeOwnership(const OwnershipOptions& options)
-    -> std::shared_ptr<Ownership>;
+    -> Result<std::shared_ptr<Ownership>>;
 
 /// Pools follow from the configuration: each service's endpoints in this
 /// domain, cut into pools.
@@ -76,6 +79,14 @@
 
 /// Tells peers of content that crashed endpoints here.
 auto AnnounceQuarantine(Ownership& ownership, const Digest& content) -> void;
+/// Names this host's pools whose copy holder has not confirmed its copy.
+auto AnnounceUnconfirmed(Ownership& ownership, std::vector<PoolId> pools)
+    -> void;
+/// Names this host's pools that the lead must not move for a drain or for
+/// balance now, since calls are under way. Moves after failures don't wait.
+auto AnnouncePinned(Ownership& ownership, std::vector<PoolId> pools) -> void;
+/// What the next heartbeat says of this host's configuration.
+auto AnnounceGeneration(Ownership& ownership, Generation generation) -> void;
 /// What the next heartbeat says of this host's spare capacity.
 auto AnnounceHeadroom(Ownership& ownership, int headroom) -> void;
 
@@ -95,6 +106,11 @@
 /// Hosts of this domain that count as alive, self included.
 auto LiveMembers(const Ownership& ownership, TimePoint now)
     -> std::vector<MemberInfo>;
+/// True while this host is the lead of its domain, as far as it knows.
+auto IsLead(const Ownership& ownership) -> bool;
+/// What to send to the seed peers while the platform can't be reached and no
+/// table is known. Nothing once a table is known.
+auto SeedHeartbeat(const Ownership& ownership) -> std::optional<Heartbeat>;
 /// False while the lead of this domain can't reach the platform.
 auto PlatformReachable(const Ownership& ownership) -> bool;
 
--- /dev/null
+++ b/src/libpeer/membership.capnp
@@ -0,0 +1,104 @@
+@0x95782e7add1012e9;
+
+# Wire form of membership_messages.h. Field numbers are never reused.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("dotterelshed::schema");
+
+struct HostRef {
+  host @0 :Text;
+  incarnation @1 :Int64;
+}
+
+struct HostAddresses {
+  peer @0 :Text;
+  http @1 :Text;
+}
+
+struct Heartbeat {
+  from @0 :HostRef;
+  domain @1 :Text;
+  addresses @2 :HostAddresses;
+  tableVersion @3 :Int64;
+  generation @4 :Int64;
+  hasDisk @5 :Bool;
+  draining @6 :Bool;
+  quarantined @7 :List(Text);
+  headroom @8 :Int32;
+  newsSeen @9 :Int64;
+  unconfirmed @10 :List(Text);
+  pinned @11 :List(Text);
+}
+
+struct MemberInfo {
+  host @0 :HostRef;
+  addresses @1 :HostAddresses;
+  alive @2 :Bool;
+  draining @3 :Bool;
+  hasDisk @4 :Bool;
+  generation @5 :Int64;
+  headroom @6 :Int32;
+}
+
+struct PoolAssignment {
+  pool @0 :Text;
+  service @1 :Text;
+  term @2 :Int64;
+  primary @3 :HostRef;
+  holder @4 :HostRef;
+}
+
+struct MemberRecord {
+  host @0 :Text;
+  incarnation @1 :Int64;
+  addresses @2 :HostAddresses;
+}
+
+struct DomainTable {
+  domain @0 :Text;
+  version @1 :Int64;
+  leadTerm @2 :Int64;
+  lead @3 :HostRef;
+  pools @4 :List(PoolAssignment);
+  members @5 :List(MemberRecord);
+}
+
+struct DomainDigest {
+  from @0 :HostRef;
+  # Null when absent.
+  table @1 :DomainTable;
+  hasTableBase @2 :Bool;
+  tableBase @3 :Int64;
+  removedPools @4 :List(Text);
+  removedMembers @5 :List(Text);
+  tableVersion @6 :Int64;
+  generation @7 :Int64;
+  news @8 :Int64;
+  allMembers @9 :Bool;
+  members @10 :List(MemberInfo);
+  remoteTables @11 :List(DomainTable);
+  quarantined @12 :List(Text);
+  unconfirmed @13 :List(Text);
+  leadHeard @14 :Bool;
+  platformReachable @15 :Bool;
+}
+
+struct DomainStatus {
+  domain @0 :Text;
+  inForce @1 :Int64;
+  behind @2 :List(Text);
+}
+
+struct ConfigRequest {
+  from @0 :HostRef;
+  have @1 :Int64;
+}
+
+struct ConfigOffer {
+  from @0 :HostRef;
+  generation @1 :Int64;
+  hasBase @2 :Bool;
+  base @3 :Int64;
+  text @4 :Data;
+  digest @5 :Text;
+}
