--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -12,8 +12,8 @@
 }
 
 template <typename Id>
-auto EncodeIds(const std::vector<Id>& ids, capnp::List<capnp::Text>::Builder out)
-    -> void {
+auto EncodeIds(const std::vector<Id>& ids,
+               capnp::List<capnp::Text>::Builder out) -> void {
   for (auto i = 0U; i < ids.size(); ++i) {
     out.set(i, ids[i].value().c_str());
   }
@@ -263,8 +263,8 @@
   out.setGeneration(value.m_generation.value());
   out.setHasBase(value.m_base.has_value());
   out.setBase(value.m_base.value_or(Generation()).value());
-  out.setText(kj::StringPtr(value.m_text.c_str(), value.m_text.size())
-                  .asBytes());
+  out.setText(
+      kj::StringPtr(value.m_text.c_str(), value.m_text.size()).asBytes());
   out.setDigest(value.m_digest.value().c_str());
 }
 
