--- a/src/include/dotterelshed/core_effects.h
+++ b/src/include/dotterelshed/core_effects.h
@@ -24,6 +24,12 @@
   PeerMessage m_message;
 };
 
+/// Send once to every seed peer address of the settings; used by a host that
+/// can't learn its domain's lead from the platform.
+struct SendSeeds {
+  PeerMessage m_message;
+};
+
 /// Run one attempt of a call; AttemptFinished follows, always.
 struct StartAttempt {
   AttemptId m_attempt;
@@ -33,6 +39,9 @@
   Term m_fence;
   /// Prefix to keep after the call; empty for none.
   HoldId m_hold;
+  /// When set and passed at the moment of sending, the call is not sent and
+  /// ends as kRefused.
+  std::optional<TimePoint> m_send_by;
 };
 
 struct CancelAttempt {
@@ -62,6 +71,11 @@
   LaneObject m_lane_object;
 };
 
+/// Delete a sealed lane object that is past its retention.
+struct DeleteLane {
+  LaneId m_lane;
+};
+
 /// Read the configuration from the platform, since @p m_seen is newer.
 struct ReadConfig {
   Generation m_seen;
@@ -113,6 +127,7 @@
 };
 
 using Effect = std::variant<SendPeer,
+                            SendSeeds,
                             StartAttempt,
                             CancelAttempt,
                             FinishCall,
@@ -120,6 +135,7 @@
                             PutTable,
                             ReadLane,
                             PutLane,
+                            DeleteLane,
                             ReadConfig,
                             ConfigInForce,
                             SetLeadDuty,
