--- a/src/include/dotterelshed/backend_client.h
+++ b/src/include/dotterelshed/backend_client.h
@@ -33,6 +33,8 @@
   std::optional<IdempotencyKey> m_key;
   /// Fencing number, sent if the service checks it.
   std::optional<Term> m_fence;
+  /// Program that the engine accounts kept memory to; empty for none.
+  ProgramId m_program;
   /// Prefix that the engine keeps after the call; empty for none.
   HoldId m_hold;
   Duration m_timeout{0};
