--- a/src/include/dotterelshed/platform_client.h
+++ b/src/include/dotterelshed/platform_client.h
@@ -35,6 +35,9 @@
   /// Written into each object, so that a put whose answer was lost can be
   /// recognised as our own.
   std::string m_writer;
+  /// A watch without an event for this long is opened again on a new
+  /// connection, since the old one may have gone silent.
+  Duration m_watch_silence = std::chrono::seconds(2);
 };
 
 /// All objects of a kind, with the version to watch from.
@@ -60,18 +63,23 @@
 
 /// Writes @p object if the stored version is still its m_version, and returns
 /// the new version. After a lost answer it reads again and looks for its own
-/// write. Errors: kConflict; kTimeout when it stays uncertain; kUnavailable
-/// when the write can't have happened.
+/// write. Errors: kConflict, also when the object to replace is gone; kTimeout
+/// when it stays uncertain; kUnavailable when the write can't have happened;
+/// kLimit when the value is too large.
 auto PutObject(const PlatformOptions& options, const PlatformObject& object)
     -> Result<ResourceVersion>;
 
-/// Deletes @p object if the stored version is still its m_version.
+/// Deletes @p object if the stored version is still its m_version; 0 deletes
+/// any version. Errors: as PutObject, and kNotFound.
 auto DeleteObject(const PlatformOptions& options, const PlatformObject& object)
     -> Status;
 
 /// Calls @p on_event for each change of @p kind after @p from, until @p stop
-/// is set or the watch breaks. Errors: kGone when @p from is too old and the
-/// caller must list again; kUnavailable.
+/// is set or @p on_event is not called any more because the platform can't be
+/// reached. Silent connections are replaced without losing an event. Blocks
+/// for up to m_watch_silence after @p stop was set.
+/// Errors: kGone when @p from is too old and the caller must list again;
+/// kUnavailable.
 auto WatchObjects(const PlatformOptions& options,
                   const std::string& kind,
                   ResourceVersion from,
