--- a/src/include/dotterelshed/config_text.h
+++ b/src/include/dotterelshed/config_text.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_CONFIG_TEXT_H_
 #define DOTTERELSHED_CONFIG_TEXT_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,10 @@
 
 namespace dotterelshed {
 
+/// Largest text that the platform can hold, with room for what stands beside
+/// it in the object. The text counts as JSON writes it, with escapes.
+inline constexpr std::size_t kMaxConfigTextBytes = 1000 * 1000;
+
 /// One mistake in a text.
 struct ConfigProblem {
   int m_line = 0;
