--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -38,7 +38,8 @@
       ${PROJECT_SOURCE_DIR}/src/cmake/catch_main.cc)
     target_link_libraries(${name}_unittests PRIVATE dotterelshed_${name})
     target_compile_definitions(${name}_unittests PRIVATE
-      DOTTERELSHED_CHARTS_DIR="${PROJECT_SOURCE_DIR}/src/charts")
+      DOTTERELSHED_CHARTS_DIR="${PROJECT_SOURCE_DIR}/src/charts"
+      DOTTERELSHED_EXAMPLES_DIR="${PROJECT_SOURCE_DIR}/examples")
     add_test(NAME unit_${name} COMMAND ${name}_unittests)
   endif()
 endfunction()
--- a/src/libconfig/config_text_unittest.cc
+++ b/src/libconfig/config_text_unittest.cc
@@ -129,8 +129,7 @@
 }
 
 auto ReadExample(const std::string& name) -> std::string {
-  std::ifstream file(std::string(DOTTERELSHED_CHARTS_DIR) + "/../../examples/" +
-                     name);
+  std::ifstream file(std::string(DOTTERELSHED_EXAMPLES_DIR) + "/" + name);
   REQUIRE(file);
   std::stringstream text;
   text << file.rdbuf();
