--- a/src/libplatform/platform_client_unittest.cc
+++ b/src/libplatform/platform_client_unittest.cc
@@ -62,12 +62,12 @@
     }
     const auto line = EventLine(from + 1);
     const auto half = EventLine(from + 2).substr(0, 20);
-    out.set_chunked_content_provider(
-        "application/json", [line, half](std::size_t, auto& sink) {
-          sink.write(line.data(), line.size());
-          sink.write(half.data(), half.size());
-          return false;
-        });
+    out.set_chunked_content_provider("application/json",
+                                     [line, half](std::size_t, auto& sink) {
+                                       sink.write(line.data(), line.size());
+                                       sink.write(half.data(), half.size());
+                                       return false;
+                                     });
   }
 
   static auto EventLine(int version) -> std::string {
@@ -189,8 +189,7 @@
 }
 
 TEST_CASE("no platform at all is unavailable") {
-  const PlatformOptions options{.m_address = "127.0.0.1:1",
-                                .m_writer = "test"};
+  const PlatformOptions options{.m_address = "127.0.0.1:1", .m_writer = "test"};
   CHECK(PutObject(options, Thing(0, "{}")).error().m_code ==
         ErrorCode::kUnavailable);
   CHECK(ListObjects(options, "things").error().m_code ==
--- a/src/libplatform/platform_codec.cc
+++ b/src/libplatform/platform_codec.cc
@@ -32,9 +32,9 @@
 }
 
 auto HostRefFrom(const Json& json) -> HostRef {
-  return {.m_host = HostId(json.at("host").get<std::string>()),
-          .m_incarnation =
-              Incarnation(json.at("incarnation").get<std::int64_t>())};
+  return {
+      .m_host = HostId(json.at("host").get<std::string>()),
+      .m_incarnation = Incarnation(json.at("incarnation").get<std::int64_t>())};
 }
 
 auto ToJson(const PoolAssignment& pool) -> Json {
@@ -59,10 +59,10 @@
 }
 
 auto MemberFrom(const Json& json) -> MemberRecord {
-  return {.m_incarnation =
-              Incarnation(json.at("incarnation").get<std::int64_t>()),
-          .m_addresses = {.m_peer = json.at("peer").get<std::string>(),
-                          .m_http = json.at("http").get<std::string>()}};
+  return {
+      .m_incarnation = Incarnation(json.at("incarnation").get<std::int64_t>()),
+      .m_addresses = {.m_peer = json.at("peer").get<std::string>(),
+                      .m_http = json.at("http").get<std::string>()}};
 }
 
 auto TableFrom(const Json& json) -> DomainTable {
@@ -252,8 +252,8 @@
 }
 
 auto EncodeStoredConfig(const StoredConfig& config) -> std::string {
-  return Dump({{"generation", config.m_generation.value()},
-               {"text", config.m_text}});
+  return Dump(
+      {{"generation", config.m_generation.value()}, {"text", config.m_text}});
 }
 
 auto DecodeStoredConfig(std::string_view text) -> Result<StoredConfig> {
--- a/src/libplatform/platform_codec_unittest.cc
+++ b/src/libplatform/platform_codec_unittest.cc
@@ -41,10 +41,8 @@
                            .m_outcome = OutcomeKind::kDone,
                            .m_http_status = 201,
                            .m_answer = bytes});
-  lane.m_claims.push_back(
-      {.m_key = IdempotencyKey("k2"), .m_claimed_at_s = 7});
-  lane.m_claims.push_back(
-      {.m_key = IdempotencyKey("k3"), .m_claimed_at_s = 5});
+  lane.m_claims.push_back({.m_key = IdempotencyKey("k2"), .m_claimed_at_s = 7});
+  lane.m_claims.push_back({.m_key = IdempotencyKey("k3"), .m_claimed_at_s = 5});
   const auto got = DecodeLane(EncodeLane(lane));
   REQUIRE(got);
   CHECK(got->m_claims[0].m_answer == bytes);
--- a/src/libplatform/platform_http.h
+++ b/src/libplatform/platform_http.h
@@ -32,8 +32,7 @@
 auto ParseObject(const Json& json) -> Result<PlatformObject>;
 
 /// Maps an HTTP status that is not a success to an Error.
-auto StatusError(int status, const std::string& place)
-    -> tl::unexpected<Error>;
+auto StatusError(int status, const std::string& place) -> tl::unexpected<Error>;
 
 }  // namespace dotterelshed::pvt
 
