Add membership, the domain's lead and pool ownership

Cause: the core needs owners of pools that change only by conditional update of one table per failure domain. Host life cycle and pool assignment follow src/charts/host.jsonc and pool.jsonc. Terms come from one counter per domain, so that an endpoint that comes to another pool never meets a lower fencing number.

--- a/src/include/dotterelshed/membership_messages.h
+++ b/src/include/dotterelshed/membership_messages.h
@@ -81,6 +81,13 @@
   ResourceVersion m_version;
   Term m_lead_term;
   HostRef m_lead;
+  /// Configuration generation that the set of pools follows; a lead with an
+  /// older one leaves the set alone.
+  Generation m_generation;
+  /// Highest term that any pool of the domain has had. A new assignment takes
+  /// the next one, so that an endpoint that comes to another pool never meets
+  /// a fencing number below the one that it has seen.
+  Term m_highest_term;
   std::map<PoolId, PoolAssignment> m_pools;
   /// Hosts that may own pools, with the start that was last seen.
   std::map<HostId, MemberRecord> m_members;
--- /dev/null
+++ b/src/libcore/ownership.cc
@@ -0,0 +1,292 @@
+#include "dotterelshed/ownership.h"
+
+#include <algorithm>
+
+#include "ownership_state.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// A gap between ticks of this many heartbeat intervals means that the process
+/// was paused, and that what it knows of others is old.
+constexpr auto kPauseIntervals = 2;
+
+/// Gives everybody a fresh start after a pause of this process: it was not
+/// there to hear them.
+auto WakeUp(Ownership& ownership, TimePoint now, OwnershipStep& step) -> void {
+  for (auto& [id, member] : ownership.m_members) {
+    member.m_heard = now;
+  }
+  ownership.m_lead.m_heard = now;
+  ownership.m_lead.m_suspected = false;
+  ownership.m_platform.m_call = pvt::TableCall::kNone;
+  ownership.m_quiet_since = now;
+  ownership.m_next_plan = now + pvt::DownAfter(ownership);
+  pvt::StartRead(ownership, now, step);
+}
+
+auto HoldsRole(const Ownership& ownership) -> bool {
+  if (!ownership.m_table) {
+    return false;
+  }
+  const auto& self = ownership.m_options.m_self;
+  const auto& pools = ownership.m_table->m_pools;
+  return ownership.m_table->m_lead == self ||
+         std::any_of(pools.begin(), pools.end(), [&self](const auto& entry) {
+           return entry.second.m_primary == self ||
+                  entry.second.m_holder == self;
+         });
+}
+
+/// True when somebody could take a role of this host.
+auto HasSuccessor(const Ownership& ownership) -> bool {
+  if (!ownership.m_table) {
+    return false;
+  }
+  const auto& members = ownership.m_members;
+  return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+    const auto& info = entry.second.m_info;
+    return entry.first != ownership.m_options.m_self.m_host && info.m_alive &&
+           !info.m_draining;
+  });
+}
+
+/// Copies of pools that this host gave away stand on their new owners.
+auto CopiesConfirmed(const Ownership& ownership, TimePoint now) -> bool {
+  if (ownership.m_given_away.empty()) {
+    return true;
+  }
+  const auto settle = ownership.m_options.m_heartbeat_interval * 2;
+  return now - ownership.m_roles_changed >= settle &&
+         std::none_of(ownership.m_given_away.begin(),
+                      ownership.m_given_away.end(), [&](const auto& pool) {
+                        return ownership.m_unconfirmed.contains(pool);
+                      });
+}
+
+auto CheckDrained(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  const auto state = ownership.m_state;
+  if (state != pvt::HostState::kDraining &&
+      state != pvt::HostState::kDrainingLead) {
+    return;
+  }
+  const auto given_up =
+      !HoldsRole(ownership) && CopiesConfirmed(ownership, now);
+  if (given_up || !HasSuccessor(ownership)) {
+    pvt::FireHostEvent(ownership, pvt::HostEvent::kRolesGone, step);
+  }
+}
+
+auto SendHeartbeats(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  if (now < ownership.m_next_heartbeat) {
+    return;
+  }
+  ownership.m_next_heartbeat = now + ownership.m_options.m_heartbeat_interval;
+  const auto heartbeat = pvt::MakeHeartbeat(ownership);
+  if (!ownership.m_table) {
+    step.m_effects.emplace_back(SendSeeds{heartbeat});
+    return;
+  }
+  const auto& self = ownership.m_options.m_self.m_host;
+  if (!ownership.m_lead.m_suspected) {
+    step.m_effects.emplace_back(
+        SendPeer{ownership.m_table->m_lead.m_host, heartbeat});
+    return;
+  }
+  for (const auto& [host, record] : ownership.m_table->m_members) {
+    if (host != self) {
+      step.m_effects.emplace_back(SendPeer{host, heartbeat});
+    }
+  }
+}
+
+/// Endpoints of one service, cut into pools that keep most of their endpoints
+/// when one is added or removed.
+auto CutIntoPools(const ServiceConfig& service,
+                  const OwnershipOptions& options)
+    -> std::map<PoolId, std::vector<EndpointConfig>> {
+  std::map<PoolId, std::vector<EndpointConfig>> pools;
+  std::vector<EndpointConfig> endpoints;
+  for (const auto& endpoint : service.m_endpoints) {
+    if (endpoint.m_domain == options.m_domain) {
+      endpoints.push_back(endpoint);
+    }
+  }
+  const auto most = static_cast<std::size_t>(options.m_max_pool_endpoints);
+  const auto count = (endpoints.size() + most - 1) / most;
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    pools[PoolId(options.m_domain.value() + "." + service.m_id.value() + "." +
+                 std::to_string(i))];
+  }
+  std::sort(
+      endpoints.begin(), endpoints.end(),
+      [](const auto& left, const auto& right) { return left.m_id < right.m_id; });
+  for (const auto& endpoint : endpoints) {
+    std::vector<EndpointConfig>* chosen = nullptr;
+    auto best = std::uint64_t{0};
+    for (auto& [id, members] : pools) {
+      const auto weight = pvt::MixHash(endpoint.m_id.value(), id.value());
+      if (members.size() < most && (chosen == nullptr || weight > best)) {
+        chosen = &members;
+        best = weight;
+      }
+    }
+    chosen->push_back(endpoint);
+  }
+  return pools;
+}
+
+}  // namespace
+
+auto MakeOwnership(const OwnershipOptions& options)
+    -> Result<std::shared_ptr<Ownership>> {
+  auto charts = pvt::LoadOwnershipCharts(options.m_charts_dir);
+  if (!charts) {
+    return tl::unexpected<Error>(charts.error());
+  }
+  auto ownership = std::make_shared<Ownership>(Ownership{
+      .m_options = options, .m_charts = std::move(*charts)});
+  ownership->m_state = ownership->m_charts.m_host.initial();
+  const auto mix = pvt::MixHash(options.m_self.m_host.value(),
+                                std::to_string(options.m_seed));
+  const auto interval =
+      static_cast<std::uint64_t>(options.m_heartbeat_interval.count());
+  ownership->m_jitter = Duration(static_cast<Duration::rep>(mix % interval));
+  return ownership;
+}
+
+auto SetOwnershipConfig(Ownership& ownership,
+                        const DeskConfig& config,
+                        TimePoint now) -> OwnershipStep {
+  ownership.m_pool_endpoints.clear();
+  ownership.m_wanted.clear();
+  ownership.m_config_generation = config.m_generation;
+  for (const auto& [id, service] : config.m_services) {
+    for (auto& [pool, endpoints] : CutIntoPools(service, ownership.m_options)) {
+      ownership.m_pool_endpoints[pool] = std::move(endpoints);
+      ownership.m_wanted[pool] = id;
+    }
+  }
+  ownership.m_next_plan = std::min(ownership.m_next_plan, now);
+  return TickOwnership(ownership, now);
+}
+
+auto TickOwnership(Ownership& ownership, TimePoint now) -> OwnershipStep {
+  OwnershipStep step;
+  const auto pause =
+      ownership.m_options.m_heartbeat_interval * kPauseIntervals;
+  const auto last = ownership.m_last_tick.value_or(now);
+  ownership.m_last_tick = now;
+  if (now - last > pause) {
+    WakeUp(ownership, now, step);
+  }
+  if (pvt::IsSelfLead(ownership)) {
+    pvt::TickLead(ownership, now, step);
+  } else {
+    SendHeartbeats(ownership, now, step);
+    pvt::TickFollower(ownership, now, step);
+  }
+  CheckDrained(ownership, now, step);
+  return step;
+}
+
+auto StartDrain(Ownership& ownership, TimePoint now) -> OwnershipStep {
+  OwnershipStep step;
+  pvt::FireHostEvent(ownership, pvt::HostEvent::kDrainAsked, step);
+  // The lead hears of it at once and not with the next regular heartbeat.
+  ownership.m_next_heartbeat = now;
+  ownership.m_next_plan = now;
+  return step;
+}
+
+auto Drained(const Ownership& ownership) -> bool {
+  return ownership.m_state == pvt::HostState::kDrained;
+}
+
+auto OnHostListed(Ownership& ownership, const HostListed& event, TimePoint now)
+    -> OwnershipStep {
+  if (event.m_leaving) {
+    ownership.m_listed_leaving.insert(event.m_host);
+  } else {
+    ownership.m_listed_leaving.erase(event.m_host);
+  }
+  ownership.m_next_plan = std::min(ownership.m_next_plan, now);
+  return {};
+}
+
+auto AnnounceQuarantine(Ownership& ownership, const Digest& content) -> void {
+  if (ownership.m_quarantined.contains(content)) {
+    return;
+  }
+  if (pvt::IsSelfLead(ownership)) {
+    ownership.m_quarantined[content] = pvt::NextNews(ownership);
+    return;
+  }
+  ownership.m_announced.m_quarantined.insert(content);
+}
+
+auto AnnounceUnconfirmed(Ownership& ownership, std::vector<PoolId> pools)
+    -> void {
+  ownership.m_announced.m_unconfirmed = std::move(pools);
+}
+
+auto AnnouncePinned(Ownership& ownership, std::vector<PoolId> pools) -> void {
+  ownership.m_announced.m_pinned = std::move(pools);
+}
+
+auto AnnounceGeneration(Ownership& ownership, Generation generation) -> void {
+  ownership.m_announced.m_generation = generation;
+}
+
+auto AnnounceHeadroom(Ownership& ownership, int headroom) -> void {
+  ownership.m_announced.m_headroom = headroom;
+}
+
+namespace pvt {
+
+auto DownAfter(const Ownership& ownership) -> Duration {
+  return ownership.m_options.m_heartbeat_interval *
+         ownership.m_options.m_missed_heartbeats;
+}
+
+auto IsSelfLead(const Ownership& ownership) -> bool {
+  return ownership.m_table &&
+         ownership.m_table->m_lead == ownership.m_options.m_self;
+}
+
+auto IsLeaving(const Ownership& ownership) -> bool {
+  return ownership.m_state == HostState::kDraining ||
+         ownership.m_state == HostState::kDrainingLead ||
+         ownership.m_state == HostState::kDrained;
+}
+
+auto FireHostEvent(Ownership& ownership, HostEvent event, OwnershipStep& step)
+    -> void {
+  const auto* transition =
+      ownership.m_charts.m_host.Find(ownership.m_state, event);
+  if (transition == nullptr) {
+    return;
+  }
+  ownership.m_state = transition->m_to;
+  for (const auto action : transition->m_actions) {
+    const auto active = action == HostAction::kTakeLeadDuty;
+    step.m_effects.emplace_back(SetLeadDuty{.m_active = active});
+  }
+}
+
+auto NextNews(Ownership& ownership) -> std::int64_t {
+  return ++ownership.m_news;
+}
+
+auto AddLog(OwnershipStep& step, LogEventId id, std::vector<LogField> fields)
+    -> void {
+  step.m_effects.emplace_back(
+      WriteLog{.m_id = id, .m_fields = std::move(fields)});
+}
+
+}  // namespace pvt
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libcore/ownership_plan.cc
@@ -0,0 +1,302 @@
+#include "ownership_plan.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <optional>
+#include <tuple>
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+auto MayServe(const PlanMember& member) -> bool {
+  return member.m_alive && !member.m_leaving;
+}
+
+/// One pool on its way through the chart.
+class PoolPlanner {
+ public:
+  PoolPlanner(PoolAssignment& pool,
+              std::map<PoolId, PoolAssignment>& pools,
+              const PlanInput& input,
+              const PoolChart& chart)
+      : m_pool(pool), m_pools(pools), m_input(input), m_chart(chart) {}
+
+  auto Run() -> void {
+    // Each round fills or empties a role; more rounds than that can't help.
+    constexpr auto kMaxRounds = 6;
+    for (auto round = 0; round < kMaxRounds; ++round) {
+      const auto event = NextEvent();
+      if (!event || !Take(*event)) {
+        return;
+      }
+    }
+  }
+
+ private:
+  auto State() const -> PoolState {
+    if (m_pool.m_primary.m_host.empty()) {
+      return PoolState::kVacant;
+    }
+    return m_pool.m_holder.m_host.empty() ? PoolState::kSolo
+                                          : PoolState::kPaired;
+  }
+
+  auto Leaving(const HostRef& host) const -> bool {
+    const auto found = m_input.m_members.find(host.m_host);
+    return found != m_input.m_members.end() && found->second.m_leaving;
+  }
+
+  auto MayMoveByPlan() const -> bool {
+    return !m_input.m_unconfirmed.contains(m_pool.m_pool) &&
+           !m_input.m_pinned.contains(m_pool.m_pool);
+  }
+
+  auto NextEvent() const -> std::optional<PoolEvent> {
+    const auto state = State();
+    if (state != PoolState::kVacant && !IsUp(m_input, m_pool.m_primary)) {
+      return PoolEvent::kPrimaryLost;
+    }
+    if (state == PoolState::kPaired && !IsUp(m_input, m_pool.m_holder)) {
+      return PoolEvent::kHolderLost;
+    }
+    if (state != PoolState::kPaired) {
+      return Choose().has_value() ? std::optional(PoolEvent::kHostAvailable)
+                                  : std::nullopt;
+    }
+    return LeavingEvent();
+  }
+
+  auto LeavingEvent() const -> std::optional<PoolEvent> {
+    if (!MayMoveByPlan()) {
+      return std::nullopt;
+    }
+    if (Leaving(m_pool.m_primary) && !Leaving(m_pool.m_holder)) {
+      return PoolEvent::kPrimaryLeaving;
+    }
+    // With nobody else there, a leaving holder is better than none.
+    if (Leaving(m_pool.m_holder) && Choose().has_value()) {
+      return PoolEvent::kHolderLeaving;
+    }
+    return std::nullopt;
+  }
+
+  /// @return false when the chart has no such transition
+  auto Take(PoolEvent event) -> bool {
+    const auto* step = m_chart.Find(State(), event);
+    if (step == nullptr) {
+      return false;
+    }
+    for (const auto action : step->m_actions) {
+      Act(action);
+    }
+    return true;
+  }
+
+  auto Act(PoolAction action) -> void {
+    switch (action) {
+      case PoolAction::kChoosePrimary:
+        m_pool.m_primary = *Choose();
+        return;
+      case PoolAction::kChooseHolder:
+        m_pool.m_holder = *Choose();
+        return;
+      case PoolAction::kClearPrimary:
+        m_pool.m_primary = {};
+        return;
+      case PoolAction::kPromoteHolder:
+        m_pool.m_primary = m_pool.m_holder;
+        m_pool.m_holder = {};
+        return;
+      case PoolAction::kClearHolder:
+        m_pool.m_holder = {};
+        return;
+      case PoolAction::kSwapRoles:
+        std::swap(m_pool.m_primary, m_pool.m_holder);
+        return;
+    }
+  }
+
+  /// The least loaded host for the role that is missing.
+  auto Choose() const -> std::optional<HostRef> {
+    const auto for_holder = State() != PoolState::kVacant;
+    const auto counts = CountRoles(m_pools, m_input);
+    std::optional<std::tuple<int, int, std::uint64_t>> best;
+    std::optional<HostRef> chosen;
+    for (const auto& [id, member] : m_input.m_members) {
+      if (!MayServe(member) || id == m_pool.m_primary.m_host ||
+          id == m_pool.m_holder.m_host) {
+        continue;
+      }
+      const auto& count = counts.at(id);
+      const auto first =
+          for_holder ? HolderLoad(count) : count.m_primaries;
+      const auto cost = std::tuple(
+          first, count.m_roles, MixHash(m_pool.m_pool.value(), id.value()));
+      if (!best || cost < *best) {
+        best = cost;
+        chosen = member.m_host;
+      }
+    }
+    return chosen;
+  }
+
+  PoolAssignment& m_pool;
+  std::map<PoolId, PoolAssignment>& m_pools;
+  const PlanInput& m_input;
+  const PoolChart& m_chart;
+};
+
+auto AddWantedPools(DomainTable& table, const PlanInput& input) -> void {
+  if (input.m_generation < table.m_generation) {
+    return;
+  }
+  table.m_generation = input.m_generation;
+  std::erase_if(table.m_pools, [&input](const auto& entry) {
+    return !input.m_wanted.contains(entry.first);
+  });
+  for (const auto& [id, service] : input.m_wanted) {
+    auto& pool = table.m_pools[id];
+    pool.m_pool = id;
+    pool.m_service = service;
+  }
+}
+
+auto UpdateMembers(DomainTable& table, const PlanInput& input) -> void {
+  for (const auto& [id, member] : input.m_members) {
+    if (member.m_alive) {
+      table.m_members[id] = {.m_incarnation = member.m_host.m_incarnation,
+                             .m_addresses = member.m_addresses};
+    } else if (member.m_forgettable) {
+      table.m_members.erase(id);
+    }
+  }
+}
+
+auto SameOwners(const PoolAssignment& left, const PoolAssignment& right)
+    -> bool {
+  return left.m_primary == right.m_primary && left.m_holder == right.m_holder;
+}
+
+auto SameAddresses(const HostAddresses& left, const HostAddresses& right)
+    -> bool {
+  return left.m_peer == right.m_peer && left.m_http == right.m_http;
+}
+
+auto SamePool(const PoolAssignment& left, const PoolAssignment& right) -> bool {
+  return SameOwners(left, right) && left.m_term == right.m_term &&
+         left.m_service == right.m_service && left.m_pool == right.m_pool;
+}
+
+auto SameMember(const MemberRecord& left, const MemberRecord& right) -> bool {
+  return left.m_incarnation == right.m_incarnation &&
+         SameAddresses(left.m_addresses, right.m_addresses);
+}
+
+template <typename Map, typename Same>
+auto SameMap(const Map& left, const Map& right, const Same& same) -> bool {
+  if (left.size() != right.size()) {
+    return false;
+  }
+  auto other = right.begin();
+  for (const auto& [key, value] : left) {
+    if (key != other->first || !same(value, other->second)) {
+      return false;
+    }
+    ++other;
+  }
+  return true;
+}
+
+auto CountPools(const DomainTable& table, const ServiceId& service) -> int {
+  auto count = 0;
+  for (const auto& [id, pool] : table.m_pools) {
+    count += pool.m_service == service ? 1 : 0;
+  }
+  return count;
+}
+
+/// True when the endpoints of the pool's service are cut differently now, so
+/// that some come from another pool with another term.
+auto CutChanged(const PoolAssignment& pool,
+                const DomainTable& planned,
+                const DomainTable& table) -> bool {
+  return CountPools(planned, pool.m_service) !=
+         CountPools(table, pool.m_service);
+}
+
+/// A pool gets the domain's next term whenever its owners or cut differ.
+auto AssignTerms(DomainTable& planned, const DomainTable& table) -> void {
+  for (auto& [id, pool] : planned.m_pools) {
+    const auto before = table.m_pools.find(id);
+    if (before == table.m_pools.end() || !SameOwners(pool, before->second) ||
+        CutChanged(pool, planned, table)) {
+      planned.m_highest_term = planned.m_highest_term.Next();
+      pool.m_term = planned.m_highest_term;
+    }
+  }
+}
+
+}  // namespace
+
+auto MixHash(std::string_view left, std::string_view right) -> std::uint64_t {
+  const auto seed = XXH3_64bits(left.data(), left.size());
+  return XXH3_64bits_withSeed(right.data(), right.size(), seed);
+}
+
+auto IsUp(const PlanInput& input, const HostRef& host) -> bool {
+  const auto found = input.m_members.find(host.m_host);
+  return found != input.m_members.end() && found->second.m_alive &&
+         found->second.m_host == host;
+}
+
+auto CountRoles(const std::map<PoolId, PoolAssignment>& pools,
+                const PlanInput& input) -> std::map<HostId, RoleCount> {
+  std::map<HostId, RoleCount> counts;
+  for (const auto& [id, member] : input.m_members) {
+    if (MayServe(member)) {
+      counts[id] = {.m_has_disk = member.m_has_disk};
+    }
+  }
+  for (const auto& [id, pool] : pools) {
+    const auto primary = counts.find(pool.m_primary.m_host);
+    if (primary != counts.end()) {
+      ++primary->second.m_primaries;
+      ++primary->second.m_roles;
+    }
+    const auto holder = counts.find(pool.m_holder.m_host);
+    if (holder != counts.end()) {
+      ++holder->second.m_roles;
+    }
+  }
+  return counts;
+}
+
+auto HolderLoad(const RoleCount& count) -> int {
+  return count.m_roles - (count.m_has_disk ? kDiskAdvantage : 0);
+}
+
+auto SameContent(const DomainTable& left, const DomainTable& right) -> bool {
+  return left.m_domain == right.m_domain &&
+         left.m_lead_term == right.m_lead_term && left.m_lead == right.m_lead &&
+         left.m_generation == right.m_generation &&
+         SameMap(left.m_pools, right.m_pools, SamePool) &&
+         SameMap(left.m_members, right.m_members, SameMember);
+}
+
+auto PlanTable(const DomainTable& table,
+               const PlanInput& input,
+               const PoolChart& chart) -> DomainTable {
+  auto planned = table;
+  AddWantedPools(planned, input);
+  UpdateMembers(planned, input);
+  for (auto& [id, pool] : planned.m_pools) {
+    PoolPlanner(pool, planned.m_pools, input, chart).Run();
+  }
+  BalancePools(planned.m_pools, input);
+  AssignTerms(planned, table);
+  return planned;
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/ownership_table.cc
@@ -0,0 +1,280 @@
+#include <algorithm>
+
+#include "ownership_state.h"
+
+/// @file
+/// The domain table: reading, proposing and adopting it.
+
+namespace dotterelshed {
+
+namespace pvt {
+
+namespace {
+
+/// Earlier tables kept to send differences from.
+constexpr auto kOldTables = std::size_t{8};
+/// A lead reads its table this often, beside its watch.
+constexpr auto kPollInterval = std::chrono::seconds(10);
+constexpr auto kFirstBackoff = std::chrono::milliseconds(500);
+constexpr auto kLongestBackoff = std::chrono::seconds(8);
+/// A lead keeps asking a platform that does not answer at least this often.
+constexpr auto kLeadBackoff = std::chrono::seconds(1);
+
+auto SameOwners(const PoolAssignment& left, const PoolAssignment& right)
+    -> bool {
+  return left.m_term == right.m_term && left.m_primary == right.m_primary &&
+         left.m_holder == right.m_holder;
+}
+
+auto Names(const PoolAssignment& pool, const HostRef& host) -> bool {
+  return pool.m_primary == host || pool.m_holder == host;
+}
+
+auto NoteChange(Ownership& ownership,
+                const PoolAssignment& before,
+                const PoolAssignment& after,
+                TimePoint now,
+                OwnershipStep& step) -> void {
+  const auto& self = ownership.m_options.m_self;
+  step.m_changes.push_back({.m_before = before, .m_after = after});
+  ownership.m_roles_changed = now;
+  if (IsLeaving(ownership) && Names(before, self) && !Names(after, self)) {
+    ownership.m_given_away.insert(before.m_pool);
+  }
+  if (Names(after, self)) {
+    FireHostEvent(ownership, HostEvent::kRoleGiven, step);
+  }
+  AddLog(step, LogEventId::kPoolChanged,
+         {{"pool", before.m_pool.value()},
+          {"term", std::to_string(after.m_term.value())},
+          {"primary", after.m_primary.m_host.value()},
+          {"holder", after.m_holder.m_host.value()}});
+}
+
+/// Lists pools whose owners differ between two tables.
+auto NoteChanges(Ownership& ownership,
+                 const std::map<PoolId, PoolAssignment>& before,
+                 const std::map<PoolId, PoolAssignment>& after,
+                 TimePoint now,
+                 OwnershipStep& step) -> void {
+  for (const auto& [id, pool] : after) {
+    const auto old = before.find(id);
+    const auto was =
+        old == before.end()
+            ? PoolAssignment{.m_pool = id, .m_service = pool.m_service}
+            : old->second;
+    if (!SameOwners(was, pool)) {
+      NoteChange(ownership, was, pool, now, step);
+    }
+  }
+  for (const auto& [id, pool] : before) {
+    if (!after.contains(id)) {
+      const PoolAssignment gone{.m_pool = id, .m_service = pool.m_service};
+      NoteChange(ownership, pool, gone, now, step);
+    }
+  }
+}
+
+auto NoteLead(Ownership& ownership,
+              const HostRef& before,
+              TimePoint now,
+              OwnershipStep& step) -> void {
+  const auto& lead = ownership.m_table->m_lead;
+  const auto self_leads = IsSelfLead(ownership);
+  FireHostEvent(ownership,
+                self_leads ? HostEvent::kSelfLeads : HostEvent::kOtherLeads,
+                step);
+  if (lead == before) {
+    return;
+  }
+  if (self_leads) {
+    BecomeLead(ownership, now);
+  }
+  ownership.m_lead = {.m_heard = now};
+  ownership.m_next_heartbeat = std::min(ownership.m_next_heartbeat, now);
+  AddLog(step, LogEventId::kLeadChanged,
+         {{"lead", lead.m_host.value()},
+          {"term", std::to_string(ownership.m_table->m_lead_term.value())}});
+}
+
+auto NewTable(const Ownership& ownership) -> DomainTable {
+  const auto& options = ownership.m_options;
+  DomainTable table{.m_domain = options.m_domain};
+  table.m_members[options.m_self.m_host] = {
+      .m_incarnation = options.m_self.m_incarnation,
+      .m_addresses = options.m_addresses};
+  return table;
+}
+
+/// Whether this host's own calls tell how the platform is; otherwise its lead
+/// does.
+auto JudgesPlatform(const Ownership& ownership) -> bool {
+  return !ownership.m_table || IsSelfLead(ownership) ||
+         ownership.m_lead.m_suspected;
+}
+
+auto ScheduleRead(Ownership& ownership, TimePoint now, Duration delay) -> void {
+  ownership.m_platform.m_next_read = now + delay + ownership.m_jitter;
+}
+
+/// The object does not exist: the domain is new, or somebody deleted it.
+auto OnTableMissing(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  if (!ownership.m_table) {
+    StartPut(ownership, WithSelfAsLead(ownership, NewTable(ownership)), now,
+             step);
+    return;
+  }
+  auto table = *ownership.m_table;
+  table.m_version = ResourceVersion(0);
+  if (IsSelfLead(ownership)) {
+    StartPut(ownership, table, now, step);
+  } else if (ownership.m_lead.m_suspected) {
+    StartPut(ownership, WithSelfAsLead(ownership, table), now, step);
+  }
+}
+
+auto OnTableError(Ownership& ownership,
+                  const Error& error,
+                  TimePoint now,
+                  OwnershipStep& step) -> void {
+  auto& platform = ownership.m_platform;
+  platform.m_call = TableCall::kNone;
+  const auto answered = error.m_code == ErrorCode::kNotFound ||
+                        error.m_code == ErrorCode::kConflict;
+  if (JudgesPlatform(ownership)) {
+    SetPlatformReachable(ownership, answered, now, step);
+  }
+  if (error.m_code == ErrorCode::kNotFound) {
+    OnTableMissing(ownership, now, step);
+    return;
+  }
+  if (error.m_code == ErrorCode::kConflict) {
+    StartRead(ownership, now, step);
+    return;
+  }
+  const Duration longest =
+      IsSelfLead(ownership) ? kLeadBackoff : kLongestBackoff;
+  platform.m_backoff =
+      std::clamp<Duration>(platform.m_backoff * 2, kFirstBackoff, longest);
+  ScheduleRead(ownership, now, platform.m_backoff);
+}
+
+}  // namespace
+
+auto WithSelfAsLead(const Ownership& ownership, DomainTable table)
+    -> DomainTable {
+  table.m_lead = ownership.m_options.m_self;
+  table.m_lead_term = table.m_lead_term.Next();
+  table.m_members[table.m_lead.m_host] = {
+      .m_incarnation = table.m_lead.m_incarnation,
+      .m_addresses = ownership.m_options.m_addresses};
+  return table;
+}
+
+auto StartRead(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  auto& platform = ownership.m_platform;
+  if (platform.m_call != TableCall::kNone) {
+    return;
+  }
+  platform.m_call = TableCall::kRead;
+  platform.m_call_since = now;
+  step.m_effects.emplace_back(ReadTable{ownership.m_options.m_domain});
+}
+
+auto StartPut(Ownership& ownership,
+              DomainTable table,
+              TimePoint now,
+              OwnershipStep& step) -> void {
+  auto& platform = ownership.m_platform;
+  if (platform.m_call != TableCall::kNone) {
+    return;
+  }
+  platform.m_call = TableCall::kPut;
+  platform.m_call_since = now;
+  step.m_effects.emplace_back(PutTable{std::move(table)});
+}
+
+auto AdoptTable(Ownership& ownership,
+                const DomainTable& table,
+                TimePoint now,
+                OwnershipStep& step) -> void {
+  if (ownership.m_table && table.m_version <= ownership.m_table->m_version) {
+    return;
+  }
+  const auto was_lead = IsSelfLead(ownership);
+  const auto before = ownership.m_table.value_or(DomainTable{});
+  if (ownership.m_table) {
+    ownership.m_old_tables.push_back(before);
+  }
+  if (ownership.m_old_tables.size() > kOldTables) {
+    ownership.m_old_tables.pop_front();
+  }
+  ownership.m_table = table;
+  NoteLead(ownership, before.m_lead, now, step);
+  NoteChanges(ownership, before.m_pools, table.m_pools, now, step);
+  if (was_lead || IsSelfLead(ownership)) {
+    PushDigests(ownership, step);
+  }
+}
+
+auto AdoptRemoteTable(Ownership& ownership, const DomainTable& table) -> void {
+  auto& remote = ownership.m_remote[table.m_domain];
+  if (remote.m_changed != 0 &&
+      table.m_version <= remote.m_table.m_version) {
+    return;
+  }
+  remote.m_table = table;
+  remote.m_changed = NextNews(ownership);
+}
+
+auto SetPlatformReachable(Ownership& ownership,
+                          bool reachable,
+                          TimePoint now,
+                          OwnershipStep& step) -> void {
+  auto& platform = ownership.m_platform;
+  if (platform.m_reachable == reachable) {
+    return;
+  }
+  platform.m_reachable = reachable;
+  platform.m_changed = now;
+  AddLog(step, reachable ? LogEventId::kPlatformBack
+                         : LogEventId::kPlatformLost,
+         {});
+}
+
+}  // namespace pvt
+
+auto OnTableArrived(Ownership& ownership,
+                    const TableArrived& event,
+                    TimePoint now) -> OwnershipStep {
+  OwnershipStep step;
+  if (event.m_domain != ownership.m_options.m_domain) {
+    if (event.m_table) {
+      pvt::AdoptRemoteTable(ownership, *event.m_table);
+    }
+    return step;
+  }
+  if (!event.m_table) {
+    pvt::OnTableError(ownership, event.m_table.error(), now, step);
+    return step;
+  }
+  auto& platform = ownership.m_platform;
+  // News from the watch may overtake the answer to a put.
+  if (event.m_from_put || platform.m_call == pvt::TableCall::kRead) {
+    platform.m_call = pvt::TableCall::kNone;
+  }
+  if (pvt::JudgesPlatform(ownership)) {
+    pvt::SetPlatformReachable(ownership, true, now, step);
+  } else {
+    ownership.m_lead.m_probed_at = now;
+  }
+  platform.m_backoff = Duration(0);
+  pvt::ScheduleRead(ownership, now, pvt::kPollInterval);
+  ownership.m_lead.m_table_fresh = true;
+  pvt::AdoptTable(ownership, *event.m_table, now, step);
+  return step;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libcore/ownership_takeover.cc
@@ -0,0 +1,144 @@
+#include <algorithm>
+
+#include "ownership_state.h"
+
+/// @file
+/// What a host does that is not the lead: watch the lead and replace it.
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr auto kCallTimeout = std::chrono::seconds(5);
+/// While the lead can't reach the platform, one other host in turn tries.
+constexpr auto kProbeInterval = std::chrono::seconds(5);
+/// A lead that still can't reach the platform this long after another host
+/// could is replaced.
+constexpr auto kProbePatience = std::chrono::milliseconds(2500);
+
+/// Place of this host among those that could take the lead over; all hosts
+/// find the same order for the same lead term.
+auto Rank(const Ownership& ownership) -> int {
+  const auto& table = *ownership.m_table;
+  const auto term = std::to_string(table.m_lead_term.value());
+  const auto& self = ownership.m_options.m_self.m_host;
+  const auto own = MixHash(term, self.value());
+  auto rank = 0;
+  auto hosts = 0;
+  for (const auto& [id, record] : table.m_members) {
+    const auto known = ownership.m_members.find(id);
+    const auto down = known != ownership.m_members.end() &&
+                      (!known->second.m_info.m_alive ||
+                       known->second.m_info.m_draining);
+    if (id == table.m_lead.m_host || id == self || down) {
+      continue;
+    }
+    ++hosts;
+    rank += MixHash(term, id.value()) < own ? 1 : 0;
+  }
+  return IsLeaving(ownership) ? hosts + 1 : rank;
+}
+
+auto SuspectLead(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  auto& lead = ownership.m_lead;
+  if (lead.m_suspected || now - lead.m_heard <= DownAfter(ownership)) {
+    return;
+  }
+  lead.m_suspected = true;
+  lead.m_table_fresh = false;
+  lead.m_takeover_at =
+      now + ownership.m_options.m_rank_delay * Rank(ownership);
+  ownership.m_next_heartbeat = now;
+  AddLog(step, LogEventId::kHostSuspected,
+         {{"host", ownership.m_table->m_lead.m_host.value()}});
+}
+
+auto TakeOver(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  auto& lead = ownership.m_lead;
+  if (!lead.m_suspected || now < lead.m_takeover_at) {
+    return;
+  }
+  if (lead.m_table_fresh) {
+    lead.m_table_fresh = false;
+    StartPut(ownership, WithSelfAsLead(ownership, *ownership.m_table), now,
+             step);
+  } else if (now >= ownership.m_platform.m_next_read ||
+             ownership.m_platform.m_reachable) {
+    StartRead(ownership, now, step);
+  }
+}
+
+/// The lead is the same host at an earlier start: it is certainly gone.
+auto ReplaceOwnEarlierStart(Ownership& ownership,
+                            TimePoint now,
+                            OwnershipStep& step) -> void {
+  const auto& lead = ownership.m_table->m_lead;
+  const auto& self = ownership.m_options.m_self;
+  if (lead.m_host == self.m_host && lead.m_incarnation < self.m_incarnation) {
+    StartPut(ownership, WithSelfAsLead(ownership, *ownership.m_table), now,
+             step);
+  }
+}
+
+auto IsMyTurnToProbe(const Ownership& ownership, TimePoint now) -> bool {
+  const auto& members = ownership.m_table->m_members;
+  const auto self = members.find(ownership.m_options.m_self.m_host);
+  if (self == members.end()) {
+    return false;
+  }
+  const auto since = now - ownership.m_platform.m_changed;
+  const auto slot = since / kProbeInterval;
+  const auto index = std::distance(members.begin(), self);
+  return slot > 0 &&
+         slot % static_cast<Duration::rep>(members.size()) == index;
+}
+
+/// Finds out whether only the lead is cut off from the platform.
+auto ProbePlatform(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  auto& lead = ownership.m_lead;
+  if (ownership.m_platform.m_reachable || lead.m_suspected ||
+      IsLeaving(ownership)) {
+    return;
+  }
+  if (lead.m_probed_at && now - *lead.m_probed_at > kProbePatience) {
+    lead.m_probed_at.reset();
+    StartPut(ownership, WithSelfAsLead(ownership, *ownership.m_table), now,
+             step);
+    return;
+  }
+  if (!lead.m_probed_at && now >= lead.m_next_probe &&
+      IsMyTurnToProbe(ownership, now)) {
+    lead.m_next_probe = now + kProbeInterval;
+    StartRead(ownership, now, step);
+  }
+}
+
+auto DropLostCall(Ownership& ownership, TimePoint now) -> void {
+  auto& platform = ownership.m_platform;
+  if (platform.m_call != TableCall::kNone &&
+      now - platform.m_call_since > kCallTimeout) {
+    platform.m_call = TableCall::kNone;
+  }
+}
+
+}  // namespace
+
+auto TickFollower(Ownership& ownership, TimePoint now, OwnershipStep& step)
+    -> void {
+  DropLostCall(ownership, now);
+  if (!ownership.m_table) {
+    if (now >= ownership.m_platform.m_next_read) {
+      StartRead(ownership, now, step);
+    }
+    return;
+  }
+  ReplaceOwnEarlierStart(ownership, now, step);
+  SuspectLead(ownership, now, step);
+  TakeOver(ownership, now, step);
+  ProbePlatform(ownership, now, step);
+}
+
+}  // namespace dotterelshed::pvt
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -61,6 +61,8 @@
   lead @3 :HostRef;
   pools @4 :List(PoolAssignment);
   members @5 :List(MemberRecord);
+  generation @6 :Int64;
+  highestTerm @7 :Int64;
 }
 
 struct DomainDigest {
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -132,7 +132,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b722295f27e09b6c, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b722295f27e09b6c, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -910,6 +910,10 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline  ::int64_t getGeneration() const;
+
+  inline  ::int64_t getHighestTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -972,6 +976,12 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
+
+  inline  ::int64_t getHighestTerm();
+  inline void setHighestTerm( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2489,6 +2499,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t DomainTable::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DomainTable::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void DomainTable::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t DomainTable::Reader::getHighestTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t DomainTable::Builder::getHighestTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void DomainTable::Builder::setHighestTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool DomainDigest::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -155,6 +155,8 @@
   out.setVersion(value.m_version.value());
   out.setLeadTerm(value.m_lead_term.value());
   Encode(value.m_lead, out.initLead());
+  out.setGeneration(value.m_generation.value());
+  out.setHighestTerm(value.m_highest_term.value());
   EncodePools(value, out);
   EncodeMembers(value, out);
 }
@@ -165,6 +167,8 @@
   table.m_version = ResourceVersion(in.getVersion());
   table.m_lead_term = Term(in.getLeadTerm());
   table.m_lead = Decode(in.getLead());
+  table.m_generation = Generation(in.getGeneration());
+  table.m_highest_term = Term(in.getHighestTerm());
   for (const auto pool : in.getPools()) {
     auto assignment = Decode(pool);
     const auto id = assignment.m_pool;
--- a/src/libpeer/membership_codec_unittest.cc
+++ b/src/libpeer/membership_codec_unittest.cc
@@ -36,7 +36,9 @@
   DomainTable table{.m_domain = DomainId("north"),
                     .m_version = ResourceVersion(7),
                     .m_lead_term = Term(3),
-                    .m_lead = Ref("h1", 2)};
+                    .m_lead = Ref("h1", 2),
+                    .m_generation = Generation(5),
+                    .m_highest_term = Term(12)};
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
                                 .m_service = ServiceId("s"),
                                 .m_term = Term(9),
--- a/src/libplatform/platform_codec.cc
+++ b/src/libplatform/platform_codec.cc
@@ -70,6 +70,8 @@
   table.m_domain = DomainId(json.at("domain").get<std::string>());
   table.m_lead_term = Term(json.at("lead_term").get<std::int64_t>());
   table.m_lead = HostRefFrom(json.at("lead"));
+  table.m_generation = Generation(json.at("generation").get<std::int64_t>());
+  table.m_highest_term = Term(json.at("highest_term").get<std::int64_t>());
   for (const auto& [id, pool] : json.at("pools").items()) {
     table.m_pools.emplace(PoolId(id), PoolFrom(id, pool));
   }
@@ -201,6 +203,8 @@
   return Dump({{"domain", table.m_domain.value()},
                {"lead_term", table.m_lead_term.value()},
                {"lead", ToJson(table.m_lead)},
+               {"generation", table.m_generation.value()},
+               {"highest_term", table.m_highest_term.value()},
                {"pools", pools},
                {"members", members}});
 }
