Log numbered events with spdlog and keep metrics with Boost.Histogram

LogEvent writes one line per event from the catalogue; metrics have a catalogue of their own, at most one label each, and at most 256 label values, so that callers can't make a process grow. LogField moves from core_effects.h to log_events.h because logging needs it. Ruled out: one histogram axis per label (Boost.Histogram's category axis grows without bound).

--- a/src/include/dotterelshed/core_effects.h
+++ b/src/include/dotterelshed/core_effects.h
@@ -116,11 +116,6 @@
 /// The host has nothing left to do and may exit.
 struct DrainFinished {};
 
-struct LogField {
-  std::string m_name;
-  std::string m_value;
-};
-
 struct WriteLog {
   LogEventId m_id;
   std::vector<LogField> m_fields;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -2,7 +2,11 @@
 #define DOTTERELSHED_LOG_EVENTS_H_
 
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
+
+#include "dotterelshed/error.h"
 
 /// @file
 /// Numbers, names and meanings of all log events. docs/EVENTS.md is made from
@@ -53,6 +57,44 @@
 /// The entry of one event.
 auto FindLogEvent(LogEventId id) -> const LogEventInfo&;
 
+/// Stable lower-case name: debug, info, warning, error.
+auto ToString(LogLevel level) -> std::string_view;
+/// Errors: kInvalidArgument for a name that ToString does not give.
+auto ParseLogLevel(std::string_view name) -> Result<LogLevel>;
+
+/// One named value of a log line.
+struct LogField {
+  std::string m_name;
+  std::string m_value;
+};
+
+/// How a process logs.
+struct LogOptions {
+  LogLevel m_level = LogLevel::kInfo;
+  /// Written into each line; empty for tools.
+  std::string m_host;
+  /// File that lines are appended to; empty for standard error.
+  std::string m_file;
+};
+
+/// Sets up logging for the process; before it, events go to standard error at
+/// level info. Errors: kUnavailable when the file can't be opened.
+auto StartLogging(const LogOptions& options) -> Status;
+
+/// Writes one line: time, level, number, name and fields as name=value, quoted
+/// where needed. Safe to call from several threads.
+auto LogEvent(LogEventId id, const std::vector<LogField>& fields = {}) -> void;
+
+/// Flushes what is buffered; call before the process exits.
+auto FlushLog() -> void;
+
+/// The part of a line that LogEvent makes, without time and level.
+auto FormatLogLine(LogEventId id, const std::vector<LogField>& fields)
+    -> std::string;
+
+/// The catalogue as the page docs/EVENTS.md.
+auto FormatEventsPage() -> std::string;
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_LOG_EVENTS_H_
--- /dev/null
+++ b/src/libbase/log.cc
@@ -0,0 +1,165 @@
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <memory>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
+
+namespace dotterelshed {
+
+namespace {
+
+using Logger = std::shared_ptr<spdlog::logger>;
+
+/// Local time with milliseconds and offset, level, host, message.
+constexpr auto kPattern = "%Y-%m-%dT%H:%M:%S.%e%z %l %n %v";
+constexpr auto kToolName = "-";
+
+auto ToSpdlog(LogLevel level) -> spdlog::level::level_enum {
+  switch (level) {
+    case LogLevel::kDebug:
+      return spdlog::level::debug;
+    case LogLevel::kInfo:
+      return spdlog::level::info;
+    case LogLevel::kWarning:
+      return spdlog::level::warn;
+    case LogLevel::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::err;
+}
+
+auto MakeLogger(const LogOptions& options) -> Logger {
+  spdlog::sink_ptr sink;
+  if (options.m_file.empty()) {
+    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  } else {
+    sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(options.m_file);
+  }
+  const auto name = options.m_host.empty() ? kToolName : options.m_host;
+  auto logger = std::make_shared<spdlog::logger>(name, std::move(sink));
+  logger->set_pattern(kPattern);
+  logger->set_level(ToSpdlog(options.m_level));
+  logger->flush_on(spdlog::level::warn);
+  return logger;
+}
+
+/// The process's logger; replaced once by StartLogging.
+auto CurrentLogger() -> std::atomic<Logger>& {
+  static std::atomic<Logger> logger(MakeLogger({}));
+  return logger;
+}
+
+auto NeedsQuotes(const std::string& value) -> bool {
+  const auto plain = [](unsigned char letter) {
+    return std::isgraph(letter) != 0 && letter != '"' && letter != '=' &&
+           letter != '\\';
+  };
+  return value.empty() || !std::all_of(value.begin(), value.end(), plain);
+}
+
+/// Makes a value fit one line: quotes, backslashes and control characters are
+/// escaped.
+auto Quote(const std::string& value) -> std::string {
+  constexpr auto kFirstPrintable = 0x20;
+  auto result = std::string("\"");
+  for (const auto letter : value) {
+    if (letter == '"' || letter == '\\') {
+      result += '\\';
+      result += letter;
+    } else if (letter == '\n') {
+      result += "\\n";
+    } else if (static_cast<unsigned char>(letter) < kFirstPrintable) {
+      result += ' ';
+    } else {
+      result += letter;
+    }
+  }
+  return result + "\"";
+}
+
+}  // namespace
+
+auto ToString(LogLevel level) -> std::string_view {
+  switch (level) {
+    case LogLevel::kDebug:
+      return "debug";
+    case LogLevel::kInfo:
+      return "info";
+    case LogLevel::kWarning:
+      return "warning";
+    case LogLevel::kError:
+      return "error";
+  }
+  return "error";
+}
+
+auto ParseLogLevel(std::string_view name) -> Result<LogLevel> {
+  for (const auto level : {LogLevel::kDebug, LogLevel::kInfo,
+                           LogLevel::kWarning, LogLevel::kError}) {
+    if (ToString(level) == name) {
+      return level;
+    }
+  }
+  return Fail(ErrorCode::kInvalidArgument,
+              "unknown log level '" + std::string(name) +
+                  "'; write debug, info, warning or error");
+}
+
+auto StartLogging(const LogOptions& options) -> Status {
+  try {
+    CurrentLogger().store(MakeLogger(options));
+  } catch (const spdlog::spdlog_ex& error) {
+    return Fail(ErrorCode::kUnavailable, error.what(), options.m_file);
+  }
+  return {};
+}
+
+auto FormatLogLine(LogEventId id, const std::vector<LogField>& fields)
+    -> std::string {
+  const auto& info = FindLogEvent(id);
+  auto line =
+      std::to_string(static_cast<int>(id)) + " " + std::string(info.m_name);
+  for (const auto& field : fields) {
+    line += " " + field.m_name + "=";
+    line += NeedsQuotes(field.m_value) ? Quote(field.m_value) : field.m_value;
+  }
+  return line;
+}
+
+auto LogEvent(LogEventId id, const std::vector<LogField>& fields) -> void {
+  const auto level = FindLogEvent(id).m_level;
+  CountMetric(MetricId::kLogEvents, ToString(level));
+  const auto logger = CurrentLogger().load();
+  const auto spdlog_level = ToSpdlog(level);
+  if (logger->should_log(spdlog_level)) {
+    logger->log(spdlog_level, "{}", FormatLogLine(id, fields));
+  }
+}
+
+auto FlushLog() -> void {
+  CurrentLogger().load()->flush();
+}
+
+auto FormatEventsPage() -> std::string {
+  auto page = std::string(
+      "# Log events\n\n"
+      "Made by `dotterelctl events --markdown`; `.ci/check-docs` compares it "
+      "with the code.\nA number is never reused. Each line has the time, the "
+      "level, the host, the number, the name and fields as `name=value`.\n\n"
+      "| number | name | level | meaning |\n|---|---|---|---|\n");
+  for (const auto& info : LogEventCatalogue()) {
+    page += "| " + std::to_string(static_cast<int>(info.m_id)) + " | `" +
+            std::string(info.m_name) + "` | " +
+            std::string(ToString(info.m_level)) + " | " +
+            std::string(info.m_meaning) + " |\n";
+  }
+  return page;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libbase/metrics_catalogue.cc
@@ -0,0 +1,97 @@
+#include <array>
+
+#include "dotterelshed/metrics.h"
+
+namespace dotterelshed {
+
+namespace {
+
+constexpr auto kCatalogue = std::to_array<MetricInfo>({
+    {MetricId::kCalls, MetricKind::kCounter, "dotterelshed_calls_total",
+     "outcome", "Calls answered by this host, by outcome."},
+    {MetricId::kRefusals, MetricKind::kCounter, "dotterelshed_refusals_total",
+     "reason", "Calls that ended with a reason, by reason."},
+    {MetricId::kCallSeconds, MetricKind::kHistogram,
+     "dotterelshed_call_seconds", "service",
+     "Time from a call's arrival to its final event."},
+    {MetricId::kFirstTokenSeconds, MetricKind::kHistogram,
+     "dotterelshed_first_token_seconds", "service",
+     "Time from a streamed call's arrival to its first text."},
+    {MetricId::kOpenRequests, MetricKind::kGauge, "dotterelshed_open_requests",
+     "", "Callers' requests that are open now; each holds a thread."},
+    {MetricId::kAttempts, MetricKind::kCounter, "dotterelshed_attempts_total",
+     "end", "Attempts on endpoints, by how they ended."},
+    {MetricId::kAttemptSeconds, MetricKind::kHistogram,
+     "dotterelshed_attempt_seconds", "service",
+     "Time of one attempt on an endpoint."},
+    {MetricId::kPeerMessages, MetricKind::kCounter,
+     "dotterelshed_peer_messages_total", "direction",
+     "Messages between hosts, sent and received."},
+    {MetricId::kPeerBytes, MetricKind::kCounter,
+     "dotterelshed_peer_bytes_total", "direction",
+     "Bytes of messages between hosts, sent and received."},
+    {MetricId::kPeerForwards, MetricKind::kCounter,
+     "dotterelshed_forwards_total", "",
+     "Calls forwarded to the host that owns their program."},
+    {MetricId::kPlatformCalls, MetricKind::kCounter,
+     "dotterelshed_platform_calls_total", "verb",
+     "Calls to the platform's object API; a watch counts once."},
+    {MetricId::kPlatformSeconds, MetricKind::kHistogram,
+     "dotterelshed_platform_seconds", "verb",
+     "Time of one call to the platform's object API."},
+    {MetricId::kPlatformReachable, MetricKind::kGauge,
+     "dotterelshed_platform_reachable", "",
+     "1 while the platform answers, else 0."},
+    {MetricId::kCoreStepSeconds, MetricKind::kHistogram,
+     "dotterelshed_core_step_seconds", "",
+     "Processing time of one event in the decision core."},
+    {MetricId::kCoreQueue, MetricKind::kGauge, "dotterelshed_core_queue", "",
+     "Events waiting for the decision core."},
+    {MetricId::kConfigGeneration, MetricKind::kGauge,
+     "dotterelshed_config_generation", "",
+     "Configuration generation in force on this host."},
+    {MetricId::kConfigSeconds, MetricKind::kHistogram,
+     "dotterelshed_config_check_seconds", "",
+     "Time to check and compile one configuration text."},
+    {MetricId::kPoolsOwned, MetricKind::kGauge, "dotterelshed_pools_owned", "",
+     "Pools that this host is primary of."},
+    {MetricId::kLogEvents, MetricKind::kCounter,
+     "dotterelshed_log_events_total", "level",
+     "Log events, by level, whether they were written or not."},
+});
+
+auto ToString(MetricKind kind) -> std::string_view {
+  switch (kind) {
+    case MetricKind::kCounter:
+      return "counter";
+    case MetricKind::kGauge:
+      return "gauge";
+    case MetricKind::kHistogram:
+      return "histogram";
+  }
+  return "gauge";
+}
+
+}  // namespace
+
+auto MetricCatalogue() -> std::span<const MetricInfo> {
+  return kCatalogue;
+}
+
+auto FormatMetricsPage() -> std::string {
+  auto page = std::string(
+      "# Metrics\n\n"
+      "Made by `dotterelctl events --metrics --markdown`; `.ci/check-docs` "
+      "compares it with the code.\nEach host serves them at `GET /metrics`. "
+      "A metric appears once it has a value.\n\n"
+      "| name | kind | label | meaning |\n|---|---|---|---|\n");
+  for (const auto& info : MetricCatalogue()) {
+    page += "| `" + std::string(info.m_name) + "` | " +
+            std::string(ToString(info.m_kind)) + " | " +
+            std::string(info.m_label) + " | " + std::string(info.m_help) +
+            " |\n";
+  }
+  return page;
+}
+
+}  // namespace dotterelshed
