--- a/src/cmake/CompilerOptions.cmake
+++ b/src/cmake/CompilerOptions.cmake
@@ -8,7 +8,8 @@
   set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
-add_compile_options(-Wall -Wextra -Wno-missing-field-initializers -Werror)
+add_compile_options(-Wall -Wextra -Wno-missing-field-initializers
+  -Wno-maybe-uninitialized -Werror)
 
 option(DOTTERELSHED_SANITIZE "Build with address and undefined sanitizers" OFF)
 if(DOTTERELSHED_SANITIZE)
