Make a pool a share of the domain's endpoints of every service

Cause: with a pool per service, the model call and the tool call of one program have different primaries, so nobody orders them or keeps their common budget. Ruled out: a separate owner of programs beside the pools (two hops, two owners a call).

--- a/src/include/dotterelshed/membership_messages.h
+++ b/src/include/dotterelshed/membership_messages.h
@@ -58,10 +58,11 @@
   int m_headroom = 0;
 };
 
-/// Owners of one pool at one term.
+/// Owners of one pool at one term. A pool is a share of a failure domain's
+/// endpoints of every service, so that all calls of a program are ordered,
+/// paid for and limited by one primary.
 struct PoolAssignment {
   PoolId m_pool;
-  ServiceId m_service;
   Term m_term;
   HostRef m_primary;
   /// Empty host id while the pool has no copy holder.
--- a/src/include/dotterelshed/ownership.h
+++ b/src/include/dotterelshed/ownership.h
@@ -56,8 +56,8 @@
 auto MakeOwnership(const OwnershipOptions& options)
     -> Result<std::shared_ptr<Ownership>>;
 
-/// Pools follow from the configuration: each service's endpoints in this
-/// domain, cut into pools.
+/// Pools follow from the configuration: one per m_max_pool_endpoints endpoints
+/// of the largest service in this domain, at least one.
 auto SetOwnershipConfig(Ownership& ownership,
                         const DeskConfig& config,
                         TimePoint now) -> OwnershipStep;
@@ -93,13 +93,17 @@
 /// Assignment of a pool in any domain whose table is known.
 auto FindPool(const Ownership& ownership, const PoolId& pool)
     -> const PoolAssignment*;
-/// Pools of one service in a domain, ordered by id.
-auto PoolsOf(const Ownership& ownership,
-             const DomainId& domain,
-             const ServiceId& service) -> std::vector<PoolId>;
-/// Endpoints of a pool in this host's domain, from the configuration.
-auto PoolEndpoints(const Ownership& ownership, const PoolId& pool)
-    -> std::vector<EndpointConfig>;
+/// Pools of a domain, "<domain>/<number>", ordered by number. Each holds a
+/// share of the domain's endpoints of every service; a program's home pool is
+/// chosen among them, whatever services its calls go to.
+auto PoolsOf(const Ownership& ownership, const DomainId& domain)
+    -> std::vector<PoolId>;
+/// Endpoints of one service in a pool of this host's domain, from the
+/// configuration. Where a service has fewer endpoints than there are pools, an
+/// endpoint stands in several pools and its concurrency limit is divided.
+auto PoolEndpoints(const Ownership& ownership,
+                   const PoolId& pool,
+                   const ServiceId& service) -> std::vector<EndpointConfig>;
 /// Where a host listens, if known.
 auto FindAddresses(const Ownership& ownership, const HostId& host)
     -> std::optional<HostAddresses>;
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -42,10 +42,9 @@
 
 struct PoolAssignment {
   pool @0 :Text;
-  service @1 :Text;
-  term @2 :Int64;
-  primary @3 :HostRef;
-  holder @4 :HostRef;
+  term @1 :Int64;
+  primary @2 :HostRef;
+  holder @3 :HostRef;
 }
 
 struct MemberRecord {
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -102,7 +102,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(807546bf28bb6b27, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(807546bf28bb6b27, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -682,9 +682,6 @@
   inline bool hasPool() const;
   inline  ::capnp::Text::Reader getPool() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
   inline  ::int64_t getTerm() const;
 
   inline bool hasPrimary() const;
@@ -728,13 +725,6 @@
   inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
   inline  ::int64_t getTerm();
   inline void setTerm( ::int64_t value);
 
@@ -2107,40 +2097,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool PoolAssignment::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool PoolAssignment::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader PoolAssignment::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder PoolAssignment::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void PoolAssignment::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder PoolAssignment::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void PoolAssignment::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> PoolAssignment::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::int64_t PoolAssignment::Reader::getTerm() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2157,80 +2113,80 @@
 
 inline bool PoolAssignment::Reader::hasPrimary() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool PoolAssignment::Builder::hasPrimary() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::dotterelshed::schema::HostRef::Reader PoolAssignment::Reader::getPrimary() const {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::getPrimary() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::dotterelshed::schema::HostRef::Pipeline PoolAssignment::Pipeline::getPrimary() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(2));
+  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
 inline void PoolAssignment::Builder::setPrimary( ::dotterelshed::schema::HostRef::Reader value) {
   ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::initPrimary() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptPrimary(
     ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
   ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> PoolAssignment::Builder::disownPrimary() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool PoolAssignment::Reader::hasHolder() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool PoolAssignment::Builder::hasHolder() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::dotterelshed::schema::HostRef::Reader PoolAssignment::Reader::getHolder() const {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::getHolder() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::dotterelshed::schema::HostRef::Pipeline PoolAssignment::Pipeline::getHolder() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(3));
+  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void PoolAssignment::Builder::setHolder( ::dotterelshed::schema::HostRef::Reader value) {
   ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::initHolder() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptHolder(
     ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
   ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> PoolAssignment::Builder::disownHolder() {
   return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool MemberRecord::Reader::hasHost() const {
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -135,7 +135,6 @@
 auto Encode(const PoolAssignment& value, schema::PoolAssignment::Builder out)
     -> void {
   out.setPool(value.m_pool.value().c_str());
-  out.setService(value.m_service.value().c_str());
   out.setTerm(value.m_term.value());
   Encode(value.m_primary, out.initPrimary());
   Encode(value.m_holder, out.initHolder());
@@ -143,7 +142,6 @@
 
 auto Decode(schema::PoolAssignment::Reader in) -> PoolAssignment {
   return {.m_pool = PoolId(ToString(in.getPool())),
-          .m_service = ServiceId(ToString(in.getService())),
           .m_term = Term(in.getTerm()),
           .m_primary = Decode(in.getPrimary()),
           .m_holder = Decode(in.getHolder())};
--- a/src/libplatform/platform_codec.cc
+++ b/src/libplatform/platform_codec.cc
@@ -38,15 +38,13 @@
 }
 
 auto ToJson(const PoolAssignment& pool) -> Json {
-  return {{"service", pool.m_service.value()},
-          {"term", pool.m_term.value()},
+  return {{"term", pool.m_term.value()},
           {"primary", ToJson(pool.m_primary)},
           {"holder", ToJson(pool.m_holder)}};
 }
 
 auto PoolFrom(const std::string& id, const Json& json) -> PoolAssignment {
   return {.m_pool = PoolId(id),
-          .m_service = ServiceId(json.at("service").get<std::string>()),
           .m_term = Term(json.at("term").get<std::int64_t>()),
           .m_primary = HostRefFrom(json.at("primary")),
           .m_holder = HostRefFrom(json.at("holder"))};
