--- a/src/libpeer/membership_codec_unittest.cc
+++ b/src/libpeer/membership_codec_unittest.cc
@@ -38,7 +38,7 @@
                     .m_lead_term = Term(3),
                     .m_lead = Ref("h1", 2)};
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
-                                
+
                                 .m_term = Term(9),
                                 .m_primary = Ref("h1", 2),
                                 .m_holder = Ref("h2", 4)};
--- a/src/libplatform/platform_codec_unittest.cc
+++ b/src/libplatform/platform_codec_unittest.cc
@@ -14,7 +14,7 @@
                     .m_lead_term = Term(3),
                     .m_lead = Ref("h1", 2)};
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
-                                
+
                                 .m_term = Term(9),
                                 .m_primary = Ref("h1", 2)};
   table.m_members[HostId("h1")] = {
