--- a/src/libpeer/peer_codec.cc
+++ b/src/libpeer/peer_codec.cc
@@ -107,8 +107,7 @@
         in, {.traversalLimitInWords = kMaxMessageWords});
     return ReadUnion(reader.getRoot<wire::PeerMessage>());
   } catch (const kj::Exception& exception) {
-    return Fail(ErrorCode::kInvalidArgument,
-                exception.getDescription().cStr());
+    return Fail(ErrorCode::kInvalidArgument, exception.getDescription().cStr());
   }
 }
 
--- a/src/libpeer/peer_codec_unittest.cc
+++ b/src/libpeer/peer_codec_unittest.cc
@@ -16,9 +16,9 @@
 
 TEST_CASE("every kind of message survives the round trip as its own kind") {
   const std::vector<PeerMessage> all{
-      ReserveRequest{}, ReserveReply{},   AppendRequest{}, AppendReply{},
+      ReserveRequest{}, ReserveReply{},   AppendRequest{},  AppendReply{},
       StateCopy{},      StateCopyReply{}, CollectRequest{}, CollectReply{},
-      Heartbeat{},      DomainDigest{},   ConfigRequest{}, ConfigOffer{}};
+      Heartbeat{},      DomainDigest{},   ConfigRequest{},  ConfigOffer{}};
   REQUIRE(all.size() == std::variant_size_v<PeerMessage>);
   for (const auto& message : all) {
     const auto read = DecodePeerMessage(EncodePeerMessage(message));
