--- a/src/libpeer/membership_codec_unittest.cc
+++ b/src/libpeer/membership_codec_unittest.cc
@@ -40,7 +40,7 @@
                     .m_generation = Generation(5),
                     .m_highest_term = Term(12)};
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
-                                .m_service = ServiceId("s"),
+
                                 .m_term = Term(9),
                                 .m_primary = Ref("h1", 2),
                                 .m_holder = Ref("h2", 4)};
