--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -105,8 +105,7 @@
 
 /// Endpoints of one service, cut into pools that keep most of their endpoints
 /// when one is added or removed.
-auto CutIntoPools(const ServiceConfig& service,
-                  const OwnershipOptions& options)
+auto CutIntoPools(const ServiceConfig& service, const OwnershipOptions& options)
     -> std::map<PoolId, std::vector<EndpointConfig>> {
   std::map<PoolId, std::vector<EndpointConfig>> pools;
   std::vector<EndpointConfig> endpoints;
@@ -121,9 +120,10 @@
     pools[PoolId(options.m_domain.value() + "." + service.m_id.value() + "." +
                  std::to_string(i))];
   }
-  std::sort(
-      endpoints.begin(), endpoints.end(),
-      [](const auto& left, const auto& right) { return left.m_id < right.m_id; });
+  std::sort(endpoints.begin(), endpoints.end(),
+            [](const auto& left, const auto& right) {
+              return left.m_id < right.m_id;
+            });
   for (const auto& endpoint : endpoints) {
     std::vector<EndpointConfig>* chosen = nullptr;
     auto best = std::uint64_t{0};
@@ -147,8 +147,8 @@
   if (!charts) {
     return tl::unexpected<Error>(charts.error());
   }
-  auto ownership = std::make_shared<Ownership>(Ownership{
-      .m_options = options, .m_charts = std::move(*charts)});
+  auto ownership = std::make_shared<Ownership>(
+      Ownership{.m_options = options, .m_charts = std::move(*charts)});
   ownership->m_state = ownership->m_charts.m_host.initial();
   const auto mix = pvt::MixHash(options.m_self.m_host.value(),
                                 std::to_string(options.m_seed));
@@ -176,8 +176,7 @@
 
 auto TickOwnership(Ownership& ownership, TimePoint now) -> OwnershipStep {
   OwnershipStep step;
-  const auto pause =
-      ownership.m_options.m_heartbeat_interval * kPauseIntervals;
+  const auto pause = ownership.m_options.m_heartbeat_interval * kPauseIntervals;
   const auto last = ownership.m_last_tick.value_or(now);
   ownership.m_last_tick = now;
   if (now - last > pause) {
--- a/src/libcore/ownership_charts.cc
+++ b/src/libcore/ownership_charts.cc
@@ -39,13 +39,13 @@
 
 auto LoadOwnershipCharts(const std::string& directory)
     -> Result<OwnershipCharts> {
-  auto host = LoadAndBind<HostChart>(
-      directory, "host", {kHostStates, kHostEvents, kHostActions});
+  auto host = LoadAndBind<HostChart>(directory, "host",
+                                     {kHostStates, kHostEvents, kHostActions});
   if (!host) {
     return tl::unexpected<Error>(host.error());
   }
-  auto pool = LoadAndBind<PoolChart>(
-      directory, "pool", {kPoolStates, kPoolEvents, kPoolActions});
+  auto pool = LoadAndBind<PoolChart>(directory, "pool",
+                                     {kPoolStates, kPoolEvents, kPoolActions});
   if (!pool) {
     return tl::unexpected<Error>(pool.error());
   }
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -180,8 +180,7 @@
         .m_host = info.m_host,
         .m_addresses = info.m_addresses,
         .m_alive = info.m_alive,
-        .m_leaving =
-            info.m_draining || ownership.m_listed_leaving.contains(id),
+        .m_leaving = info.m_draining || ownership.m_listed_leaving.contains(id),
         .m_has_disk = info.m_has_disk,
         .m_forgettable =
             !info.m_alive && now - member.m_down_since > kForgetAfter};
--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership_messages.cc
@@ -78,10 +78,9 @@
   if (message.m_table_version > ownership.m_table->m_version) {
     StartRead(ownership, now, step);
   }
-  step.m_effects.emplace_back(
-      SendPeer{message.m_from.m_host,
-               MakeDigest(ownership, message.m_table_version,
-                          message.m_news_seen)});
+  step.m_effects.emplace_back(SendPeer{
+      message.m_from.m_host,
+      MakeDigest(ownership, message.m_table_version, message.m_news_seen)});
 }
 
 /// A host that lost its lead, or knows none, asks whom it can.
@@ -115,10 +114,9 @@
 auto FindOldTable(const Ownership& ownership, ResourceVersion version)
     -> const DomainTable* {
   const auto& tables = ownership.m_old_tables;
-  const auto found =
-      std::find_if(tables.begin(), tables.end(), [version](const auto& table) {
-        return table.m_version == version;
-      });
+  const auto found = std::find_if(
+      tables.begin(), tables.end(),
+      [version](const auto& table) { return table.m_version == version; });
   return found == tables.end() ? nullptr : &*found;
 }
 
@@ -135,8 +133,7 @@
 
 /// Takes out of @p target what @p base has as well; names what only it has.
 template <typename Map, typename Key>
-auto Subtract(Map& target, const Map& base, std::vector<Key>& removed)
-    -> void {
+auto Subtract(Map& target, const Map& base, std::vector<Key>& removed) -> void {
   for (const auto& [key, value] : base) {
     const auto found = target.find(key);
     if (found == target.end()) {
@@ -288,11 +285,10 @@
                 ResourceVersion table_seen,
                 std::int64_t news_seen) -> DomainDigest {
   const auto leads = IsSelfLead(ownership);
-  DomainDigest digest{
-      .m_from = ownership.m_options.m_self,
-      .m_generation = ownership.m_announced.m_generation,
-      .m_lead_heard = leads || !ownership.m_lead.m_suspected,
-      .m_platform_reachable = ownership.m_platform.m_reachable};
+  DomainDigest digest{.m_from = ownership.m_options.m_self,
+                      .m_generation = ownership.m_announced.m_generation,
+                      .m_lead_heard = leads || !ownership.m_lead.m_suspected,
+                      .m_platform_reachable = ownership.m_platform.m_reachable};
   AddTable(digest, ownership, table_seen);
   if (leads) {
     AddNews(digest, ownership, news_seen);
@@ -304,9 +300,9 @@
   const auto& self = ownership.m_options.m_self.m_host;
   for (const auto& [host, member] : ownership.m_members) {
     if (host != self && member.m_info.m_alive) {
-      step.m_effects.emplace_back(
-          SendPeer{host, MakeDigest(ownership, member.m_table_version,
-                                    member.m_news_seen)});
+      step.m_effects.emplace_back(SendPeer{
+          host,
+          MakeDigest(ownership, member.m_table_version, member.m_news_seen)});
     }
   }
 }
--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -130,10 +130,9 @@
         continue;
       }
       const auto& count = counts.at(id);
-      const auto first =
-          for_holder ? HolderLoad(count) : count.m_primaries;
-      const auto cost = std::tuple(
-          first, count.m_roles, MixHash(m_pool.m_pool.value(), id.value()));
+      const auto first = for_holder ? HolderLoad(count) : count.m_primaries;
+      const auto cost = std::tuple(first, count.m_roles,
+                                   MixHash(m_pool.m_pool.value(), id.value()));
       if (!best || cost < *best) {
         best = cost;
         chosen = member.m_host;
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -173,9 +173,8 @@
                           bool reachable,
                           TimePoint now,
                           OwnershipStep& step) -> void;
-auto AddLog(OwnershipStep& step,
-            LogEventId id,
-            std::vector<LogField> fields) -> void;
+auto AddLog(OwnershipStep& step, LogEventId id, std::vector<LogField> fields)
+    -> void;
 
 }  // namespace pvt
 
--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership_table.cc
@@ -221,8 +221,7 @@
 
 auto AdoptRemoteTable(Ownership& ownership, const DomainTable& table) -> void {
   auto& remote = ownership.m_remote[table.m_domain];
-  if (remote.m_changed != 0 &&
-      table.m_version <= remote.m_table.m_version) {
+  if (remote.m_changed != 0 && table.m_version <= remote.m_table.m_version) {
     return;
   }
   remote.m_table = table;
@@ -239,9 +238,8 @@
   }
   platform.m_reachable = reachable;
   platform.m_changed = now;
-  AddLog(step, reachable ? LogEventId::kPlatformBack
-                         : LogEventId::kPlatformLost,
-         {});
+  AddLog(step,
+         reachable ? LogEventId::kPlatformBack : LogEventId::kPlatformLost, {});
 }
 
 }  // namespace pvt
--- a/src/libcore/ownership_takeover.cc
+++ b/src/libcore/ownership_takeover.cc
@@ -27,9 +27,9 @@
   auto hosts = 0;
   for (const auto& [id, record] : table.m_members) {
     const auto known = ownership.m_members.find(id);
-    const auto down = known != ownership.m_members.end() &&
-                      (!known->second.m_info.m_alive ||
-                       known->second.m_info.m_draining);
+    const auto down =
+        known != ownership.m_members.end() &&
+        (!known->second.m_info.m_alive || known->second.m_info.m_draining);
     if (id == table.m_lead.m_host || id == self || down) {
       continue;
     }
@@ -47,8 +47,7 @@
   }
   lead.m_suspected = true;
   lead.m_table_fresh = false;
-  lead.m_takeover_at =
-      now + ownership.m_options.m_rank_delay * Rank(ownership);
+  lead.m_takeover_at = now + ownership.m_options.m_rank_delay * Rank(ownership);
   ownership.m_next_heartbeat = now;
   AddLog(step, LogEventId::kHostSuspected,
          {{"host", ownership.m_table->m_lead.m_host.value()}});
@@ -91,8 +90,7 @@
   const auto since = now - ownership.m_platform.m_changed;
   const auto slot = since / kProbeInterval;
   const auto index = std::distance(members.begin(), self);
-  return slot > 0 &&
-         slot % static_cast<Duration::rep>(members.size()) == index;
+  return slot > 0 && slot % static_cast<Duration::rep>(members.size()) == index;
 }
 
 /// Finds out whether only the lead is cut off from the platform.
