--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -103,42 +103,6 @@
   }
 }
 
-/// Endpoints of one service, cut into pools that keep most of their endpoints
-/// when one is added or removed.
-auto CutIntoPools(const ServiceConfig& service, const OwnershipOptions& options)
-    -> std::map<PoolId, std::vector<EndpointConfig>> {
-  std::map<PoolId, std::vector<EndpointConfig>> pools;
-  std::vector<EndpointConfig> endpoints;
-  for (const auto& endpoint : service.m_endpoints) {
-    if (endpoint.m_domain == options.m_domain) {
-      endpoints.push_back(endpoint);
-    }
-  }
-  const auto most = static_cast<std::size_t>(options.m_max_pool_endpoints);
-  const auto count = (endpoints.size() + most - 1) / most;
-  for (auto i = std::size_t{0}; i < count; ++i) {
-    pools[PoolId(options.m_domain.value() + "." + service.m_id.value() + "." +
-                 std::to_string(i))];
-  }
-  std::sort(endpoints.begin(), endpoints.end(),
-            [](const auto& left, const auto& right) {
-              return left.m_id < right.m_id;
-            });
-  for (const auto& endpoint : endpoints) {
-    std::vector<EndpointConfig>* chosen = nullptr;
-    auto best = std::uint64_t{0};
-    for (auto& [id, members] : pools) {
-      const auto weight = pvt::MixHash(endpoint.m_id.value(), id.value());
-      if (members.size() < most && (chosen == nullptr || weight > best)) {
-        chosen = &members;
-        best = weight;
-      }
-    }
-    chosen->push_back(endpoint);
-  }
-  return pools;
-}
-
 }  // namespace
 
 auto MakeOwnership(const OwnershipOptions& options)
@@ -161,15 +125,12 @@
 auto SetOwnershipConfig(Ownership& ownership,
                         const DeskConfig& config,
                         TimePoint now) -> OwnershipStep {
-  ownership.m_pool_endpoints.clear();
-  ownership.m_wanted.clear();
+  const auto& options = ownership.m_options;
   ownership.m_config_generation = config.m_generation;
-  for (const auto& [id, service] : config.m_services) {
-    for (auto& [pool, endpoints] : CutIntoPools(service, ownership.m_options)) {
-      ownership.m_pool_endpoints[pool] = std::move(endpoints);
-      ownership.m_wanted[pool] = id;
-    }
-  }
+  ownership.m_wanted = pvt::WantedPools(config, options.m_domain,
+                                        options.m_max_pool_endpoints);
+  ownership.m_cut =
+      pvt::CutIntoPools(config, options.m_domain, ownership.m_wanted);
   ownership.m_next_plan = std::min(ownership.m_next_plan, now);
   return TickOwnership(ownership, now);
 }
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -170,8 +170,7 @@
 }
 
 auto MakePlanInput(const Ownership& ownership, TimePoint now) -> PlanInput {
-  PlanInput input{.m_self = ownership.m_options.m_self,
-                  .m_generation = ownership.m_config_generation,
+  PlanInput input{.m_generation = ownership.m_config_generation,
                   .m_wanted = ownership.m_wanted,
                   .m_unconfirmed = ownership.m_unconfirmed};
   for (const auto& [id, member] : ownership.m_members) {
--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership_messages.cc
@@ -122,7 +122,7 @@
 
 auto Same(const PoolAssignment& left, const PoolAssignment& right) -> bool {
   return left.m_term == right.m_term && left.m_primary == right.m_primary &&
-         left.m_holder == right.m_holder && left.m_service == right.m_service;
+         left.m_holder == right.m_holder;
 }
 
 auto Same(const MemberRecord& left, const MemberRecord& right) -> bool {
--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -155,10 +155,8 @@
   std::erase_if(table.m_pools, [&input](const auto& entry) {
     return !input.m_wanted.contains(entry.first);
   });
-  for (const auto& [id, service] : input.m_wanted) {
-    auto& pool = table.m_pools[id];
-    pool.m_pool = id;
-    pool.m_service = service;
+  for (const auto& id : input.m_wanted) {
+    table.m_pools[id].m_pool = id;
   }
 }
 
@@ -185,7 +183,7 @@
 
 auto SamePool(const PoolAssignment& left, const PoolAssignment& right) -> bool {
   return SameOwners(left, right) && left.m_term == right.m_term &&
-         left.m_service == right.m_service && left.m_pool == right.m_pool;
+         left.m_pool == right.m_pool;
 }
 
 auto SameMember(const MemberRecord& left, const MemberRecord& right) -> bool {
@@ -208,29 +206,15 @@
   return true;
 }
 
-auto CountPools(const DomainTable& table, const ServiceId& service) -> int {
-  auto count = 0;
-  for (const auto& [id, pool] : table.m_pools) {
-    count += pool.m_service == service ? 1 : 0;
-  }
-  return count;
-}
-
-/// True when the endpoints of the pool's service are cut differently now, so
-/// that some come from another pool with another term.
-auto CutChanged(const PoolAssignment& pool,
-                const DomainTable& planned,
-                const DomainTable& table) -> bool {
-  return CountPools(planned, pool.m_service) !=
-         CountPools(table, pool.m_service);
-}
-
-/// A pool gets the domain's next term whenever its owners or cut differ.
+/// A pool gets the domain's next term whenever its owners change. All do when
+/// the number of pools changes, since endpoints then come from other pools with
+/// other terms.
 auto AssignTerms(DomainTable& planned, const DomainTable& table) -> void {
+  const auto cut_again = planned.m_pools.size() != table.m_pools.size();
   for (auto& [id, pool] : planned.m_pools) {
     const auto before = table.m_pools.find(id);
-    if (before == table.m_pools.end() || !SameOwners(pool, before->second) ||
-        CutChanged(pool, planned, table)) {
+    if (cut_again || before == table.m_pools.end() ||
+        !SameOwners(pool, before->second)) {
       planned.m_highest_term = planned.m_highest_term.Next();
       pool.m_term = planned.m_highest_term;
     }
--- a/src/libcore/ownership_plan.h
+++ b/src/libcore/ownership_plan.h
@@ -26,10 +26,9 @@
 };
 
 struct PlanInput {
-  HostRef m_self;
   Generation m_generation;
   /// Pools that the configuration asks for.
-  std::map<PoolId, ServiceId> m_wanted;
+  std::set<PoolId> m_wanted;
   std::map<HostId, PlanMember> m_members;
   /// Pools whose holder has not confirmed its copy.
   std::set<PoolId> m_unconfirmed;
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership_query.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "ownership_state.h"
@@ -19,8 +20,7 @@
 auto ToJson(const DomainTable& table) -> Json {
   auto pools = Json::object();
   for (const auto& [id, pool] : table.m_pools) {
-    pools[id.value()] = {{"service", pool.m_service.value()},
-                         {"term", pool.m_term.value()},
+    pools[id.value()] = {{"term", pool.m_term.value()},
                          {"primary", ToJson(pool.m_primary)},
                          {"holder", ToJson(pool.m_holder)}};
   }
@@ -88,28 +88,30 @@
   return nullptr;
 }
 
-auto PoolsOf(const Ownership& ownership,
-             const DomainId& domain,
-             const ServiceId& service) -> std::vector<PoolId> {
+auto PoolsOf(const Ownership& ownership, const DomainId& domain)
+    -> std::vector<PoolId> {
   std::vector<PoolId> pools;
   const auto* table = FindTable(ownership, domain);
   if (table == nullptr) {
     return pools;
   }
   for (const auto& [id, pool] : table->m_pools) {
-    if (pool.m_service == service) {
-      pools.push_back(id);
-    }
+    pools.push_back(id);
   }
+  // The ids differ in their numbers only, and shorter numbers are smaller.
+  std::stable_sort(pools.begin(), pools.end(),
+                   [](const PoolId& left, const PoolId& right) {
+                     return left.value().size() < right.value().size();
+                   });
   return pools;
 }
 
-auto PoolEndpoints(const Ownership& ownership, const PoolId& pool)
-    -> std::vector<EndpointConfig> {
-  const auto found = ownership.m_pool_endpoints.find(pool);
-  return found == ownership.m_pool_endpoints.end()
-             ? std::vector<EndpointConfig>{}
-             : found->second;
+auto PoolEndpoints(const Ownership& ownership,
+                   const PoolId& pool,
+                   const ServiceId& service) -> std::vector<EndpointConfig> {
+  const auto found = ownership.m_cut.find({pool, service});
+  return found == ownership.m_cut.end() ? std::vector<EndpointConfig>{}
+                                        : found->second;
 }
 
 auto FindAddresses(const Ownership& ownership, const HostId& host)
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -9,6 +9,7 @@
 
 #include "dotterelshed/ownership.h"
 #include "ownership_charts.h"
+#include "ownership_cut.h"
 #include "ownership_plan.h"
 
 /// @file
@@ -93,8 +94,8 @@
   /// Hosts outside the table that sent something lately, for answers.
   std::map<HostId, HostAddresses> m_visitors;
   std::map<Digest, std::int64_t> m_quarantined;
-  std::map<PoolId, std::vector<EndpointConfig>> m_pool_endpoints;
-  std::map<PoolId, ServiceId> m_wanted;
+  std::set<PoolId> m_wanted;
+  pvt::PoolCut m_cut;
   Generation m_config_generation;
   pvt::Announcements m_announced;
   pvt::PlatformView m_platform;
--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership_table.cc
@@ -60,17 +60,14 @@
   for (const auto& [id, pool] : after) {
     const auto old = before.find(id);
     const auto was =
-        old == before.end()
-            ? PoolAssignment{.m_pool = id, .m_service = pool.m_service}
-            : old->second;
+        old == before.end() ? PoolAssignment{.m_pool = id} : old->second;
     if (!SameOwners(was, pool)) {
       NoteChange(ownership, was, pool, now, step);
     }
   }
   for (const auto& [id, pool] : before) {
     if (!after.contains(id)) {
-      const PoolAssignment gone{.m_pool = id, .m_service = pool.m_service};
-      NoteChange(ownership, pool, gone, now, step);
+      NoteChange(ownership, pool, PoolAssignment{.m_pool = id}, now, step);
     }
   }
 }
