--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -1,7 +1,8 @@
 # dotterelshed_library(NAME DEPENDS ...): builds src/lib<NAME>/*.cc into a
 # static library dotterelshed_<NAME>; files named *_unittest.cc become one
 # Catch2 program registered with CTest.
-# dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc.
+# dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
+# are built with all of them but main.cc.
 
 set(DOTTERELSHED_PACKAGES base config core platform peer backend host)
 
@@ -51,6 +52,18 @@
   if(NOT sources)
     return()
   endif()
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_unittest\\.cc$")
+  list(FILTER tests INCLUDE REGEX "_unittest\\.cc$")
   add_executable(${name} ${sources})
   dotterelshed_link(${name} ${ARG_DEPENDS} Boost::program_options)
+  if(tests)
+    list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
+    add_executable(${name}_unittests ${sources} ${tests}
+      ${PROJECT_SOURCE_DIR}/src/cmake/catch_main.cc)
+    dotterelshed_link(${name}_unittests ${ARG_DEPENDS} Boost::program_options)
+    target_compile_definitions(${name}_unittests PRIVATE
+      DOTTERELSHED_EXAMPLES_DIR="${PROJECT_SOURCE_DIR}/examples")
+    add_test(NAME unit_${name} COMMAND ${name}_unittests)
+  endif()
 endfunction()
--- a/src/dotterelctl/cmd_apply.cc
+++ b/src/dotterelctl/cmd_apply.cc
@@ -15,6 +15,7 @@
 using Json = nlohmann::ordered_json;
 using Clock = std::chrono::steady_clock;
 
+constexpr auto kDefaultWait = std::chrono::seconds(10);
 constexpr auto kPollInterval = std::chrono::milliseconds(100);
 
 auto LaggingJson(const std::vector<LaggingDomain>& lagging) -> Json {
@@ -172,7 +173,8 @@
                  << std::endl;
   }
   const auto lagging = WaitInForce(platform, DomainsOf(checked->m_config),
-                                   accepted->m_generation, options.m_wait);
+                                   accepted->m_generation,
+                                   options.m_wait.value_or(kDefaultWait));
   if (!lagging) {
     return ReportError(lagging.error(), options, output);
   }
--- a/src/dotterelctl/command.h
+++ b/src/dotterelctl/command.h
@@ -1,9 +1,9 @@
 #ifndef DOTTERELSHED_DOTTERELCTL_COMMAND_H_
 #define DOTTERELSHED_DOTTERELCTL_COMMAND_H_
 
-#include <chrono>
-#include <functional>
+#include <cstdint>
 #include <iosfwd>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -29,8 +29,8 @@
   std::vector<std::string> m_hosts;
   /// Generation that a text was edited from; 0 when not given.
   std::int64_t m_base = 0;
-  Duration m_wait = std::chrono::seconds(10);
-  std::string m_outcome;
+  /// Longest wait; each command has a default of its own.
+  std::optional<Duration> m_wait;
   bool m_json = false;
   bool m_all = false;
   bool m_markdown = false;
--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -22,6 +22,11 @@
      "put a text into force and wait until it is", RunApply},
     {"get", "", "platform json", "print the text that was accepted last",
      RunGet},
+    {"dump", "HOST", "platform", "print the whole state of one host", RunDump},
+    {"drain", "HOST", "platform wait json",
+     "stop one host without cutting anything off", RunDrain},
+    {"actions", "", "platform all json",
+     "list non-idempotent calls without a result", RunActions},
     {"reference", "PAGE", "",
      "print the reference of the text or of the settings", RunReference},
     {"events", "", "metrics markdown json",
@@ -37,7 +42,8 @@
       "IP:port of a host's HTTP side; may be given more than once")(
       "base", po::value<std::int64_t>(),
       "generation that the text was edited from")(
-      "wait", po::value<double>(), "longest wait in seconds (default 10)")(
+      "wait", po::value<double>(),
+      "longest wait in seconds (default: apply 10, drain 60)")(
       "json", "print JSON")("all", "list also what needs nobody")(
       "markdown", "print the page of the docs")(
       "metrics", "metrics instead of log events");
--- a/src/dotterelctl/desk_store.cc
+++ b/src/dotterelctl/desk_store.cc
@@ -85,6 +85,24 @@
   return ReadAllOf<DomainTable>(platform, kDomainTableKind, DecodeDomainTable);
 }
 
+auto ReadClaims(const PlatformOptions& platform, bool all)
+    -> Result<std::vector<ClaimRecord>> {
+  const auto lanes = ReadAllOf<LaneObject>(platform, kLaneKind, DecodeLane);
+  if (!lanes) {
+    return tl::unexpected<Error>(lanes.error());
+  }
+  std::vector<ClaimRecord> claims;
+  for (const auto& lane : *lanes) {
+    const auto found = all ? lane.m_claims : ClaimsWithoutResult(lane);
+    claims.insert(claims.end(), found.begin(), found.end());
+  }
+  std::stable_sort(claims.begin(), claims.end(),
+                   [](const ClaimRecord& left, const ClaimRecord& right) {
+                     return left.m_claimed_at_s < right.m_claimed_at_s;
+                   });
+  return claims;
+}
+
 auto DomainsOf(const DeskConfig& config) -> std::set<DomainId> {
   std::set<DomainId> domains;
   for (const auto& [id, service] : config.m_services) {
--- a/src/dotterelctl/desk_store.h
+++ b/src/dotterelctl/desk_store.h
@@ -41,6 +41,11 @@
 auto ReadTables(const PlatformOptions& platform)
     -> Result<std::vector<DomainTable>>;
 
+/// Claims of non-idempotent calls without a result, or all of them, oldest
+/// first. A claim whose call is still running has no result either.
+auto ReadClaims(const PlatformOptions& platform, bool all)
+    -> Result<std::vector<ClaimRecord>>;
+
 /// Failure domains in which @p config has endpoints.
 auto DomainsOf(const DeskConfig& config) -> std::set<DomainId>;
 
