--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -53,6 +53,8 @@
   Digest m_content;
   TimePoint m_deadline;
   bool m_repeatable = true;
+  /// True when the caller announced the program's last call.
+  bool m_last = false;
   Duration m_expected_pause{0};
 };
 
@@ -71,6 +73,8 @@
   EndpointId m_endpoint;
   /// True for a second attempt beside a slow first one.
   bool m_hedge = false;
+  /// For engines that honour priorities; a lower number goes first.
+  int m_priority = 0;
   /// Prefix to keep after the call; empty for none.
   HoldId m_hold;
   /// Prefixes to free first, to make room.
