--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -127,8 +127,8 @@
                         TimePoint now) -> OwnershipStep {
   const auto& options = ownership.m_options;
   ownership.m_config_generation = config.m_generation;
-  ownership.m_wanted = pvt::WantedPools(config, options.m_domain,
-                                        options.m_max_pool_endpoints);
+  ownership.m_wanted =
+      pvt::WantedPools(config, options.m_domain, options.m_max_pool_endpoints);
   ownership.m_cut =
       pvt::CutIntoPools(config, options.m_domain, ownership.m_wanted);
   ownership.m_next_plan = std::min(ownership.m_next_plan, now);
--- a/src/libcore/ownership_cut.cc
+++ b/src/libcore/ownership_cut.cc
@@ -98,8 +98,7 @@
   for (const auto& [id, service] : config.m_services) {
     largest = std::max(largest, EndpointsIn(service, domain).size());
   }
-  const auto count =
-      DivideUp(largest, static_cast<std::size_t>(max_endpoints));
+  const auto count = DivideUp(largest, static_cast<std::size_t>(max_endpoints));
   std::set<PoolId> pools;
   for (auto i = std::size_t{0}; i < count; ++i) {
     pools.insert(PoolId(domain.value() + "/" + std::to_string(i)));
