--- a/src/include/dotterelshed/ids.h
+++ b/src/include/dotterelshed/ids.h
@@ -24,6 +24,7 @@
   /// The identifier as it is written in settings, messages and logs.
   auto value() const -> const std::string& { return m_value; }
   auto empty() const -> bool { return m_value.empty(); }
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   auto operator<=>(const StrongId&) const = default;
 
  private:
@@ -47,6 +48,7 @@
   constexpr auto Next() const -> StrongCount {
     return StrongCount(m_value + 1);
   }
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   constexpr auto operator<=>(const StrongCount&) const = default;
   constexpr auto operator+(StrongCount other) const -> StrongCount {
     return StrongCount(m_value + other.m_value);
--- a/src/libbase/metrics_unittest.cc
+++ b/src/libbase/metrics_unittest.cc
@@ -50,6 +50,7 @@
   constexpr auto kThreads = 4;
   constexpr auto kCounts = 2000;
   std::vector<std::thread> threads;
+  threads.reserve(kThreads);
   for (auto i = 0; i < kThreads; ++i) {
     threads.emplace_back([] {
       for (auto j = 0; j < kCounts; ++j) {
--- a/src/libconfig/config_diff.cc
+++ b/src/libconfig/config_diff.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using pvt::NodeKind;
-using pvt::TextMember;
 using pvt::TextNode;
 
 /// Longest value that a difference shows whole.
--- a/src/libconfig/desk_keys.cc
+++ b/src/libconfig/desk_keys.cc
@@ -8,7 +8,8 @@
 
 constexpr std::int64_t kMicrosPerMs = 1000;
 constexpr std::int64_t kMicrosPerS = 1000 * kMicrosPerMs;
-constexpr std::int64_t kMicrosPerDay = 24 * 3600 * kMicrosPerS;
+constexpr std::int64_t kSecondsPerDay = 86400;
+constexpr std::int64_t kMicrosPerDay = kSecondsPerDay * kMicrosPerS;
 
 constexpr auto kKeys = std::to_array<KeySpec>({
     {.m_path = "desk",
