--- a/src/include/dotterelshed/rollout.h
+++ b/src/include/dotterelshed/rollout.h
@@ -32,6 +32,8 @@
   Duration m_request_timeout = std::chrono::milliseconds(400);
   /// Requests to peers before the platform is asked.
   int m_peer_requests = 3;
+  /// A host without any configuration asks the platform this often.
+  Duration m_first_read_interval = std::chrono::seconds(2);
   /// Earlier texts kept to make differences from.
   int m_kept_texts = 4;
   /// Status writes of a lead are at least this far apart.
@@ -62,7 +64,7 @@
                      TimePoint now) -> RolloutStep;
 auto OnConfigOffer(Rollout& rollout, const ConfigOffer& message, TimePoint now)
     -> RolloutStep;
-/// Sends requests again.
+/// Sends requests again. A host without any configuration asks the platform.
 auto TickRollout(Rollout& rollout, TimePoint now) -> RolloutStep;
 
 /// Called by the lead on each tick with the live members of its domain: writes
--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -81,15 +81,11 @@
 
 auto SendHeartbeats(Ownership& ownership, TimePoint now, OwnershipStep& step)
     -> void {
-  if (now < ownership.m_next_heartbeat) {
+  if (!ownership.m_table || now < ownership.m_next_heartbeat) {
     return;
   }
   ownership.m_next_heartbeat = now + ownership.m_options.m_heartbeat_interval;
   const auto heartbeat = pvt::MakeHeartbeat(ownership);
-  if (!ownership.m_table) {
-    step.m_effects.emplace_back(SendSeeds{heartbeat});
-    return;
-  }
   const auto& self = ownership.m_options.m_self.m_host;
   if (!ownership.m_lead.m_suspected) {
     step.m_effects.emplace_back(
