--- a/src/include/dotterelshed/turn_messages.h
+++ b/src/include/dotterelshed/turn_messages.h
@@ -89,7 +89,10 @@
   ClassId m_class;
   /// Number of the last change by a primary; later changes have higher ones.
   std::int64_t m_sequence = 0;
-  /// Highest turn for which a reservation was ever made.
+  /// Who made that change, and in which term.
+  HostRef m_writer;
+  Term m_term;
+  /// Highest turn that may have run.
   Turn m_tried;
   std::vector<TurnRecord> m_turns;
   std::optional<Reservation> m_open;
--- a/src/libpeer/turn.capnp
+++ b/src/libpeer/turn.capnp
@@ -76,6 +76,8 @@
   open @7 :Reservation;
   holds @8 :List(HoldRecord);
   ended @9 :Bool;
+  writer @10 :HostRef;
+  term @11 :Int64;
 }
 
 # Fields that every message of the protocol has.
--- a/src/libpeer/turn.capnp.h
+++ b/src/libpeer/turn.capnp.h
@@ -168,7 +168,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfbac71957370681, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(cfbac71957370681, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1178,6 +1178,11 @@
 
   inline bool getEnded() const;
 
+  inline bool hasWriter() const;
+  inline  ::dotterelshed::turn_rpc::HostRef::Reader getWriter() const;
+
+  inline  ::int64_t getTerm() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1264,6 +1269,16 @@
   inline bool getEnded();
   inline void setEnded(bool value);
 
+  inline bool hasWriter();
+  inline  ::dotterelshed::turn_rpc::HostRef::Builder getWriter();
+  inline void setWriter( ::dotterelshed::turn_rpc::HostRef::Reader value);
+  inline  ::dotterelshed::turn_rpc::HostRef::Builder initWriter();
+  inline void adoptWriter(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownWriter();
+
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1283,6 +1298,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::dotterelshed::turn_rpc::Reservation::Pipeline getOpen();
+  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getWriter();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3357,6 +3373,59 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ProgramRecord::Reader::hasWriter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool ProgramRecord::Builder::hasWriter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::dotterelshed::turn_rpc::HostRef::Reader ProgramRecord::Reader::getWriter() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::dotterelshed::turn_rpc::HostRef::Builder ProgramRecord::Builder::getWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::dotterelshed::turn_rpc::HostRef::Pipeline ProgramRecord::Pipeline::getWriter() {
+  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void ProgramRecord::Builder::setWriter( ::dotterelshed::turn_rpc::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::dotterelshed::turn_rpc::HostRef::Builder ProgramRecord::Builder::initWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void ProgramRecord::Builder::adoptWriter(
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> ProgramRecord::Builder::disownWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ProgramRecord::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ProgramRecord::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ProgramRecord::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Envelope::Reader::hasPool() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpeer/turn_codec.cc
+++ b/src/libpeer/turn_codec.cc
@@ -178,6 +178,8 @@
   out.setAccount(record.m_account.value());
   out.setClass(record.m_class.value());
   out.setSequence(record.m_sequence);
+  Write(record.m_writer, out.initWriter());
+  out.setTerm(record.m_term.value());
   out.setTried(record.m_tried.value());
   WriteList(record.m_turns, out.initTurns(record.m_turns.size()));
   if (record.m_open) {
@@ -193,6 +195,8 @@
                        .m_account = ToId<AccountId>(in.getAccount()),
                        .m_class = ToId<ClassId>(in.getClass()),
                        .m_sequence = in.getSequence(),
+                       .m_writer = Read(in.getWriter()),
+                       .m_term = Term(in.getTerm()),
                        .m_tried = Turn(in.getTried()),
                        .m_turns = ReadList<TurnRecord>(in.getTurns()),
                        .m_holds = ReadList<HoldRecord>(in.getHolds()),
--- a/src/libpeer/turn_codec_unittest.cc
+++ b/src/libpeer/turn_codec_unittest.cc
@@ -48,6 +48,8 @@
           .m_account = AccountId("acct"),
           .m_class = ClassId("night"),
           .m_sequence = 17,
+          .m_writer = kHost,
+          .m_term = Term(5),
           .m_tried = Turn(4),
           .m_turns = {SampleRecord()},
           .m_open = SampleReservation(),
