--- a/src/include/dotterelshed/core.h
+++ b/src/include/dotterelshed/core.h
@@ -26,6 +26,37 @@
 
 namespace dotterelshed {
 
+/// Safety mechanisms, each of which a failure test turns off to see the
+/// promise break that rests on it. All stay on in the daemon.
+struct CoreMechanisms {
+  /// A call runs only after its reservation is confirmed.
+  bool m_reserve_before_run = true;
+  /// An answer is released only after its turn is confirmed.
+  bool m_append_before_release = true;
+  /// A copy holder does not answer a repeat from its copy.
+  bool m_holder_withholds_repeats = true;
+  /// A copy never shortens the chain of its receiver.
+  bool m_keep_longer_chain = true;
+  /// A copy holder refuses messages of an old term.
+  bool m_refuse_old_terms = true;
+  /// A new primary asks every live host for what it holds.
+  bool m_collect_on_takeover = true;
+  /// A new primary serves only after its holder confirmed the whole state.
+  bool m_copy_before_serving = true;
+  /// Reservations of a lost primary count as spent.
+  bool m_settle_inherited = true;
+  /// Service without the copy holder or the primary has a share of its own.
+  bool m_escrow = true;
+  /// The caller's token must match the history.
+  bool m_check_token = true;
+  /// Non-idempotent calls are claimed in the platform before they are sent.
+  bool m_claim_before_send = true;
+  /// Unconfirmed releases of engine memory are sent again.
+  bool m_retry_release = true;
+  /// Engine memory that nobody remembers is looked for and freed.
+  bool m_sweep_holds = true;
+};
+
 /// What a core is told once. Limits bound its memory; see docs/operators.
 struct CoreOptions {
   HostRef m_self;
@@ -48,6 +79,16 @@
   int m_max_stored_answers = 64;
   int m_max_quarantined = 1024;
   int m_lane_count = 16;
+  /// Pieces of a pool's state are copied with this many histories each.
+  int m_copy_batch = 200;
+  /// Ended programs are remembered this long, for late repeats.
+  Duration m_ended_retention = std::chrono::minutes(10);
+  /// Unconfirmed releases of engine memory kept; beyond it the sweep finds
+  /// them.
+  int m_max_releases = 100000;
+  Duration m_release_retry = std::chrono::seconds(1);
+  Duration m_sweep_interval = std::chrono::seconds(10);
+  CoreMechanisms m_mechanisms;
 };
 
 /// State of one host's decisions; defined in src/libcore.
--- /dev/null
+++ b/src/libcore/call_attempts.cc
@@ -0,0 +1,520 @@
+#include "call_attempts.h"
+
+#include <algorithm>
+
+#include "change_log.h"
+#include "core_route.h"
+#include "hold_ledger.h"
+#include "turn_primary.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+auto FindService(const HostCore& core, const ServiceId& service)
+    -> const ServiceConfig* {
+  const auto found = core.m_config->m_services.find(service);
+  return found == core.m_config->m_services.end() ? nullptr : &found->second;
+}
+
+/// Endpoints that this pool's programs may use for @p service. Those of other
+/// pools are shared by all home pools of the domain, each with its part of
+/// the concurrency, so that their sum is within the endpoint's limit.
+auto EndpointsFor(const HostCore& core,
+                  const PoolState& pool,
+                  const ServiceConfig& service) -> std::vector<EndpointConfig> {
+  if (service.m_id == pool.m_assignment.m_service) {
+    return PoolEndpoints(*core.m_ownership, pool.m_assignment.m_pool);
+  }
+  const auto homes =
+      static_cast<int>(HomePools(core, core.m_options.m_domain).size());
+  std::vector<EndpointConfig> endpoints;
+  for (auto endpoint : service.m_endpoints) {
+    if (endpoint.m_domain == core.m_options.m_domain) {
+      endpoint.m_max_concurrency =
+          std::max(1, endpoint.m_max_concurrency / std::max(1, homes));
+      endpoints.push_back(endpoint);
+    }
+  }
+  return endpoints;
+}
+
+auto Configure(StepContext& step,
+               PoolState& pool,
+               const ServiceId& service,
+               PoolPolicy& policy) -> void {
+  const auto* config = FindService(step.m_core, service);
+  const auto endpoints = config == nullptr
+                             ? std::vector<EndpointConfig>{}
+                             : EndpointsFor(step.m_core, pool, *config);
+  SetPoolConfig(policy, *step.m_core.m_config, endpoints, step.m_now);
+}
+
+/// Price of what an attempt used.
+auto PriceOf(const HostCore& core, const CallRequest& call, const Usage& usage)
+    -> Cost {
+  const auto* service = FindService(core, call.m_service);
+  if (service == nullptr) {
+    return call.m_cost_bound;
+  }
+  return service->m_price_per_call +
+         service->m_price_per_prompt_token * usage.m_prompt.value() +
+         service->m_price_per_generated_token * usage.m_generated.value();
+}
+
+/// What an attempt cost; its bound if that can't be known.
+auto CostOf(const HostCore& core,
+            const CallRequest& call,
+            const AttemptResult& result) -> Cost {
+  if (CannotHaveRun(result.m_end)) {
+    return Cost(0);
+  }
+  const auto known = result.m_end == AttemptEnd::kCompleted ||
+                     result.m_end == AttemptEnd::kRejected;
+  if (!known) {
+    return call.m_cost_bound;
+  }
+  const auto price =
+      std::max(PriceOf(core, call, result.m_usage), result.m_usage.m_cost);
+  return price;
+}
+
+auto OutcomeOf(const PendingCall& call, AttemptEnd end) -> OutcomeKind {
+  switch (end) {
+    case AttemptEnd::kCompleted:
+      return OutcomeKind::kDone;
+    case AttemptEnd::kRejected:
+    case AttemptEnd::kErrored:
+      return OutcomeKind::kFailed;
+    case AttemptEnd::kRefused:
+    case AttemptEnd::kLeaving:
+    case AttemptEnd::kFenced:
+      return call.m_may_have_run ? OutcomeKind::kUnknown : OutcomeKind::kNotRun;
+    case AttemptEnd::kLost:
+    case AttemptEnd::kTimedOut:
+    case AttemptEnd::kCancelled:
+      return OutcomeKind::kUnknown;
+  }
+  return OutcomeKind::kUnknown;
+}
+
+auto ReasonOf(AttemptEnd end) -> ReasonCode {
+  switch (end) {
+    case AttemptEnd::kCompleted:
+      return ReasonCode::kNone;
+    case AttemptEnd::kTimedOut:
+      return ReasonCode::kTimedOut;
+    case AttemptEnd::kRefused:
+    case AttemptEnd::kLeaving:
+    case AttemptEnd::kFenced:
+      return ReasonCode::kNoEndpoint;
+    default:
+      return ReasonCode::kEndpointError;
+  }
+}
+
+/// Makes the decision stand: recorded as a turn if it was done, or if it is
+/// the end of a call that is not to run again.
+auto DecideCall(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                CallAnswer answer) -> void {
+  answer.m_request = call.m_call.m_request;
+  answer.m_program = call.m_call.m_program;
+  answer.m_turn = call.m_call.m_turn;
+  answer.m_usage = call.m_usage;
+  const auto record =
+      answer.m_outcome == OutcomeKind::kDone ||
+      (call.m_needs_claim && answer.m_outcome != OutcomeKind::kNotRun &&
+       answer.m_reason != ReasonCode::kKeyUnreadable);
+  StopAttempts(step, pool, call);
+  if (!record) {
+    RefuseCall(step, pool, call, answer);
+    return;
+  }
+  call.m_answer = std::move(answer);
+  call.m_record_turn = true;
+  AdvanceCall(step, pool, call, CallEvent::kAnswered);
+}
+
+auto AnswerOf(const PendingCall& call, const AttemptResult& result)
+    -> CallAnswer {
+  return {.m_outcome = OutcomeOf(call, result.m_end),
+          .m_reason = ReasonOf(result.m_end),
+          .m_message = result.m_message,
+          .m_body = result.m_body,
+          .m_http_status = result.m_http_status};
+}
+
+auto CancelAll(StepContext& step, const std::vector<AttemptId>& attempts)
+    -> void {
+  for (const auto& attempt : attempts) {
+    step.m_out.push_back(CancelAttempt{attempt});
+    step.m_core.m_attempts.erase(attempt);
+  }
+}
+
+auto Quarantine(StepContext& step, const Digest& content) -> void {
+  auto& core = step.m_core;
+  const auto limit = static_cast<std::size_t>(core.m_options.m_max_quarantined);
+  if (core.m_quarantined.size() < limit) {
+    core.m_quarantined.insert(content);
+  }
+  AnnounceQuarantine(*core.m_ownership, content);
+  step.m_out.push_back(WriteLog{LogEventId::kContentQuarantined,
+                                {{"content", content.value()}}});
+}
+
+auto TakeVerdict(StepContext& step,
+                 PoolState& pool,
+                 PendingCall& call,
+                 const FinishVerdict& verdict,
+                 const AttemptResult& result) -> void {
+  CancelAll(step, verdict.m_cancel);
+  switch (verdict.m_kind) {
+    case FinishVerdict::Kind::kIgnore:
+    case FinishVerdict::Kind::kRetry:
+      return;
+    case FinishVerdict::Kind::kFinal:
+      DecideCall(step, pool, call, AnswerOf(call, result));
+      return;
+    case FinishVerdict::Kind::kQuarantine:
+      Quarantine(step, verdict.m_quarantined);
+      DecideCall(step, pool, call,
+                 {.m_outcome = OutcomeKind::kFailed,
+                  .m_reason = ReasonCode::kQuarantined,
+                  .m_message = "this content crashed endpoints",
+                  .m_http_status = 0});
+      return;
+  }
+}
+
+/// Tells the claims how a call ended that was allowed to be sent once.
+auto RecordClaimEnd(StepContext& step,
+                    const PendingCall& call,
+                    const CallAnswer& answer) -> void {
+  ApplyActionStep(
+      step, RecordActionResult(*step.m_core.m_actions, call.m_call.m_request,
+                               answer.m_outcome, answer.m_http_status,
+                               answer.m_body, step.m_now));
+}
+
+auto FinishAttempt(StepContext& step,
+                   PoolState& pool,
+                   const AttemptId& attempt,
+                   const AttemptOwner& owner,
+                   const AttemptResult& result) -> void {
+  const auto policy = pool.m_policies.find(owner.m_service);
+  if (policy == pool.m_policies.end()) {
+    return;
+  }
+  const auto verdict = Finish(*policy->second, attempt, result, step.m_now);
+  const auto found = pool.m_calls.find(owner.m_request);
+  if (found == pool.m_calls.end()) {
+    return;
+  }
+  auto& call = found->second;
+  call.m_running.erase(attempt);
+  call.m_cost += CostOf(step.m_core, call.m_call, result);
+  call.m_usage = result.m_usage;
+  call.m_usage.m_cost = call.m_cost;
+  if (!CannotHaveRun(result.m_end)) {
+    call.m_may_have_run = true;
+  }
+  if (call.m_needs_claim && call.m_state == CallState::kRunning) {
+    const auto answer = AnswerOf(call, result);
+    RecordClaimEnd(step, call, answer);
+    DecideCall(step, pool, call, answer);
+  } else {
+    TakeVerdict(step, pool, call, verdict, result);
+  }
+}
+
+/// Starts one attempt.
+auto Start(StepContext& step,
+           PoolState& pool,
+           PendingCall& call,
+           const Dispatched& ready) -> void {
+  auto& core = step.m_core;
+  ++call.m_started_attempts;
+  call.m_running.insert(ready.m_attempt);
+  if (!ready.m_hold.empty()) {
+    auto& record = pool.m_store.m_programs.at(call.m_call.m_program).m_record;
+    record.m_holds.push_back({.m_id = ready.m_hold,
+                              .m_endpoint = ready.m_endpoint,
+                              .m_program = call.m_call.m_program});
+  }
+  step.m_out.push_back(StartAttempt{.m_attempt = ready.m_attempt,
+                                    .m_endpoint = ready.m_endpoint,
+                                    .m_call = call.m_call,
+                                    .m_fence = pool.m_assignment.m_term,
+                                    .m_hold = ready.m_hold,
+                                    .m_send_by = call.m_send_by});
+}
+
+/// Takes one attempt that the policy wants started.
+auto TakeDispatched(StepContext& step,
+                    PoolState& pool,
+                    const ServiceId& service,
+                    const Dispatched& ready) -> void {
+  for (const auto& hold : ready.m_release) {
+    ReleaseRecord(step, hold);
+  }
+  step.m_core.m_attempts[ready.m_attempt] = {.m_pool = pool.m_assignment.m_pool,
+                                             .m_service = service,
+                                             .m_request = ready.m_request,
+                                             .m_endpoint = ready.m_endpoint};
+  const auto found = pool.m_calls.find(ready.m_request);
+  if (found == pool.m_calls.end()) {
+    const AttemptResult cancelled{.m_end = AttemptEnd::kCancelled};
+    OnAttemptFinished(step, {ready.m_attempt, cancelled});
+    return;
+  }
+  auto& call = found->second;
+  call.m_ready.push_back(ready);
+  const auto claim = call.m_needs_claim &&
+                     step.m_core.m_options.m_mechanisms.m_claim_before_send;
+  AdvanceCall(step, pool, call,
+              claim ? CallEvent::kClaimNeeded : CallEvent::kDispatched);
+}
+
+auto ExpireCall(StepContext& step, PoolState& pool, const RequestId& request)
+    -> void {
+  const auto found = pool.m_calls.find(request);
+  if (found == pool.m_calls.end()) {
+    return;
+  }
+  auto answer = MakeRefusal(found->second, ReasonCode::kDeadlineTooClose,
+                            "the call can't be in time any more");
+  RefuseCall(step, pool, found->second, answer);
+}
+
+auto TakeClaimDecision(StepContext& step,
+                       PoolState& pool,
+                       PendingCall& call,
+                       const ClaimDecision& decision) -> void {
+  const auto& record = decision.m_record;
+  switch (decision.m_verdict) {
+    case ClaimDecision::Verdict::kGranted:
+      call.m_send_by = decision.m_send_by;
+      AdvanceCall(step, pool, call, CallEvent::kDispatched);
+      return;
+    case ClaimDecision::Verdict::kHasResult:
+      DecideCall(step, pool, call,
+                 {.m_outcome = record.m_outcome,
+                  .m_body = record.m_answer,
+                  .m_http_status = record.m_http_status});
+      return;
+    case ClaimDecision::Verdict::kUnknown:
+      DecideCall(step, pool, call,
+                 {.m_outcome = OutcomeKind::kUnknown,
+                  .m_reason = ReasonCode::kClaimedElsewhere,
+                  .m_message = "sent before without a known end; an operator "
+                               "has to look"});
+      return;
+    case ClaimDecision::Verdict::kOtherContent:
+      DecideCall(step, pool, call,
+                 {.m_outcome = OutcomeKind::kNotRun,
+                  .m_reason = ReasonCode::kBadRequest,
+                  .m_message = "the key was used for another call"});
+      return;
+    case ClaimDecision::Verdict::kNotClaimed:
+      DecideCall(step, pool, call,
+                 {.m_outcome = OutcomeKind::kNotRun,
+                  .m_reason = ReasonCode::kNoPlatform,
+                  .m_message = "the claim could not be written",
+                  .m_retry_after = std::chrono::seconds(1)});
+      return;
+    case ClaimDecision::Verdict::kCannotTell:
+      DecideCall(step, pool, call,
+                 {.m_outcome = OutcomeKind::kUnknown,
+                  .m_reason = ReasonCode::kKeyUnreadable,
+                  .m_message = "the key's record can't be read now",
+                  .m_retry_after = std::chrono::seconds(1)});
+      return;
+  }
+}
+
+/// A claim was granted for a call that is gone: it will never be sent.
+auto GiveBackClaim(StepContext& step, const ClaimDecision& decision) -> void {
+  if (decision.m_verdict == ClaimDecision::Verdict::kGranted) {
+    ApplyActionStep(
+        step, RecordActionResult(*step.m_core.m_actions, decision.m_request,
+                                 OutcomeKind::kNotRun, 0, "", step.m_now));
+  }
+}
+
+}  // namespace
+
+auto PolicyOf(StepContext& step, PoolState& pool, const ServiceId& service)
+    -> PoolPolicy* {
+  const auto found = pool.m_policies.find(service);
+  if (found != pool.m_policies.end()) {
+    return found->second.get();
+  }
+  if (FindService(step.m_core, service) == nullptr) {
+    return nullptr;
+  }
+  const auto own = service == pool.m_assignment.m_service;
+  auto policy = MakePoolPolicy(
+      {.m_seed = step.m_core.m_options.m_seed,
+       .m_retention = own,
+       .m_max_queued = step.m_core.m_options.m_max_queued_calls,
+       .m_max_quarantined = step.m_core.m_options.m_max_quarantined});
+  Configure(step, pool, service, *policy);
+  for (const auto& content : step.m_core.m_quarantined) {
+    NoteQuarantined(*policy, content);
+  }
+  pool.m_policies[service] = policy;
+  return policy.get();
+}
+
+auto ConfigurePolicies(StepContext& step, PoolState& pool) -> void {
+  for (const auto& [service, policy] : pool.m_policies) {
+    Configure(step, pool, service, *policy);
+  }
+}
+
+auto AdmitCall(StepContext& step, PoolState& pool, PendingCall& call) -> void {
+  const auto& request = call.m_call;
+  auto* policy = PolicyOf(step, pool, request.m_service);
+  if (policy == nullptr) {
+    RefuseCall(step, pool, call,
+               MakeRefusal(call, ReasonCode::kUnknownService,
+                           "no such service is configured"));
+    return;
+  }
+  const auto refusal = Admit(*policy,
+                             {.m_request = request.m_request,
+                              .m_program = request.m_program,
+                              .m_root = request.m_root,
+                              .m_class = request.m_class,
+                              .m_service = request.m_service,
+                              .m_model = request.m_model,
+                              .m_turn = request.m_turn,
+                              .m_prompt_tokens = request.m_prompt_tokens,
+                              .m_max_tokens = request.m_max_tokens,
+                              .m_content = request.m_content,
+                              .m_deadline = request.m_deadline,
+                              .m_repeatable = !call.m_needs_claim,
+                              .m_expected_pause = request.m_expected_pause},
+                             step.m_now);
+  if (refusal) {
+    auto answer = MakeRefusal(call, refusal->m_reason, "refused before it ran");
+    answer.m_retry_after = refusal->m_retry_after;
+    RefuseCall(step, pool, call, answer);
+  }
+}
+
+auto DispatchCalls(StepContext& step, PoolState& pool) -> void {
+  const auto policies = pool.m_policies;
+  for (const auto& [service, policy] : policies) {
+    for (const auto& request : Expire(*policy, step.m_now)) {
+      ExpireCall(step, pool, request);
+    }
+    for (const auto& ready : Dispatch(*policy, step.m_now)) {
+      TakeDispatched(step, pool, service, ready);
+    }
+  }
+  ForgetReleased(pool);
+}
+
+auto RequestCallClaim(StepContext& step, PendingCall& call) -> void {
+  if (!call.m_call.m_key) {
+    call.m_call.m_key =
+        IdempotencyKey(call.m_call.m_program.value() + "/" +
+                       std::to_string(call.m_call.m_turn.value()));
+  } else {
+    call.m_first = false;
+  }
+  ApplyActionStep(step, RequestClaim(*step.m_core.m_actions, call.m_call,
+                                     call.m_first, step.m_now));
+}
+
+auto StartAttempts(StepContext& step, PoolState& pool, PendingCall& call)
+    -> void {
+  while (!call.m_ready.empty() &&
+         call.m_started_attempts < call.m_reserved_attempts) {
+    const auto ready = call.m_ready.front();
+    call.m_ready.erase(call.m_ready.begin());
+    Start(step, pool, call, ready);
+  }
+  if (call.m_ready.empty() || pool.m_changes.contains(call.m_call.m_program)) {
+    return;  // A reservation that is under way starts them when it is there.
+  }
+  const auto more = static_cast<int>(call.m_ready.size());
+  if (ReserveAttempts(step, pool, call, more)) {
+    return;
+  }
+  const auto refused = std::move(call.m_ready);
+  call.m_ready.clear();
+  for (const auto& ready : refused) {
+    OnAttemptFinished(step, {ready.m_attempt,
+                             {.m_end = AttemptEnd::kCancelled,
+                              .m_message = "the budget holds no retry"}});
+  }
+}
+
+auto ApplyActionStep(StepContext& step, const ActionStep& result) -> void {
+  step.m_out.insert(step.m_out.end(), result.m_effects.begin(),
+                    result.m_effects.end());
+  for (const auto& decision : result.m_decisions) {
+    auto known = false;
+    for (auto& [id, pool] : step.m_core.m_pools) {
+      const auto found = pool.m_calls.find(decision.m_request);
+      if (found != pool.m_calls.end() &&
+          found->second.m_state == CallState::kClaiming) {
+        TakeClaimDecision(step, pool, found->second, decision);
+        known = true;
+      }
+    }
+    if (!known) {
+      GiveBackClaim(step, decision);
+    }
+  }
+}
+
+auto OnAttemptProgressed(StepContext& step, const AttemptProgressed& event)
+    -> void {
+  const auto found = step.m_core.m_attempts.find(event.m_attempt);
+  if (found == step.m_core.m_attempts.end()) {
+    return;
+  }
+  auto& pool = step.m_core.m_pools[found->second.m_pool];
+  const auto policy = pool.m_policies.find(found->second.m_service);
+  if (policy != pool.m_policies.end()) {
+    Progress(*policy->second, event.m_attempt, event.m_generated, step.m_now);
+  }
+}
+
+auto OnAttemptFinished(StepContext& step, const AttemptFinished& event)
+    -> void {
+  const auto found = step.m_core.m_attempts.find(event.m_attempt);
+  if (found == step.m_core.m_attempts.end()) {
+    return;
+  }
+  const auto owner = found->second;
+  step.m_core.m_attempts.erase(found);
+  auto& pool = step.m_core.m_pools[owner.m_pool];
+  FinishAttempt(step, pool, event.m_attempt, owner, event.m_result);
+}
+
+auto StopAttempts(StepContext& step, PoolState& pool, PendingCall& call)
+    -> void {
+  const auto policy = pool.m_policies.find(call.m_call.m_service);
+  if (policy != pool.m_policies.end()) {
+    CancelAll(step, Cancel(*policy->second, call.m_call.m_request, step.m_now));
+  }
+  for (const auto& attempt : call.m_running) {
+    if (step.m_core.m_attempts.contains(attempt)) {
+      CancelAll(step, {attempt});
+    }
+  }
+  for (const auto& ready : call.m_ready) {
+    step.m_core.m_attempts.erase(ready.m_attempt);
+  }
+  call.m_ready.clear();
+  call.m_may_have_run = call.m_may_have_run || !call.m_running.empty();
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/change_log.cc
@@ -0,0 +1,378 @@
+#include "change_log.h"
+
+#include <algorithm>
+
+#include "budget_ledger.h"
+#include "core_route.h"
+#include "digests.h"
+#include "hold_ledger.h"
+#include "pool_takeover.h"
+#include "turn_primary.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// True while this host spends only what nobody else can spend.
+auto UsesEscrow(const PoolState& pool) -> bool {
+  const auto alone_by_table = pool.m_assignment.m_holder.m_host.empty() &&
+                              pool.m_role == PoolRole::kPrimary;
+  return pool.m_mode != CopyMode::kHolder && !alone_by_table;
+}
+
+/// Reservations out of this host's escrow in a tree.
+auto OpenFromEscrow(const HostCore& core,
+                    const PoolState& pool,
+                    const ProgramId& root) -> Cost {
+  Cost sum;
+  const auto tree = pool.m_store.m_trees.find(root);
+  if (tree == pool.m_store.m_trees.end()) {
+    return sum;
+  }
+  for (const auto& program : tree->second) {
+    const auto& open = pool.m_store.m_programs.at(program).m_record.m_open;
+    if (open && open->m_from_escrow && open->m_host == core.m_options.m_self) {
+      sum += open->m_amount;
+    }
+  }
+  return sum;
+}
+
+/// Makes room for @p amount in the common budget, at the cost of the escrows
+/// of the primary and of the copy holder, which has to confirm it.
+auto TakeFromBudget(const HostCore& core,
+                    const PoolState& pool,
+                    BudgetLedger& ledger,
+                    Cost amount) -> bool {
+  const auto open = OpenInTree(pool.m_store, ledger.m_root);
+  const auto left = ledger.m_budget - Committed(ledger) - open;
+  auto lacking = amount - left;
+  if (lacking <= Cost(0)) {
+    return true;
+  }
+  const auto& self = core.m_options.m_self;
+  const auto& holder = pool.m_assignment.m_holder;
+  const auto term = pool.m_assignment.m_term;
+  const auto available =
+      EscrowLeft(ledger, self, term) + EscrowLeft(ledger, holder, term);
+  if (available < lacking) {
+    return false;
+  }
+  lacking -= ShrinkEscrow(ledger, holder, term, lacking);
+  ShrinkEscrow(ledger, self, term, lacking);
+  return true;
+}
+
+auto TakeFromEscrow(const HostCore& core,
+                    const PoolState& pool,
+                    const BudgetLedger& ledger,
+                    Cost amount) -> bool {
+  const auto left =
+      EscrowLeft(ledger, core.m_options.m_self, pool.m_assignment.m_term) -
+      OpenFromEscrow(core, pool, ledger.m_root);
+  return amount <= left || !core.m_options.m_mechanisms.m_escrow;
+}
+
+auto Touch(const HostCore& core, const PoolState& pool, ProgramRecord& record)
+    -> void {
+  ++record.m_sequence;
+  record.m_writer = core.m_options.m_self;
+  record.m_term = pool.m_assignment.m_term;
+}
+
+auto MakeReserve(const HostCore& core,
+                 const PoolState& pool,
+                 const ProgramRecord& record) -> ReserveRequest {
+  ReserveRequest message{.m_pool = pool.m_assignment.m_pool,
+                         .m_term = pool.m_assignment.m_term,
+                         .m_from = core.m_options.m_self,
+                         .m_program = record.m_program,
+                         .m_sequence = record.m_sequence,
+                         .m_reservation = *record.m_open,
+                         .m_previous_chain = ChainEnd(record),
+                         .m_ledger = pool.m_store.m_ledgers.at(record.m_root)};
+  if (record.m_turns.empty()) {
+    message.m_new_program = record;
+  }
+  return message;
+}
+
+auto MakeAppend(const HostCore& core,
+                const PoolState& pool,
+                const ProgramRecord& record,
+                const Digest& previous,
+                const std::optional<TurnRecord>& turn) -> AppendRequest {
+  return {.m_pool = pool.m_assignment.m_pool,
+          .m_term = pool.m_assignment.m_term,
+          .m_from = core.m_options.m_self,
+          .m_program = record.m_program,
+          .m_sequence = record.m_sequence,
+          .m_previous_chain = previous,
+          .m_record = turn,
+          .m_ledger = pool.m_store.m_ledgers.at(record.m_root),
+          .m_holds = record.m_holds,
+          .m_ended = record.m_ended};
+}
+
+/// What the call cost: attempts that ended, and the bound for each that may
+/// still run.
+auto FinalCost(const PendingCall& call) -> Cost {
+  const auto running = static_cast<std::int64_t>(call.m_running.size());
+  return call.m_cost + call.m_call.m_cost_bound * running;
+}
+
+auto MakeTurn(const PendingCall& call, const ProgramRecord& record, bool alone)
+    -> TurnRecord {
+  TurnRecord turn{.m_turn = call.m_call.m_turn,
+                  .m_request = call.m_call.m_request,
+                  .m_content = call.m_call.m_content,
+                  .m_outcome = call.m_answer->m_outcome,
+                  .m_reason = call.m_answer->m_reason,
+                  .m_http_status = call.m_answer->m_http_status,
+                  .m_answer = call.m_answer->m_body,
+                  .m_usage = call.m_usage,
+                  .m_provisional = alone};
+  turn.m_chain = ChainDigest(record.m_program, ChainEnd(record), turn);
+  return turn;
+}
+
+auto GiveToken(const HostCore& core, const PoolState& pool, PendingCall& call)
+    -> void {
+  const auto* turn =
+      FindTurn(pool.m_store.m_programs.at(call.m_call.m_program).m_record,
+               call.m_call.m_turn);
+  const auto& ledger = pool.m_store.m_ledgers.at(call.m_call.m_root);
+  call.m_answer->m_token =
+      ContinuationToken{.m_program = call.m_call.m_program,
+                        .m_turn = turn->m_turn,
+                        .m_chain = turn->m_chain,
+                        .m_holders = {core.m_options.m_self},
+                        .m_spent = TotalSpent(ledger)};
+  if (pool.m_mode != CopyMode::kAlone) {
+    call.m_answer->m_token->m_holders.push_back(pool.m_target);
+  }
+}
+
+/// The pending change of @p program is confirmed.
+auto ConfirmChange(StepContext& step, PoolState& pool, const ProgramId& program)
+    -> void {
+  pool.m_changes.erase(program);
+  const auto open = pool.m_open.find(program);
+  if (open == pool.m_open.end()) {
+    return;
+  }
+  auto& call = pool.m_calls.at(open->second);
+  if (call.m_state == CallState::kSettling) {
+    GiveToken(step.m_core, pool, call);
+    AdvanceCall(step, pool, call, CallEvent::kRecorded);
+  } else {
+    AdvanceCall(step, pool, call, CallEvent::kReserved);
+  }
+}
+
+template <typename Reply>
+auto OnReply(StepContext& step, const Reply& reply) -> void {
+  const auto found = step.m_core.m_pools.find(reply.m_pool);
+  if (found == step.m_core.m_pools.end()) {
+    return;
+  }
+  auto& pool = found->second;
+  NoteTerm(step, pool, reply.m_highest);
+  const auto change = pool.m_changes.find(reply.m_program);
+  const auto current = reply.m_term == pool.m_assignment.m_term &&
+                       reply.m_from == pool.m_target &&
+                       pool.m_highest == pool.m_assignment.m_term;
+  if (change == pool.m_changes.end() || !current) {
+    return;
+  }
+  const auto sequence =
+      std::visit([](const auto& message) { return message.m_sequence; },
+                 change->second.m_message);
+  if (sequence != reply.m_sequence) {
+    return;
+  }
+  if (reply.m_accepted) {
+    ConfirmChange(step, pool, reply.m_program);
+    ForgetReleased(pool);
+  } else {
+    // The holder's history differs from ours: bring it up to date first.
+    CopyProgram(step, pool, reply.m_program);
+  }
+}
+
+}  // namespace
+
+auto ReserveAttempts(StepContext& step,
+                     PoolState& pool,
+                     PendingCall& call,
+                     int attempts) -> bool {
+  auto& core = step.m_core;
+  auto& record = pool.m_store.m_programs.at(call.m_call.m_program).m_record;
+  auto& ledger = pool.m_store.m_ledgers.at(record.m_root);
+  const auto amount = call.m_call.m_cost_bound * attempts;
+  const auto escrow = UsesEscrow(pool);
+  const auto fits = escrow ? TakeFromEscrow(core, pool, ledger, amount)
+                           : TakeFromBudget(core, pool, ledger, amount);
+  if (!fits) {
+    return false;
+  }
+  const auto before = record.m_open ? record.m_open->m_amount : Cost(0);
+  record.m_open = Reservation{.m_request = call.m_call.m_request,
+                              .m_turn = call.m_call.m_turn,
+                              .m_amount = before + amount,
+                              .m_host = core.m_options.m_self,
+                              .m_term = pool.m_assignment.m_term,
+                              .m_from_escrow = escrow};
+  record.m_tried = std::max(record.m_tried, call.m_call.m_turn);
+  call.m_reserved_attempts += attempts;
+  Touch(core, pool, record);
+  pool.m_changes[record.m_program] = {.m_message =
+                                          MakeReserve(core, pool, record)};
+  SendChange(step, pool, record.m_program);
+  return true;
+}
+
+auto SettleCall(StepContext& step, PoolState& pool, PendingCall& call) -> void {
+  auto& core = step.m_core;
+  auto& entry = pool.m_store.m_programs.at(call.m_call.m_program);
+  auto& record = entry.m_record;
+  const auto open = record.m_open;
+  if (open) {
+    AddSpend(pool.m_store.m_ledgers.at(record.m_root), open->m_host,
+             open->m_term, open->m_from_escrow, FinalCost(call));
+    record.m_open.reset();
+  }
+  if (!call.m_record_turn && !call.m_may_have_run && call.m_first) {
+    record.m_tried = Turn(call.m_call.m_turn.value() - 1);
+  }
+  const auto previous = ChainEnd(record);
+  std::optional<TurnRecord> turn;
+  if (call.m_record_turn) {
+    const auto provisional = UsesEscrow(pool);
+    turn = MakeTurn(call, record, provisional);
+    call.m_answer->m_provisional = provisional;
+    record.m_turns.push_back(*turn);
+    TrimAnswers(record, core.m_options.m_max_stored_answers);
+    record.m_ended = record.m_ended || call.m_call.m_end_program;
+  }
+  Touch(core, pool, record);
+  if (record.m_ended) {
+    ReleaseProgramHolds(step, pool, entry);
+  }
+  pool.m_changes[record.m_program] = {
+      .m_message = MakeAppend(core, pool, record, previous, turn)};
+  SendChange(step, pool, record.m_program);
+}
+
+auto EndProgramRecord(StepContext& step, PoolState& pool, ProgramEntry& entry)
+    -> void {
+  auto& record = entry.m_record;
+  if (record.m_ended || pool.m_open.contains(record.m_program)) {
+    record.m_ended = true;
+    return;
+  }
+  record.m_ended = true;
+  Touch(step.m_core, pool, record);
+  pool.m_changes[record.m_program] = {
+      .m_message = MakeAppend(step.m_core, pool, record, ChainEnd(record),
+                              std::nullopt)};
+  SendChange(step, pool, record.m_program);
+}
+
+auto SendChange(StepContext& step, PoolState& pool, const ProgramId& program)
+    -> void {
+  if (pool.m_role == PoolRole::kCopying) {
+    return;  // Sent when the new copy holder has the whole state.
+  }
+  const auto found = pool.m_changes.find(program);
+  if (found == pool.m_changes.end()) {
+    return;
+  }
+  if (pool.m_mode == CopyMode::kAlone) {
+    ConfirmChange(step, pool, program);
+    return;
+  }
+  auto& change = found->second;
+  change.m_sent = step.m_now;
+  const auto term = pool.m_assignment.m_term;
+  std::visit([term](auto& message) { message.m_term = term; },
+             change.m_message);
+  step.m_out.push_back(std::visit(
+      [&pool](const auto& message) {
+        return SendPeer{pool.m_target.m_host, message};
+      },
+      change.m_message));
+  const auto& mechanisms = step.m_core.m_options.m_mechanisms;
+  const auto reserve = std::holds_alternative<ReserveRequest>(change.m_message);
+  if (reserve ? !mechanisms.m_reserve_before_run
+              : !mechanisms.m_append_before_release) {
+    ConfirmChange(step, pool, program);
+  }
+}
+
+auto OnReserveReply(StepContext& step, const ReserveReply& reply) -> void {
+  OnReply(step, reply);
+}
+
+auto OnAppendReply(StepContext& step, const AppendReply& reply) -> void {
+  OnReply(step, reply);
+}
+
+auto ResendChanges(StepContext& step, PoolState& pool) -> void {
+  std::vector<ProgramId> due;
+  for (const auto& [program, change] : pool.m_changes) {
+    if (step.m_now >= change.m_sent + step.m_core.m_options.m_copy_retry) {
+      due.push_back(program);
+    }
+  }
+  for (const auto& program : due) {
+    SendChange(step, pool, program);
+  }
+  ForgetReleased(pool);
+}
+
+auto ChooseTarget(StepContext& step, PoolState& pool) -> void {
+  auto& core = step.m_core;
+  const auto& holder = pool.m_assignment.m_holder;
+  const auto primary = pool.m_role != PoolRole::kHolder;
+  const auto silent = !core.m_platform_reachable &&
+                      step.m_now >= core.m_trust_silence_after &&
+                      !IsAlive(core, holder);
+  auto mode = CopyMode::kAlone;
+  HostRef target;
+  if (primary && !holder.m_host.empty() && !silent) {
+    mode = CopyMode::kHolder;
+    target = holder;
+  } else if (!primary || !holder.m_host.empty()) {
+    target = ChooseSpare(core, pool);
+    mode = target.m_host.empty() ? CopyMode::kAlone : CopyMode::kSpare;
+  }
+  if (mode == pool.m_mode && target == pool.m_target) {
+    return;
+  }
+  pool.m_mode = mode;
+  pool.m_target = target;
+  std::vector<ProgramId> pending;
+  for (const auto& [program, change] : pool.m_changes) {
+    pending.push_back(program);
+  }
+  for (const auto& program : pending) {
+    SendChange(step, pool, program);
+  }
+  ForgetReleased(pool);
+}
+
+auto FillBudget(const PoolState& pool,
+                const ProgramId& root,
+                CallAnswer& answer) -> void {
+  const auto found = pool.m_store.m_ledgers.find(root);
+  if (found == pool.m_store.m_ledgers.end()) {
+    return;
+  }
+  const auto& ledger = found->second;
+  const auto open = OpenInTree(pool.m_store, root);
+  answer.m_spent = TotalSpent(ledger) + open;
+  answer.m_remaining = std::max(Cost(0), ledger.m_budget - answer.m_spent);
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/copy_holder.cc
@@ -0,0 +1,244 @@
+#include "copy_holder.h"
+
+#include <algorithm>
+
+#include "budget_ledger.h"
+#include "pool_takeover.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Whether a message of @p term may change anything here.
+auto AcceptsTerm(StepContext& step, PoolState& pool, Term term) -> bool {
+  NoteTerm(step, pool, term);
+  const auto current = term == pool.m_highest;
+  return current || !step.m_core.m_options.m_mechanisms.m_refuse_old_terms;
+}
+
+/// A primary of this very term takes no changes from others, and a holder that
+/// served provisionally in this term takes none for that program tree.
+auto TakesChangesFrom(const HostCore& core,
+                      const PoolState& pool,
+                      const HostRef& from,
+                      const BudgetLedger& ledger) -> bool {
+  if (pool.m_role != PoolRole::kHolder && pool.m_role != PoolRole::kNone) {
+    return pool.m_assignment.m_term < pool.m_highest;
+  }
+  const auto known = pool.m_store.m_ledgers.find(ledger.m_root);
+  if (known == pool.m_store.m_ledgers.end() || from == core.m_options.m_self) {
+    return true;
+  }
+  for (const auto& entry : known->second.m_spends) {
+    if (entry.m_host != core.m_options.m_self || !entry.m_from_escrow) {
+      continue;
+    }
+    const auto seen = std::any_of(
+        ledger.m_spends.begin(), ledger.m_spends.end(),
+        [&entry](const SpendEntry& other) {
+          return other.m_host == entry.m_host && other.m_term == entry.m_term &&
+                 other.m_from_escrow && other.m_amount >= entry.m_amount;
+        });
+    if (!seen) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// True while this host itself has a call of the tree under way.
+auto HasOwnCall(const PoolState& pool, const ProgramId& root) -> bool {
+  return std::any_of(
+      pool.m_open.begin(), pool.m_open.end(), [&pool, &root](const auto& open) {
+        return pool.m_calls.at(open.second).m_call.m_root == root;
+      });
+}
+
+enum class Order { kNew, kRepeat, kOld, kForeign };
+
+/// Where a change stands in the order of changes of its program.
+auto OrderOf(const ProgramRecord& record,
+             const HostRef& from,
+             Term term,
+             std::int64_t sequence) -> Order {
+  if (record.m_writer != from || record.m_term != term) {
+    const auto same_term = record.m_term == term && record.m_open.has_value();
+    return same_term ? Order::kForeign : Order::kNew;
+  }
+  if (sequence == record.m_sequence) {
+    return Order::kRepeat;
+  }
+  return sequence > record.m_sequence ? Order::kNew : Order::kOld;
+}
+
+template <typename Message>
+auto Stamp(ProgramRecord& record, const Message& message) -> void {
+  record.m_sequence = message.m_sequence;
+  record.m_writer = message.m_from;
+  record.m_term = message.m_term;
+}
+
+auto ApplyReserve(StepContext& step,
+                  PoolState& pool,
+                  const ReserveRequest& message) -> bool {
+  auto* entry = FindProgram(pool.m_store, message.m_program);
+  if (entry == nullptr && message.m_new_program) {
+    entry = &InsertProgram(pool.m_store, *message.m_new_program, step.m_now);
+    MergeLedgers(pool.m_store, {message.m_ledger});
+    return true;
+  }
+  if (entry == nullptr) {
+    return false;
+  }
+  auto& record = entry->m_record;
+  const auto order =
+      OrderOf(record, message.m_from, message.m_term, message.m_sequence);
+  if (order == Order::kRepeat || order == Order::kOld) {
+    return order == Order::kRepeat;
+  }
+  if (order == Order::kForeign ||
+      ChainEnd(record) != message.m_previous_chain) {
+    return false;
+  }
+  Stamp(record, message);
+  record.m_open = message.m_reservation;
+  record.m_tried = std::max(record.m_tried, message.m_reservation.m_turn);
+  entry->m_last_used = step.m_now;
+  MergeLedgers(pool.m_store, {message.m_ledger});
+  return true;
+}
+
+auto ApplyAppend(StepContext& step,
+                 PoolState& pool,
+                 const AppendRequest& message) -> bool {
+  auto* entry = FindProgram(pool.m_store, message.m_program);
+  if (entry == nullptr) {
+    return false;
+  }
+  auto& record = entry->m_record;
+  const auto order =
+      OrderOf(record, message.m_from, message.m_term, message.m_sequence);
+  if (order == Order::kRepeat || order == Order::kOld) {
+    return order == Order::kRepeat;
+  }
+  if (order == Order::kForeign ||
+      ChainEnd(record) != message.m_previous_chain) {
+    return false;
+  }
+  Stamp(record, message);
+  record.m_open.reset();
+  record.m_holds = message.m_holds;
+  record.m_ended = record.m_ended || message.m_ended;
+  if (message.m_record) {
+    record.m_turns.push_back(*message.m_record);
+    TrimAnswers(record, step.m_core.m_options.m_max_stored_answers);
+  }
+  entry->m_last_used = step.m_now;
+  MergeLedgers(pool.m_store, {message.m_ledger});
+  return true;
+}
+
+template <typename Reply, typename Message, typename Apply>
+auto OnChange(StepContext& step, const Message& message, Apply apply) -> void {
+  auto& pool = step.m_core.m_pools[message.m_pool];
+  const auto accepted =
+      AcceptsTerm(step, pool, message.m_term) &&
+      TakesChangesFrom(step.m_core, pool, message.m_from, message.m_ledger) &&
+      !HasOwnCall(pool, message.m_ledger.m_root) && apply(step, pool, message);
+  step.m_out.push_back(SendPeer{message.m_from.m_host,
+                                Reply{.m_pool = message.m_pool,
+                                      .m_term = message.m_term,
+                                      .m_from = step.m_core.m_options.m_self,
+                                      .m_program = message.m_program,
+                                      .m_sequence = message.m_sequence,
+                                      .m_accepted = accepted,
+                                      .m_highest = pool.m_highest}});
+}
+
+/// Puts a copied history into the store and gathers what it lacks.
+auto TakeCopy(StepContext& step,
+              PoolState& pool,
+              const ProgramRecord& record,
+              std::vector<ProgramRecord>& longer) -> void {
+  auto* entry = FindProgram(pool.m_store, record.m_program);
+  if (entry != nullptr &&
+      !step.m_core.m_options.m_mechanisms.m_keep_longer_chain) {
+    entry->m_record = record;
+    entry->m_branches.clear();
+    return;
+  }
+  if (entry != nullptr) {
+    const auto beyond = HistoriesBeyond(*entry, record);
+    longer.insert(longer.end(), beyond.begin(), beyond.end());
+  }
+  MergeProgram(pool.m_store, record, false, step.m_now);
+  // The sender goes on from this history; ours stays beside it.
+  entry = FindProgram(pool.m_store, record.m_program);
+  SelectHistory(*entry, ChainLength(record), ChainEnd(record));
+}
+
+}  // namespace
+
+auto OnReserveRequest(StepContext& step, const ReserveRequest& message)
+    -> void {
+  OnChange<ReserveReply>(step, message, ApplyReserve);
+}
+
+auto OnAppendRequest(StepContext& step, const AppendRequest& message) -> void {
+  OnChange<AppendReply>(step, message, ApplyAppend);
+}
+
+auto OnStateCopy(StepContext& step, const StateCopy& message) -> void {
+  auto& core = step.m_core;
+  auto& pool = core.m_pools[message.m_pool];
+  const auto single = message.m_part < 0;
+  auto accepted =
+      AcceptsTerm(step, pool, message.m_term) &&
+      (pool.m_role == PoolRole::kHolder || pool.m_role == PoolRole::kNone);
+  accepted = accepted && (single || message.m_part <= pool.m_next_part);
+  StateCopyReply reply{.m_pool = message.m_pool,
+                       .m_term = message.m_term,
+                       .m_from = core.m_options.m_self,
+                       .m_part = message.m_part,
+                       .m_accepted = accepted,
+                       .m_highest = pool.m_highest};
+  if (accepted) {
+    for (const auto& record : message.m_programs) {
+      if (!HasOwnCall(pool, record.m_root)) {
+        TakeCopy(step, pool, record, reply.m_longer);
+      }
+    }
+    MergeLedgers(pool.m_store, message.m_ledgers);
+    for (const auto& ledger : message.m_ledgers) {
+      reply.m_ledgers.push_back(pool.m_store.m_ledgers.at(ledger.m_root));
+    }
+  }
+  if (accepted && !single && message.m_part == pool.m_next_part) {
+    ++pool.m_next_part;
+    pool.m_complete = pool.m_complete || message.m_last;
+  }
+  step.m_out.push_back(SendPeer{message.m_from.m_host, std::move(reply)});
+}
+
+auto OnCollectRequest(StepContext& step, const CollectRequest& message)
+    -> void {
+  auto& core = step.m_core;
+  CollectReply reply{.m_pool = message.m_pool,
+                     .m_term = message.m_term,
+                     .m_from = core.m_options.m_self,
+                     .m_program = message.m_program};
+  auto& pool = core.m_pools[message.m_pool];
+  if (!message.m_program) {
+    NoteTerm(step, pool, message.m_term);
+    reply.m_programs = AllHistories(pool.m_store);
+    reply.m_ledgers = AllLedgers(pool.m_store);
+  } else if (const auto* entry = FindProgram(pool.m_store, *message.m_program);
+             entry != nullptr) {
+    reply.m_programs = entry->m_branches;
+    reply.m_programs.push_back(entry->m_record);
+    reply.m_ledgers = {pool.m_store.m_ledgers.at(entry->m_record.m_root)};
+  }
+  step.m_out.push_back(SendPeer{message.m_from.m_host, std::move(reply)});
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/copy_holder.h
@@ -0,0 +1,18 @@
+#ifndef DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
+#define DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
+
+#include "core_state.h"
+
+/// @file
+/// The receiving side of reservations, appends, copies and collections.
+
+namespace dotterelshed::pvt {
+
+auto OnReserveRequest(StepContext& step, const ReserveRequest& message) -> void;
+auto OnAppendRequest(StepContext& step, const AppendRequest& message) -> void;
+auto OnStateCopy(StepContext& step, const StateCopy& message) -> void;
+auto OnCollectRequest(StepContext& step, const CollectRequest& message) -> void;
+
+}  // namespace dotterelshed::pvt
+
+#endif  // DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
--- /dev/null
+++ b/src/libcore/core_state.h
@@ -0,0 +1,76 @@
+#ifndef DOTTERELSHED_LIBCORE_CORE_STATE_H_
+#define DOTTERELSHED_LIBCORE_CORE_STATE_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "dotterelshed/actions.h"
+#include "dotterelshed/core.h"
+#include "dotterelshed/ownership.h"
+#include "dotterelshed/rollout.h"
+#include "pool_state.h"
+
+/// @file
+/// State behind dotterelshed/core.h.
+
+namespace dotterelshed {
+
+namespace pvt {
+
+/// Which call a running attempt belongs to.
+struct AttemptOwner {
+  PoolId m_pool;
+  ServiceId m_service;
+  RequestId m_request;
+  EndpointId m_endpoint;
+};
+
+/// KV memory to be freed, until the endpoint confirms it.
+struct PendingRelease {
+  EndpointId m_endpoint;
+  ProgramId m_program;
+  TimePoint m_sent;
+};
+
+}  // namespace pvt
+
+struct HostCore {
+  CoreOptions m_options;
+  pvt::CallChart m_call_chart;
+  pvt::PoolChart m_pool_chart;
+  std::shared_ptr<Ownership> m_ownership;
+  std::shared_ptr<ActionBook> m_actions;
+  std::shared_ptr<Rollout> m_rollout;
+  std::shared_ptr<const DeskConfig> m_config;
+  std::map<PoolId, pvt::PoolState> m_pools;
+  std::map<AttemptId, pvt::AttemptOwner> m_attempts;
+  std::map<HoldId, pvt::PendingRelease> m_releases;
+  std::set<Digest> m_quarantined;
+  /// Hosts of the domain that count as alive, as of the last tick.
+  std::vector<MemberInfo> m_live;
+  bool m_platform_reachable = true;
+  TimePoint m_last_step;
+  /// After a pause nothing that relies on silence is concluded before this.
+  TimePoint m_trust_silence_after;
+  TimePoint m_last_sweep;
+  TimePoint m_last_seed;
+  bool m_draining = false;
+  bool m_drain_reported = false;
+};
+
+namespace pvt {
+
+/// One step: the state, the time, and the effects gathered so far.
+struct StepContext {
+  HostCore& m_core;
+  TimePoint m_now;
+  Effects& m_out;
+};
+
+}  // namespace pvt
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_LIBCORE_CORE_STATE_H_
--- /dev/null
+++ b/src/libcore/hold_ledger.cc
@@ -0,0 +1,142 @@
+#include "hold_ledger.h"
+
+#include <algorithm>
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// The live program of this host's pools that owns @p hold.
+auto IsOwned(const PoolState& pool, const HoldRecord& hold) -> bool {
+  const auto found = pool.m_store.m_programs.find(hold.m_program);
+  if (found == pool.m_store.m_programs.end() ||
+      found->second.m_record.m_ended) {
+    return false;
+  }
+  const auto& holds = found->second.m_record.m_holds;
+  return std::any_of(
+      holds.begin(), holds.end(),
+      [&hold](const HoldRecord& ours) { return ours.m_id == hold.m_id; });
+}
+
+/// The pool of this host that @p endpoint belongs to, if it serves it.
+auto ServedPoolOf(HostCore& core, const EndpointId& endpoint) -> PoolState* {
+  for (auto& [id, pool] : core.m_pools) {
+    if (pool.m_role != PoolRole::kPrimary ||
+        pool.m_highest > pool.m_assignment.m_term) {
+      continue;
+    }
+    const auto endpoints = PoolEndpoints(*core.m_ownership, id);
+    const auto ours = std::any_of(endpoints.begin(), endpoints.end(),
+                                  [&endpoint](const EndpointConfig& config) {
+                                    return config.m_id == endpoint;
+                                  });
+    if (ours) {
+      return &pool;
+    }
+  }
+  return nullptr;
+}
+
+auto ForgetHold(PoolState& pool, const HoldId& hold, const ProgramId& program)
+    -> void {
+  const auto found = pool.m_store.m_programs.find(program);
+  if (found != pool.m_store.m_programs.end()) {
+    std::erase_if(
+        found->second.m_record.m_holds,
+        [&hold](const HoldRecord& record) { return record.m_id == hold; });
+  }
+}
+
+auto ListAll(StepContext& step) -> void {
+  for (const auto& [id, pool] : step.m_core.m_pools) {
+    if (pool.m_role != PoolRole::kPrimary) {
+      continue;
+    }
+    for (const auto& endpoint : PoolEndpoints(*step.m_core.m_ownership, id)) {
+      step.m_out.push_back(ListHolds{endpoint.m_id});
+    }
+  }
+}
+
+}  // namespace
+
+auto ReleaseRecord(StepContext& step, const HoldRecord& hold) -> void {
+  auto& releases = step.m_core.m_releases;
+  const auto limit =
+      static_cast<std::size_t>(step.m_core.m_options.m_max_releases);
+  if (releases.contains(hold.m_id)) {
+    return;
+  }
+  if (releases.size() < limit) {
+    releases[hold.m_id] = {.m_endpoint = hold.m_endpoint,
+                           .m_program = hold.m_program,
+                           .m_sent = step.m_now};
+  }
+  step.m_out.push_back(ReleaseHold{hold.m_id, hold.m_endpoint});
+}
+
+auto ReleaseProgramHolds(StepContext& step,
+                         PoolState& pool,
+                         ProgramEntry& entry) -> void {
+  auto& record = entry.m_record;
+  for (const auto& [service, policy] : pool.m_policies) {
+    for (const auto& hold : EndProgram(*policy, record.m_program)) {
+      ReleaseRecord(step, hold);
+    }
+  }
+  for (auto& hold : record.m_holds) {
+    hold.m_release_pending = true;
+    ReleaseRecord(step, hold);
+  }
+}
+
+auto OnHoldReleased(StepContext& step, const HoldReleased& event) -> void {
+  auto& releases = step.m_core.m_releases;
+  const auto found = releases.find(event.m_hold);
+  if (found == releases.end()) {
+    return;
+  }
+  const auto retry = step.m_core.m_options.m_mechanisms.m_retry_release;
+  if (!event.m_released && retry) {
+    return;  // TickHolds asks again.
+  }
+  for (auto& [id, pool] : step.m_core.m_pools) {
+    ForgetHold(pool, event.m_hold, found->second.m_program);
+  }
+  releases.erase(found);
+}
+
+auto OnHoldsListed(StepContext& step, const HoldsListed& event) -> void {
+  if (!step.m_core.m_options.m_mechanisms.m_sweep_holds) {
+    return;
+  }
+  const auto* pool = ServedPoolOf(step.m_core, event.m_endpoint);
+  if (pool == nullptr) {
+    return;
+  }
+  for (const auto& hold : event.m_holds) {
+    if (!IsOwned(*pool, hold)) {
+      auto record = hold;
+      record.m_endpoint = event.m_endpoint;
+      ReleaseRecord(step, record);
+    }
+  }
+}
+
+auto TickHolds(StepContext& step) -> void {
+  auto& core = step.m_core;
+  for (auto& [hold, release] : core.m_releases) {
+    if (core.m_options.m_mechanisms.m_retry_release &&
+        step.m_now >= release.m_sent + core.m_options.m_release_retry) {
+      release.m_sent = step.m_now;
+      step.m_out.push_back(ReleaseHold{hold, release.m_endpoint});
+    }
+  }
+  if (step.m_now >= core.m_last_sweep + core.m_options.m_sweep_interval) {
+    core.m_last_sweep = step.m_now;
+    ListAll(step);
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/pool_takeover.cc
@@ -0,0 +1,445 @@
+#include "pool_takeover.h"
+
+#include <algorithm>
+
+#include "budget_ledger.h"
+#include "call_attempts.h"
+#include "change_log.h"
+#include "core_route.h"
+#include "hold_ledger.h"
+#include "turn_primary.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr int kSingleProgram = -1;
+
+auto RunAction(StepContext& step, PoolState& pool, PoolAction action) -> void;
+
+auto Advance(StepContext& step, PoolState& pool, PoolEvent event) -> void {
+  const auto* next = step.m_core.m_pool_chart.Find(pool.m_role, event);
+  if (next == nullptr) {
+    return;
+  }
+  pool.m_role = next->m_to;
+  for (const auto action : next->m_actions) {
+    RunAction(step, pool, action);
+  }
+}
+
+auto SilenceLimit(const HostCore& core) -> Duration {
+  return core.m_options.m_heartbeat_interval *
+         core.m_options.m_missed_heartbeats;
+}
+
+/// Asks every live host of the domain for its part of the pool.
+auto AskAll(StepContext& step, PoolState& pool) -> void {
+  const CollectRequest request{.m_pool = pool.m_assignment.m_pool,
+                               .m_term = pool.m_assignment.m_term,
+                               .m_from = step.m_core.m_options.m_self};
+  for (const auto& host : pool.m_collect_from) {
+    step.m_out.push_back(SendPeer{host.m_host, request});
+  }
+  pool.m_collect_sent = step.m_now;
+}
+
+auto StartCollect(StepContext& step, PoolState& pool) -> void {
+  pool.m_collect_from.clear();
+  pool.m_collect_since = step.m_now;
+  if (step.m_core.m_options.m_mechanisms.m_collect_on_takeover) {
+    for (const auto& member : step.m_core.m_live) {
+      if (member.m_alive && member.m_host != step.m_core.m_options.m_self) {
+        pool.m_collect_from.insert(member.m_host);
+      }
+    }
+  }
+  AskAll(step, pool);
+  if (pool.m_collect_from.empty()) {
+    Advance(step, pool, PoolEvent::kCollected);
+  }
+}
+
+auto SettleOpen(PoolState& pool, ProgramRecord& record) -> void {
+  if (record.m_open) {
+    AddSpend(pool.m_store.m_ledgers[record.m_root], record.m_open->m_host,
+             record.m_open->m_term, record.m_open->m_from_escrow,
+             record.m_open->m_amount);
+    record.m_open.reset();
+  }
+}
+
+/// Reservations of earlier owners count as spent, and everybody who may spend
+/// without asking gets a new share.
+auto SettleInherited(StepContext& step, PoolState& pool) -> void {
+  const auto& options = step.m_core.m_options;
+  for (auto& [program, entry] : pool.m_store.m_programs) {
+    if (options.m_mechanisms.m_settle_inherited) {
+      SettleOpen(pool, entry.m_record);
+    }
+    entry.m_record.m_open.reset();
+    for (auto& branch : entry.m_branches) {
+      branch.m_open.reset();
+    }
+    if (entry.m_record.m_ended) {
+      ReleaseProgramHolds(step, pool, entry);
+    }
+  }
+}
+
+auto RenewEscrows(StepContext& step, PoolState& pool) -> void {
+  for (auto& [root, ledger] : pool.m_store.m_ledgers) {
+    CloseEscrows(ledger, step.m_core.m_options.m_self,
+                 pool.m_assignment.m_term);
+    OpenEscrows(step, pool, ledger);
+  }
+}
+
+/// This host's own open reservations go on in the new term.
+auto RenewReservations(StepContext& step, PoolState& pool) -> void {
+  for (const auto& [program, request] : pool.m_open) {
+    auto& open = pool.m_store.m_programs.at(program).m_record.m_open;
+    if (open && open->m_host == step.m_core.m_options.m_self) {
+      open->m_term = pool.m_assignment.m_term;
+      open->m_from_escrow = false;
+    }
+  }
+}
+
+/// Sends the next piece of the pool's state to the copy holder.
+auto SendPiece(StepContext& step, PoolState& pool) -> void {
+  StateCopy copy{.m_pool = pool.m_assignment.m_pool,
+                 .m_term = pool.m_assignment.m_term,
+                 .m_from = step.m_core.m_options.m_self,
+                 .m_part = pool.m_copy_part};
+  const auto& programs = pool.m_store.m_programs;
+  auto next = pool.m_copy_after ? programs.upper_bound(*pool.m_copy_after)
+                                : programs.begin();
+  const auto batch =
+      static_cast<std::size_t>(step.m_core.m_options.m_copy_batch);
+  pool.m_copy_upto = pool.m_copy_after;
+  std::set<ProgramId> roots;
+  while (next != programs.end() && copy.m_programs.size() < batch) {
+    const auto& entry = next->second;
+    copy.m_programs.insert(copy.m_programs.end(), entry.m_branches.begin(),
+                           entry.m_branches.end());
+    copy.m_programs.push_back(entry.m_record);
+    roots.insert(entry.m_record.m_root);
+    pool.m_copy_upto = next->first;
+    ++next;
+  }
+  for (const auto& root : roots) {
+    copy.m_ledgers.push_back(pool.m_store.m_ledgers.at(root));
+  }
+  copy.m_last = next == programs.end();
+  pool.m_copy_sent = step.m_now;
+  step.m_out.push_back(SendPeer{pool.m_target.m_host, std::move(copy)});
+}
+
+auto FinishCopy(StepContext& step, PoolState& pool) -> void {
+  Advance(step, pool, PoolEvent::kCopied);
+}
+
+auto StartCopy(StepContext& step, PoolState& pool) -> void {
+  RenewEscrows(step, pool);
+  pool.m_copy_part = 0;
+  pool.m_copy_after.reset();
+  ChooseTarget(step, pool);
+  const auto wait = step.m_core.m_options.m_mechanisms.m_copy_before_serving;
+  if (pool.m_mode == CopyMode::kHolder) {
+    SendPiece(step, pool);
+  }
+  if (pool.m_mode != CopyMode::kHolder || !wait) {
+    FinishCopy(step, pool);
+  }
+}
+
+/// Sends what is unconfirmed and takes calls that waited.
+auto StartServing(StepContext& step, PoolState& pool) -> void {
+  ConfigurePolicies(step, pool);
+  std::vector<ProgramId> pending;
+  for (const auto& [program, change] : pool.m_changes) {
+    pending.push_back(program);
+  }
+  for (const auto& program : pending) {
+    SendChange(step, pool, program);
+  }
+  ServeWaiting(step, pool);
+}
+
+/// Nothing that was under way in an older term is released any more.
+auto DropCalls(StepContext& step, PoolState& pool) -> void {
+  for (auto& [request, call] : pool.m_calls) {
+    if (call.m_state == CallState::kReleased) {
+      continue;
+    }
+    StopAttempts(step, pool, call);
+    auto answer = MakeRefusal(call, ReasonCode::kNotOwner,
+                              "another host owns the program's pool now");
+    answer.m_retry_after = std::chrono::milliseconds(200);
+    call.m_answer = std::move(answer);
+    AdvanceCall(step, pool, call, CallEvent::kSuperseded);
+  }
+  for (auto& [program, entry] : pool.m_store.m_programs) {
+    if (entry.m_record.m_open &&
+        entry.m_record.m_open->m_host == step.m_core.m_options.m_self) {
+      SettleOpen(pool, entry.m_record);
+    }
+  }
+  pool.m_changes.clear();
+  pool.m_policies.clear();
+  ForgetReleased(pool);
+  ServeWaiting(step, pool);
+}
+
+auto RunAction(StepContext& step, PoolState& pool, PoolAction action) -> void {
+  switch (action) {
+    case PoolAction::kCollectState:
+      StartCollect(step, pool);
+      return;
+    case PoolAction::kSettleInherited:
+      SettleInherited(step, pool);
+      return;
+    case PoolAction::kCopyState:
+      StartCopy(step, pool);
+      return;
+    case PoolAction::kServeWaiting:
+      StartServing(step, pool);
+      return;
+    case PoolAction::kDropCalls:
+      DropCalls(step, pool);
+      return;
+  }
+}
+
+/// What a new assignment makes of this host.
+auto EventOf(const HostCore& core,
+             const PoolState& pool,
+             const PoolAssignment& after) -> PoolEvent {
+  const auto& self = core.m_options.m_self;
+  if (after.m_holder == self) {
+    return PoolEvent::kMadeHolder;
+  }
+  if (after.m_primary != self) {
+    return PoolEvent::kMadeNone;
+  }
+  // Terms in between might have had another primary.
+  const auto& before = pool.m_assignment;
+  const auto successive = before.m_primary == self &&
+                          after.m_term.value() <= before.m_term.value() + 1;
+  return successive ? PoolEvent::kHolderChanged : PoolEvent::kMadePrimary;
+}
+
+auto MergeReceived(StepContext& step,
+                   PoolState& pool,
+                   const std::vector<ProgramRecord>& programs,
+                   const std::vector<BudgetLedger>& ledgers) -> void {
+  MergeLedgers(pool.m_store, ledgers);
+  for (const auto& record : programs) {
+    const auto open = pool.m_open.find(record.m_program);
+    if (open == pool.m_open.end()) {
+      MergeProgram(pool.m_store, record, false, step.m_now);
+      continue;
+    }
+    auto& call = pool.m_calls.at(open->second);
+    const auto& entry = pool.m_store.m_programs.at(record.m_program);
+    const auto longer = record.m_turns.size() > entry.m_record.m_turns.size();
+    if (longer && call.m_state == CallState::kReserving) {
+      // The turn stands already; the caller's next try gets its answer.
+      call.m_may_have_run = true;
+      RefuseCall(step, pool, call,
+                 MakeRefusal(call, ReasonCode::kNotOwner,
+                             "the turn was recorded before; ask again"));
+      MergeProgram(pool.m_store, record, false, step.m_now);
+    } else {
+      MergeProgram(pool.m_store, record, true, step.m_now);
+    }
+  }
+}
+
+/// The host has dropped its old roles and told what it spent.
+auto NoteReported(PoolState& pool, const HostRef& from) -> void {
+  for (auto& [root, ledger] : pool.m_store.m_ledgers) {
+    CloseEscrows(ledger, from, pool.m_assignment.m_term);
+  }
+}
+
+}  // namespace
+
+auto OpenEscrows(StepContext& step, PoolState& pool, BudgetLedger& ledger)
+    -> void {
+  constexpr std::int64_t kPercent = 100;
+  const auto share = std::min(step.m_core.m_config->m_escrow_percent, 50);
+  const Cost amount(ledger.m_budget.value() / kPercent * share);
+  const auto open = OpenInTree(pool.m_store, ledger.m_root);
+  const auto& assignment = pool.m_assignment;
+  if (assignment.m_holder.m_host.empty()) {
+    return;
+  }
+  for (const auto& host : {assignment.m_primary, assignment.m_holder}) {
+    const auto left = ledger.m_budget - Committed(ledger) - open;
+    OpenEscrow(ledger, host, assignment.m_term, amount, left);
+  }
+}
+
+auto ChooseSpare(const HostCore& core, const PoolState& pool) -> HostRef {
+  HostRef spare;
+  auto disk = false;
+  for (const auto& member : core.m_live) {
+    const auto usable = member.m_alive &&
+                        member.m_host != core.m_options.m_self &&
+                        member.m_host != pool.m_assignment.m_primary &&
+                        member.m_host != pool.m_assignment.m_holder;
+    if (usable && (spare.m_host.empty() || (member.m_has_disk && !disk))) {
+      spare = member.m_host;
+      disk = member.m_has_disk;
+    }
+  }
+  return spare;
+}
+
+auto OnRoleChange(StepContext& step, const RoleChange& change) -> void {
+  const auto& after = change.m_after;
+  const auto& id = after.m_pool.empty() ? change.m_before.m_pool : after.m_pool;
+  auto& pool = step.m_core.m_pools[id];
+  if (after.m_term <= pool.m_assignment.m_term && !after.m_pool.empty()) {
+    return;
+  }
+  const auto event = EventOf(step.m_core, pool, after);
+  pool.m_assignment = after;
+  pool.m_assignment.m_pool = id;
+  pool.m_highest = std::max(pool.m_highest, after.m_term);
+  pool.m_next_part = 0;
+  pool.m_complete = false;
+  if (event == PoolEvent::kHolderChanged) {
+    RenewReservations(step, pool);
+  }
+  Advance(step, pool, event);
+  ChooseTarget(step, pool);
+}
+
+auto OnStateCopyReply(StepContext& step, const StateCopyReply& reply) -> void {
+  const auto found = step.m_core.m_pools.find(reply.m_pool);
+  if (found == step.m_core.m_pools.end()) {
+    return;
+  }
+  auto& pool = found->second;
+  NoteTerm(step, pool, reply.m_highest);
+  const auto primary =
+      pool.m_role == PoolRole::kCopying || pool.m_role == PoolRole::kPrimary;
+  if (!primary || reply.m_term != pool.m_assignment.m_term ||
+      reply.m_from != pool.m_target ||
+      pool.m_highest > pool.m_assignment.m_term) {
+    return;
+  }
+  MergeReceived(step, pool, reply.m_longer, reply.m_ledgers);
+  ForgetReleased(pool);
+  const auto expected =
+      pool.m_role == PoolRole::kCopying && reply.m_part == pool.m_copy_part;
+  if (!expected || !reply.m_accepted) {
+    return;
+  }
+  const auto& programs = pool.m_store.m_programs;
+  ++pool.m_copy_part;
+  pool.m_copy_after = pool.m_copy_upto;
+  const auto last = !pool.m_copy_after ||
+                    programs.upper_bound(*pool.m_copy_after) == programs.end();
+  if (last) {
+    FinishCopy(step, pool);
+  } else {
+    SendPiece(step, pool);
+  }
+}
+
+auto OnCollectReply(StepContext& step, const CollectReply& reply) -> void {
+  const auto found = step.m_core.m_pools.find(reply.m_pool);
+  if (found == step.m_core.m_pools.end()) {
+    return;
+  }
+  auto& pool = found->second;
+  if (reply.m_program) {
+    MergeReceived(step, pool, reply.m_programs, reply.m_ledgers);
+    for (auto& [request, call] : pool.m_calls) {
+      if (call.m_state == CallState::kFetching &&
+          call.m_call.m_program == *reply.m_program) {
+        ContinueFetched(step, pool, call);
+      }
+    }
+    ForgetReleased(pool);
+    return;
+  }
+  if (reply.m_term != pool.m_assignment.m_term ||
+      pool.m_highest > pool.m_assignment.m_term) {
+    return;
+  }
+  MergeReceived(step, pool, reply.m_programs, reply.m_ledgers);
+  NoteReported(pool, reply.m_from);
+  ForgetReleased(pool);
+  if (pool.m_role == PoolRole::kCollecting &&
+      pool.m_collect_from.erase(reply.m_from) > 0 &&
+      pool.m_collect_from.empty()) {
+    Advance(step, pool, PoolEvent::kCollected);
+  }
+}
+
+auto TickTakeover(StepContext& step, PoolState& pool) -> void {
+  const auto retry = step.m_core.m_options.m_copy_retry;
+  if (pool.m_role == PoolRole::kCollecting) {
+    if (step.m_now >= pool.m_collect_since + SilenceLimit(step.m_core)) {
+      pool.m_collect_from.clear();
+      Advance(step, pool, PoolEvent::kCollected);
+    } else if (step.m_now >= pool.m_collect_sent + retry) {
+      AskAll(step, pool);
+    }
+  }
+  if (pool.m_role == PoolRole::kCopying) {
+    if (pool.m_mode != CopyMode::kHolder) {
+      FinishCopy(step, pool);
+    } else if (step.m_now >= pool.m_copy_sent + retry) {
+      SendPiece(step, pool);
+    }
+  }
+}
+
+auto NoteTerm(StepContext& step, PoolState& pool, Term term) -> void {
+  if (term <= pool.m_highest) {
+    return;
+  }
+  pool.m_highest = term;
+  if (pool.m_role == PoolRole::kNone) {
+    return;
+  }
+  step.m_out.push_back(ReadTable{step.m_core.m_options.m_domain});
+  step.m_out.push_back(WriteLog{LogEventId::kStaleTermSeen,
+                                {{"pool", pool.m_assignment.m_pool.value()},
+                                 {"term", std::to_string(term.value())}}});
+}
+
+auto CopyProgram(StepContext& step, PoolState& pool, const ProgramId& program)
+    -> void {
+  const auto& entry = pool.m_store.m_programs.at(program);
+  StateCopy copy{
+      .m_pool = pool.m_assignment.m_pool,
+      .m_term = pool.m_assignment.m_term,
+      .m_from = step.m_core.m_options.m_self,
+      .m_programs = entry.m_branches,
+      .m_ledgers = {pool.m_store.m_ledgers.at(entry.m_record.m_root)},
+      .m_part = kSingleProgram};
+  copy.m_programs.push_back(entry.m_record);
+  step.m_out.push_back(SendPeer{pool.m_target.m_host, std::move(copy)});
+}
+
+auto FetchHistory(StepContext& step, PoolState& pool, PendingCall& call)
+    -> void {
+  const CollectRequest request{.m_pool = pool.m_assignment.m_pool,
+                               .m_term = pool.m_assignment.m_term,
+                               .m_from = step.m_core.m_options.m_self,
+                               .m_program = call.m_call.m_program};
+  for (const auto& holder : call.m_call.m_token->m_holders) {
+    if (holder != step.m_core.m_options.m_self) {
+      step.m_out.push_back(SendPeer{holder.m_host, request});
+    }
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/program_limits.cc
@@ -0,0 +1,90 @@
+#include "program_limits.h"
+
+#include "call_attempts.h"
+#include "change_log.h"
+#include "hold_ledger.h"
+#include "turn_primary.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr int kProgramsPerTick = 256;
+
+auto IdleLimit(const HostCore& core, const ClassId& id) -> Duration {
+  const auto found = core.m_config->m_classes.find(id);
+  return found == core.m_config->m_classes.end() ? ClassConfig{}.m_idle_limit
+                                                 : found->second.m_idle_limit;
+}
+
+/// Looks at one program; true if it is to be forgotten.
+auto CheckIdle(StepContext& step, PoolState& pool, ProgramEntry& entry)
+    -> bool {
+  auto& record = entry.m_record;
+  const auto idle = step.m_now - entry.m_last_used;
+  if (record.m_ended) {
+    return idle > step.m_core.m_options.m_ended_retention &&
+           !pool.m_changes.contains(record.m_program) &&
+           !pool.m_open.contains(record.m_program);
+  }
+  const auto busy = pool.m_open.contains(record.m_program);
+  if (!busy && ServesCalls(step.m_core, pool, step.m_now) &&
+      idle > IdleLimit(step.m_core, record.m_class)) {
+    EndProgramRecord(step, pool, entry);
+    ReleaseProgramHolds(step, pool, entry);
+    entry.m_last_used = step.m_now;
+  }
+  return false;
+}
+
+auto IsStuck(const PendingCall& call, TimePoint now) -> bool {
+  const auto waits = call.m_state == CallState::kFetching ||
+                     call.m_state == CallState::kReserving ||
+                     call.m_state == CallState::kSettling ||
+                     !call.m_ready.empty();
+  return waits && now >= call.m_call.m_deadline;
+}
+
+}  // namespace
+
+auto TickCalls(StepContext& step, PoolState& pool) -> void {
+  for (auto& [request, call] : pool.m_calls) {
+    if (!IsStuck(call, step.m_now)) {
+      continue;
+    }
+    call.m_may_have_run =
+        call.m_may_have_run || call.m_state == CallState::kSettling;
+    StopAttempts(step, pool, call);
+    auto answer = MakeRefusal(call, ReasonCode::kTimedOut,
+                              "no other host confirmed the call in time");
+    if (call.m_state == CallState::kSettling) {
+      call.m_answer = std::move(answer);
+      AdvanceCall(step, pool, call, CallEvent::kSuperseded);
+    } else {
+      RefuseCall(step, pool, call, answer);
+    }
+  }
+  ForgetReleased(pool);
+}
+
+auto TickPrograms(StepContext& step, PoolState& pool) -> void {
+  if (!step.m_core.m_config) {
+    return;
+  }
+  auto& programs = pool.m_store.m_programs;
+  auto next = programs.upper_bound(pool.m_idle_cursor);
+  for (auto i = 0; i < kProgramsPerTick && next != programs.end(); ++i) {
+    pool.m_idle_cursor = next->first;
+    const auto forget = CheckIdle(step, pool, next->second);
+    const auto id = next->first;
+    ++next;
+    if (forget) {
+      ForgetProgram(pool.m_store, id);
+    }
+  }
+  if (next == programs.end()) {
+    pool.m_idle_cursor = ProgramId();
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/program_store.cc
@@ -0,0 +1,259 @@
+#include "program_store.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "budget_ledger.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr std::size_t kMaxBranches = 4;
+
+/// True if @p longer continues, or equals, the history of @p shorter.
+auto Continues(const ProgramRecord& longer, const ProgramRecord& shorter)
+    -> bool {
+  return ChainAt(longer, ChainLength(shorter)) == ChainEnd(shorter);
+}
+
+auto IsLater(const ProgramRecord& a, const ProgramRecord& b) -> bool {
+  return std::tie(a.m_term, a.m_sequence) > std::tie(b.m_term, b.m_sequence);
+}
+
+auto HasProvisional(const ProgramRecord& record) -> bool {
+  return std::any_of(record.m_turns.begin(), record.m_turns.end(),
+                     [](const TurnRecord& turn) { return turn.m_provisional; });
+}
+
+/// Fills in answers that @p from still has and @p to has dropped.
+auto KeepAnswers(ProgramRecord& to, const ProgramRecord& from) -> void {
+  const auto count = std::min(to.m_turns.size(), from.m_turns.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    if (to.m_turns[i].m_answer.empty()) {
+      to.m_turns[i].m_answer = from.m_turns[i].m_answer;
+    }
+  }
+}
+
+auto UniteHolds(ProgramRecord& to, const ProgramRecord& from) -> void {
+  for (const auto& hold : from.m_holds) {
+    const auto known = std::any_of(
+        to.m_holds.begin(), to.m_holds.end(),
+        [&hold](const HoldRecord& ours) { return ours.m_id == hold.m_id; });
+    if (!known) {
+      to.m_holds.push_back(hold);
+    }
+  }
+}
+
+/// Takes the longer of two versions of one history, and from the later one
+/// what is under way.
+auto MergeVersions(ProgramRecord& ours, const ProgramRecord& theirs) -> void {
+  if (IsLater(theirs, ours)) {
+    ours.m_open = theirs.m_open;
+    ours.m_tried = theirs.m_tried;
+    ours.m_sequence = theirs.m_sequence;
+    ours.m_writer = theirs.m_writer;
+    ours.m_term = theirs.m_term;
+  }
+  if (theirs.m_turns.size() > ours.m_turns.size()) {
+    auto turns = theirs.m_turns;
+    std::swap(ours.m_turns, turns);
+  }
+  KeepAnswers(ours, theirs);
+  UniteHolds(ours, theirs);
+  ours.m_ended = ours.m_ended || theirs.m_ended;
+}
+
+auto AddBranch(ProgramEntry& entry, const ProgramRecord& record) -> void {
+  for (auto& branch : entry.m_branches) {
+    if (Continues(branch, record) || Continues(record, branch)) {
+      MergeVersions(branch, record);
+      return;
+    }
+  }
+  entry.m_branches.push_back(record);
+  if (entry.m_branches.size() > kMaxBranches) {
+    const auto shortest =
+        std::min_element(entry.m_branches.begin(), entry.m_branches.end(),
+                         [](const ProgramRecord& a, const ProgramRecord& b) {
+                           return a.m_turns.size() < b.m_turns.size();
+                         });
+    entry.m_branches.erase(shortest);
+  }
+}
+
+/// A history that may have been released during an outage goes before one
+/// that only a primary wrote; then the longer one.
+auto IsBetter(const ProgramRecord& a, const ProgramRecord& b) -> bool {
+  return std::make_tuple(HasProvisional(a), a.m_turns.size()) >
+         std::make_tuple(HasProvisional(b), b.m_turns.size());
+}
+
+auto PutInUse(ProgramEntry& entry, ProgramRecord& branch) -> void {
+  const auto sequence = std::max(entry.m_record.m_sequence, branch.m_sequence);
+  const auto ended = entry.m_record.m_ended || branch.m_ended;
+  std::swap(entry.m_record, branch);
+  entry.m_record.m_sequence = sequence;
+  entry.m_record.m_ended = ended;
+}
+
+}  // namespace
+
+auto FindProgram(ProgramStore& store, const ProgramId& program)
+    -> ProgramEntry* {
+  const auto found = store.m_programs.find(program);
+  return found == store.m_programs.end() ? nullptr : &found->second;
+}
+
+auto ChainLength(const ProgramRecord& record) -> Turn {
+  return record.m_turns.empty() ? Turn(0) : record.m_turns.back().m_turn;
+}
+
+auto ChainEnd(const ProgramRecord& record) -> Digest {
+  return record.m_turns.empty() ? Digest() : record.m_turns.back().m_chain;
+}
+
+auto FindTurn(const ProgramRecord& record, Turn turn) -> const TurnRecord* {
+  const auto index = turn.value() - 1;
+  if (index < 0 || index >= static_cast<std::int64_t>(record.m_turns.size())) {
+    return nullptr;
+  }
+  return &record.m_turns[static_cast<std::size_t>(index)];
+}
+
+auto ChainAt(const ProgramRecord& record, Turn turn) -> std::optional<Digest> {
+  if (turn == Turn(0)) {
+    return Digest();
+  }
+  const auto* found = FindTurn(record, turn);
+  return found == nullptr ? std::nullopt : std::optional(found->m_chain);
+}
+
+auto InsertProgram(ProgramStore& store,
+                   const ProgramRecord& record,
+                   TimePoint now) -> ProgramEntry& {
+  store.m_trees[record.m_root].insert(record.m_program);
+  auto& entry = store.m_programs[record.m_program];
+  entry = {.m_record = record, .m_last_used = now};
+  return entry;
+}
+
+auto MergeProgram(ProgramStore& store,
+                  const ProgramRecord& record,
+                  bool keep_current,
+                  TimePoint now) -> void {
+  auto* entry = FindProgram(store, record.m_program);
+  if (entry == nullptr) {
+    InsertProgram(store, record, now);
+    return;
+  }
+  entry->m_last_used = now;
+  const auto longer = record.m_turns.size() > entry->m_record.m_turns.size();
+  const auto same_history =
+      Continues(entry->m_record, record) || Continues(record, entry->m_record);
+  if (same_history && !(keep_current && longer)) {
+    MergeVersions(entry->m_record, record);
+    return;
+  }
+  AddBranch(*entry, record);
+  if (!keep_current && IsBetter(entry->m_branches.back(), entry->m_record)) {
+    PutInUse(*entry, entry->m_branches.back());
+  }
+}
+
+auto MergeLedgers(ProgramStore& store, const std::vector<BudgetLedger>& ledgers)
+    -> void {
+  for (const auto& ledger : ledgers) {
+    MergeLedger(store.m_ledgers[ledger.m_root], ledger);
+  }
+}
+
+auto SelectHistory(ProgramEntry& entry, Turn turn, const Digest& chain)
+    -> bool {
+  if (ChainAt(entry.m_record, turn) == chain) {
+    return true;
+  }
+  for (auto& branch : entry.m_branches) {
+    if (ChainAt(branch, turn) == chain) {
+      PutInUse(entry, branch);
+      return true;
+    }
+  }
+  return false;
+}
+
+auto HistoriesBeyond(const ProgramEntry& entry, const ProgramRecord& record)
+    -> std::vector<ProgramRecord> {
+  std::vector<ProgramRecord> beyond;
+  if (!Continues(record, entry.m_record)) {
+    beyond.push_back(entry.m_record);
+  }
+  for (const auto& branch : entry.m_branches) {
+    if (!Continues(record, branch)) {
+      beyond.push_back(branch);
+    }
+  }
+  return beyond;
+}
+
+auto OpenInTree(const ProgramStore& store, const ProgramId& root) -> Cost {
+  Cost sum;
+  const auto tree = store.m_trees.find(root);
+  if (tree == store.m_trees.end()) {
+    return sum;
+  }
+  for (const auto& program : tree->second) {
+    const auto& open = store.m_programs.at(program).m_record.m_open;
+    if (open && !open->m_from_escrow) {
+      sum += open->m_amount;
+    }
+  }
+  return sum;
+}
+
+auto TrimAnswers(ProgramRecord& record, int kept) -> void {
+  const auto count = static_cast<std::size_t>(std::max(kept, 1));
+  if (record.m_turns.size() <= count) {
+    return;
+  }
+  // Older ones were trimmed when they left the window.
+  auto& turn = record.m_turns[record.m_turns.size() - count - 1];
+  turn.m_answer.clear();
+  turn.m_answer.shrink_to_fit();
+}
+
+auto ForgetProgram(ProgramStore& store, const ProgramId& program) -> void {
+  const auto found = store.m_programs.find(program);
+  if (found == store.m_programs.end()) {
+    return;
+  }
+  const auto root = found->second.m_record.m_root;
+  store.m_programs.erase(found);
+  auto& tree = store.m_trees[root];
+  tree.erase(program);
+  if (tree.empty()) {
+    store.m_trees.erase(root);
+    store.m_ledgers.erase(root);
+  }
+}
+
+auto AllHistories(const ProgramStore& store) -> std::vector<ProgramRecord> {
+  std::vector<ProgramRecord> all;
+  for (const auto& [program, entry] : store.m_programs) {
+    all.push_back(entry.m_record);
+    all.insert(all.end(), entry.m_branches.begin(), entry.m_branches.end());
+  }
+  return all;
+}
+
+auto AllLedgers(const ProgramStore& store) -> std::vector<BudgetLedger> {
+  std::vector<BudgetLedger> all;
+  for (const auto& [root, ledger] : store.m_ledgers) {
+    all.push_back(ledger);
+  }
+  return all;
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/turn_primary.cc
@@ -0,0 +1,534 @@
+#include "turn_primary.h"
+
+#include <algorithm>
+
+#include "budget_ledger.h"
+#include "call_attempts.h"
+#include "change_log.h"
+#include "core_route.h"
+#include "hold_ledger.h"
+#include "pool_takeover.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr std::size_t kMaxWaiters = 16;
+constexpr auto kSoon = std::chrono::milliseconds(200);
+
+auto IsSameWork(const CallRequest& a, const CallRequest& b) -> bool {
+  return a.m_request == b.m_request || a.m_content == b.m_content;
+}
+
+auto FinishFor(StepContext& step,
+               const RequestId& request,
+               const CallAnswer& answer) -> void {
+  auto copy = answer;
+  copy.m_request = request;
+  step.m_out.push_back(FinishCall{std::move(copy)});
+}
+
+/// Gives the stored answer of a finished turn again.
+auto AnswerFromRecord(StepContext& step,
+                      const PoolState& pool,
+                      const ProgramRecord& record,
+                      const TurnRecord& turn,
+                      const RequestId& request) -> void {
+  CallAnswer answer{.m_program = record.m_program,
+                    .m_turn = turn.m_turn,
+                    .m_outcome = turn.m_outcome,
+                    .m_reason = turn.m_reason,
+                    .m_body = turn.m_answer,
+                    .m_http_status = turn.m_http_status,
+                    .m_usage = turn.m_usage,
+                    .m_provisional = turn.m_provisional};
+  const auto last =
+      record.m_turns.size() - static_cast<std::size_t>(turn.m_turn.value());
+  const auto kept = step.m_core.m_options.m_max_stored_answers;
+  if (turn.m_answer.empty() && last >= static_cast<std::size_t>(kept)) {
+    answer.m_outcome = OutcomeKind::kUnknown;
+    answer.m_reason = ReasonCode::kOverLimit;
+    answer.m_message = "the turn ran; its answer is older than the stored ones";
+  }
+  FillBudget(pool, record.m_root, answer);
+  answer.m_token = ContinuationToken{
+      .m_program = record.m_program,
+      .m_turn = turn.m_turn,
+      .m_chain = turn.m_chain,
+      .m_holders = {step.m_core.m_options.m_self, pool.m_target},
+      .m_spent = answer.m_spent};
+  FinishFor(step, request, answer);
+}
+
+/// Decides a call before it has a record here.
+auto Refuse(StepContext& step,
+            PoolState& pool,
+            PendingCall& call,
+            ReasonCode reason,
+            const std::string& message) -> void {
+  RefuseCall(step, pool, call, MakeRefusal(call, reason, message));
+}
+
+auto RefuseSoon(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                ReasonCode reason,
+                const std::string& message) -> void {
+  auto answer = MakeRefusal(call, reason, message);
+  answer.m_retry_after = kSoon;
+  RefuseCall(step, pool, call, answer);
+}
+
+/// Number of identical calls at the end of the history.
+auto TrailingRepeats(const ProgramRecord& record, const Digest& content)
+    -> int {
+  auto count = 0;
+  for (auto turn = record.m_turns.rbegin();
+       turn != record.m_turns.rend() && turn->m_content == content; ++turn) {
+    ++count;
+  }
+  return count;
+}
+
+auto ClassOf(const HostCore& core, const ClassId& id) -> ClassConfig {
+  const auto found = core.m_config->m_classes.find(id);
+  if (found != core.m_config->m_classes.end()) {
+    return found->second;
+  }
+  const auto fallback =
+      core.m_config->m_classes.find(core.m_config->m_default_class);
+  return fallback == core.m_config->m_classes.end() ? ClassConfig{}
+                                                    : fallback->second;
+}
+
+/// Budget that stands for "no budget stated".
+constexpr auto kNoBudget = Cost(std::int64_t{1} << 60U);
+
+auto EnsureLedger(StepContext& step, PoolState& pool, const CallRequest& call)
+    -> void {
+  auto& ledger = pool.m_store.m_ledgers[call.m_root];
+  if (ledger.m_root.empty()) {
+    const auto& core = step.m_core;
+    ledger.m_root = call.m_root;
+    ledger.m_budget =
+        call.m_budget.value_or(ClassOf(core, call.m_class).m_budget);
+    if (ledger.m_budget == Cost(0)) {
+      ledger.m_budget = kNoBudget;
+    }
+    OpenEscrows(step, pool, ledger);
+  }
+}
+
+auto EnsureProgram(StepContext& step, PoolState& pool, const CallRequest& call)
+    -> ProgramEntry* {
+  EnsureLedger(step, pool, call);
+  auto* entry = FindProgram(pool.m_store, call.m_program);
+  if (entry != nullptr) {
+    return entry;
+  }
+  const auto limit =
+      static_cast<std::size_t>(step.m_core.m_options.m_max_programs);
+  if (pool.m_store.m_programs.size() >= limit) {
+    return nullptr;
+  }
+  const ProgramRecord record{.m_program = call.m_program,
+                             .m_root = call.m_root,
+                             .m_account = call.m_account,
+                             .m_class = call.m_class};
+  return &InsertProgram(pool.m_store, record, step.m_now);
+}
+
+/// Attaches a repeat to the call that is under way, or refuses it.
+auto JoinOpenCall(StepContext& step,
+                  PoolState& pool,
+                  PendingCall& call,
+                  const RequestId& open) -> void {
+  auto& running = pool.m_calls.at(open);
+  const auto same_turn = call.m_call.m_turn == running.m_call.m_turn;
+  if (!same_turn || !IsSameWork(call.m_call, running.m_call)) {
+    RefuseSoon(step, pool, call, ReasonCode::kTurnOutOfOrder,
+               "another call of the program is under way");
+    return;
+  }
+  if (running.m_waiters.size() >= kMaxWaiters) {
+    RefuseSoon(step, pool, call, ReasonCode::kOverLimit,
+               "the same call is asked for too many times at once");
+    return;
+  }
+  running.m_waiters.push_back(call.m_call.m_request);
+  call.m_state = CallState::kReleased;
+}
+
+auto EndForLimit(StepContext& step,
+                 PoolState& pool,
+                 PendingCall& call,
+                 ProgramEntry& entry,
+                 ReasonCode reason,
+                 const std::string& message) -> void {
+  Refuse(step, pool, call, reason, message);
+  EndProgramRecord(step, pool, entry);
+  ReleaseProgramHolds(step, pool, entry);
+}
+
+/// A new turn at the end of the history.
+auto AcceptTurn(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                ProgramEntry& entry) -> void {
+  const auto& request = call.m_call;
+  const auto limits = ClassOf(step.m_core, request.m_class);
+  call.m_first = entry.m_record.m_tried < request.m_turn;
+  if (entry.m_record.m_ended) {
+    Refuse(step, pool, call, ReasonCode::kProgramEnded, "the program is over");
+    return;
+  }
+  if (request.m_turn.value() > limits.m_max_turns) {
+    EndForLimit(step, pool, call, entry, ReasonCode::kOverLimit,
+                "the program has reached its turn limit and was ended");
+    return;
+  }
+  if (TrailingRepeats(entry.m_record, request.m_content) >=
+      limits.m_repeat_limit) {
+    EndForLimit(step, pool, call, entry, ReasonCode::kLoopDetected,
+                "identical calls in a row; the program was ended");
+    return;
+  }
+  if (call.m_needs_claim &&
+      ServesProvisionally(step.m_core, pool, step.m_now)) {
+    Refuse(step, pool, call, ReasonCode::kNoPlatform,
+           "the call runs at most once and can't be claimed now");
+    return;
+  }
+  pool.m_open[request.m_program] = request.m_request;
+  AdvanceCall(step, pool, call, CallEvent::kAccepted);
+}
+
+/// A turn that is in the history already.
+auto AnswerRepeat(StepContext& step,
+                  PoolState& pool,
+                  PendingCall& call,
+                  const ProgramEntry& entry,
+                  const TurnRecord& turn) -> void {
+  const auto& request = call.m_call;
+  if (turn.m_content != request.m_content &&
+      turn.m_request != request.m_request) {
+    Refuse(step, pool, call, ReasonCode::kTurnOutOfOrder,
+           "another call stands at this turn");
+    return;
+  }
+  const auto holder = pool.m_role == PoolRole::kHolder;
+  if (holder && !turn.m_provisional &&
+      step.m_core.m_options.m_mechanisms.m_holder_withholds_repeats) {
+    // The primary may not have got our confirmation and may go on with
+    // another copy holder: only it may say that this turn stands.
+    RefuseSoon(step, pool, call, ReasonCode::kNotOwner,
+               "the stored answer can't be confirmed now");
+    return;
+  }
+  AnswerFromRecord(step, pool, entry.m_record, turn, request.m_request);
+  call.m_state = CallState::kReleased;
+}
+
+/// Where the call claims to stand: the turn before it and the digest there.
+struct Position {
+  Turn m_after;
+  Digest m_chain;
+};
+
+auto PositionOf(const CallRequest& call) -> Position {
+  if (!call.m_token) {
+    return {};
+  }
+  return {call.m_token->m_turn, call.m_token->m_chain};
+}
+
+/// Compares a call with what is on record; the chart's action check_call.
+auto CheckCall(StepContext& step, PoolState& pool, PendingCall& call) -> void {
+  auto& request = call.m_call;
+  const auto position = PositionOf(request);
+  if (request.m_token && request.m_token->m_program != request.m_program) {
+    Refuse(step, pool, call, ReasonCode::kBadToken,
+           "the token belongs to another program");
+    return;
+  }
+  if (request.m_turn == Turn(0)) {
+    request.m_turn = position.m_after.Next();
+  }
+  const auto open = pool.m_open.find(request.m_program);
+  if (open != pool.m_open.end()) {
+    JoinOpenCall(step, pool, call, open->second);
+    return;
+  }
+  auto* entry = FindProgram(pool.m_store, request.m_program);
+  const auto known =
+      position.m_after == Turn(0) ||
+      (entry != nullptr &&
+       SelectHistory(*entry, position.m_after, position.m_chain));
+  if (!known && !call.m_fetched) {
+    AdvanceCall(step, pool, call, CallEvent::kHistoryMissing);
+    return;
+  }
+  if (!known) {
+    step.m_out.push_back(
+        WriteLog{LogEventId::kHistoryMismatch,
+                 {{"program", request.m_program.value()},
+                  {"turn", std::to_string(position.m_after.value())}}});
+    Refuse(step, pool, call, ReasonCode::kBadToken,
+           "the token's history is not on record; see m_retry_after");
+    return;
+  }
+  if (request.m_turn != position.m_after.Next()) {
+    Refuse(step, pool, call, ReasonCode::kTurnOutOfOrder,
+           "the turn does not follow the token's turn");
+    return;
+  }
+  entry = EnsureProgram(step, pool, request);
+  if (entry == nullptr) {
+    RefuseSoon(step, pool, call, ReasonCode::kOverLimit,
+               "the host keeps as many programs as it may");
+    return;
+  }
+  entry->m_last_used = step.m_now;
+  const auto* turn = FindTurn(entry->m_record, request.m_turn);
+  if (turn != nullptr) {
+    AnswerRepeat(step, pool, call, *entry, *turn);
+    return;
+  }
+  AcceptTurn(step, pool, call, *entry);
+}
+
+/// The chart's action release_answer.
+auto ReleaseAnswer(StepContext& step, PoolState& pool, PendingCall& call)
+    -> void {
+  DOTTERELSHED_CHECK(call.m_answer.has_value());
+  const auto open = pool.m_open.find(call.m_call.m_program);
+  if (open != pool.m_open.end() && open->second == call.m_call.m_request) {
+    pool.m_open.erase(open);
+  }
+  FillBudget(pool, call.m_call.m_root, *call.m_answer);
+  FinishFor(step, call.m_call.m_request, *call.m_answer);
+  for (const auto& waiter : call.m_waiters) {
+    FinishFor(step, waiter, *call.m_answer);
+  }
+}
+
+auto RunAction(StepContext& step,
+               PoolState& pool,
+               PendingCall& call,
+               CallAction action) -> void {
+  switch (action) {
+    case CallAction::kFetchHistory:
+      FetchHistory(step, pool, call);
+      return;
+    case CallAction::kCheckCall:
+      CheckCall(step, pool, call);
+      return;
+    case CallAction::kSendReservation:
+      if (!ReserveAttempts(step, pool, call, 1)) {
+        Refuse(step, pool, call, ReasonCode::kBudgetExceeded,
+               "the budget does not hold the bound of this call");
+      }
+      return;
+    case CallAction::kAdmitCall:
+      AdmitCall(step, pool, call);
+      return;
+    case CallAction::kRequestClaim:
+      RequestCallClaim(step, call);
+      return;
+    case CallAction::kStartAttempts:
+      StartAttempts(step, pool, call);
+      return;
+    case CallAction::kSendSettlement:
+      SettleCall(step, pool, call);
+      return;
+    case CallAction::kReleaseAnswer:
+      ReleaseAnswer(step, pool, call);
+      return;
+  }
+}
+
+/// A call that arrived while this host can't serve the pool.
+auto RefuseArrival(StepContext& step,
+                   PoolState& pool,
+                   const CallRequest& request,
+                   ReasonCode reason) -> void {
+  PendingCall call{.m_call = request, .m_since = step.m_now};
+  call.m_needs_claim = NeedsClaim(request);
+  auto answer = MakeRefusal(call, reason, "ask again in a moment");
+  answer.m_retry_after = kSoon;
+  FillBudget(pool, request.m_root, answer);
+  FinishFor(step, request.m_request, answer);
+}
+
+auto BeginCall(StepContext& step, PoolState& pool, const CallRequest& request)
+    -> void {
+  if (pool.m_calls.contains(request.m_request)) {
+    return;  // A doubled message; the call is under way.
+  }
+  auto& call = pool.m_calls[request.m_request];
+  call.m_call = request;
+  call.m_since = step.m_now;
+  call.m_needs_claim = NeedsClaim(request);
+  if (call.m_needs_claim && !call.m_call.m_key) {
+    call.m_first = true;  // Confirmed or taken back in AcceptTurn.
+  }
+  CheckCall(step, pool, call);
+  ForgetReleased(pool);
+}
+
+}  // namespace
+
+auto ServesProvisionally(const HostCore& core,
+                         const PoolState& pool,
+                         TimePoint now) -> bool {
+  return pool.m_role == PoolRole::kHolder && pool.m_complete &&
+         pool.m_highest == pool.m_assignment.m_term &&
+         !core.m_platform_reachable && now >= core.m_trust_silence_after &&
+         !IsAlive(core, pool.m_assignment.m_primary);
+}
+
+auto ServesCalls(const HostCore& core, const PoolState& pool, TimePoint now)
+    -> bool {
+  if (pool.m_highest > pool.m_assignment.m_term) {
+    return false;
+  }
+  return pool.m_role == PoolRole::kPrimary ||
+         ServesProvisionally(core, pool, now);
+}
+
+auto MakeRefusal(const PendingCall& call,
+                 ReasonCode reason,
+                 const std::string& message) -> CallAnswer {
+  const auto certain =
+      (call.m_first || !call.m_needs_claim) && !call.m_may_have_run;
+  return {.m_request = call.m_call.m_request,
+          .m_program = call.m_call.m_program,
+          .m_turn = call.m_call.m_turn,
+          .m_outcome = certain ? OutcomeKind::kNotRun : OutcomeKind::kUnknown,
+          .m_reason = reason,
+          .m_message = message,
+          .m_http_status = 0};
+}
+
+auto RefuseCall(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                const CallAnswer& answer) -> void {
+  call.m_answer = answer;
+  call.m_record_turn = false;
+  AdvanceCall(step, pool, call, CallEvent::kRefused);
+}
+
+auto AdvanceCall(StepContext& step,
+                 PoolState& pool,
+                 PendingCall& call,
+                 CallEvent event) -> bool {
+  const auto* next = step.m_core.m_call_chart.Find(call.m_state, event);
+  if (next == nullptr) {
+    return false;
+  }
+  call.m_state = next->m_to;
+  for (const auto action : next->m_actions) {
+    RunAction(step, pool, call, action);
+  }
+  return true;
+}
+
+auto ContinueFetched(StepContext& step, PoolState& pool, PendingCall& call)
+    -> void {
+  call.m_fetched = true;
+  AdvanceCall(step, pool, call, CallEvent::kHistoryFetched);
+}
+
+auto ForgetReleased(PoolState& pool) -> void {
+  std::erase_if(pool.m_calls, [](const auto& item) {
+    return item.second.m_state == CallState::kReleased;
+  });
+}
+
+auto OnCallArrived(StepContext& step, const CallRequest& call) -> void {
+  const auto id = HomePool(step.m_core, call);
+  auto& pool = step.m_core.m_pools[id];
+  if (ServesCalls(step.m_core, pool, step.m_now)) {
+    BeginCall(step, pool, call);
+    return;
+  }
+  const auto taking_over =
+      pool.m_role == PoolRole::kCollecting || pool.m_role == PoolRole::kCopying;
+  const auto limit =
+      static_cast<std::size_t>(step.m_core.m_options.m_max_queued_calls);
+  if (taking_over && pool.m_waiting.size() < limit) {
+    pool.m_waiting.push_back(call);
+    return;
+  }
+  RefuseArrival(step, pool, call,
+                taking_over ? ReasonCode::kOverLimit : ReasonCode::kNotOwner);
+}
+
+auto ServeWaiting(StepContext& step, PoolState& pool) -> void {
+  auto waiting = std::move(pool.m_waiting);
+  pool.m_waiting.clear();
+  for (const auto& call : waiting) {
+    if (ServesCalls(step.m_core, pool, step.m_now)) {
+      BeginCall(step, pool, call);
+    } else {
+      RefuseArrival(step, pool, call, ReasonCode::kNotOwner);
+    }
+  }
+}
+
+auto OnCallCancelled(StepContext& step, const RequestId& request) -> void {
+  for (auto& [id, pool] : step.m_core.m_pools) {
+    std::erase_if(pool.m_waiting, [&request](const CallRequest& call) {
+      return call.m_request == request;
+    });
+    const auto found = pool.m_calls.find(request);
+    if (found == pool.m_calls.end() || !found->second.m_waiters.empty()) {
+      continue;
+    }
+    auto& call = found->second;
+    if (call.m_needs_claim && call.m_state >= CallState::kClaiming) {
+      continue;  // It runs at most once, so let it end and keep its answer.
+    }
+    StopAttempts(step, pool, call);
+    Refuse(step, pool, call, ReasonCode::kTimedOut, "the caller went away");
+    ForgetReleased(pool);
+  }
+}
+
+auto OnAnswerAsked(StepContext& step, const AnswerAsked& event) -> void {
+  for (auto& [id, pool] : step.m_core.m_pools) {
+    if (pool.m_calls.contains(event.m_request)) {
+      return;  // FinishCall follows when it is decided.
+    }
+    const auto* entry = FindProgram(pool.m_store, event.m_program);
+    if (entry == nullptr || pool.m_role != PoolRole::kPrimary) {
+      continue;
+    }
+    for (const auto& turn : entry->m_record.m_turns) {
+      if (turn.m_request == event.m_request) {
+        AnswerFromRecord(step, pool, entry->m_record, turn, event.m_request);
+        return;
+      }
+    }
+  }
+  step.m_out.push_back(
+      FinishCall{{.m_request = event.m_request,
+                  .m_program = event.m_program,
+                  .m_outcome = OutcomeKind::kUnknown,
+                  .m_reason = ReasonCode::kNoRecord,
+                  .m_message = "no answer of this request is on record here"}});
+}
+
+auto OnProgramEndAsked(StepContext& step, const ProgramId& program) -> void {
+  for (auto& [id, pool] : step.m_core.m_pools) {
+    auto* entry = FindProgram(pool.m_store, program);
+    if (entry == nullptr || !ServesCalls(step.m_core, pool, step.m_now)) {
+      continue;
+    }
+    EndProgramRecord(step, pool, *entry);
+    ReleaseProgramHolds(step, pool, *entry);
+  }
+}
+
+}  // namespace dotterelshed::pvt
