--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -17,36 +17,12 @@
   return found == core.m_config->m_services.end() ? nullptr : &found->second;
 }
 
-/// Endpoints that this pool's programs may use for @p service. Those of other
-/// pools are shared by all home pools of the domain, each with its part of
-/// the concurrency, so that their sum is within the endpoint's limit.
-auto EndpointsFor(const HostCore& core,
-                  const PoolState& pool,
-                  const ServiceConfig& service) -> std::vector<EndpointConfig> {
-  if (service.m_id == pool.m_assignment.m_service) {
-    return PoolEndpoints(*core.m_ownership, pool.m_assignment.m_pool);
-  }
-  const auto homes =
-      static_cast<int>(HomePools(core, core.m_options.m_domain).size());
-  std::vector<EndpointConfig> endpoints;
-  for (auto endpoint : service.m_endpoints) {
-    if (endpoint.m_domain == core.m_options.m_domain) {
-      endpoint.m_max_concurrency =
-          std::max(1, endpoint.m_max_concurrency / std::max(1, homes));
-      endpoints.push_back(endpoint);
-    }
-  }
-  return endpoints;
-}
-
 auto Configure(StepContext& step,
                PoolState& pool,
                const ServiceId& service,
                PoolPolicy& policy) -> void {
-  const auto* config = FindService(step.m_core, service);
-  const auto endpoints = config == nullptr
-                             ? std::vector<EndpointConfig>{}
-                             : EndpointsFor(step.m_core, pool, *config);
+  const auto endpoints = PoolEndpoints(*step.m_core.m_ownership,
+                                       pool.m_assignment.m_pool, service);
   SetPoolConfig(policy, *step.m_core.m_config, endpoints, step.m_now);
 }
 
@@ -235,7 +211,6 @@
            PoolState& pool,
            PendingCall& call,
            const Dispatched& ready) -> void {
-  auto& core = step.m_core;
   ++call.m_started_attempts;
   call.m_running.insert(ready.m_attempt);
   if (!ready.m_hold.empty()) {
@@ -355,10 +330,8 @@
   if (FindService(step.m_core, service) == nullptr) {
     return nullptr;
   }
-  const auto own = service == pool.m_assignment.m_service;
   auto policy = MakePoolPolicy(
       {.m_seed = step.m_core.m_options.m_seed,
-       .m_retention = own,
        .m_max_queued = step.m_core.m_options.m_max_queued_calls,
        .m_max_quarantined = step.m_core.m_options.m_max_quarantined});
   Configure(step, pool, service, *policy);
@@ -397,6 +370,7 @@
                               .m_content = request.m_content,
                               .m_deadline = request.m_deadline,
                               .m_repeatable = !call.m_needs_claim,
+                              .m_last = request.m_end_program,
                               .m_expected_pause = request.m_expected_pause},
                              step.m_now);
   if (refusal) {
--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -149,9 +149,8 @@
     if (!pool.m_open.empty()) {
       pinned.push_back(id);
     }
-    const auto own = pool.m_policies.find(pool.m_assignment.m_service);
-    if (own != pool.m_policies.end()) {
-      headroom += Headroom(*own->second);
+    for (const auto& [service, policy] : pool.m_policies) {
+      headroom += Headroom(*policy);
     }
   }
   AnnounceUnconfirmed(*core.m_ownership, std::move(unconfirmed));
--- a/src/libcore/core_route.cc
+++ b/src/libcore/core_route.cc
@@ -16,19 +16,6 @@
   return XXH3_64bits(key.data(), key.size());
 }
 
-auto PoolsOfKind(const HostCore& core, const DomainId& domain, bool models_only)
-    -> std::vector<PoolId> {
-  std::vector<PoolId> pools;
-  for (const auto& [id, service] : core.m_config->m_services) {
-    if (models_only && service.m_kind != ServiceKind::kModel) {
-      continue;
-    }
-    const auto more = PoolsOf(*core.m_ownership, domain, id);
-    pools.insert(pools.end(), more.begin(), more.end());
-  }
-  return pools;
-}
-
 }  // namespace
 
 auto DomainOf(const ProgramId& program) -> DomainId {
@@ -36,22 +23,28 @@
   return DomainId(text.substr(0, text.rfind('.')));
 }
 
-auto HomePools(const HostCore& core, const DomainId& domain)
-    -> std::vector<PoolId> {
-  if (!core.m_config) {
-    return {};
-  }
-  auto pools = PoolsOfKind(core, domain, true);
-  return pools.empty() ? PoolsOfKind(core, domain, false) : pools;
+auto HomePool(const HostCore& core, const ProgramId& root) -> PoolId {
+  const auto pools = PoolsOf(*core.m_ownership, DomainOf(root));
+  const auto home = std::max_element(pools.begin(), pools.end(),
+                                     [&root](const auto& a, const auto& b) {
+                                       return Weight(a, root) < Weight(b, root);
+                                     });
+  return home == pools.end() ? PoolId() : *home;
 }
 
-auto HomePool(const HostCore& core, const CallRequest& call) -> PoolId {
-  const auto pools = HomePools(core, DomainOf(call.m_root));
-  const auto home = std::max_element(
-      pools.begin(), pools.end(), [&call](const auto& a, const auto& b) {
-        return Weight(a, call.m_root) < Weight(b, call.m_root);
-      });
-  return home == pools.end() ? PoolId() : *home;
+auto EndpointsOf(const HostCore& core, const PoolId& pool)
+    -> std::vector<EndpointConfig> {
+  std::vector<EndpointConfig> endpoints;
+  if (!core.m_config) {
+    return endpoints;
+  }
+  for (const auto& [id, service] : core.m_config->m_services) {
+    if (service.m_kind == ServiceKind::kModel) {
+      const auto more = PoolEndpoints(*core.m_ownership, pool, id);
+      endpoints.insert(endpoints.end(), more.begin(), more.end());
+    }
+  }
+  return endpoints;
 }
 
 auto IsAlive(const HostCore& core, const HostRef& host) -> bool {
@@ -93,7 +86,7 @@
 
 auto RouteCall(const HostCore& core, const CallRequest& call, TimePoint now)
     -> Route {
-  const auto pool = pvt::HomePool(core, call);
+  const auto pool = pvt::HomePool(core, call.m_root);
   const auto* assignment =
       pool.empty() ? nullptr : FindPool(*core.m_ownership, pool);
   if (assignment == nullptr) {
@@ -126,7 +119,7 @@
   std::vector<EndpointConfig> endpoints;
   for (const auto& [id, pool] : core.m_pools) {
     if (pool.m_role == pvt::PoolRole::kPrimary) {
-      const auto more = PoolEndpoints(*core.m_ownership, id);
+      const auto more = pvt::EndpointsOf(core, id);
       endpoints.insert(endpoints.end(), more.begin(), more.end());
     }
   }
--- a/src/libcore/core_route.h
+++ b/src/libcore/core_route.h
@@ -11,15 +11,13 @@
 /// The failure domain that a program id carries.
 auto DomainOf(const ProgramId& program) -> DomainId;
 
-/// Home pool of a call: rendezvous hash of its root program over the pools of
-/// the model services in the root's domain, or over all pools if there are no
-/// model services. Empty if the domain has no pool that is known here. All
-/// calls of a program tree have the same home, whatever service they go to.
-auto HomePool(const HostCore& core, const CallRequest& call) -> PoolId;
-
-/// Pools that can be a home in @p domain.
-auto HomePools(const HostCore& core, const DomainId& domain)
-    -> std::vector<PoolId>;
+/// Home pool of a program tree: rendezvous hash of its root over the pools of
+/// the root's domain. Empty if no pool of that domain is known here.
+auto HomePool(const HostCore& core, const ProgramId& root) -> PoolId;
+
+/// Endpoints of all model services in a pool of this host's domain.
+auto EndpointsOf(const HostCore& core, const PoolId& pool)
+    -> std::vector<EndpointConfig>;
 
 /// True if that start of the host counted as alive at the last tick.
 auto IsAlive(const HostCore& core, const HostRef& host) -> bool;
--- a/src/libcore/hold_ledger.cc
+++ b/src/libcore/hold_ledger.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core_route.h"
+
 namespace dotterelshed::pvt {
 
 namespace {
@@ -19,20 +21,42 @@
       [&hold](const HoldRecord& ours) { return ours.m_id == hold.m_id; });
 }
 
-/// The pool of this host that @p endpoint belongs to, if it serves it.
-auto ServedPoolOf(HostCore& core, const EndpointId& endpoint) -> PoolState* {
-  for (auto& [id, pool] : core.m_pools) {
-    if (pool.m_role != PoolRole::kPrimary ||
-        pool.m_highest > pool.m_assignment.m_term) {
+auto Serves(const PoolState& pool) -> bool {
+  return pool.m_role == PoolRole::kPrimary &&
+         pool.m_highest <= pool.m_assignment.m_term;
+}
+
+auto HasEndpoint(const HostCore& core,
+                 const PoolId& pool,
+                 const EndpointId& endpoint) -> bool {
+  const auto endpoints = EndpointsOf(core, pool);
+  return std::any_of(endpoints.begin(), endpoints.end(),
+                     [&endpoint](const EndpointConfig& config) {
+                       return config.m_id == endpoint;
+                     });
+}
+
+/// The pool that has to remember what @p endpoint holds for @p program, if
+/// this host serves it. Pools may share an endpoint; then the program's id
+/// tells. (A sub-agent's id may point to another pool than its root's. That
+/// costs it a prefix, never an answer.)
+auto ResponsiblePool(HostCore& core,
+                     const EndpointId& endpoint,
+                     const ProgramId& program) -> PoolState* {
+  std::vector<PoolId> users;
+  for (const auto& id : PoolsOf(*core.m_ownership, core.m_options.m_domain)) {
+    if (HasEndpoint(core, id, endpoint)) {
+      users.push_back(id);
+    }
+  }
+  for (const auto& id : users) {
+    const auto found = core.m_pools.find(id);
+    if (found == core.m_pools.end() || !Serves(found->second)) {
       continue;
     }
-    const auto endpoints = PoolEndpoints(*core.m_ownership, id);
-    const auto ours = std::any_of(endpoints.begin(), endpoints.end(),
-                                  [&endpoint](const EndpointConfig& config) {
-                                    return config.m_id == endpoint;
-                                  });
-    if (ours) {
-      return &pool;
+    const auto known = found->second.m_store.m_programs.contains(program);
+    if (known || users.size() == 1 || HomePool(core, program) == id) {
+      return &found->second;
     }
   }
   return nullptr;
@@ -50,10 +74,10 @@
 
 auto ListAll(StepContext& step) -> void {
   for (const auto& [id, pool] : step.m_core.m_pools) {
-    if (pool.m_role != PoolRole::kPrimary) {
+    if (!Serves(pool)) {
       continue;
     }
-    for (const auto& endpoint : PoolEndpoints(*step.m_core.m_ownership, id)) {
+    for (const auto& endpoint : EndpointsOf(step.m_core, id)) {
       step.m_out.push_back(ListHolds{endpoint.m_id});
     }
   }
@@ -111,12 +135,10 @@
   if (!step.m_core.m_options.m_mechanisms.m_sweep_holds) {
     return;
   }
-  const auto* pool = ServedPoolOf(step.m_core, event.m_endpoint);
-  if (pool == nullptr) {
-    return;
-  }
   for (const auto& hold : event.m_holds) {
-    if (!IsOwned(*pool, hold)) {
+    const auto* pool =
+        ResponsiblePool(step.m_core, event.m_endpoint, hold.m_program);
+    if (pool != nullptr && !IsOwned(*pool, hold)) {
       auto record = hold;
       record.m_endpoint = event.m_endpoint;
       ReleaseRecord(step, record);
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -447,7 +447,7 @@
 }
 
 auto OnCallArrived(StepContext& step, const CallRequest& call) -> void {
-  const auto id = HomePool(step.m_core, call);
+  const auto id = HomePool(step.m_core, call.m_root);
   auto& pool = step.m_core.m_pools[id];
   if (ServesCalls(step.m_core, pool, step.m_now)) {
     BeginCall(step, pool, call);
