--- a/src/libcore/rollout.cc
+++ b/src/libcore/rollout.cc
@@ -103,10 +103,9 @@
   }
   ++newest.m_requests;
   const auto have = rollout.m_want_whole ? Generation() : Have(rollout);
-  step.m_effects.emplace_back(
-      SendPeer{newest.m_from.m_host,
-               ConfigRequest{.m_from = rollout.m_options.m_self,
-                             .m_have = have}});
+  step.m_effects.emplace_back(SendPeer{
+      newest.m_from.m_host,
+      ConfigRequest{.m_from = rollout.m_options.m_self, .m_have = have}});
 }
 
 /// A host without any configuration asks the platform.
@@ -132,10 +131,9 @@
   const auto generation = Have(rollout);
   step.m_adopted = rollout.m_config;
   step.m_effects.emplace_back(ConfigInForce{generation});
-  step.m_effects.emplace_back(
-      WriteLog{.m_id = LogEventId::kConfigInForce,
-               .m_fields = {{"generation",
-                             std::to_string(generation.value())}}});
+  step.m_effects.emplace_back(WriteLog{
+      .m_id = LogEventId::kConfigInForce,
+      .m_fields = {{"generation", std::to_string(generation.value())}}});
 }
 
 auto Fire(Rollout& rollout,
@@ -235,8 +233,7 @@
 
 auto MakeStatus(const Rollout& rollout, const std::vector<MemberInfo>& members)
     -> DomainStatus {
-  const auto newest =
-      std::max(Have(rollout), rollout.m_newest.m_generation);
+  const auto newest = std::max(Have(rollout), rollout.m_newest.m_generation);
   DomainStatus status{.m_domain = rollout.m_options.m_domain,
                       .m_in_force = Have(rollout)};
   for (const auto& member : members) {
@@ -344,7 +341,8 @@
   }
   auto check = CheckConfigText(*text, message.m_generation);
   if (!check.ok()) {
-    pvt::Reject(rollout, message.m_generation, check.m_problems.front(), now, step);
+    pvt::Reject(rollout, message.m_generation, check.m_problems.front(), now,
+                step);
     return step;
   }
   auto config = std::make_shared<const DeskConfig>(std::move(check.m_config));
@@ -392,8 +390,7 @@
   return ConfigRequest{.m_from = rollout.m_options.m_self};
 }
 
-auto ConfigInUse(const Rollout& rollout)
-    -> std::shared_ptr<const DeskConfig> {
+auto ConfigInUse(const Rollout& rollout) -> std::shared_ptr<const DeskConfig> {
   return rollout.m_config;
 }
 
--- a/src/libcore/rollout_diff.cc
+++ b/src/libcore/rollout_diff.cc
@@ -34,8 +34,8 @@
 auto CommonPrefix(std::string_view left, std::string_view right)
     -> std::size_t {
   const auto size = std::min(left.size(), right.size());
-  const auto end = std::mismatch(left.begin(), left.begin() + size,
-                                 right.begin());
+  const auto end =
+      std::mismatch(left.begin(), left.begin() + size, right.begin());
   return static_cast<std::size_t>(end.first - left.begin());
 }
 
@@ -43,8 +43,8 @@
     -> std::size_t {
   const auto size = std::min(left.size(), right.size());
   auto common = std::size_t{0};
-  while (common < size && left[left.size() - 1 - common] ==
-                              right[right.size() - 1 - common]) {
+  while (common < size &&
+         left[left.size() - 1 - common] == right[right.size() - 1 - common]) {
     ++common;
   }
   return common;
@@ -185,8 +185,8 @@
     if (parsed.ec != std::errc() || parsed.ptr == stop || *parsed.ptr != end) {
       return std::nullopt;
     }
-    m_rest.remove_prefix(
-        static_cast<std::size_t>(parsed.ptr - m_rest.data()) + 1);
+    m_rest.remove_prefix(static_cast<std::size_t>(parsed.ptr - m_rest.data()) +
+                         1);
     return value;
   }
 
@@ -227,12 +227,9 @@
 auto MakeDifference(std::string_view base, std::string_view text)
     -> std::string {
   const auto prefix = CommonPrefix(base, text);
-  const auto suffix =
-      CommonSuffix(base.substr(prefix), text.substr(prefix));
-  const auto base_middle =
-      base.substr(prefix, base.size() - prefix - suffix);
-  const auto text_middle =
-      text.substr(prefix, text.size() - prefix - suffix);
+  const auto suffix = CommonSuffix(base.substr(prefix), text.substr(prefix));
+  const auto base_middle = base.substr(prefix, base.size() - prefix - suffix);
+  const auto text_middle = text.substr(prefix, text.size() - prefix - suffix);
   DifferenceWriter writer;
   writer.Copy(0, prefix);
   LineMatcher(base_middle, prefix).Match(text_middle, writer);
