--- a/bench/policy_scheduler.cc
+++ b/bench/policy_scheduler.cc
@@ -32,7 +32,13 @@
 
 auto MakePolicyScheduler(const Trace& trace, const PolicyOptions& options)
     -> Scheduler {
-  auto policy = MakePoolPolicy(options);
+  auto with_chart = options;
+  if (with_chart.m_endpoint_chart == nullptr) {
+    const auto chart = LoadEndpointChart(DOTTERELSHED_CHARTS_DIR);
+    DOTTERELSHED_CHECK(chart.has_value());
+    with_chart.m_endpoint_chart = *chart;
+  }
+  auto policy = MakePoolPolicy(with_chart);
   SetPoolConfig(*policy, ConfigOf(trace), EndpointsOf(trace.m_header),
                 TimePoint{});
   Scheduler out;
--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -34,11 +34,13 @@
   options.m_load = load;
   const auto trace = GenerateTrace(options);
   const auto endpoints = options.m_endpoints;
-  PrintRow(load,
-           Summarize(RunReplay(trace, MakeRoundRobin(endpoints), {}), options));
-  PrintRow(load,
-           Summarize(RunReplay(trace, MakeLeastOutstanding(endpoints), {}),
-                     options));
+  const auto run = [&](const Scheduler& scheduler) {
+    PrintRow(load, Summarize(RunReplay(trace, scheduler, {}), options));
+  };
+  run(MakePolicyScheduler(trace, {}));
+  run(MakeOracle(endpoints, trace.m_header.m_engine_slots));
+  run(MakeLeastOutstanding(endpoints));
+  run(MakeRoundRobin(endpoints));
 }
 
 }  // namespace
--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -9,6 +9,7 @@
 
 #include "dotterelshed/call.h"
 #include "dotterelshed/desk_config.h"
+#include "dotterelshed/endpoint_chart.h"
 #include "dotterelshed/endpoint_types.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/turn_messages.h"
@@ -35,8 +36,13 @@
   bool m_hedging = true;
   bool m_early_refusal = true;
   bool m_retention = true;
+  bool m_warm_queues = true;
+  /// From LoadEndpointChart. Without it endpoints are never ejected.
+  std::shared_ptr<const EndpointChart> m_endpoint_chart;
   int m_max_queued = 20000;
   int m_max_quarantined = 1024;
+  /// Programs remembered between their calls; the longest idle go first.
+  int m_max_programs = 100000;
 };
 
 /// What the policy knows of a call before it runs.
--- /dev/null
+++ b/src/libcore/endpoint_chart.cc
@@ -0,0 +1,37 @@
+#include "dotterelshed/endpoint_chart.h"
+
+#include <array>
+
+#include "dotterelshed/load_chart.h"
+
+namespace dotterelshed {
+
+namespace {
+
+constexpr auto kStates =
+    std::to_array<std::string_view>({"serving", "ejected", "probing"});
+constexpr auto kEvents = std::to_array<std::string_view>(
+    {"slow", "failed", "recovered", "probe_due"});
+constexpr auto kActions = std::to_array<std::string_view>(
+    {"move_waiting", "hedge_running", "schedule_probe", "reset_probes"});
+
+}  // namespace
+
+auto ToString(EndpointState state) -> std::string_view {
+  return kStates.at(static_cast<std::size_t>(state));
+}
+
+auto LoadEndpointChart(const std::string& directory)
+    -> Result<std::shared_ptr<const EndpointChart>> {
+  const auto spec = LoadChart(directory, "endpoint");
+  if (!spec) {
+    return tl::unexpected<Error>(spec.error());
+  }
+  auto chart = EndpointChart::Bind(*spec, {kStates, kEvents, kActions});
+  if (!chart) {
+    return tl::unexpected<Error>(chart.error());
+  }
+  return std::make_shared<const EndpointChart>(std::move(*chart));
+}
+
+}  // namespace dotterelshed
--- a/src/libcore/policy.cc
+++ b/src/libcore/policy.cc
@@ -3,52 +3,60 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "policy_state.h"
+#include "policy_admission.h"
+#include "policy_ejection.h"
+#include "policy_endpoint.h"
+#include "policy_hedging.h"
+#include "policy_limit.h"
+#include "policy_order.h"
+#include "policy_quarantine.h"
+#include "policy_retention.h"
 
 namespace dotterelshed {
 
 namespace {
 
-constexpr int kMaxTries = 3;
-
-auto FindEndpoint(PoolPolicy& policy) -> pvt::PolicyEndpoint* {
-  pvt::PolicyEndpoint* best = nullptr;
-  for (auto& [id, endpoint] : policy.m_endpoints) {
-    const auto running = endpoint.m_running.size();
-    const auto limit =
-        static_cast<std::size_t>(endpoint.m_config.m_max_concurrency);
-    if (!endpoint.m_configured || endpoint.m_leaving || running >= limit) {
-      continue;
-    }
-    if (best == nullptr || running < best->m_running.size()) {
-      best = &endpoint;
-    }
-  }
-  return best;
-}
-
-auto Start(PoolPolicy& policy,
-           const RequestId& request,
-           pvt::PolicyEndpoint& endpoint) -> Dispatched {
-  const AttemptId attempt(request.value() + "." +
-                          std::to_string(policy.m_next_attempt++));
-  auto& call = policy.m_calls.at(request);
-  call.m_attempts.insert(attempt);
-  ++call.m_tries;
-  endpoint.m_running.insert(attempt);
-  policy.m_attempts[attempt] = {.m_request = request,
-                                .m_endpoint = endpoint.m_config.m_id};
-  return {.m_attempt = attempt,
-          .m_request = request,
-          .m_endpoint = endpoint.m_config.m_id};
-}
-
-auto MayRetry(const pvt::PolicyCallState& call, AttemptEnd end) -> bool {
-  if (call.m_tries >= kMaxTries) {
-    return false;
-  }
-  return CannotHaveRun(end) ||
-         (end == AttemptEnd::kLost && call.m_call.m_repeatable);
+/// Rates assumed until the first calls show better ones.
+constexpr double kStartGapS = 0.02;
+constexpr double kStartPrefillS = 0.0003;
+/// Work of others that a report shows counts in part, since it is old.
+constexpr int kForeignDivisor = 2;
+/// An endpoint was restarted if it reports itself well this long after the
+/// last word that it leaves; earlier reports may be older than that word.
+constexpr Duration kReturnWait = std::chrono::seconds(10);
+
+auto AddEndpoint(PoolPolicy& policy, const EndpointConfig& config) -> void {
+  const auto [found, added] = policy.m_endpoints.try_emplace(config.m_id);
+  auto& endpoint = found->second;
+  endpoint.m_config = config;
+  endpoint.m_configured = true;
+  if (added) {
+    endpoint.m_limit = pvt::StartLimit(policy.m_options, config);
+    endpoint.m_gap_s = kStartGapS;
+    endpoint.m_prefill_s = kStartPrefillS;
+  }
+  endpoint.m_limit =
+      std::min<double>(endpoint.m_limit, std::max(1, config.m_max_concurrency));
+}
+
+/// Nothing waits for an endpoint that gets no new work, and nothing counts on
+/// its memory.
+auto Retire(PoolPolicy& policy, pvt::EndpointWork& endpoint) -> void {
+  pvt::MoveWaiting(policy, endpoint);
+  pvt::UpdateFree(policy, endpoint);
+}
+
+auto DumpEndpoint(const pvt::EndpointWork& endpoint) -> nlohmann::ordered_json {
+  return {{"state", ToString(endpoint.m_state)},
+          {"configured", endpoint.m_configured},
+          {"leaving", endpoint.m_leaving},
+          {"running", endpoint.m_running.size()},
+          {"limit", static_cast<int>(endpoint.m_limit)},
+          {"waiting_warm",
+           endpoint.m_warm.m_short.size() + endpoint.m_warm.m_long.size()},
+          {"token_gap_us", static_cast<std::int64_t>(endpoint.m_gap_s * 1e6)},
+          {"held_tokens", endpoint.m_held_memory},
+          {"holds", endpoint.m_holds.size()}};
 }
 
 }  // namespace
@@ -57,169 +65,108 @@
     -> std::shared_ptr<PoolPolicy> {
   auto policy = std::make_shared<PoolPolicy>();
   policy->m_options = options;
+  policy->m_retry_budget = pvt::RetryReserve();
   return policy;
 }
 
 auto SetPoolConfig(PoolPolicy& policy,
-                   const DeskConfig& /*config*/,
+                   const DeskConfig& config,
                    const std::vector<EndpointConfig>& endpoints,
                    TimePoint /*now*/) -> void {
+  policy.m_short_share_percent =
+      policy.m_options.m_short_share ? config.m_short_share_percent : 0;
+  policy.m_retry_share_percent = config.m_retry_share_percent;
+  for (const auto& [id, entry] : config.m_classes) {
+    policy.m_classes[id].m_weight = entry.m_weight;
+  }
   for (auto& [id, endpoint] : policy.m_endpoints) {
     endpoint.m_configured = false;
   }
-  for (const auto& config : endpoints) {
-    auto& endpoint = policy.m_endpoints[config.m_id];
-    endpoint.m_config = config;
-    endpoint.m_configured = true;
-  }
-}
-
-auto Admit(PoolPolicy& policy, const PolicyCall& call, TimePoint /*now*/)
-    -> std::optional<Refusal> {
-  if (policy.m_quarantined.contains(call.m_content)) {
-    return Refusal{.m_reason = ReasonCode::kQuarantined};
-  }
-  if (policy.m_queue.size() >=
-      static_cast<std::size_t>(policy.m_options.m_max_queued)) {
-    return Refusal{.m_reason = ReasonCode::kOverLimit,
-                   .m_retry_after = std::chrono::seconds(1)};
-  }
-  policy.m_calls[call.m_request].m_call = call;
-  policy.m_queue.push_back(call.m_request);
-  return std::nullopt;
-}
-
-auto Dispatch(PoolPolicy& policy, TimePoint /*now*/)
-    -> std::vector<Dispatched> {
-  std::vector<Dispatched> started;
-  while (!policy.m_queue.empty()) {
-    auto* endpoint = FindEndpoint(policy);
-    if (endpoint == nullptr) {
-      break;
-    }
-    const auto request = policy.m_queue.front();
-    policy.m_queue.pop_front();
-    started.push_back(Start(policy, request, *endpoint));
-  }
-  return started;
-}
-
-auto Progress(PoolPolicy& /*policy*/,
-              const AttemptId& /*attempt*/,
-              Tokens /*generated*/,
-              TimePoint /*now*/) -> void {}
-
-auto Finish(PoolPolicy& policy,
-            const AttemptId& attempt,
-            const AttemptResult& result,
-            TimePoint /*now*/) -> FinishVerdict {
-  const auto found = policy.m_attempts.find(attempt);
-  if (found == policy.m_attempts.end()) {
-    return {.m_kind = FinishVerdict::Kind::kIgnore};
-  }
-  const auto running = found->second;
-  policy.m_attempts.erase(found);
-  policy.m_endpoints[running.m_endpoint].m_running.erase(attempt);
-  auto& call = policy.m_calls.at(running.m_request);
-  call.m_attempts.erase(attempt);
-  if (MayRetry(call, result.m_end)) {
-    policy.m_queue.push_back(running.m_request);
-    return {.m_kind = FinishVerdict::Kind::kRetry};
-  }
-  policy.m_calls.erase(running.m_request);
-  return {};
-}
-
-auto Cancel(PoolPolicy& policy, const RequestId& request, TimePoint /*now*/)
-    -> std::vector<AttemptId> {
-  const auto found = policy.m_calls.find(request);
-  if (found == policy.m_calls.end()) {
-    return {};
-  }
-  std::vector<AttemptId> running(found->second.m_attempts.begin(),
-                                 found->second.m_attempts.end());
-  for (const auto& attempt : running) {
-    const auto& endpoint = policy.m_attempts.at(attempt).m_endpoint;
-    policy.m_endpoints[endpoint].m_running.erase(attempt);
-    policy.m_attempts.erase(attempt);
+  for (const auto& entry : endpoints) {
+    AddEndpoint(policy, entry);
   }
-  std::erase(policy.m_queue, request);
-  policy.m_calls.erase(found);
-  return running;
-}
-
-auto Expire(PoolPolicy& policy, TimePoint now) -> std::vector<RequestId> {
-  std::vector<RequestId> expired;
-  for (const auto& request : policy.m_queue) {
-    const auto& call = policy.m_calls.at(request);
-    if (call.m_tries == 0 && call.m_call.m_deadline <= now) {
-      expired.push_back(request);
+  pvt::ShareSlots(policy);
+  for (auto& [id, endpoint] : policy.m_endpoints) {
+    if (!endpoint.m_configured) {
+      Retire(policy, endpoint);
     }
+    pvt::UpdateFree(policy, endpoint);
   }
-  for (const auto& request : expired) {
-    std::erase(policy.m_queue, request);
-    policy.m_calls.erase(request);
-  }
-  return expired;
+  std::erase_if(policy.m_endpoints, [](const auto& entry) {
+    const auto& endpoint = entry.second;
+    return !endpoint.m_configured && endpoint.m_running.empty() &&
+           endpoint.m_holds.empty() && endpoint.m_isolated.empty();
+  });
 }
 
 auto NoteLoad(PoolPolicy& policy, const LoadReport& report, TimePoint now)
     -> void {
+  const auto found = policy.m_endpoints.find(report.m_endpoint);
+  if (found == policy.m_endpoints.end()) {
+    return;
+  }
+  auto& endpoint = found->second;
+  endpoint.m_models = report.m_models;
+  const auto others = report.m_running + report.m_waiting -
+                      static_cast<int>(endpoint.m_running.size());
+  endpoint.m_foreign = std::max(0, others) / kForeignDivisor;
+  endpoint.m_reported_at = now;
   if (report.m_leaving) {
     NoteLeaving(policy, report.m_endpoint, now);
+  } else if (endpoint.m_leaving && now - endpoint.m_left_at > kReturnWait) {
+    endpoint.m_leaving = false;
+    pvt::ShareSlots(policy);
   }
+  pvt::UpdateFree(policy, endpoint);
 }
 
-auto NoteCache(PoolPolicy& /*policy*/,
-               const CacheReport& /*report*/,
-               TimePoint /*now*/) -> void {}
+auto NoteCache(PoolPolicy& policy, const CacheReport& report, TimePoint /*now*/)
+    -> void {
+  for (const auto& hold : report.m_evicted) {
+    const auto program = pvt::ProgramOfHold(hold);
+    const auto* prefix = pvt::FindPrefix(policy, program);
+    if (prefix != nullptr && prefix->m_hold == hold) {
+      pvt::DropPrefix(policy, program);
+    }
+  }
+}
 
-auto NoteLeaving(PoolPolicy& policy,
-                 const EndpointId& endpoint,
-                 TimePoint /*now*/) -> void {
+auto NoteLeaving(PoolPolicy& policy, const EndpointId& endpoint, TimePoint now)
+    -> void {
   const auto found = policy.m_endpoints.find(endpoint);
-  if (found != policy.m_endpoints.end()) {
-    found->second.m_leaving = true;
+  if (found == policy.m_endpoints.end()) {
+    return;
   }
+  found->second.m_leaving = true;
+  found->second.m_left_at = now;
+  Retire(policy, found->second);
+  pvt::ShareSlots(policy);
 }
 
 auto NoteQuarantined(PoolPolicy& policy, const Digest& content) -> void {
-  policy.m_quarantined.insert(content);
+  pvt::AddQuarantined(policy, content);
 }
 
-auto EndProgram(PoolPolicy& /*policy*/, const ProgramId& /*program*/)
+auto EndProgram(PoolPolicy& policy, const ProgramId& program)
     -> std::vector<HoldRecord> {
-  return {};
-}
-
-auto NextDeadline(const PoolPolicy& policy) -> std::optional<TimePoint> {
-  std::optional<TimePoint> next;
-  for (const auto& request : policy.m_queue) {
-    const auto deadline = policy.m_calls.at(request).m_call.m_deadline;
-    next = next ? std::min(*next, deadline) : deadline;
-  }
-  return next;
-}
-
-auto Headroom(const PoolPolicy& policy) -> int {
-  auto free = 0;
-  for (const auto& [id, endpoint] : policy.m_endpoints) {
-    if (endpoint.m_configured && !endpoint.m_leaving) {
-      free += endpoint.m_config.m_max_concurrency -
-              static_cast<int>(endpoint.m_running.size());
-    }
-  }
-  return std::max(0, free - static_cast<int>(policy.m_queue.size()));
+  auto holds = pvt::DropPrefix(policy, program);
+  pvt::ForgetProgram(policy, program);
+  return holds;
 }
 
 auto DumpPolicy(const PoolPolicy& policy, TimePoint /*now*/) -> std::string {
   nlohmann::ordered_json out;
-  out["queued"] = policy.m_queue.size();
+  out["queued"] = policy.m_queued;
+  out["queued_by_level"] = policy.m_queued_by_level;
   out["running"] = policy.m_attempts.size();
+  out["programs"] = policy.m_programs.size();
   out["headroom"] = Headroom(policy);
+  out["retry_budget"] = static_cast<int>(policy.m_retry_budget);
+  out["suspects"] = policy.m_suspects.size();
+  out["quarantined"] = policy.m_quarantined.size();
+  out["endpoints"] = nlohmann::ordered_json::object();
   for (const auto& [id, endpoint] : policy.m_endpoints) {
-    out["endpoints"][id.value()] = {{"running", endpoint.m_running.size()},
-                                    {"leaving", endpoint.m_leaving}};
+    out["endpoints"][id.value()] = DumpEndpoint(endpoint);
   }
   return out.dump();
 }
--- /dev/null
+++ b/src/libcore/policy_dispatch.cc
@@ -0,0 +1,181 @@
+#include <algorithm>
+
+#include "policy_ejection.h"
+#include "policy_endpoint.h"
+#include "policy_hedging.h"
+#include "policy_limit.h"
+#include "policy_order.h"
+#include "policy_quarantine.h"
+#include "policy_retention.h"
+
+namespace dotterelshed {
+
+namespace pvt {
+
+namespace {
+
+/// A waiting call and the endpoint on which it may start; null for none.
+struct Candidate {
+  QueueKey m_key;
+  RequestId m_request;
+  EndpointWork* m_endpoint = nullptr;
+};
+
+auto Consider(Candidate& best,
+              const QueueKey& key,
+              const RequestId& request,
+              EndpointWork* endpoint) -> void {
+  if (endpoint != nullptr && (best.m_endpoint == nullptr || key < best.m_key)) {
+    best = {key, request, endpoint};
+  }
+}
+
+/// First calls of the warm queues whose endpoint has a slot.
+auto ConsiderWarm(PoolPolicy& policy, Candidate& best) -> void {
+  for (const auto& id : policy.m_warm_waiting) {
+    auto& endpoint = policy.m_endpoints.at(id);
+    if (!endpoint.m_isolated.empty()) {
+      continue;
+    }
+    const auto& warm = endpoint.m_warm;
+    if (!warm.m_short.empty() && HasSlot(endpoint, false)) {
+      Consider(best, warm.m_short.begin()->first, warm.m_short.begin()->second,
+               &endpoint);
+    }
+    if (!warm.m_long.empty() && HasSlot(endpoint, true)) {
+      Consider(best, warm.m_long.begin()->first, warm.m_long.begin()->second,
+               &endpoint);
+    }
+  }
+}
+
+/// First calls of the common queues, if they beat the best so far.
+auto ConsiderCold(PoolPolicy& policy, Candidate& best) -> void {
+  if (policy.m_free.empty()) {
+    return;
+  }
+  for (const auto& [model, queue] : policy.m_cold) {
+    for (const auto* half : {&queue.m_short, &queue.m_long}) {
+      if (half->empty() ||
+          (best.m_endpoint != nullptr && best.m_key < half->begin()->first)) {
+        continue;
+      }
+      const auto& [key, request] = *half->begin();
+      Consider(best, key, request,
+               FindFreeEndpoint(policy, policy.m_calls.at(request)));
+    }
+  }
+}
+
+auto MakeAttemptId(PoolPolicy& policy, const RequestId& request) -> AttemptId {
+  return AttemptId(request.value() + "." +
+                   std::to_string(policy.m_options.m_seed % 100000) + "." +
+                   std::to_string(policy.m_next_attempt++));
+}
+
+auto StartAttempt(PoolPolicy& policy,
+                  CallState& call,
+                  EndpointWork& endpoint,
+                  bool hedge,
+                  TimePoint now) -> Dispatched {
+  const auto id = MakeAttemptId(policy, call.m_call.m_request);
+  const auto uncached = UncachedTokens(policy, endpoint, call);
+  const auto ahead = endpoint.m_pending_prefill;
+  Dispatched out{.m_attempt = id,
+                 .m_request = call.m_call.m_request,
+                 .m_endpoint = endpoint.m_config.m_id,
+                 .m_hedge = hedge,
+                 .m_priority = call.m_level};
+  out.m_hold = ChooseHold(policy, endpoint, call);
+  if (!hedge) {
+    out.m_release = ReleaseForStart(policy, endpoint, call);
+  }
+  const auto memory =
+      call.m_call.m_prompt_tokens.value() + call.m_call.m_max_tokens.value();
+  policy.m_attempts[id] = {
+      .m_request = call.m_call.m_request,
+      .m_endpoint = endpoint.m_config.m_id,
+      .m_started = now,
+      .m_last_progress = now,
+      .m_uncached = uncached,
+      .m_ahead = ahead,
+      .m_expected_first_token = FromSeconds(
+          static_cast<double>(uncached + ahead) * endpoint.m_prefill_s),
+      .m_memory = memory,
+      .m_long = call.m_long,
+      .m_hedge = hedge,
+      .m_hold = out.m_hold};
+  call.m_attempts.insert(id);
+  ++call.m_tries;
+  endpoint.m_running.insert(id);
+  endpoint.m_running_long += call.m_long ? 1 : 0;
+  endpoint.m_pending_prefill += uncached;
+  endpoint.m_running_memory += memory;
+  ArmAttemptTimer(policy, id, now);
+  UpdateFree(policy, endpoint);
+  return out;
+}
+
+auto StartQueued(PoolPolicy& policy,
+                 const RequestId& request,
+                 EndpointWork& endpoint,
+                 TimePoint now) -> Dispatched {
+  auto& call = policy.m_calls.at(request);
+  Dequeue(policy, call);
+  policy.m_deadlines.erase({call.m_call.m_deadline, request});
+  return StartAttempt(policy, call, endpoint, false, now);
+}
+
+auto StartWaiting(PoolPolicy& policy,
+                  TimePoint now,
+                  std::vector<Dispatched>& out) -> void {
+  while (true) {
+    Candidate best;
+    ConsiderWarm(policy, best);
+    ConsiderCold(policy, best);
+    if (best.m_endpoint == nullptr) {
+      return;
+    }
+    out.push_back(StartQueued(policy, best.m_request, *best.m_endpoint, now));
+  }
+}
+
+}  // namespace
+
+}  // namespace pvt
+
+auto Dispatch(PoolPolicy& policy, TimePoint now) -> std::vector<Dispatched> {
+  std::vector<Dispatched> out;
+  pvt::StartProbes(policy, now);
+  for (const auto& hedge : pvt::FindHedges(policy, now)) {
+    auto& endpoint = policy.m_endpoints.at(hedge.m_endpoint);
+    if (pvt::HasSlot(endpoint, false)) {
+      out.push_back(pvt::StartAttempt(
+          policy, policy.m_calls.at(hedge.m_request), endpoint, true, now));
+    }
+  }
+  for (const auto& start : pvt::FindIsolatedStarts(policy)) {
+    out.push_back(pvt::StartQueued(
+        policy, start.m_request, policy.m_endpoints.at(start.m_endpoint), now));
+  }
+  pvt::MovePatientCalls(policy, now);
+  pvt::StartWaiting(policy, now, out);
+  return out;
+}
+
+auto NextDeadline(const PoolPolicy& policy) -> std::optional<TimePoint> {
+  std::optional<TimePoint> next;
+  const auto consider = [&next](const auto& timers) {
+    if (!timers.empty()) {
+      const auto at = timers.begin()->first;
+      next = next ? std::min(*next, at) : at;
+    }
+  };
+  consider(policy.m_deadlines);
+  consider(policy.m_warm_timers);
+  consider(policy.m_attempt_timers);
+  consider(policy.m_probe_timers);
+  return next;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libcore/policy_ejection.cc
@@ -0,0 +1,216 @@
+#include "policy_ejection.h"
+
+#include <algorithm>
+
+#include "policy_endpoint.h"
+#include "policy_order.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// A step is slow beyond this factor on the pool's typical one.
+constexpr double kSlowFactor = 3;
+/// Slow steps in a row before an endpoint is ejected.
+constexpr int kSlowMarks = 3;
+/// Good steps in a row after which it is well again.
+constexpr int kGoodMarks = 4;
+/// Weights of a new sample, for rising and falling rates.
+constexpr double kRiseWeight = 0.5;
+constexpr double kFallWeight = 0.1;
+/// One endpoint in this many may be out at once.
+constexpr int kFloorDivisor = 3;
+constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
+constexpr int kMaxProbeDoublings = 4;
+constexpr Duration kReferenceInterval = std::chrono::milliseconds(100);
+
+auto MixIn(double& rate, double sample) -> void {
+  if (rate <= 0) {
+    rate = sample;
+    return;
+  }
+  const auto weight = sample > rate ? kRiseWeight : kFallWeight;
+  rate += weight * (sample - rate);
+}
+
+auto MayEject(const PoolPolicy& policy, const EndpointWork& endpoint) -> bool {
+  if (endpoint.m_state != EndpointState::kServing) {
+    return true;
+  }
+  auto out = 0;
+  for (const auto& [id, other] : policy.m_endpoints) {
+    out +=
+        other.m_configured && other.m_state != EndpointState::kServing ? 1 : 0;
+  }
+  return out < MostEjected(policy);
+}
+
+/// Spreads probes by a fraction that depends on seed and endpoint.
+auto ProbeJitter(const PoolPolicy& policy, const EndpointWork& endpoint)
+    -> Duration {
+  const auto mixed = (policy.m_options.m_seed * 31 +
+                      std::hash<EndpointId>{}(endpoint.m_config.m_id)) %
+                     256;
+  return std::chrono::milliseconds(static_cast<std::int64_t>(mixed));
+}
+
+auto ScheduleProbe(PoolPolicy& policy, EndpointWork& endpoint, TimePoint now)
+    -> void {
+  const auto doublings = std::min(endpoint.m_ejections, kMaxProbeDoublings);
+  ++endpoint.m_ejections;
+  policy.m_probe_timers.erase({endpoint.m_probe_at, endpoint.m_config.m_id});
+  endpoint.m_probe_at =
+      now + kFirstProbeWait * (1 << doublings) + ProbeJitter(policy, endpoint);
+  policy.m_probe_timers.emplace(endpoint.m_probe_at, endpoint.m_config.m_id);
+}
+
+/// Has all attempts on the endpoint looked at for hedging at once.
+auto HedgeRunning(PoolPolicy& policy,
+                  const EndpointWork& endpoint,
+                  TimePoint now) -> void {
+  for (const auto& id : endpoint.m_running) {
+    auto& attempt = policy.m_attempts.at(id);
+    policy.m_attempt_timers.erase({attempt.m_check_at, id});
+    attempt.m_check_at = now;
+    policy.m_attempt_timers.emplace(now, id);
+  }
+}
+
+auto DoAction(PoolPolicy& policy,
+              EndpointWork& endpoint,
+              EndpointAction action,
+              TimePoint now) -> void {
+  switch (action) {
+    case EndpointAction::kMoveWaiting:
+      MoveWaiting(policy, endpoint);
+      break;
+    case EndpointAction::kHedgeRunning:
+      HedgeRunning(policy, endpoint, now);
+      break;
+    case EndpointAction::kScheduleProbe:
+      ScheduleProbe(policy, endpoint, now);
+      break;
+    case EndpointAction::kResetProbes:
+      endpoint.m_ejections = 0;
+      break;
+  }
+}
+
+/// Counts slow or good steps; steps of one moment count once.
+auto Mark(EndpointWork& endpoint, bool slow, TimePoint now) -> void {
+  if (now == endpoint.m_last_mark) {
+    return;
+  }
+  endpoint.m_last_mark = now;
+  endpoint.m_slow_marks = slow ? endpoint.m_slow_marks + 1 : 0;
+  endpoint.m_good_marks = slow ? 0 : endpoint.m_good_marks + 1;
+}
+
+}  // namespace
+
+auto MostEjected(const PoolPolicy& policy) -> int {
+  auto configured = 0;
+  for (const auto& [id, endpoint] : policy.m_endpoints) {
+    configured += endpoint.m_configured && !endpoint.m_leaving ? 1 : 0;
+  }
+  return configured < 2 ? 0 : std::max(1, configured / kFloorDivisor);
+}
+
+auto ReferenceGap(PoolPolicy& policy, TimePoint now) -> double {
+  if (now - policy.m_reference_at < kReferenceInterval &&
+      policy.m_reference_gap_s > 0) {
+    return policy.m_reference_gap_s;
+  }
+  std::vector<double> gaps;
+  for (const auto& [id, endpoint] : policy.m_endpoints) {
+    if (endpoint.m_configured && endpoint.m_gap_s > 0) {
+      gaps.push_back(endpoint.m_gap_s);
+    }
+  }
+  policy.m_reference_at = now;
+  if (gaps.size() < 2) {
+    return policy.m_reference_gap_s = 0;
+  }
+  const auto middle =
+      gaps.begin() + static_cast<std::ptrdiff_t>((gaps.size() - 1) / 2);
+  std::nth_element(gaps.begin(), middle, gaps.end());
+  return policy.m_reference_gap_s = *middle;
+}
+
+auto NoteGap(PoolPolicy& policy,
+             EndpointWork& endpoint,
+             double gap_s,
+             TimePoint now) -> void {
+  const auto reference = ReferenceGap(policy, now);
+  MixIn(endpoint.m_gap_s, gap_s);
+  if (reference <= 0) {
+    return;
+  }
+  Mark(endpoint, gap_s > kSlowFactor * reference, now);
+  if (endpoint.m_slow_marks >= kSlowMarks &&
+      endpoint.m_state != EndpointState::kEjected) {
+    ApplyEndpointEvent(policy, endpoint, EndpointEvent::kSlow, now);
+  }
+  if (endpoint.m_good_marks >= kGoodMarks &&
+      endpoint.m_state != EndpointState::kServing) {
+    endpoint.m_gap_s = reference;
+    ApplyEndpointEvent(policy, endpoint, EndpointEvent::kRecovered, now);
+  }
+}
+
+auto NoteFirstToken(EndpointWork& endpoint,
+                    const AttemptState& attempt,
+                    Duration took) -> void {
+  const auto prompt =
+      std::max<std::int64_t>(64, attempt.m_uncached + attempt.m_ahead);
+  MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt));
+}
+
+auto ApplyEndpointEvent(PoolPolicy& policy,
+                        EndpointWork& endpoint,
+                        EndpointEvent event,
+                        TimePoint now) -> void {
+  const auto& chart = policy.m_options.m_endpoint_chart;
+  if (!policy.m_options.m_ejection || chart == nullptr) {
+    return;
+  }
+  const auto* step = chart->Find(endpoint.m_state, event);
+  if (step == nullptr ||
+      (step->m_to == EndpointState::kEjected && !MayEject(policy, endpoint))) {
+    return;
+  }
+  endpoint.m_state = step->m_to;
+  endpoint.m_slow_marks = 0;
+  endpoint.m_good_marks = 0;
+  for (const auto action : step->m_actions) {
+    DoAction(policy, endpoint, action, now);
+  }
+  ShareSlots(policy);
+  UpdateFree(policy, endpoint);
+}
+
+auto StartProbes(PoolPolicy& policy, TimePoint now) -> void {
+  while (!policy.m_probe_timers.empty() &&
+         policy.m_probe_timers.begin()->first <= now) {
+    const auto id = policy.m_probe_timers.begin()->second;
+    policy.m_probe_timers.erase(policy.m_probe_timers.begin());
+    const auto found = policy.m_endpoints.find(id);
+    if (found != policy.m_endpoints.end()) {
+      ApplyEndpointEvent(policy, found->second, EndpointEvent::kProbeDue, now);
+    }
+  }
+}
+
+auto MoveWaiting(PoolPolicy& policy, EndpointWork& endpoint) -> void {
+  std::vector<RequestId> waiting;
+  for (const auto& half : {endpoint.m_warm.m_short, endpoint.m_warm.m_long}) {
+    for (const auto& [key, request] : half) {
+      waiting.push_back(request);
+    }
+  }
+  for (const auto& request : waiting) {
+    MoveToCold(policy, policy.m_calls.at(request));
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_endpoint.cc
@@ -0,0 +1,174 @@
+#include "policy_endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Free endpoints that are compared for one call.
+constexpr int kMaxCandidates = 12;
+/// Seconds that one more sequence adds to each token.
+constexpr double kGapPerSequenceS = 0.0003;
+/// Prompt tokens that one request of others stands for.
+constexpr std::int64_t kForeignPromptTokens = 256;
+
+auto ServesModel(const EndpointWork& endpoint, const ModelId& model) -> bool {
+  return model.empty() || endpoint.m_models.empty() ||
+         std::find(endpoint.m_models.begin(), endpoint.m_models.end(), model) !=
+             endpoint.m_models.end();
+}
+
+/// Slots of an endpoint as the operators' text bounds them.
+auto ConfiguredSlots(const EndpointWork& endpoint) -> int {
+  return std::max(1, endpoint.m_config.m_max_concurrency);
+}
+
+/// Slots that long calls may use; one at least where they may run at all.
+auto LongSlots(const EndpointWork& endpoint) -> int {
+  if (endpoint.m_long_share <= 0) {
+    return 0;
+  }
+  return std::max(1,
+                  static_cast<int>(endpoint.m_limit * endpoint.m_long_share));
+}
+
+}  // namespace
+
+auto FindPrefix(const PoolPolicy& policy, const ProgramId& program)
+    -> const PrefixState* {
+  const auto found = policy.m_programs.find(program);
+  if (found == policy.m_programs.end() || !found->second.m_prefix) {
+    return nullptr;
+  }
+  return &*found->second.m_prefix;
+}
+
+auto MayTake(const EndpointWork& endpoint, const CallState& call) -> bool {
+  if (!endpoint.m_configured || endpoint.m_leaving) {
+    return false;
+  }
+  if (!endpoint.m_isolated.empty() &&
+      endpoint.m_isolated != call.m_call.m_request) {
+    return false;
+  }
+  if (endpoint.m_state == EndpointState::kEjected) {
+    return false;
+  }
+  if (endpoint.m_state == EndpointState::kProbing &&
+      (!call.m_call.m_repeatable || call.m_long)) {
+    return false;
+  }
+  return ServesModel(endpoint, call.m_call.m_model);
+}
+
+auto HasSlot(const EndpointWork& endpoint, bool is_long) -> bool {
+  const auto running = static_cast<int>(endpoint.m_running.size());
+  if (endpoint.m_state == EndpointState::kProbing) {
+    return running == 0;
+  }
+  if (running >= static_cast<int>(endpoint.m_limit)) {
+    return false;
+  }
+  return !is_long || endpoint.m_running_long < LongSlots(endpoint);
+}
+
+auto UncachedTokens(const PoolPolicy& policy,
+                    const EndpointWork& endpoint,
+                    const CallState& call) -> std::int64_t {
+  const auto prompt = call.m_call.m_prompt_tokens.value();
+  const auto* prefix = FindPrefix(policy, call.m_call.m_program);
+  if (!policy.m_options.m_cache_cost || prefix == nullptr ||
+      prefix->m_endpoint != endpoint.m_config.m_id) {
+    return prompt;
+  }
+  return std::max<std::int64_t>(1, prompt - prefix->m_tokens);
+}
+
+auto ExpectedGenerated(const PoolPolicy& policy, const CallState& call)
+    -> double {
+  const auto found = policy.m_classes.find(call.m_call.m_class);
+  const auto most = static_cast<double>(call.m_call.m_max_tokens.value());
+  const auto mean =
+      found == policy.m_classes.end() ? most : found->second.m_generated;
+  return most > 0 ? std::min(mean, most) : mean;
+}
+
+auto ExpectedCompletion(const PoolPolicy& policy,
+                        const EndpointWork& endpoint,
+                        const CallState& call) -> double {
+  const auto foreign = endpoint.m_foreign * kForeignPromptTokens;
+  const auto prompt = endpoint.m_pending_prefill + foreign +
+                      UncachedTokens(policy, endpoint, call);
+  const auto running =
+      static_cast<double>(endpoint.m_running.size()) + endpoint.m_foreign;
+  const auto gap = endpoint.m_gap_s + kGapPerSequenceS * running;
+  return static_cast<double>(prompt) * endpoint.m_prefill_s +
+         ExpectedGenerated(policy, call) * gap;
+}
+
+auto FindFreeEndpoint(PoolPolicy& policy,
+                      const CallState& call,
+                      const EndpointId& avoid) -> EndpointWork* {
+  EndpointWork* best = nullptr;
+  auto best_time = 0.0;
+  auto compared = 0;
+  for (const auto& [load, id] : policy.m_free) {
+    auto& endpoint = policy.m_endpoints.at(id);
+    if (id == avoid || !MayTake(endpoint, call) ||
+        !HasSlot(endpoint, call.m_long)) {
+      continue;
+    }
+    const auto time = ExpectedCompletion(policy, endpoint, call);
+    if (best == nullptr || time < best_time) {
+      best = &endpoint;
+      best_time = time;
+    }
+    if (++compared >= kMaxCandidates) {
+      break;
+    }
+  }
+  return best;
+}
+
+auto UpdateFree(PoolPolicy& policy, EndpointWork& endpoint) -> void {
+  std::optional<std::pair<int, EndpointId>> key;
+  if (endpoint.m_configured && !endpoint.m_leaving &&
+      endpoint.m_state != EndpointState::kEjected && HasSlot(endpoint, false)) {
+    key.emplace(
+        static_cast<int>(endpoint.m_running.size()) + endpoint.m_foreign,
+        endpoint.m_config.m_id);
+  }
+  if (key == endpoint.m_free_key) {
+    return;
+  }
+  if (endpoint.m_free_key) {
+    policy.m_free.erase(*endpoint.m_free_key);
+  }
+  if (key) {
+    policy.m_free.insert(*key);
+  }
+  endpoint.m_free_key = std::move(key);
+}
+
+auto ShareSlots(PoolPolicy& policy) -> void {
+  std::vector<EndpointWork*> serving;
+  auto total = 0;
+  for (auto& [id, endpoint] : policy.m_endpoints) {
+    endpoint.m_long_share = 0;
+    if (endpoint.m_configured && !endpoint.m_leaving &&
+        endpoint.m_state == EndpointState::kServing) {
+      serving.push_back(&endpoint);
+      total += ConfiguredSlots(endpoint);
+    }
+  }
+  auto left = total * (1 - policy.m_short_share_percent / 100.0);
+  for (auto* endpoint : serving) {
+    const double slots = ConfiguredSlots(*endpoint);
+    endpoint->m_long_share = std::min(1.0, left / slots);
+    left = std::max(0.0, left - slots);
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_endpoint.h
@@ -0,0 +1,50 @@
+#ifndef DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
+#define DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
+
+#include "policy_state.h"
+
+/// @file
+/// Choice of endpoint by expected completion, from our own outstanding work
+/// and the rates that we see; load reports correct it while they are fresh.
+
+namespace dotterelshed::pvt {
+
+/// Prefix that is kept for @p program, or null.
+auto FindPrefix(const PoolPolicy& policy, const ProgramId& program)
+    -> const PrefixState*;
+
+/// Whether the endpoint takes calls like this one, free slot or not.
+auto MayTake(const EndpointWork& endpoint, const CallState& call) -> bool;
+
+/// Whether a slot is free for a call of this length.
+auto HasSlot(const EndpointWork& endpoint, bool is_long) -> bool;
+
+/// Prompt tokens that @p endpoint would have to prefill for @p call.
+auto UncachedTokens(const PoolPolicy& policy,
+                    const EndpointWork& endpoint,
+                    const CallState& call) -> std::int64_t;
+
+/// Tokens that a call is expected to generate.
+auto ExpectedGenerated(const PoolPolicy& policy, const CallState& call)
+    -> double;
+
+/// Seconds until @p call would be done if it started on @p endpoint now.
+auto ExpectedCompletion(const PoolPolicy& policy,
+                        const EndpointWork& endpoint,
+                        const CallState& call) -> double;
+
+/// The best endpoint with a free slot, or null. @p avoid is left out.
+auto FindFreeEndpoint(PoolPolicy& policy,
+                      const CallState& call,
+                      const EndpointId& avoid = EndpointId()) -> EndpointWork*;
+
+/// Brings the index of free endpoints up to date after a change.
+auto UpdateFree(PoolPolicy& policy, EndpointWork& endpoint) -> void;
+
+/// Deals out the slots that long calls may use: whole endpoints first, so
+/// that short calls have some to themselves.
+auto ShareSlots(PoolPolicy& policy) -> void;
+
+}  // namespace dotterelshed::pvt
+
+#endif  // DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
--- /dev/null
+++ b/src/libcore/policy_finish.cc
@@ -0,0 +1,252 @@
+#include <algorithm>
+
+#include "policy_admission.h"
+#include "policy_ejection.h"
+#include "policy_endpoint.h"
+#include "policy_hedging.h"
+#include "policy_limit.h"
+#include "policy_order.h"
+#include "policy_quarantine.h"
+#include "policy_retention.h"
+
+namespace dotterelshed {
+
+namespace pvt {
+
+namespace {
+
+/// Attempts that one call may take.
+constexpr int kMaxTries = 4;
+/// Weight of a new call in the means of its class.
+constexpr double kStatsWeight = 0.02;
+
+auto Mix(double& mean, double sample) -> void {
+  mean += kStatsWeight * (sample - mean);
+}
+
+/// Takes an attempt off its endpoint and forgets it.
+auto RemoveAttempt(PoolPolicy& policy, const AttemptId& id) -> AttemptState {
+  const auto attempt = policy.m_attempts.at(id);
+  policy.m_attempts.erase(id);
+  policy.m_attempt_timers.erase({attempt.m_check_at, id});
+  auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  endpoint.m_running.erase(id);
+  endpoint.m_running_long -= attempt.m_long ? 1 : 0;
+  endpoint.m_running_memory -= attempt.m_memory;
+  if (!attempt.m_first_token) {
+    endpoint.m_pending_prefill -= attempt.m_uncached;
+  }
+  UpdateFree(policy, endpoint);
+  return attempt;
+}
+
+/// Stops all attempts of a call that still run.
+auto StopAttempts(PoolPolicy& policy, CallState& call)
+    -> std::vector<AttemptId> {
+  std::vector<AttemptId> stopped(call.m_attempts.begin(),
+                                 call.m_attempts.end());
+  for (const auto& id : stopped) {
+    RemoveAttempt(policy, id);
+  }
+  call.m_attempts.clear();
+  return stopped;
+}
+
+/// Forgets a call that is over.
+auto ForgetCall(PoolPolicy& policy, const RequestId& request, TimePoint now)
+    -> void {
+  auto& call = policy.m_calls.at(request);
+  if (call.m_place != CallPlace::kRunning) {
+    Dequeue(policy, call);
+  }
+  policy.m_deadlines.erase({call.m_call.m_deadline, request});
+  if (call.m_suspect) {
+    EndIsolation(policy, request);
+  }
+  CloseCall(policy, call.m_call.m_program, now);
+  policy.m_calls.erase(request);
+}
+
+/// Learns from a whole answer.
+auto LearnFrom(PoolPolicy& policy,
+               const CallState& call,
+               const AttemptState& attempt,
+               const Usage& usage,
+               TimePoint now) -> void {
+  const auto generated =
+      std::max(usage.m_generated, attempt.m_generated).value();
+  const auto run = ToSeconds(now - attempt.m_started);
+  auto& stats = policy.m_classes[call.m_call.m_class];
+  auto& root = policy.m_roots.at(call.m_call.m_root);
+  Mix(stats.m_generated, static_cast<double>(generated));
+  Mix(stats.m_run_s, run);
+  Mix(policy.m_run_s, run);
+  root.m_attained += ServiceOf(attempt.m_uncached, generated);
+  if (call.m_call.m_last && call.m_call.m_program == call.m_call.m_root) {
+    ++stats.m_programs;
+    const auto weight =
+        std::max(1.0 / static_cast<double>(stats.m_programs), kStatsWeight);
+    stats.m_attained +=
+        weight * (static_cast<double>(root.m_attained) - stats.m_attained);
+  }
+}
+
+auto FinishWhole(PoolPolicy& policy,
+                 CallState& call,
+                 const AttemptState& attempt,
+                 const AttemptResult& result,
+                 TimePoint now) -> FinishVerdict {
+  FinishVerdict verdict{.m_cancel = StopAttempts(policy, call)};
+  auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  LearnFrom(policy, call, attempt, result.m_usage, now);
+  const auto generated =
+      std::max(result.m_usage.m_generated, attempt.m_generated);
+  KeepPrefix(policy, endpoint, call, attempt.m_hold,
+             call.m_call.m_prompt_tokens + generated, now);
+  EndIsolation(policy, call.m_call.m_request);
+  ClearSuspect(policy, call);
+  ForgetCall(policy, RequestId(call.m_call.m_request), now);
+  return verdict;
+}
+
+auto MayRetry(const CallState& call, AttemptEnd end, TimePoint now) -> bool {
+  const auto repeats = end == AttemptEnd::kLost ||
+                       end == AttemptEnd::kErrored ||
+                       end == AttemptEnd::kTimedOut;
+  return call.m_call.m_repeatable && call.m_tries < kMaxTries &&
+         call.m_call.m_deadline > now && (repeats || CannotHaveRun(end));
+}
+
+/// What the end of an attempt says of its endpoint.
+auto JudgeEndpoint(PoolPolicy& policy,
+                   EndpointWork& endpoint,
+                   AttemptEnd end,
+                   TimePoint now) -> void {
+  switch (end) {
+    case AttemptEnd::kRefused:
+    case AttemptEnd::kLost:
+    case AttemptEnd::kTimedOut:
+    case AttemptEnd::kErrored:
+      ApplyEndpointEvent(policy, endpoint, EndpointEvent::kFailed, now);
+      break;
+    case AttemptEnd::kLeaving:
+      NoteLeaving(policy, endpoint.m_config.m_id, now);
+      break;
+    case AttemptEnd::kFenced:
+    case AttemptEnd::kCompleted:
+    case AttemptEnd::kRejected:
+    case AttemptEnd::kCancelled:
+      break;
+  }
+}
+
+auto Quarantine(PoolPolicy& policy, CallState& call, TimePoint now)
+    -> FinishVerdict {
+  FinishVerdict verdict{.m_kind = FinishVerdict::Kind::kQuarantine,
+                        .m_cancel = StopAttempts(policy, call),
+                        .m_quarantined = call.m_call.m_content};
+  AddQuarantined(policy, call.m_call.m_content);
+  ForgetCall(policy, RequestId(call.m_call.m_request), now);
+  return verdict;
+}
+
+auto FinishBroken(PoolPolicy& policy,
+                  CallState& call,
+                  const AttemptState& attempt,
+                  AttemptEnd end,
+                  TimePoint now) -> FinishVerdict {
+  auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  JudgeEndpoint(policy, endpoint, end, now);
+  EndIsolation(policy, call.m_call.m_request);
+  const auto* prefix = FindPrefix(policy, call.m_call.m_program);
+  if (end == AttemptEnd::kLost && prefix != nullptr &&
+      prefix->m_endpoint == attempt.m_endpoint) {
+    DropPrefix(policy, call.m_call.m_program);
+  }
+  if (end == AttemptEnd::kLost &&
+      NoteCrash(policy, call, attempt.m_endpoint, now)) {
+    return Quarantine(policy, call, now);
+  }
+  if (!call.m_attempts.empty()) {
+    return {.m_kind = FinishVerdict::Kind::kIgnore};
+  }
+  if (MayRetry(call, end, now) && SpendRetryBudget(policy)) {
+    Enqueue(policy, call, now);
+    return {.m_kind = FinishVerdict::Kind::kRetry};
+  }
+  ForgetCall(policy, RequestId(call.m_call.m_request), now);
+  return {};
+}
+
+}  // namespace
+
+}  // namespace pvt
+
+auto Progress(PoolPolicy& policy,
+              const AttemptId& id,
+              Tokens generated,
+              TimePoint now) -> void {
+  const auto found = policy.m_attempts.find(id);
+  if (found == policy.m_attempts.end() ||
+      generated <= found->second.m_generated) {
+    return;
+  }
+  auto& attempt = found->second;
+  auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  if (attempt.m_first_token) {
+    const auto tokens =
+        static_cast<double>((generated - attempt.m_generated).value());
+    pvt::NoteGap(policy, endpoint,
+                 ToSeconds(now - attempt.m_last_progress) / tokens, now);
+  } else {
+    const auto took = now - attempt.m_started;
+    attempt.m_first_token = now;
+    endpoint.m_pending_prefill -= attempt.m_uncached;
+    pvt::AdaptLimit(policy, endpoint, attempt, took, now);
+    pvt::NoteFirstToken(endpoint, attempt, took);
+    pvt::UpdateFree(policy, endpoint);
+  }
+  attempt.m_last_progress = now;
+  attempt.m_generated = generated;
+}
+
+auto Finish(PoolPolicy& policy,
+            const AttemptId& id,
+            const AttemptResult& result,
+            TimePoint now) -> FinishVerdict {
+  if (!policy.m_attempts.contains(id)) {
+    return {.m_kind = FinishVerdict::Kind::kIgnore};
+  }
+  const auto attempt = pvt::RemoveAttempt(policy, id);
+  auto& call = policy.m_calls.at(attempt.m_request);
+  call.m_attempts.erase(id);
+  if (result.m_end == AttemptEnd::kCompleted) {
+    return pvt::FinishWhole(policy, call, attempt, result, now);
+  }
+  return pvt::FinishBroken(policy, call, attempt, result.m_end, now);
+}
+
+auto Cancel(PoolPolicy& policy, const RequestId& request, TimePoint now)
+    -> std::vector<AttemptId> {
+  const auto found = policy.m_calls.find(request);
+  if (found == policy.m_calls.end()) {
+    return {};
+  }
+  auto stopped = pvt::StopAttempts(policy, found->second);
+  pvt::EndIsolation(policy, request);
+  pvt::ForgetCall(policy, request, now);
+  return stopped;
+}
+
+auto Expire(PoolPolicy& policy, TimePoint now) -> std::vector<RequestId> {
+  std::vector<RequestId> expired;
+  while (!policy.m_deadlines.empty() &&
+         policy.m_deadlines.begin()->first <= now) {
+    const auto request = policy.m_deadlines.begin()->second;
+    pvt::ForgetCall(policy, request, now);
+    expired.push_back(request);
+  }
+  return expired;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libcore/policy_hedging.cc
@@ -0,0 +1,141 @@
+#include "policy_hedging.h"
+
+#include <algorithm>
+
+#include "policy_ejection.h"
+#include "policy_endpoint.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Retries and hedges that may be made at any time, in attempts.
+constexpr double kBudgetReserve = 32;
+/// A first token is overdue beyond this factor and this slack.
+constexpr int kFirstTokenFactor = 3;
+constexpr Duration kFirstTokenSlack = std::chrono::milliseconds(300);
+/// An answer has stalled after this many usual times between tokens.
+constexpr double kStallGaps = 10;
+constexpr Duration kLeastStall = std::chrono::milliseconds(250);
+/// A second attempt must promise to end in this share of the first's time.
+constexpr double kWorthwhile = 0.5;
+/// Tokens that a running answer is expected to have left, as a share of the
+/// mean length, when it is past that.
+constexpr double kLeastLeft = 0.3;
+
+auto StallLimit(PoolPolicy& policy, TimePoint now) -> Duration {
+  return std::max(kLeastStall,
+                  FromSeconds(kStallGaps * ReferenceGap(policy, now)));
+}
+
+/// Time at which the attempt counts as stalled if nothing comes.
+auto StallTime(PoolPolicy& policy, const AttemptState& attempt, TimePoint now)
+    -> TimePoint {
+  if (attempt.m_first_token) {
+    return attempt.m_last_progress + StallLimit(policy, now);
+  }
+  return attempt.m_started +
+         attempt.m_expected_first_token * kFirstTokenFactor + kFirstTokenSlack;
+}
+
+/// Seconds that the attempt will take yet, where it is.
+auto RemainingHere(PoolPolicy& policy,
+                   const AttemptState& attempt,
+                   const CallState& call,
+                   TimePoint now) -> double {
+  const auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  const auto mean = ExpectedGenerated(policy, call);
+  const auto left =
+      std::max(kLeastLeft * mean,
+               mean - static_cast<double>(attempt.m_generated.value()));
+  auto gap = endpoint.m_gap_s;
+  if (attempt.m_first_token) {
+    gap = std::max(gap, ToSeconds(now - attempt.m_last_progress));
+    return left * gap;
+  }
+  return left * gap + ToSeconds(now - attempt.m_started);
+}
+
+auto MayHedge(const PoolPolicy& policy,
+              const CallState& call,
+              const AttemptState& attempt) -> bool {
+  const auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+  const auto out = endpoint.m_state != EndpointState::kServing;
+  return policy.m_options.m_hedging && call.m_call.m_repeatable &&
+         !call.m_hedged && !call.m_suspect && (!call.m_long || out);
+}
+
+/// A second endpoint for the call, if that promises to be worth it.
+auto FindHedge(PoolPolicy& policy, const AttemptState& attempt, TimePoint now)
+    -> std::optional<Hedge> {
+  auto& call = policy.m_calls.at(attempt.m_request);
+  if (!MayHedge(policy, call, attempt)) {
+    return std::nullopt;
+  }
+  const auto* other = FindFreeEndpoint(policy, call, attempt.m_endpoint);
+  if (other == nullptr || other->m_state != EndpointState::kServing) {
+    return std::nullopt;
+  }
+  if (ExpectedCompletion(policy, *other, call) >
+          kWorthwhile * RemainingHere(policy, attempt, call, now) ||
+      !SpendRetryBudget(policy)) {
+    return std::nullopt;
+  }
+  call.m_hedged = true;
+  return Hedge{attempt.m_request, other->m_config.m_id};
+}
+
+}  // namespace
+
+auto RetryReserve() -> double {
+  return kBudgetReserve;
+}
+
+auto EarnRetryBudget(PoolPolicy& policy) -> void {
+  policy.m_retry_budget =
+      std::min(kBudgetReserve,
+               policy.m_retry_budget + policy.m_retry_share_percent / 100.0);
+}
+
+auto SpendRetryBudget(PoolPolicy& policy) -> bool {
+  if (policy.m_retry_budget < 1) {
+    return false;
+  }
+  policy.m_retry_budget -= 1;
+  return true;
+}
+
+auto FindHedges(PoolPolicy& policy, TimePoint now) -> std::vector<Hedge> {
+  std::vector<Hedge> hedges;
+  while (!policy.m_attempt_timers.empty() &&
+         policy.m_attempt_timers.begin()->first <= now) {
+    const auto id = policy.m_attempt_timers.begin()->second;
+    policy.m_attempt_timers.erase(policy.m_attempt_timers.begin());
+    auto& attempt = policy.m_attempts.at(id);
+    auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
+    const auto stalled_at = StallTime(policy, attempt, now);
+    const auto stalled = stalled_at <= now;
+    if (stalled && attempt.m_first_token) {
+      NoteGap(policy, endpoint, ToSeconds(now - attempt.m_last_progress), now);
+    }
+    if (stalled || endpoint.m_state != EndpointState::kServing) {
+      const auto hedge = FindHedge(policy, attempt, now);
+      if (hedge) {
+        hedges.push_back(*hedge);
+      }
+    }
+    policy.m_attempt_timers.erase({attempt.m_check_at, id});
+    attempt.m_check_at = std::max(stalled_at, now + kLeastStall);
+    policy.m_attempt_timers.emplace(attempt.m_check_at, id);
+  }
+  return hedges;
+}
+
+auto ArmAttemptTimer(PoolPolicy& policy, const AttemptId& id, TimePoint now)
+    -> void {
+  auto& attempt = policy.m_attempts.at(id);
+  attempt.m_check_at = StallTime(policy, attempt, now);
+  policy.m_attempt_timers.emplace(attempt.m_check_at, id);
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_limit.cc
@@ -0,0 +1,54 @@
+#include "policy_limit.h"
+
+#include <algorithm>
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+constexpr double kStartLimit = 8;
+constexpr double kLeastLimit = 2;
+/// A first token is late beyond this factor and this slack.
+constexpr int kLateFactor = 2;
+constexpr Duration kLateSlack = std::chrono::milliseconds(200);
+/// Longest time between tokens that callers should see.
+constexpr double kTokenGapTargetS = 0.047;
+constexpr double kCutFactor = 0.9;
+/// Time between two cuts, so that one late batch counts once.
+constexpr Duration kCutInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+auto StartLimit(const PolicyOptions& options, const EndpointConfig& config)
+    -> double {
+  const double most = std::max(1, config.m_max_concurrency);
+  return options.m_adaptive_limit ? std::min(kStartLimit, most) : most;
+}
+
+auto AdaptLimit(PoolPolicy& policy,
+                EndpointWork& endpoint,
+                const AttemptState& attempt,
+                Duration took,
+                TimePoint now) -> void {
+  if (!policy.m_options.m_adaptive_limit) {
+    return;
+  }
+  const auto running = static_cast<double>(endpoint.m_running.size());
+  const auto late =
+      took > attempt.m_expected_first_token * kLateFactor + kLateSlack;
+  if (late || endpoint.m_gap_s > kTokenGapTargetS) {
+    if (now - endpoint.m_limit_cut_at >= kCutInterval) {
+      endpoint.m_limit_cut_at = now;
+      endpoint.m_limit =
+          std::max(std::min(kLeastLimit, endpoint.m_limit),
+                   kCutFactor * std::min(endpoint.m_limit, running + 1));
+    }
+    return;
+  }
+  if (running + 1 >= endpoint.m_limit) {
+    const double most = std::max(1, endpoint.m_config.m_max_concurrency);
+    endpoint.m_limit = std::min(most, endpoint.m_limit + 1 / endpoint.m_limit);
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_order.cc
@@ -0,0 +1,191 @@
+#include "policy_order.h"
+
+#include <algorithm>
+#include <array>
+
+#include "policy_endpoint.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Upper ends of the levels, in generated tokens.
+constexpr std::array<std::int64_t, kLevelCount - 1> kLevelTokens{512, 2048,
+                                                                 8192, 32768};
+/// Added to a call's rank at weight 1.
+constexpr std::array<Duration, kLevelCount> kLevelPenalty{
+    std::chrono::milliseconds(500), std::chrono::seconds(2),
+    std::chrono::seconds(8), std::chrono::seconds(32),
+    std::chrono::seconds(128)};
+/// Level from which a program counts as long.
+constexpr int kLongLevel = 2;
+/// Prompt tokens that cost as much as one generated token.
+constexpr std::int64_t kPromptTokensPerGenerated = 8;
+/// Programs of a class after which its mean is trusted.
+constexpr std::int64_t kEnoughPrograms = 5;
+/// Share of a short program's age that counts for its rank.
+constexpr Duration kMaxAgeCredit = std::chrono::seconds(30);
+/// Advantage of a call that is its program's last and finds its prefix.
+constexpr Duration kLastCallCredit = std::chrono::milliseconds(500);
+/// Time that a warm call waits at least before it may go elsewhere.
+constexpr Duration kLeastPatience = std::chrono::milliseconds(500);
+/// Factor on the time of prefilling anew.
+constexpr double kPatienceFactor = 2;
+
+auto QueueOf(PoolPolicy& policy, const CallState& call) -> CallQueue& {
+  if (call.m_place == CallPlace::kWarm) {
+    return policy.m_endpoints.at(call.m_warm_endpoint).m_warm;
+  }
+  return policy.m_cold[call.m_call.m_model];
+}
+
+auto Insert(CallQueue& queue, const CallState& call) -> void {
+  auto& half = call.m_long ? queue.m_long : queue.m_short;
+  half.emplace(call.m_key, call.m_call.m_request);
+}
+
+auto Remove(CallQueue& queue, const CallState& call) -> void {
+  auto& half = call.m_long ? queue.m_long : queue.m_short;
+  half.erase(call.m_key);
+}
+
+/// Endpoint that holds the call's prefix and may take it, or null.
+auto FindWarmEndpoint(PoolPolicy& policy, const CallState& call)
+    -> EndpointWork* {
+  const auto* prefix = FindPrefix(policy, call.m_call.m_program);
+  if (!policy.m_options.m_warm_queues || prefix == nullptr ||
+      call.m_tries > 0) {
+    return nullptr;
+  }
+  const auto found = policy.m_endpoints.find(prefix->m_endpoint);
+  if (found == policy.m_endpoints.end() || !MayTake(found->second, call) ||
+      (call.m_long && found->second.m_long_share == 0)) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+auto PatienceOf(const PoolPolicy& policy,
+                const EndpointWork& endpoint,
+                const CallState& call) -> Duration {
+  const auto* prefix = FindPrefix(policy, call.m_call.m_program);
+  const auto tokens = static_cast<double>(prefix->m_tokens);
+  return kLeastPatience +
+         FromSeconds(kPatienceFactor * tokens * endpoint.m_prefill_s);
+}
+
+auto ExpectedService(const PoolPolicy& policy, const CallState& call)
+    -> std::int64_t {
+  const auto& root = policy.m_roots.at(call.m_call.m_root);
+  const auto stats = policy.m_classes.find(call.m_call.m_class);
+  if (stats == policy.m_classes.end() ||
+      stats->second.m_programs < kEnoughPrograms) {
+    return root.m_attained;
+  }
+  return std::max(root.m_attained,
+                  static_cast<std::int64_t>(stats->second.m_attained / 2));
+}
+
+auto WeightOf(const PoolPolicy& policy, const ClassId& id) -> int {
+  const auto found = policy.m_classes.find(id);
+  return found == policy.m_classes.end() ? 1
+                                         : std::max(1, found->second.m_weight);
+}
+
+}  // namespace
+
+auto LevelOf(std::int64_t attained) -> int {
+  const auto end =
+      std::upper_bound(kLevelTokens.begin(), kLevelTokens.end(), attained);
+  return static_cast<int>(end - kLevelTokens.begin());
+}
+
+auto ServiceOf(std::int64_t uncached, std::int64_t generated) -> std::int64_t {
+  return generated + uncached / kPromptTokensPerGenerated;
+}
+
+auto RankCall(PoolPolicy& policy, CallState& call) -> void {
+  const auto sequence = policy.m_next_sequence++;
+  call.m_key = {.m_rank = call.m_admitted, .m_sequence = sequence};
+  if (!policy.m_options.m_attained_service_order) {
+    return;
+  }
+  call.m_level = LevelOf(ExpectedService(policy, call));
+  call.m_long = policy.m_options.m_short_share && call.m_level >= kLongLevel;
+  const auto penalty = kLevelPenalty.at(static_cast<std::size_t>(call.m_level));
+  call.m_key.m_rank += penalty / WeightOf(policy, call.m_call.m_class);
+  if (call.m_level < kLongLevel) {
+    const auto age =
+        call.m_admitted - policy.m_roots.at(call.m_call.m_root).m_first_seen;
+    call.m_key.m_rank -= std::min(age, kMaxAgeCredit);
+  }
+  if (call.m_call.m_last &&
+      FindPrefix(policy, call.m_call.m_program) != nullptr) {
+    call.m_key.m_rank -= kLastCallCredit;
+  }
+}
+
+auto Enqueue(PoolPolicy& policy, CallState& call, TimePoint now) -> void {
+  RankCall(policy, call);
+  ++policy.m_queued;
+  ++policy.m_queued_by_level.at(static_cast<std::size_t>(call.m_level));
+  if (call.m_suspect) {
+    call.m_place = CallPlace::kIsolation;
+    policy.m_isolation.push_back(call.m_call.m_request);
+    return;
+  }
+  auto* warm = FindWarmEndpoint(policy, call);
+  call.m_place = warm == nullptr ? CallPlace::kCold : CallPlace::kWarm;
+  if (warm != nullptr) {
+    call.m_warm_endpoint = warm->m_config.m_id;
+    policy.m_warm_waiting.insert(call.m_warm_endpoint);
+    policy.m_warm_timers.emplace(now + PatienceOf(policy, *warm, call),
+                                 call.m_call.m_request);
+  }
+  Insert(QueueOf(policy, call), call);
+}
+
+auto Dequeue(PoolPolicy& policy, CallState& call) -> void {
+  --policy.m_queued;
+  --policy.m_queued_by_level.at(static_cast<std::size_t>(call.m_level));
+  if (call.m_place == CallPlace::kIsolation) {
+    std::erase(policy.m_isolation, call.m_call.m_request);
+  } else {
+    Remove(QueueOf(policy, call), call);
+  }
+  if (call.m_place == CallPlace::kWarm &&
+      policy.m_endpoints.at(call.m_warm_endpoint).m_warm.empty()) {
+    policy.m_warm_waiting.erase(call.m_warm_endpoint);
+  }
+  call.m_place = CallPlace::kRunning;
+}
+
+auto MoveToCold(PoolPolicy& policy, CallState& call) -> void {
+  auto& warm = policy.m_endpoints.at(call.m_warm_endpoint).m_warm;
+  Remove(warm, call);
+  if (warm.empty()) {
+    policy.m_warm_waiting.erase(call.m_warm_endpoint);
+  }
+  call.m_place = CallPlace::kCold;
+  Insert(QueueOf(policy, call), call);
+}
+
+auto MovePatientCalls(PoolPolicy& policy, TimePoint now) -> void {
+  while (!policy.m_warm_timers.empty() &&
+         policy.m_warm_timers.begin()->first <= now) {
+    const auto request = policy.m_warm_timers.begin()->second;
+    policy.m_warm_timers.erase(policy.m_warm_timers.begin());
+    const auto found = policy.m_calls.find(request);
+    if (found == policy.m_calls.end() ||
+        found->second.m_place != CallPlace::kWarm) {
+      continue;
+    }
+    if (FindFreeEndpoint(policy, found->second) != nullptr) {
+      MoveToCold(policy, found->second);
+    } else {
+      policy.m_warm_timers.emplace(now + kLeastPatience, request);
+    }
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_quarantine.cc
@@ -0,0 +1,165 @@
+#include "policy_quarantine.h"
+
+#include <algorithm>
+
+#include "policy_endpoint.h"
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Endpoints that content takes down before it is quarantined.
+constexpr std::size_t kMostCrashes = 2;
+/// Endpoints lost within kBlameWindow from which machines are blamed.
+constexpr int kMachineFailure = 3;
+constexpr Duration kBlameWindow = std::chrono::seconds(2);
+/// One endpoint in this many may be reserved for suspects.
+constexpr int kIsolationDivisor = 5;
+
+auto RecentCrashes(const PoolPolicy& policy, TimePoint now) -> int {
+  return static_cast<int>(std::count_if(
+      policy.m_crashes.begin(), policy.m_crashes.end(),
+      [now](const auto& crash) { return now - crash.second <= kBlameWindow; }));
+}
+
+/// Keeps the list of suspects within its limit, the oldest out first.
+auto TrimSuspects(PoolPolicy& policy) -> void {
+  const auto most =
+      static_cast<std::size_t>(policy.m_options.m_max_quarantined);
+  while (policy.m_suspect_order.size() > most) {
+    policy.m_suspects.erase(policy.m_suspect_order.front());
+    policy.m_suspect_order.pop_front();
+  }
+}
+
+auto AddSuspect(PoolPolicy& policy,
+                const Digest& content,
+                const EndpointId& endpoint) -> std::size_t {
+  const auto [entry, added] = policy.m_suspects.try_emplace(content);
+  entry->second.insert(endpoint);
+  const auto crashes = entry->second.size();
+  if (added) {
+    policy.m_suspect_order.push_back(content);
+    TrimSuspects(policy);
+  }
+  return crashes;
+}
+
+auto ReservedEndpoints(const PoolPolicy& policy) -> int {
+  return static_cast<int>(std::count_if(
+      policy.m_endpoints.begin(), policy.m_endpoints.end(),
+      [](const auto& entry) { return !entry.second.m_isolated.empty(); }));
+}
+
+/// The endpoint that is empty soonest. One that the content crashed before is
+/// taken only if there is no other.
+auto FindIsolationEndpoint(PoolPolicy& policy, const CallState& call)
+    -> EndpointWork* {
+  const auto crashed = policy.m_suspects.find(call.m_call.m_content);
+  EndpointWork* best = nullptr;
+  auto best_cost = std::size_t{0};
+  for (auto& [id, endpoint] : policy.m_endpoints) {
+    if (!endpoint.m_isolated.empty() || !MayTake(endpoint, call)) {
+      continue;
+    }
+    const auto again =
+        crashed != policy.m_suspects.end() && crashed->second.contains(id);
+    const auto cost = endpoint.m_running.size() + (again ? 100000 : 0);
+    if (best == nullptr || cost < best_cost) {
+      best = &endpoint;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+auto ReserveForSuspects(PoolPolicy& policy) -> void {
+  const auto most = std::max<int>(
+      1, static_cast<int>(policy.m_endpoints.size()) / kIsolationDivisor);
+  auto reserved = ReservedEndpoints(policy);
+  std::set<RequestId> served;
+  for (const auto& [id, endpoint] : policy.m_endpoints) {
+    served.insert(endpoint.m_isolated);
+  }
+  for (const auto& request : policy.m_isolation) {
+    if (reserved >= most) {
+      return;
+    }
+    if (served.contains(request)) {
+      continue;
+    }
+    auto* endpoint = FindIsolationEndpoint(policy, policy.m_calls.at(request));
+    if (endpoint != nullptr) {
+      endpoint->m_isolated = request;
+      ++reserved;
+    }
+  }
+}
+
+}  // namespace
+
+auto NoteCrash(PoolPolicy& policy,
+               CallState& call,
+               const EndpointId& endpoint,
+               TimePoint now) -> bool {
+  policy.m_crashes[endpoint] = now;
+  if (RecentCrashes(policy, now) >= kMachineFailure) {
+    return false;
+  }
+  call.m_suspect = true;
+  return AddSuspect(policy, call.m_call.m_content, endpoint) >= kMostCrashes;
+}
+
+auto ClearSuspect(PoolPolicy& policy, CallState& call) -> void {
+  if (call.m_suspect) {
+    call.m_suspect = false;
+    policy.m_suspects.erase(call.m_call.m_content);
+    std::erase(policy.m_suspect_order, call.m_call.m_content);
+  }
+}
+
+auto IsSuspect(const PoolPolicy& policy, const Digest& content) -> bool {
+  return policy.m_suspects.contains(content);
+}
+
+auto AddQuarantined(PoolPolicy& policy, const Digest& content) -> void {
+  if (!policy.m_quarantined.insert(content).second) {
+    return;
+  }
+  policy.m_quarantine_order.push_back(content);
+  const auto most =
+      static_cast<std::size_t>(policy.m_options.m_max_quarantined);
+  while (policy.m_quarantine_order.size() > most) {
+    policy.m_quarantined.erase(policy.m_quarantine_order.front());
+    policy.m_quarantine_order.pop_front();
+  }
+}
+
+auto FindIsolatedStarts(PoolPolicy& policy) -> std::vector<IsolatedStart> {
+  std::vector<IsolatedStart> out;
+  if (policy.m_isolation.empty()) {
+    return out;
+  }
+  ReserveForSuspects(policy);
+  for (const auto& [id, endpoint] : policy.m_endpoints) {
+    if (endpoint.m_isolated.empty() || !endpoint.m_running.empty()) {
+      continue;
+    }
+    const auto& call = policy.m_calls.at(endpoint.m_isolated);
+    if (call.m_place == CallPlace::kIsolation && MayTake(endpoint, call)) {
+      out.push_back({endpoint.m_isolated, id});
+    }
+  }
+  return out;
+}
+
+auto EndIsolation(PoolPolicy& policy, const RequestId& request) -> void {
+  for (auto& [id, endpoint] : policy.m_endpoints) {
+    if (endpoint.m_isolated == request) {
+      endpoint.m_isolated = RequestId();
+      UpdateFree(policy, endpoint);
+    }
+  }
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/policy_retention.cc
@@ -0,0 +1,122 @@
+#include "policy_retention.h"
+
+#include <algorithm>
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// Share of an endpoint's memory that holds and running calls may fill.
+constexpr double kMemoryShare = 0.95;
+/// A pause longer than this is not worth keeping memory for.
+constexpr Duration kLongestPause = std::chrono::minutes(5);
+constexpr char kHoldSeparator = '@';
+
+auto MemoryOf(const EndpointWork& endpoint) -> double {
+  return kMemoryShare *
+         static_cast<double>(endpoint.m_config.m_kv_capacity.value());
+}
+
+auto NeedOf(const CallState& call) -> std::int64_t {
+  return call.m_call.m_prompt_tokens.value() + call.m_call.m_max_tokens.value();
+}
+
+/// Pause until the program's next call.
+auto ExpectedPause(const PoolPolicy& policy, const CallState& call)
+    -> Duration {
+  if (call.m_call.m_expected_pause.count() > 0) {
+    return call.m_call.m_expected_pause;
+  }
+  const auto found = policy.m_classes.find(call.m_call.m_class);
+  return FromSeconds(found == policy.m_classes.end() ? 2
+                                                     : found->second.m_pause_s);
+}
+
+}  // namespace
+
+auto ProgramOfHold(const HoldId& hold) -> ProgramId {
+  return ProgramId(hold.value().substr(0, hold.value().rfind(kHoldSeparator)));
+}
+
+auto ChooseHold(const PoolPolicy& policy,
+                const EndpointWork& endpoint,
+                const CallState& call) -> HoldId {
+  const auto fits = static_cast<double>(NeedOf(call)) <= MemoryOf(endpoint) / 2;
+  if (!policy.m_options.m_retention || call.m_call.m_last || !fits ||
+      ExpectedPause(policy, call) > kLongestPause) {
+    return HoldId();
+  }
+  return HoldId(call.m_call.m_program.value() + kHoldSeparator +
+                endpoint.m_config.m_id.value());
+}
+
+auto ReleaseForStart(PoolPolicy& policy,
+                     EndpointWork& endpoint,
+                     const CallState& call) -> std::vector<HoldRecord> {
+  std::vector<HoldRecord> out;
+  const auto& program = call.m_call.m_program;
+  const auto* prefix = &policy.m_programs.at(program).m_prefix;
+  if (*prefix && (*prefix)->m_endpoint != endpoint.m_config.m_id &&
+      call.m_attempts.empty()) {
+    out = DropPrefix(policy, program);
+  }
+  const auto room = static_cast<std::int64_t>(MemoryOf(endpoint));
+  while (!endpoint.m_holds.empty() &&
+         endpoint.m_running_memory + endpoint.m_held_memory + NeedOf(call) >
+             room) {
+    auto last = std::prev(endpoint.m_holds.end());
+    if (last->second == program && last == endpoint.m_holds.begin()) {
+      break;
+    }
+    if (last->second == program) {
+      --last;
+    }
+    const auto dropped = DropPrefix(policy, ProgramId(last->second));
+    out.insert(out.end(), dropped.begin(), dropped.end());
+  }
+  return out;
+}
+
+auto KeepPrefix(PoolPolicy& policy,
+                EndpointWork& endpoint,
+                const CallState& call,
+                const HoldId& hold,
+                Tokens context,
+                TimePoint now) -> void {
+  const auto& program = call.m_call.m_program;
+  DropPrefix(policy, program);
+  if (call.m_call.m_last) {
+    return;
+  }
+  const auto expected = now + ExpectedPause(policy, call);
+  policy.m_programs.at(program).m_prefix = {
+      .m_endpoint = endpoint.m_config.m_id,
+      .m_tokens = context.value(),
+      .m_hold = hold,
+      .m_expected_return = expected};
+  if (!hold.empty()) {
+    endpoint.m_holds.emplace(expected, program);
+    endpoint.m_held_memory += context.value();
+  }
+}
+
+auto DropPrefix(PoolPolicy& policy, const ProgramId& program)
+    -> std::vector<HoldRecord> {
+  const auto found = policy.m_programs.find(program);
+  if (found == policy.m_programs.end() || !found->second.m_prefix) {
+    return {};
+  }
+  const auto prefix = *found->second.m_prefix;
+  found->second.m_prefix.reset();
+  const auto endpoint = policy.m_endpoints.find(prefix.m_endpoint);
+  if (prefix.m_hold.empty() || endpoint == policy.m_endpoints.end()) {
+    return {};
+  }
+  endpoint->second.m_holds.erase({prefix.m_expected_return, program});
+  endpoint->second.m_held_memory -= prefix.m_tokens;
+  return {{.m_id = prefix.m_hold,
+           .m_endpoint = prefix.m_endpoint,
+           .m_program = program}};
+}
+
+}  // namespace dotterelshed::pvt
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -1,49 +1,202 @@
 #ifndef DOTTERELSHED_LIBCORE_POLICY_STATE_H_
 #define DOTTERELSHED_LIBCORE_POLICY_STATE_H_
 
+#include <array>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dotterelshed/policy.h"
 
 /// @file
-/// State behind dotterelshed/policy.h.
+/// State behind dotterelshed/policy.h. The topics in policy_*.h work on it.
 
 namespace dotterelshed {
 
 namespace pvt {
 
-struct RunningAttempt {
-  RequestId m_request;
-  EndpointId m_endpoint;
+/// Levels of attained service; the last one has no upper end.
+constexpr int kLevelCount = 5;
+
+/// Position of a call in a queue; the smallest goes first.
+struct QueueKey {
+  TimePoint m_rank;
+  std::uint64_t m_sequence = 0;
+  auto operator<=>(const QueueKey&) const = default;
+};
+
+/// Waiting calls, the short ones apart since they may use slots of their own.
+struct CallQueue {
+  std::map<QueueKey, RequestId> m_short;
+  std::map<QueueKey, RequestId> m_long;
+  auto empty() const -> bool { return m_short.empty() && m_long.empty(); }
+};
+
+/// Where a call is.
+enum class CallPlace {
+  kRunning,
+  kCold,       ///< In the queue of its model, for any endpoint.
+  kWarm,       ///< In the queue of the endpoint that has its prefix.
+  kIsolation,  ///< Waits for an endpoint of its own.
 };
 
-struct PolicyCallState {
+struct CallState {
   PolicyCall m_call;
+  TimePoint m_admitted;
+  QueueKey m_key;
+  int m_level = 0;
+  bool m_long = false;
+  CallPlace m_place = CallPlace::kRunning;
+  /// Endpoint of the warm queue that it is in.
+  EndpointId m_warm_endpoint;
   std::set<AttemptId> m_attempts;
   int m_tries = 0;
+  bool m_hedged = false;
+  /// Its content was running when an endpoint crashed.
+  bool m_suspect = false;
+};
+
+struct AttemptState {
+  RequestId m_request;
+  EndpointId m_endpoint;
+  TimePoint m_started;
+  std::optional<TimePoint> m_first_token;
+  TimePoint m_last_progress;
+  Tokens m_generated;
+  /// Prompt tokens that the endpoint has to prefill, and those ahead of them.
+  std::int64_t m_uncached = 0;
+  std::int64_t m_ahead = 0;
+  Duration m_expected_first_token{0};
+  std::int64_t m_memory = 0;
+  bool m_long = false;
+  bool m_hedge = false;
+  HoldId m_hold;
+  /// When it is next looked at for a stall.
+  TimePoint m_check_at;
+};
+
+/// A prefix kept on an endpoint between two calls.
+struct PrefixState {
+  EndpointId m_endpoint;
+  std::int64_t m_tokens = 0;
+  /// Empty when nothing promises that the prefix is still there.
+  HoldId m_hold;
+  TimePoint m_expected_return;
 };
 
-struct PolicyEndpoint {
+struct ProgramState {
+  ProgramId m_root;
+  std::optional<PrefixState> m_prefix;
+  int m_open_calls = 0;
+  TimePoint m_last_used;
+};
+
+/// A program with its sub-agents.
+struct RootState {
+  std::int64_t m_attained = 0;
+  TimePoint m_first_seen;
+  int m_programs = 0;
+};
+
+struct EndpointWork {
   EndpointConfig m_config;
-  std::set<AttemptId> m_running;
   bool m_configured = true;
   bool m_leaving = false;
+  TimePoint m_left_at;
+  EndpointState m_state = EndpointState::kServing;
+  std::set<AttemptId> m_running;
+  int m_running_long = 0;
+  /// Share of the slots that long calls may use.
+  double m_long_share = 0;
+  double m_limit = 1;
+  TimePoint m_limit_cut_at;
+  CallQueue m_warm;
+  /// Seconds between tokens, quick to rise and slow to fall.
+  double m_gap_s = 0;
+  /// Seconds until the first token for each prompt token before it.
+  double m_prefill_s = 0;
+  std::int64_t m_pending_prefill = 0;
+  std::int64_t m_running_memory = 0;
+  std::int64_t m_held_memory = 0;
+  /// Prefixes with a hold, by the time at which they are needed again.
+  std::set<std::pair<TimePoint, ProgramId>> m_holds;
+  int m_slow_marks = 0;
+  int m_good_marks = 0;
+  TimePoint m_last_mark;
+  TimePoint m_probe_at;
+  int m_ejections = 0;
+  /// Call that runs, or is to run, alone here.
+  RequestId m_isolated;
+  /// Load of others by the last report, and when it came.
+  int m_foreign = 0;
+  TimePoint m_reported_at;
+  std::vector<ModelId> m_models;
+  /// Key in PoolPolicy::m_free while it has a free slot.
+  std::optional<std::pair<int, EndpointId>> m_free_key;
+};
+
+/// What is learnt of a class of programs.
+struct ClassStats {
+  int m_weight = 1;
+  double m_generated = 128;
+  double m_run_s = 1;
+  double m_attained = 0;
+  double m_pause_s = 2;
+  std::int64_t m_programs = 0;
 };
 
 }  // namespace pvt
 
 struct PoolPolicy {
   PolicyOptions m_options;
-  std::map<EndpointId, pvt::PolicyEndpoint> m_endpoints;
-  std::map<RequestId, pvt::PolicyCallState> m_calls;
-  std::map<AttemptId, pvt::RunningAttempt> m_attempts;
-  std::deque<RequestId> m_queue;
+  std::map<ClassId, pvt::ClassStats> m_classes;
+  int m_short_share_percent = 25;
+  int m_retry_share_percent = 10;
+
+  std::map<EndpointId, pvt::EndpointWork> m_endpoints;
+  std::map<RequestId, pvt::CallState> m_calls;
+  std::map<AttemptId, pvt::AttemptState> m_attempts;
+  std::map<ProgramId, pvt::ProgramState> m_programs;
+  std::map<ProgramId, pvt::RootState> m_roots;
+  std::set<std::pair<TimePoint, ProgramId>> m_idle_programs;
+
+  std::map<ModelId, pvt::CallQueue> m_cold;
+  std::deque<RequestId> m_isolation;
+  /// Endpoints that may take a call, the least loaded first.
+  std::set<std::pair<int, EndpointId>> m_free;
+  /// Endpoints with calls in their warm queue.
+  std::set<EndpointId> m_warm_waiting;
+  /// Warm calls that may go elsewhere from this time on.
+  std::set<std::pair<TimePoint, RequestId>> m_warm_timers;
+  /// Attempts to look at for a stall.
+  std::set<std::pair<TimePoint, AttemptId>> m_attempt_timers;
+  /// Deadlines of calls that never ran.
+  std::set<std::pair<TimePoint, RequestId>> m_deadlines;
+  /// Endpoints to probe.
+  std::set<std::pair<TimePoint, EndpointId>> m_probe_timers;
+
+  std::array<int, pvt::kLevelCount> m_queued_by_level{};
+  int m_queued = 0;
+  double m_run_s = 1;
+  /// Retries and hedges that may still be made.
+  double m_retry_budget = 0;
+  double m_reference_gap_s = 0;
+  TimePoint m_reference_at;
+
+  std::map<Digest, std::set<EndpointId>> m_suspects;
+  std::deque<Digest> m_suspect_order;
   std::set<Digest> m_quarantined;
+  std::deque<Digest> m_quarantine_order;
+  /// Latest crash of each endpoint.
+  std::map<EndpointId, TimePoint> m_crashes;
+
+  std::uint64_t m_next_sequence = 1;
   std::uint64_t m_next_attempt = 1;
 };
 
