Add claims of non-idempotent calls with group commit and sealed objects

Cause: a call that may not be repeated needs one claim, written before it is sent, that no other host, restart or lost answer can double. A claim's life follows src/charts/action.jsonc; only one way leads to a grant. Test: 1,500 seeded walks over three hosts with crashes, pauses, outages, lost answers and late writes; more through DOTTERELSHED_WALKS.

--- /dev/null
+++ b/src/libcore/actions_build.cc
@@ -0,0 +1,209 @@
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "actions_state.h"
+
+/// @file
+/// Puts together what is written to a lane, and keeps it below its size limit
+/// by sealing finished claims into objects of their own.
+
+namespace dotterelshed::pvt {
+
+namespace {
+
+/// JSON names and punctuation of one record, nearly.
+constexpr auto kRecordOverhead = std::int64_t{260};
+constexpr auto kSealedNameBytes = std::int64_t{32};
+
+/// A claim that may go into the next write.
+auto MayWrite(const Lane& lane, const Claim& claim) -> bool {
+  const auto open = claim.m_state == ClaimState::kWaiting ||
+                    claim.m_state == ClaimState::kUncertain;
+  return open && !SealedToRead(lane, claim) &&
+         FindRecord(*lane.m_object, claim.m_record.m_key) == nullptr;
+}
+
+auto IsExpired(const ActionBook& book,
+               std::int64_t claimed_at_s,
+               TimePoint now) -> bool {
+  const auto wall = WallSeconds(book, now);
+  const auto retention =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          book.m_options.m_retention)
+          .count();
+  return wall && claimed_at_s > 0 && *wall - claimed_at_s > retention;
+}
+
+auto DropExpired(const ActionBook& book,
+                 Lane& lane,
+                 TimePoint now,
+                 LaneObject& object) -> void {
+  std::erase_if(object.m_claims, [&](const ClaimRecord& record) {
+    return record.m_has_result && IsExpired(book, record.m_claimed_at_s, now);
+  });
+  lane.m_dropping.clear();
+  std::erase_if(object.m_sealed, [&](const LaneId& name) {
+    const auto index = lane.m_index.find(name);
+    const auto expired = index != lane.m_index.end() &&
+                         IsExpired(book, index->second.m_newest_s, now);
+    if (expired) {
+      lane.m_dropping.push_back(name);
+    }
+    return expired;
+  });
+}
+
+auto WriteResult(const Claim& claim, LaneObject& object) -> void {
+  const auto& nonce = claim.m_record.m_nonce;
+  auto& claims = object.m_claims;
+  const auto found =
+      std::find_if(claims.begin(), claims.end(), [&nonce](const auto& record) {
+        return record.m_nonce == nonce;
+      });
+  if (found == claims.end()) {
+    return;
+  }
+  if (claim.m_not_run) {
+    claims.erase(found);
+  } else {
+    *found = claim.m_record;
+  }
+}
+
+/// Takes sealed claims out of the object, unless another host has listed a
+/// sealed object under that number already.
+auto ApplySeal(Lane& lane, LaneObject& object) -> void {
+  if (!lane.m_seal || !lane.m_seal->m_written) {
+    return;
+  }
+  const auto& sealed = lane.m_seal->m_sealed;
+  if (object.m_next_seal != sealed.m_next_seal) {
+    lane.m_seal.reset();
+    return;
+  }
+  std::set<std::string> nonces;
+  for (const auto& record : sealed.m_claims) {
+    nonces.insert(record.m_nonce);
+  }
+  std::erase_if(object.m_claims, [&nonces](const ClaimRecord& record) {
+    return record.m_has_result && nonces.contains(record.m_nonce);
+  });
+  object.m_sealed.push_back(sealed.m_lane);
+  ++object.m_next_seal;
+}
+
+/// Another claim of the same key may stand in the same group.
+auto AddClaims(ActionBook& book,
+               Lane& lane,
+               TimePoint now,
+               LaneObject& object,
+               ActionStep& step) -> void {
+  auto size = SizeOf(object);
+  const auto limit = book.m_options.m_max_lane_bytes.value();
+  for (auto& [number, claim] : lane.m_claims) {
+    if (!MayWrite(lane, claim) ||
+        FindRecord(object, claim.m_record.m_key) != nullptr) {
+      continue;
+    }
+    size += SizeOf(claim.m_record);
+    if (size > limit) {
+      FireClaim(book, claim, ClaimEvent::kTimedOut, nullptr, now, step);
+      size -= SizeOf(claim.m_record);
+      continue;
+    }
+    object.m_claims.push_back(claim.m_record);
+    FireClaim(book, claim, ClaimEvent::kPutStarted, nullptr, now, step);
+  }
+}
+
+}  // namespace
+
+auto LaneOf(const ActionBook& book, const IdempotencyKey& key) -> LaneId {
+  const auto count = static_cast<std::uint64_t>(book.m_options.m_lane_count);
+  return LaneId("lane-" + std::to_string(KeyHash(key) % count));
+}
+
+auto KeyHash(const IdempotencyKey& key) -> std::uint64_t {
+  return XXH3_64bits(key.value().data(), key.value().size());
+}
+
+auto WallSeconds(const ActionBook& book, TimePoint now)
+    -> std::optional<std::int64_t> {
+  if (!book.m_options.m_wall_clock_offset) {
+    return std::nullopt;
+  }
+  const auto wall = now.time_since_epoch() + *book.m_options.m_wall_clock_offset;
+  return std::chrono::duration_cast<std::chrono::seconds>(wall).count();
+}
+
+auto SizeOf(const ClaimRecord& record) -> std::int64_t {
+  // Quotes and backslashes in an answer take two bytes.
+  const auto text = record.m_key.value().size() +
+                    record.m_content.value().size() +
+                    record.m_request.value().size() +
+                    record.m_program.value().size() + record.m_nonce.size() +
+                    record.m_answer.size() * 2;
+  return kRecordOverhead + static_cast<std::int64_t>(text);
+}
+
+auto SizeOf(const LaneObject& object) -> std::int64_t {
+  auto size =
+      static_cast<std::int64_t>(object.m_sealed.size()) * kSealedNameBytes;
+  for (const auto& record : object.m_claims) {
+    size += SizeOf(record);
+  }
+  return size;
+}
+
+auto IndexOf(const LaneObject& sealed) -> SealedIndex {
+  SealedIndex index;
+  for (const auto& record : sealed.m_claims) {
+    index.m_keys.push_back(KeyHash(record.m_key));
+    index.m_newest_s = std::max(index.m_newest_s, record.m_claimed_at_s);
+  }
+  std::sort(index.m_keys.begin(), index.m_keys.end());
+  return index;
+}
+
+auto PlanSeal(const ActionBook& book, const Lane& lane)
+    -> std::optional<SealPlan> {
+  const auto& object = *lane.m_object;
+  const auto limit = book.m_options.m_max_lane_bytes.value();
+  const auto most = static_cast<std::size_t>(book.m_options.m_max_sealed);
+  if (object.m_sealed.size() >= most || SizeOf(object) <= limit / 2) {
+    return std::nullopt;
+  }
+  SealPlan plan;
+  plan.m_sealed.m_lane =
+      LaneId(lane.m_id.value() + "." + std::to_string(object.m_next_seal));
+  plan.m_sealed.m_next_seal = object.m_next_seal;
+  for (const auto& record : object.m_claims) {
+    if (record.m_has_result) {
+      plan.m_sealed.m_claims.push_back(record);
+    }
+  }
+  // A seal that frees little is not worth its object.
+  if (SizeOf(plan.m_sealed) < limit / 4) {
+    return std::nullopt;
+  }
+  return plan;
+}
+
+auto BuildObject(ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
+    -> LaneObject {
+  auto object = *lane.m_object;
+  object.m_lane = lane.m_id;
+  DropExpired(book, lane, now, object);
+  ApplySeal(lane, object);
+  for (const auto& [number, claim] : lane.m_claims) {
+    if (claim.m_state == ClaimState::kFinishing) {
+      WriteResult(claim, object);
+    }
+  }
+  AddClaims(book, lane, now, object, step);
+  return object;
+}
+
+}  // namespace dotterelshed::pvt
--- /dev/null
+++ b/src/libcore/actions_lane.cc
@@ -0,0 +1,330 @@
+#include <algorithm>
+
+#include "actions_state.h"
+
+/// @file
+/// The calls to the platform that one lane makes, one at a time.
+
+namespace dotterelshed {
+
+namespace pvt {
+
+namespace {
+
+/// A call without an answer after this long is taken as lost.
+constexpr auto kCallTimeout = std::chrono::seconds(5);
+constexpr auto kFirstBackoff = std::chrono::milliseconds(50);
+constexpr auto kLongestBackoff = std::chrono::seconds(1);
+
+auto Begin(Lane& lane, LaneCall call, const LaneId& target, TimePoint now)
+    -> void {
+  lane.m_call = call;
+  lane.m_call_target = target;
+  lane.m_call_since = now;
+}
+
+auto Read(Lane& lane, TimePoint now, ActionStep& step) -> void {
+  Begin(lane, LaneCall::kRead, lane.m_id, now);
+  lane.m_need_read = false;
+  step.m_effects.emplace_back(ReadLane{lane.m_id});
+}
+
+auto ReadSealed(Lane& lane,
+                const LaneId& sealed,
+                TimePoint now,
+                ActionStep& step) -> void {
+  Begin(lane, LaneCall::kReadSealed, sealed, now);
+  step.m_effects.emplace_back(ReadLane{sealed});
+}
+
+auto PutSealed(Lane& lane, TimePoint now, ActionStep& step) -> void {
+  const auto& sealed = lane.m_seal->m_sealed;
+  Begin(lane, LaneCall::kPutSealed, sealed.m_lane, now);
+  step.m_effects.emplace_back(PutLane{sealed});
+}
+
+/// A write that carries nothing makes old writes of abandoned claims fail.
+auto NeedsBump(const Claim& claim, const LaneObject& object) -> bool {
+  return claim.m_state == ClaimState::kAbandoned && claim.m_uncertain_at &&
+         object.m_version <= *claim.m_uncertain_at;
+}
+
+auto IsDue(const ActionBook& book,
+           const Lane& lane,
+           const Claim& claim,
+           TimePoint now) -> bool {
+  const auto window = book.m_options.m_group_window;
+  switch (claim.m_state) {
+    case ClaimState::kWaiting:
+    case ClaimState::kUncertain:
+      return now - claim.m_asked >= window &&
+             FindRecord(*lane.m_object, claim.m_record.m_key) == nullptr;
+    case ClaimState::kFinishing:
+      return now - claim.m_result_at >= window;
+    case ClaimState::kAbandoned:
+      return NeedsBump(claim, *lane.m_object);
+    default:
+      return false;
+  }
+}
+
+auto AnyDue(const ActionBook& book, const Lane& lane, TimePoint now) -> bool {
+  return std::any_of(
+      lane.m_claims.begin(), lane.m_claims.end(),
+      [&](const auto& entry) { return IsDue(book, lane, entry.second, now); });
+}
+
+/// The first sealed object that a waiting claim needs to know.
+auto NextSealed(const Lane& lane) -> std::optional<LaneId> {
+  for (const auto& [number, claim] : lane.m_claims) {
+    if (claim.m_state == ClaimState::kWaiting) {
+      auto sealed = SealedToRead(lane, claim);
+      if (sealed) {
+        return sealed;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+/// @return true when a call for sealing was started
+auto Seal(const ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
+    -> bool {
+  if (!lane.m_seal) {
+    lane.m_seal = PlanSeal(book, lane);
+  }
+  if (!lane.m_seal || lane.m_seal->m_written) {
+    return false;
+  }
+  if (lane.m_seal->m_sealed.m_next_seal != lane.m_object->m_next_seal) {
+    lane.m_seal.reset();
+    return false;
+  }
+  PutSealed(lane, now, step);
+  return true;
+}
+
+auto BackOff(Lane& lane, TimePoint now) -> void {
+  lane.m_backoff = std::clamp<Duration>(lane.m_backoff * 2, kFirstBackoff,
+                                        kLongestBackoff);
+  lane.m_next_try = now + lane.m_backoff;
+}
+
+auto FireWriting(ActionBook& book,
+                 Lane& lane,
+                 ClaimEvent event,
+                 TimePoint now,
+                 ActionStep& step) -> void {
+  for (auto& [number, claim] : lane.m_claims) {
+    const auto in_write = claim.m_state == ClaimState::kWriting ||
+                          claim.m_state == ClaimState::kAbandoned;
+    if (!in_write) {
+      continue;
+    }
+    if (event == ClaimEvent::kPutUncertain) {
+      claim.m_uncertain_at = lane.m_put_base;
+    }
+    FireClaim(book, claim, event, nullptr, now, step);
+  }
+}
+
+auto LoseCall(ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
+    -> void {
+  if (lane.m_call == LaneCall::kPut) {
+    FireWriting(book, lane, ClaimEvent::kPutUncertain, now, step);
+    lane.m_need_read = true;
+  }
+  lane.m_call = LaneCall::kNone;
+}
+
+/// Confirms claims whose record stands in what was written.
+auto ConfirmWritten(ActionBook& book,
+                    Lane& lane,
+                    TimePoint now,
+                    ActionStep& step) -> void {
+  for (auto& [number, claim] : lane.m_claims) {
+    const auto* record = FindRecord(*lane.m_object, claim.m_record.m_key);
+    if (record != nullptr && record->m_nonce == claim.m_record.m_nonce) {
+      FireClaim(book, claim, ClaimEvent::kPutConfirmed, nullptr, now, step);
+    }
+  }
+  // The answer to an earlier write that was taken as lost confirms nothing of
+  // this one.
+  FireWriting(book, lane, ClaimEvent::kPutUncertain, now, step);
+  for (const auto& name : lane.m_dropping) {
+    lane.m_index.erase(name);
+    step.m_effects.emplace_back(DeleteLane{name});
+  }
+  lane.m_dropping.clear();
+  const auto listed =
+      lane.m_seal && lane.m_object->m_next_seal >
+                         lane.m_seal->m_sealed.m_next_seal;
+  if (listed) {
+    lane.m_seal.reset();
+  }
+}
+
+auto TakeObject(ActionBook& book,
+                Lane& lane,
+                const LaneObject& object,
+                TimePoint now,
+                ActionStep& step) -> void {
+  lane.m_backoff = Duration(0);
+  if (!lane.m_object || object.m_version >= lane.m_object->m_version) {
+    lane.m_object = object;
+    lane.m_read_at = lane.m_call_since;
+  }
+  ResolveClaims(book, lane, now, step);
+}
+
+auto OnPutAnswer(ActionBook& book,
+                 Lane& lane,
+                 const LaneArrived& event,
+                 TimePoint now,
+                 ActionStep& step) -> void {
+  lane.m_call = LaneCall::kNone;
+  if (event.m_lane_object) {
+    lane.m_backoff = Duration(0);
+    lane.m_object = *event.m_lane_object;
+    lane.m_read_at = lane.m_call_since;
+    ConfirmWritten(book, lane, now, step);
+    ResolveClaims(book, lane, now, step);
+    return;
+  }
+  lane.m_need_read = true;
+  const auto code = event.m_lane_object.error().m_code;
+  if (code == ErrorCode::kConflict) {
+    FireWriting(book, lane, ClaimEvent::kPutRefused, now, step);
+    return;
+  }
+  BackOff(lane, now);
+  const auto refused =
+      code == ErrorCode::kUnavailable || code == ErrorCode::kLimit;
+  FireWriting(book, lane,
+              refused ? ClaimEvent::kPutRefused : ClaimEvent::kPutUncertain,
+              now, step);
+}
+
+auto OnReadAnswer(ActionBook& book,
+                  Lane& lane,
+                  const LaneArrived& event,
+                  TimePoint now,
+                  ActionStep& step) -> void {
+  lane.m_call = LaneCall::kNone;
+  if (event.m_lane_object) {
+    TakeObject(book, lane, *event.m_lane_object, now, step);
+    return;
+  }
+  if (event.m_lane_object.error().m_code == ErrorCode::kNotFound) {
+    lane.m_object.reset();
+    TakeObject(book, lane, {.m_lane = lane.m_id}, now, step);
+    return;
+  }
+  lane.m_need_read = true;
+  BackOff(lane, now);
+}
+
+/// The sealed object stands, written now or by another host before.
+auto OnSealedWritten(Lane& lane, const LaneObject& sealed) -> void {
+  if (lane.m_seal && lane.m_seal->m_sealed.m_lane == sealed.m_lane) {
+    lane.m_seal->m_sealed = sealed;
+    lane.m_seal->m_written = true;
+  }
+  lane.m_index[sealed.m_lane] = IndexOf(sealed);
+}
+
+/// A listed object was dropped past its retention, for good since names are
+/// not used again; one that is not listed was never written, but may be yet.
+auto OnSealedMissing(Lane& lane, const LaneId& name) -> void {
+  const auto& listed = lane.m_object->m_sealed;
+  if (std::find(listed.begin(), listed.end(), name) != listed.end()) {
+    lane.m_index[name] = {};
+  }
+  lane.m_seal.reset();
+  lane.m_need_read = true;
+}
+
+auto OnSealedAnswer(ActionBook& book,
+                    Lane& lane,
+                    const LaneArrived& event,
+                    TimePoint now,
+                    ActionStep& step) -> void {
+  const auto was_put = lane.m_call == LaneCall::kPutSealed;
+  lane.m_call = LaneCall::kNone;
+  if (event.m_lane_object) {
+    OnSealedWritten(lane, *event.m_lane_object);
+    ResolveSealed(book, lane, *event.m_lane_object, now, step);
+    return;
+  }
+  const auto code = event.m_lane_object.error().m_code;
+  if (was_put && code != ErrorCode::kUnavailable) {
+    // It stands already, or may: what stands there is what was sealed.
+    ReadSealed(lane, event.m_lane, now, step);
+    return;
+  }
+  if (!was_put && code == ErrorCode::kNotFound) {
+    OnSealedMissing(lane, event.m_lane);
+    return;
+  }
+  BackOff(lane, now);
+}
+
+}  // namespace
+
+auto DriveLane(ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
+    -> void {
+  if (lane.m_call != LaneCall::kNone &&
+      now - lane.m_call_since > kCallTimeout) {
+    LoseCall(book, lane, now, step);
+  }
+  if (lane.m_call != LaneCall::kNone || now < lane.m_next_try ||
+      lane.m_claims.empty()) {
+    return;
+  }
+  if (!lane.m_object || lane.m_need_read) {
+    Read(lane, now, step);
+    return;
+  }
+  const auto sealed = NextSealed(lane);
+  if (sealed) {
+    ReadSealed(lane, *sealed, now, step);
+    return;
+  }
+  if (!AnyDue(book, lane, now) || Seal(book, lane, now, step)) {
+    return;
+  }
+  auto object = BuildObject(book, lane, now, step);
+  Begin(lane, LaneCall::kPut, lane.m_id, now);
+  lane.m_put_base = object.m_version;
+  step.m_effects.emplace_back(PutLane{std::move(object)});
+}
+
+}  // namespace pvt
+
+auto OnLaneArrived(ActionBook& book, const LaneArrived& event, TimePoint now)
+    -> ActionStep {
+  ActionStep step;
+  for (auto& [id, lane] : book.m_lanes) {
+    if (lane.m_call == pvt::LaneCall::kNone ||
+        lane.m_call_target != event.m_lane) {
+      continue;
+    }
+    pvt::ExpireClaims(book, lane, now, step);
+    switch (lane.m_call) {
+      case pvt::LaneCall::kRead:
+        pvt::OnReadAnswer(book, lane, event, now, step);
+        break;
+      case pvt::LaneCall::kPut:
+        pvt::OnPutAnswer(book, lane, event, now, step);
+        break;
+      default:
+        pvt::OnSealedAnswer(book, lane, event, now, step);
+        break;
+    }
+    pvt::DriveLane(book, lane, now, step);
+    pvt::DropClosed(book, lane);
+  }
+  return step;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libcore/actions_walk_unittest.cc
@@ -0,0 +1,321 @@
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "actions_state.h"
+#include "fake_platform.h"
+
+namespace dotterelshed {
+namespace {
+
+using testing::Agenda;
+using testing::Dice;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto kHosts = 3;
+constexpr auto kKeys = 6;
+
+/// A call to the platform by one start of a host.
+struct PlatformOp {
+  int m_host = 0;
+  int m_start = 0;
+  LaneId m_lane;
+  std::optional<LaneObject> m_put;
+  bool m_answered_lost = false;
+};
+
+struct Answer {
+  int m_host = 0;
+  int m_start = 0;
+  LaneArrived m_event;
+};
+
+/// A granted call at the moment where it would be sent.
+struct Send {
+  int m_host = 0;
+  int m_start = 0;
+  RequestId m_request;
+  IdempotencyKey m_key;
+  TimePoint m_send_by;
+};
+
+struct Finish {
+  int m_host = 0;
+  int m_start = 0;
+  RequestId m_request;
+  IdempotencyKey m_key;
+};
+
+using Happening = std::variant<PlatformOp, Answer, Send, Finish>;
+
+struct Asked {
+  IdempotencyKey m_key;
+  int m_host = 0;
+  int m_start = 0;
+  bool m_first = false;
+  int m_decisions = 0;
+};
+
+/// Several hosts' books on one platform that loses answers, delays writes and
+/// fails; hosts crash, restart empty and pause.
+class ActionWalk {
+ public:
+  explicit ActionWalk(std::uint64_t seed) : m_dice(seed) {
+    for (auto i = 0; i < kHosts; ++i) {
+      m_books.push_back(nullptr);
+      m_starts.push_back(0);
+      m_paused_until.emplace_back();
+      Restart(i);
+    }
+  }
+
+  auto Run() -> void {
+    constexpr auto kRounds = 120;
+    for (auto i = 0; i < kRounds; ++i) {
+      Act();
+      Advance(m_dice.Between(milliseconds(1), milliseconds(120)));
+    }
+    Settle();
+  }
+
+ private:
+  auto Restart(int host) -> void {
+    auto book = MakeActionBook(
+        {.m_self = {.m_host = HostId("h" + std::to_string(host)),
+                    .m_incarnation = Incarnation(++m_starts[host])},
+         .m_seed = 7,
+         .m_lane_count = 2,
+         .m_max_lane_bytes = Bytes(6000),
+         .m_charts_dir = DOTTERELSHED_CHARTS_DIR,
+         .m_max_sealed = 1000});
+    REQUIRE(book);
+    m_books[host] = std::move(*book);
+  }
+
+  auto Act() -> void {
+    const auto host = static_cast<int>(m_dice.Below(kHosts));
+    const auto what = m_dice.Below(100);
+    if (what < 55) {
+      Ask(host);
+    } else if (what < 62) {
+      Restart(host);
+    } else if (what < 70) {
+      m_paused_until[host] =
+          m_now + m_dice.Between(milliseconds(100), seconds(8));
+    } else if (what < 78) {
+      m_outage = !m_outage;
+    } else if (what < 86) {
+      m_lossy = !m_lossy;
+    }
+  }
+
+  auto Ask(int host) -> void {
+    if (IsPaused(host)) {
+      return;
+    }
+    const auto number = m_asked.size();
+    // A key that a host made itself is asked for once.
+    const auto first = m_dice.Chance(20);
+    const IdempotencyKey key(first
+                                 ? "made-" + std::to_string(number)
+                                 : "k" + std::to_string(m_dice.Below(kKeys)));
+    const RequestId request("r" + std::to_string(number));
+    m_asked[request] = {.m_key = key,
+                        .m_host = host,
+                        .m_start = m_starts[host],
+                        .m_first = first};
+    CallRequest call;
+    call.m_request = request;
+    call.m_key = key;
+    call.m_content = Digest("content of " + key.value());
+    Take(host, RequestClaim(*m_books[host], call, first, m_now));
+  }
+
+  auto IsPaused(int host) const -> bool {
+    return m_now < m_paused_until[host];
+  }
+
+  auto Advance(Duration span) -> void {
+    const auto until = m_now + span;
+    while (auto next = m_agenda.Take(until)) {
+      m_now = std::max(m_now, next->first);
+      std::visit([this](const auto& event) { Happen(event); }, next->second);
+    }
+    m_now = until;
+    for (auto host = 0; host < kHosts; ++host) {
+      if (!IsPaused(host)) {
+        Take(host, TickActions(*m_books[host], m_now));
+      }
+    }
+  }
+
+  auto Delay() -> Duration {
+    return m_lossy && m_dice.Chance(10)
+               ? m_dice.Between(seconds(1), seconds(9))
+               : m_dice.Between(milliseconds(1), milliseconds(20));
+  }
+
+  auto Take(int host, const ActionStep& step) -> void {
+    const auto start = m_starts[host];
+    for (const auto& effect : step.m_effects) {
+      if (const auto* read = std::get_if<ReadLane>(&effect)) {
+        m_agenda.Add(m_now + Delay(), PlatformOp{host, start, read->m_lane});
+      } else if (const auto* put = std::get_if<PutLane>(&effect)) {
+        StartPut(host, put->m_lane_object);
+      } else if (const auto* drop = std::get_if<DeleteLane>(&effect)) {
+        m_store.Delete(drop->m_lane);
+      }
+    }
+    for (const auto& decision : step.m_decisions) {
+      Decide(host, decision);
+    }
+  }
+
+  /// Some answers are lost, and the write itself may come much later.
+  auto StartPut(int host, const LaneObject& object) -> void {
+    PlatformOp op{host, m_starts[host], object.m_lane, object};
+    op.m_answered_lost = m_lossy && m_dice.Chance(30);
+    m_agenda.Add(m_now + Delay(), op);
+    if (op.m_answered_lost) {
+      m_agenda.Add(m_now + milliseconds(800),
+                   Answer{host, op.m_start,
+                          LaneArrived{op.m_lane,
+                                      Fail(ErrorCode::kTimeout, "lost"),
+                                      true}});
+    }
+  }
+
+  auto Happen(const PlatformOp& op) -> void {
+    LaneArrived event{op.m_lane, Fail(ErrorCode::kUnavailable, "outage"),
+                      op.m_put.has_value()};
+    if (!m_outage) {
+      event.m_lane_object =
+          op.m_put ? m_store.Put(op.m_lane, *op.m_put) : m_store.Read(op.m_lane);
+    }
+    if (!op.m_answered_lost) {
+      m_agenda.Add(m_now + Delay(), Answer{op.m_host, op.m_start, event});
+    }
+  }
+
+  auto Happen(const Answer& answer) -> void {
+    if (answer.m_start != m_starts[answer.m_host]) {
+      return;
+    }
+    if (IsPaused(answer.m_host)) {
+      m_agenda.Add(m_paused_until[answer.m_host], answer);
+      return;
+    }
+    Take(answer.m_host,
+         OnLaneArrived(*m_books[answer.m_host], answer.m_event, m_now));
+  }
+
+  auto Decide(int host, const ClaimDecision& decision) -> void {
+    auto& asked = m_asked.at(decision.m_request);
+    REQUIRE(++asked.m_decisions == 1);
+    switch (decision.m_verdict) {
+      case ClaimDecision::Verdict::kGranted:
+        // The host may be paused between the decision and the send.
+        m_agenda.Add(m_now + Delay(),
+                     Send{host, m_starts[host], decision.m_request,
+                          asked.m_key, decision.m_send_by});
+        break;
+      case ClaimDecision::Verdict::kHasResult:
+        REQUIRE(decision.m_record.m_answer ==
+                "answer of " + asked.m_key.value());
+        REQUIRE(m_runs[asked.m_key] == 1);
+        break;
+      case ClaimDecision::Verdict::kNotClaimed:
+        REQUIRE(asked.m_first);
+        REQUIRE(m_runs[asked.m_key] == 0);
+        m_must_not_run.insert(asked.m_key);
+        break;
+      case ClaimDecision::Verdict::kOtherContent:
+        FAIL("no key was used for other content");
+        break;
+      default:
+        break;
+    }
+  }
+
+  auto Happen(const Send& send) -> void {
+    if (send.m_start != m_starts[send.m_host]) {
+      return;
+    }
+    if (IsPaused(send.m_host)) {
+      m_agenda.Add(m_paused_until[send.m_host], send);
+      return;
+    }
+    if (m_now > send.m_send_by || m_dice.Chance(10)) {
+      Record(send.m_host, send.m_request, OutcomeKind::kNotRun, "");
+      return;
+    }
+    REQUIRE(++m_runs[send.m_key] == 1);
+    REQUIRE_FALSE(m_must_not_run.contains(send.m_key));
+    m_agenda.Add(m_now + m_dice.Between(milliseconds(1), seconds(2)),
+                 Finish{send.m_host, send.m_start, send.m_request,
+                        send.m_key});
+  }
+
+  auto Happen(const Finish& finish) -> void {
+    if (finish.m_start != m_starts[finish.m_host]) {
+      return;
+    }
+    const auto known = !m_dice.Chance(15);
+    Record(finish.m_host, finish.m_request,
+           known ? OutcomeKind::kDone : OutcomeKind::kUnknown,
+           "answer of " + finish.m_key.value());
+  }
+
+  auto Record(int host,
+              const RequestId& request,
+              OutcomeKind outcome,
+              const std::string& answer) -> void {
+    Take(host, RecordActionResult(*m_books[host], request, outcome, 200,
+                                  answer, m_now));
+  }
+
+  /// Without further faults every wish is decided and every result written.
+  auto Settle() -> void {
+    m_outage = false;
+    m_lossy = false;
+    for (auto i = 0; i < 400; ++i) {
+      Advance(milliseconds(100));
+    }
+    for (const auto& [request, asked] : m_asked) {
+      if (asked.m_start == m_starts[asked.m_host]) {
+        INFO(request);
+        REQUIRE(asked.m_decisions == 1);
+      }
+    }
+    for (const auto& book : m_books) {
+      INFO(DumpActions(*book, m_now));
+      REQUIRE_FALSE(ActionsPending(*book));
+    }
+  }
+
+  Dice m_dice;
+  TimePoint m_now{seconds(1000)};
+  bool m_outage = false;
+  bool m_lossy = false;
+  std::vector<std::shared_ptr<ActionBook>> m_books;
+  std::vector<int> m_starts;
+  std::vector<TimePoint> m_paused_until;
+  testing::FakeStore<LaneId, LaneObject> m_store;
+  Agenda<Happening> m_agenda;
+  std::map<RequestId, Asked> m_asked;
+  std::map<IdempotencyKey, int> m_runs;
+  std::set<IdempotencyKey> m_must_not_run;
+};
+
+TEST_CASE("a call runs at most once on any walk of faults") {
+  const auto first = testing::FirstSeed();
+  const auto walks = testing::WalkCount(1500);
+  for (auto i = 0; i < walks; ++i) {
+    const auto seed = first + static_cast<std::uint64_t>(i);
+    INFO("DOTTERELSHED_SEED=" << seed << " DOTTERELSHED_WALKS=1");
+    ActionWalk(seed).Run();
+  }
+}
+
+}  // namespace
+}  // namespace dotterelshed
