--- a/src/libcore/actions.cc
+++ b/src/libcore/actions.cc
@@ -21,16 +21,16 @@
                const CallRequest& call,
                bool first,
                TimePoint now) -> pvt::Claim {
-  return {.m_record = {.m_key = *call.m_key,
-                       .m_content = call.m_content,
-                       .m_request = call.m_request,
-                       .m_program = call.m_program,
-                       .m_claimer = book.m_options.m_self,
-                       .m_nonce = MakeNonce(book),
-                       .m_claimed_at_s =
-                           pvt::WallSeconds(book, now).value_or(0)},
-          .m_first = first,
-          .m_asked = now};
+  return {
+      .m_record = {.m_key = *call.m_key,
+                   .m_content = call.m_content,
+                   .m_request = call.m_request,
+                   .m_program = call.m_program,
+                   .m_claimer = book.m_options.m_self,
+                   .m_nonce = MakeNonce(book),
+                   .m_claimed_at_s = pvt::WallSeconds(book, now).value_or(0)},
+      .m_first = first,
+      .m_asked = now};
 }
 
 /// Drives a lane after something changed in it.
@@ -166,12 +166,12 @@
                         {"age_s", ToSeconds(age)}});
     }
     const auto version = lane.m_object ? lane.m_object->m_version.value() : 0;
-    lanes[id.value()] = {{"version", version},
-                         {"records", lane.m_object
-                                         ? lane.m_object->m_claims.size()
-                                         : std::size_t{0}},
-                         {"sealed", lane.m_index.size()},
-                         {"claims", claims}};
+    lanes[id.value()] = {
+        {"version", version},
+        {"records",
+         lane.m_object ? lane.m_object->m_claims.size() : std::size_t{0}},
+        {"sealed", lane.m_index.size()},
+        {"claims", claims}};
   }
   return nlohmann::json{{"lanes", lanes}}.dump();
 }
--- a/src/libcore/actions_build.cc
+++ b/src/libcore/actions_build.cc
@@ -25,14 +25,12 @@
          FindRecord(*lane.m_object, claim.m_record.m_key) == nullptr;
 }
 
-auto IsExpired(const ActionBook& book,
-               std::int64_t claimed_at_s,
-               TimePoint now) -> bool {
+auto IsExpired(const ActionBook& book, std::int64_t claimed_at_s, TimePoint now)
+    -> bool {
   const auto wall = WallSeconds(book, now);
-  const auto retention =
-      std::chrono::duration_cast<std::chrono::seconds>(
-          book.m_options.m_retention)
-          .count();
+  const auto retention = std::chrono::duration_cast<std::chrono::seconds>(
+                             book.m_options.m_retention)
+                             .count();
   return wall && claimed_at_s > 0 && *wall - claimed_at_s > retention;
 }
 
@@ -58,10 +56,9 @@
 auto WriteResult(const Claim& claim, LaneObject& object) -> void {
   const auto& nonce = claim.m_record.m_nonce;
   auto& claims = object.m_claims;
-  const auto found =
-      std::find_if(claims.begin(), claims.end(), [&nonce](const auto& record) {
-        return record.m_nonce == nonce;
-      });
+  const auto found = std::find_if(
+      claims.begin(), claims.end(),
+      [&nonce](const auto& record) { return record.m_nonce == nonce; });
   if (found == claims.end()) {
     return;
   }
@@ -134,17 +131,17 @@
   if (!book.m_options.m_wall_clock_offset) {
     return std::nullopt;
   }
-  const auto wall = now.time_since_epoch() + *book.m_options.m_wall_clock_offset;
+  const auto wall =
+      now.time_since_epoch() + *book.m_options.m_wall_clock_offset;
   return std::chrono::duration_cast<std::chrono::seconds>(wall).count();
 }
 
 auto SizeOf(const ClaimRecord& record) -> std::int64_t {
   // Quotes and backslashes in an answer take two bytes.
-  const auto text = record.m_key.value().size() +
-                    record.m_content.value().size() +
-                    record.m_request.value().size() +
-                    record.m_program.value().size() + record.m_nonce.size() +
-                    record.m_answer.size() * 2;
+  const auto text =
+      record.m_key.value().size() + record.m_content.value().size() +
+      record.m_request.value().size() + record.m_program.value().size() +
+      record.m_nonce.size() + record.m_answer.size() * 2;
   return kRecordOverhead + static_cast<std::int64_t>(text);
 }
 
--- a/src/libcore/actions_chart.cc
+++ b/src/libcore/actions_chart.cc
@@ -41,8 +41,8 @@
            const Claim& claim,
            TimePoint now,
            ActionStep& step) -> void {
-  auto& decision = Decide(claim, ClaimDecision::Verdict::kGranted,
-                          claim.m_record, step);
+  auto& decision =
+      Decide(claim, ClaimDecision::Verdict::kGranted, claim.m_record, step);
   decision.m_send_by = now + book.m_options.m_grant_window;
   step.m_effects.emplace_back(
       WriteLog{.m_id = LogEventId::kClaimWritten,
--- a/src/libcore/actions_lane.cc
+++ b/src/libcore/actions_lane.cc
@@ -105,8 +105,8 @@
 }
 
 auto BackOff(Lane& lane, TimePoint now) -> void {
-  lane.m_backoff = std::clamp<Duration>(lane.m_backoff * 2, kFirstBackoff,
-                                        kLongestBackoff);
+  lane.m_backoff =
+      std::clamp<Duration>(lane.m_backoff * 2, kFirstBackoff, kLongestBackoff);
   lane.m_next_try = now + lane.m_backoff;
 }
 
@@ -156,9 +156,8 @@
     step.m_effects.emplace_back(DeleteLane{name});
   }
   lane.m_dropping.clear();
-  const auto listed =
-      lane.m_seal && lane.m_object->m_next_seal >
-                         lane.m_seal->m_sealed.m_next_seal;
+  const auto listed = lane.m_seal && lane.m_object->m_next_seal >
+                                         lane.m_seal->m_sealed.m_next_seal;
   if (listed) {
     lane.m_seal.reset();
   }
--- a/src/libcore/actions_resolve.cc
+++ b/src/libcore/actions_resolve.cc
@@ -76,8 +76,10 @@
   return found == object.m_claims.end() ? nullptr : &*found;
 }
 
-auto ResolveClaims(ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
-    -> void {
+auto ResolveClaims(ActionBook& book,
+                   Lane& lane,
+                   TimePoint now,
+                   ActionStep& step) -> void {
   for (auto& [number, claim] : lane.m_claims) {
     ResolveOne(book, lane, claim, now, step);
   }
--- a/src/libcore/actions_state.h
+++ b/src/libcore/actions_state.h
@@ -147,8 +147,10 @@
     -> const ClaimRecord*;
 
 /// Compares claims with the lane's object after it was read or written.
-auto ResolveClaims(ActionBook& book, Lane& lane, TimePoint now, ActionStep& step)
-    -> void;
+auto ResolveClaims(ActionBook& book,
+                   Lane& lane,
+                   TimePoint now,
+                   ActionStep& step) -> void;
 /// Compares waiting claims with a sealed object that was read.
 auto ResolveSealed(ActionBook& book,
                    Lane& lane,
--- a/src/libcore/actions_walk_unittest.cc
+++ b/src/libcore/actions_walk_unittest.cc
@@ -7,10 +7,10 @@
 namespace dotterelshed {
 namespace {
 
-using testing::Agenda;
-using testing::Dice;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::Agenda;
+using testing::Dice;
 
 constexpr auto kHosts = 3;
 constexpr auto kKeys = 6;
@@ -116,9 +116,8 @@
     const auto number = m_asked.size();
     // A key that a host made itself is asked for once.
     const auto first = m_dice.Chance(20);
-    const IdempotencyKey key(first
-                                 ? "made-" + std::to_string(number)
-                                 : "k" + std::to_string(m_dice.Below(kKeys)));
+    const IdempotencyKey key(first ? "made-" + std::to_string(number)
+                                   : "k" + std::to_string(m_dice.Below(kKeys)));
     const RequestId request("r" + std::to_string(number));
     m_asked[request] = {.m_key = key,
                         .m_host = host,
@@ -131,9 +130,7 @@
     Take(host, RequestClaim(*m_books[host], call, first, m_now));
   }
 
-  auto IsPaused(int host) const -> bool {
-    return m_now < m_paused_until[host];
-  }
+  auto IsPaused(int host) const -> bool { return m_now < m_paused_until[host]; }
 
   auto Advance(Duration span) -> void {
     const auto until = m_now + span;
@@ -177,11 +174,11 @@
     op.m_answered_lost = m_lossy && m_dice.Chance(30);
     m_agenda.Add(m_now + Delay(), op);
     if (op.m_answered_lost) {
-      m_agenda.Add(m_now + milliseconds(800),
-                   Answer{host, op.m_start,
-                          LaneArrived{op.m_lane,
-                                      Fail(ErrorCode::kTimeout, "lost"),
-                                      true}});
+      m_agenda.Add(
+          m_now + milliseconds(800),
+          Answer{
+              host, op.m_start,
+              LaneArrived{op.m_lane, Fail(ErrorCode::kTimeout, "lost"), true}});
     }
   }
 
@@ -189,8 +186,8 @@
     LaneArrived event{op.m_lane, Fail(ErrorCode::kUnavailable, "outage"),
                       op.m_put.has_value()};
     if (!m_outage) {
-      event.m_lane_object =
-          op.m_put ? m_store.Put(op.m_lane, *op.m_put) : m_store.Read(op.m_lane);
+      event.m_lane_object = op.m_put ? m_store.Put(op.m_lane, *op.m_put)
+                                     : m_store.Read(op.m_lane);
     }
     if (!op.m_answered_lost) {
       m_agenda.Add(m_now + Delay(), Answer{op.m_host, op.m_start, event});
@@ -216,8 +213,8 @@
       case ClaimDecision::Verdict::kGranted:
         // The host may be paused between the decision and the send.
         m_agenda.Add(m_now + Delay(),
-                     Send{host, m_starts[host], decision.m_request,
-                          asked.m_key, decision.m_send_by});
+                     Send{host, m_starts[host], decision.m_request, asked.m_key,
+                          decision.m_send_by});
         break;
       case ClaimDecision::Verdict::kHasResult:
         REQUIRE(decision.m_record.m_answer ==
@@ -252,8 +249,7 @@
     REQUIRE(++m_runs[send.m_key] == 1);
     REQUIRE_FALSE(m_must_not_run.contains(send.m_key));
     m_agenda.Add(m_now + m_dice.Between(milliseconds(1), seconds(2)),
-                 Finish{send.m_host, send.m_start, send.m_request,
-                        send.m_key});
+                 Finish{send.m_host, send.m_start, send.m_request, send.m_key});
   }
 
   auto Happen(const Finish& finish) -> void {
@@ -270,8 +266,8 @@
               const RequestId& request,
               OutcomeKind outcome,
               const std::string& answer) -> void {
-    Take(host, RecordActionResult(*m_books[host], request, outcome, 200,
-                                  answer, m_now));
+    Take(host, RecordActionResult(*m_books[host], request, outcome, 200, answer,
+                                  m_now));
   }
 
   /// Without further faults every wish is decided and every result written.
--- a/src/libcore/fake_platform.h
+++ b/src/libcore/fake_platform.h
@@ -30,8 +30,8 @@
 
   auto Put(const Id& id, Object object) -> Result<Object> {
     const auto found = m_objects.find(id);
-    const auto stored = found == m_objects.end() ? ResourceVersion()
-                                                 : found->second.m_version;
+    const auto stored =
+        found == m_objects.end() ? ResourceVersion() : found->second.m_version;
     if (object.m_version != stored) {
       return Fail(ErrorCode::kConflict, "another version");
     }
