--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -22,6 +22,8 @@
      "put a text into force and wait until it is", RunApply},
     {"get", "", "platform json", "print the text that was accepted last",
      RunGet},
+    {"status", "", "platform host json", "show what holds and what does not",
+     RunStatus},
     {"dump", "HOST", "platform", "print the whole state of one host", RunDump},
     {"drain", "HOST", "platform wait json",
      "stop one host without cutting anything off", RunDrain},
