--- a/src/libcore/actions_walk_unittest.cc
+++ b/src/libcore/actions_walk_unittest.cc
@@ -36,6 +36,7 @@
   int m_start = 0;
   RequestId m_request;
   IdempotencyKey m_key;
+  TimePoint m_decided;
   TimePoint m_send_by;
 };
 
@@ -53,6 +54,7 @@
   int m_host = 0;
   int m_start = 0;
   bool m_first = false;
+  TimePoint m_at;
   int m_decisions = 0;
 };
 
@@ -122,7 +124,8 @@
     m_asked[request] = {.m_key = key,
                         .m_host = host,
                         .m_start = m_starts[host],
-                        .m_first = first};
+                        .m_first = first,
+                        .m_at = m_now};
     CallRequest call;
     call.m_request = request;
     call.m_key = key;
@@ -188,12 +191,24 @@
     if (!m_outage) {
       event.m_lane_object = op.m_put ? m_store.Put(op.m_lane, *op.m_put)
                                      : m_store.Read(op.m_lane);
+      NoteResults(event);
     }
     if (!op.m_answered_lost) {
       m_agenda.Add(m_now + Delay(), Answer{op.m_host, op.m_start, event});
     }
   }
 
+  auto NoteResults(const LaneArrived& event) -> void {
+    if (!event.m_from_put || !event.m_lane_object) {
+      return;
+    }
+    for (const auto& record : event.m_lane_object->m_claims) {
+      if (record.m_has_result) {
+        m_result_at.try_emplace(record.m_key, m_now);
+      }
+    }
+  }
+
   auto Happen(const Answer& answer) -> void {
     if (answer.m_start != m_starts[answer.m_host]) {
       return;
@@ -214,7 +229,7 @@
         // The host may be paused between the decision and the send.
         m_agenda.Add(m_now + Delay(),
                      Send{host, m_starts[host], decision.m_request, asked.m_key,
-                          decision.m_send_by});
+                          m_now, decision.m_send_by});
         break;
       case ClaimDecision::Verdict::kHasResult:
         REQUIRE(decision.m_record.m_answer ==
@@ -226,6 +241,12 @@
         REQUIRE(m_runs[asked.m_key] == 0);
         m_must_not_run.insert(asked.m_key);
         break;
+      case ClaimDecision::Verdict::kUnknown:
+        // A result that stood when the call came in has to be found.
+        if (m_result_at.contains(asked.m_key)) {
+          REQUIRE(m_result_at[asked.m_key] >= asked.m_at);
+        }
+        break;
       case ClaimDecision::Verdict::kOtherContent:
         FAIL("no key was used for other content");
         break;
@@ -246,8 +267,10 @@
       Record(send.m_host, send.m_request, OutcomeKind::kNotRun, "");
       return;
     }
+    REQUIRE(m_now - send.m_decided <= seconds(1));
     REQUIRE(++m_runs[send.m_key] == 1);
     REQUIRE_FALSE(m_must_not_run.contains(send.m_key));
+    m_sent.insert(send.m_request);
     m_agenda.Add(m_now + m_dice.Between(milliseconds(1), seconds(2)),
                  Finish{send.m_host, send.m_start, send.m_request, send.m_key});
   }
@@ -287,6 +310,21 @@
       INFO(DumpActions(*book, m_now));
       REQUIRE_FALSE(ActionsPending(*book));
     }
+    CheckOpenClaims();
+  }
+
+  /// A claim left without result was sent, or its host crashed: a live host
+  /// takes back what it never sent.
+  auto CheckOpenClaims() -> void {
+    for (const auto& [lane, object] : m_store.objects()) {
+      for (const auto& record : object.m_claims) {
+        const auto& asked = m_asked.at(record.m_request);
+        const auto lives = asked.m_start == m_starts[asked.m_host];
+        INFO(record.m_request);
+        REQUIRE((record.m_has_result || !lives ||
+                 m_sent.contains(record.m_request)));
+      }
+    }
   }
 
   Dice m_dice;
@@ -300,6 +338,8 @@
   Agenda<Happening> m_agenda;
   std::map<RequestId, Asked> m_asked;
   std::map<IdempotencyKey, int> m_runs;
+  std::map<IdempotencyKey, TimePoint> m_result_at;
+  std::set<RequestId> m_sent;
   std::set<IdempotencyKey> m_must_not_run;
 };
 
