--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -170,6 +170,34 @@
   }
 }
 
+/// Reservations that the lost copy holder did not confirm are made again, out
+/// of this host's own share.
+auto MoveReservationsToEscrow(StepContext& step, PoolState& pool) -> void {
+  std::vector<RequestId> unconfirmed;
+  for (const auto& [program, request] : pool.m_open) {
+    if (pool.m_calls.at(request).m_state == CallState::kReserving) {
+      unconfirmed.push_back(request);
+    }
+  }
+  for (const auto& request : unconfirmed) {
+    auto& call = pool.m_calls.at(request);
+    pool.m_store.m_programs.at(call.m_call.m_program).m_record.m_open.reset();
+    call.m_reserved_attempts = 0;
+    if (!ReserveAttempts(step, pool, call, 1)) {
+      auto answer = MakeRefusal(call, ReasonCode::kBudgetExceeded,
+                                "the share left for an outage is used up");
+      RefuseCall(step, pool, call, answer);
+    }
+  }
+}
+
+/// True for a raised reservation that only the lost copy holder may confirm.
+auto AwaitsHolder(const PoolState& pool, const PendingChange& change) -> bool {
+  const auto* reserve = std::get_if<ReserveRequest>(&change.m_message);
+  return reserve != nullptr && !reserve->m_reservation.m_from_escrow &&
+         UsesEscrow(pool);
+}
+
 template <typename Reply>
 auto OnReply(StepContext& step, const Reply& reply) -> void {
   const auto found = step.m_core.m_pools.find(reply.m_pool);
@@ -202,6 +230,16 @@
 
 }  // namespace
 
+auto SendAllChanges(StepContext& step, PoolState& pool) -> void {
+  std::vector<ProgramId> pending;
+  for (const auto& [program, change] : pool.m_changes) {
+    pending.push_back(program);
+  }
+  for (const auto& program : pending) {
+    SendChange(step, pool, program);
+  }
+}
+
 auto ReserveAttempts(StepContext& step,
                      PoolState& pool,
                      PendingCall& call,
@@ -266,12 +304,16 @@
 
 auto EndProgramRecord(StepContext& step, PoolState& pool, ProgramEntry& entry)
     -> void {
-  auto& record = entry.m_record;
-  if (record.m_ended || pool.m_open.contains(record.m_program)) {
-    record.m_ended = true;
-    return;
+  const auto ended = entry.m_record.m_ended;
+  entry.m_record.m_ended = true;
+  if (!ended && !pool.m_open.contains(entry.m_record.m_program)) {
+    ShareProgram(step, pool, entry);
   }
-  record.m_ended = true;
+}
+
+auto ShareProgram(StepContext& step, PoolState& pool, ProgramEntry& entry)
+    -> void {
+  auto& record = entry.m_record;
   Touch(step.m_core, pool, record);
   pool.m_changes[record.m_program] = {
       .m_message = MakeAppend(step.m_core, pool, record, ChainEnd(record),
@@ -281,13 +323,17 @@
 
 auto SendChange(StepContext& step, PoolState& pool, const ProgramId& program)
     -> void {
-  if (pool.m_role == PoolRole::kCopying) {
+  const auto stale = pool.m_highest > pool.m_assignment.m_term;
+  if (pool.m_role == PoolRole::kCopying || stale) {
     return;  // Sent when the new copy holder has the whole state.
   }
   const auto found = pool.m_changes.find(program);
   if (found == pool.m_changes.end()) {
     return;
   }
+  if (AwaitsHolder(pool, found->second)) {
+    return;
+  }
   if (pool.m_mode == CopyMode::kAlone) {
     ConfirmChange(step, pool, program);
     return;
@@ -350,15 +396,18 @@
   if (mode == pool.m_mode && target == pool.m_target) {
     return;
   }
+  const auto lost_holder = pool.m_mode == CopyMode::kHolder;
+  const auto back = mode == CopyMode::kHolder && primary;
   pool.m_mode = mode;
   pool.m_target = target;
-  std::vector<ProgramId> pending;
-  for (const auto& [program, change] : pool.m_changes) {
-    pending.push_back(program);
+  if (back && pool.m_role == PoolRole::kPrimary) {
+    CopyToReturned(step, pool);
+    return;
   }
-  for (const auto& program : pending) {
-    SendChange(step, pool, program);
+  if (lost_holder && mode != CopyMode::kHolder) {
+    MoveReservationsToEscrow(step, pool);
   }
+  SendAllChanges(step, pool);
   ForgetReleased(pool);
 }
 
--- a/src/libcore/change_log.h
+++ b/src/libcore/change_log.h
@@ -30,6 +30,14 @@
 auto SendChange(StepContext& step, PoolState& pool, const ProgramId& program)
     -> void;
 
+/// Sends every pending change.
+auto SendAllChanges(StepContext& step, PoolState& pool) -> void;
+
+/// Makes a change that only passes on what a fetched program holds, so that
+/// the copy holder has it before anything is answered from it.
+auto ShareProgram(StepContext& step, PoolState& pool, ProgramEntry& entry)
+    -> void;
+
 auto OnReserveReply(StepContext& step, const ReserveReply& reply) -> void;
 auto OnAppendReply(StepContext& step, const AppendReply& reply) -> void;
 
--- a/src/libcore/copy_holder.cc
+++ b/src/libcore/copy_holder.cc
@@ -4,6 +4,7 @@
 
 #include "budget_ledger.h"
 #include "pool_takeover.h"
+#include "program_limits.h"
 
 namespace dotterelshed::pvt {
 
@@ -83,6 +84,9 @@
                   const ReserveRequest& message) -> bool {
   auto* entry = FindProgram(pool.m_store, message.m_program);
   if (entry == nullptr && message.m_new_program) {
+    if (!HasRoom(step.m_core)) {
+      return false;
+    }
     entry = &InsertProgram(pool.m_store, *message.m_new_program, step.m_now);
     MergeLedgers(pool.m_store, {message.m_ledger});
     return true;
@@ -177,6 +181,22 @@
   SelectHistory(*entry, ChainLength(record), ChainEnd(record));
 }
 
+/// Adds what this host has of one program, whatever pool it came by.
+auto AddProgram(HostCore& core, const ProgramId& program, CollectReply& reply)
+    -> void {
+  for (auto& [id, pool] : core.m_pools) {
+    const auto* entry = FindProgram(pool.m_store, program);
+    if (entry == nullptr) {
+      continue;
+    }
+    reply.m_programs.insert(reply.m_programs.end(), entry->m_branches.begin(),
+                            entry->m_branches.end());
+    reply.m_programs.push_back(entry->m_record);
+    reply.m_ledgers.push_back(
+        pool.m_store.m_ledgers.at(entry->m_record.m_root));
+  }
+}
+
 }  // namespace
 
 auto OnReserveRequest(StepContext& step, const ReserveRequest& message)
@@ -195,7 +215,11 @@
   auto accepted =
       AcceptsTerm(step, pool, message.m_term) &&
       (pool.m_role == PoolRole::kHolder || pool.m_role == PoolRole::kNone);
-  accepted = accepted && (single || message.m_part <= pool.m_next_part);
+  // A whole copy counts only for the assignment that this host knows of.
+  const auto assigned = pool.m_assignment.m_term == message.m_term &&
+                        pool.m_role == PoolRole::kHolder;
+  accepted =
+      accepted && (single || (assigned && message.m_part <= pool.m_next_part));
   StateCopyReply reply{.m_pool = message.m_pool,
                        .m_term = message.m_term,
                        .m_from = core.m_options.m_self,
@@ -232,11 +256,8 @@
     NoteTerm(step, pool, message.m_term);
     reply.m_programs = AllHistories(pool.m_store);
     reply.m_ledgers = AllLedgers(pool.m_store);
-  } else if (const auto* entry = FindProgram(pool.m_store, *message.m_program);
-             entry != nullptr) {
-    reply.m_programs = entry->m_branches;
-    reply.m_programs.push_back(entry->m_record);
-    reply.m_ledgers = {pool.m_store.m_ledgers.at(entry->m_record.m_root)};
+  } else {
+    AddProgram(core, *message.m_program, reply);
   }
   step.m_out.push_back(SendPeer{message.m_from.m_host, std::move(reply)});
 }
--- a/src/libcore/pool_state.h
+++ b/src/libcore/pool_state.h
@@ -80,7 +80,9 @@
   TimePoint m_since;
   /// Other requests that asked for the same turn with the same content.
   std::vector<RequestId> m_waiters;
-  /// The holders named in the token were asked already.
+  /// Holders named in the token that have not answered, and whether they were
+  /// asked at all.
+  std::set<HostRef> m_fetch_from;
   bool m_fetched = false;
   /// Its turn can't have run before this call.
   bool m_first = false;
@@ -130,6 +132,8 @@
   std::map<ProgramId, PendingChange> m_changes;
   /// Calls that came before the pool could serve.
   std::deque<CallRequest> m_waiting;
+  /// Since when none of its calls is under way while others wait.
+  TimePoint m_quiet_since;
 
   /// As new primary: who has not answered yet.
   std::set<HostRef> m_collect_from;
--- a/src/libcore/pool_takeover.cc
+++ b/src/libcore/pool_takeover.cc
@@ -157,13 +157,7 @@
 /// Sends what is unconfirmed and takes calls that waited.
 auto StartServing(StepContext& step, PoolState& pool) -> void {
   ConfigurePolicies(step, pool);
-  std::vector<ProgramId> pending;
-  for (const auto& [program, change] : pool.m_changes) {
-    pending.push_back(program);
-  }
-  for (const auto& program : pending) {
-    SendChange(step, pool, program);
-  }
+  SendAllChanges(step, pool);
   ServeWaiting(step, pool);
 }
 
@@ -189,7 +183,9 @@
   pool.m_changes.clear();
   pool.m_policies.clear();
   ForgetReleased(pool);
-  ServeWaiting(step, pool);
+  if (pool.m_role != PoolRole::kCollecting) {
+    ServeWaiting(step, pool);
+  }
 }
 
 auto RunAction(StepContext& step, PoolState& pool, PoolAction action) -> void {
@@ -217,11 +213,9 @@
              const PoolState& pool,
              const PoolAssignment& after) -> PoolEvent {
   const auto& self = core.m_options.m_self;
-  if (after.m_holder == self) {
-    return PoolEvent::kMadeHolder;
-  }
   if (after.m_primary != self) {
-    return PoolEvent::kMadeNone;
+    return after.m_holder == self ? PoolEvent::kMadeHolder
+                                  : PoolEvent::kMadeNone;
   }
   // Terms in between might have had another primary.
   const auto& before = pool.m_assignment;
@@ -257,6 +251,46 @@
   }
 }
 
+/// A holder of a token's history answered. Calls go on when one of the answers
+/// has the history or all have come.
+auto ShareFetched(StepContext& step, PoolState& pool, const CollectReply& reply)
+    -> void {
+  auto* entry = FindProgram(pool.m_store, *reply.m_program);
+  for (auto& [request, call] : pool.m_calls) {
+    if (call.m_state != CallState::kFetching ||
+        call.m_call.m_program != *reply.m_program) {
+      continue;
+    }
+    call.m_fetch_from.erase(reply.m_from);
+    const auto& token = *call.m_call.m_token;
+    const auto found = entry != nullptr &&
+                       !pool.m_open.contains(*reply.m_program) &&
+                       SelectHistory(*entry, token.m_turn, token.m_chain);
+    if (found) {
+      ShareProgram(step, pool, *entry);
+    }
+    if (found || call.m_fetch_from.empty()) {
+      ContinueFetched(step, pool, call);
+    }
+  }
+}
+
+/// Sends the change that a copy made way for.
+auto ResendAfterCopy(StepContext& step,
+                     PoolState& pool,
+                     const StateCopyReply& reply) -> void {
+  for (const auto& ledger : reply.m_ledgers) {
+    const auto tree = pool.m_store.m_trees.find(ledger.m_root);
+    if (tree == pool.m_store.m_trees.end()) {
+      continue;
+    }
+    for (const auto& program : tree->second) {
+      SendChange(step, pool, program);
+    }
+  }
+  ForgetReleased(pool);
+}
+
 /// The host has dropped its old roles and told what it spent.
 auto NoteReported(PoolState& pool, const HostRef& from) -> void {
   for (auto& [root, ledger] : pool.m_store.m_ledgers) {
@@ -302,13 +336,15 @@
   const auto& after = change.m_after;
   const auto& id = after.m_pool.empty() ? change.m_before.m_pool : after.m_pool;
   auto& pool = step.m_core.m_pools[id];
-  if (after.m_term <= pool.m_assignment.m_term && !after.m_pool.empty()) {
+  const auto removed = after.m_primary.m_host.empty();
+  if (after.m_term <= pool.m_assignment.m_term && !removed) {
     return;
   }
   const auto event = EventOf(step.m_core, pool, after);
   pool.m_assignment = after;
   pool.m_assignment.m_pool = id;
-  pool.m_highest = std::max(pool.m_highest, after.m_term);
+  // A pool that is set up again starts from its first term.
+  pool.m_highest = removed ? Term(0) : std::max(pool.m_highest, after.m_term);
   pool.m_next_part = 0;
   pool.m_complete = false;
   if (event == PoolEvent::kHolderChanged) {
@@ -318,6 +354,10 @@
   ChooseTarget(step, pool);
 }
 
+auto CopyToReturned(StepContext& step, PoolState& pool) -> void {
+  Advance(step, pool, PoolEvent::kHolderChanged);
+}
+
 auto OnStateCopyReply(StepContext& step, const StateCopyReply& reply) -> void {
   const auto found = step.m_core.m_pools.find(reply.m_pool);
   if (found == step.m_core.m_pools.end()) {
@@ -334,6 +374,9 @@
   }
   MergeReceived(step, pool, reply.m_longer, reply.m_ledgers);
   ForgetReleased(pool);
+  if (reply.m_part == kSingleProgram && reply.m_accepted) {
+    ResendAfterCopy(step, pool, reply);
+  }
   const auto expected =
       pool.m_role == PoolRole::kCopying && reply.m_part == pool.m_copy_part;
   if (!expected || !reply.m_accepted) {
@@ -359,12 +402,7 @@
   auto& pool = found->second;
   if (reply.m_program) {
     MergeReceived(step, pool, reply.m_programs, reply.m_ledgers);
-    for (auto& [request, call] : pool.m_calls) {
-      if (call.m_state == CallState::kFetching &&
-          call.m_call.m_program == *reply.m_program) {
-        ContinueFetched(step, pool, call);
-      }
-    }
+    ShareFetched(step, pool, reply);
     ForgetReleased(pool);
     return;
   }
@@ -437,9 +475,13 @@
                                .m_program = call.m_call.m_program};
   for (const auto& holder : call.m_call.m_token->m_holders) {
     if (holder != step.m_core.m_options.m_self) {
+      call.m_fetch_from.insert(holder);
       step.m_out.push_back(SendPeer{holder.m_host, request});
     }
   }
+  if (call.m_fetch_from.empty()) {
+    ContinueFetched(step, pool, call);
+  }
 }
 
 }  // namespace dotterelshed::pvt
--- a/src/libcore/pool_takeover.h
+++ b/src/libcore/pool_takeover.h
@@ -21,6 +21,10 @@
 /// table says who owns the pool.
 auto NoteTerm(StepContext& step, PoolState& pool, Term term) -> void;
 
+/// The copy holder of this term can be reached again: it gets the whole state
+/// anew, since it missed changes.
+auto CopyToReturned(StepContext& step, PoolState& pool) -> void;
+
 /// Sends all histories of one program to the host that confirms changes.
 auto CopyProgram(StepContext& step, PoolState& pool, const ProgramId& program)
     -> void;
--- a/src/libcore/program_limits.cc
+++ b/src/libcore/program_limits.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int kProgramsPerTick = 256;
+constexpr int kFetchRetries = 4;
+/// How long calls wait for a pool without calls to be handed over.
+constexpr auto kDrainPatience = std::chrono::seconds(3);
 
 auto IdleLimit(const HostCore& core, const ClassId& id) -> Duration {
   const auto found = core.m_config->m_classes.find(id);
@@ -17,11 +20,23 @@
                                                  : found->second.m_idle_limit;
 }
 
+/// Histories of a pool that this host has no part in any more are kept for
+/// collection, but not for ever.
+auto IsLeftOver(const HostCore& core, const PoolState& pool, Duration idle)
+    -> bool {
+  return pool.m_role == PoolRole::kNone &&
+         idle > core.m_options.m_ended_retention;
+}
+
 /// Looks at one program; true if it is to be forgotten.
 auto CheckIdle(StepContext& step, PoolState& pool, ProgramEntry& entry)
     -> bool {
   auto& record = entry.m_record;
   const auto idle = step.m_now - entry.m_last_used;
+  if (IsLeftOver(step.m_core, pool,
+                 idle - IdleLimit(step.m_core, record.m_class))) {
+    return true;
+  }
   if (record.m_ended) {
     return idle > step.m_core.m_options.m_ended_retention &&
            !pool.m_changes.contains(record.m_program) &&
@@ -38,16 +53,54 @@
 }
 
 auto IsStuck(const PendingCall& call, TimePoint now) -> bool {
-  const auto waits = call.m_state == CallState::kFetching ||
-                     call.m_state == CallState::kReserving ||
+  const auto waits = call.m_state == CallState::kReserving ||
                      call.m_state == CallState::kSettling ||
                      !call.m_ready.empty();
   return waits && now >= call.m_call.m_deadline;
 }
 
+/// Calls that wait for this host to be able to serve.
+auto ExpireWaiting(StepContext& step, PoolState& pool) -> void {
+  const auto busy = !pool.m_open.empty();
+  std::vector<CallRequest> expired;
+  std::erase_if(pool.m_waiting, [&](const CallRequest& call) {
+    const auto drain_stuck = step.m_core.m_draining && !busy &&
+                             step.m_now >= pool.m_quiet_since + kDrainPatience;
+    const auto late = step.m_now >= call.m_deadline || drain_stuck;
+    if (late) {
+      expired.push_back(call);
+    }
+    return late;
+  });
+  if (busy || pool.m_waiting.empty()) {
+    pool.m_quiet_since = step.m_now;
+  }
+  for (const auto& call : expired) {
+    RefuseArrival(step, pool, call,
+                  step.m_core.m_draining ? ReasonCode::kDraining
+                                         : ReasonCode::kDeadlineTooClose);
+  }
+}
+
 }  // namespace
 
+auto HasRoom(const HostCore& core) -> bool {
+  std::size_t count = 0;
+  for (const auto& [id, pool] : core.m_pools) {
+    count += pool.m_store.m_programs.size();
+  }
+  return count < static_cast<std::size_t>(core.m_options.m_max_programs);
+}
+
 auto TickCalls(StepContext& step, PoolState& pool) -> void {
+  ExpireWaiting(step, pool);
+  const auto patience = step.m_core.m_options.m_copy_retry * kFetchRetries;
+  for (auto& [request, call] : pool.m_calls) {
+    if (call.m_state == CallState::kFetching &&
+        step.m_now >= call.m_since + patience) {
+      ContinueFetched(step, pool, call);
+    }
+  }
   for (auto& [request, call] : pool.m_calls) {
     if (!IsStuck(call, step.m_now)) {
       continue;
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -8,6 +8,7 @@
 #include "core_route.h"
 #include "hold_ledger.h"
 #include "pool_takeover.h"
+#include "program_limits.h"
 
 namespace dotterelshed::pvt {
 
@@ -126,9 +127,7 @@
   if (entry != nullptr) {
     return entry;
   }
-  const auto limit =
-      static_cast<std::size_t>(step.m_core.m_options.m_max_programs);
-  if (pool.m_store.m_programs.size() >= limit) {
+  if (!HasRoom(step.m_core)) {
     return nullptr;
   }
   const ProgramRecord record{.m_program = call.m_program,
@@ -142,9 +141,11 @@
 auto JoinOpenCall(StepContext& step,
                   PoolState& pool,
                   PendingCall& call,
-                  const RequestId& open) -> void {
+                  const RequestId& open,
+                  bool same_history) -> void {
   auto& running = pool.m_calls.at(open);
-  const auto same_turn = call.m_call.m_turn == running.m_call.m_turn;
+  const auto same_turn =
+      same_history && call.m_call.m_turn == running.m_call.m_turn;
   if (!same_turn || !IsSameWork(call.m_call, running.m_call)) {
     RefuseSoon(step, pool, call, ReasonCode::kTurnOutOfOrder,
                "another call of the program is under way");
@@ -177,7 +178,9 @@
                 ProgramEntry& entry) -> void {
   const auto& request = call.m_call;
   const auto limits = ClassOf(step.m_core, request.m_class);
-  call.m_first = entry.m_record.m_tried < request.m_turn;
+  const auto tried = entry.m_record.m_tried >= request.m_turn;
+  call.m_first = !tried && !request.m_key;
+  call.m_may_have_run = tried;
   if (entry.m_record.m_ended) {
     Refuse(step, pool, call, ReasonCode::kProgramEnded, "the program is over");
     return;
@@ -193,8 +196,13 @@
                 "identical calls in a row; the program was ended");
     return;
   }
-  if (call.m_needs_claim &&
-      ServesProvisionally(step.m_core, pool, step.m_now)) {
+  const auto provisional = ServesProvisionally(step.m_core, pool, step.m_now);
+  if (provisional && entry.m_record.m_open) {
+    RefuseSoon(step, pool, call, ReasonCode::kNotOwner,
+               "the lost primary may still run a call of the program");
+    return;
+  }
+  if (call.m_needs_claim && provisional) {
     Refuse(step, pool, call, ReasonCode::kNoPlatform,
            "the call runs at most once and can't be claimed now");
     return;
@@ -225,6 +233,11 @@
                "the stored answer can't be confirmed now");
     return;
   }
+  if (pool.m_changes.contains(request.m_program)) {
+    RefuseSoon(step, pool, call, ReasonCode::kNotOwner,
+               "the stored answer is not confirmed yet");
+    return;
+  }
   AnswerFromRecord(step, pool, entry.m_record, turn, request.m_request);
   call.m_state = CallState::kReleased;
 }
@@ -254,14 +267,16 @@
   if (request.m_turn == Turn(0)) {
     request.m_turn = position.m_after.Next();
   }
+  auto* entry = FindProgram(pool.m_store, request.m_program);
   const auto open = pool.m_open.find(request.m_program);
   if (open != pool.m_open.end()) {
-    JoinOpenCall(step, pool, call, open->second);
+    const auto chain = ChainAt(entry->m_record, position.m_after);
+    JoinOpenCall(step, pool, call, open->second, chain == position.m_chain);
     return;
   }
-  auto* entry = FindProgram(pool.m_store, request.m_program);
+  const auto checked = step.m_core.m_options.m_mechanisms.m_check_token;
   const auto known =
-      position.m_after == Turn(0) ||
+      !checked || position.m_after == Turn(0) ||
       (entry != nullptr &&
        SelectHistory(*entry, position.m_after, position.m_chain));
   if (!known && !call.m_fetched) {
@@ -273,8 +288,13 @@
         WriteLog{LogEventId::kHistoryMismatch,
                  {{"program", request.m_program.value()},
                   {"turn", std::to_string(position.m_after.value())}}});
+    if (!call.m_fetch_from.empty()) {
+      RefuseSoon(step, pool, call, ReasonCode::kHomeUnreachable,
+                 "hosts that hold the program's history don't answer");
+      return;
+    }
     Refuse(step, pool, call, ReasonCode::kBadToken,
-           "the token's history is not on record; see m_retry_after");
+           "the token's history is not on record");
     return;
   }
   if (request.m_turn != position.m_after.Next()) {
@@ -347,19 +367,6 @@
   }
 }
 
-/// A call that arrived while this host can't serve the pool.
-auto RefuseArrival(StepContext& step,
-                   PoolState& pool,
-                   const CallRequest& request,
-                   ReasonCode reason) -> void {
-  PendingCall call{.m_call = request, .m_since = step.m_now};
-  call.m_needs_claim = NeedsClaim(request);
-  auto answer = MakeRefusal(call, reason, "ask again in a moment");
-  answer.m_retry_after = kSoon;
-  FillBudget(pool, request.m_root, answer);
-  FinishFor(step, request.m_request, answer);
-}
-
 auto BeginCall(StepContext& step, PoolState& pool, const CallRequest& request)
     -> void {
   if (pool.m_calls.contains(request.m_request)) {
@@ -369,9 +376,6 @@
   call.m_call = request;
   call.m_since = step.m_now;
   call.m_needs_claim = NeedsClaim(request);
-  if (call.m_needs_claim && !call.m_call.m_key) {
-    call.m_first = true;  // Confirmed or taken back in AcceptTurn.
-  }
   CheckCall(step, pool, call);
   ForgetReleased(pool);
 }
@@ -410,10 +414,26 @@
           .m_http_status = 0};
 }
 
+auto RefuseArrival(StepContext& step,
+                   PoolState& pool,
+                   const CallRequest& request,
+                   ReasonCode reason) -> void {
+  PendingCall call{.m_call = request, .m_since = step.m_now};
+  call.m_needs_claim = NeedsClaim(request);
+  auto answer = MakeRefusal(call, reason, "ask again in a moment");
+  answer.m_retry_after = kSoon;
+  FillBudget(pool, request.m_root, answer);
+  FinishFor(step, request.m_request, answer);
+}
+
 auto RefuseCall(StepContext& step,
                 PoolState& pool,
                 PendingCall& call,
                 const CallAnswer& answer) -> void {
+  if (step.m_core.m_call_chart.Find(call.m_state, CallEvent::kRefused) ==
+      nullptr) {
+    return;
+  }
   call.m_answer = answer;
   call.m_record_turn = false;
   AdvanceCall(step, pool, call, CallEvent::kRefused);
@@ -447,14 +467,21 @@
 }
 
 auto OnCallArrived(StepContext& step, const CallRequest& call) -> void {
-  const auto id = HomePool(step.m_core, call.m_root);
-  auto& pool = step.m_core.m_pools[id];
-  if (ServesCalls(step.m_core, pool, step.m_now)) {
+  const auto found = step.m_core.m_pools.find(
+      HomePool(step.m_core, call.m_root));
+  if (found == step.m_core.m_pools.end()) {
+    PoolState none;
+    RefuseArrival(step, none, call, ReasonCode::kNotOwner);
+    return;
+  }
+  auto& pool = found->second;
+  // While the host drains, its pools come to rest and are handed over.
+  const auto held = step.m_core.m_draining && pool.m_role != PoolRole::kHolder;
+  if (!held && ServesCalls(step.m_core, pool, step.m_now)) {
     BeginCall(step, pool, call);
     return;
   }
-  const auto taking_over =
-      pool.m_role == PoolRole::kCollecting || pool.m_role == PoolRole::kCopying;
+  const auto taking_over = pool.m_role >= PoolRole::kCollecting;
   const auto limit =
       static_cast<std::size_t>(step.m_core.m_options.m_max_queued_calls);
   if (taking_over && pool.m_waiting.size() < limit) {
--- a/src/libcore/turn_primary.h
+++ b/src/libcore/turn_primary.h
@@ -22,6 +22,12 @@
 auto OnAnswerAsked(StepContext& step, const AnswerAsked& event) -> void;
 auto OnProgramEndAsked(StepContext& step, const ProgramId& program) -> void;
 
+/// Refuses a call that this host can't serve now.
+auto RefuseArrival(StepContext& step,
+                   PoolState& pool,
+                   const CallRequest& request,
+                   ReasonCode reason) -> void;
+
 /// Takes calls that waited for the pool to be ready.
 auto ServeWaiting(StepContext& step, PoolState& pool) -> void;
 
