Say in the table since when a pool's primary is its primary

Terms are numbered over the whole domain, so that a pool's term may jump without another host having been its primary. A primary whose copy holder changed has to know that it stayed the primary all along: then it keeps the calls under way, else it drops them. Found when the random walk lost calls whenever two pools changed at once.

--- a/src/include/dotterelshed/membership_messages.h
+++ b/src/include/dotterelshed/membership_messages.h
@@ -64,6 +64,9 @@
 struct PoolAssignment {
   PoolId m_pool;
   Term m_term;
+  /// Term in which m_primary became the primary. While it stays the same, no
+  /// other host was the primary in between.
+  Term m_primary_since;
   HostRef m_primary;
   /// Empty host id while the pool has no copy holder.
   HostRef m_holder;
--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -217,6 +217,10 @@
         !SameOwners(pool, before->second)) {
       planned.m_highest_term = planned.m_highest_term.Next();
       pool.m_term = planned.m_highest_term;
+      const auto same = before != table.m_pools.end() &&
+                        before->second.m_primary == pool.m_primary;
+      pool.m_primary_since = same ? before->second.m_primary_since
+                                  : pool.m_term;
     }
   }
 }
--- a/src/libcore/pool_takeover.cc
+++ b/src/libcore/pool_takeover.cc
@@ -217,11 +217,10 @@
     return after.m_holder == self ? PoolEvent::kMadeHolder
                                   : PoolEvent::kMadeNone;
   }
-  // Terms in between might have had another primary.
   const auto& before = pool.m_assignment;
-  const auto successive = before.m_primary == self &&
-                          after.m_term.value() <= before.m_term.value() + 1;
-  return successive ? PoolEvent::kHolderChanged : PoolEvent::kMadePrimary;
+  const auto stayed = before.m_primary == self &&
+                      before.m_primary_since == after.m_primary_since;
+  return stayed ? PoolEvent::kHolderChanged : PoolEvent::kMadePrimary;
 }
 
 auto MergeReceived(StepContext& step,
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -45,6 +45,7 @@
   term @1 :Int64;
   primary @2 :HostRef;
   holder @3 :HostRef;
+  primarySince @4 :Int64;
 }
 
 struct MemberRecord {
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -102,7 +102,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(807546bf28bb6b27, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(807546bf28bb6b27, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -690,6 +690,8 @@
   inline bool hasHolder() const;
   inline  ::dotterelshed::schema::HostRef::Reader getHolder() const;
 
+  inline  ::int64_t getPrimarySince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -742,6 +744,9 @@
   inline void adoptHolder(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
   inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownHolder();
 
+  inline  ::int64_t getPrimarySince();
+  inline void setPrimarySince( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2199,6 +2204,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t PoolAssignment::Reader::getPrimarySince() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PoolAssignment::Builder::getPrimarySince() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PoolAssignment::Builder::setPrimarySince( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool MemberRecord::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -136,6 +136,7 @@
     -> void {
   out.setPool(value.m_pool.value().c_str());
   out.setTerm(value.m_term.value());
+  out.setPrimarySince(value.m_primary_since.value());
   Encode(value.m_primary, out.initPrimary());
   Encode(value.m_holder, out.initHolder());
 }
@@ -143,6 +144,7 @@
 auto Decode(schema::PoolAssignment::Reader in) -> PoolAssignment {
   return {.m_pool = PoolId(ToString(in.getPool())),
           .m_term = Term(in.getTerm()),
+          .m_primary_since = Term(in.getPrimarySince()),
           .m_primary = Decode(in.getPrimary()),
           .m_holder = Decode(in.getHolder())};
 }
--- a/src/libpeer/membership_codec_unittest.cc
+++ b/src/libpeer/membership_codec_unittest.cc
@@ -42,6 +42,7 @@
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
 
                                 .m_term = Term(9),
+                                .m_primary_since = Term(2),
                                 .m_primary = Ref("h1", 2),
                                 .m_holder = Ref("h2", 4)};
   table.m_members[HostId("h2")] = {
@@ -95,6 +96,7 @@
   const auto got = RoundTrip<schema::DomainDigest>(sent);
   REQUIRE(got.m_table);
   CHECK(got.m_table->m_pools.at(PoolId("p")).m_holder == Ref("h2", 4));
+  CHECK(got.m_table->m_pools.at(PoolId("p")).m_primary_since == Term(2));
   CHECK(got.m_table->m_members.at(HostId("h2")).m_addresses.m_peer ==
         "127.0.0.1:1");
   CHECK(got.m_table_base == sent.m_table_base);
--- a/src/libplatform/platform_codec.cc
+++ b/src/libplatform/platform_codec.cc
@@ -39,6 +39,7 @@
 
 auto ToJson(const PoolAssignment& pool) -> Json {
   return {{"term", pool.m_term.value()},
+          {"primary_since", pool.m_primary_since.value()},
           {"primary", ToJson(pool.m_primary)},
           {"holder", ToJson(pool.m_holder)}};
 }
@@ -46,6 +47,7 @@
 auto PoolFrom(const std::string& id, const Json& json) -> PoolAssignment {
   return {.m_pool = PoolId(id),
           .m_term = Term(json.at("term").get<std::int64_t>()),
+          .m_primary_since = Term(json.at("primary_since").get<std::int64_t>()),
           .m_primary = HostRefFrom(json.at("primary")),
           .m_holder = HostRefFrom(json.at("holder"))};
 }
--- a/src/libplatform/platform_codec_unittest.cc
+++ b/src/libplatform/platform_codec_unittest.cc
@@ -16,6 +16,7 @@
   table.m_pools[PoolId("p")] = {.m_pool = PoolId("p"),
 
                                 .m_term = Term(9),
+                                .m_primary_since = Term(7),
                                 .m_primary = Ref("h1", 2)};
   table.m_members[HostId("h1")] = {
       .m_incarnation = Incarnation(2),
@@ -25,6 +26,7 @@
   REQUIRE(got);
   CHECK(EncodeDomainTable(*got) == text);
   CHECK(got->m_pools.at(PoolId("p")).m_term == Term(9));
+  CHECK(got->m_pools.at(PoolId("p")).m_primary_since == Term(7));
   CHECK(got->m_pools.at(PoolId("p")).m_holder.m_host.empty());
   CHECK(got->m_members.at(HostId("h1")).m_addresses.m_http == "127.0.0.1:2");
 }
