--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -219,8 +219,8 @@
       pool.m_term = planned.m_highest_term;
       const auto same = before != table.m_pools.end() &&
                         before->second.m_primary == pool.m_primary;
-      pool.m_primary_since = same ? before->second.m_primary_since
-                                  : pool.m_term;
+      pool.m_primary_since =
+          same ? before->second.m_primary_since : pool.m_term;
     }
   }
 }
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -467,8 +467,8 @@
 }
 
 auto OnCallArrived(StepContext& step, const CallRequest& call) -> void {
-  const auto found = step.m_core.m_pools.find(
-      HomePool(step.m_core, call.m_root));
+  const auto found =
+      step.m_core.m_pools.find(HomePool(step.m_core, call.m_root));
   if (found == step.m_core.m_pools.end()) {
     PoolState none;
     RefuseArrival(step, none, call, ReasonCode::kNotOwner);
