--- a/bench/capacity_turns.cc
+++ b/bench/capacity_turns.cc
@@ -73,7 +73,8 @@
   return {std::to_string(costs.m_programs), std::to_string(costs.m_turns),
           std::to_string(answer_bytes),     Fixed(costs.m_primary_us, 1),
           Fixed(costs.m_holder_us, 1),      Fixed(costs.m_peer_messages, 2),
-          Fixed(costs.m_peer_bytes, 0),     Fixed(costs.m_program_bytes, 0)};
+          Fixed(costs.m_peer_bytes, 0),     Fixed(costs.m_program_bytes, 0),
+          Fixed(costs.m_tick_us, 1)};
 }
 
 auto Run() -> void {
