--- a/src/libconfig/settings_keys.cc
+++ b/src/libconfig/settings_keys.cc
@@ -94,7 +94,7 @@
      .m_min = 1,
      .m_max = 100000,
      .m_meaning = "Open requests of callers; each holds a thread. More are "
-                  "refused with 429."},
+                  "refused with 503."},
     {.m_path = "max_programs",
      .m_type = ValueType::kCount,
      .m_default = "100000",
