--- a/bench/capacity.cmake
+++ b/bench/capacity.cmake
@@ -8,7 +8,7 @@
 target_compile_definitions(dotterelshed_capacity PUBLIC
   DOTTERELSHED_CHARTS_DIR="${PROJECT_SOURCE_DIR}/src/charts")
 
-foreach(part turns control config lanes takeover streams)
+foreach(part turns control config lanes takeover streams peer)
   add_executable(capacity_${part} capacity_${part}.cc)
   target_link_libraries(capacity_${part} PRIVATE dotterelshed_capacity)
 endforeach()
--- a/bench/capacity_config.cc
+++ b/bench/capacity_config.cc
@@ -5,6 +5,8 @@
 
 #include "capacity_report.h"
 #include "dotterelshed/config_text.h"
+#include "dotterelshed/core.h"
+#include "dotterelshed/error.h"
 #include "rollout_diff.h"
 
 namespace dotterelshed::bench {
@@ -54,6 +56,27 @@
   return text + "] }";
 }
 
+/// Processor time of a host's core to take the next configuration.
+auto MeasureAdoption(const std::string& text, const std::string& next)
+    -> Duration {
+  const HostRef self{HostId("h"), Incarnation(1)};
+  const auto core = MakeCore({.m_self = self,
+                              .m_domain = DomainId("d0"),
+                              .m_charts_dir = DOTTERELSHED_CHARTS_DIR});
+  DOTTERELSHED_CHECK(core);
+  const TimePoint now{std::chrono::hours(1)};
+  const auto take = [&](const std::string& given, Generation generation) {
+    auto check = CheckConfigText(given, generation);
+    const auto config =
+        std::make_shared<const DeskConfig>(std::move(check.m_config));
+    const auto begin = ProcessorTime();
+    Step(**core, ConfigArrived{config, given}, now);
+    return ProcessorTime() - begin;
+  };
+  take(text, Generation(1));
+  return take(next, Generation(2));
+}
+
 auto Measure(const ConfigSize& size) -> std::vector<std::string> {
   constexpr auto kRounds = 10;
   const auto text = MakeText(size, 60);
@@ -79,6 +102,8 @@
           Fixed(static_cast<double>(text.size()) / 1024, 0),
           check.ok() ? "yes" : "no: " + check.m_problems.front().m_message,
           Fixed(ToSeconds(check_time) * 1000, 2),
+          check.ok() ? Fixed(ToSeconds(MeasureAdoption(text, next)) * 1000, 2)
+                     : "-",
           Fixed(static_cast<double>(bytes) / 1024, 0),
           std::to_string(difference.size()),
           Fixed(ToSeconds(diff_time) * 1000, 2)};
@@ -95,7 +120,7 @@
   PrintMarkdown(
       "One change of the text",
       {"endpoints", "accounts", "endpoints/entry", "text KiB", "accepted",
-       "check ms", "compiled KiB", "difference B", "difference ms"},
+       "check ms", "adopt ms", "compiled KiB", "difference B", "difference ms"},
       rows);
 }
 
--- a/bench/capacity_control.cc
+++ b/bench/capacity_control.cc
@@ -2,6 +2,7 @@
 // domain.
 #include "capacity_desk.h"
 #include "capacity_report.h"
+#include "dotterelshed/platform_codec.h"
 
 namespace dotterelshed::bench {
 namespace {
@@ -42,6 +43,8 @@
       static_cast<double>(platform) / static_cast<double>(kSpan.count()), 2));
   row.push_back(
       Fixed(static_cast<double>(BytesInUse() - before) / hosts / 1024, 0));
+  row.push_back(Fixed(
+      static_cast<double>(EncodeDomainTable(desk.m_table).size()) / 1024, 1));
   return row;
 }
 
@@ -54,7 +57,7 @@
       "At rest: tick 20 ms, heartbeat 500 ms, 37 endpoints a host",
       {"hosts", "pools", "lead % core", "lead msg/s", "lead B/s out",
        "lead B/s in", "member % core", "member msg/s", "member B/s out",
-       "member B/s in", "table calls/s of all", "KiB/host"},
+       "member B/s in", "table calls/s of all", "KiB/host", "table KiB"},
       rows);
 }
 
