--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -9,6 +9,7 @@
 
 #include "dotterelshed/call.h"
 #include "dotterelshed/desk_config.h"
+#include "dotterelshed/endpoint_chart.h"
 #include "dotterelshed/endpoint_types.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/turn_messages.h"
@@ -35,8 +36,13 @@
   bool m_hedging = true;
   bool m_early_refusal = true;
   bool m_retention = true;
+  bool m_warm_queues = true;
+  /// From LoadEndpointChart. Without it endpoints are never ejected.
+  std::shared_ptr<const EndpointChart> m_endpoint_chart;
   int m_max_queued = 20000;
   int m_max_quarantined = 1024;
+  /// Programs remembered between their calls; the longest idle go first.
+  int m_max_programs = 100000;
 };
 
 /// What the policy knows of a call before it runs.
@@ -53,6 +59,8 @@
   Digest m_content;
   TimePoint m_deadline;
   bool m_repeatable = true;
+  /// True when the caller announced the program's last call.
+  bool m_last = false;
   Duration m_expected_pause{0};
 };
 
@@ -71,6 +79,8 @@
   EndpointId m_endpoint;
   /// True for a second attempt beside a slow first one.
   bool m_hedge = false;
+  /// For engines that honour priorities; a lower number goes first.
+  int m_priority = 0;
   /// Prefix to keep after the call; empty for none.
   HoldId m_hold;
   /// Prefixes to free first, to make room.
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -42,10 +42,10 @@
 
 struct PoolAssignment {
   pool @0 :Text;
-  service @1 :Text;
-  term @2 :Int64;
-  primary @3 :HostRef;
-  holder @4 :HostRef;
+  term @1 :Int64;
+  primary @2 :HostRef;
+  holder @3 :HostRef;
+  primarySince @4 :Int64;
 }
 
 struct MemberRecord {
@@ -61,6 +61,8 @@
   lead @3 :HostRef;
   pools @4 :List(PoolAssignment);
   members @5 :List(MemberRecord);
+  generation @6 :Int64;
+  highestTerm @7 :Int64;
 }
 
 struct DomainDigest {
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -135,16 +135,16 @@
 auto Encode(const PoolAssignment& value, schema::PoolAssignment::Builder out)
     -> void {
   out.setPool(value.m_pool.value().c_str());
-  out.setService(value.m_service.value().c_str());
   out.setTerm(value.m_term.value());
+  out.setPrimarySince(value.m_primary_since.value());
   Encode(value.m_primary, out.initPrimary());
   Encode(value.m_holder, out.initHolder());
 }
 
 auto Decode(schema::PoolAssignment::Reader in) -> PoolAssignment {
   return {.m_pool = PoolId(ToString(in.getPool())),
-          .m_service = ServiceId(ToString(in.getService())),
           .m_term = Term(in.getTerm()),
+          .m_primary_since = Term(in.getPrimarySince()),
           .m_primary = Decode(in.getPrimary()),
           .m_holder = Decode(in.getHolder())};
 }
@@ -155,6 +155,8 @@
   out.setVersion(value.m_version.value());
   out.setLeadTerm(value.m_lead_term.value());
   Encode(value.m_lead, out.initLead());
+  out.setGeneration(value.m_generation.value());
+  out.setHighestTerm(value.m_highest_term.value());
   EncodePools(value, out);
   EncodeMembers(value, out);
 }
@@ -165,6 +167,8 @@
   table.m_version = ResourceVersion(in.getVersion());
   table.m_lead_term = Term(in.getLeadTerm());
   table.m_lead = Decode(in.getLead());
+  table.m_generation = Generation(in.getGeneration());
+  table.m_highest_term = Term(in.getHighestTerm());
   for (const auto pool : in.getPools()) {
     auto assignment = Decode(pool);
     const auto id = assignment.m_pool;
