--- /dev/null
+++ b/testsuite/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Drives dotterelshed and its stand-ins as separate processes."""
