Add dotterelctl resolve for calls whose outcome a person found out

Claims without a result are never sealed and so fill their lane's object for ever; nobody could take them out. A person states done, failed or not_run; the command writes it by conditional update, and refuses while the call may still run.

--- a/bench/capacity_config.cc
+++ b/bench/capacity_config.cc
@@ -114,6 +114,7 @@
       {50, 6, 1},      {1200, 580, 1},   {4000, 1900, 1},  {12000, 5800, 1},
       {1280, 580, 64}, {3840, 1900, 64}, {12032, 5800, 64}};
   std::vector<std::vector<std::string>> rows;
+  rows.reserve(sizes.size());
   for (const auto& size : sizes) {
     rows.push_back(Measure(size));
   }
--- a/bench/capacity_turns.cc
+++ b/bench/capacity_turns.cc
@@ -87,6 +87,7 @@
       {500, 2, 1024},  {2000, 2, 1024}, {8000, 2, 1024}, {500, 8, 1024},
       {500, 32, 1024}, {500, 64, 1024}, {500, 8, 256},   {500, 8, 4096}};
   std::vector<std::vector<std::string>> rows;
+  rows.reserve(sizes.size());
   for (const auto& size : sizes) {
     rows.push_back(
         Row(Measure(size.m_programs, size.m_turns, size.m_answer_bytes),
--- a/src/dotterelctl/command.h
+++ b/src/dotterelctl/command.h
@@ -31,6 +31,8 @@
   std::int64_t m_base = 0;
   /// Longest wait; each command has a default of its own.
   std::optional<Duration> m_wait;
+  /// Outcome that a person states for a call.
+  std::string m_outcome;
   bool m_json = false;
   bool m_all = false;
   bool m_markdown = false;
@@ -76,6 +78,8 @@
     -> ExitCode;
 auto RunActions(const CommandOptions& options, const CommandOutput& output)
     -> ExitCode;
+auto RunResolve(const CommandOptions& options, const CommandOutput& output)
+    -> ExitCode;
 auto RunReference(const CommandOptions& options, const CommandOutput& output)
     -> ExitCode;
 auto RunEvents(const CommandOptions& options, const CommandOutput& output)
--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -29,6 +29,8 @@
      "stop one host without cutting anything off", RunDrain},
     {"actions", "", "platform all json",
      "list non-idempotent calls without a result", RunActions},
+    {"resolve", "KEY", "platform outcome json",
+     "record what became of a call whose outcome is unknown", RunResolve},
     {"reference", "PAGE", "",
      "print the reference of the text or of the settings", RunReference},
     {"events", "", "metrics markdown json",
@@ -46,8 +48,10 @@
       "generation that the text was edited from")(
       "wait", po::value<double>(),
       "longest wait in seconds (default: apply 10, drain 60)")(
-      "json", "print JSON")("all", "list also what needs nobody")(
-      "markdown", "print the page of the docs")(
+      "outcome", po::value<std::string>(),
+      "what became of the call: done, failed or not_run")("json", "print JSON")(
+      "all", "list also what needs nobody")("markdown",
+                                            "print the page of the docs")(
       "metrics", "metrics instead of log events");
   return all;
 }
@@ -69,6 +73,9 @@
   if (values.contains("wait")) {
     options.m_wait = FromSeconds(values["wait"].as<double>());
   }
+  if (values.contains("outcome")) {
+    options.m_outcome = values["outcome"].as<std::string>();
+  }
   options.m_json = values.contains("json");
   options.m_all = values.contains("all");
   options.m_markdown = values.contains("markdown");
--- a/src/dotterelctl/desk_store.cc
+++ b/src/dotterelctl/desk_store.cc
@@ -27,6 +27,9 @@
       return Fail(value.error().m_code, value.error().m_message,
                   object.m_kind + "/" + object.m_name);
     }
+    if constexpr (requires { value->m_version; }) {
+      value->m_version = object.m_version;
+    }
     values.push_back(std::move(*value));
   }
   return values;
@@ -85,9 +88,14 @@
   return ReadAllOf<DomainTable>(platform, kDomainTableKind, DecodeDomainTable);
 }
 
+auto ReadLanes(const PlatformOptions& platform)
+    -> Result<std::vector<LaneObject>> {
+  return ReadAllOf<LaneObject>(platform, kLaneKind, DecodeLane);
+}
+
 auto ReadClaims(const PlatformOptions& platform, bool all)
     -> Result<std::vector<ClaimRecord>> {
-  const auto lanes = ReadAllOf<LaneObject>(platform, kLaneKind, DecodeLane);
+  const auto lanes = ReadLanes(platform);
   if (!lanes) {
     return tl::unexpected<Error>(lanes.error());
   }
--- a/src/dotterelctl/desk_store.h
+++ b/src/dotterelctl/desk_store.h
@@ -41,6 +41,10 @@
 auto ReadTables(const PlatformOptions& platform)
     -> Result<std::vector<DomainTable>>;
 
+/// Every lane with its version.
+auto ReadLanes(const PlatformOptions& platform)
+    -> Result<std::vector<LaneObject>>;
+
 /// Claims of non-idempotent calls without a result, or all of them, oldest
 /// first. A claim whose call is still running has no result either.
 auto ReadClaims(const PlatformOptions& platform, bool all)
