--- a/testsuite/harness/caller.py
+++ b/testsuite/harness/caller.py
@@ -3,6 +3,7 @@
 import json
 
 from harness import http_client
+from harness.waiting import wait_for
 
 PREFIX = "X-Dotterelshed-"
 
@@ -185,3 +186,35 @@
 def stream(host, messages, **options):
     """A whole streamed call."""
     return Stream(host, messages, **options).read_all()
+
+
+def until_done(call, hosts, limit_s=40):
+    """Repeats call(host) over hosts, as a caller would, until it is done.
+
+    Only refusals that say that nothing ran are repeated; a caller with one
+    request id may repeat any other failure as well by passing the same id.
+    """
+    tries = []
+
+    def attempt():
+        host = hosts[len(tries) % len(hosts)]
+        try:
+            answer = call(host)
+        except OSError as error:
+            tries.append(error)
+            return None
+        tries.append(answer)
+        return answer if answer.done else None
+
+    try:
+        return wait_for(attempt, "the call is done", limit_s)
+    except AssertionError as error:
+        raise AssertionError(f"{error}; last: {tries[-3:]}") from error
+
+
+def expected_text(engine, messages, model="hydro", max_tokens=4000):
+    """What the engines answer to these messages: the same text always."""
+    reply = http_client.request(
+        engine.http, "POST", "/v1/chat/completions",
+        chat_body(messages, model, max_tokens=max_tokens))
+    return reply.json()["choices"][0]["message"]["content"]
--- /dev/null
+++ b/testsuite/repeated_request_id/run.py
@@ -0,0 +1,41 @@
+#!/usr/bin/env python3
+"""Each caller gets the answer to its own request: late and duplicate requests with one id run once and get one answer, on any host."""
+
+import os
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+# pylint: disable=wrong-import-position
+import concurrent.futures
+
+from harness import caller
+from harness.case import run_case
+
+
+def main(case):
+    desk = case.desk(engine_args=["--token-rate", "60"]).start()
+    question = "TOKENS 30 once only"
+
+    def ask(host):
+        return caller.chat(host, question, request="same-id-1")
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        answers = list(pool.map(ask, desk.hosts_in("nord") * 3))
+    answers += [ask(host) for host in desk.hosts_in("nord")]
+    texts = {a.text for a in answers}
+    assert all(a.done for a in answers), answers
+    assert len(texts) == 1, texts
+    assert len({a.turn for a in answers}) == 1, answers
+    assert len({a.program for a in answers}) == 1, answers
+    assert len(desk.runs(desk.engines)) == 1, desk.runs(desk.engines)
+    for host in desk.hosts:
+        again = caller.ask_again(host, "same-id-1")
+        assert again.done and again.text in texts, again
+    other = caller.chat(desk.hosts[0], "Something else.", request="same-id-1")
+    assert other.status == 409, other
+    missing = caller.ask_again(desk.hosts[0], "never-asked")
+    assert missing.status == 404, missing
+
+
+if __name__ == "__main__":
+    run_case(main)
