Walk at random over three cores, and mend what the walks broke

Three real cores, a fake platform with conditional updates and outages, fake endpoints and a lossy network; crashes, pauses, cuts and outages. After each step the walk checks order, whole chains, budgets, single answers, single runs of non-idempotent calls, truthful not_run, and freed memory at the end.

--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -157,6 +157,7 @@
 auto ConfirmChange(StepContext& step, PoolState& pool, const ProgramId& program)
     -> void {
   pool.m_changes.erase(program);
+  pool.m_store.m_programs.at(program).m_confirmed_by = pool.m_target;
   const auto open = pool.m_open.find(program);
   if (open == pool.m_open.end()) {
     return;
@@ -191,6 +192,49 @@
   }
 }
 
+/// Turns that the lost copy holder did not confirm are confirmed by a spare or
+/// by nobody, and may have another answer when it is back.
+auto MarkProvisional(PoolState& pool) -> void {
+  for (auto& [program, change] : pool.m_changes) {
+    auto* append = std::get_if<AppendRequest>(&change.m_message);
+    if (append == nullptr || !append->m_record) {
+      continue;
+    }
+    append->m_record->m_provisional = true;
+    auto& turns = pool.m_store.m_programs.at(program).m_record.m_turns;
+    turns.back().m_provisional = true;
+    const auto open = pool.m_open.find(program);
+    if (open != pool.m_open.end()) {
+      pool.m_calls.at(open->second).m_answer->m_provisional = true;
+    }
+  }
+}
+
+/// A copy holder has told of spending that leaves no room for a reservation
+/// that it has not confirmed: the call is refused, or its retry waits.
+auto RefuseUnaffordable(StepContext& step,
+                        PoolState& pool,
+                        const ProgramId& program) -> bool {
+  const auto& change = pool.m_changes.at(program);
+  const auto* reserve = std::get_if<ReserveRequest>(&change.m_message);
+  if (reserve == nullptr || reserve->m_reservation.m_from_escrow) {
+    return false;
+  }
+  const auto& root = pool.m_store.m_programs.at(program).m_record.m_root;
+  const auto& ledger = pool.m_store.m_ledgers.at(root);
+  const auto total = Committed(ledger) + OpenInTree(pool.m_store, root);
+  if (total <= ledger.m_budget) {
+    return false;
+  }
+  auto& call = pool.m_calls.at(pool.m_open.at(program));
+  if (call.m_state == CallState::kReserving) {
+    RefuseCall(step, pool, call,
+               MakeRefusal(call, ReasonCode::kBudgetExceeded,
+                           "the budget does not hold the bound of this call"));
+  }
+  return true;
+}
+
 /// True for a raised reservation that only the lost copy holder may confirm.
 auto AwaitsHolder(const PoolState& pool, const PendingChange& change) -> bool {
   const auto* reserve = std::get_if<ReserveRequest>(&change.m_message);
@@ -222,8 +266,13 @@
   if (reply.m_accepted) {
     ConfirmChange(step, pool, reply.m_program);
     ForgetReleased(pool);
-  } else {
-    // The holder's history differs from ours: bring it up to date first.
+    return;
+  }
+  // The holder's history differs from ours: bring it up to date first.
+  auto& copied = change->second.m_copied;
+  const auto retry = step.m_core.m_options.m_copy_retry;
+  if (!copied || step.m_now >= *copied + retry) {
+    copied = step.m_now;
     CopyProgram(step, pool, reply.m_program);
   }
 }
@@ -294,12 +343,12 @@
     record.m_ended = record.m_ended || call.m_call.m_end_program;
   }
   Touch(core, pool, record);
-  if (record.m_ended) {
-    ReleaseProgramHolds(step, pool, entry);
-  }
   pool.m_changes[record.m_program] = {
       .m_message = MakeAppend(core, pool, record, previous, turn)};
   SendChange(step, pool, record.m_program);
+  if (record.m_ended) {
+    EndTree(step, pool, record.m_program);
+  }
 }
 
 auto EndProgramRecord(StepContext& step, PoolState& pool, ProgramEntry& entry)
@@ -311,6 +360,21 @@
   }
 }
 
+auto EndTree(StepContext& step, PoolState& pool, const ProgramId& program)
+    -> void {
+  const auto tree = pool.m_store.m_trees.find(program);
+  std::set<ProgramId> members{program};
+  if (tree != pool.m_store.m_trees.end()) {
+    members.insert(tree->second.begin(), tree->second.end());
+  }
+  for (const auto& member : members) {
+    if (auto* entry = FindProgram(pool.m_store, member); entry != nullptr) {
+      EndProgramRecord(step, pool, *entry);
+      ReleaseProgramHolds(step, pool, *entry);
+    }
+  }
+}
+
 auto ShareProgram(StepContext& step, PoolState& pool, ProgramEntry& entry)
     -> void {
   auto& record = entry.m_record;
@@ -331,7 +395,8 @@
   if (found == pool.m_changes.end()) {
     return;
   }
-  if (AwaitsHolder(pool, found->second)) {
+  if (AwaitsHolder(pool, found->second) ||
+      RefuseUnaffordable(step, pool, program)) {
     return;
   }
   if (pool.m_mode == CopyMode::kAlone) {
@@ -341,8 +406,19 @@
   auto& change = found->second;
   change.m_sent = step.m_now;
   const auto term = pool.m_assignment.m_term;
-  std::visit([term](auto& message) { message.m_term = term; },
-             change.m_message);
+  const auto& ledger = pool.m_store.m_ledgers.at(
+      pool.m_store.m_programs.at(program).m_record.m_root);
+  std::visit(
+      [term, &ledger](auto& message) {
+        message.m_term = term;
+        message.m_ledger = ledger;
+      },
+      change.m_message);
+  if (auto* append = std::get_if<AppendRequest>(&change.m_message);
+      append != nullptr && !append->m_record) {
+    append->m_previous_chain =
+        ChainEnd(pool.m_store.m_programs.at(program).m_record);
+  }
   step.m_out.push_back(std::visit(
       [&pool](const auto& message) {
         return SendPeer{pool.m_target.m_host, message};
@@ -405,6 +481,7 @@
     return;
   }
   if (lost_holder && mode != CopyMode::kHolder) {
+    MarkProvisional(pool);
     MoveReservationsToEscrow(step, pool);
   }
   SendAllChanges(step, pool);
--- a/src/libcore/change_log.h
+++ b/src/libcore/change_log.h
@@ -25,6 +25,11 @@
 auto EndProgramRecord(StepContext& step, PoolState& pool, ProgramEntry& entry)
     -> void;
 
+/// Ends @p program and, if it is a root, its sub-agents, and frees the engine
+/// memory kept for them.
+auto EndTree(StepContext& step, PoolState& pool, const ProgramId& program)
+    -> void;
+
 /// Sends a program's pending change, or takes it as confirmed when there is
 /// nobody to ask.
 auto SendChange(StepContext& step, PoolState& pool, const ProgramId& program)
--- a/src/libcore/copy_holder.cc
+++ b/src/libcore/copy_holder.cc
@@ -59,13 +59,17 @@
 
 /// Where a change stands in the order of changes of its program.
 auto OrderOf(const ProgramRecord& record,
+             const HostRef& self,
              const HostRef& from,
              Term term,
              std::int64_t sequence) -> Order {
-  if (record.m_writer != from || record.m_term != term) {
-    const auto same_term = record.m_term == term && record.m_open.has_value();
-    return same_term ? Order::kForeign : Order::kNew;
+  if (record.m_writer != from) {
+    const auto foreign = record.m_term == term && record.m_open &&
+                         record.m_open->m_host != self &&
+                         record.m_open->m_host != from;
+    return foreign ? Order::kForeign : Order::kNew;
   }
+  // A primary that stays goes on counting in its next term.
   if (sequence == record.m_sequence) {
     return Order::kRepeat;
   }
@@ -96,7 +100,8 @@
   }
   auto& record = entry->m_record;
   const auto order =
-      OrderOf(record, message.m_from, message.m_term, message.m_sequence);
+      OrderOf(record, step.m_core.m_options.m_self, message.m_from,
+              message.m_term, message.m_sequence);
   if (order == Order::kRepeat || order == Order::kOld) {
     return order == Order::kRepeat;
   }
@@ -121,19 +126,25 @@
   }
   auto& record = entry->m_record;
   const auto order =
-      OrderOf(record, message.m_from, message.m_term, message.m_sequence);
+      OrderOf(record, step.m_core.m_options.m_self, message.m_from,
+              message.m_term, message.m_sequence);
   if (order == Order::kRepeat || order == Order::kOld) {
     return order == Order::kRepeat;
   }
+  // A copy of the whole program may have brought the turn already.
+  const auto known =
+      message.m_record && ChainEnd(record) == message.m_record->m_chain;
   if (order == Order::kForeign ||
-      ChainEnd(record) != message.m_previous_chain) {
+      (!known && ChainEnd(record) != message.m_previous_chain)) {
     return false;
   }
   Stamp(record, message);
-  record.m_open.reset();
+  if (record.m_open && record.m_open->m_host == message.m_from) {
+    record.m_open.reset();
+  }
   record.m_holds = message.m_holds;
   record.m_ended = record.m_ended || message.m_ended;
-  if (message.m_record) {
+  if (message.m_record && !known) {
     record.m_turns.push_back(*message.m_record);
     TrimAnswers(record, step.m_core.m_options.m_max_stored_answers);
   }
--- /dev/null
+++ b/src/libcore/core_walk.h
@@ -0,0 +1,167 @@
+#ifndef DOTTERELSHED_LIBCORE_CORE_WALK_H_
+#define DOTTERELSHED_LIBCORE_CORE_WALK_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <pcg_random.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core_state.h"
+
+/// @file
+/// Random walks over several cores with a fake platform, fake endpoints and a
+/// network that loses, doubles, delays and reorders. Each step checks the
+/// promises to callers. For tests.
+
+namespace dotterelshed::walk {
+
+/// Bound of what one attempt costs.
+inline constexpr std::int64_t kBound = 100;
+
+struct WalkOptions {
+  std::uint64_t m_seed = 1;
+  int m_hosts = 3;
+  int m_steps = 4000;
+  int m_programs = 3;
+  /// Chance per thousand steps of one fault.
+  int m_faults = 6;
+  /// Budget of a root program, in bounds of one call.
+  int m_budget_calls = 14;
+  CoreMechanisms m_mechanisms;
+};
+
+struct WalkResult {
+  /// What broke; empty if everything held.
+  std::string m_violation;
+  int m_answers = 0;
+  int m_provisional = 0;
+  int m_runs = 0;
+  int m_crashes = 0;
+  int m_outages = 0;
+  int m_pauses = 0;
+};
+
+/// Runs one walk.
+auto RunWalk(const WalkOptions& options) -> WalkResult;
+
+/// One host: its core, and what faults made of it.
+struct WalkHost {
+  HostRef m_ref;
+  std::shared_ptr<HostCore> m_core;
+  TimePoint m_next_tick;
+  TimePoint m_paused_until;
+  TimePoint m_down_until;
+  bool m_lead_duty = false;
+};
+
+/// A message under way, or an event that a host will get.
+struct WalkDelivery {
+  HostId m_to;
+  /// Events are for this start of the host only; messages for any.
+  std::optional<Incarnation> m_incarnation;
+  Event m_event;
+};
+
+/// One thing that a host asked of the world outside.
+struct WalkRequest {
+  HostRef m_from;
+  Effect m_effect;
+};
+
+/// One caller with one program.
+struct WalkCaller {
+  ProgramId m_program;
+  ProgramId m_root;
+  std::optional<ContinuationToken> m_token;
+  Turn m_turn{1};
+  /// Requests sent for the turn, the last one is waited for.
+  std::vector<RequestId> m_requests;
+  TimePoint m_sent;
+  bool m_waiting = false;
+  bool m_run_once = false;
+  bool m_over = false;
+};
+
+/// The world of one walk. Tests may drive it by hand as well.
+class World {
+ public:
+  explicit World(const WalkOptions& options);
+
+  /// One random step.
+  auto StepOnce() -> void;
+  /// Ends faults, lets callers go on and checks what must hold at the end.
+  auto Finish() -> void;
+  auto result() const -> const WalkResult& { return m_result; }
+
+  auto Start(WalkHost& host) -> void;
+  auto Give(WalkHost& host, const Event& event) -> void;
+  auto Crash(WalkHost& host) -> void;
+
+ private:
+  auto Roll(int sides) -> int;
+  auto Violate(const std::string& what) -> void;
+  auto IsUp(const WalkHost& host) const -> bool;
+  auto AllUp() const -> bool;
+  auto Find(const HostId& host) -> WalkHost&;
+  auto TickHosts() -> void;
+  auto Deliver() -> void;
+  auto Serve() -> void;
+  auto Inject() -> void;
+  auto CallersAct() -> void;
+  auto EndProgram(const ProgramId& program) -> void;
+  auto Send(WalkCaller& caller) -> void;
+  auto Perform(const WalkRequest& request) -> void;
+  auto Reply(const HostRef& host, const Event& event) -> void;
+  auto TakeEffect(WalkHost& host, const Effect& effect) -> void;
+  auto RunAtEndpoint(const HostRef& from, const StartAttempt& start) -> void;
+  auto TakeAnswer(const CallAnswer& answer) -> void;
+  auto CheckAnswer(const WalkCaller& caller, const CallAnswer& answer) -> void;
+  auto CheckCopies(const CallAnswer& answer) -> void;
+  auto CopiesOf(const ProgramId& program, Turn turn, const Digest& chain)
+      -> std::set<HostId>;
+  auto MayFail(const WalkHost& victim) -> bool;
+  auto KnownSpent(const HostId& host, const ProgramId& root) -> Cost;
+  auto ReadOrPutTable(const HostRef& from, const DomainTable* put) -> void;
+  auto ReadOrPutLane(const HostRef& from,
+                     const LaneId& id,
+                     const LaneObject* put) -> void;
+
+  WalkOptions m_options;
+  pcg32 m_random;
+  WalkResult m_result;
+  TimePoint m_now{std::chrono::seconds(1)};
+  std::shared_ptr<const DeskConfig> m_config;
+  std::map<HostId, WalkHost> m_hosts;
+  std::vector<WalkDelivery> m_bag;
+  std::vector<WalkRequest> m_requests;
+  std::vector<WalkCaller> m_callers;
+  std::set<std::pair<HostId, HostId>> m_cut;
+  TimePoint m_cut_until;
+  TimePoint m_outage_until;
+  TimePoint m_last_crash;
+  bool m_calm = false;
+  int m_next_request = 1;
+
+  DomainTable m_table;
+  std::map<LaneId, LaneObject> m_lanes;
+  std::map<EndpointId, std::map<HoldId, HoldRecord>> m_held;
+  std::set<AttemptId> m_cancelled;
+  std::map<RequestId, int> m_runs_by_request;
+  std::map<std::string, int> m_runs_by_key;
+  std::map<ProgramId, Cost> m_spent;
+  std::set<RequestId> m_not_run;
+  struct Released {
+    std::string m_body;
+    bool m_provisional = false;
+  };
+  std::map<std::pair<ProgramId, Turn>, Released> m_released;
+  std::map<ProgramId, ContinuationToken> m_last_token;
+};
+
+}  // namespace dotterelshed::walk
+
+#endif  // DOTTERELSHED_LIBCORE_CORE_WALK_H_
--- /dev/null
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -0,0 +1,281 @@
+#include <algorithm>
+
+#include "budget_ledger.h"
+#include "core_walk.h"
+
+// Callers of a walk and the checks of what they get; see core_walk.h.
+
+namespace dotterelshed::walk {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kCallTimeout = milliseconds(400);
+constexpr auto kDeadline = milliseconds(1500);
+
+auto ContentOf(const WalkCaller& caller) -> Digest {
+  return Digest(caller.m_program.value() + "#" +
+                std::to_string(caller.m_turn.value()));
+}
+
+}  // namespace
+
+auto World::Send(WalkCaller& caller) -> void {
+  auto host =
+      std::next(m_hosts.begin(), Roll(static_cast<int>(m_hosts.size())));
+  if (!IsUp(host->second)) {
+    return;
+  }
+  CallRequest call{
+      .m_request = RequestId("r" + std::to_string(m_next_request++)),
+      .m_program = caller.m_program,
+      .m_root = caller.m_root,
+      .m_turn = caller.m_turn,
+      .m_token = caller.m_token,
+      .m_class = ClassId("any"),
+      .m_content = ContentOf(caller),
+      .m_max_tokens = Tokens(10),
+      .m_cost_bound = Cost(kBound),
+      .m_deadline = m_now + kDeadline};
+  call.m_service = ServiceId("chat");
+  if (caller.m_run_once) {
+    call.m_kind = ServiceKind::kPlain;
+    call.m_service = ServiceId("book");
+    call.m_repeatable = false;
+    if (caller.m_turn.value() % 2 == 0) {
+      call.m_key = IdempotencyKey("key-" + call.m_content.value());
+    }
+  }
+  const auto route = RouteCall(*host->second.m_core, call, m_now);
+  if (route.m_kind == Route::Kind::kRefuse) {
+    return;
+  }
+  caller.m_requests.push_back(call.m_request);
+  caller.m_sent = m_now;
+  caller.m_waiting = true;
+  const auto to =
+      route.m_kind == Route::Kind::kLocal ? host->first : route.m_host;
+  if (!m_cut.contains({host->first, to})) {
+    m_bag.push_back({to, std::nullopt, CallArrived{call}});
+  }
+}
+
+auto World::CallersAct() -> void {
+  auto& caller = m_callers[static_cast<std::size_t>(
+      Roll(static_cast<int>(m_callers.size())))];
+  const auto patient = caller.m_waiting && m_now < caller.m_sent + kCallTimeout;
+  if (!caller.m_over && !patient) {
+    Send(caller);
+  }
+}
+
+auto World::TakeAnswer(const CallAnswer& answer) -> void {
+  const auto found = std::find_if(m_callers.begin(), m_callers.end(),
+                                  [&answer](const WalkCaller& caller) {
+                                    return caller.m_program == answer.m_program;
+                                  });
+  if (found == m_callers.end()) {
+    Violate("answer to nobody: " + answer.m_request.value());
+    return;
+  }
+  auto& caller = *found;
+  if (answer.m_outcome == OutcomeKind::kNotRun) {
+    m_not_run.insert(answer.m_request);
+    if (m_runs_by_request[answer.m_request] > 0) {
+      Violate("not_run, but it ran: " + answer.m_request.value());
+    }
+  }
+  CheckAnswer(caller, answer);
+  CheckCopies(answer);
+  const auto current =
+      !caller.m_requests.empty() &&
+      std::find(caller.m_requests.begin(), caller.m_requests.end(),
+                answer.m_request) != caller.m_requests.end();
+  if (!current || (!m_calm && Roll(10) == 0)) {
+    return;  // Late, or lost on the way to the caller.
+  }
+  caller.m_waiting = false;
+  caller.m_over = answer.m_reason == ReasonCode::kBudgetExceeded ||
+                  answer.m_reason == ReasonCode::kQuarantined;
+  if (!answer.m_token) {
+    return;
+  }
+  ++m_result.m_answers;
+  m_result.m_provisional += answer.m_provisional ? 1 : 0;
+  caller.m_token = answer.m_token;
+  caller.m_turn = caller.m_turn.Next();
+  caller.m_requests.clear();
+  caller.m_run_once = Roll(5) == 0;
+}
+
+auto World::CheckAnswer(const WalkCaller& caller, const CallAnswer& answer)
+    -> void {
+  if (!answer.m_token) {
+    return;
+  }
+  const auto content =
+      caller.m_program.value() + "#" + std::to_string(answer.m_turn.value());
+  const auto whole = answer.m_body.rfind(content + "@", 0) == 0;
+  if (answer.m_outcome == OutcomeKind::kDone && !whole) {
+    Violate("wrong answer: " + answer.m_body + " for " + content);
+  }
+  auto& last = m_last_token[answer.m_program];
+  if (last.m_turn <= answer.m_turn) {
+    last = *answer.m_token;
+  }
+  auto& released = m_released[{answer.m_program, answer.m_turn}];
+  const auto first = released.m_body.empty();
+  const auto provisional = released.m_provisional || answer.m_provisional;
+  if (!first && released.m_body != answer.m_body && !provisional) {
+    Violate("two answers for " + content);
+  }
+  released = {answer.m_body, provisional};
+}
+
+auto World::CopiesOf(const ProgramId& program, Turn turn, const Digest& chain)
+    -> std::set<HostId> {
+  std::set<HostId> copies;
+  for (auto& [id, host] : m_hosts) {
+    if (host.m_core == nullptr) {
+      continue;
+    }
+    for (auto& [pool_id, pool] : host.m_core->m_pools) {
+      auto* entry = pvt::FindProgram(pool.m_store, program);
+      if (entry == nullptr) {
+        continue;
+      }
+      auto histories = entry->m_branches;
+      histories.push_back(entry->m_record);
+      for (const auto& history : histories) {
+        if (pvt::ChainAt(history, turn) == chain) {
+          copies.insert(id);
+        }
+      }
+    }
+  }
+  return copies;
+}
+
+auto World::CheckCopies(const CallAnswer& answer) -> void {
+  if (!answer.m_token || answer.m_provisional ||
+      answer.m_token->m_holders.size() < 2) {
+    return;
+  }
+  // A holder that crashed just now counts: it had the turn when it said so.
+  const auto& holders = answer.m_token->m_holders;
+  const auto crashed = std::any_of(holders.begin(), holders.end(),
+                                   [this](const HostRef& holder) {
+                                     return Find(holder.m_host).m_ref != holder;
+                                   });
+  const auto copies =
+      CopiesOf(answer.m_program, answer.m_turn, answer.m_token->m_chain);
+  if (copies.size() + (crashed ? 1 : 0) < 2) {
+    Violate("released with one copy: " + answer.m_request.value());
+  }
+}
+
+auto World::MayFail(const WalkHost& victim) -> bool {
+  // A pool is on two hosts, so that one of them may fail, and the next one
+  // when the pool is on two hosts again. Outages come on top at any time.
+  std::set<HostId> others;
+  for (const auto& [id, host] : m_hosts) {
+    if (IsUp(host) && id != victim.m_ref.m_host) {
+      others.insert(id);
+    }
+  }
+  const auto kept = [&](const WalkCaller& caller) {
+    const auto known = m_last_token.find(caller.m_program);
+    const auto needed = known != m_last_token.end();
+    const auto copies =
+        needed ? CopiesOf(known->second.m_program, known->second.m_turn,
+                          known->second.m_chain)
+               : std::set<HostId>();
+    return std::any_of(others.begin(), others.end(), [&](const HostId& host) {
+      return (!needed || copies.contains(host)) &&
+             KnownSpent(host, caller.m_root) >= m_spent[caller.m_root];
+    });
+  };
+  return m_cut.empty() && std::all_of(m_callers.begin(), m_callers.end(), kept);
+}
+
+auto World::KnownSpent(const HostId& host, const ProgramId& root) -> Cost {
+  Cost known;
+  for (auto& [id, pool] : Find(host).m_core->m_pools) {
+    const auto ledger = pool.m_store.m_ledgers.find(root);
+    if (ledger != pool.m_store.m_ledgers.end()) {
+      known = pvt::TotalSpent(ledger->second);
+    }
+    for (const auto& program : pool.m_store.m_trees[root]) {
+      const auto& open = pool.m_store.m_programs.at(program).m_record.m_open;
+      known += open ? open->m_amount : Cost(0);
+    }
+  }
+  return known;
+}
+
+auto World::EndProgram(const ProgramId& program) -> void {
+  for (auto& [id, host] : m_hosts) {
+    if (IsUp(host)) {
+      Give(host, ProgramEndAsked{program});
+    }
+  }
+}
+
+auto World::Finish() -> void {
+  m_calm = true;
+  m_cut.clear();
+  m_outage_until = m_now;
+  for (auto& [id, host] : m_hosts) {
+    host.m_paused_until = m_now;
+    host.m_down_until = m_now;
+  }
+  std::map<ProgramId, Turn> before;
+  for (const auto& caller : m_callers) {
+    before[caller.m_program] = caller.m_turn;
+  }
+  const auto stuck = [&before](const WalkCaller& caller) {
+    return !caller.m_over && caller.m_turn == before[caller.m_program];
+  };
+  // A host that found the platform down asks again after seconds.
+  for (auto i = 0; i < m_options.m_steps * 10; ++i) {
+    const auto waits = i < m_options.m_steps / 4 ||
+                       std::any_of(m_callers.begin(), m_callers.end(), stuck);
+    if (waits) {
+      StepOnce();
+    }
+  }
+  for (auto& caller : m_callers) {
+    if (stuck(caller)) {
+      Violate("history lost or stuck: " + caller.m_program.value());
+    }
+    caller.m_over = true;
+  }
+  for (auto i = 0; i < m_options.m_steps; ++i) {
+    const auto& caller =
+        m_callers[static_cast<std::size_t>(i / 50) % m_callers.size()];
+    if (i % 50 == 0) {
+      EndProgram(caller.m_program);
+    }
+    StepOnce();
+  }
+  for (const auto& [endpoint, holds] : m_held) {
+    if (!holds.empty()) {
+      Violate("memory still held at " + endpoint.value());
+    }
+  }
+}
+
+auto RunWalk(const WalkOptions& options) -> WalkResult {
+  World world(options);
+  for (auto i = 0; i < options.m_steps; ++i) {
+    world.StepOnce();
+    if (!world.result().m_violation.empty()) {
+      return world.result();
+    }
+  }
+  world.Finish();
+  return world.result();
+}
+
+}  // namespace dotterelshed::walk
--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership_table.cc
@@ -269,6 +269,10 @@
   pvt::ScheduleRead(ownership, now, pvt::kPollInterval);
   ownership.m_lead.m_table_fresh = true;
   pvt::AdoptTable(ownership, *event.m_table, now, step);
+  if (pvt::JudgesPlatform(ownership)) {
+    // This host may have become the lead by this very answer.
+    pvt::SetPlatformReachable(ownership, true, now, step);
+  }
   return step;
 }
 
--- a/src/libcore/pool_state.h
+++ b/src/libcore/pool_state.h
@@ -108,6 +108,8 @@
 struct PendingChange {
   std::variant<ReserveRequest, AppendRequest> m_message;
   TimePoint m_sent;
+  /// When the whole program was last sent to the host that refused this.
+  std::optional<TimePoint> m_copied;
 };
 
 /// Who confirms changes at the moment.
@@ -137,6 +139,9 @@
 
   /// As new primary: who has not answered yet.
   std::set<HostRef> m_collect_from;
+  /// Earlier owners that have to be asked although they count as down, because
+  /// this host has no complete copy itself.
+  std::set<HostRef> m_former_owners;
   TimePoint m_collect_since;
   TimePoint m_collect_sent;
 
--- a/src/libcore/pool_takeover.cc
+++ b/src/libcore/pool_takeover.cc
@@ -53,6 +53,8 @@
         pool.m_collect_from.insert(member.m_host);
       }
     }
+    pool.m_collect_from.insert(pool.m_former_owners.begin(),
+                               pool.m_former_owners.end());
   }
   AskAll(step, pool);
   if (pool.m_collect_from.empty()) {
@@ -223,6 +225,23 @@
   return stayed ? PoolEvent::kHolderChanged : PoolEvent::kMadePrimary;
 }
 
+/// Remembers whom to ask when this host takes over without a complete copy.
+auto NoteFormerOwners(const HostCore& core,
+                      PoolState& pool,
+                      const PoolAssignment& before) -> void {
+  const auto complete = pool.m_role == PoolRole::kPrimary ||
+                        (pool.m_role == PoolRole::kHolder && pool.m_complete);
+  if (complete) {
+    pool.m_former_owners.clear();
+    return;
+  }
+  for (const auto& owner : {before.m_primary, before.m_holder}) {
+    if (!owner.m_host.empty() && owner != core.m_options.m_self) {
+      pool.m_former_owners.insert(owner);
+    }
+  }
+}
+
 auto MergeReceived(StepContext& step,
                    PoolState& pool,
                    const std::vector<ProgramRecord>& programs,
@@ -339,6 +358,7 @@
   if (after.m_term <= pool.m_assignment.m_term && !removed) {
     return;
   }
+  NoteFormerOwners(step.m_core, pool, change.m_before);
   const auto event = EventOf(step.m_core, pool, after);
   pool.m_assignment = after;
   pool.m_assignment.m_pool = id;
--- a/src/libcore/program_limits.cc
+++ b/src/libcore/program_limits.cc
@@ -45,8 +45,7 @@
   const auto busy = pool.m_open.contains(record.m_program);
   if (!busy && ServesCalls(step.m_core, pool, step.m_now) &&
       idle > IdleLimit(step.m_core, record.m_class)) {
-    EndProgramRecord(step, pool, entry);
-    ReleaseProgramHolds(step, pool, entry);
+    EndTree(step, pool, record.m_program);
     entry.m_last_used = step.m_now;
   }
   return false;
--- a/src/libcore/program_store.cc
+++ b/src/libcore/program_store.cc
@@ -47,9 +47,9 @@
   }
 }
 
-/// Takes the longer of two versions of one history, and from the later one
-/// what is under way.
-auto MergeVersions(ProgramRecord& ours, const ProgramRecord& theirs) -> void {
+/// Takes what is under way from the later of two versions, whichever history
+/// it belongs to.
+auto MergeUnderWay(ProgramRecord& ours, const ProgramRecord& theirs) -> void {
   if (IsLater(theirs, ours)) {
     ours.m_open = theirs.m_open;
     ours.m_tried = theirs.m_tried;
@@ -57,19 +57,23 @@
     ours.m_writer = theirs.m_writer;
     ours.m_term = theirs.m_term;
   }
+  UniteHolds(ours, theirs);
+  ours.m_ended = ours.m_ended || theirs.m_ended;
+}
+
+/// Takes the longer of two versions of one history.
+auto MergeTurns(ProgramRecord& ours, const ProgramRecord& theirs) -> void {
   if (theirs.m_turns.size() > ours.m_turns.size()) {
     auto turns = theirs.m_turns;
     std::swap(ours.m_turns, turns);
   }
   KeepAnswers(ours, theirs);
-  UniteHolds(ours, theirs);
-  ours.m_ended = ours.m_ended || theirs.m_ended;
 }
 
 auto AddBranch(ProgramEntry& entry, const ProgramRecord& record) -> void {
   for (auto& branch : entry.m_branches) {
     if (Continues(branch, record) || Continues(record, branch)) {
-      MergeVersions(branch, record);
+      MergeTurns(branch, record);
       return;
     }
   }
@@ -91,12 +95,9 @@
          std::make_tuple(HasProvisional(b), b.m_turns.size());
 }
 
+/// Only the turns change places: what is under way is the program's.
 auto PutInUse(ProgramEntry& entry, ProgramRecord& branch) -> void {
-  const auto sequence = std::max(entry.m_record.m_sequence, branch.m_sequence);
-  const auto ended = entry.m_record.m_ended || branch.m_ended;
-  std::swap(entry.m_record, branch);
-  entry.m_record.m_sequence = sequence;
-  entry.m_record.m_ended = ended;
+  std::swap(entry.m_record.m_turns, branch.m_turns);
 }
 
 }  // namespace
@@ -150,11 +151,17 @@
     return;
   }
   entry->m_last_used = now;
+  if (keep_current) {
+    entry->m_record.m_sequence =
+        std::max(entry->m_record.m_sequence, record.m_sequence);
+  } else {
+    MergeUnderWay(entry->m_record, record);
+  }
   const auto longer = record.m_turns.size() > entry->m_record.m_turns.size();
   const auto same_history =
       Continues(entry->m_record, record) || Continues(record, entry->m_record);
   if (same_history && !(keep_current && longer)) {
-    MergeVersions(entry->m_record, record);
+    MergeTurns(entry->m_record, record);
     return;
   }
   AddBranch(*entry, record);
--- a/src/libcore/program_store.h
+++ b/src/libcore/program_store.h
@@ -21,6 +21,8 @@
   /// Other histories of the program, from provisional service in an outage.
   std::vector<ProgramRecord> m_branches;
   TimePoint m_last_used;
+  /// The host besides this one that was the last to confirm the whole record.
+  HostRef m_confirmed_by;
 };
 
 struct ProgramStore {
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -56,8 +56,11 @@
       .m_program = record.m_program,
       .m_turn = turn.m_turn,
       .m_chain = turn.m_chain,
-      .m_holders = {step.m_core.m_options.m_self, pool.m_target},
+      .m_holders = {step.m_core.m_options.m_self},
       .m_spent = answer.m_spent};
+  if (pool.m_mode != CopyMode::kAlone) {
+    answer.m_token->m_holders.push_back(pool.m_target);
+  }
   FinishFor(step, request, answer);
 }
 
@@ -167,8 +170,7 @@
                  ReasonCode reason,
                  const std::string& message) -> void {
   Refuse(step, pool, call, reason, message);
-  EndProgramRecord(step, pool, entry);
-  ReleaseProgramHolds(step, pool, entry);
+  EndTree(step, pool, entry.m_record.m_program);
 }
 
 /// A new turn at the end of the history.
@@ -215,7 +217,7 @@
 auto AnswerRepeat(StepContext& step,
                   PoolState& pool,
                   PendingCall& call,
-                  const ProgramEntry& entry,
+                  ProgramEntry& entry,
                   const TurnRecord& turn) -> void {
   const auto& request = call.m_call;
   if (turn.m_content != request.m_content &&
@@ -233,6 +235,11 @@
                "the stored answer can't be confirmed now");
     return;
   }
+  const auto elsewhere = pool.m_mode == CopyMode::kSpare &&
+                         entry.m_confirmed_by != pool.m_target;
+  if (elsewhere && !pool.m_changes.contains(request.m_program)) {
+    ShareProgram(step, pool, entry);  // The spare has to have it first.
+  }
   if (pool.m_changes.contains(request.m_program)) {
     RefuseSoon(step, pool, call, ReasonCode::kNotOwner,
                "the stored answer is not confirmed yet");
@@ -309,6 +316,10 @@
     return;
   }
   entry->m_last_used = step.m_now;
+  if (auto* root = FindProgram(pool.m_store, request.m_root);
+      root != nullptr) {
+    root->m_last_used = step.m_now;  // It waits for its sub-agent.
+  }
   const auto* turn = FindTurn(entry->m_record, request.m_turn);
   if (turn != nullptr) {
     AnswerRepeat(step, pool, call, *entry, *turn);
@@ -553,8 +564,7 @@
     if (entry == nullptr || !ServesCalls(step.m_core, pool, step.m_now)) {
       continue;
     }
-    EndProgramRecord(step, pool, *entry);
-    ReleaseProgramHolds(step, pool, *entry);
+    EndTree(step, pool, program);
   }
 }
 
