Count a running call's prefix once, and weigh memory in the choice

Cause: a program's kept prefix still counted as held while its next call ran on it, so prefixes of others were freed without need; calls also went to endpoints whose memory was full.

--- a/bench/replay_main.cc
+++ b/bench/replay_main.cc
@@ -32,6 +32,9 @@
 
 auto Try(GeneratorOptions options, double load) -> void {
   options.m_load = load;
+  if (const auto* kv = std::getenv("KV"); kv != nullptr) {
+    options.m_kv_capacity = Tokens(std::atoll(kv));
+  }
   const auto trace = GenerateTrace(options);
   const auto endpoints = options.m_endpoints;
   const auto run = [&](const Scheduler& scheduler) {
@@ -39,8 +42,10 @@
   };
   run(MakePolicyScheduler(trace, {}));
   run(MakeOracle(endpoints, trace.m_header.m_engine_slots));
-  run(MakeLeastOutstanding(endpoints));
+  if (std::getenv("ALL") != nullptr) {
+    run(MakeLeastOutstanding(endpoints));
   run(MakeRoundRobin(endpoints));
+  }
 }
 
 }  // namespace
--- a/src/libcore/policy_endpoint.cc
+++ b/src/libcore/policy_endpoint.cc
@@ -1,5 +1,7 @@
 #include "policy_endpoint.h"
 
+#include "policy_retention.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -104,7 +106,10 @@
   const auto running =
       static_cast<double>(endpoint.m_running.size()) + endpoint.m_foreign;
   const auto gap = endpoint.m_gap_s + kGapPerSequenceS * running;
-  return static_cast<double>(prompt) * endpoint.m_prefill_s +
+  const auto overflow =
+      policy.m_options.m_cache_cost ? MemoryOverflow(policy, endpoint, call)
+                                    : 0;
+  return static_cast<double>(prompt + overflow) * endpoint.m_prefill_s +
          ExpectedGenerated(policy, call) * gap;
 }
 
--- a/src/libcore/policy_retention.cc
+++ b/src/libcore/policy_retention.cc
@@ -60,23 +60,48 @@
       call.m_attempts.empty()) {
     out = DropPrefix(policy, program);
   }
+  UsePrefix(policy, endpoint, program);
   const auto room = static_cast<std::int64_t>(MemoryOf(endpoint));
   while (!endpoint.m_holds.empty() &&
          endpoint.m_running_memory + endpoint.m_held_memory + NeedOf(call) >
              room) {
-    auto last = std::prev(endpoint.m_holds.end());
-    if (last->second == program && last == endpoint.m_holds.begin()) {
-      break;
-    }
-    if (last->second == program) {
-      --last;
-    }
+    const auto last = std::prev(endpoint.m_holds.end());
     const auto dropped = DropPrefix(policy, ProgramId(last->second));
     out.insert(out.end(), dropped.begin(), dropped.end());
   }
   return out;
 }
 
+auto UsePrefix(PoolPolicy& policy,
+               EndpointWork& endpoint,
+               const ProgramId& program) -> void {
+  auto& prefix = policy.m_programs.at(program).m_prefix;
+  if (!prefix || prefix->m_endpoint != endpoint.m_config.m_id ||
+      prefix->m_hold.empty() || prefix->m_in_use) {
+    return;
+  }
+  prefix->m_in_use = true;
+  endpoint.m_holds.erase({prefix->m_expected_return, program});
+  endpoint.m_held_memory -= prefix->m_tokens;
+}
+
+auto MemoryOverflow(const PoolPolicy& policy,
+                    const EndpointWork& endpoint,
+                    const CallState& call) -> std::int64_t {
+  if (endpoint.m_config.m_kv_capacity.value() == 0) {
+    return 0;
+  }
+  const auto found = policy.m_programs.find(call.m_call.m_program);
+  auto own = std::int64_t{0};
+  if (found != policy.m_programs.end() && found->second.m_prefix &&
+      found->second.m_prefix->m_endpoint == endpoint.m_config.m_id) {
+    own = found->second.m_prefix->m_tokens;
+  }
+  const auto used = endpoint.m_running_memory + endpoint.m_held_memory - own;
+  return std::max<std::int64_t>(
+      0, used + NeedOf(call) - static_cast<std::int64_t>(MemoryOf(endpoint)));
+}
+
 auto KeepPrefix(PoolPolicy& policy,
                 EndpointWork& endpoint,
                 const CallState& call,
@@ -112,8 +137,10 @@
   if (prefix.m_hold.empty() || endpoint == policy.m_endpoints.end()) {
     return {};
   }
-  endpoint->second.m_holds.erase({prefix.m_expected_return, program});
-  endpoint->second.m_held_memory -= prefix.m_tokens;
+  if (!prefix.m_in_use) {
+    endpoint->second.m_holds.erase({prefix.m_expected_return, program});
+    endpoint->second.m_held_memory -= prefix.m_tokens;
+  }
   return {{.m_id = prefix.m_hold,
            .m_endpoint = prefix.m_endpoint,
            .m_program = program}};
--- a/src/libcore/policy_retention.h
+++ b/src/libcore/policy_retention.h
@@ -20,6 +20,16 @@
                      EndpointWork& endpoint,
                      const CallState& call) -> std::vector<HoldRecord>;
 
+/// The call that starts on @p endpoint takes over its program's prefix there.
+auto UsePrefix(PoolPolicy& policy,
+               EndpointWork& endpoint,
+               const ProgramId& program) -> void;
+
+/// Prompt tokens of others that would have to go for @p call to fit.
+auto MemoryOverflow(const PoolPolicy& policy,
+                    const EndpointWork& endpoint,
+                    const CallState& call) -> std::int64_t;
+
 /// Takes note of the prefix that a finished call leaves behind, under the
 /// hold that its attempt asked for.
 auto KeepPrefix(PoolPolicy& policy,
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -88,6 +88,8 @@
   /// Empty when nothing promises that the prefix is still there.
   HoldId m_hold;
   TimePoint m_expected_return;
+  /// True while a call runs on it: its memory then counts as the call's.
+  bool m_in_use = false;
 };
 
 struct ProgramState {
