--- a/bench/engine_model.cc
+++ b/bench/engine_model.cc
@@ -57,13 +57,14 @@
 
 auto Join(EngineModel& engine, const EngineRequest& request) -> EngineSequence {
   EngineSequence sequence{.m_request = request};
+  auto there = request.m_given;
   const auto found = engine.m_cache.find(request.m_program);
   if (found != engine.m_cache.end()) {
-    // The last token is computed anew: its output is the first answer token.
-    sequence.m_cached = std::max<std::int64_t>(
-        0, std::min(found->second.m_tokens, request.m_prompt - 1));
+    there = std::max(there, found->second.m_tokens);
     engine.m_cache.erase(found);
   }
+  // The last token is computed anew: its output is the first answer token.
+  sequence.m_cached = std::min(there, request.m_prompt - 1);
   engine.m_running.push_back(sequence);
   return sequence;
 }
--- a/bench/engine_model.h
+++ b/bench/engine_model.h
@@ -39,6 +39,8 @@
   std::int64_t m_to_generate = 0;
   int m_priority = 0;
   HoldId m_hold;
+  /// Prefix that is there without the engine's own cache.
+  std::int64_t m_given = 0;
   bool m_crashes = false;
 };
 
--- a/bench/replay.cc
+++ b/bench/replay.cc
@@ -248,6 +248,7 @@
         .m_to_generate = std::max<std::int64_t>(1, call.m_generated.value()),
         .m_priority = due.m_dispatched.m_priority,
         .m_hold = due.m_dispatched.m_hold,
+        .m_given = m_scheduler.m_shared_cache ? m_known_tokens[node.m_id] : 0,
         .m_crashes = call.m_crashes};
     if (!Submit(m_engines[engine], request, m_now)) {
       At(m_now + m_options.m_network_delay,
--- a/bench/scheduler.h
+++ b/bench/scheduler.h
@@ -26,6 +26,8 @@
 /// A scheduler as a set of functions. Empty ones are not called.
 struct Scheduler {
   std::string m_name;
+  /// Every engine has every prefix that any engine computed.
+  bool m_shared_cache = false;
   std::function<std::optional<Refusal>(const ReplayCall&, TimePoint)> m_admit;
   std::function<std::vector<Dispatched>(TimePoint)> m_dispatch;
   std::function<void(const AttemptId&, Tokens, TimePoint)> m_progress;
@@ -51,8 +53,8 @@
 auto MakeLeastOutstanding(int endpoints) -> Scheduler;
 
 /// A bound and no product: one queue in order of the shortest remaining work
-/// of the whole program, which it knows. Calls go to the endpoint that has
-/// their prefix if it has a free slot, else to the emptiest one.
+/// of the whole program, which it knows; engines keep to that order too, and
+/// share one prefix cache, so that every endpoint is as good as another.
 auto MakeOracle(int endpoints, int slots) -> Scheduler;
 
 /// Name of the endpoint at @p position.
