Keep slots for short calls on every endpoint, not whole endpoints

Cause: with a quarter of the endpoints closed to long programs, these waited for slots where their prefix was and gave up on it. Besides, the mean time between tokens now takes one sample a step, prefill ahead counts by priority, and a call's memory is its expected, not its greatest, length.

--- a/src/libcore/policy.cc
+++ b/src/libcore/policy.cc
@@ -85,7 +85,6 @@
   for (const auto& entry : endpoints) {
     AddEndpoint(policy, entry);
   }
-  pvt::ShareSlots(policy);
   for (auto& [id, endpoint] : policy.m_endpoints) {
     if (!endpoint.m_configured) {
       Retire(policy, endpoint);
@@ -115,7 +114,6 @@
     NoteLeaving(policy, report.m_endpoint, now);
   } else if (endpoint.m_leaving && now - endpoint.m_left_at > kReturnWait) {
     endpoint.m_leaving = false;
-    pvt::ShareSlots(policy);
   }
   pvt::UpdateFree(policy, endpoint);
 }
@@ -140,7 +138,6 @@
   found->second.m_leaving = true;
   found->second.m_left_at = now;
   Retire(policy, found->second);
-  pvt::ShareSlots(policy);
 }
 
 auto NoteQuarantined(PoolPolicy& policy, const Digest& content) -> void {
--- a/src/libcore/policy_dispatch.cc
+++ b/src/libcore/policy_dispatch.cc
@@ -38,11 +38,11 @@
       continue;
     }
     const auto& warm = endpoint.m_warm;
-    if (!warm.m_short.empty() && HasSlot(endpoint, false)) {
+    if (!warm.m_short.empty() && HasSlot(policy, endpoint, false)) {
       Consider(best, warm.m_short.begin()->first, warm.m_short.begin()->second,
                &endpoint);
     }
-    if (!warm.m_long.empty() && HasSlot(endpoint, true)) {
+    if (!warm.m_long.empty() && HasSlot(policy, endpoint, true)) {
       Consider(best, warm.m_long.begin()->first, warm.m_long.begin()->second,
                &endpoint);
     }
@@ -80,7 +80,7 @@
                   TimePoint now) -> Dispatched {
   const auto id = MakeAttemptId(policy, call.m_call.m_request);
   const auto uncached = UncachedTokens(policy, endpoint, call);
-  const auto ahead = endpoint.m_pending_prefill;
+  const auto ahead = PendingAhead(endpoint, call.m_long);
   Dispatched out{.m_attempt = id,
                  .m_request = call.m_call.m_request,
                  .m_endpoint = endpoint.m_config.m_id,
@@ -109,7 +109,7 @@
   ++call.m_tries;
   endpoint.m_running.insert(id);
   endpoint.m_running_long += call.m_long ? 1 : 0;
-  endpoint.m_pending_prefill += uncached;
+  AddPending(endpoint, call.m_long, uncached);
   endpoint.m_running_memory += memory;
   ArmAttemptTimer(policy, id, now);
   UpdateFree(policy, endpoint);
@@ -149,7 +149,7 @@
   pvt::StartProbes(policy, now);
   for (const auto& hedge : pvt::FindHedges(policy, now)) {
     auto& endpoint = policy.m_endpoints.at(hedge.m_endpoint);
-    if (pvt::HasSlot(endpoint, false)) {
+    if (pvt::HasSlot(policy, endpoint, false)) {
       out.push_back(pvt::StartAttempt(
           policy, policy.m_calls.at(hedge.m_request), endpoint, true, now));
     }
--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy_ejection.cc
@@ -15,22 +15,18 @@
 constexpr int kSlowMarks = 3;
 /// Good steps in a row after which it is well again.
 constexpr int kGoodMarks = 4;
-/// Weights of a new sample, for rising and falling rates.
-constexpr double kRiseWeight = 0.5;
-constexpr double kFallWeight = 0.1;
+/// Weights of a new step in the mean.
+constexpr double kSlowStepWeight = 0.5;
+constexpr double kStepWeight = 0.05;
+constexpr double kFirstTokenWeight = 0.1;
 /// One endpoint in this many may be out at once.
 constexpr int kFloorDivisor = 3;
 constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
 constexpr int kMaxProbeDoublings = 4;
 constexpr Duration kReferenceInterval = std::chrono::milliseconds(100);
 
-auto MixIn(double& rate, double sample) -> void {
-  if (rate <= 0) {
-    rate = sample;
-    return;
-  }
-  const auto weight = sample > rate ? kRiseWeight : kFallWeight;
-  rate += weight * (sample - rate);
+auto MixIn(double& rate, double sample, double weight) -> void {
+  rate = rate <= 0 ? sample : rate + weight * (sample - rate);
 }
 
 auto MayEject(const PoolPolicy& policy, const EndpointWork& endpoint) -> bool {
@@ -96,12 +92,8 @@
   }
 }
 
-/// Counts slow or good steps; steps of one moment count once.
-auto Mark(EndpointWork& endpoint, bool slow, TimePoint now) -> void {
-  if (now == endpoint.m_last_mark) {
-    return;
-  }
-  endpoint.m_last_mark = now;
+/// Counts slow or good steps in a row.
+auto Mark(EndpointWork& endpoint, bool slow) -> void {
   endpoint.m_slow_marks = slow ? endpoint.m_slow_marks + 1 : 0;
   endpoint.m_good_marks = slow ? 0 : endpoint.m_good_marks + 1;
 }
@@ -141,12 +133,18 @@
              EndpointWork& endpoint,
              double gap_s,
              TimePoint now) -> void {
+  // All sequences of a batch get their tokens in the same step.
+  if (now == endpoint.m_last_mark) {
+    return;
+  }
+  endpoint.m_last_mark = now;
   const auto reference = ReferenceGap(policy, now);
-  MixIn(endpoint.m_gap_s, gap_s);
+  const auto slow = reference > 0 && gap_s > kSlowFactor * reference;
+  MixIn(endpoint.m_gap_s, gap_s, slow ? kSlowStepWeight : kStepWeight);
   if (reference <= 0) {
     return;
   }
-  Mark(endpoint, gap_s > kSlowFactor * reference, now);
+  Mark(endpoint, slow);
   if (endpoint.m_slow_marks >= kSlowMarks &&
       endpoint.m_state != EndpointState::kEjected) {
     ApplyEndpointEvent(policy, endpoint, EndpointEvent::kSlow, now);
@@ -163,7 +161,8 @@
                     Duration took) -> void {
   const auto prompt =
       std::max<std::int64_t>(64, attempt.m_uncached + attempt.m_ahead);
-  MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt));
+  MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt),
+        kFirstTokenWeight);
 }
 
 auto ApplyEndpointEvent(PoolPolicy& policy,
@@ -185,7 +184,6 @@
   for (const auto action : step->m_actions) {
     DoAction(policy, endpoint, action, now);
   }
-  ShareSlots(policy);
   UpdateFree(policy, endpoint);
 }
 
--- a/src/libcore/policy_endpoint.cc
+++ b/src/libcore/policy_endpoint.cc
@@ -22,18 +22,10 @@
              endpoint.m_models.end();
 }
 
-/// Slots of an endpoint as the operators' text bounds them.
-auto ConfiguredSlots(const EndpointWork& endpoint) -> int {
-  return std::max(1, endpoint.m_config.m_max_concurrency);
-}
-
-/// Slots that long calls may use; one at least where they may run at all.
-auto LongSlots(const EndpointWork& endpoint) -> int {
-  if (endpoint.m_long_share <= 0) {
-    return 0;
-  }
-  return std::max(1,
-                  static_cast<int>(endpoint.m_limit * endpoint.m_long_share));
+/// Slots that long calls may use, one at least.
+auto LongSlots(const PoolPolicy& policy, const EndpointWork& endpoint) -> int {
+  const auto share = 1 - policy.m_short_share_percent / 100.0;
+  return std::max(1, static_cast<int>(endpoint.m_limit * share));
 }
 
 }  // namespace
@@ -65,7 +57,9 @@
   return ServesModel(endpoint, call.m_call.m_model);
 }
 
-auto HasSlot(const EndpointWork& endpoint, bool is_long) -> bool {
+auto HasSlot(const PoolPolicy& policy,
+             const EndpointWork& endpoint,
+             bool is_long) -> bool {
   const auto running = static_cast<int>(endpoint.m_running.size());
   if (endpoint.m_state == EndpointState::kProbing) {
     return running == 0;
@@ -73,7 +67,7 @@
   if (running >= static_cast<int>(endpoint.m_limit)) {
     return false;
   }
-  return !is_long || endpoint.m_running_long < LongSlots(endpoint);
+  return !is_long || endpoint.m_running_long < LongSlots(policy, endpoint);
 }
 
 auto UncachedTokens(const PoolPolicy& policy,
@@ -97,18 +91,27 @@
   return most > 0 ? std::min(mean, most) : mean;
 }
 
+auto PendingAhead(const EndpointWork& endpoint, bool is_long) -> std::int64_t {
+  return endpoint.m_pending_short + (is_long ? endpoint.m_pending_long : 0);
+}
+
+auto AddPending(EndpointWork& endpoint, bool is_long, std::int64_t tokens)
+    -> void {
+  (is_long ? endpoint.m_pending_long : endpoint.m_pending_short) += tokens;
+}
+
 auto ExpectedCompletion(const PoolPolicy& policy,
                         const EndpointWork& endpoint,
                         const CallState& call) -> double {
   const auto foreign = endpoint.m_foreign * kForeignPromptTokens;
-  const auto prompt = endpoint.m_pending_prefill + foreign +
+  const auto prompt = PendingAhead(endpoint, call.m_long) + foreign +
                       UncachedTokens(policy, endpoint, call);
   const auto running =
       static_cast<double>(endpoint.m_running.size()) + endpoint.m_foreign;
   const auto gap = endpoint.m_gap_s + kGapPerSequenceS * running;
-  const auto overflow =
-      policy.m_options.m_cache_cost ? MemoryOverflow(policy, endpoint, call)
-                                    : 0;
+  const auto overflow = policy.m_options.m_cache_cost
+                            ? MemoryOverflow(policy, endpoint, call)
+                            : 0;
   return static_cast<double>(prompt + overflow) * endpoint.m_prefill_s +
          ExpectedGenerated(policy, call) * gap;
 }
@@ -122,7 +125,7 @@
   for (const auto& [load, id] : policy.m_free) {
     auto& endpoint = policy.m_endpoints.at(id);
     if (id == avoid || !MayTake(endpoint, call) ||
-        !HasSlot(endpoint, call.m_long)) {
+        !HasSlot(policy, endpoint, call.m_long)) {
       continue;
     }
     const auto time = ExpectedCompletion(policy, endpoint, call);
@@ -140,7 +143,8 @@
 auto UpdateFree(PoolPolicy& policy, EndpointWork& endpoint) -> void {
   std::optional<std::pair<int, EndpointId>> key;
   if (endpoint.m_configured && !endpoint.m_leaving &&
-      endpoint.m_state != EndpointState::kEjected && HasSlot(endpoint, false)) {
+      endpoint.m_state != EndpointState::kEjected &&
+      HasSlot(policy, endpoint, false)) {
     key.emplace(
         static_cast<int>(endpoint.m_running.size()) + endpoint.m_foreign,
         endpoint.m_config.m_id);
@@ -157,23 +161,4 @@
   endpoint.m_free_key = std::move(key);
 }
 
-auto ShareSlots(PoolPolicy& policy) -> void {
-  std::vector<EndpointWork*> serving;
-  auto total = 0;
-  for (auto& [id, endpoint] : policy.m_endpoints) {
-    endpoint.m_long_share = 0;
-    if (endpoint.m_configured && !endpoint.m_leaving &&
-        endpoint.m_state == EndpointState::kServing) {
-      serving.push_back(&endpoint);
-      total += ConfiguredSlots(endpoint);
-    }
-  }
-  auto left = total * (1 - policy.m_short_share_percent / 100.0);
-  for (auto* endpoint : serving) {
-    const double slots = ConfiguredSlots(*endpoint);
-    endpoint->m_long_share = std::min(1.0, left / slots);
-    left = std::max(0.0, left - slots);
-  }
-}
-
 }  // namespace dotterelshed::pvt
--- a/src/libcore/policy_endpoint.h
+++ b/src/libcore/policy_endpoint.h
@@ -16,8 +16,11 @@
 /// Whether the endpoint takes calls like this one, free slot or not.
 auto MayTake(const EndpointWork& endpoint, const CallState& call) -> bool;
 
-/// Whether a slot is free for a call of this length.
-auto HasSlot(const EndpointWork& endpoint, bool is_long) -> bool;
+/// Whether a slot is free for a call of this length; long calls leave a share
+/// of each endpoint's slots to short ones.
+auto HasSlot(const PoolPolicy& policy,
+             const EndpointWork& endpoint,
+             bool is_long) -> bool;
 
 /// Prompt tokens that @p endpoint would have to prefill for @p call.
 auto UncachedTokens(const PoolPolicy& policy,
@@ -28,6 +31,14 @@
 auto ExpectedGenerated(const PoolPolicy& policy, const CallState& call)
     -> double;
 
+/// Prompt tokens that the endpoint prefills before those of a new call;
+/// engines that honour priorities do short calls first.
+auto PendingAhead(const EndpointWork& endpoint, bool is_long) -> std::int64_t;
+
+/// Counts or discounts prompt tokens that wait for their prefill.
+auto AddPending(EndpointWork& endpoint, bool is_long, std::int64_t tokens)
+    -> void;
+
 /// Seconds until @p call would be done if it started on @p endpoint now.
 auto ExpectedCompletion(const PoolPolicy& policy,
                         const EndpointWork& endpoint,
@@ -41,10 +52,6 @@
 /// Brings the index of free endpoints up to date after a change.
 auto UpdateFree(PoolPolicy& policy, EndpointWork& endpoint) -> void;
 
-/// Deals out the slots that long calls may use: whole endpoints first, so
-/// that short calls have some to themselves.
-auto ShareSlots(PoolPolicy& policy) -> void;
-
 }  // namespace dotterelshed::pvt
 
 #endif  // DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -34,7 +34,7 @@
   endpoint.m_running_long -= attempt.m_long ? 1 : 0;
   endpoint.m_running_memory -= attempt.m_memory;
   if (!attempt.m_first_token) {
-    endpoint.m_pending_prefill -= attempt.m_uncached;
+    AddPending(endpoint, attempt.m_long, -attempt.m_uncached);
   }
   UpdateFree(policy, endpoint);
   return attempt;
@@ -201,7 +201,7 @@
   } else {
     const auto took = now - attempt.m_started;
     attempt.m_first_token = now;
-    endpoint.m_pending_prefill -= attempt.m_uncached;
+    AddPending(endpoint, attempt.m_long, -attempt.m_uncached);
     pvt::AdaptLimit(policy, endpoint, attempt, took, now);
     pvt::NoteFirstToken(endpoint, attempt, took);
     pvt::UpdateFree(policy, endpoint);
--- a/src/libcore/policy_order.cc
+++ b/src/libcore/policy_order.cc
@@ -58,8 +58,7 @@
     return nullptr;
   }
   const auto found = policy.m_endpoints.find(prefix->m_endpoint);
-  if (found == policy.m_endpoints.end() || !MayTake(found->second, call) ||
-      (call.m_long && found->second.m_long_share == 0)) {
+  if (found == policy.m_endpoints.end() || !MayTake(found->second, call)) {
     return nullptr;
   }
   return &found->second;
--- a/src/libcore/policy_retention.cc
+++ b/src/libcore/policy_retention.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "policy_endpoint.h"
+
 namespace dotterelshed::pvt {
 
 namespace {
@@ -10,6 +12,8 @@
 constexpr double kMemoryShare = 0.95;
 /// A pause longer than this is not worth keeping memory for.
 constexpr Duration kLongestPause = std::chrono::minutes(5);
+/// Room for an answer, in expected answers.
+constexpr double kLengthMargin = 1.5;
 constexpr char kHoldSeparator = '@';
 
 auto MemoryOf(const EndpointWork& endpoint) -> double {
@@ -17,10 +21,6 @@
          static_cast<double>(endpoint.m_config.m_kv_capacity.value());
 }
 
-auto NeedOf(const CallState& call) -> std::int64_t {
-  return call.m_call.m_prompt_tokens.value() + call.m_call.m_max_tokens.value();
-}
-
 /// Pause until the program's next call.
 auto ExpectedPause(const PoolPolicy& policy, const CallState& call)
     -> Duration {
@@ -34,6 +34,13 @@
 
 }  // namespace
 
+auto MemoryNeed(const PoolPolicy& policy, const CallState& call)
+    -> std::int64_t {
+  return call.m_call.m_prompt_tokens.value() +
+         static_cast<std::int64_t>(kLengthMargin *
+                                   ExpectedGenerated(policy, call));
+}
+
 auto ProgramOfHold(const HoldId& hold) -> ProgramId {
   return ProgramId(hold.value().substr(0, hold.value().rfind(kHoldSeparator)));
 }
@@ -41,7 +48,8 @@
 auto ChooseHold(const PoolPolicy& policy,
                 const EndpointWork& endpoint,
                 const CallState& call) -> HoldId {
-  const auto fits = static_cast<double>(NeedOf(call)) <= MemoryOf(endpoint) / 2;
+  const auto fits =
+      static_cast<double>(MemoryNeed(policy, call)) <= MemoryOf(endpoint) / 2;
   if (!policy.m_options.m_retention || call.m_call.m_last || !fits ||
       ExpectedPause(policy, call) > kLongestPause) {
     return HoldId();
@@ -62,9 +70,10 @@
   }
   UsePrefix(policy, endpoint, program);
   const auto room = static_cast<std::int64_t>(MemoryOf(endpoint));
-  while (!endpoint.m_holds.empty() &&
-         endpoint.m_running_memory + endpoint.m_held_memory + NeedOf(call) >
-             room) {
+  while (!endpoint.m_holds.empty() && endpoint.m_running_memory +
+                                              endpoint.m_held_memory +
+                                              MemoryNeed(policy, call) >
+                                          room) {
     const auto last = std::prev(endpoint.m_holds.end());
     const auto dropped = DropPrefix(policy, ProgramId(last->second));
     out.insert(out.end(), dropped.begin(), dropped.end());
@@ -99,7 +108,8 @@
   }
   const auto used = endpoint.m_running_memory + endpoint.m_held_memory - own;
   return std::max<std::int64_t>(
-      0, used + NeedOf(call) - static_cast<std::int64_t>(MemoryOf(endpoint)));
+      0, used + MemoryNeed(policy, call) -
+             static_cast<std::int64_t>(MemoryOf(endpoint)));
 }
 
 auto KeepPrefix(PoolPolicy& policy,
--- a/src/libcore/policy_retention.h
+++ b/src/libcore/policy_retention.h
@@ -9,6 +9,10 @@
 
 namespace dotterelshed::pvt {
 
+/// Tokens of memory that a call is expected to take.
+auto MemoryNeed(const PoolPolicy& policy, const CallState& call)
+    -> std::int64_t;
+
 /// Hold to ask for with a call; empty when its prefix is not to be kept.
 auto ChooseHold(const PoolPolicy& policy,
                 const EndpointWork& endpoint,
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -114,16 +114,16 @@
   EndpointState m_state = EndpointState::kServing;
   std::set<AttemptId> m_running;
   int m_running_long = 0;
-  /// Share of the slots that long calls may use.
-  double m_long_share = 0;
   double m_limit = 1;
   TimePoint m_limit_cut_at;
   CallQueue m_warm;
-  /// Seconds between tokens, quick to rise and slow to fall.
+  /// Mean seconds between tokens; slow steps weigh more.
   double m_gap_s = 0;
   /// Seconds until the first token for each prompt token before it.
   double m_prefill_s = 0;
-  std::int64_t m_pending_prefill = 0;
+  /// Prompt tokens of short calls and of long ones before their first token.
+  std::int64_t m_pending_short = 0;
+  std::int64_t m_pending_long = 0;
   std::int64_t m_running_memory = 0;
   std::int64_t m_held_memory = 0;
   /// Prefixes with a hold, by the time at which they are needed again.
