Queue second attempts of calls on ejected endpoints; probe with duplicates

Cause: when an endpoint was ejected its running calls were hedged only if a slot was free at that moment, each probe made a caller wait on the slow endpoint, and an endpoint that came back started at a concurrency limit of 2, which its slow time had cut it to.

--- a/src/libcore/policy_dispatch.cc
+++ b/src/libcore/policy_dispatch.cc
@@ -49,6 +49,13 @@
   }
 }
 
+/// Endpoint on which the call runs already; empty for none.
+auto RunsOn(const PoolPolicy& policy, const CallState& call) -> EndpointId {
+  return call.m_attempts.empty()
+             ? EndpointId()
+             : policy.m_attempts.at(*call.m_attempts.begin()).m_endpoint;
+}
+
 /// First calls of the common queues, if they beat the best so far.
 auto ConsiderCold(PoolPolicy& policy, Candidate& best) -> void {
   if (policy.m_free.empty()) {
@@ -61,8 +68,9 @@
         continue;
       }
       const auto& [key, request] = *half->begin();
+      const auto& call = policy.m_calls.at(request);
       Consider(best, key, request,
-               FindFreeEndpoint(policy, policy.m_calls.at(request)));
+               FindFreeEndpoint(policy, call, RunsOn(policy, call)));
     }
   }
 }
@@ -123,7 +131,40 @@
   auto& call = policy.m_calls.at(request);
   Dequeue(policy, call);
   policy.m_deadlines.erase({call.m_call.m_deadline, request});
-  return StartAttempt(policy, call, endpoint, false, now);
+  const auto second = !call.m_attempts.empty();
+  return StartAttempt(policy, call, endpoint, second, now);
+}
+
+/// An endpoint that waits for a probe and may take a duplicate of the call.
+auto FindProbe(PoolPolicy& policy, const CallState& call) -> EndpointWork* {
+  if (!call.m_call.m_repeatable || call.m_long || call.m_hedged ||
+      call.m_suspect) {
+    return nullptr;
+  }
+  for (const auto& id : policy.m_probing) {
+    auto& endpoint = policy.m_endpoints.at(id);
+    const auto usable = endpoint.m_configured && !endpoint.m_leaving &&
+                        endpoint.m_isolated.empty();
+    if (usable && endpoint.m_running.empty()) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+/// Sends a duplicate of a call that has just started to an endpoint that
+/// waits for a probe: it costs work, but nobody waits for it.
+auto StartProbeBeside(PoolPolicy& policy,
+                      const RequestId& request,
+                      TimePoint now,
+                      std::vector<Dispatched>& out) -> void {
+  auto& call = policy.m_calls.at(request);
+  auto* endpoint = FindProbe(policy, call);
+  if (endpoint != nullptr && policy.m_options.m_hedging &&
+      SpendRetryBudget(policy)) {
+    call.m_hedged = true;
+    out.push_back(StartAttempt(policy, call, *endpoint, true, now));
+  }
 }
 
 auto StartWaiting(PoolPolicy& policy,
@@ -137,6 +178,7 @@
       return;
     }
     out.push_back(StartQueued(policy, best.m_request, *best.m_endpoint, now));
+    StartProbeBeside(policy, best.m_request, now, out);
   }
 }
 
--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy_ejection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "policy_endpoint.h"
+#include "policy_limit.h"
 #include "policy_order.h"
 
 namespace dotterelshed::pvt {
@@ -12,7 +13,7 @@
 /// A step is slow beyond this factor on the pool's typical one.
 constexpr double kSlowFactor = 3;
 /// Slow steps in a row before an endpoint is ejected.
-constexpr int kSlowMarks = 3;
+constexpr int kSlowMarks = 2;
 /// Good steps in a row after which it is well again.
 constexpr int kGoodMarks = 4;
 /// Weights of a new step in the mean.
@@ -22,6 +23,8 @@
 /// One endpoint in this many may be out at once.
 constexpr int kFloorDivisor = 3;
 constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
+/// Time to wait for a call whose duplicate can serve as probe.
+constexpr Duration kDirectProbeWait = std::chrono::seconds(5);
 constexpr int kMaxProbeDoublings = 4;
 constexpr Duration kReferenceInterval = std::chrono::milliseconds(100);
 
@@ -98,6 +101,32 @@
   endpoint.m_good_marks = slow ? 0 : endpoint.m_good_marks + 1;
 }
 
+auto SetProbeTimer(PoolPolicy& policy, EndpointWork& endpoint, TimePoint at)
+    -> void {
+  endpoint.m_probe_at = at;
+  policy.m_probe_timers.emplace(at, endpoint.m_config.m_id);
+}
+
+/// What still runs on the endpoint tells of it at no cost. Otherwise it is
+/// probed with a duplicate of some call, and if none comes, with a call that
+/// runs nowhere else.
+auto StartProbe(PoolPolicy& policy, EndpointWork& endpoint, TimePoint now)
+    -> void {
+  if (endpoint.m_state == EndpointState::kProbing) {
+    endpoint.m_direct_probe = true;
+    UpdateFree(policy, endpoint);
+    return;
+  }
+  if (!endpoint.m_running.empty()) {
+    SetProbeTimer(policy, endpoint, now + kFirstProbeWait);
+    return;
+  }
+  ApplyEndpointEvent(policy, endpoint, EndpointEvent::kProbeDue, now);
+  if (endpoint.m_state == EndpointState::kProbing) {
+    SetProbeTimer(policy, endpoint, now + kDirectProbeWait);
+  }
+}
+
 }  // namespace
 
 auto MostEjected(const PoolPolicy& policy) -> int {
@@ -179,6 +208,12 @@
     return;
   }
   endpoint.m_state = step->m_to;
+  endpoint.m_direct_probe = false;
+  if (step->m_to == EndpointState::kProbing) {
+    policy.m_probing.insert(endpoint.m_config.m_id);
+  } else {
+    policy.m_probing.erase(endpoint.m_config.m_id);
+  }
   endpoint.m_slow_marks = 0;
   endpoint.m_good_marks = 0;
   for (const auto action : step->m_actions) {
@@ -194,7 +229,7 @@
     policy.m_probe_timers.erase(policy.m_probe_timers.begin());
     const auto found = policy.m_endpoints.find(id);
     if (found != policy.m_endpoints.end()) {
-      ApplyEndpointEvent(policy, found->second, EndpointEvent::kProbeDue, now);
+      StartProbe(policy, found->second, now);
     }
   }
 }
--- a/src/libcore/policy_endpoint.cc
+++ b/src/libcore/policy_endpoint.cc
@@ -50,8 +50,7 @@
   if (endpoint.m_state == EndpointState::kEjected) {
     return false;
   }
-  if (endpoint.m_state == EndpointState::kProbing &&
-      (!call.m_call.m_repeatable || call.m_long)) {
+  if (endpoint.m_state == EndpointState::kProbing && !endpoint.m_direct_probe) {
     return false;
   }
   return ServesModel(endpoint, call.m_call.m_model);
--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -99,6 +99,9 @@
   FinishVerdict verdict{.m_cancel = StopAttempts(policy, call)};
   auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
   LearnFrom(policy, call, attempt, result.m_usage, now);
+  if (!attempt.m_first_token && endpoint.m_state == EndpointState::kProbing) {
+    ApplyEndpointEvent(policy, endpoint, EndpointEvent::kRecovered, now);
+  }
   const auto generated =
       std::max(result.m_usage.m_generated, attempt.m_generated);
   KeepPrefix(policy, endpoint, call, attempt.m_hold,
@@ -170,6 +173,12 @@
   if (!call.m_attempts.empty()) {
     return {.m_kind = FinishVerdict::Kind::kIgnore};
   }
+  if (call.m_place != CallPlace::kRunning) {
+    // A second attempt is queued already; a suspect has to run it alone.
+    Dequeue(policy, call);
+    Enqueue(policy, call, now);
+    return {.m_kind = FinishVerdict::Kind::kRetry};
+  }
   if (MayRetry(call, end, now) && SpendRetryBudget(policy)) {
     Enqueue(policy, call, now);
     return {.m_kind = FinishVerdict::Kind::kRetry};
--- a/src/libcore/policy_hedging.cc
+++ b/src/libcore/policy_hedging.cc
@@ -4,6 +4,7 @@
 
 #include "policy_ejection.h"
 #include "policy_endpoint.h"
+#include "policy_order.h"
 
 namespace dotterelshed::pvt {
 
@@ -65,6 +66,21 @@
          !call.m_hedged && !call.m_suspect && (!call.m_long || out);
 }
 
+/// Whether a second attempt that needs @p elsewhere_s is worth its cost; takes
+/// it out of the budget if so.
+auto TakeHedge(PoolPolicy& policy,
+               const AttemptState& attempt,
+               CallState& call,
+               double elsewhere_s,
+               TimePoint now) -> bool {
+  if (elsewhere_s > kWorthwhile * RemainingHere(policy, attempt, call, now) ||
+      !SpendRetryBudget(policy)) {
+    return false;
+  }
+  call.m_hedged = true;
+  return true;
+}
+
 /// A second endpoint for the call, if that promises to be worth it.
 auto FindHedge(PoolPolicy& policy, const AttemptState& attempt, TimePoint now)
     -> std::optional<Hedge> {
@@ -73,18 +89,28 @@
     return std::nullopt;
   }
   const auto* other = FindFreeEndpoint(policy, call, attempt.m_endpoint);
-  if (other == nullptr || other->m_state != EndpointState::kServing) {
-    return std::nullopt;
-  }
-  if (ExpectedCompletion(policy, *other, call) >
-          kWorthwhile * RemainingHere(policy, attempt, call, now) ||
-      !SpendRetryBudget(policy)) {
+  if (other == nullptr ||
+      !TakeHedge(policy, attempt, call,
+                 ExpectedCompletion(policy, *other, call), now)) {
     return std::nullopt;
   }
-  call.m_hedged = true;
   return Hedge{attempt.m_request, other->m_config.m_id};
 }
 
+/// Puts a call that runs on an ejected endpoint into the queue again, beside
+/// its running attempt: the first to end wins.
+auto QueueSecondAttempt(PoolPolicy& policy,
+                        const AttemptState& attempt,
+                        TimePoint now) -> void {
+  auto& call = policy.m_calls.at(attempt.m_request);
+  const auto reference = ReferenceGap(policy, now);
+  const auto elsewhere = reference * ExpectedGenerated(policy, call);
+  if (MayHedge(policy, call, attempt) &&
+      TakeHedge(policy, attempt, call, elsewhere, now)) {
+    Enqueue(policy, call, now);
+  }
+}
+
 }  // namespace
 
 auto RetryReserve() -> double {
@@ -118,7 +144,13 @@
     if (stalled && attempt.m_first_token) {
       NoteGap(policy, endpoint, ToSeconds(now - attempt.m_last_progress), now);
     }
-    if (stalled || endpoint.m_state != EndpointState::kServing) {
+    if (stalled && !attempt.m_first_token &&
+        endpoint.m_state == EndpointState::kProbing) {
+      ApplyEndpointEvent(policy, endpoint, EndpointEvent::kSlow, now);
+    }
+    if (endpoint.m_state == EndpointState::kEjected) {
+      QueueSecondAttempt(policy, attempt, now);
+    } else if (stalled) {
       const auto hedge = FindHedge(policy, attempt, now);
       if (hedge) {
         hedges.push_back(*hedge);
--- a/src/libcore/policy_limit.h
+++ b/src/libcore/policy_limit.h
@@ -14,6 +14,10 @@
 auto StartLimit(const PolicyOptions& options, const EndpointConfig& config)
     -> double;
 
+/// Whether a first token that came @p took after the start is later than the
+/// prefill before it explains.
+auto IsLate(const AttemptState& attempt, Duration took) -> bool;
+
 /// Takes a first token that came @p took after the start of @p attempt.
 auto AdaptLimit(PoolPolicy& policy,
                 EndpointWork& endpoint,
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -132,6 +132,8 @@
   int m_good_marks = 0;
   TimePoint m_last_mark;
   TimePoint m_probe_at;
+  /// Probed with a call of its own, since no duplicate came.
+  bool m_direct_probe = false;
   int m_ejections = 0;
   /// Call that runs, or is to run, alone here.
   RequestId m_isolated;
@@ -180,6 +182,8 @@
   std::set<std::pair<TimePoint, AttemptId>> m_attempt_timers;
   /// Deadlines of calls that never ran.
   std::set<std::pair<TimePoint, RequestId>> m_deadlines;
+  /// Endpoints in state kProbing.
+  std::set<EndpointId> m_probing;
   /// Endpoints to probe.
   std::set<std::pair<TimePoint, EndpointId>> m_probe_timers;
 
