--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -164,8 +164,7 @@
   for (const auto& [id, record] : ownership.m_table->m_members) {
     auto& info = ownership.m_members[id].m_info;
     // The table may know of a later start than the last digest did.
-    const HostRef recorded{.m_host = id,
-                           .m_incarnation = record.m_incarnation};
+    const HostRef recorded{.m_host = id, .m_incarnation = record.m_incarnation};
     info.m_host = std::max(info.m_host, recorded);
     info.m_addresses = record.m_addresses;
   }
