--- a/src/libcore/policy_dispatch.cc
+++ b/src/libcore/policy_dispatch.cc
@@ -38,17 +38,24 @@
       continue;
     }
     const auto& warm = endpoint.m_warm;
-    if (!warm.m_short.empty() && HasSlot(endpoint, false)) {
+    if (!warm.m_short.empty() && HasSlot(policy, endpoint, false)) {
       Consider(best, warm.m_short.begin()->first, warm.m_short.begin()->second,
                &endpoint);
     }
-    if (!warm.m_long.empty() && HasSlot(endpoint, true)) {
+    if (!warm.m_long.empty() && HasSlot(policy, endpoint, true)) {
       Consider(best, warm.m_long.begin()->first, warm.m_long.begin()->second,
                &endpoint);
     }
   }
 }
 
+/// Endpoint on which the call runs already; empty for none.
+auto RunsOn(const PoolPolicy& policy, const CallState& call) -> EndpointId {
+  return call.m_attempts.empty()
+             ? EndpointId()
+             : policy.m_attempts.at(*call.m_attempts.begin()).m_endpoint;
+}
+
 /// First calls of the common queues, if they beat the best so far.
 auto ConsiderCold(PoolPolicy& policy, Candidate& best) -> void {
   if (policy.m_free.empty()) {
@@ -61,8 +68,9 @@
         continue;
       }
       const auto& [key, request] = *half->begin();
+      const auto& call = policy.m_calls.at(request);
       Consider(best, key, request,
-               FindFreeEndpoint(policy, policy.m_calls.at(request)));
+               FindFreeEndpoint(policy, call, RunsOn(policy, call)));
     }
   }
 }
@@ -80,7 +88,7 @@
                   TimePoint now) -> Dispatched {
   const auto id = MakeAttemptId(policy, call.m_call.m_request);
   const auto uncached = UncachedTokens(policy, endpoint, call);
-  const auto ahead = endpoint.m_pending_prefill;
+  const auto ahead = PendingAhead(endpoint, call.m_long);
   Dispatched out{.m_attempt = id,
                  .m_request = call.m_call.m_request,
                  .m_endpoint = endpoint.m_config.m_id,
@@ -109,7 +117,7 @@
   ++call.m_tries;
   endpoint.m_running.insert(id);
   endpoint.m_running_long += call.m_long ? 1 : 0;
-  endpoint.m_pending_prefill += uncached;
+  AddPending(endpoint, call.m_long, uncached);
   endpoint.m_running_memory += memory;
   ArmAttemptTimer(policy, id, now);
   UpdateFree(policy, endpoint);
@@ -123,7 +131,40 @@
   auto& call = policy.m_calls.at(request);
   Dequeue(policy, call);
   policy.m_deadlines.erase({call.m_call.m_deadline, request});
-  return StartAttempt(policy, call, endpoint, false, now);
+  const auto second = !call.m_attempts.empty();
+  return StartAttempt(policy, call, endpoint, second, now);
+}
+
+/// An endpoint that waits for a probe and may take a duplicate of the call.
+auto FindProbe(PoolPolicy& policy, const CallState& call) -> EndpointWork* {
+  if (!call.m_call.m_repeatable || call.m_long || call.m_hedged ||
+      call.m_suspect) {
+    return nullptr;
+  }
+  for (const auto& id : policy.m_probing) {
+    auto& endpoint = policy.m_endpoints.at(id);
+    const auto usable = endpoint.m_configured && !endpoint.m_leaving &&
+                        endpoint.m_isolated.empty();
+    if (usable && endpoint.m_running.empty()) {
+      return &endpoint;
+    }
+  }
+  return nullptr;
+}
+
+/// Sends a duplicate of a call that has just started to an endpoint that
+/// waits for a probe: it costs work, but nobody waits for it.
+auto StartProbeBeside(PoolPolicy& policy,
+                      const RequestId& request,
+                      TimePoint now,
+                      std::vector<Dispatched>& out) -> void {
+  auto& call = policy.m_calls.at(request);
+  auto* endpoint = FindProbe(policy, call);
+  if (endpoint != nullptr && policy.m_options.m_hedging &&
+      SpendRetryBudget(policy)) {
+    call.m_hedged = true;
+    out.push_back(StartAttempt(policy, call, *endpoint, true, now));
+  }
 }
 
 auto StartWaiting(PoolPolicy& policy,
@@ -137,6 +178,7 @@
       return;
     }
     out.push_back(StartQueued(policy, best.m_request, *best.m_endpoint, now));
+    StartProbeBeside(policy, best.m_request, now, out);
   }
 }
 
@@ -149,7 +191,7 @@
   pvt::StartProbes(policy, now);
   for (const auto& hedge : pvt::FindHedges(policy, now)) {
     auto& endpoint = policy.m_endpoints.at(hedge.m_endpoint);
-    if (pvt::HasSlot(endpoint, false)) {
+    if (pvt::HasSlot(policy, endpoint, false)) {
       out.push_back(pvt::StartAttempt(
           policy, policy.m_calls.at(hedge.m_request), endpoint, true, now));
     }
--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -34,7 +34,7 @@
   endpoint.m_running_long -= attempt.m_long ? 1 : 0;
   endpoint.m_running_memory -= attempt.m_memory;
   if (!attempt.m_first_token) {
-    endpoint.m_pending_prefill -= attempt.m_uncached;
+    AddPending(endpoint, attempt.m_long, -attempt.m_uncached);
   }
   UpdateFree(policy, endpoint);
   return attempt;
@@ -99,6 +99,9 @@
   FinishVerdict verdict{.m_cancel = StopAttempts(policy, call)};
   auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
   LearnFrom(policy, call, attempt, result.m_usage, now);
+  if (!attempt.m_first_token && endpoint.m_state == EndpointState::kProbing) {
+    ApplyEndpointEvent(policy, endpoint, EndpointEvent::kRecovered, now);
+  }
   const auto generated =
       std::max(result.m_usage.m_generated, attempt.m_generated);
   KeepPrefix(policy, endpoint, call, attempt.m_hold,
@@ -170,6 +173,12 @@
   if (!call.m_attempts.empty()) {
     return {.m_kind = FinishVerdict::Kind::kIgnore};
   }
+  if (call.m_place != CallPlace::kRunning) {
+    // A second attempt is queued already; a suspect has to run it alone.
+    Dequeue(policy, call);
+    Enqueue(policy, call, now);
+    return {.m_kind = FinishVerdict::Kind::kRetry};
+  }
   if (MayRetry(call, end, now) && SpendRetryBudget(policy)) {
     Enqueue(policy, call, now);
     return {.m_kind = FinishVerdict::Kind::kRetry};
@@ -201,7 +210,7 @@
   } else {
     const auto took = now - attempt.m_started;
     attempt.m_first_token = now;
-    endpoint.m_pending_prefill -= attempt.m_uncached;
+    AddPending(endpoint, attempt.m_long, -attempt.m_uncached);
     pvt::AdaptLimit(policy, endpoint, attempt, took, now);
     pvt::NoteFirstToken(endpoint, attempt, took);
     pvt::UpdateFree(policy, endpoint);
