--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -52,12 +52,12 @@
     answer.m_message = "the turn ran; its answer is older than the stored ones";
   }
   FillBudget(pool, record.m_root, answer);
-  answer.m_token = ContinuationToken{
-      .m_program = record.m_program,
-      .m_turn = turn.m_turn,
-      .m_chain = turn.m_chain,
-      .m_holders = {step.m_core.m_options.m_self},
-      .m_spent = answer.m_spent};
+  answer.m_token =
+      ContinuationToken{.m_program = record.m_program,
+                        .m_turn = turn.m_turn,
+                        .m_chain = turn.m_chain,
+                        .m_holders = {step.m_core.m_options.m_self},
+                        .m_spent = answer.m_spent};
   if (pool.m_mode != CopyMode::kAlone) {
     answer.m_token->m_holders.push_back(pool.m_target);
   }
@@ -235,8 +235,8 @@
                "the stored answer can't be confirmed now");
     return;
   }
-  const auto elsewhere = pool.m_mode == CopyMode::kSpare &&
-                         entry.m_confirmed_by != pool.m_target;
+  const auto elsewhere =
+      pool.m_mode == CopyMode::kSpare && entry.m_confirmed_by != pool.m_target;
   if (elsewhere && !pool.m_changes.contains(request.m_program)) {
     ShareProgram(step, pool, entry);  // The spare has to have it first.
   }
@@ -316,8 +316,7 @@
     return;
   }
   entry->m_last_used = step.m_now;
-  if (auto* root = FindProgram(pool.m_store, request.m_root);
-      root != nullptr) {
+  if (auto* root = FindProgram(pool.m_store, request.m_root); root != nullptr) {
     root->m_last_used = step.m_now;  // It waits for its sub-agent.
   }
   const auto* turn = FindTurn(entry->m_record, request.m_turn);
