--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -133,8 +133,8 @@
 auto Cancel(PoolPolicy& policy, const RequestId& request, TimePoint now)
     -> std::vector<AttemptId>;
 
-/// Calls that can't make their deadline any more and were dropped from the
-/// queue without having run.
+/// Calls that waited past their deadline and were dropped from the queue. None
+/// of their attempts runs now; one that failed may have run before.
 auto Expire(PoolPolicy& policy, TimePoint now) -> std::vector<RequestId>;
 
 auto NoteLoad(PoolPolicy& policy, const LoadReport& report, TimePoint now)
--- a/src/libcore/policy_admission.cc
+++ b/src/libcore/policy_admission.cc
@@ -163,7 +163,6 @@
   const auto [placed, added] =
       policy.m_calls.try_emplace(call.m_request, std::move(state));
   DOTTERELSHED_CHECK(added);
-  policy.m_deadlines.emplace(call.m_deadline, call.m_request);
   pvt::Enqueue(policy, placed->second, now);
   pvt::TrimPrograms(policy);
   return std::nullopt;
--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy_ejection.cc
@@ -20,6 +20,8 @@
 constexpr double kSlowStepWeight = 0.5;
 constexpr double kStepWeight = 0.05;
 constexpr double kFirstTokenWeight = 0.1;
+/// Waiting inside an engine is not to pass for its prefill rate.
+constexpr double kLateFirstTokenWeight = 0.01;
 /// One endpoint in this many may be out at once.
 constexpr int kFloorDivisor = 3;
 constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
@@ -191,7 +193,7 @@
   const auto prompt =
       std::max<std::int64_t>(64, attempt.m_uncached + attempt.m_ahead);
   MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt),
-        kFirstTokenWeight);
+        IsLate(attempt, took) ? kLateFirstTokenWeight : kFirstTokenWeight);
 }
 
 auto ApplyEndpointEvent(PoolPolicy& policy,
--- /dev/null
+++ b/src/libcore/policy_endpoint_unittest.cc
@@ -0,0 +1,115 @@
+#include "policy_endpoint.h"
+
+#include <catch2/catch.hpp>
+
+#include "policy_test_pool.h"
+
+namespace dotterelshed {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a program goes on where its prefix is, while there is a slot") {
+  TestPool pool({.m_endpoints = 4});
+  for (auto turn = 1; turn < 6; ++turn) {
+    auto call = pool.Call("p", turn);
+    call.m_prompt_tokens = Tokens(1000 * turn);
+    CHECK(pool.RunWhole(call) == EndpointId("e0"));
+  }
+}
+
+TEST_CASE("a call does not wait for ever for the endpoint with its prefix") {
+  TestPool pool({.m_endpoints = 2, .m_concurrency = 1});
+  pool.RunWhole(pool.Call("p"));
+  auto other = pool.Call("other");
+  other.m_repeatable = false;
+  pool.Add(other);
+  pool.Start();
+  pool.m_policy->m_endpoints.at(EndpointId("e1")).m_limit = 0;
+  pool.Add(pool.Call("p", 2));
+  CHECK(pool.Start().empty());
+  pool.m_policy->m_endpoints.at(EndpointId("e1")).m_limit = 1;
+  pvt::UpdateFree(*pool.m_policy, pool.Endpoint(1));
+  CHECK(pool.Start().empty());
+  pool.m_now += std::chrono::seconds(2);
+  REQUIRE(NextDeadline(*pool.m_policy).value() <= pool.m_now);
+  const auto started = pool.Start();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].m_endpoint == EndpointId("e1"));
+  REQUIRE(started[0].m_release.size() == 1);
+  CHECK(started[0].m_release[0].m_endpoint == EndpointId("e0"));
+}
+
+TEST_CASE("an endpoint that leaves gets nothing new, waiting calls included") {
+  TestPool pool({.m_endpoints = 2, .m_concurrency = 1});
+  pool.RunWhole(pool.Call("p"));
+  pool.Add(pool.Call("a"));
+  pool.Add(pool.Call("b"));
+  const auto running = pool.Start();
+  pool.Add(pool.Call("p", 2));
+  NoteLeaving(*pool.m_policy, EndpointId("e0"), pool.m_now);
+  for (const auto& attempt : running) {
+    pool.End(attempt, AttemptEnd::kCompleted);
+  }
+  const auto started = pool.Start();
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].m_endpoint == EndpointId("e1"));
+}
+
+TEST_CASE("a restarted endpoint gets work again after its reports say so") {
+  TestPool pool({.m_endpoints = 1});
+  NoteLeaving(*pool.m_policy, EndpointId("e0"), pool.m_now);
+  const LoadReport well{.m_endpoint = EndpointId("e0")};
+  pool.m_now += std::chrono::seconds(2);
+  NoteLoad(*pool.m_policy, well, pool.m_now);
+  CHECK(pool.Add(pool.Call("a"))->m_reason == ReasonCode::kNoEndpoint);
+  pool.m_now += std::chrono::seconds(20);
+  NoteLoad(*pool.m_policy, well, pool.m_now);
+  CHECK_FALSE(pool.Add(pool.Call("a")));
+  CHECK(pool.Start().size() == 1);
+}
+
+TEST_CASE("a call goes to an endpoint that has its model") {
+  TestPool pool({.m_endpoints = 2});
+  NoteLoad(*pool.m_policy,
+           {.m_endpoint = EndpointId("e0"), .m_models = {ModelId("m1")}},
+           pool.m_now);
+  NoteLoad(*pool.m_policy,
+           {.m_endpoint = EndpointId("e1"), .m_models = {ModelId("m2")}},
+           pool.m_now);
+  auto call = pool.Call("a");
+  call.m_model = ModelId("m2");
+  CHECK(pool.RunWhole(call) == EndpointId("e1"));
+  call = pool.Call("b");
+  call.m_model = ModelId("m3");
+  CHECK(pool.Add(call)->m_reason == ReasonCode::kNoEndpoint);
+}
+
+TEST_CASE("the limit falls when calls queue in the engine and rises again") {
+  TestPool pool({.m_endpoints = 1, .m_concurrency = 32});
+  const auto first_tokens = [&pool](const std::string& name, int rounds,
+                                    Duration took) {
+    for (auto round = 0; round < rounds; ++round) {
+      for (auto i = 0; i < 32; ++i) {
+        pool.Add(pool.Call(name + std::to_string(round * 100 + i)));
+      }
+      const auto started = pool.Start();
+      pool.m_now += took;
+      for (const auto& attempt : started) {
+        Progress(*pool.m_policy, attempt.m_attempt, Tokens(1), pool.m_now);
+      }
+      for (const auto& attempt : started) {
+        pool.End(attempt, AttemptEnd::kCompleted);
+      }
+    }
+  };
+  const auto before = pool.Endpoint(0).m_limit;
+  first_tokens("late", 5, milliseconds(2000));
+  const auto low = pool.Endpoint(0).m_limit;
+  CHECK(low < before);
+  first_tokens("good", 10, milliseconds(50));
+  CHECK(pool.Endpoint(0).m_limit > low);
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libcore/policy_limit.cc
+++ b/src/libcore/policy_limit.cc
@@ -43,7 +43,9 @@
     return;
   }
   const auto running = static_cast<double>(endpoint.m_running.size());
-  if (IsLate(attempt, took) || endpoint.m_gap_s > kTokenGapTargetS) {
+  // Long calls may be late because short ones were prefilled before them.
+  const auto late = !attempt.m_long && IsLate(attempt, took);
+  if (late || endpoint.m_gap_s > kTokenGapTargetS) {
     if (now - endpoint.m_limit_cut_at >= kCutInterval) {
       endpoint.m_limit_cut_at = now;
       endpoint.m_limit =
--- a/src/libcore/policy_order.cc
+++ b/src/libcore/policy_order.cc
@@ -128,6 +128,9 @@
   RankCall(policy, call);
   ++policy.m_queued;
   ++policy.m_queued_by_level.at(static_cast<std::size_t>(call.m_level));
+  if (call.m_attempts.empty()) {
+    policy.m_deadlines.emplace(call.m_call.m_deadline, call.m_call.m_request);
+  }
   if (call.m_suspect) {
     call.m_place = CallPlace::kIsolation;
     policy.m_isolation.push_back(call.m_call.m_request);
--- a/src/libcore/policy_quarantine.cc
+++ b/src/libcore/policy_quarantine.cc
@@ -73,6 +73,20 @@
   return best;
 }
 
+/// Takes back reservations on endpoints that no longer take the suspect.
+auto DropVainReservations(PoolPolicy& policy) -> void {
+  for (auto& [id, endpoint] : policy.m_endpoints) {
+    if (endpoint.m_isolated.empty()) {
+      continue;
+    }
+    const auto& call = policy.m_calls.at(endpoint.m_isolated);
+    if (call.m_place == CallPlace::kIsolation && !MayTake(endpoint, call)) {
+      endpoint.m_isolated = RequestId();
+      UpdateFree(policy, endpoint);
+    }
+  }
+}
+
 auto ReserveForSuspects(PoolPolicy& policy) -> void {
   const auto most = std::max<int>(
       1, static_cast<int>(policy.m_endpoints.size()) / kIsolationDivisor);
@@ -140,6 +154,7 @@
   if (policy.m_isolation.empty()) {
     return out;
   }
+  DropVainReservations(policy);
   ReserveForSuspects(policy);
   for (const auto& [id, endpoint] : policy.m_endpoints) {
     if (endpoint.m_isolated.empty() || !endpoint.m_running.empty()) {
--- /dev/null
+++ b/src/libcore/policy_quarantine_unittest.cc
@@ -0,0 +1,109 @@
+#include "policy_quarantine.h"
+
+#include <catch2/catch.hpp>
+
+#include "policy_test_pool.h"
+
+namespace dotterelshed {
+namespace {
+
+/// Runs until nothing is left. Content "killer" takes down its endpoint with
+/// everything on it; all other calls succeed. Gives the endpoints crashed.
+auto RunWithKiller(TestPool& pool,
+                   std::map<RequestId, FinishVerdict::Kind>& ends)
+    -> std::vector<EndpointId> {
+  std::vector<EndpointId> crashed;
+  for (auto started = pool.Start(); !started.empty(); started = pool.Start()) {
+    std::map<EndpointId, std::vector<Dispatched>> by_endpoint;
+    std::set<EndpointId> hit;
+    for (const auto& attempt : started) {
+      by_endpoint[attempt.m_endpoint].push_back(attempt);
+      const auto& call = pool.m_policy->m_calls.at(attempt.m_request);
+      if (call.m_call.m_content == Digest("killer")) {
+        hit.insert(attempt.m_endpoint);
+        crashed.push_back(attempt.m_endpoint);
+      }
+    }
+    for (const auto& [endpoint, attempts] : by_endpoint) {
+      const auto end =
+          hit.contains(endpoint) ? AttemptEnd::kLost : AttemptEnd::kCompleted;
+      for (const auto& attempt : attempts) {
+        ends[attempt.m_request] = pool.End(attempt, end).m_kind;
+      }
+    }
+    pool.m_now += std::chrono::seconds(30);
+  }
+  return crashed;
+}
+
+TEST_CASE("content that crashes two endpoints is quarantined, others finish") {
+  TestPool pool({.m_endpoints = 5});
+  auto killer = pool.Call("k");
+  killer.m_content = Digest("killer");
+  pool.Add(killer);
+  for (auto i = 0; i < 18; ++i) {
+    pool.Add(pool.Call("bystander" + std::to_string(i)));
+  }
+  std::map<RequestId, FinishVerdict::Kind> ends;
+  const auto crashed = RunWithKiller(pool, ends);
+  REQUIRE(crashed.size() == 2);
+  CHECK(crashed[0] != crashed[1]);
+  REQUIRE(ends.size() == 19);
+  for (const auto& [request, kind] : ends) {
+    CHECK(kind == (request == killer.m_request
+                       ? FinishVerdict::Kind::kQuarantine
+                       : FinishVerdict::Kind::kFinal));
+  }
+  auto again = pool.Call("resent");
+  again.m_content = Digest("killer");
+  CHECK(pool.Add(again)->m_reason == ReasonCode::kQuarantined);
+}
+
+TEST_CASE("a suspect runs alone") {
+  TestPool pool({.m_endpoints = 1});
+  pool.Add(pool.Call("a"));
+  const auto first = pool.Start().at(0);
+  pool.End(first, AttemptEnd::kLost);
+  pool.Add(pool.Call("b"));
+  const auto next = pool.Start();
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].m_request == first.m_request);
+  CHECK(pool.Start().empty());
+  pool.End(next[0], AttemptEnd::kCompleted);
+  CHECK(pool.Start().size() == 1);
+}
+
+TEST_CASE("when many endpoints go down at once no content is blamed") {
+  TestPool pool({.m_endpoints = 8, .m_concurrency = 1});
+  for (auto i = 0; i < 8; ++i) {
+    pool.Add(pool.Call("p" + std::to_string(i)));
+  }
+  for (const auto& attempt : pool.Start()) {
+    pool.End(attempt, AttemptEnd::kLost);
+  }
+  auto suspects = 0;
+  for (const auto& [request, call] : pool.m_policy->m_calls) {
+    suspects += call.m_suspect ? 1 : 0;
+  }
+  CHECK(suspects <= 2);
+  CHECK(pool.m_policy->m_quarantined.empty());
+}
+
+TEST_CASE("content under quarantine elsewhere is refused here") {
+  TestPool pool({});
+  auto call = pool.Call("p");
+  NoteQuarantined(*pool.m_policy, call.m_content);
+  CHECK(pool.Add(call)->m_reason == ReasonCode::kQuarantined);
+}
+
+TEST_CASE("the quarantine list stays within its limit") {
+  TestPool pool({.m_policy = {.m_max_quarantined = 10}});
+  for (auto i = 0; i < 50; ++i) {
+    NoteQuarantined(*pool.m_policy, Digest(std::to_string(i)));
+  }
+  CHECK(pool.m_policy->m_quarantined.size() == 10);
+  CHECK(pool.m_policy->m_quarantined.contains(Digest("49")));
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -180,7 +180,7 @@
   std::set<std::pair<TimePoint, RequestId>> m_warm_timers;
   /// Attempts to look at for a stall.
   std::set<std::pair<TimePoint, AttemptId>> m_attempt_timers;
-  /// Deadlines of calls that never ran.
+  /// Deadlines of waiting calls that run nowhere.
   std::set<std::pair<TimePoint, RequestId>> m_deadlines;
   /// Endpoints in state kProbing.
   std::set<EndpointId> m_probing;
