--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -88,6 +88,8 @@
   /// Empty when nothing promises that the prefix is still there.
   HoldId m_hold;
   TimePoint m_expected_return;
+  /// True while a call runs on it: its memory then counts as the call's.
+  bool m_in_use = false;
 };
 
 struct ProgramState {
@@ -112,16 +114,16 @@
   EndpointState m_state = EndpointState::kServing;
   std::set<AttemptId> m_running;
   int m_running_long = 0;
-  /// Share of the slots that long calls may use.
-  double m_long_share = 0;
   double m_limit = 1;
   TimePoint m_limit_cut_at;
   CallQueue m_warm;
-  /// Seconds between tokens, quick to rise and slow to fall.
+  /// Mean seconds between tokens; slow steps weigh more.
   double m_gap_s = 0;
   /// Seconds until the first token for each prompt token before it.
   double m_prefill_s = 0;
-  std::int64_t m_pending_prefill = 0;
+  /// Prompt tokens of short calls and of long ones before their first token.
+  std::int64_t m_pending_short = 0;
+  std::int64_t m_pending_long = 0;
   std::int64_t m_running_memory = 0;
   std::int64_t m_held_memory = 0;
   /// Prefixes with a hold, by the time at which they are needed again.
@@ -130,6 +132,8 @@
   int m_good_marks = 0;
   TimePoint m_last_mark;
   TimePoint m_probe_at;
+  /// Probed with a call of its own, since no duplicate came.
+  bool m_direct_probe = false;
   int m_ejections = 0;
   /// Call that runs, or is to run, alone here.
   RequestId m_isolated;
@@ -176,8 +180,10 @@
   std::set<std::pair<TimePoint, RequestId>> m_warm_timers;
   /// Attempts to look at for a stall.
   std::set<std::pair<TimePoint, AttemptId>> m_attempt_timers;
-  /// Deadlines of calls that never ran.
+  /// Deadlines of waiting calls that run nowhere.
   std::set<std::pair<TimePoint, RequestId>> m_deadlines;
+  /// Endpoints in state kProbing.
+  std::set<EndpointId> m_probing;
   /// Endpoints to probe.
   std::set<std::pair<TimePoint, EndpointId>> m_probe_timers;
 
