End the drain of a host that nobody can relieve as copy holder

Cause: in a domain of two, the pool's primary moves to the other host and the leaving host is kept as copy holder, since a leaving holder is better than none; the drain then waited for it to hold no role, until drain_timeout, and the process ended with exit code 3. Now a drain waits only for roles that another host could take.

--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -26,32 +26,42 @@
   pvt::StartRead(ownership, now, step);
 }
 
-auto HoldsRole(const Ownership& ownership) -> bool {
+/// True when a live host that is not leaving could take a role of this host.
+/// The pool's other owner, if any, can't take the second role too.
+auto HasSuccessor(const Ownership& ownership, const HostId& other_owner)
+    -> bool {
+  const auto& self = ownership.m_options.m_self.m_host;
+  const auto& members = ownership.m_members;
+  return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
+    const auto& info = entry.second.m_info;
+    return entry.first != self && entry.first != other_owner && info.m_alive &&
+           !info.m_draining;
+  });
+}
+
+/// True while this host has a role that another host could take. In a domain
+/// of two a leaving host stays copy holder to the end: nobody else is there,
+/// and the primary has all that it has.
+auto HoldsGivableRole(const Ownership& ownership) -> bool {
   if (!ownership.m_table) {
     return false;
   }
   const auto& self = ownership.m_options.m_self;
   const auto& pools = ownership.m_table->m_pools;
-  return ownership.m_table->m_lead == self ||
-         std::any_of(pools.begin(), pools.end(), [&self](const auto& entry) {
-           return entry.second.m_primary == self ||
-                  entry.second.m_holder == self;
+  const auto gives_lead =
+      ownership.m_table->m_lead == self && HasSuccessor(ownership, HostId());
+  return gives_lead ||
+         std::any_of(pools.begin(), pools.end(), [&](const auto& entry) {
+           const auto& pool = entry.second;
+           const auto gives_primary =
+               pool.m_primary == self && HasSuccessor(ownership, HostId());
+           const auto gives_copy =
+               pool.m_holder == self &&
+               HasSuccessor(ownership, pool.m_primary.m_host);
+           return gives_primary || gives_copy;
          });
 }
 
-/// True when somebody could take a role of this host.
-auto HasSuccessor(const Ownership& ownership) -> bool {
-  if (!ownership.m_table) {
-    return false;
-  }
-  const auto& members = ownership.m_members;
-  return std::any_of(members.begin(), members.end(), [&](const auto& entry) {
-    const auto& info = entry.second.m_info;
-    return entry.first != ownership.m_options.m_self.m_host && info.m_alive &&
-           !info.m_draining;
-  });
-}
-
 /// Copies of pools that this host gave away stand on their new owners.
 auto CopiesConfirmed(const Ownership& ownership, TimePoint now) -> bool {
   if (ownership.m_given_away.empty()) {
@@ -73,8 +83,9 @@
     return;
   }
   const auto given_up =
-      !HoldsRole(ownership) && CopiesConfirmed(ownership, now);
-  if (given_up || !HasSuccessor(ownership)) {
+      !HoldsGivableRole(ownership) && CopiesConfirmed(ownership, now);
+  const auto alone = !HasSuccessor(ownership, HostId());
+  if (given_up || alone) {
     pvt::FireHostEvent(ownership, pvt::HostEvent::kRolesGone, step);
   }
 }
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -197,6 +197,21 @@
   CHECK(AllServed(sim));
 }
 
+TEST_CASE("in a domain of two a drain ends with the copy still held") {
+  FakeDomain sim({.m_hosts = 2, .m_endpoints = 8});
+  sim.Run(seconds(5));
+  const auto host = sim.Table().m_pools.begin()->second.m_primary.m_host;
+  sim.Drain(host);
+  sim.Run(seconds(5));
+  CHECK(sim.Table().m_pools.begin()->second.m_primary.m_host != host);
+  CHECK(Drained(sim.OwnershipOf(host)));
+  sim.Stop(host);
+  sim.Run(seconds(10));
+  const auto& pool = sim.Table().m_pools.begin()->second;
+  CHECK(pool.m_primary.m_host != host);
+  CHECK(pool.m_holder.m_host.empty());
+}
+
 TEST_CASE("a drain waits for pinned pools and for the new copies") {
   FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
   sim.Run(seconds(5));
