--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -127,6 +127,22 @@
   CHECK(sim.Table().m_members.contains(lead));
 }
 
+TEST_CASE("a pause of the whole domain moves nothing") {
+  FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
+  sim.Run(seconds(8));
+  const auto version = sim.Table().m_version;
+  // No message waits for the hosts when they wake.
+  sim.m_lose_percent = 100;
+  sim.Run(milliseconds(600));
+  for (const auto& [id, host] : sim.m_hosts) {
+    sim.Pause(id, seconds(30));
+  }
+  sim.Run(seconds(29));
+  sim.m_lose_percent = 0;
+  sim.Run(seconds(30));
+  CHECK(sim.Table().m_version == version);
+}
+
 TEST_CASE("nothing moves while the platform is down") {
   FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
   sim.Run(seconds(5));
@@ -252,10 +268,12 @@
   sim.Run(seconds(20));
   sim.Start(FakeDomain::HostName(0, 2), FakeDomain::Domain(0));
   sim.Start(FakeDomain::HostName(0, 3), FakeDomain::Domain(0));
-  const auto puts = sim.m_puts;
-  sim.Run(minutes(5));
-  // Two for the joining hosts, then one write per ten seconds at most.
-  CHECK(sim.m_puts - puts <= 32);
+  sim.Run(seconds(4));
+  for (auto i = 0; i < 30; ++i) {
+    const auto puts = sim.m_puts;
+    sim.Run(seconds(10));
+    CHECK(sim.m_puts - puts <= 1);
+  }
   std::map<HostId, int> primaries;
   for (const auto& [id, pool] : sim.Table().m_pools) {
     ++primaries[pool.m_primary.m_host];
@@ -299,11 +317,15 @@
   FakeDomain sim({.m_hosts = 5});
   sim.Run(seconds(5));
   sim.m_lose_percent = 40;
-  AnnounceQuarantine(sim.OwnershipOf(AnyMember(sim)), Digest("bad"));
+  for (const auto& [id, host] : sim.m_hosts) {
+    AnnounceQuarantine(*host.m_ownership, Digest("bad " + id.value()));
+  }
   sim.Run(seconds(20));
   for (const auto& [id, host] : sim.m_hosts) {
-    CHECK(DumpOwnership(*host.m_ownership, sim.m_now).find("\"bad\"") !=
-          std::string::npos);
+    const auto dump = DumpOwnership(*host.m_ownership, sim.m_now);
+    for (const auto& [from, other] : sim.m_hosts) {
+      CHECK(dump.find("bad " + from.value()) != std::string::npos);
+    }
   }
 }
 
--- a/src/libcore/ownership_walk_unittest.cc
+++ b/src/libcore/ownership_walk_unittest.cc
@@ -182,6 +182,11 @@
   }
 }
 
+TEST_CASE("walks that once found a fault in ownership") {
+  // 32: a new lead passed on that the one before could not reach the platform.
+  OwnershipWalk(32).Run();
+}
+
 /// Primaries copy their pools to new holders, which takes a while; hosts drain
 /// and come back, and none crashes.
 class PlannedWalk {
@@ -281,5 +286,12 @@
   }
 }
 
+TEST_CASE("walks that once found a fault in planned moves") {
+  // 109: a new holder was made primary in the plan that chose it.
+  PlannedWalk(109).Run();
+  // 618: a new lead judged a host by an earlier start than the table's.
+  PlannedWalk(618).Run();
+}
+
 }  // namespace
 }  // namespace dotterelshed
