--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership_table.cc
@@ -272,6 +272,10 @@
     ownership.m_lead.m_probed_at = now;
   }
   pvt::AdoptTable(ownership, *event.m_table, now, step);
+  if (pvt::JudgesPlatform(ownership)) {
+    // This host may have become the lead by this very answer.
+    pvt::SetPlatformReachable(ownership, true, now, step);
+  }
   return step;
 }
 
