--- a/testsuite/edit_while_domain_cut_off/run.py
+++ b/testsuite/edit_while_domain_cut_off/run.py
@@ -8,7 +8,6 @@
 # pylint: disable=wrong-import-position
 import time
 
-from harness import http_client
 from harness.case import run_case
 from harness.relay import Relay
 from harness.waiting import wait_for
@@ -16,10 +15,6 @@
 IN_FORCE_LIMIT_S = 4.0
 
 
-def generation(host):
-    return int(http_client.get_json(host.http, "/admin/status")["generation"])
-
-
 def main(case):
     desk = case.desk()
     desk.start_standins()
@@ -35,16 +30,16 @@
                                        "retries": "10%", "escrow": "25%"})
         result = desk.control("apply", path, "--wait", "6")
         for host in desk.hosts_in("nord"):
-            wait_for(lambda h=host: generation(h) == base + 1, "nord has it")
+            wait_for(lambda h=host: h.generation() == base + 1, "nord has it")
         behind = [h for h in desk.hosts_in("syd")
-                  if generation(h) != base + 1]
+                  if h.generation() != base + 1]
         if behind:
             assert result.returncode == 5, result.stdout + result.stderr
             assert "syd" in result.stdout + result.stderr, result.stdout
         relay.heal()
         healed = time.monotonic()
         for host in desk.hosts_in("syd"):
-            wait_for(lambda h=host: generation(h) == base + 1, "syd has it")
+            wait_for(lambda h=host: h.generation() == base + 1, "syd has it")
         taken = time.monotonic() - healed
         print(f"in force {taken:.2f} s after the return")
         assert taken <= IN_FORCE_LIMIT_S, taken
--- a/testsuite/harness/caller.py
+++ b/testsuite/harness/caller.py
@@ -97,11 +97,11 @@
     return _answer(reply)
 
 
-def ask_again(host, request_id, account="watch"):
-    """The answer of a call by its request id."""
+def ask_again(host, answer, account="watch"):
+    """The answer of a call once more, by its request and program ids."""
     reply = http_client.request(
-        host.http, "GET", f"/v1/requests/{request_id}",
-        headers=headers_for(account))
+        host.http, "GET", f"/v1/requests/{answer.request}",
+        headers=headers_for(account, program=answer.program))
     return _answer(reply)
 
 
--- a/testsuite/harness/process.py
+++ b/testsuite/harness/process.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 
+from harness import http_client
 from harness.waiting import wait_for
 
 
@@ -50,6 +51,11 @@
         """Address of the HTTP side, "IP:port"."""
         return self.addresses["http"]
 
+    def generation(self):
+        """Configuration in force on this host."""
+        status = http_client.get_json(self.http, "/admin/status")
+        return status["core"]["generation"]
+
     @property
     def running(self):
         return self.child is not None and self.child.poll() is None
--- a/testsuite/holds_freed/run.py
+++ b/testsuite/holds_freed/run.py
@@ -6,7 +6,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 # pylint: disable=wrong-import-position
-from harness import caller
+from harness import caller, http_client
 from harness.case import run_case
 from harness.waiting import wait_for
 
@@ -14,12 +14,16 @@
 def begin(desk, host, question):
     """A program whose engine memory is kept for its next call."""
     answer = caller.until_done(
-        lambda h: caller.chat(h, question, pause_ms=1000), [host])
+        lambda h: caller.chat(h, question + " and so on" * 300, pause_ms=1000), [host])
     return answer
 
 
 def holds_of(desk, program):
-    return [h for h in desk.held() if h["program"] == program]
+    return [h for h in desk.held() if names(h, program)]
+
+
+def names(hold, program):
+    return hold["program"] == program or program in hold["id"]
 
 
 def main(case):
@@ -38,7 +42,8 @@
 
     stuck = begin(desk, host, "The endpoint is away.")
     frozen = [e for e in desk.engines if any(
-        h["program"] == stuck.program for h in _held_by(e))]
+        names(h, stuck.program) for h in held_by(e))]
+    assert frozen, "the prefix is kept"
     for engine in frozen:
         engine.pause()
         case.on_end(engine.resume)
@@ -55,8 +60,7 @@
              "freed after the owner's death")
 
 
-def _held_by(engine):
-    from harness import http_client
+def held_by(engine):
     return http_client.get_json(engine.http, "/v1/holds")["holds"]
 
 
--- a/testsuite/primary_dead_in_outage/run.py
+++ b/testsuite/primary_dead_in_outage/run.py
@@ -36,7 +36,7 @@
     assert third.turn == 3 and third.program == first.program, third
     assert third.spent > second.spent > first.spent, third
     again = caller.until_done(
-        lambda host: caller.ask_again(host, second.request), rest)
+        lambda host: caller.ask_again(host, second), rest)
     assert again.text == second.text, again
 
 
--- a/testsuite/primary_killed_between_turns/run.py
+++ b/testsuite/primary_killed_between_turns/run.py
@@ -28,7 +28,7 @@
     assert second.spent > first.spent, second
     assert "messages=3" in second.text, second
     again = caller.until_done(
-        lambda host: caller.ask_again(host, first.request), [entry] + rest)
+        lambda host: caller.ask_again(host, first), [entry] + rest)
     assert again.text == first.text, again
 
 
--- a/testsuite/racing_operators/run.py
+++ b/testsuite/racing_operators/run.py
@@ -15,11 +15,7 @@
 
 def generations(desk):
     """Generation in force on each host, as far as it says so."""
-    found = {}
-    for host in desk.hosts:
-        status = http_client.get_json(host.http, "/admin/status")
-        found[host.name] = int(status["generation"])
-    return found
+    return {host.name: host.generation() for host in desk.hosts}
 
 
 def main(case):
