--- a/src/include/dotterelshed/core.h
+++ b/src/include/dotterelshed/core.h
@@ -48,6 +48,8 @@
   int m_max_stored_answers = 64;
   int m_max_quarantined = 1024;
   int m_lane_count = 16;
+  /// Wall-clock time at TimePoint zero, for what is kept for a time.
+  std::optional<Duration> m_wall_clock_offset;
 };
 
 /// State of one host's decisions; defined in src/libcore.
@@ -80,6 +82,9 @@
 /// load, cache events and holds.
 auto OwnedEndpoints(const HostCore& core) -> std::vector<EndpointConfig>;
 
+/// The configuration in force; null before the first one.
+auto CurrentConfig(const HostCore& core) -> std::shared_ptr<const DeskConfig>;
+
 /// Where @p host listens, if known.
 auto AddressesOf(const HostCore& core, const HostId& host)
     -> std::optional<HostAddresses>;
