--- a/src/dotterelshed/main.cc
+++ b/src/dotterelshed/main.cc
@@ -22,8 +22,8 @@
       "dotterelshed: one entry host. Usage: dotterelshed --settings FILE");
   description.add_options()("help", "show this text")(
       "settings", options::value<std::string>(),
-      "settings file, JSON with comments")(
-      "check", "check the settings and exit")(
+      "settings file, JSON with comments")("check",
+                                           "check the settings and exit")(
       "print-settings", "print the settings in force and exit");
   return description;
 }
@@ -48,13 +48,11 @@
     return kUsageError;
   }
   const auto file = given["settings"].as<std::string>();
-  const auto settings =
-      ReadFile(file).and_then([&file](const std::string& text) {
-        return ParseSettings(text, file);
-      });
+  const auto settings = ReadFile(file).and_then(
+      [&file](const std::string& text) { return ParseSettings(text, file); });
   if (!settings) {
-    std::cerr << settings.error().m_place << ": "
-              << settings.error().m_message << "\n";
+    std::cerr << settings.error().m_place << ": " << settings.error().m_message
+              << "\n";
     return kUsageError;
   }
   if (given.count("print-settings") > 0) {
@@ -65,9 +63,8 @@
     return 0;
   }
   const auto level = ParseLogLevel(settings->m_log_level);
-  const auto logging = StartLogging(
-      {.m_level = level.value_or(LogLevel::kInfo),
-       .m_host = settings->m_host.value()});
+  const auto logging = StartLogging({.m_level = level.value_or(LogLevel::kInfo),
+                                     .m_host = settings->m_host.value()});
   if (!logging) {
     std::cerr << logging.error().m_message << "\n";
     return kUsageError;
--- a/src/libcore/core_route.cc
+++ b/src/libcore/core_route.cc
@@ -110,6 +110,11 @@
   return pvt::ForwardTo(core, pool, assignment->m_holder.m_host);
 }
 
+auto CurrentConfig(const HostCore& core)
+    -> std::shared_ptr<const DeskConfig> {
+  return core.m_config;
+}
+
 auto AddressesOf(const HostCore& core, const HostId& host)
     -> std::optional<HostAddresses> {
   return FindAddresses(*core.m_ownership, host);
--- a/src/libhost/answer_writer.cc
+++ b/src/libhost/answer_writer.cc
@@ -95,8 +95,7 @@
                        {{{"index", 0},
                          {"delta", std::move(delta)},
                          {"finish_reason", std::move(finish_reason)}}}}};
-  return "data: " + chunk.dump(-1, ' ', false,
-                               Json::error_handler_t::replace) +
+  return "data: " + chunk.dump(-1, ' ', false, Json::error_handler_t::replace) +
          "\n\n";
 }
 
@@ -165,8 +164,8 @@
   if (!request.empty()) {
     error["request"] = request.value();
   }
-  return Json{{"error", std::move(error)}}.dump(
-      -1, ' ', false, Json::error_handler_t::replace);
+  return Json{{"error", std::move(error)}}.dump(-1, ' ', false,
+                                                Json::error_handler_t::replace);
 }
 
 auto CompleteUtf8Length(std::string_view text) -> std::size_t {
@@ -200,9 +199,9 @@
   std::string events;
   const auto tool_calls = AnswerToolCalls(answer.m_body);
   if (!tool_calls.empty()) {
-    events += ChunkEvent(answer.m_request, model,
-                         {{"tool_calls", IndexedCalls(tool_calls)}},
-                         "tool_calls");
+    events +=
+        ChunkEvent(answer.m_request, model,
+                   {{"tool_calls", IndexedCalls(tool_calls)}}, "tool_calls");
   } else if (answer.m_outcome == OutcomeKind::kDone) {
     events += ChunkEvent(answer.m_request, model, Json::object(), "stop");
   }
--- a/src/libhost/attempt_runner.cc
+++ b/src/libhost/attempt_runner.cc
@@ -108,7 +108,8 @@
     Finish(start.m_attempt, Refused("the right to send has expired"));
     return;
   }
-  auto result = RunAttempt(MakeSpec(start, service->second, *endpoint), observer);
+  auto result =
+      RunAttempt(MakeSpec(start, service->second, *endpoint), observer);
   ObserveMetric(MetricId::kAttemptSeconds, start.m_call.m_service.value(),
                 SteadyTime() - begin);
   Finish(start.m_attempt, std::move(result));
--- a/src/libhost/attempt_runner.h
+++ b/src/libhost/attempt_runner.h
@@ -21,7 +21,9 @@
 /// exactly once for each.
 class AttemptRunner {
  public:
-  AttemptRunner(CoreRunner& core, RequestTable& requests, WorkerThreads& workers)
+  AttemptRunner(CoreRunner& core,
+                RequestTable& requests,
+                WorkerThreads& workers)
       : m_core(core), m_requests(requests), m_workers(workers) {}
 
   auto Start(const StartAttempt& start) -> void;
--- a/src/libhost/call_parser.cc
+++ b/src/libhost/call_parser.cc
@@ -65,18 +65,18 @@
   if (!token.empty()) {
     auto checked = CheckToken(token, context.m_token_secret);
     if (!checked) {
-      return ParseFailure{ReasonCode::kBadToken, kForbidden,
-                          "header x-dotterelshed-token: " +
-                              checked.error().m_message};
+      return ParseFailure{
+          ReasonCode::kBadToken, kForbidden,
+          "header x-dotterelshed-token: " + checked.error().m_message};
     }
     call.m_token = std::move(*checked);
     call.m_program = call.m_token->m_program;
   }
   if (!program.empty()) {
     if (call.m_token && call.m_program.value() != program) {
-      return ParseFailure{ReasonCode::kBadToken, kConflict,
-                          "the token belongs to program " +
-                              call.m_program.value()};
+      return ParseFailure{
+          ReasonCode::kBadToken, kConflict,
+          "the token belongs to program " + call.m_program.value()};
     }
     call.m_program = ProgramId(program);
   }
@@ -117,16 +117,16 @@
                 const ParseContext& context,
                 CallRequest& call) -> std::optional<ParseFailure> {
   const auto name = input.m_header("x-dotterelshed-class");
-  call.m_class = name.empty() ? context.m_config.m_default_class : ClassId(name);
+  call.m_class =
+      name.empty() ? context.m_config.m_default_class : ClassId(name);
   if (!context.m_config.m_classes.contains(call.m_class)) {
     return ParseFailure{ReasonCode::kUnknownService, kNotFound,
                         "there is no class '" + call.m_class.value() + "'"};
   }
   const auto& account = context.m_config.m_accounts.at(call.m_account);
   const auto& allowed = account.m_classes;
-  if (!allowed.empty() &&
-      std::find(allowed.begin(), allowed.end(), call.m_class) ==
-          allowed.end()) {
+  if (!allowed.empty() && std::find(allowed.begin(), allowed.end(),
+                                    call.m_class) == allowed.end()) {
     return ParseFailure{ReasonCode::kUnknownService, kForbidden,
                         "account '" + account.m_id.value() +
                             "' may not use class '" + call.m_class.value() +
@@ -298,9 +298,9 @@
   const auto stream = body.find("stream");
   call.m_stream = stream != body.end() && stream->is_boolean() && *stream;
   call.m_body = std::string(input.m_body);
-  call.m_prompt_tokens = Tokens(
-      1 + static_cast<std::int64_t>(body["messages"].dump().size()) /
-              kBytesPerToken);
+  call.m_prompt_tokens =
+      Tokens(1 + static_cast<std::int64_t>(body["messages"].dump().size()) /
+                     kBytesPerToken);
   call.m_max_tokens = Tokens(*max_tokens);
   call.m_repeatable = !call.m_key;
   SetCostBound(context.m_config.m_services.at(call.m_service), call);
--- a/src/libhost/call_router.cc
+++ b/src/libhost/call_router.cc
@@ -58,10 +58,8 @@
                 "the request id was used for another body");
   }
   if (opened.m_created) {
-    const auto routed = std::make_shared<RoutedCall>(
-        RoutedCall{.m_call = call,
-                   .m_entry = opened.m_entry,
-                   .m_arrived = SteadyTime()});
+    const auto routed = std::make_shared<RoutedCall>(RoutedCall{
+        .m_call = call, .m_entry = opened.m_entry, .m_arrived = SteadyTime()});
     Remember(routed);
     RouteNow(routed);
   }
@@ -74,18 +72,16 @@
   const auto opened =
       m_services.m_requests.Open(call.m_request, call.m_content);
   if (opened.m_entry->content() != call.m_content) {
-    sink.m_on_answer(
-        RefusalAnswer(call, ReasonCode::kBadRequest,
-                      "the request id was used for another body"));
+    sink.m_on_answer(RefusalAnswer(call, ReasonCode::kBadRequest,
+                                   "the request id was used for another body"));
     return {};
   }
   auto detach = ListenOn(opened.m_entry, offset, sink);
   if (opened.m_created) {
-    Remember(std::make_shared<RoutedCall>(
-        RoutedCall{.m_call = call,
-                   .m_entry = opened.m_entry,
-                   .m_arrived = SteadyTime(),
-                   .m_entry_host = false}));
+    Remember(std::make_shared<RoutedCall>(RoutedCall{.m_call = call,
+                                                     .m_entry = opened.m_entry,
+                                                     .m_arrived = SteadyTime(),
+                                                     .m_entry_host = false}));
     if (m_services.m_core.Route(call).m_kind == Route::Kind::kLocal) {
       m_services.m_core.Post(CallArrived{call});
     } else {
@@ -214,9 +210,8 @@
   if (!opened.m_created) {
     return opened.m_entry;
   }
-  const CallRequest probe{.m_request = request,
-                          .m_program = program,
-                          .m_root = program};
+  const CallRequest probe{
+      .m_request = request, .m_program = program, .m_root = program};
   const auto route = m_services.m_core.Route(probe);
   if (route.m_kind == Route::Kind::kLocal) {
     m_services.m_core.Post(AnswerAsked{request, program});
--- a/src/libhost/caller_front.cc
+++ b/src/libhost/caller_front.cc
@@ -38,8 +38,7 @@
             const std::string& message) -> void {
   response.status = status;
   response.set_header("X-Dotterelshed-Outcome", "not_run");
-  response.set_header("X-Dotterelshed-Reason",
-                      std::string(ToString(reason)));
+  response.set_header("X-Dotterelshed-Reason", std::string(ToString(reason)));
   if (status == kTooMany || status == kUnavailable) {
     response.set_header("Retry-After", "1");
   }
@@ -51,7 +50,9 @@
 /// Counts one open request while it lives.
 class OpenCounter {
  public:
-  explicit OpenCounter(std::atomic<int>& open) : m_open(open) { Show(++m_open); }
+  explicit OpenCounter(std::atomic<int>& open) : m_open(open) {
+    Show(++m_open);
+  }
   OpenCounter(const OpenCounter&) = delete;
   auto operator=(const OpenCounter&) -> OpenCounter& = delete;
   ~OpenCounter() { Show(--m_open); }
@@ -97,13 +98,12 @@
   if (!piece.m_answer && SteadyTime() > state.m_deadline) {
     piece.m_answer = UnknownAnswer(state.m_request);
   }
-  const auto whole = piece.m_answer ? piece.m_text.size()
-                                    : CompleteUtf8Length(piece.m_text);
+  const auto whole =
+      piece.m_answer ? piece.m_text.size() : CompleteUtf8Length(piece.m_text);
   if (whole > 0 && !piece.m_diverged) {
     piece.m_text.resize(whole);
     state.m_offset += whole;
-    if (!Send(sink,
-              TextEvent(state.m_request, state.m_model, piece.m_text))) {
+    if (!Send(sink, TextEvent(state.m_request, state.m_model, piece.m_text))) {
       return false;
     }
   }
@@ -187,13 +187,13 @@
            "this host has no configuration yet");
     return;
   }
-  const CallerInput input{
-      .m_header = [&request](const std::string& name) {
-        return request.get_header_value(name.c_str());
-      },
-      .m_body = request.body,
-      .m_service = std::move(service),
-      .m_path = std::move(path)};
+  const CallerInput input{.m_header =
+                              [&request](const std::string& name) {
+                                return request.get_header_value(name.c_str());
+                              },
+                          .m_body = request.body,
+                          .m_service = std::move(service),
+                          .m_path = std::move(path)};
   const auto arrived = SteadyTime();
   const auto call = parse(input, {.m_config = *config,
                                   .m_domain = m_settings.m_domain,
--- a/src/libhost/core_runner.cc
+++ b/src/libhost/core_runner.cc
@@ -44,8 +44,7 @@
   return RouteCall(*m_core, call, SteadyTime());
 }
 
-auto CoreRunner::Addresses(const HostId& host)
-    -> std::optional<HostAddresses> {
+auto CoreRunner::Addresses(const HostId& host) -> std::optional<HostAddresses> {
   const std::lock_guard lock(m_core_mutex);
   return AddressesOf(*m_core, host);
 }
--- a/src/libhost/host_process.cc
+++ b/src/libhost/host_process.cc
@@ -114,43 +114,41 @@
 }
 
 auto HostProcess::MakePeerHandlers() -> PeerHandlers {
-  return {
-      .m_on_message =
-          [this](const std::string& bytes) {
+  return {.m_on_message =
+              [this](const std::string& bytes) {
+                if (!m_running) {
+                  return;
+                }
+                CountMetric(MetricId::kPeerMessages, "received");
+                CountMetric(MetricId::kPeerBytes, "received",
+                            static_cast<std::int64_t>(bytes.size()));
+                if (auto message = DecodePeerMessage(bytes)) {
+                  m_core->Post(PeerArrived{std::move(*message)});
+                }
+              },
+          .m_on_call = [this](const CallRequest& call, std::uint64_t offset,
+                              const CallSink& sink) -> std::function<void()> {
             if (!m_running) {
-              return;
-            }
-            CountMetric(MetricId::kPeerMessages, "received");
-            CountMetric(MetricId::kPeerBytes, "received",
-                        static_cast<std::int64_t>(bytes.size()));
-            if (auto message = DecodePeerMessage(bytes)) {
-              m_core->Post(PeerArrived{std::move(*message)});
+              sink.m_on_answer(TurnedAway(call.m_request));
+              return {};
             }
+            return m_router->ServeCall(call, offset, sink);
           },
-      .m_on_call =
-          [this](const CallRequest& call, std::uint64_t offset,
-                 const CallSink& sink) -> std::function<void()> {
-        if (!m_running) {
-          sink.m_on_answer(TurnedAway(call.m_request));
-          return {};
-        }
-        return m_router->ServeCall(call, offset, sink);
-      },
-      .m_on_ask = [this](const RequestId& request, const ProgramId& program,
-                         std::uint64_t offset,
-                         const CallSink& sink) -> std::function<void()> {
-        if (!m_running) {
-          sink.m_on_answer(TurnedAway(request));
-          return {};
-        }
-        return m_router->ServeAsk(request, program, offset, sink);
-      },
-      .m_on_end_program =
-          [this](const ProgramId& program) {
-            if (m_running) {
-              m_core->Post(ProgramEndAsked{program});
+          .m_on_ask = [this](const RequestId& request, const ProgramId& program,
+                             std::uint64_t offset,
+                             const CallSink& sink) -> std::function<void()> {
+            if (!m_running) {
+              sink.m_on_answer(TurnedAway(request));
+              return {};
             }
-          }};
+            return m_router->ServeAsk(request, program, offset, sink);
+          },
+          .m_on_end_program =
+              [this](const ProgramId& program) {
+                if (m_running) {
+                  m_core->Post(ProgramEndAsked{program});
+                }
+              }};
 }
 
 auto HostProcess::StartHttp() -> Status {
@@ -171,10 +169,9 @@
     }
   });
   auto [host, port] = SplitAddress(m_settings.m_http_address);
-  const auto bound = port == 0 ? m_server->bind_to_any_port(host.c_str())
-                               : (m_server->bind_to_port(host.c_str(), port)
-                                      ? port
-                                      : -1);
+  const auto bound =
+      port == 0 ? m_server->bind_to_any_port(host.c_str())
+                : (m_server->bind_to_port(host.c_str(), port) ? port : -1);
   if (bound < 0) {
     return Fail(ErrorCode::kUnavailable, "can't listen for callers",
                 m_settings.m_http_address);
@@ -200,11 +197,11 @@
     return tl::unexpected<Error>(core.error());
   }
   m_core = std::make_unique<CoreRunner>(*core, m_settings.m_tick);
-  m_router = std::make_unique<CallRouter>(CallRouter::Services{
-      *m_core, m_requests, m_timers, m_trace});
+  m_router = std::make_unique<CallRouter>(
+      CallRouter::Services{*m_core, m_requests, m_timers, m_trace});
   m_router->SetPeers(m_peers.get());
-  m_attempts = std::make_unique<AttemptRunner>(*m_core, m_requests,
-                                               m_attempt_threads);
+  m_attempts =
+      std::make_unique<AttemptRunner>(*m_core, m_requests, m_attempt_threads);
   m_platform = std::make_unique<PlatformLink>(
       *m_core, m_call_threads,
       PlatformOptions{.m_address = m_settings.m_platform_address,
@@ -215,8 +212,7 @@
   m_callers->AddRoutes(*m_server);
   m_admin = std::make_unique<AdminFront>(
       AdminHooks{.m_dump = [this] { return Dump(); },
-                 .m_ready =
-                     [this] { return !m_draining && m_core->Config(); },
+                 .m_ready = [this] { return !m_draining && m_core->Config(); },
                  .m_drain = [this] { Drain(); }});
   m_admin->AddRoutes(*m_server);
   m_core->Start([this](const Effect& effect) { RunEffect(effect); });
@@ -239,8 +235,8 @@
                         {"pid", getpid()}}
       << "\n";
   out.close();
-  if (!out || std::rename(temporary.c_str(),
-                          m_settings.m_ready_file.c_str()) != 0) {
+  if (!out ||
+      std::rename(temporary.c_str(), m_settings.m_ready_file.c_str()) != 0) {
     return Fail(ErrorCode::kUnavailable, "can't write the ready file",
                 m_settings.m_ready_file);
   }
--- a/src/libhost/platform_link.cc
+++ b/src/libhost/platform_link.cc
@@ -100,11 +100,11 @@
 
 auto PlatformLink::Do(const PutTable& effect) -> void {
   m_workers.Run([this, effect] {
-    const auto version = Noted(PutObject(
-        m_options, {.m_kind = std::string(kDomainTableKind),
-                    .m_name = TableName(effect.m_table.m_domain),
-                    .m_version = effect.m_table.m_version,
-                    .m_value = EncodeDomainTable(effect.m_table)}));
+    const auto version = Noted(
+        PutObject(m_options, {.m_kind = std::string(kDomainTableKind),
+                              .m_name = TableName(effect.m_table.m_domain),
+                              .m_version = effect.m_table.m_version,
+                              .m_value = EncodeDomainTable(effect.m_table)}));
     TableArrived event{effect.m_table.m_domain, effect.m_table, true};
     if (version) {
       event.m_table->m_version = *version;
@@ -145,9 +145,9 @@
 auto PlatformLink::Do(const DeleteLane& effect) -> void {
   m_workers.Run([this, effect] {
     // A lane that stays is found and deleted at the next retention round.
-    std::ignore = Noted(DeleteObject(
-        m_options, {.m_kind = std::string(kLaneKind),
-                    .m_name = effect.m_lane.value()}));
+    std::ignore =
+        Noted(DeleteObject(m_options, {.m_kind = std::string(kLaneKind),
+                                       .m_name = effect.m_lane.value()}));
   });
 }
 
@@ -206,14 +206,14 @@
 auto PlatformLink::StartWatches() -> void {
   m_watches = std::make_shared<WatchSet>();
   const auto add = [this](std::string_view kind, OnObject on_object) {
-    m_watches->m_threads.emplace_back(
-        [this, watches = m_watches.get(), kind = std::string(kind),
-         on_object = std::move(on_object)] {
-          while (!watches->m_stop) {
-            WatchKind(kind, on_object, watches->m_stop);
-            watches->Pause();
-          }
-        });
+    m_watches->m_threads.emplace_back([this, watches = m_watches.get(),
+                                       kind = std::string(kind),
+                                       on_object = std::move(on_object)] {
+      while (!watches->m_stop) {
+        WatchKind(kind, on_object, watches->m_stop);
+        watches->Pause();
+      }
+    });
   };
   add(kConfigKind, [this](const auto& object) { OnConfigObject(object); });
   add(kDomainTableKind, [this](const auto& object) { OnTableObject(object); });
--- a/src/libhost/platform_link.h
+++ b/src/libhost/platform_link.h
@@ -21,7 +21,9 @@
 
 class PlatformLink {
  public:
-  PlatformLink(CoreRunner& core, WorkerThreads& workers, PlatformOptions options)
+  PlatformLink(CoreRunner& core,
+               WorkerThreads& workers,
+               PlatformOptions options)
       : m_core(core), m_workers(workers), m_options(std::move(options)) {}
   PlatformLink(const PlatformLink&) = delete;
   auto operator=(const PlatformLink&) -> PlatformLink& = delete;
--- a/src/libhost/request_entry.cc
+++ b/src/libhost/request_entry.cc
@@ -86,11 +86,10 @@
     -> std::int64_t {
   const std::lock_guard lock(m_mutex);
   const auto number = m_next_listener++;
-  auto& listener =
-      m_listeners
-          .emplace(number,
-                   Listener{.m_sink = std::move(sink), .m_offset = offset})
-          .first->second;
+  auto& listener = m_listeners
+                       .emplace(number, Listener{.m_sink = std::move(sink),
+                                                 .m_offset = offset})
+                       .first->second;
   Serve(listener);
   return number;
 }
--- a/src/libhost/trace_recorder.cc
+++ b/src/libhost/trace_recorder.cc
@@ -31,21 +31,20 @@
   const auto first = progress.m_turn == Turn(0);
   const auto pause = first ? Duration(0) : arrived - progress.m_finished;
   progress = {.m_turn = progress.m_turn.Next(), .m_finished = finished};
-  m_out << FormatTraceLine(
-               TraceCall{.m_at = arrived - m_begin,
-                         .m_program = call.m_program,
-                         .m_turn = progress.m_turn,
-                         .m_class = call.m_class,
-                         .m_service = call.m_service,
-                         .m_model = call.m_model,
-                         .m_prompt = answer.m_usage.m_prompt,
-                         .m_generated = answer.m_usage.m_generated,
-                         .m_max_generated = call.m_max_tokens,
-                         .m_pause = pause,
-                         .m_repeatable = call.m_repeatable,
-                         .m_last = call.m_end_program,
-                         .m_outcome = answer.m_outcome,
-                         .m_latency = finished - arrived})
+  m_out << FormatTraceLine(TraceCall{.m_at = arrived - m_begin,
+                                     .m_program = call.m_program,
+                                     .m_turn = progress.m_turn,
+                                     .m_class = call.m_class,
+                                     .m_service = call.m_service,
+                                     .m_model = call.m_model,
+                                     .m_prompt = answer.m_usage.m_prompt,
+                                     .m_generated = answer.m_usage.m_generated,
+                                     .m_max_generated = call.m_max_tokens,
+                                     .m_pause = pause,
+                                     .m_repeatable = call.m_repeatable,
+                                     .m_last = call.m_end_program,
+                                     .m_outcome = answer.m_outcome,
+                                     .m_latency = finished - arrived})
         << "\n"
         << std::flush;
   if (call.m_end_program) {
