--- a/src/include/dotterelshed/config_text.h
+++ b/src/include/dotterelshed/config_text.h
@@ -17,7 +17,7 @@
 
 /// Largest text that the platform can hold, with room for what stands beside
 /// it in the object. The text counts as JSON writes it, with escapes.
-inline constexpr std::size_t kMaxConfigTextBytes = 1000 * 1000;
+inline constexpr std::size_t kMaxConfigTextBytes = std::size_t{1000} * 1000;
 
 /// One mistake in a text.
 struct ConfigProblem {
--- a/src/include/dotterelshed/settings.h
+++ b/src/include/dotterelshed/settings.h
@@ -41,7 +41,7 @@
   int m_max_open_requests = 512;
   int m_max_programs = 100000;
   int m_max_stored_answers = 64;
-  Bytes m_max_body{4 * 1024 * 1024};
+  Bytes m_max_body{std::int64_t{4} * 1024 * 1024};
 };
 
 /// Parses and checks settings. The error names file, line, path and remedy.
--- a/src/libhost/call_parser_unittest.cc
+++ b/src/libhost/call_parser_unittest.cc
@@ -21,9 +21,8 @@
                                .m_models = {{.m_id = ModelId("m")}},
                                .m_price_per_generated_token = Cost(2)};
   const ServiceId orders("orders");
-  config.m_services[orders] = {.m_id = orders,
-                               .m_kind = ServiceKind::kPlain,
-                               .m_repeatable = false};
+  config.m_services[orders] = {
+      .m_id = orders, .m_kind = ServiceKind::kPlain, .m_repeatable = false};
   const ClassId plain("plain");
   config.m_classes[plain] = {.m_id = plain};
   config.m_default_class = plain;
@@ -37,13 +36,13 @@
 auto Parse(Headers headers, std::string_view body = kBody) -> ParsedCall {
   headers.emplace("authorization", "Bearer desk");
   const auto config = SmallDesk();
-  const CallerInput input{
-      .m_header =
-          [&headers](const std::string& name) {
-            const auto found = headers.find(name);
-            return found == headers.end() ? std::string() : found->second;
-          },
-      .m_body = body};
+  const CallerInput input{.m_header =
+                              [&headers](const std::string& name) {
+                                const auto found = headers.find(name);
+                                return found == headers.end() ? std::string()
+                                                              : found->second;
+                              },
+                          .m_body = body};
   return ParseCompletion(input, {.m_config = config,
                                  .m_domain = DomainId("west"),
                                  .m_token_secret = kSecret});
@@ -79,8 +78,8 @@
 }
 
 TEST_CASE("a token decides the program and must be signed") {
-  const ContinuationToken token{
-      .m_program = ProgramId("west.0123456789abcdef"), .m_turn = Turn(1)};
+  const ContinuationToken token{.m_program = ProgramId("west.0123456789abcdef"),
+                                .m_turn = Turn(1)};
   const auto call =
       Parse({{"x-dotterelshed-token", SignToken(token, kSecret)}});
   REQUIRE(call);
--- a/src/libhost/caller_front.cc
+++ b/src/libhost/caller_front.cc
@@ -189,7 +189,7 @@
   }
   const CallerInput input{.m_header =
                               [&request](const std::string& name) {
-                                return request.get_header_value(name.c_str());
+                                return request.get_header_value(name);
                               },
                           .m_body = request.body,
                           .m_service = std::move(service),
@@ -285,7 +285,7 @@
   response.status = HttpStatus(answer);
   for (const auto& [name, value] :
        AnswerHeaders(answer, m_settings.m_token_secret)) {
-    response.set_header(name.c_str(), value);
+    response.set_header(name, value);
   }
   response.set_content(AnswerBody(answer), kJson);
   CountMetric(MetricId::kCalls, ToString(answer.m_outcome));
--- a/src/libhost/host_process.cc
+++ b/src/libhost/host_process.cc
@@ -169,9 +169,9 @@
     }
   });
   auto [host, port] = SplitAddress(m_settings.m_http_address);
-  const auto bound =
-      port == 0 ? m_server->bind_to_any_port(host.c_str())
-                : (m_server->bind_to_port(host.c_str(), port) ? port : -1);
+  const auto bound = port == 0
+                         ? m_server->bind_to_any_port(host)
+                         : (m_server->bind_to_port(host, port) ? port : -1);
   if (bound < 0) {
     return Fail(ErrorCode::kUnavailable, "can't listen for callers",
                 m_settings.m_http_address);
--- a/src/libpeer/peer_client.cc
+++ b/src/libpeer/peer_client.cc
@@ -81,7 +81,7 @@
 auto PeerClient::Forward(const std::string& address,
                          const CallRequest& call,
                          std::uint64_t offset,
-                         ForwardStatePtr state) -> void {
+                         const ForwardStatePtr& state) -> void {
   ++m_counts.m_calls_forwarded;
   Run(address, state, [call, offset, state](PeerConnection& connection) {
     auto request = connection.m_host.callRequest();
@@ -97,7 +97,7 @@
                      const RequestId& request_id,
                      const ProgramId& program,
                      std::uint64_t offset,
-                     ForwardStatePtr state) -> void {
+                     const ForwardStatePtr& state) -> void {
   Run(address, state,
       [request_id, program, offset, state](PeerConnection& connection) {
         auto request = connection.m_host.askRequest();
@@ -215,7 +215,7 @@
 }
 
 auto PeerClient::Run(const std::string& address,
-                     ForwardStatePtr state,
+                     const ForwardStatePtr& state,
                      SendCall send) -> void {
   auto answered = Connect(address).then(
       [this, state, send = std::move(send)](PeerConnectionPtr connection) {
@@ -236,7 +236,7 @@
       }));
 }
 
-auto PeerClient::WatchSilence(ForwardStatePtr state)
+auto PeerClient::WatchSilence(const ForwardStatePtr& state)
     -> kj::Promise<CallAnswer> {
   const auto interval = ToKj(m_options.m_silence_limit) / kSilenceChecks;
   return m_timer.afterDelay(interval).then(
--- a/src/libpeer/peer_client.h
+++ b/src/libpeer/peer_client.h
@@ -68,12 +68,12 @@
   auto Forward(const std::string& address,
                const CallRequest& call,
                std::uint64_t offset,
-               ForwardStatePtr state) -> void;
+               const ForwardStatePtr& state) -> void;
   auto Ask(const std::string& address,
            const RequestId& request,
            const ProgramId& program,
            std::uint64_t offset,
-           ForwardStatePtr state) -> void;
+           const ForwardStatePtr& state) -> void;
   auto End(const std::string& address, const ProgramId& program) -> void;
 
  private:
@@ -98,9 +98,10 @@
   auto Flush(const std::string& address) -> kj::Promise<void>;
   auto Deliver(const std::string& address, const PeerConnectionPtr& connection)
       -> kj::Promise<void>;
-  auto Run(const std::string& address, ForwardStatePtr state, SendCall send)
-      -> void;
-  auto WatchSilence(ForwardStatePtr state) -> kj::Promise<CallAnswer>;
+  auto Run(const std::string& address,
+           const ForwardStatePtr& state,
+           SendCall send) -> void;
+  auto WatchSilence(const ForwardStatePtr& state) -> kj::Promise<CallAnswer>;
   auto taskFailed(kj::Exception&& exception) -> void override;
 
   kj::Network& m_network;
