--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy_ejection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "policy_endpoint.h"
+#include "policy_limit.h"
 #include "policy_order.h"
 
 namespace dotterelshed::pvt {
@@ -12,25 +13,25 @@
 /// A step is slow beyond this factor on the pool's typical one.
 constexpr double kSlowFactor = 3;
 /// Slow steps in a row before an endpoint is ejected.
-constexpr int kSlowMarks = 3;
+constexpr int kSlowMarks = 2;
 /// Good steps in a row after which it is well again.
 constexpr int kGoodMarks = 4;
-/// Weights of a new sample, for rising and falling rates.
-constexpr double kRiseWeight = 0.5;
-constexpr double kFallWeight = 0.1;
+/// Weights of a new step in the mean.
+constexpr double kSlowStepWeight = 0.5;
+constexpr double kStepWeight = 0.05;
+constexpr double kFirstTokenWeight = 0.1;
+/// Waiting inside an engine is not to pass for its prefill rate.
+constexpr double kLateFirstTokenWeight = 0.01;
 /// One endpoint in this many may be out at once.
 constexpr int kFloorDivisor = 3;
 constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
+/// Time to wait for a call whose duplicate can serve as probe.
+constexpr Duration kDirectProbeWait = std::chrono::seconds(5);
 constexpr int kMaxProbeDoublings = 4;
 constexpr Duration kReferenceInterval = std::chrono::milliseconds(100);
 
-auto MixIn(double& rate, double sample) -> void {
-  if (rate <= 0) {
-    rate = sample;
-    return;
-  }
-  const auto weight = sample > rate ? kRiseWeight : kFallWeight;
-  rate += weight * (sample - rate);
+auto MixIn(double& rate, double sample, double weight) -> void {
+  rate = rate <= 0 ? sample : rate + weight * (sample - rate);
 }
 
 auto MayEject(const PoolPolicy& policy, const EndpointWork& endpoint) -> bool {
@@ -96,16 +97,38 @@
   }
 }
 
-/// Counts slow or good steps; steps of one moment count once.
-auto Mark(EndpointWork& endpoint, bool slow, TimePoint now) -> void {
-  if (now == endpoint.m_last_mark) {
-    return;
-  }
-  endpoint.m_last_mark = now;
+/// Counts slow or good steps in a row.
+auto Mark(EndpointWork& endpoint, bool slow) -> void {
   endpoint.m_slow_marks = slow ? endpoint.m_slow_marks + 1 : 0;
   endpoint.m_good_marks = slow ? 0 : endpoint.m_good_marks + 1;
 }
 
+auto SetProbeTimer(PoolPolicy& policy, EndpointWork& endpoint, TimePoint at)
+    -> void {
+  endpoint.m_probe_at = at;
+  policy.m_probe_timers.emplace(at, endpoint.m_config.m_id);
+}
+
+/// What still runs on the endpoint tells of it at no cost. Otherwise it is
+/// probed with a duplicate of some call, and if none comes, with a call that
+/// runs nowhere else.
+auto StartProbe(PoolPolicy& policy, EndpointWork& endpoint, TimePoint now)
+    -> void {
+  if (endpoint.m_state == EndpointState::kProbing) {
+    endpoint.m_direct_probe = true;
+    UpdateFree(policy, endpoint);
+    return;
+  }
+  if (!endpoint.m_running.empty()) {
+    SetProbeTimer(policy, endpoint, now + kFirstProbeWait);
+    return;
+  }
+  ApplyEndpointEvent(policy, endpoint, EndpointEvent::kProbeDue, now);
+  if (endpoint.m_state == EndpointState::kProbing) {
+    SetProbeTimer(policy, endpoint, now + kDirectProbeWait);
+  }
+}
+
 }  // namespace
 
 auto MostEjected(const PoolPolicy& policy) -> int {
@@ -141,12 +164,18 @@
              EndpointWork& endpoint,
              double gap_s,
              TimePoint now) -> void {
+  // All sequences of a batch get their tokens in the same step.
+  if (now == endpoint.m_last_mark) {
+    return;
+  }
+  endpoint.m_last_mark = now;
   const auto reference = ReferenceGap(policy, now);
-  MixIn(endpoint.m_gap_s, gap_s);
+  const auto slow = reference > 0 && gap_s > kSlowFactor * reference;
+  MixIn(endpoint.m_gap_s, gap_s, slow ? kSlowStepWeight : kStepWeight);
   if (reference <= 0) {
     return;
   }
-  Mark(endpoint, gap_s > kSlowFactor * reference, now);
+  Mark(endpoint, slow);
   if (endpoint.m_slow_marks >= kSlowMarks &&
       endpoint.m_state != EndpointState::kEjected) {
     ApplyEndpointEvent(policy, endpoint, EndpointEvent::kSlow, now);
@@ -163,7 +192,8 @@
                     Duration took) -> void {
   const auto prompt =
       std::max<std::int64_t>(64, attempt.m_uncached + attempt.m_ahead);
-  MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt));
+  MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt),
+        IsLate(attempt, took) ? kLateFirstTokenWeight : kFirstTokenWeight);
 }
 
 auto ApplyEndpointEvent(PoolPolicy& policy,
@@ -180,12 +210,17 @@
     return;
   }
   endpoint.m_state = step->m_to;
+  endpoint.m_direct_probe = false;
+  if (step->m_to == EndpointState::kProbing) {
+    policy.m_probing.insert(endpoint.m_config.m_id);
+  } else {
+    policy.m_probing.erase(endpoint.m_config.m_id);
+  }
   endpoint.m_slow_marks = 0;
   endpoint.m_good_marks = 0;
   for (const auto action : step->m_actions) {
     DoAction(policy, endpoint, action, now);
   }
-  ShareSlots(policy);
   UpdateFree(policy, endpoint);
 }
 
@@ -196,7 +231,7 @@
     policy.m_probe_timers.erase(policy.m_probe_timers.begin());
     const auto found = policy.m_endpoints.find(id);
     if (found != policy.m_endpoints.end()) {
-      ApplyEndpointEvent(policy, found->second, EndpointEvent::kProbeDue, now);
+      StartProbe(policy, found->second, now);
     }
   }
 }
