--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -299,12 +299,12 @@
                      .m_missed_heartbeats = options.m_missed_heartbeats,
                      .m_rank_delay = options.m_rank_delay,
                      .m_charts_dir = options.m_charts_dir});
-  auto actions = MakeActionBook({.m_self = options.m_self,
-                                 .m_seed = options.m_seed,
-                                 .m_lane_count = options.m_lane_count,
-                                 .m_wall_clock_offset =
-                                     options.m_wall_clock_offset,
-                                 .m_charts_dir = options.m_charts_dir});
+  auto actions =
+      MakeActionBook({.m_self = options.m_self,
+                      .m_seed = options.m_seed,
+                      .m_lane_count = options.m_lane_count,
+                      .m_wall_clock_offset = options.m_wall_clock_offset,
+                      .m_charts_dir = options.m_charts_dir});
   auto rollout = MakeRollout({.m_self = options.m_self,
                               .m_domain = options.m_domain,
                               .m_charts_dir = options.m_charts_dir});
--- a/src/libcore/core_route.cc
+++ b/src/libcore/core_route.cc
@@ -110,8 +110,7 @@
   return pvt::ForwardTo(core, pool, assignment->m_holder.m_host);
 }
 
-auto CurrentConfig(const HostCore& core)
-    -> std::shared_ptr<const DeskConfig> {
+auto CurrentConfig(const HostCore& core) -> std::shared_ptr<const DeskConfig> {
   return core.m_config;
 }
 
