Load the endpoint chart in the core and pass call priorities to engines

Smallest changes in files of others: core.cc loads endpoint.jsonc and hands it to each pool's policy (without it endpoints are never ejected), StartAttempt carries the policy's priority.

--- a/bench/policy_scheduler.cc
+++ b/bench/policy_scheduler.cc
@@ -19,6 +19,7 @@
 
 auto EndpointsOf(const TraceHeader& header) -> std::vector<EndpointConfig> {
   std::vector<EndpointConfig> out;
+  out.reserve(static_cast<std::size_t>(header.m_endpoints));
   for (auto i = 0; i < header.m_endpoints; ++i) {
     out.push_back(
         {.m_id = EndpointName(i),
--- a/src/include/dotterelshed/core_effects.h
+++ b/src/include/dotterelshed/core_effects.h
@@ -39,6 +39,8 @@
   Term m_fence;
   /// Prefix to keep after the call; empty for none.
   HoldId m_hold;
+  /// For engines that honour priorities; a lower number goes first.
+  int m_priority = 0;
   /// When set and passed at the moment of sending, the call is not sent and
   /// ends as kRefused.
   std::optional<TimePoint> m_send_by;
--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -224,6 +224,7 @@
                                     .m_call = call.m_call,
                                     .m_fence = pool.m_assignment.m_term,
                                     .m_hold = ready.m_hold,
+                                    .m_priority = ready.m_priority,
                                     .m_send_by = call.m_send_by});
 }
 
@@ -332,6 +333,7 @@
   }
   auto policy = MakePoolPolicy(
       {.m_seed = step.m_core.m_options.m_seed,
+       .m_endpoint_chart = step.m_core.m_endpoint_chart,
        .m_max_queued = step.m_core.m_options.m_max_queued_calls,
        .m_max_quarantined = step.m_core.m_options.m_max_quarantined});
   Configure(step, pool, service, *policy);
--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -289,6 +289,7 @@
 auto MakeCore(const CoreOptions& options) -> Result<std::shared_ptr<HostCore>> {
   auto call_chart = pvt::LoadCallChart(options.m_charts_dir);
   auto pool_chart = pvt::LoadPoolChart(options.m_charts_dir);
+  auto endpoint_chart = LoadEndpointChart(options.m_charts_dir);
   auto ownership =
       MakeOwnership({.m_self = options.m_self,
                      .m_domain = options.m_domain,
@@ -308,6 +309,7 @@
                               .m_charts_dir = options.m_charts_dir});
   for (const auto* failed : {call_chart ? nullptr : &call_chart.error(),
                              pool_chart ? nullptr : &pool_chart.error(),
+                             endpoint_chart ? nullptr : &endpoint_chart.error(),
                              ownership ? nullptr : &ownership.error(),
                              actions ? nullptr : &actions.error(),
                              rollout ? nullptr : &rollout.error()}) {
@@ -319,6 +321,7 @@
   core->m_options = options;
   core->m_call_chart = std::move(*call_chart);
   core->m_pool_chart = std::move(*pool_chart);
+  core->m_endpoint_chart = std::move(*endpoint_chart);
   core->m_ownership = std::move(*ownership);
   core->m_actions = std::move(*actions);
   core->m_rollout = std::move(*rollout);
--- a/src/libcore/core_state.h
+++ b/src/libcore/core_state.h
@@ -40,6 +40,7 @@
   CoreOptions m_options;
   pvt::CallChart m_call_chart;
   pvt::PoolChart m_pool_chart;
+  std::shared_ptr<const EndpointChart> m_endpoint_chart;
   std::shared_ptr<Ownership> m_ownership;
   std::shared_ptr<ActionBook> m_actions;
   std::shared_ptr<Rollout> m_rollout;
