--- a/bench/replay.cc
+++ b/bench/replay.cc
@@ -149,7 +149,7 @@
   auto AddCall(std::size_t node_index) -> RequestId {
     const auto& node = m_tree.m_nodes[node_index];
     RequestId request(node.m_id.value() + "/" +
-                            std::to_string(node.m_next_call + 1));
+                      std::to_string(node.m_next_call + 1));
     m_open_calls[request] = {.m_node = node_index, .m_arrived = m_now};
     return request;
   }
