Read a primary's copy state from its mode, not from its holder flag

Cause: make demo ended with 'unconfirmed copies' on healthy pools: 'complete' in a pool's dump is about a copy held for another host and is always false on a primary. Ruled out: a copy that is really missing (mode was 'holder', no unconfirmed changes). Test: the sample status now has what a primary really says; it failed before and passes now.

--- a/src/dotterelctl/host_view.cc
+++ b/src/dotterelctl/host_view.cc
@@ -41,8 +41,8 @@
   const auto& copies = Member(json, "copies");
   HostPool pool;
   pool.m_role = ReadString(json, "role");
-  pool.m_copied = ReadFlag(copies, "complete", true) &&
-                  ReadString(copies, "mode") != "alone";
+  // "complete" speaks of a copy that this host holds for another one.
+  pool.m_copied = ReadString(copies, "mode") == "holder";
   pool.m_programs = ReadNumber(json, "programs");
   pool.m_open_calls = ReadNumber(json, "open_calls");
   for (const auto& service : Member(json, "scheduling")) {
--- a/src/dotterelctl/status_report_unittest.cc
+++ b/src/dotterelctl/status_report_unittest.cc
@@ -24,7 +24,7 @@
   "host": "n1", "domain": "n", "draining": false, "requests": {"open": 3},
   "core": { "generation": 4, "platform_reachable": true,
     "pools": { "n/0": { "role": "primary", "programs": 2, "open_calls": 1,
-      "copies": {"mode": "holder", "complete": true},
+      "copies": {"mode": "holder", "complete": false},
       "scheduling": { "x": { "endpoints": {
         "xn": {"state": "serving", "leaving": false, "running": 1}
       } } } } },
