Stop the core before the parts that its effects use

Cause: make demo saw a host end with signal 11 after its drain: the destructor closed the connections to peers while the core's thread still sent heartbeats. Ruled out: worker threads posting to a stopped core (the queue outlives them).

Requests that are open when the drain timeout passes now end as unknown, so that the process does not wait for them.

--- a/src/libhost/host_process.cc
+++ b/src/libhost/host_process.cc
@@ -77,6 +77,8 @@
 
 HostProcess::~HostProcess() {
   m_running = false;
+  // After an unclean drain callers learn that their answer is not known.
+  m_requests.FinishAll(ReasonCode::kDraining);
   if (m_server) {
     m_server->stop();
   }
@@ -84,15 +86,16 @@
     m_server_thread.join();
   }
   m_timers.Stop();
+  // The core's effects use every part below, so it stops before them.
+  if (m_core) {
+    m_core->Stop();
+  }
   if (m_platform) {
     m_platform->Stop();
   }
   m_peers.reset();
   m_attempt_threads.Finish();
   m_call_threads.Finish();
-  if (m_core) {
-    m_core->Stop();
-  }
 }
 
 auto HostProcess::Start() -> Status {
--- a/src/libhost/request_table.cc
+++ b/src/libhost/request_table.cc
@@ -1,6 +1,7 @@
 #include "request_table.h"
 
 #include <utility>
+#include <vector>
 
 namespace dotterelshed::pvt {
 
@@ -56,6 +57,25 @@
   Trim();
 }
 
+auto RequestTable::FinishAll(ReasonCode reason) -> void {
+  std::vector<RequestId> open;
+  {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [request, entry] : m_entries) {
+      if (!entry->finished()) {
+        open.push_back(request);
+      }
+    }
+  }
+  for (const auto& request : open) {
+    Finish({.m_request = request,
+            .m_outcome = OutcomeKind::kUnknown,
+            .m_reason = reason,
+            .m_message = "the host stopped before the answer came"},
+           "");
+  }
+}
+
 auto RequestTable::OpenCount() const -> std::size_t {
   const std::lock_guard lock(m_mutex);
   return m_entries.size() - m_finished.size();
--- a/src/libhost/request_table.h
+++ b/src/libhost/request_table.h
@@ -42,6 +42,9 @@
   /// (not run, or unknown) is given to its readers and not kept.
   auto Finish(const CallAnswer& answer, std::string_view text) -> void;
 
+  /// Ends every open request as unknown, when the process has to stop.
+  auto FinishAll(ReasonCode reason) -> void;
+
   /// Requests without an answer.
   auto OpenCount() const -> std::size_t;
 
