--- a/src/dotterelctl/status_report.cc
+++ b/src/dotterelctl/status_report.cc
@@ -22,6 +22,7 @@
   auto Run() -> void {
     FindPlatformProblems();
     FindLaggingDomains();
+    FindIdleDomains();
     FindPoolProblems();
     for (const auto& host : m_report.m_hosts) {
       FindHostProblems(host);
@@ -56,6 +57,20 @@
     }
   }
 
+  /// Domains of the text whose table gives no pool to anybody.
+  auto FindIdleDomains() -> void {
+    for (const auto& domain : m_domains) {
+      const auto& tables = m_report.m_platform.m_tables;
+      const auto owned = std::any_of(
+          tables.begin(), tables.end(), [&domain](const DomainTable& table) {
+            return table.m_domain == domain && !table.m_pools.empty();
+          });
+      if (!owned) {
+        Report("domain " + domain.value() + " has no pool with an owner");
+      }
+    }
+  }
+
   auto FindPoolProblems() -> void {
     for (const auto& table : m_report.m_platform.m_tables) {
       for (const auto& [id, pool] : table.m_pools) {
--- a/src/dotterelctl/status_report_unittest.cc
+++ b/src/dotterelctl/status_report_unittest.cc
@@ -41,7 +41,10 @@
   DomainTable table{.m_domain = DomainId("n"), .m_lead = host};
   table.m_pools[PoolId("n/0")] = {
       .m_pool = PoolId("n/0"), .m_primary = host, .m_holder = other};
-  view.m_tables = {table};
+  DomainTable south{.m_domain = DomainId("s"), .m_lead = host};
+  south.m_pools[PoolId("s/0")] = {
+      .m_pool = PoolId("s/0"), .m_primary = host, .m_holder = other};
+  view.m_tables = {table, south};
   return view;
 }
 
@@ -74,6 +77,10 @@
     platform.m_tables[0].m_pools[PoolId("n/0")].m_holder = {};
     expected = "pool n/0 has no copy holder";
   }
+  SECTION("a domain has not given out its pools yet") {
+    platform.m_tables[1].m_pools.clear();
+    expected = "domain s has no pool with an owner";
+  }
   SECTION("copies are not confirmed") {
     host.m_pools["n/0"].m_copied = false;
     expected = "pool n/0 has unconfirmed copies on host n1";
