--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -138,14 +138,13 @@
 
 auto GiveToken(const HostCore& core, const PoolState& pool, PendingCall& call)
     -> void {
-  const auto* turn =
-      FindTurn(pool.m_store.m_programs.at(call.m_call.m_program).m_record,
-               call.m_call.m_turn);
+  const auto& turn =
+      pool.m_store.m_programs.at(call.m_call.m_program).m_record.m_turns.back();
   const auto& ledger = pool.m_store.m_ledgers.at(call.m_call.m_root);
   call.m_answer->m_token =
       ContinuationToken{.m_program = call.m_call.m_program,
-                        .m_turn = turn->m_turn,
-                        .m_chain = turn->m_chain,
+                        .m_turn = turn.m_turn,
+                        .m_chain = turn.m_chain,
                         .m_holders = {core.m_options.m_self},
                         .m_spent = TotalSpent(ledger)};
   if (pool.m_mode != CopyMode::kAlone) {
@@ -249,11 +248,14 @@
     return;
   }
   auto& pool = found->second;
-  NoteTerm(step, pool, reply.m_highest);
+  const auto strict = step.m_core.m_options.m_mechanisms.m_refuse_old_terms;
+  if (strict) {
+    NoteTerm(step, pool, reply.m_highest);
+  }
   const auto change = pool.m_changes.find(reply.m_program);
   const auto current = reply.m_term == pool.m_assignment.m_term &&
                        reply.m_from == pool.m_target &&
-                       pool.m_highest == pool.m_assignment.m_term;
+                       (!strict || pool.m_highest == pool.m_assignment.m_term);
   if (change == pool.m_changes.end() || !current) {
     return;
   }
--- a/src/libcore/copy_holder.cc
+++ b/src/libcore/copy_holder.cc
@@ -24,7 +24,8 @@
                       const HostRef& from,
                       const BudgetLedger& ledger) -> bool {
   if (pool.m_role != PoolRole::kHolder && pool.m_role != PoolRole::kNone) {
-    return pool.m_assignment.m_term < pool.m_highest;
+    return pool.m_assignment.m_term < pool.m_highest ||
+           !core.m_options.m_mechanisms.m_refuse_old_terms;
   }
   const auto known = pool.m_store.m_ledgers.find(ledger.m_root);
   if (known == pool.m_store.m_ledgers.end() || from == core.m_options.m_self) {
--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -29,8 +29,8 @@
   int m_programs = 3;
   /// Chance per thousand steps of one fault.
   int m_faults = 6;
-  /// Budget of a root program, in bounds of one call.
-  int m_budget_calls = 14;
+  /// Budget of a root program, in bounds of one call; 0 takes it from the seed.
+  int m_budget_calls = 0;
   CoreMechanisms m_mechanisms;
 };
 
@@ -123,6 +123,7 @@
   auto CheckCopies(const CallAnswer& answer) -> void;
   auto CopiesOf(const ProgramId& program, Turn turn, const Digest& chain)
       -> std::set<HostId>;
+  auto IsHealthy() const -> bool;
   auto MayFail(const WalkHost& victim) -> bool;
   auto KnownSpent(const HostId& host, const ProgramId& root) -> Cost;
   auto ReadOrPutTable(const HostRef& from, const DomainTable* put) -> void;
@@ -134,6 +135,7 @@
   pcg32 m_random;
   WalkResult m_result;
   TimePoint m_now{std::chrono::seconds(1)};
+  Cost m_budget;
   std::shared_ptr<const DeskConfig> m_config;
   std::map<HostId, WalkHost> m_hosts;
   std::vector<WalkDelivery> m_bag;
--- a/src/libcore/core_walk_callers_unittest.cc
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -175,9 +175,34 @@
   }
 }
 
+/// Both owners of the pool are up and the copy is whole.
+auto World::IsHealthy() const -> bool {
+  const auto& owners = m_table.m_pools.begin()->second;
+  const auto role = [&](const HostRef& ref) -> const pvt::PoolState* {
+    const auto found = m_hosts.find(ref.m_host);
+    if (found == m_hosts.end() || found->second.m_ref != ref ||
+        !IsUp(found->second)) {
+      return nullptr;
+    }
+    const auto pool = found->second.m_core->m_pools.find(owners.m_pool);
+    const auto known = pool != found->second.m_core->m_pools.end() &&
+                       pool->second.m_assignment.m_term == owners.m_term;
+    return known ? &pool->second : nullptr;
+  };
+  const auto* primary = role(owners.m_primary);
+  const auto* holder = role(owners.m_holder);
+  return m_cut.empty() && primary != nullptr && holder != nullptr &&
+         primary->m_role == pvt::PoolRole::kPrimary &&
+         primary->m_mode == pvt::CopyMode::kHolder && holder->m_complete;
+}
+
 auto World::MayFail(const WalkHost& victim) -> bool {
   // A pool is on two hosts, so that one of them may fail, and the next one
-  // when the pool is on two hosts again. Outages come on top at any time.
+  // when the pool is on two hosts again. Outages come on top at any time; then
+  // a host may fail if another one still has what callers were told.
+  if (IsHealthy()) {
+    return true;
+  }
   std::set<HostId> others;
   for (const auto& [id, host] : m_hosts) {
     if (IsUp(host) && id != victim.m_ref.m_host) {
