--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -53,9 +53,10 @@
   const auto& self = core.m_options.m_self;
   const auto& holder = pool.m_assignment.m_holder;
   const auto term = pool.m_assignment.m_term;
-  const auto available =
-      EscrowLeft(ledger, self, term) + EscrowLeft(ledger, holder, term);
-  if (available < lacking) {
+  // Calls from the time without a copy holder may still use this host's own.
+  const auto own = EscrowLeft(ledger, self, term) -
+                   OpenFromEscrow(core, pool, ledger.m_root);
+  if (own + EscrowLeft(ledger, holder, term) < lacking) {
     return false;
   }
   lacking -= ShrinkEscrow(ledger, holder, term, lacking);
--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -64,6 +64,8 @@
   /// Events are for this start of the host only; messages for any.
   std::optional<Incarnation> m_incarnation;
   Event m_event;
+  /// Not delivered before.
+  TimePoint m_ready;
 };
 
 /// One thing that a host asked of the world outside.
@@ -124,6 +126,8 @@
   auto CopiesOf(const ProgramId& program, Turn turn, const Digest& chain)
       -> std::set<HostId>;
   auto IsHealthy() const -> bool;
+  auto KeptBeside(const WalkHost& victim, const ContinuationToken& token)
+      -> bool;
   auto MayFail(const WalkHost& victim) -> bool;
   auto KnownSpent(const HostId& host, const ProgramId& root) -> Cost;
   auto ReadOrPutTable(const HostRef& from, const DomainTable* put) -> void;
@@ -162,6 +166,8 @@
   };
   std::map<std::pair<ProgramId, Turn>, Released> m_released;
   std::map<ProgramId, ContinuationToken> m_last_token;
+  /// Histories that were released without the copy holder.
+  std::vector<ContinuationToken> m_provisional;
 };
 
 }  // namespace dotterelshed::walk
--- a/src/libcore/core_walk_callers_unittest.cc
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -101,6 +101,9 @@
   if (!answer.m_token) {
     return;
   }
+  if (answer.m_provisional) {
+    m_provisional.push_back(*answer.m_token);
+  }
   ++m_result.m_answers;
   m_result.m_provisional += answer.m_provisional ? 1 : 0;
   caller.m_token = answer.m_token;
@@ -196,11 +199,21 @@
          primary->m_mode == pvt::CopyMode::kHolder && holder->m_complete;
 }
 
+auto World::KeptBeside(const WalkHost& victim, const ContinuationToken& token)
+    -> bool {
+  auto copies = CopiesOf(token.m_program, token.m_turn, token.m_chain);
+  copies.erase(victim.m_ref.m_host);
+  return !copies.empty();
+}
+
 auto World::MayFail(const WalkHost& victim) -> bool {
   // A pool is on two hosts, so that one of them may fail, and the next one
   // when the pool is on two hosts again. Outages come on top at any time; then
   // a host may fail if another one still has what callers were told.
-  if (IsHealthy()) {
+  if (IsHealthy() && std::all_of(m_provisional.begin(), m_provisional.end(),
+                                 [&](const ContinuationToken& token) {
+                                   return KeptBeside(victim, token);
+                                 })) {
     return true;
   }
   std::set<HostId> others;
--- a/src/libcore/core_walk_world_unittest.cc
+++ b/src/libcore/core_walk_world_unittest.cc
@@ -184,6 +184,10 @@
   const auto delivery = m_bag[index];
   auto& host = Find(delivery.m_to);
   const auto message = !delivery.m_incarnation.has_value();
+  if (delivery.m_ready > m_now) {
+    std::swap(m_bag[index], m_bag.back());  // Let others pass.
+    return;
+  }
   if (host.m_core != nullptr && host.m_paused_until > m_now) {
     return;  // It waits in the paused host's sockets.
   }
@@ -348,6 +352,7 @@
                   std::to_string(from.m_incarnation.value());
   result.m_usage.m_cost = cost;
   Reply(from, AttemptFinished{start.m_attempt, result});
+  m_bag.back().m_ready = m_now + milliseconds(Roll(120));
 }
 
 auto World::Inject() -> void {
