--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -289,6 +289,7 @@
 auto MakeCore(const CoreOptions& options) -> Result<std::shared_ptr<HostCore>> {
   auto call_chart = pvt::LoadCallChart(options.m_charts_dir);
   auto pool_chart = pvt::LoadPoolChart(options.m_charts_dir);
+  auto endpoint_chart = LoadEndpointChart(options.m_charts_dir);
   auto ownership =
       MakeOwnership({.m_self = options.m_self,
                      .m_domain = options.m_domain,
@@ -299,15 +300,18 @@
                      .m_missed_heartbeats = options.m_missed_heartbeats,
                      .m_rank_delay = options.m_rank_delay,
                      .m_charts_dir = options.m_charts_dir});
-  auto actions = MakeActionBook({.m_self = options.m_self,
-                                 .m_seed = options.m_seed,
-                                 .m_lane_count = options.m_lane_count,
-                                 .m_charts_dir = options.m_charts_dir});
+  auto actions =
+      MakeActionBook({.m_self = options.m_self,
+                      .m_seed = options.m_seed,
+                      .m_lane_count = options.m_lane_count,
+                      .m_wall_clock_offset = options.m_wall_clock_offset,
+                      .m_charts_dir = options.m_charts_dir});
   auto rollout = MakeRollout({.m_self = options.m_self,
                               .m_domain = options.m_domain,
                               .m_charts_dir = options.m_charts_dir});
   for (const auto* failed : {call_chart ? nullptr : &call_chart.error(),
                              pool_chart ? nullptr : &pool_chart.error(),
+                             endpoint_chart ? nullptr : &endpoint_chart.error(),
                              ownership ? nullptr : &ownership.error(),
                              actions ? nullptr : &actions.error(),
                              rollout ? nullptr : &rollout.error()}) {
@@ -319,6 +323,7 @@
   core->m_options = options;
   core->m_call_chart = std::move(*call_chart);
   core->m_pool_chart = std::move(*pool_chart);
+  core->m_endpoint_chart = std::move(*endpoint_chart);
   core->m_ownership = std::move(*ownership);
   core->m_actions = std::move(*actions);
   core->m_rollout = std::move(*rollout);
