--- a/src/include/dotterelshed/actions.h
+++ b/src/include/dotterelshed/actions.h
@@ -30,7 +30,7 @@
   Duration m_group_window = std::chrono::milliseconds(3);
   /// A claim that the platform did not confirm by then is given up.
   Duration m_claim_timeout = std::chrono::seconds(3);
-  Bytes m_max_lane_bytes{512 * 1024};
+  Bytes m_max_lane_bytes{std::int64_t{512} * 1024};
   /// Finished claims are kept this long.
   Duration m_retention = std::chrono::hours(24);
   /// A granted call must be sent within this time or not at all.
@@ -40,7 +40,7 @@
   std::optional<Duration> m_wall_clock_offset;
   std::string m_charts_dir;
   /// Longest answer that is kept for a repeat of the call.
-  Bytes m_max_answer_bytes{32 * 1024};
+  Bytes m_max_answer_bytes{std::int64_t{32} * 1024};
   /// Sealed objects per lane; at the limit new claims are refused.
   int m_max_sealed = 64;
   int m_max_waiting = 4096;
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership_query.cc
@@ -125,13 +125,13 @@
     return member->second.m_info.m_addresses;
   }
   if (ownership.m_table) {
-    const auto found = FindIn(*ownership.m_table, host);
+    auto found = FindIn(*ownership.m_table, host);
     if (found) {
       return found;
     }
   }
   for (const auto& [domain, remote] : ownership.m_remote) {
-    const auto found = FindIn(remote.m_table, host);
+    auto found = FindIn(remote.m_table, host);
     if (found) {
       return found;
     }
--- a/src/libcore/rollout.cc
+++ b/src/libcore/rollout.cc
@@ -114,8 +114,9 @@
   step.m_effects.emplace_back(ReadConfig{});
 }
 
-auto PutInForce(Rollout& rollout, Candidate& candidate, RolloutStep& step)
+auto PutInForce(Rollout& rollout, Candidate* candidate, RolloutStep& step)
     -> void {
+  DOTTERELSHED_CHECK(candidate != nullptr);
   if (rollout.m_config) {
     rollout.m_kept.push_back(
         {.m_generation = Have(rollout), .m_text = std::move(rollout.m_text)});
@@ -126,8 +127,8 @@
   }
   rollout.m_differences.clear();
   rollout.m_want_whole = false;
-  rollout.m_config = std::move(candidate.m_config);
-  rollout.m_text = std::move(candidate.m_text);
+  rollout.m_config = std::move(candidate->m_config);
+  rollout.m_text = std::move(candidate->m_text);
   const auto generation = Have(rollout);
   step.m_adopted = rollout.m_config;
   step.m_effects.emplace_back(ConfigInForce{generation});
@@ -155,7 +156,7 @@
         AskPlatform(rollout, now, step);
         break;
       case RolloutAction::kPutInForce:
-        PutInForce(rollout, *candidate, step);
+        PutInForce(rollout, candidate, step);
         break;
     }
   }
