--- a/src/libhost/call_parser.cc
+++ b/src/libhost/call_parser.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 
 #include "digests.h"
 #include "dotterelshed/continuation_token.h"
@@ -94,16 +95,21 @@
   return std::nullopt;
 }
 
+/// Hex part of the program that belongs to a request id chosen by a caller.
+auto RequestHex(const AccountId& account, const RequestId& request)
+    -> std::string {
+  constexpr std::size_t kHexLength = 16;
+  return Sha256Hex(account.value() + "\n" + request.value())
+      .substr(0, kHexLength);
+}
+
 /// Gives a call that names no program a new one. A request id chosen by the
 /// caller decides the program's id, so that a repeat finds the same program.
 auto AssignProgram(const ParseContext& context, CallRequest& call) -> void {
   if (call.m_program.empty()) {
-    constexpr std::size_t kHexLength = 16;
-    const auto hex =
-        call.m_request.empty()
-            ? RandomHex()
-            : Sha256Hex(call.m_account.value() + "\n" + call.m_request.value())
-                  .substr(0, kHexLength);
+    const auto hex = call.m_request.empty()
+                         ? RandomHex()
+                         : RequestHex(call.m_account, call.m_request);
     call.m_program = call.m_parent ? NewSubProgramId(*call.m_parent, hex)
                                    : NewProgramId(context.m_domain, hex);
   }
@@ -324,10 +330,36 @@
   call.m_service = input.m_service;
   call.m_path = input.m_path;
   call.m_body = std::string(input.m_body);
+  const auto own_request = ProgramOf(call.m_request).empty();
+  if (!service.m_repeatable && !call.m_key && own_request) {
+    // Sent again through another domain it would be another program, so the
+    // caller's request id has to tell that it is the same call.
+    call.m_key = IdempotencyKey(call.m_account.value() + "/request/" +
+                                call.m_request.value());
+  }
   call.m_repeatable = service.m_repeatable && !call.m_key;
   SetCostBound(service, call);
   SetContent(call);
   return call;
 }
 
+auto ProgramsOfRequest(const RequestId& request,
+                       const AccountId& account,
+                       const DeskConfig& config,
+                       const DomainId& own_domain) -> std::vector<ProgramId> {
+  std::set<DomainId> domains;
+  for (const auto& [id, service] : config.m_services) {
+    for (const auto& endpoint : service.m_endpoints) {
+      domains.insert(endpoint.m_domain);
+    }
+  }
+  domains.erase(own_domain);
+  const auto hex = RequestHex(account, request);
+  std::vector<ProgramId> programs{NewProgramId(own_domain, hex)};
+  for (const auto& domain : domains) {
+    programs.push_back(NewProgramId(domain, hex));
+  }
+  return programs;
+}
+
 }  // namespace dotterelshed::pvt
--- a/src/libhost/call_parser.h
+++ b/src/libhost/call_parser.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dotterelshed/call.h"
 #include "dotterelshed/desk_config.h"
@@ -53,6 +54,13 @@
 auto ParseAccount(const std::string& authorization, const DeskConfig& config)
     -> tl::expected<AccountId, ParseFailure>;
 
+/// Programs that a request id chosen by a caller may belong to, one for each
+/// failure domain, the nearest first.
+auto ProgramsOfRequest(const RequestId& request,
+                       const AccountId& account,
+                       const DeskConfig& config,
+                       const DomainId& own_domain) -> std::vector<ProgramId>;
+
 }  // namespace dotterelshed::pvt
 
 #endif  // DOTTERELSHED_LIBHOST_CALL_PARSER_H_
--- a/src/libhost/caller_front.cc
+++ b/src/libhost/caller_front.cc
@@ -298,17 +298,15 @@
                             httplib::Response& response) -> void {
   const OpenCounter counter(m_open);
   const RequestId id(request.matches[1]);
-  ProgramId program(request.get_header_value("X-Dotterelshed-Program"));
-  if (program.empty()) {
-    program = ProgramOf(id);
-  }
-  if (program.empty()) {
+  const auto programs = FindPrograms(request, id);
+  if (programs.empty()) {
     Refuse(response, kBadRequest, ReasonCode::kBadRequest,
-           "name the request's program in X-Dotterelshed-Program");
+           "name the request's program in X-Dotterelshed-Program, or send the "
+           "Authorization header that the request had");
     return;
   }
-  const auto entry = m_router.Ask(id, program);
   const auto deadline = SteadyTime() + kAskLimit;
+  const auto entry = AskEach(id, programs, deadline);
   if (request.has_param("offset")) {
     Stream(entry, ParseOffset(request), id, "", deadline, response, nullptr);
   } else {
@@ -318,6 +316,49 @@
   }
 }
 
+auto CallerFront::FindPrograms(const httplib::Request& request,
+                               const RequestId& id) -> std::vector<ProgramId> {
+  const ProgramId named(request.get_header_value("X-Dotterelshed-Program"));
+  if (!named.empty()) {
+    return {named};
+  }
+  const auto carried = ProgramOf(id);
+  if (!carried.empty()) {
+    return {carried};
+  }
+  const auto config = m_core.Config();
+  if (!config) {
+    return {};
+  }
+  const auto account =
+      ParseAccount(request.get_header_value("Authorization"), *config);
+  if (!account) {
+    return {};
+  }
+  return ProgramsOfRequest(id, *account, *config, m_settings.m_domain);
+}
+
+auto CallerFront::AskEach(const RequestId& id,
+                          const std::vector<ProgramId>& programs,
+                          TimePoint deadline) -> RequestEntryPtr {
+  RequestEntryPtr best;
+  for (const auto& program : programs) {
+    const auto entry = m_router.Ask(id, program);
+    const auto first = entry->Read(0, deadline - SteadyTime());
+    const auto found =
+        !first.m_answer || first.m_answer->m_reason == ReasonCode::kNone;
+    if (found) {
+      return entry;
+    }
+    // An unreachable home is worse news than a missing record.
+    const auto no_record = first.m_answer->m_reason == ReasonCode::kNoRecord;
+    if (!best || !no_record) {
+      best = entry;
+    }
+  }
+  return best;
+}
+
 auto CallerFront::HandleEnd(const httplib::Request& request,
                             httplib::Response& response) -> void {
   const ProgramId program(request.matches[1]);
--- a/src/libhost/caller_front.h
+++ b/src/libhost/caller_front.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "call_parser.h"
 #include "call_router.h"
@@ -47,6 +48,13 @@
                   std::string path) -> void;
   auto HandleAsk(const httplib::Request& request, httplib::Response& response)
       -> void;
+  /// Programs that a request asked for again may belong to.
+  auto FindPrograms(const httplib::Request& request, const RequestId& id)
+      -> std::vector<ProgramId>;
+  /// Asks for a request in each program until one has it.
+  auto AskEach(const RequestId& id,
+               const std::vector<ProgramId>& programs,
+               TimePoint deadline) -> RequestEntryPtr;
   auto HandleEnd(const httplib::Request& request, httplib::Response& response)
       -> void;
   /// Answers with the stream of @p entry from @p offset on. @p slot is held
--- a/src/libhost/host_process.cc
+++ b/src/libhost/host_process.cc
@@ -8,10 +8,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "answer_writer.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/peer_codec.h"
+#include "http_server.h"
 
 namespace dotterelshed::pvt {
 
@@ -19,31 +19,10 @@
 
 /// Threads for calls to the platform and to endpoints besides attempts.
 constexpr std::size_t kCallThreads = 24;
-/// Threads kept free for operators when all caller threads are in use.
-constexpr std::size_t kAdminThreads = 16;
 /// How often a draining host looks whether everything has ended.
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
 /// The balancer gets this long to notice that the host is not ready.
 constexpr Duration kBalancerGrace = std::chrono::seconds(1);
-constexpr auto kKeepAlive = std::chrono::seconds(5);
-
-/// Gives cpp-httplib threads that are started when needed.
-class ServerThreads final : public httplib::TaskQueue {
- public:
-  explicit ServerThreads(std::size_t count) : m_threads(count) {}
-  auto enqueue(std::function<void()> task) -> void override {
-    m_threads.Run(std::move(task));
-  }
-  auto shutdown() -> void override { m_threads.Finish(); }
-
- private:
-  WorkerThreads m_threads;
-};
-
-auto SplitAddress(const std::string& address) -> std::pair<std::string, int> {
-  const auto colon = address.rfind(':');
-  return {address.substr(0, colon), std::stoi(address.substr(colon + 1))};
-}
 
 /// Each start of a host has a number above those of its earlier starts.
 auto StartNumber() -> Incarnation {
@@ -155,31 +134,12 @@
 }
 
 auto HostProcess::StartHttp() -> Status {
-  m_server = std::make_unique<httplib::Server>();
-  const auto threads =
-      static_cast<std::size_t>(m_settings.m_max_open_requests) + kAdminThreads;
-  m_server->new_task_queue = [threads] { return new ServerThreads(threads); };
-  m_server->set_payload_max_length(
-      static_cast<std::size_t>(m_settings.m_max_body.value()));
-  m_server->set_keep_alive_timeout(kKeepAlive.count());
-  m_server->set_tcp_nodelay(true);
-  m_server->set_error_handler([](const auto&, httplib::Response& response) {
-    if (response.body.empty()) {
-      response.set_content(
-          ErrorBody(ReasonCode::kBadRequest, OutcomeKind::kNotRun,
-                    "status " + std::to_string(response.status), RequestId()),
-          "application/json");
-    }
-  });
-  auto [host, port] = SplitAddress(m_settings.m_http_address);
-  const auto bound = port == 0
-                         ? m_server->bind_to_any_port(host)
-                         : (m_server->bind_to_port(host, port) ? port : -1);
-  if (bound < 0) {
-    return Fail(ErrorCode::kUnavailable, "can't listen for callers",
-                m_settings.m_http_address);
+  m_server = MakeHttpServer(m_settings);
+  auto address = BindHttpServer(*m_server, m_settings.m_http_address);
+  if (!address) {
+    return tl::unexpected<Error>(address.error());
   }
-  m_addresses.m_http = host + ":" + std::to_string(bound);
+  m_addresses.m_http = *address;
   return {};
 }
 
@@ -270,12 +230,14 @@
 auto HostProcess::Dump() -> std::string {
   const auto peers = m_peers->Counts();
   const auto platform = CountPlatformCalls();
+  const auto config = m_core->Config();
   nlohmann::json dump = {
       {"host", m_settings.m_host.value()},
       {"domain", m_settings.m_domain.value()},
       {"addresses",
        {{"http", m_addresses.m_http}, {"peer", m_addresses.m_peer}}},
       {"draining", m_draining.load()},
+      {"generation", config ? config->m_generation.value() : 0},
       {"requests",
        {{"open", m_requests.OpenCount()},
         {"callers", m_callers->OpenCount()},
