--- /dev/null
+++ b/src/libcore/core_walk_unittest.cc
@@ -0,0 +1,83 @@
+#include "core_walk.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <string_view>
+
+namespace dotterelshed::walk {
+namespace {
+
+/// DOTTERELSHED_WALKS sets the number of walks, DOTTERELSHED_WALK_SEED the
+/// first seed.
+auto NumberFromEnvironment(const char* name, int fallback) -> int {
+  const auto* text = std::getenv(name);
+  return text == nullptr ? fallback : std::atoi(text);
+}
+
+TEST_CASE("random walks keep every promise") {
+  const auto walks = NumberFromEnvironment("DOTTERELSHED_WALKS", 800);
+  const auto first = NumberFromEnvironment("DOTTERELSHED_WALK_SEED", 1);
+  WalkResult sum;
+  auto broken = 0;
+  for (auto seed = first; seed < first + walks; ++seed) {
+    const auto result = RunWalk({.m_seed = static_cast<std::uint64_t>(seed)});
+    sum.m_answers += result.m_answers;
+    sum.m_provisional += result.m_provisional;
+    sum.m_runs += result.m_runs;
+    sum.m_crashes += result.m_crashes;
+    sum.m_outages += result.m_outages;
+    sum.m_pauses += result.m_pauses;
+    if (!result.m_violation.empty()) {
+      ++broken;
+      UNSCOPED_INFO("seed " << seed << ": " << result.m_violation);
+    }
+  }
+  CAPTURE(walks, sum.m_answers, sum.m_provisional, sum.m_runs, sum.m_crashes,
+          sum.m_outages, sum.m_pauses);
+  CHECK(broken == 0);
+}
+
+/// A mechanism that is off, and the first seed to try: the search goes on from
+/// there, so that the test stays quick until the walks change.
+struct SwitchedOff {
+  std::string_view m_name;
+  bool CoreMechanisms::*m_mechanism;
+  std::uint64_t m_first_seed;
+};
+
+constexpr auto kSwitches = std::to_array<SwitchedOff>({
+    {"append_before_release", &CoreMechanisms::m_append_before_release, 1},
+    {"keep_longer_chain", &CoreMechanisms::m_keep_longer_chain, 89},
+    {"collect_on_takeover", &CoreMechanisms::m_collect_on_takeover, 1027},
+    {"copy_before_serving", &CoreMechanisms::m_copy_before_serving, 2},
+    {"settle_inherited", &CoreMechanisms::m_settle_inherited, 328},
+    {"escrow", &CoreMechanisms::m_escrow, 17},
+    {"claim_before_send", &CoreMechanisms::m_claim_before_send, 11},
+    {"sweep_holds", &CoreMechanisms::m_sweep_holds, 1},
+});
+
+// Mechanisms that are not here have a test of their own with the mechanism
+// off: the walk meets what they prevent too seldom.
+TEST_CASE("walks break a promise when a mechanism is off") {
+  constexpr auto kMostWalks = std::uint64_t{3000};
+  for (const auto& off : kSwitches) {
+    WalkOptions options{.m_seed = off.m_first_seed};
+    options.m_mechanisms.*off.m_mechanism = false;
+    auto result = RunWalk(options);
+    while (result.m_violation.empty() &&
+           options.m_seed < off.m_first_seed + kMostWalks) {
+      ++options.m_seed;
+      result = RunWalk(options);
+    }
+    CAPTURE(off.m_name, options.m_seed);
+    CHECK_FALSE(result.m_violation.empty());
+    if (std::getenv("DOTTERELSHED_WALK_SHOW") != nullptr) {
+      WARN(off.m_name << " off: seed " << options.m_seed << ": "
+                      << result.m_violation);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dotterelshed::walk
--- a/src/libcore/policy_retention.h
+++ b/src/libcore/policy_retention.h
@@ -9,6 +9,10 @@
 
 namespace dotterelshed::pvt {
 
+/// Tokens of memory that a call is expected to take.
+auto MemoryNeed(const PoolPolicy& policy, const CallState& call)
+    -> std::int64_t;
+
 /// Hold to ask for with a call; empty when its prefix is not to be kept.
 auto ChooseHold(const PoolPolicy& policy,
                 const EndpointWork& endpoint,
@@ -20,6 +24,16 @@
                      EndpointWork& endpoint,
                      const CallState& call) -> std::vector<HoldRecord>;
 
+/// The call that starts on @p endpoint takes over its program's prefix there.
+auto UsePrefix(PoolPolicy& policy,
+               EndpointWork& endpoint,
+               const ProgramId& program) -> void;
+
+/// Prompt tokens of others that would have to go for @p call to fit.
+auto MemoryOverflow(const PoolPolicy& policy,
+                    const EndpointWork& endpoint,
+                    const CallState& call) -> std::int64_t;
+
 /// Takes note of the prefix that a finished call leaves behind, under the
 /// hold that its attempt asked for.
 auto KeepPrefix(PoolPolicy& policy,
