Route a call again when its outcome is unknown and its host not the owner

A call with an idempotency key that met a host which had just given its pool away was answered unknown, since that host had not read the key's record, and not routed again; in a rolling restart callers would see it. Asking again is safe: the home answers a turn once, and the claim is looked at first. Once an outcome was unknown, no later refusal of the request says not_run.

--- a/src/libhost/call_router.cc
+++ b/src/libhost/call_router.cc
@@ -34,11 +34,20 @@
 }
 
 /// Refusals of a host that turned out not to be the one to ask.
+/// Asking again is safe also where the outcome is unknown: the program's home
+/// answers a turn once, and a call that runs at most once is claimed first.
 auto IsMisrouted(const CallAnswer& answer) -> bool {
-  return answer.m_outcome == OutcomeKind::kNotRun &&
-         (answer.m_reason == ReasonCode::kNotOwner ||
-          answer.m_reason == ReasonCode::kDraining ||
-          answer.m_reason == ReasonCode::kHomeUnreachable);
+  const auto open = answer.m_outcome == OutcomeKind::kNotRun ||
+                    answer.m_outcome == OutcomeKind::kUnknown;
+  return open && (answer.m_reason == ReasonCode::kNotOwner ||
+                  answer.m_reason == ReasonCode::kDraining ||
+                  answer.m_reason == ReasonCode::kHomeUnreachable);
+}
+
+/// A refusal after this one may not say that the call did not run.
+auto NoteUncertain(RoutedCall& routed, const CallAnswer& answer) -> void {
+  routed.m_uncertain =
+      routed.m_uncertain || answer.m_outcome == OutcomeKind::kUnknown;
 }
 
 auto ListenOn(const RequestEntryPtr& entry,
@@ -142,6 +151,7 @@
                                const Result<CallAnswer>& answer) -> void {
   if (answer) {
     if (IsMisrouted(*answer)) {
+      NoteUncertain(*routed, *answer);
       TryAgain(routed, *answer);
     } else {
       FinishRouted(routed, *answer);
@@ -194,6 +204,7 @@
                             SteadyTime());
   if (routed->m_entry_host && IsMisrouted(answer)) {
     Remember(routed);
+    NoteUncertain(*routed, answer);
     TryAgain(routed, answer);
     return;
   }
