Carry the platform's list of leaving endpoints to every primary

Cause (testsuite/endpoint_leaving, failed): only the lead reads the platform's lists, and nothing told the pool's primary on another host that an endpoint is listed as leaving; and the endpoint's own report, which knows nothing of the list, would have brought it back after a while. Ruled out: the endpoint's own answer (that half of the case passed), and a watch per primary (platform calls would grow with hosts). Now the lead's digest carries changes of the list, a new lead sends them on, and a listed endpoint stays out until the list says otherwise.

--- a/src/include/dotterelshed/core_events.h
+++ b/src/include/dotterelshed/core_events.h
@@ -85,9 +85,11 @@
   bool m_leaving = false;
 };
 
-/// An endpoint was seen as leaving in the platform's list or by its own word.
-struct EndpointLeaving {
+/// What the platform's list says of an endpoint; the lead sees it and tells
+/// the other hosts. An endpoint's own word comes with LoadReported.
+struct EndpointListed {
   EndpointId m_endpoint;
+  bool m_leaving = false;
 };
 
 struct LoadReported {
@@ -128,7 +130,7 @@
                            LaneArrived,
                            ConfigArrived,
                            HostListed,
-                           EndpointLeaving,
+                           EndpointListed,
                            LoadReported,
                            CacheReported,
                            HoldsListed,
--- a/src/include/dotterelshed/membership_messages.h
+++ b/src/include/dotterelshed/membership_messages.h
@@ -118,6 +118,10 @@
   /// Tables of other domains.
   std::vector<DomainTable> m_remote_tables;
   std::vector<Digest> m_quarantined;
+  /// Endpoints that the platform lists as leaving, and those that were listed
+  /// so earlier.
+  std::vector<EndpointId> m_leaving_endpoints;
+  std::vector<EndpointId> m_staying_endpoints;
   /// Pools of the domain whose copy holder has not confirmed its copy.
   std::vector<PoolId> m_unconfirmed;
   /// False when the sender is not the lead and has not heard from it lately.
--- a/src/include/dotterelshed/ownership.h
+++ b/src/include/dotterelshed/ownership.h
@@ -48,6 +48,8 @@
   Effects m_effects;
   /// Pools whose assignment in this domain changed, old to new.
   std::vector<RoleChange> m_changes;
+  /// Endpoints of which the platform's list says something new.
+  std::vector<EndpointListed> m_endpoints;
   /// Content digests that are newly under quarantine domain-wide.
   std::vector<Digest> m_quarantined;
 };
@@ -70,6 +72,8 @@
                     TimePoint now) -> OwnershipStep;
 auto OnHostListed(Ownership& ownership, const HostListed& event, TimePoint now)
     -> OwnershipStep;
+auto OnEndpointListed(Ownership& ownership, const EndpointListed& event)
+    -> OwnershipStep;
 auto TickOwnership(Ownership& ownership, TimePoint now) -> OwnershipStep;
 
 /// Starts to give this host's roles away; Drained turns true when none is
@@ -104,6 +108,8 @@
 auto PoolEndpoints(const Ownership& ownership,
                    const PoolId& pool,
                    const ServiceId& service) -> std::vector<EndpointConfig>;
+/// Endpoints that the platform lists as leaving, as far as known here.
+auto ListedLeaving(const Ownership& ownership) -> std::vector<EndpointId>;
 /// Where a host listens, if known.
 auto FindAddresses(const Ownership& ownership, const HostId& host)
     -> std::optional<HostAddresses>;
--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -143,6 +143,12 @@
     -> void;
 auto NoteLeaving(PoolPolicy& policy, const EndpointId& endpoint, TimePoint now)
     -> void;
+/// What the platform's list says of an endpoint. While it is listed as leaving
+/// it gets no new work, whatever it says itself.
+auto NoteListed(PoolPolicy& policy,
+                const EndpointId& endpoint,
+                bool leaving,
+                TimePoint now) -> void;
 auto NoteQuarantined(PoolPolicy& policy, const Digest& content) -> void;
 
 /// The program is over: every prefix kept for it, to be freed.
--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -24,6 +24,9 @@
   const auto endpoints = PoolEndpoints(*step.m_core.m_ownership,
                                        pool.m_assignment.m_pool, service);
   SetPoolConfig(policy, *step.m_core.m_config, endpoints, step.m_now);
+  for (const auto& endpoint : ListedLeaving(*step.m_core.m_ownership)) {
+    NoteListed(policy, endpoint, true, step.m_now);
+  }
 }
 
 /// Price of what an attempt used.
--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -23,6 +23,14 @@
   out.insert(out.end(), more.begin(), more.end());
 }
 
+auto ForEachPolicy(HostCore& core, auto function) -> void {
+  for (auto& [id, pool] : core.m_pools) {
+    for (const auto& [service, policy] : pool.m_policies) {
+      function(*policy);
+    }
+  }
+}
+
 auto ApplyOwnership(StepContext& step, const OwnershipStep& result) -> void {
   Append(step.m_out, result.m_effects);
   step.m_core.m_live = LiveMembers(*step.m_core.m_ownership, step.m_now);
@@ -31,13 +39,16 @@
   for (const auto& change : result.m_changes) {
     OnRoleChange(step, change);
   }
+  for (const auto& listed : result.m_endpoints) {
+    ForEachPolicy(step.m_core, [&](PoolPolicy& policy) {
+      NoteListed(policy, listed.m_endpoint, listed.m_leaving, step.m_now);
+    });
+  }
   for (const auto& content : result.m_quarantined) {
     step.m_core.m_quarantined.insert(content);
-    for (auto& [id, pool] : step.m_core.m_pools) {
-      for (const auto& [service, policy] : pool.m_policies) {
-        NoteQuarantined(*policy, content);
-      }
-    }
+    ForEachPolicy(step.m_core, [&content](PoolPolicy& policy) {
+      NoteQuarantined(policy, content);
+    });
   }
 }
 
@@ -110,14 +121,6 @@
   }
 };
 
-auto ForEachPolicy(HostCore& core, auto function) -> void {
-  for (auto& [id, pool] : core.m_pools) {
-    for (const auto& [service, policy] : pool.m_policies) {
-      function(*policy);
-    }
-  }
-}
-
 /// What a host does that knows neither table nor configuration.
 auto AskSeeds(StepContext& step) -> void {
   auto& core = step.m_core;
@@ -243,10 +246,9 @@
     ApplyOwnership(
         m_step, OnHostListed(*m_step.m_core.m_ownership, event, m_step.m_now));
   }
-  auto operator()(const EndpointLeaving& event) -> void {
-    ForEachPolicy(m_step.m_core, [&](PoolPolicy& policy) {
-      NoteLeaving(policy, event.m_endpoint, m_step.m_now);
-    });
+  auto operator()(const EndpointListed& event) -> void {
+    ApplyOwnership(m_step,
+                   OnEndpointListed(*m_step.m_core.m_ownership, event));
   }
   auto operator()(const LoadReported& event) -> void {
     ForEachPolicy(m_step.m_core, [&](PoolPolicy& policy) {
--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -184,6 +184,13 @@
   return {};
 }
 
+auto OnEndpointListed(Ownership& ownership, const EndpointListed& event)
+    -> OwnershipStep {
+  OwnershipStep step;
+  pvt::TakeListedEndpoint(ownership, event, step);
+  return step;
+}
+
 auto AnnounceQuarantine(Ownership& ownership, const Digest& content) -> void {
   if (ownership.m_quarantined.contains(content)) {
     return;
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -182,6 +182,9 @@
   for (auto& [content, changed] : ownership.m_quarantined) {
     changed = NextNews(ownership);
   }
+  for (auto& [endpoint, listed] : ownership.m_endpoints) {
+    listed.m_changed = NextNews(ownership);
+  }
   for (const auto& content : ownership.m_announced.m_quarantined) {
     ownership.m_quarantined[content] = NextNews(ownership);
   }
--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership_messages.cc
@@ -14,6 +14,8 @@
 
 constexpr auto kMaxVisitors = std::size_t{256};
 constexpr auto kMaxQuarantined = std::size_t{1024};
+/// Endpoints remembered as listed; the list is read again when a lead begins.
+constexpr auto kMaxListedEndpoints = std::size_t{4096};
 
 auto NoteVisitor(Ownership& ownership, const Heartbeat& message) -> void {
   if (message.m_addresses.m_peer.empty()) {
@@ -183,6 +185,13 @@
       digest.m_quarantined.push_back(content);
     }
   }
+  for (const auto& [endpoint, listed] : ownership.m_endpoints) {
+    if (listed.m_changed > seen) {
+      auto& list = listed.m_leaving ? digest.m_leaving_endpoints
+                                    : digest.m_staying_endpoints;
+      list.push_back(endpoint);
+    }
+  }
   digest.m_unconfirmed.assign(ownership.m_unconfirmed.begin(),
                               ownership.m_unconfirmed.end());
 }
@@ -241,6 +250,12 @@
   for (const auto& content : message.m_quarantined) {
     ownership.m_announced.m_quarantined.erase(content);
   }
+  for (const auto& endpoint : message.m_leaving_endpoints) {
+    TakeListedEndpoint(ownership, {endpoint, true}, step);
+  }
+  for (const auto& endpoint : message.m_staying_endpoints) {
+    TakeListedEndpoint(ownership, {endpoint, false}, step);
+  }
 }
 
 /// Others still hear the lead, so only the way from it to here is broken.
@@ -308,6 +323,22 @@
   }
 }
 
+auto TakeListedEndpoint(Ownership& ownership,
+                        const EndpointListed& listed,
+                        OwnershipStep& step) -> void {
+  const auto found = ownership.m_endpoints.find(listed.m_endpoint);
+  const auto known =
+      found != ownership.m_endpoints.end() && found->second.m_leaving;
+  const auto full = found == ownership.m_endpoints.end() &&
+                    ownership.m_endpoints.size() >= kMaxListedEndpoints;
+  if (known == listed.m_leaving || full) {
+    return;
+  }
+  ownership.m_endpoints[listed.m_endpoint] = {listed.m_leaving,
+                                              NextNews(ownership)};
+  step.m_endpoints.push_back(listed);
+}
+
 auto AddQuarantined(Ownership& ownership,
                     const std::vector<Digest>& contents,
                     OwnershipStep& step) -> void {
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership_query.cc
@@ -114,6 +114,16 @@
                                         : found->second;
 }
 
+auto ListedLeaving(const Ownership& ownership) -> std::vector<EndpointId> {
+  std::vector<EndpointId> endpoints;
+  for (const auto& [endpoint, listed] : ownership.m_endpoints) {
+    if (listed.m_leaving) {
+      endpoints.push_back(endpoint);
+    }
+  }
+  return endpoints;
+}
+
 auto FindAddresses(const Ownership& ownership, const HostId& host)
     -> std::optional<HostAddresses> {
   if (host == ownership.m_options.m_self.m_host) {
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -44,6 +44,12 @@
   std::int64_t m_changed = 0;
 };
 
+/// What the platform's list says of an endpoint.
+struct ListedEndpoint {
+  bool m_leaving = false;
+  std::int64_t m_changed = 0;
+};
+
 /// Which call to the platform is under way for this domain's table.
 enum class TableCall { kNone, kRead, kPut };
 
@@ -96,6 +102,8 @@
   /// Hosts outside the table that sent something lately, for answers.
   std::map<HostId, HostAddresses> m_visitors;
   std::map<Digest, std::int64_t> m_quarantined;
+  /// Endpoints that are, or were, listed as leaving.
+  std::map<EndpointId, pvt::ListedEndpoint> m_endpoints;
   std::set<PoolId> m_wanted;
   pvt::PoolCut m_cut;
   Generation m_config_generation;
@@ -127,6 +135,11 @@
 /// Intervals without a heartbeat after which a host counts as down.
 auto DownAfter(const Ownership& ownership) -> Duration;
 auto IsSelfLead(const Ownership& ownership) -> bool;
+/// Takes news of the platform's list of endpoints. An endpoint that was never
+/// listed as leaving is no news.
+auto TakeListedEndpoint(Ownership& ownership,
+                        const EndpointListed& listed,
+                        OwnershipStep& step) -> void;
 /// This host is draining or drained.
 auto IsLeaving(const Ownership& ownership) -> bool;
 /// Sends one chart event to the host's life cycle.
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -75,6 +75,28 @@
   }
 }
 
+TEST_CASE("an endpoint listed as leaving is known to all, and to the next lead") {
+  FakeDomain sim({.m_hosts = 3, .m_endpoints = 8});
+  sim.Run(seconds(5));
+  const EndpointId endpoint("e1");
+  auto& lead = *sim.m_hosts.at(sim.Lead()).m_ownership;
+  CHECK(OnEndpointListed(lead, {endpoint, false}).m_endpoints.empty());
+  CHECK(OnEndpointListed(lead, {endpoint, true}).m_endpoints.size() == 1);
+  sim.Run(seconds(2));
+  for (const auto& [id, host] : sim.m_hosts) {
+    CHECK(ListedLeaving(*host.m_ownership) == std::vector{endpoint});
+  }
+  sim.Stop(sim.Lead());
+  sim.Run(seconds(5));
+  auto& next = *sim.m_hosts.at(sim.Lead()).m_ownership;
+  CHECK(ListedLeaving(next) == std::vector{endpoint});
+  OnEndpointListed(next, {endpoint, false});
+  sim.Run(seconds(2));
+  for (const auto& [id, host] : sim.m_hosts) {
+    CHECK((!host.m_running || ListedLeaving(*host.m_ownership).empty()));
+  }
+}
+
 TEST_CASE("a dead lead is replaced by one host, without a race at the put") {
   FakeDomain sim({.m_hosts = 9, .m_endpoints = 64 * 4});
   sim.Run(seconds(5));
--- a/src/libcore/policy.cc
+++ b/src/libcore/policy.cc
@@ -112,7 +112,8 @@
   endpoint.m_reported_at = now;
   if (report.m_leaving) {
     NoteLeaving(policy, report.m_endpoint, now);
-  } else if (endpoint.m_leaving && now - endpoint.m_left_at > kReturnWait) {
+  } else if (endpoint.m_leaving && !endpoint.m_listed_leaving &&
+             now - endpoint.m_left_at > kReturnWait) {
     endpoint.m_leaving = false;
   }
   pvt::UpdateFree(policy, endpoint);
@@ -129,6 +130,20 @@
   }
 }
 
+auto NoteListed(PoolPolicy& policy,
+                const EndpointId& endpoint,
+                bool leaving,
+                TimePoint now) -> void {
+  const auto found = policy.m_endpoints.find(endpoint);
+  if (found == policy.m_endpoints.end()) {
+    return;
+  }
+  found->second.m_listed_leaving = leaving;
+  if (leaving) {
+    NoteLeaving(policy, endpoint, now);
+  }
+}
+
 auto NoteLeaving(PoolPolicy& policy, const EndpointId& endpoint, TimePoint now)
     -> void {
   const auto found = policy.m_endpoints.find(endpoint);
--- a/src/libcore/policy_endpoint_unittest.cc
+++ b/src/libcore/policy_endpoint_unittest.cc
@@ -69,6 +69,18 @@
   CHECK(pool.Start().size() == 1);
 }
 
+TEST_CASE("an endpoint stays away for as long as the platform lists it") {
+  TestPool pool({.m_endpoints = 1});
+  const EndpointId endpoint("e0");
+  NoteListed(*pool.m_policy, endpoint, true, pool.m_now);
+  pool.m_now += std::chrono::seconds(60);
+  NoteLoad(*pool.m_policy, {.m_endpoint = endpoint}, pool.m_now);
+  CHECK(pool.Add(pool.Call("a"))->m_reason == ReasonCode::kNoEndpoint);
+  NoteListed(*pool.m_policy, endpoint, false, pool.m_now);
+  NoteLoad(*pool.m_policy, {.m_endpoint = endpoint}, pool.m_now);
+  CHECK_FALSE(pool.Add(pool.Call("a")));
+}
+
 TEST_CASE("a call goes to an endpoint that has its model") {
   TestPool pool({.m_endpoints = 2});
   NoteLoad(*pool.m_policy,
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -110,6 +110,8 @@
   EndpointConfig m_config;
   bool m_configured = true;
   bool m_leaving = false;
+  /// Listed as leaving by the platform.
+  bool m_listed_leaving = false;
   TimePoint m_left_at;
   EndpointState m_state = EndpointState::kServing;
   std::set<AttemptId> m_running;
--- a/src/libhost/platform_link.cc
+++ b/src/libhost/platform_link.cc
@@ -223,9 +223,9 @@
     }
   });
   add(kEndpointKind, [this](const PlatformObject& object) {
-    const auto listed = DecodeListedNode(object.m_value);
-    if (listed && listed->m_leaving) {
-      m_core.Post(EndpointLeaving{EndpointId(object.m_name)});
+    if (const auto listed = DecodeListedNode(object.m_value)) {
+      m_core.Post(
+          EndpointListed{EndpointId(object.m_name), listed->m_leaving});
     }
   });
 }
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -83,6 +83,8 @@
   unconfirmed @13 :List(Text);
   leadHeard @14 :Bool;
   platformReachable @15 :Bool;
+  leavingEndpoints @16 :List(Text);
+  stayingEndpoints @17 :List(Text);
 }
 
 struct DomainStatus {
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -147,7 +147,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c6539f34a1e645fc, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(c6539f34a1e645fc, 5, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1061,6 +1061,12 @@
 
   inline bool getPlatformReachable() const;
 
+  inline bool hasLeavingEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeavingEndpoints() const;
+
+  inline bool hasStayingEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getStayingEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1173,6 +1179,22 @@
   inline bool getPlatformReachable();
   inline void setPlatformReachable(bool value);
 
+  inline bool hasLeavingEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLeavingEndpoints();
+  inline void setLeavingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLeavingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLeavingEndpoints(unsigned int size);
+  inline void adoptLeavingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeavingEndpoints();
+
+  inline bool hasStayingEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getStayingEndpoints();
+  inline void setStayingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setStayingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initStayingEndpoints(unsigned int size);
+  inline void adoptStayingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownStayingEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2912,6 +2934,82 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool DomainDigest::Reader::hasLeavingEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool DomainDigest::Builder::hasLeavingEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getLeavingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setLeavingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setLeavingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initLeavingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void DomainDigest::Builder::adoptLeavingEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline bool DomainDigest::Reader::hasStayingEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool DomainDigest::Builder::hasStayingEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getStayingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getStayingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setStayingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setStayingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initStayingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void DomainDigest::Builder::adoptStayingEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownStayingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
 inline bool DomainStatus::Reader::hasDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -206,6 +206,10 @@
             out.initQuarantined(value.m_quarantined.size()));
   EncodeIds(value.m_unconfirmed,
             out.initUnconfirmed(value.m_unconfirmed.size()));
+  EncodeIds(value.m_leaving_endpoints,
+            out.initLeavingEndpoints(value.m_leaving_endpoints.size()));
+  EncodeIds(value.m_staying_endpoints,
+            out.initStayingEndpoints(value.m_staying_endpoints.size()));
   out.setLeadHeard(value.m_lead_heard);
   out.setPlatformReachable(value.m_platform_reachable);
 }
@@ -233,6 +237,8 @@
   }
   digest.m_quarantined = DecodeIds<Digest>(in.getQuarantined());
   digest.m_unconfirmed = DecodeIds<PoolId>(in.getUnconfirmed());
+  digest.m_leaving_endpoints = DecodeIds<EndpointId>(in.getLeavingEndpoints());
+  digest.m_staying_endpoints = DecodeIds<EndpointId>(in.getStayingEndpoints());
   digest.m_lead_heard = in.getLeadHeard();
   digest.m_platform_reachable = in.getPlatformReachable();
   return digest;
