--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -247,8 +247,7 @@
         m_step, OnHostListed(*m_step.m_core.m_ownership, event, m_step.m_now));
   }
   auto operator()(const EndpointListed& event) -> void {
-    ApplyOwnership(m_step,
-                   OnEndpointListed(*m_step.m_core.m_ownership, event));
+    ApplyOwnership(m_step, OnEndpointListed(*m_step.m_core.m_ownership, event));
   }
   auto operator()(const LoadReported& event) -> void {
     ForEachPolicy(m_step.m_core, [&](PoolPolicy& policy) {
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -75,7 +75,8 @@
   }
 }
 
-TEST_CASE("an endpoint listed as leaving is known to all, and to the next lead") {
+TEST_CASE(
+    "an endpoint listed as leaving is known to all, and to the next lead") {
   FakeDomain sim({.m_hosts = 3, .m_endpoints = 8});
   sim.Run(seconds(5));
   const EndpointId endpoint("e1");
--- a/src/libhost/platform_link.cc
+++ b/src/libhost/platform_link.cc
@@ -224,8 +224,7 @@
   });
   add(kEndpointKind, [this](const PlatformObject& object) {
     if (const auto listed = DecodeListedNode(object.m_value)) {
-      m_core.Post(
-          EndpointListed{EndpointId(object.m_name), listed->m_leaving});
+      m_core.Post(EndpointListed{EndpointId(object.m_name), listed->m_leaving});
     }
   });
 }
