--- a/testsuite/endpoint_leaving/run.py
+++ b/testsuite/endpoint_leaving/run.py
@@ -19,32 +19,41 @@
     return len(desk.runs([engine]))
 
 
-def expect_no_new_work(desk, engine):
+def expect_no_new_work(desk, domain, engine):
     """After a few seconds of traffic none of many calls reaches the engine."""
+    hosts = desk.hosts_in(domain)
     until = time.monotonic() + FEW_SECONDS
     while time.monotonic() < until:
-        assert caller.chat(desk.hosts[0], "Busy.").done
+        assert caller.chat(hosts[0], "Busy.").done
     before = ran(desk, engine)
     for i in range(CALLS_AFTER):
-        answer = caller.chat(desk.hosts[i % 2], f"Call {i}.")
+        answer = caller.chat(hosts[i % 2], f"Call {i}.")
         assert answer.done, answer
     assert ran(desk, engine) == before, "it got new work"
 
 
-def main(case):
-    desk = case.desk(engines_per_domain=3).start()
-    nord = [e for e in desk.engines if desk.domain_of[e.name] == "nord"]
-    for i in range(CALLS_AFTER):
-        assert caller.chat(desk.hosts[0], f"First {i}.").done
-    http_client.set_fault(nord[0], leaving=True)
-    expect_no_new_work(desk, nord[0])
-    http_client.set_fault(desk.platform, list_lag_ms=1000)
+def list_as_leaving(desk, engine):
     reply = http_client.request(
         desk.platform.http, "PUT",
-        f"/apis/dotterelshed/v1/endpoints/{nord[1].name}",
-        {"metadata": {"name": nord[1].name}, "spec": {"leaving": True}})
+        f"/apis/dotterelshed/v1/endpoints/{engine.name}",
+        {"metadata": {"name": engine.name}, "spec": {"leaving": True}})
     assert reply.status in (200, 201), reply.body
-    expect_no_new_work(desk, nord[1])
+
+
+def main(case):
+    desk = case.desk(engines_per_domain=3).start()
+    http_client.set_fault(desk.platform, list_lag_ms=1000)
+    for domain in desk.options.domains:
+        engines = [e for e in desk.engines if desk.domain_of[e.name] == domain]
+        table = desk.table(domain)
+        print(domain, "lead", table["lead"]["host"],
+              "primary", desk.primary_of(domain).name)
+        for i in range(CALLS_AFTER):
+            assert caller.chat(desk.hosts_in(domain)[0], f"First {i}.").done
+        http_client.set_fault(engines[0], leaving=True)
+        expect_no_new_work(desk, domain, engines[0])
+        list_as_leaving(desk, engines[1])
+        expect_no_new_work(desk, domain, engines[1])
 
 
 if __name__ == "__main__":
--- a/testsuite/repeated_request_id/run.py
+++ b/testsuite/repeated_request_id/run.py
@@ -12,6 +12,15 @@
 from harness.case import run_case
 
 
+def repeat_action(desk):
+    """An action sent again under its request id only, through each domain."""
+    for host in desk.hosts * 2:
+        answer = caller.call_service(host, "controls", "gates/open",
+                                     {"gate": 9}, request="action-1")
+        assert answer.outcome in ("done", "unknown"), answer
+    assert len(desk.runs(desk.controls)) == 1, desk.runs(desk.controls)
+
+
 def main(case):
     desk = case.desk(engine_args=["--token-rate", "60"]).start()
     question = "TOKENS 30 once only"
@@ -31,6 +40,7 @@
     for host in desk.hosts:
         again = caller.ask_again(host, answers[0])
         assert again.done and again.text in texts, again
+    repeat_action(desk)
     other = caller.chat(desk.hosts[0], "Something else.", request="same-id-1")
     assert other.status == 409, other
     missing = http_client.request(
