Write the domain table only when the set of pools changes

Now the generation is recorded only with another set of pools, and the lead sends its digest at once when its configuration changes.

--- a/src/libcore/fake_domain.h
+++ b/src/libcore/fake_domain.h
@@ -131,6 +131,10 @@
   /// Called after everything that a host did.
   std::function<void(const FakeHost&)> m_check = [](const FakeHost&) {};
 
+  /// Called for each digest that arrives.
+  std::function<void(const HostId&, const DomainDigest&)> m_see_digest =
+      [](const HostId&, const DomainDigest&) {};
+
   bool m_outage = false;
   int m_lose_percent = 0;
   int m_double_percent = 0;
@@ -235,6 +239,7 @@
     Take(host, OnHeartbeat(*host.m_ownership, message, m_now));
   }
   auto Deliver(FakeHost& host, const DomainDigest& message) -> void {
+    m_see_digest(host.m_self.m_host, message);
     Take(host, OnDigest(*host.m_ownership, message, m_now));
   }
   auto Deliver(FakeHost& host, const TableArrived& event) -> void {
--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -205,6 +205,7 @@
 }
 
 auto AnnounceGeneration(Ownership& ownership, Generation generation) -> void {
+  ownership.m_push_due |= ownership.m_announced.m_generation < generation;
   ownership.m_announced.m_generation = generation;
 }
 
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "ownership_state.h"
 
@@ -222,6 +223,9 @@
   ForgetMembers(ownership, now);
   CollectUnconfirmed(ownership);
   CheckCall(ownership, now, step);
+  if (std::exchange(ownership.m_push_due, false)) {
+    PushDigests(ownership, step);
+  }
   const auto may_put = ownership.m_platform.m_reachable &&
                        ownership.m_platform.m_call == TableCall::kNone;
   if (!may_put || now < ownership.m_next_plan || Settling(ownership, now)) {
--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -3,6 +3,7 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
 #include <optional>
 #include <tuple>
 
@@ -150,8 +151,17 @@
   bool m_new_holder = false;
 };
 
+auto HasWantedPools(const DomainTable& table, const PlanInput& input) -> bool {
+  return std::equal(
+      table.m_pools.begin(), table.m_pools.end(), input.m_wanted.begin(),
+      input.m_wanted.end(),
+      [](const auto& entry, const PoolId& id) { return entry.first == id; });
+}
+
+/// Most configurations want the same pools and need no write.
 auto AddWantedPools(DomainTable& table, const PlanInput& input) -> void {
-  if (input.m_generation < table.m_generation) {
+  if (input.m_generation < table.m_generation ||
+      HasWantedPools(table, input)) {
     return;
   }
   table.m_generation = input.m_generation;
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -117,6 +117,8 @@
   TimePoint m_quiet_since;
   TimePoint m_lead_since;
   TimePoint m_next_plan;
+  /// The lead has news that can't wait for the next heartbeats.
+  bool m_push_due = false;
   /// Differs between hosts, so that their calls to the platform do not come
   /// all at once.
   Duration m_jitter{0};
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -330,6 +330,26 @@
   CHECK(AllServed(sim));
 }
 
+TEST_CASE("a configuration with the same pools is told at once, not written") {
+  FakeDomain sim({.m_hosts = 4});
+  sim.Run(seconds(5));
+  const auto version = sim.Table().m_version;
+  std::map<HostId, Generation> told;
+  sim.m_see_digest = [&told](const HostId& to, const DomainDigest& digest) {
+    told[to] = digest.m_generation;
+  };
+  sim.MakeConfig(2, sim.m_options.m_endpoints);
+  sim.Configure(sim.Lead());
+  AnnounceGeneration(sim.OwnershipOf(sim.Lead()), Generation(2));
+  sim.Run(milliseconds(70));
+  CHECK(told.size() == 3);
+  for (const auto& [host, generation] : told) {
+    CHECK(generation == Generation(2));
+  }
+  sim.Run(seconds(5));
+  CHECK(sim.Table().m_version == version);
+}
+
 TEST_CASE("quarantined content reaches every host, also through loss") {
   FakeDomain sim({.m_hosts = 5});
   sim.Run(seconds(5));
