--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -29,8 +29,8 @@
   int m_programs = 3;
   /// Chance per thousand steps of one fault.
   int m_faults = 6;
-  /// Budget of a root program, in bounds of one call.
-  int m_budget_calls = 14;
+  /// Budget of a root program, in bounds of one call; 0 takes it from the seed.
+  int m_budget_calls = 0;
   CoreMechanisms m_mechanisms;
 };
 
@@ -64,6 +64,8 @@
   /// Events are for this start of the host only; messages for any.
   std::optional<Incarnation> m_incarnation;
   Event m_event;
+  /// Not delivered before.
+  TimePoint m_ready;
 };
 
 /// One thing that a host asked of the world outside.
@@ -123,6 +125,9 @@
   auto CheckCopies(const CallAnswer& answer) -> void;
   auto CopiesOf(const ProgramId& program, Turn turn, const Digest& chain)
       -> std::set<HostId>;
+  auto IsHealthy() const -> bool;
+  auto KeptBeside(const WalkHost& victim, const ContinuationToken& token)
+      -> bool;
   auto MayFail(const WalkHost& victim) -> bool;
   auto KnownSpent(const HostId& host, const ProgramId& root) -> Cost;
   auto ReadOrPutTable(const HostRef& from, const DomainTable* put) -> void;
@@ -134,6 +139,7 @@
   pcg32 m_random;
   WalkResult m_result;
   TimePoint m_now{std::chrono::seconds(1)};
+  Cost m_budget;
   std::shared_ptr<const DeskConfig> m_config;
   std::map<HostId, WalkHost> m_hosts;
   std::vector<WalkDelivery> m_bag;
@@ -160,6 +166,8 @@
   };
   std::map<std::pair<ProgramId, Turn>, Released> m_released;
   std::map<ProgramId, ContinuationToken> m_last_token;
+  /// Histories that were released without the copy holder.
+  std::vector<ContinuationToken> m_provisional;
 };
 
 }  // namespace dotterelshed::walk
