--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership_plan.cc
@@ -160,8 +160,7 @@
 
 /// Most configurations want the same pools and need no write.
 auto AddWantedPools(DomainTable& table, const PlanInput& input) -> void {
-  if (input.m_generation < table.m_generation ||
-      HasWantedPools(table, input)) {
+  if (input.m_generation < table.m_generation || HasWantedPools(table, input)) {
     return;
   }
   table.m_generation = input.m_generation;
