--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -196,7 +196,7 @@
     return;
   }
   if (pvt::IsSelfLead(ownership)) {
-    ownership.m_quarantined[content] = pvt::NextNews(ownership);
+    pvt::NoteQuarantined(ownership, content);
     return;
   }
   ownership.m_announced.m_quarantined.insert(content);
--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership_messages.cc
@@ -339,16 +339,25 @@
   step.m_endpoints.push_back(listed);
 }
 
+auto NoteQuarantined(Ownership& ownership, const Digest& content) -> void {
+  auto& known = ownership.m_quarantined;
+  known[content] = NextNews(ownership);
+  if (known.size() > kMaxQuarantined) {
+    known.erase(std::min_element(known.begin(), known.end(),
+                                 [](const auto& left, const auto& right) {
+                                   return left.second < right.second;
+                                 }));
+  }
+}
+
 auto AddQuarantined(Ownership& ownership,
                     const std::vector<Digest>& contents,
                     OwnershipStep& step) -> void {
   for (const auto& content : contents) {
-    if (ownership.m_quarantined.contains(content) ||
-        ownership.m_quarantined.size() >= kMaxQuarantined) {
-      continue;
+    if (!ownership.m_quarantined.contains(content)) {
+      NoteQuarantined(ownership, content);
+      step.m_quarantined.push_back(content);
     }
-    ownership.m_quarantined[content] = NextNews(ownership);
-    step.m_quarantined.push_back(content);
   }
 }
 
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -174,6 +174,8 @@
                 std::int64_t news_seen) -> DomainDigest;
 /// Sends the table to all members at once, as the lead.
 auto PushDigests(Ownership& ownership, OwnershipStep& step) -> void;
+/// Remembers @p content; at the limit the oldest is let go.
+auto NoteQuarantined(Ownership& ownership, const Digest& content) -> void;
 auto AddQuarantined(Ownership& ownership,
                     const std::vector<Digest>& contents,
                     OwnershipStep& step) -> void;
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -389,6 +389,19 @@
   }
 }
 
+TEST_CASE("the oldest content under quarantine is let go at the limit") {
+  FakeDomain sim({.m_hosts = 1});
+  sim.Run(seconds(5));
+  auto& lead = sim.OwnershipOf(sim.Lead());
+  for (auto i = 0; i < 1100; ++i) {
+    AnnounceQuarantine(lead, Digest("bad " + std::to_string(i) + "."));
+  }
+  const auto dump = DumpOwnership(lead, sim.m_now);
+  CHECK(dump.find("bad 1099.") != std::string::npos);
+  CHECK(dump.find("bad 76.") != std::string::npos);
+  CHECK(dump.find("bad 75.") == std::string::npos);
+}
+
 TEST_CASE("tables of other domains reach every host through its lead") {
   FakeDomain sim({.m_domains = 3, .m_hosts = 3});
   sim.Run(seconds(8));
