--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -125,6 +125,8 @@
   TimePoint m_quiet_since;
   TimePoint m_lead_since;
   TimePoint m_next_plan;
+  /// The lead has news that can't wait for the next heartbeats.
+  bool m_push_due = false;
   /// Differs between hosts, so that their calls to the platform do not come
   /// all at once.
   Duration m_jitter{0};
@@ -172,6 +174,8 @@
                 std::int64_t news_seen) -> DomainDigest;
 /// Sends the table to all members at once, as the lead.
 auto PushDigests(Ownership& ownership, OwnershipStep& step) -> void;
+/// Remembers @p content; at the limit the oldest is let go.
+auto NoteQuarantined(Ownership& ownership, const Digest& content) -> void;
 auto AddQuarantined(Ownership& ownership,
                     const std::vector<Digest>& contents,
                     OwnershipStep& step) -> void;
