--- a/testsuite/harness/caller.py
+++ b/testsuite/harness/caller.py
@@ -21,6 +21,7 @@
         self.token = fields.get("token")
         self.spent = int(fields.get("spent") or 0)
         self.remaining = int(fields.get("remaining") or 0)
+        self.message = fields.get("message")
         self.provisional = bool(fields.get("provisional"))
         self.text = text
         self.body = body
@@ -36,7 +37,8 @@
     def __repr__(self):
         return (f"Answer({self.status} {self.outcome}/{self.reason} "
                 f"request={self.request} program={self.program} "
-                f"turn={self.turn} body={self.body[:300]!r})")
+                f"turn={self.turn} message={self.message!r} "
+                f"body={self.body[:300]!r})")
 
 
 def _fields(headers):
@@ -121,6 +123,7 @@
         self.tool_calls = []
         self.finished = False
         self.replaced = False
+        self.refusal = ""
         self._event = ""
         self._connection = http_client.connect(host.http)
         self._connection.request(
@@ -175,7 +178,7 @@
         return self.answer()
 
     def answer(self):
-        answer = Answer(self.status, self.fields, self.text, "")
+        answer = Answer(self.status, self.fields, self.text, self.refusal)
         answer.tool_calls = self.tool_calls
         return answer
 
