--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -235,13 +235,24 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin", required=True)
     parser.add_argument("--span", type=int, default=10, help="seconds")
+    parser.add_argument("--part", choices=["rest", "streams"])
     options = parser.parse_args()
+    if options.part != "streams":
+        run_rest(options)
+    if options.part != "rest":
+        run_streams(options)
+
+
+def run_rest(options):
     rows = [measure_rest(options.bin, hosts, options.span)
-            for hosts in (4, 8, 16)]
+            for hosts in (4, 8, 16, 36)]
     print_table("Hosts of two domains at rest",
                 ["hosts", "most % core", "mean % core", "most peer B/s",
                  "mean peer B/s", "platform calls/s of all", "most MiB",
                  "most threads"], rows)
+
+
+def run_streams(options):
     rows = [measure_streams(options.bin, streams, options.span)
             for streams in (48, 96, 192)]
     print_table("Open streams through an entry host and a primary",
