--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -353,6 +353,26 @@
   CHECK(AllServed(sim));
 }
 
+TEST_CASE("a configuration with the same pools is told at once, not written") {
+  FakeDomain sim({.m_hosts = 4});
+  sim.Run(seconds(5));
+  const auto version = sim.Table().m_version;
+  std::map<HostId, Generation> told;
+  sim.m_see_digest = [&told](const HostId& to, const DomainDigest& digest) {
+    told[to] = digest.m_generation;
+  };
+  sim.MakeConfig(2, sim.m_options.m_endpoints);
+  sim.Configure(sim.Lead());
+  AnnounceGeneration(sim.OwnershipOf(sim.Lead()), Generation(2));
+  sim.Run(milliseconds(70));
+  CHECK(told.size() == 3);
+  for (const auto& [host, generation] : told) {
+    CHECK(generation == Generation(2));
+  }
+  sim.Run(seconds(5));
+  CHECK(sim.Table().m_version == version);
+}
+
 TEST_CASE("quarantined content reaches every host, also through loss") {
   FakeDomain sim({.m_hosts = 5});
   sim.Run(seconds(5));
@@ -369,6 +389,19 @@
   }
 }
 
+TEST_CASE("the oldest content under quarantine is let go at the limit") {
+  FakeDomain sim({.m_hosts = 1});
+  sim.Run(seconds(5));
+  auto& lead = sim.OwnershipOf(sim.Lead());
+  for (auto i = 0; i < 1100; ++i) {
+    AnnounceQuarantine(lead, Digest("bad " + std::to_string(i) + "."));
+  }
+  const auto dump = DumpOwnership(lead, sim.m_now);
+  CHECK(dump.find("bad 1099.") != std::string::npos);
+  CHECK(dump.find("bad 76.") != std::string::npos);
+  CHECK(dump.find("bad 75.") == std::string::npos);
+}
+
 TEST_CASE("tables of other domains reach every host through its lead") {
   FakeDomain sim({.m_domains = 3, .m_hosts = 3});
   sim.Run(seconds(8));
