Send a stream's headers after a second without text

Cause: a streamed call that waited in the queue got no byte until its first text, so clients with a read timeout gave up.

--- a/src/libhost/caller_front.cc
+++ b/src/libhost/caller_front.cc
@@ -236,14 +236,13 @@
                          TimePoint deadline,
                          httplib::Response& response,
                          const std::shared_ptr<AccountSlot>& slot) -> void {
-  // A call that ends before its first text gets a status of its own.
-  auto first = entry->Read(offset, deadline - SteadyTime());
-  if (first.m_text.empty()) {
-    const auto answer = first.m_answer.value_or(UnknownAnswer(request));
-    if (answer.m_outcome != OutcomeKind::kDone) {
-      WriteAnswer(answer, response);
-      return;
-    }
+  // A call that ends at once without text gets a status of its own. One that
+  // waits longer gets its headers, so that nobody gives it up for dead.
+  const auto first = entry->Read(offset, kStreamKeepAlive);
+  if (first.m_text.empty() && first.m_answer &&
+      first.m_answer->m_outcome != OutcomeKind::kDone) {
+    WriteAnswer(*first.m_answer, response);
+    return;
   }
   const auto state = std::make_shared<StreamState>(
       StreamState{.m_entry = entry,
