--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -196,7 +196,7 @@
     return;
   }
   if (pvt::IsSelfLead(ownership)) {
-    ownership.m_quarantined[content] = pvt::NextNews(ownership);
+    pvt::NoteQuarantined(ownership, content);
     return;
   }
   ownership.m_announced.m_quarantined.insert(content);
@@ -212,6 +212,7 @@
 }
 
 auto AnnounceGeneration(Ownership& ownership, Generation generation) -> void {
+  ownership.m_push_due |= ownership.m_announced.m_generation < generation;
   ownership.m_announced.m_generation = generation;
 }
 
