Prefer the addresses of a host's latest start

Cause (testsuite/platform_outage, failed after 60 s): a host that restarts while the platform is down stays in the tables with its earlier start, and peers sent their answers to the port of that start, so it never got a configuration. Ruled out: the seeds (its requests arrived). Now the record of the latest start wins, wherever it came from. Before: not ready within 60 s; after: the case passes.

--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership_messages.cc
@@ -21,7 +21,11 @@
   if (message.m_addresses.m_peer.empty()) {
     return;
   }
-  ownership.m_visitors[message.m_from.m_host] = message.m_addresses;
+  auto& visitor = ownership.m_visitors[message.m_from.m_host];
+  if (message.m_from.m_incarnation < visitor.m_incarnation) {
+    return;
+  }
+  visitor = {message.m_from.m_incarnation, message.m_addresses};
   if (ownership.m_visitors.size() > kMaxVisitors) {
     ownership.m_visitors.erase(ownership.m_visitors.begin());
   }
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership_query.cc
@@ -60,13 +60,20 @@
   return found == ownership.m_remote.end() ? nullptr : &found->second.m_table;
 }
 
-auto FindIn(const DomainTable& table, const HostId& host)
-    -> std::optional<HostAddresses> {
+auto FindIn(const DomainTable& table, const HostId& host) -> MemberRecord {
   const auto found = table.m_members.find(host);
-  if (found == table.m_members.end()) {
-    return std::nullopt;
+  return found == table.m_members.end() ? MemberRecord{} : found->second;
+}
+
+/// Replaces @p newest by @p other if that is of a later start.
+auto TakeNewer(MemberRecord& newest, const MemberRecord& other) -> void {
+  if (other.m_addresses.m_peer.empty()) {
+    return;
+  }
+  if (newest.m_addresses.m_peer.empty() ||
+      other.m_incarnation > newest.m_incarnation) {
+    newest = other;
   }
-  return found->second.m_addresses;
 }
 
 }  // namespace
@@ -129,28 +136,28 @@
   if (host == ownership.m_options.m_self.m_host) {
     return ownership.m_options.m_addresses;
   }
+  // A host that restarted while the platform is down stands in the tables with
+  // its earlier start; what it said itself is newer.
+  MemberRecord newest;
   const auto member = ownership.m_members.find(host);
-  if (member != ownership.m_members.end() &&
-      !member->second.m_info.m_addresses.m_peer.empty()) {
-    return member->second.m_info.m_addresses;
+  if (member != ownership.m_members.end()) {
+    const auto& info = member->second.m_info;
+    newest = {info.m_host.m_incarnation, info.m_addresses};
+  }
+  const auto visitor = ownership.m_visitors.find(host);
+  if (visitor != ownership.m_visitors.end()) {
+    TakeNewer(newest, visitor->second);
   }
   if (ownership.m_table) {
-    auto found = FindIn(*ownership.m_table, host);
-    if (found) {
-      return found;
-    }
+    TakeNewer(newest, FindIn(*ownership.m_table, host));
   }
   for (const auto& [domain, remote] : ownership.m_remote) {
-    auto found = FindIn(remote.m_table, host);
-    if (found) {
-      return found;
-    }
+    TakeNewer(newest, FindIn(remote.m_table, host));
   }
-  const auto visitor = ownership.m_visitors.find(host);
-  if (visitor == ownership.m_visitors.end()) {
+  if (newest.m_addresses.m_peer.empty()) {
     return std::nullopt;
   }
-  return visitor->second;
+  return newest.m_addresses;
 }
 
 auto LiveMembers(const Ownership& ownership, TimePoint /*now*/)
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -100,7 +100,7 @@
   /// Hosts that the platform lists as leaving.
   std::set<HostId> m_listed_leaving;
   /// Hosts outside the table that sent something lately, for answers.
-  std::map<HostId, HostAddresses> m_visitors;
+  std::map<HostId, MemberRecord> m_visitors;
   std::map<Digest, std::int64_t> m_quarantined;
   /// Endpoints that are, or were, listed as leaving.
   std::map<EndpointId, pvt::ListedEndpoint> m_endpoints;
