Run calls that a lost copy holder left unconfirmed out of the common budget

Cause: when the table takes the copy holder away, the primary passes through 'copying' with nobody to copy to. In that moment it counted as spending from its own share, and in the new term it has none, so calls whose reservation was under way were refused as budget_exceeded. Ruled out: the escrow itself (budgets were untouched) and the platform (reachable throughout). The new unit test failed before and passes now; all core tests pass.

--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -13,10 +13,12 @@
 
 namespace {
 
-/// True while this host spends only what nobody else can spend.
+/// True while this host spends only what nobody else can spend. A primary that
+/// the table names without a copy holder spends the common budget, also while
+/// it finds that there is nobody to copy to.
 auto UsesEscrow(const PoolState& pool) -> bool {
   const auto alone_by_table = pool.m_assignment.m_holder.m_host.empty() &&
-                              pool.m_role == PoolRole::kPrimary;
+                              pool.m_role >= PoolRole::kCopying;
   return pool.m_mode != CopyMode::kHolder && !alone_by_table;
 }
 
--- a/src/libcore/pool_takeover_unittest.cc
+++ b/src/libcore/pool_takeover_unittest.cc
@@ -59,6 +59,19 @@
   CHECK(pvt::TotalSpent(ledger) == Cost(100));
 }
 
+TEST_CASE("a call that the lost copy holder left unconfirmed runs without it") {
+  Bench bench;
+  bench.RunTurn(0, 1);
+  bench.Give(0, CallArrived{bench.MakeCall("r2", 2)});
+  CHECK(bench.Drop<ReserveRequest>() == 1);
+  bench.MovePool(0, -1);
+  bench.DeliverAll();
+  bench.Advance(milliseconds(250));
+  bench.DeliverAll();
+  CHECK(bench.m_answers.size() == 1);
+  CHECK(bench.m_starts.size() == 2);
+}
+
 TEST_CASE("a new primary serves after its holder has the whole state") {
   Bench bench({.m_hosts = 3});
   bench.RunTurn(0, 1);
