Send one fencing number for all pools of a domain

Cause: pools of a domain share endpoints of small services, and each sent its own term: once the pool with the highest term had used such an endpoint, a checking endpoint refused all others for good. Found by reading, at sizes with more than one pool a domain; today's have one. Ruled out: an endpoint of its own for each pool (small services have too few) and a number for each endpoint in the table (grows with endpoints). Now the number is the highest term of the sender's table: a replaced primary has an older table and so a lower number. A primary that has not heard of a new table yet is refused for that moment without effect and tries again. Test: red with the lead's term or a pool's term in its place. Also: hosts listed as leaving are bounded, and the timeout of a call to the platform stands once.

--- a/src/include/dotterelshed/ownership.h
+++ b/src/include/dotterelshed/ownership.h
@@ -97,6 +97,13 @@
 /// Assignment of a pool in any domain whose table is known.
 auto FindPool(const Ownership& ownership, const PoolId& pool)
     -> const PoolAssignment*;
+/// What this host sends as fencing number: the highest term of any pool in the
+/// table that it goes by. Pools of a domain may share an endpoint, so a pool's
+/// own term would be refused there once a pool with a higher one has used it;
+/// a replaced primary has an older table and so a lower number than its
+/// successor. A primary that has not yet heard of a new table is refused for
+/// that moment, without effect.
+auto FencingNumber(const Ownership& ownership) -> Term;
 /// Pools of a domain, "<domain>/<number>", ordered by number. Each holds a
 /// share of the domain's endpoints of every service; a program's home pool is
 /// chosen among them, whatever services its calls go to.
--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -222,13 +222,14 @@
                               .m_endpoint = ready.m_endpoint,
                               .m_program = call.m_call.m_program});
   }
-  step.m_out.push_back(StartAttempt{.m_attempt = ready.m_attempt,
-                                    .m_endpoint = ready.m_endpoint,
-                                    .m_call = call.m_call,
-                                    .m_fence = pool.m_assignment.m_term,
-                                    .m_hold = ready.m_hold,
-                                    .m_priority = ready.m_priority,
-                                    .m_send_by = call.m_send_by});
+  step.m_out.push_back(
+      StartAttempt{.m_attempt = ready.m_attempt,
+                   .m_endpoint = ready.m_endpoint,
+                   .m_call = call.m_call,
+                   .m_fence = FencingNumber(*step.m_core.m_ownership),
+                   .m_hold = ready.m_hold,
+                   .m_priority = ready.m_priority,
+                   .m_send_by = call.m_send_by});
 }
 
 /// Takes one attempt that the policy wants started.
--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -175,8 +175,14 @@
 
 auto OnHostListed(Ownership& ownership, const HostListed& event, TimePoint now)
     -> OwnershipStep {
+  // The list may name hosts that were replaced long ago.
+  constexpr auto kMaxListed = std::size_t{1024};
+  auto& leaving = ownership.m_listed_leaving;
   if (event.m_leaving) {
-    ownership.m_listed_leaving.insert(event.m_host);
+    leaving.insert(event.m_host);
+    if (leaving.size() > kMaxListed) {
+      leaving.erase(leaving.begin());
+    }
   } else {
     ownership.m_listed_leaving.erase(event.m_host);
   }
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -14,8 +14,6 @@
 /// A new domain waits this many heartbeat intervals for hosts to join before
 /// it gives out its pools, so that the first host does not get them all.
 constexpr auto kSettleIntervals = 3;
-/// A call to the platform without an answer after this long is taken as lost.
-constexpr auto kCallTimeout = std::chrono::seconds(5);
 /// A host that is down this long is forgotten by the table.
 constexpr auto kForgetAfter = std::chrono::minutes(1);
 /// Pools move for balance only when no host came or went for this long.
@@ -134,13 +132,8 @@
 
 auto CheckCall(Ownership& ownership, TimePoint now, OwnershipStep& step)
     -> void {
-  auto& platform = ownership.m_platform;
-  const auto lost = platform.m_call != TableCall::kNone &&
-                    now - platform.m_call_since > kCallTimeout;
-  if (lost) {
-    platform.m_call = TableCall::kNone;
-  }
-  if (lost || now >= platform.m_next_read) {
+  const auto lost = DropLostCall(ownership, now);
+  if (lost || now >= ownership.m_platform.m_next_read) {
     StartRead(ownership, now, step);
   }
 }
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership_query.cc
@@ -95,6 +95,10 @@
   return nullptr;
 }
 
+auto FencingNumber(const Ownership& ownership) -> Term {
+  return ownership.m_table ? ownership.m_table->m_highest_term : Term();
+}
+
 auto PoolsOf(const Ownership& ownership, const DomainId& domain)
     -> std::vector<PoolId> {
   std::vector<PoolId> pools;
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -134,7 +134,10 @@
 
 namespace pvt {
 
-/// Intervals without a heartbeat after which a host counts as down.
+/// A call to the platform without an answer after this long is taken as lost.
+inline constexpr auto kTableCallTimeout = std::chrono::seconds(5);
+
+/// Silence after which a host counts as down.
 auto DownAfter(const Ownership& ownership) -> Duration;
 auto IsSelfLead(const Ownership& ownership) -> bool;
 /// Takes news of the platform's list of endpoints. An endpoint that was never
@@ -157,6 +160,8 @@
 /// Asks for this domain's table unless a call is under way.
 auto StartRead(Ownership& ownership, TimePoint now, OwnershipStep& step)
     -> void;
+/// Forgets a call whose answer is overdue. @return true if there was one
+auto DropLostCall(Ownership& ownership, TimePoint now) -> bool;
 /// Proposes @p table in place of its version unless a call is under way.
 auto StartPut(Ownership& ownership,
               DomainTable table,
--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership_table.cc
@@ -180,6 +180,16 @@
   step.m_effects.emplace_back(ReadTable{ownership.m_options.m_domain});
 }
 
+auto DropLostCall(Ownership& ownership, TimePoint now) -> bool {
+  auto& platform = ownership.m_platform;
+  const auto lost = platform.m_call != TableCall::kNone &&
+                    now - platform.m_call_since > kTableCallTimeout;
+  if (lost) {
+    platform.m_call = TableCall::kNone;
+  }
+  return lost;
+}
+
 auto StartPut(Ownership& ownership,
               DomainTable table,
               TimePoint now,
--- a/src/libcore/ownership_takeover.cc
+++ b/src/libcore/ownership_takeover.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr auto kCallTimeout = std::chrono::seconds(5);
 /// While the lead can't reach the platform, one other host in turn tries.
 constexpr auto kProbeInterval = std::chrono::seconds(5);
 /// A lead that still can't reach the platform this long after another host
@@ -114,14 +113,6 @@
   }
 }
 
-auto DropLostCall(Ownership& ownership, TimePoint now) -> void {
-  auto& platform = ownership.m_platform;
-  if (platform.m_call != TableCall::kNone &&
-      now - platform.m_call_since > kCallTimeout) {
-    platform.m_call = TableCall::kNone;
-  }
-}
-
 }  // namespace
 
 auto TickFollower(Ownership& ownership, TimePoint now, OwnershipStep& step)
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -168,6 +168,23 @@
   CHECK(sim.Table().m_version == version);
 }
 
+TEST_CASE("a replaced primary's fencing number is below its successor's") {
+  FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
+  sim.Run(seconds(5));
+  const auto host = AnyMember(sim);
+  // All pools send one number, since they may share endpoints.
+  for (const auto& [id, other] : sim.m_hosts) {
+    CHECK(FencingNumber(*other.m_ownership) ==
+          FencingNumber(sim.OwnershipOf(host)));
+  }
+  sim.Pause(host, seconds(20));
+  sim.Run(seconds(10));
+  for (const auto& [id, pool] : sim.Table().m_pools) {
+    CHECK(FencingNumber(sim.OwnershipOf(pool.m_primary.m_host)) >
+          FencingNumber(sim.OwnershipOf(host)));
+  }
+}
+
 TEST_CASE("nothing moves while the platform is down") {
   FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
   sim.Run(seconds(5));
@@ -253,6 +270,29 @@
   CHECK(pool.m_holder.m_host.empty());
 }
 
+TEST_CASE("of two hosts either can drain, whatever its roles") {
+  for (auto i = 0; i < 2; ++i) {
+    FakeDomain sim({.m_hosts = 2, .m_endpoints = 1});
+    sim.Run(seconds(5));
+    const auto host = FakeDomain::HostName(0, i);
+    const auto other = FakeDomain::HostName(0, 1 - i);
+    sim.Drain(host);
+    sim.Run(milliseconds(1900));
+    CHECK(Drained(sim.OwnershipOf(host)));
+    // It keeps its copy until it stops, since nobody else could hold one.
+    const auto& pool = sim.Table().m_pools.begin()->second;
+    CHECK(pool.m_primary.m_host == other);
+    CHECK(pool.m_holder.m_host == host);
+    CHECK(sim.Lead() == other);
+    sim.Stop(host);
+    sim.Run(seconds(4));
+    sim.Start(host, FakeDomain::Domain(0));
+    sim.Run(seconds(4));
+    CHECK(AllServed(sim));
+    CHECK(sim.Lead() == other);
+  }
+}
+
 TEST_CASE("a drain waits for pinned pools and for the new copies") {
   FakeDomain sim({.m_hosts = 4, .m_endpoints = 64 * 4});
   sim.Run(seconds(5));
