--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -139,16 +139,17 @@
   std::vector<PoolId> pinned;
   auto headroom = 0;
   for (const auto& [id, pool] : core.m_pools) {
-    const auto primary = pool.m_role == PoolRole::kPrimary;
-    if (!primary && pool.m_role < PoolRole::kCollecting) {
+    if (!pool.m_open.empty()) {
+      pinned.push_back(id);
+    }
+    if (pool.m_role < PoolRole::kCollecting) {
       continue;
     }
-    if (!primary || pool.m_mode != CopyMode::kHolder) {
+    const auto confirmed =
+        pool.m_role == PoolRole::kPrimary && pool.m_mode == CopyMode::kHolder;
+    if (!confirmed) {
       unconfirmed.push_back(id);
     }
-    if (!pool.m_open.empty()) {
-      pinned.push_back(id);
-    }
     for (const auto& [service, policy] : pool.m_policies) {
       headroom += Headroom(*policy);
     }
--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -24,7 +24,8 @@
 
 struct WalkOptions {
   std::uint64_t m_seed = 1;
-  int m_hosts = 3;
+  /// 0 takes three to five from the seed.
+  int m_hosts = 0;
   int m_steps = 4000;
   int m_programs = 3;
   /// Chance per thousand steps of one fault.
@@ -43,6 +44,7 @@
   int m_crashes = 0;
   int m_outages = 0;
   int m_pauses = 0;
+  int m_drains = 0;
 };
 
 /// Runs one walk.
@@ -56,6 +58,8 @@
   TimePoint m_paused_until;
   TimePoint m_down_until;
   bool m_lead_duty = false;
+  /// It said that it may exit.
+  bool m_drained = false;
 };
 
 /// A message under way, or an event that a host will get.
@@ -113,6 +117,8 @@
   auto Deliver() -> void;
   auto Serve() -> void;
   auto Inject() -> void;
+  auto StopDrained(WalkHost& host) -> void;
+  auto CheckDrain(const WalkHost& host, const CallAnswer& answer) -> void;
   auto CallersAct() -> void;
   auto EndProgram(const ProgramId& program) -> void;
   auto Send(WalkCaller& caller) -> void;
@@ -147,6 +153,8 @@
   std::vector<WalkCaller> m_callers;
   std::set<std::pair<HostId, HostId>> m_cut;
   TimePoint m_cut_until;
+  /// The host that is stopping as planned; nothing else fails meanwhile.
+  HostId m_draining;
   TimePoint m_outage_until;
   TimePoint m_last_crash;
   bool m_calm = false;
--- a/src/libcore/core_walk_callers_unittest.cc
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -70,6 +70,15 @@
   }
 }
 
+auto World::CheckDrain(const WalkHost& host, const CallAnswer& answer) -> void {
+  const auto cut = answer.m_outcome == OutcomeKind::kUnknown &&
+                   answer.m_reason == ReasonCode::kNotOwner &&
+                   m_runs_by_request[answer.m_request] > 0;
+  if (host.m_ref.m_host == m_draining && cut) {
+    Violate("cut off by a planned stop: " + answer.m_request.value());
+  }
+}
+
 auto World::TakeAnswer(const CallAnswer& answer) -> void {
   const auto found = std::find_if(m_callers.begin(), m_callers.end(),
                                   [&answer](const WalkCaller& caller) {
--- a/src/libcore/core_walk_unittest.cc
+++ b/src/libcore/core_walk_unittest.cc
@@ -28,13 +28,14 @@
     sum.m_crashes += result.m_crashes;
     sum.m_outages += result.m_outages;
     sum.m_pauses += result.m_pauses;
+    sum.m_drains += result.m_drains;
     if (!result.m_violation.empty()) {
       ++broken;
       UNSCOPED_INFO("seed " << seed << ": " << result.m_violation);
     }
   }
   CAPTURE(walks, sum.m_answers, sum.m_provisional, sum.m_runs, sum.m_crashes,
-          sum.m_outages, sum.m_pauses);
+          sum.m_outages, sum.m_pauses, sum.m_drains);
   CHECK(broken == 0);
 }
 
--- a/src/libcore/core_walk_world_unittest.cc
+++ b/src/libcore/core_walk_world_unittest.cc
@@ -59,7 +59,9 @@
       m_budget(kBound * BudgetCalls(options)),
       m_config(MakeConfig(m_budget)) {
   m_table = {.m_domain = kDomain, .m_version = ResourceVersion(1)};
-  for (auto i = 1; i <= options.m_hosts; ++i) {
+  const auto seed_hosts = 3 + static_cast<int>(options.m_seed % 3);
+  const auto hosts = options.m_hosts > 0 ? options.m_hosts : seed_hosts;
+  for (auto i = 1; i <= hosts; ++i) {
     const HostRef ref{HostId("h" + std::to_string(i)), Incarnation(1)};
     m_hosts[ref.m_host] = {.m_ref = ref};
     m_table.m_members[ref.m_host] = {.m_incarnation = Incarnation(1)};
@@ -153,7 +155,10 @@
       m_bag.pop_back();
     }
   } else if (const auto* finish = std::get_if<FinishCall>(&effect)) {
+    CheckDrain(host, finish->m_answer);
     TakeAnswer(finish->m_answer);
+  } else if (std::holds_alternative<DrainFinished>(effect)) {
+    host.m_drained = true;
   } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
     m_cancelled.insert(cancel->m_attempt);
   } else if (const auto* duty = std::get_if<SetLeadDuty>(&effect)) {
@@ -168,6 +173,9 @@
     if (host.m_core == nullptr && host.m_down_until <= m_now) {
       Start(host);
     }
+    if (host.m_drained) {
+      StopDrained(host);
+    }
     if (IsUp(host) && host.m_next_tick <= m_now) {
       host.m_next_tick = m_now + kTickInterval;
       Give(host, Tick{});
@@ -355,14 +363,34 @@
   m_bag.back().m_ready = m_now + milliseconds(Roll(120));
 }
 
+auto World::StopDrained(WalkHost& host) -> void {
+  for (const auto& [id, pool] : host.m_core->m_pools) {
+    if (!pool.m_calls.empty() || !pool.m_waiting.empty()) {
+      Violate("stopped with calls under way: " + id.value());
+    }
+  }
+  host.m_core.reset();
+  host.m_drained = false;
+  host.m_ref.m_incarnation = host.m_ref.m_incarnation.Next();
+  host.m_down_until = m_now + milliseconds(100);
+  m_draining = HostId();
+  ++m_result.m_drains;
+}
+
 auto World::Inject() -> void {
-  if (m_calm || Roll(1000) >= m_options.m_faults) {
+  const auto quiet = m_calm || !m_draining.empty();
+  if (quiet || Roll(1000) >= m_options.m_faults) {
     return;
   }
   auto& victim =
       std::next(m_hosts.begin(), Roll(static_cast<int>(m_hosts.size())))
           ->second;
-  const auto fault = Roll(10);
+  const auto fault = Roll(11);
+  if (fault == 10 && IsHealthy() && AllUp() && m_outage_until <= m_now) {
+    m_draining = victim.m_ref.m_host;
+    Give(victim, DrainAsked{});
+    return;
+  }
   if (fault < 3 && victim.m_core != nullptr &&
       m_now > m_last_crash + milliseconds(800) && MayFail(victim)) {
     Crash(victim);
@@ -372,10 +400,10 @@
   } else if (fault == 6 || fault == 7) {
     m_outage_until = m_now + milliseconds(100 + Roll(2500));
     ++m_result.m_outages;
-  } else if (fault >= 8 && MayFail(victim) && AllUp()) {
+  } else if (fault >= 8 && fault < 10 && MayFail(victim) && AllUp()) {
     const auto other =
         std::next(m_hosts.begin(), Roll(static_cast<int>(m_hosts.size())));
-    if (other->first != victim.m_ref.m_host) {
+    if (other->first != victim.m_ref.m_host && MayFail(other->second)) {
       m_cut.insert({victim.m_ref.m_host, other->first});
       m_cut.insert({other->first, victim.m_ref.m_host});
       m_cut_until = m_now + milliseconds(50 + Roll(1200));
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -486,8 +486,7 @@
   }
   auto& pool = found->second;
   // While the host drains, its pools come to rest and are handed over.
-  const auto held = step.m_core.m_draining && pool.m_role != PoolRole::kHolder;
-  if (!held && ServesCalls(step.m_core, pool, step.m_now)) {
+  if (!step.m_core.m_draining && ServesCalls(step.m_core, pool, step.m_now)) {
     BeginCall(step, pool, call);
     return;
   }
