--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership.cc
@@ -184,12 +184,19 @@
   return {};
 }
 
+auto OnEndpointListed(Ownership& ownership, const EndpointListed& event)
+    -> OwnershipStep {
+  OwnershipStep step;
+  pvt::TakeListedEndpoint(ownership, event, step);
+  return step;
+}
+
 auto AnnounceQuarantine(Ownership& ownership, const Digest& content) -> void {
   if (ownership.m_quarantined.contains(content)) {
     return;
   }
   if (pvt::IsSelfLead(ownership)) {
-    ownership.m_quarantined[content] = pvt::NextNews(ownership);
+    pvt::NoteQuarantined(ownership, content);
     return;
   }
   ownership.m_announced.m_quarantined.insert(content);
@@ -205,6 +212,7 @@
 }
 
 auto AnnounceGeneration(Ownership& ownership, Generation generation) -> void {
+  ownership.m_push_due |= ownership.m_announced.m_generation < generation;
   ownership.m_announced.m_generation = generation;
 }
 
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership_lead.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "ownership_state.h"
 
@@ -182,6 +183,9 @@
   for (auto& [content, changed] : ownership.m_quarantined) {
     changed = NextNews(ownership);
   }
+  for (auto& [endpoint, listed] : ownership.m_endpoints) {
+    listed.m_changed = NextNews(ownership);
+  }
   for (const auto& content : ownership.m_announced.m_quarantined) {
     ownership.m_quarantined[content] = NextNews(ownership);
   }
@@ -222,6 +226,9 @@
   ForgetMembers(ownership, now);
   CollectUnconfirmed(ownership);
   CheckCall(ownership, now, step);
+  if (std::exchange(ownership.m_push_due, false)) {
+    PushDigests(ownership, step);
+  }
   const auto may_put = ownership.m_platform.m_reachable &&
                        ownership.m_platform.m_call == TableCall::kNone;
   if (!may_put || now < ownership.m_next_plan || Settling(ownership, now)) {
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership_state.h
@@ -44,6 +44,12 @@
   std::int64_t m_changed = 0;
 };
 
+/// What the platform's list says of an endpoint.
+struct ListedEndpoint {
+  bool m_leaving = false;
+  std::int64_t m_changed = 0;
+};
+
 /// Which call to the platform is under way for this domain's table.
 enum class TableCall { kNone, kRead, kPut };
 
@@ -96,6 +102,8 @@
   /// Hosts outside the table that sent something lately, for answers.
   std::map<HostId, HostAddresses> m_visitors;
   std::map<Digest, std::int64_t> m_quarantined;
+  /// Endpoints that are, or were, listed as leaving.
+  std::map<EndpointId, pvt::ListedEndpoint> m_endpoints;
   std::set<PoolId> m_wanted;
   pvt::PoolCut m_cut;
   Generation m_config_generation;
@@ -117,6 +125,8 @@
   TimePoint m_quiet_since;
   TimePoint m_lead_since;
   TimePoint m_next_plan;
+  /// The lead has news that can't wait for the next heartbeats.
+  bool m_push_due = false;
   /// Differs between hosts, so that their calls to the platform do not come
   /// all at once.
   Duration m_jitter{0};
@@ -127,6 +137,11 @@
 /// Intervals without a heartbeat after which a host counts as down.
 auto DownAfter(const Ownership& ownership) -> Duration;
 auto IsSelfLead(const Ownership& ownership) -> bool;
+/// Takes news of the platform's list of endpoints. An endpoint that was never
+/// listed as leaving is no news.
+auto TakeListedEndpoint(Ownership& ownership,
+                        const EndpointListed& listed,
+                        OwnershipStep& step) -> void;
 /// This host is draining or drained.
 auto IsLeaving(const Ownership& ownership) -> bool;
 /// Sends one chart event to the host's life cycle.
@@ -159,6 +174,8 @@
                 std::int64_t news_seen) -> DomainDigest;
 /// Sends the table to all members at once, as the lead.
 auto PushDigests(Ownership& ownership, OwnershipStep& step) -> void;
+/// Remembers @p content; at the limit the oldest is let go.
+auto NoteQuarantined(Ownership& ownership, const Digest& content) -> void;
 auto AddQuarantined(Ownership& ownership,
                     const std::vector<Digest>& contents,
                     OwnershipStep& step) -> void;
