--- a/bench/capacity_processes.py
+++ b/bench/capacity_processes.py
@@ -231,16 +231,83 @@
         desk.stop()
 
 
+def measure_apply(bin_dir, hosts):
+    """Time from the start of dotterelctl apply until it reports the
+    generation in force, over 20 changes."""
+    desk = Desk(bin_dir, ["n", "s"], hosts // 2, 2)
+    try:
+        text = json.loads((desk.folder / "desk.jsonc").read_text())
+        changed = desk.folder / "changed.jsonc"
+        times = []
+        for i in range(20):
+            text["services"][0]["timeout"] = f"{601 + i}s"
+            changed.write_text(json.dumps(text))
+            begin = time.monotonic()
+            desk.ctl("apply", str(changed), "--wait", "10")
+            times.append(time.monotonic() - begin)
+        times.sort()
+        return [hosts, f"{times[10]:.2f}", f"{times[-1]:.2f}"]
+    finally:
+        desk.stop()
+
+
+def call_once(address, body, headers):
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=60)
+    begin = time.monotonic()
+    connection.request("POST", "/v1/chat/completions", body, headers)
+    answer = connection.getresponse()
+    answer.read()
+    assert answer.status == 200
+    return time.monotonic() - begin
+
+
+def measure_long_prompts(bin_dir):
+    """One-token calls with long prompts, direct and through hosts."""
+    desk = Desk(bin_dir, ["n"], 2, 1)
+    engine = next(c for c in desk.children if "engine" in c.ready.stem)
+    rows = []
+    try:
+        for size in (10_000, 650_000, 2_600_000):
+            body = json.dumps({
+                "model": "m", "max_tokens": 1, "messages": [
+                    {"role": "user", "content": "x" * size + " TOKENS 1"}]})
+            times = []
+            for address in [engine.address()] + [h.address()
+                                                 for h in desk.hosts]:
+                tries = sorted(call_once(address, body,
+                                         {"Authorization": "Bearer a"})
+                               for _ in range(9))
+                times.append(f"{1000 * tries[4]:.0f}")
+            rows.append([size] + times)
+        return rows
+    finally:
+        desk.stop()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin", required=True)
     parser.add_argument("--span", type=int, default=10, help="seconds")
-    parser.add_argument("--part", choices=["rest", "streams"])
+    parser.add_argument("--part", choices=["rest", "streams", "apply", "prompts"])
     options = parser.parse_args()
-    if options.part != "streams":
-        run_rest(options)
-    if options.part != "rest":
-        run_streams(options)
+    parts = {"rest": run_rest, "streams": run_streams, "apply": run_apply,
+             "prompts": run_prompts}
+    for name, run in parts.items():
+        if options.part in (None, name):
+            run(options)
+
+
+def run_apply(options):
+    rows = [measure_apply(options.bin, hosts) for hosts in (4, 8, 16)]
+    print_table("dotterelctl apply until in force, 20 changes, two domains",
+                ["hosts", "median s", "longest s"], rows)
+
+
+def run_prompts(options):
+    print_table("A call with one token of answer, median of 9, ms",
+                ["prompt bytes", "engine itself", "one host", "other host"],
+                measure_long_prompts(options.bin))
 
 
 def run_rest(options):
--- a/src/dotterelctl/cmd_actions.cc
+++ b/src/dotterelctl/cmd_actions.cc
@@ -1,4 +1,3 @@
-#include <chrono>
 #include <nlohmann/json.hpp>
 #include <ostream>
 
@@ -12,11 +11,6 @@
 
 using Json = nlohmann::ordered_json;
 
-auto WallClockSeconds() -> std::int64_t {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 auto OutcomeName(const ClaimRecord& claim) -> std::string {
   return claim.m_has_result ? std::string(ToString(claim.m_outcome))
                             : "no result";
--- a/src/dotterelctl/cmd_resolve.cc
+++ b/src/dotterelctl/cmd_resolve.cc
@@ -16,11 +16,6 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpError = 500;
 
-auto WallClockSeconds() -> std::int64_t {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 /// The outcomes that a person may state.
 auto ReadOutcome(const std::string& name) -> std::optional<OutcomeKind> {
   for (const auto outcome :
--- a/src/dotterelctl/cmd_status.cc
+++ b/src/dotterelctl/cmd_status.cc
@@ -1,4 +1,3 @@
-#include <chrono>
 #include <ostream>
 
 #include "command.h"
@@ -9,11 +8,6 @@
 
 namespace {
 
-auto WallClockSeconds() -> std::int64_t {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
 auto ReadPlatformIfNamed(const CommandOptions& options) -> PlatformView {
   if (!options.m_platform.empty()) {
     return ReadPlatformView(options.m_platform);
--- a/src/dotterelctl/command.h
+++ b/src/dotterelctl/command.h
@@ -85,6 +85,9 @@
 auto RunEvents(const CommandOptions& options, const CommandOutput& output)
     -> ExitCode;
 
+/// Seconds since 1970, as claims have them.
+auto WallClockSeconds() -> std::int64_t;
+
 /// Writes an error for people, or as JSON, and returns its exit code.
 auto ReportError(const Error& error,
                  const CommandOptions& options,
--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <exception>
 #include <nlohmann/json.hpp>
 #include <ostream>
@@ -209,6 +210,11 @@
   return text.str();
 }
 
+auto WallClockSeconds() -> std::int64_t {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
 auto ReportError(const Error& error,
                  const CommandOptions& options,
                  const CommandOutput& output) -> ExitCode {
