--- a/src/standins/object_store.cc
+++ b/src/standins/object_store.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxObjectBytes = 1024 * 1024;
+constexpr std::size_t kMaxObjectBytes = std::size_t{1024} * 1024;
 
 auto Failure(int status, const std::string& message) -> StoreAnswer {
   return {status,
