--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -117,6 +117,7 @@
   auto Deliver() -> void;
   auto Serve() -> void;
   auto Inject() -> void;
+  auto OnlyPlannedStops() const -> bool;
   auto StopDrained(WalkHost& host) -> void;
   auto CheckDrain(const WalkHost& host, const CallAnswer& answer) -> void;
   auto CallersAct() -> void;
--- a/src/libcore/core_walk_callers_unittest.cc
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -225,6 +225,9 @@
                                  })) {
     return true;
   }
+  if (m_outage_until <= m_now) {
+    return false;
+  }
   std::set<HostId> others;
   for (const auto& [id, host] : m_hosts) {
     if (IsUp(host) && id != victim.m_ref.m_host) {
--- a/src/libcore/core_walk_unittest.cc
+++ b/src/libcore/core_walk_unittest.cc
@@ -49,12 +49,12 @@
 
 constexpr auto kSwitches = std::to_array<SwitchedOff>({
     {"append_before_release", &CoreMechanisms::m_append_before_release, 1},
-    {"keep_longer_chain", &CoreMechanisms::m_keep_longer_chain, 60},
-    {"collect_on_takeover", &CoreMechanisms::m_collect_on_takeover, 60},
+    {"keep_longer_chain", &CoreMechanisms::m_keep_longer_chain, 150},
+    {"collect_on_takeover", &CoreMechanisms::m_collect_on_takeover, 80},
     {"copy_before_serving", &CoreMechanisms::m_copy_before_serving, 2},
-    {"settle_inherited", &CoreMechanisms::m_settle_inherited, 225},
+    {"settle_inherited", &CoreMechanisms::m_settle_inherited, 270},
     {"escrow", &CoreMechanisms::m_escrow, 1},
-    {"claim_before_send", &CoreMechanisms::m_claim_before_send, 45},
+    {"claim_before_send", &CoreMechanisms::m_claim_before_send, 55},
     {"sweep_holds", &CoreMechanisms::m_sweep_holds, 1},
 });
 
