--- a/src/libcore/pool_takeover_unittest.cc
+++ b/src/libcore/pool_takeover_unittest.cc
@@ -186,6 +186,31 @@
   CHECK(bench.m_starts.size() == 1);
 }
 
+TEST_CASE("a holder that passed a program on still takes its primary's turn") {
+  Bench bench;
+  bench.Give(0, CallArrived{bench.MakeCall("r1", 1)});
+  bench.DeliverAll();
+  auto& record = bench.pool(1).m_store.m_programs.at(kProgram).m_record;
+  record.m_writer = bench.ref(1);
+  record.m_sequence = 99;
+  bench.FinishLast(0, AttemptEnd::kCompleted, "x");
+  bench.DeliverAll();
+  REQUIRE(bench.m_answers.size() == 1);
+  CHECK(bench.m_answers[0].m_outcome == OutcomeKind::kDone);
+}
+
+TEST_CASE("a draining copy holder begins no provisional call") {
+  Bench bench;
+  bench.RunTurn(0, 1);
+  bench.m_cores[1]->m_draining = true;
+  LosePrimaryInOutage(bench);
+  bench.Give(1, CallArrived{bench.MakeCall("r2", 2)});
+  REQUIRE(bench.m_answers.size() == 2);
+  CHECK(bench.m_answers[1].m_reason == ReasonCode::kNotOwner);
+  CHECK(bench.m_answers[1].m_outcome == OutcomeKind::kNotRun);
+  CHECK(bench.m_starts.size() == 1);
+}
+
 TEST_CASE("a call under way does not use its escrow for a second one") {
   BenchOptions options;
   options.m_budget = Cost(400);
@@ -232,7 +257,15 @@
 TEST_CASE("a takeover without a complete copy asks the former owners") {
   Bench bench({.m_hosts = 3});
   bench.RunTurn(0, 1);
-  bench.m_cores[2]->m_live.clear();
+  DomainDigest down{.m_from = bench.ref(0),
+                    .m_table_version = bench.m_table.m_version,
+                    .m_news = 100,
+                    .m_all_members = true};
+  for (const auto host : {0, 1, 2}) {
+    down.m_members.push_back({.m_host = bench.ref(host), .m_alive = host == 2});
+  }
+  bench.Give(2, PeerArrived{down});
+  REQUIRE(bench.m_cores[2]->m_live.size() == 1);
   bench.MovePool(2, -1);
   CHECK(bench.Count<CollectRequest>(0) == 1);
   CHECK(bench.Count<CollectRequest>(1) == 1);
