--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -24,8 +24,8 @@
 /// waits longer than the average call runs.
 auto FullDeployments() -> std::vector<Deployment>;
 
-/// The same on five endpoints for two minutes, for checks in seconds.
-auto SmallDeployments() -> std::vector<Deployment>;
+/// Half a minute of each on five endpoints, as checked in under bench/traces.
+auto SampleDeployments() -> std::vector<Deployment>;
 
 /// The traces that the experiments of one deployment share.
 struct ExperimentTraces {
@@ -46,6 +46,11 @@
   Summary m_least_outstanding_slowed;
   Summary m_round_robin;
   Summary m_oracle;
+  Summary m_oracle_without_long;
+  /// With the slowed fifth of the endpoints away altogether: what is left of
+  /// the goals by lost capacity alone.
+  Summary m_policy_fewer;
+  Summary m_oracle_fewer;
 };
 
 auto RunExperiments(const ExperimentTraces& traces, const PolicyOptions& policy)
@@ -57,6 +62,8 @@
 
 /// A figure and the bound that the goals set for it.
 struct Goal {
+  /// Name in KNOWN-RED.txt.
+  std::string m_key;
   std::string m_name;
   std::string m_unit;
   double m_value = 0;
--- a/src/include/dotterelshed/endpoint_chart.h
+++ b/src/include/dotterelshed/endpoint_chart.h
@@ -20,10 +20,11 @@
 };
 
 enum class EndpointEvent {
-  kSlow,       ///< Its steps take several times as long as its neighbours'.
-  kFailed,     ///< It refused a connection, crashed or timed out.
-  kRecovered,  ///< Its steps keep pace again.
-  kProbeDue,   ///< The wait before the next probe is over.
+  kSlow,         ///< Its steps take several times as long as its neighbours'.
+  kFailed,       ///< It answered with an error, crashed or timed out.
+  kRecovered,    ///< Its steps keep pace again.
+  kProbeDue,     ///< The wait before the next probe is over.
+  kUnreachable,  ///< It refuses connections.
 };
 
 enum class EndpointAction {
--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -31,7 +31,6 @@
   bool m_attained_service_order = true;
   bool m_short_share = true;
   bool m_cache_cost = true;
-  bool m_adaptive_limit = true;
   bool m_ejection = true;
   bool m_hedging = true;
   bool m_early_refusal = true;
--- a/src/libcore/endpoint_chart.cc
+++ b/src/libcore/endpoint_chart.cc
@@ -11,7 +11,7 @@
 constexpr auto kStates =
     std::to_array<std::string_view>({"serving", "ejected", "probing"});
 constexpr auto kEvents = std::to_array<std::string_view>(
-    {"slow", "failed", "recovered", "probe_due"});
+    {"slow", "failed", "recovered", "probe_due", "unreachable"});
 constexpr auto kActions = std::to_array<std::string_view>(
     {"move_waiting", "hedge_running", "schedule_probe", "reset_probes"});
 
--- a/src/libcore/policy.cc
+++ b/src/libcore/policy.cc
@@ -7,7 +7,6 @@
 #include "policy_ejection.h"
 #include "policy_endpoint.h"
 #include "policy_hedging.h"
-#include "policy_limit.h"
 #include "policy_order.h"
 #include "policy_quarantine.h"
 #include "policy_retention.h"
@@ -31,12 +30,10 @@
   endpoint.m_config = config;
   endpoint.m_configured = true;
   if (added) {
-    endpoint.m_limit = pvt::StartLimit(policy.m_options, config);
     endpoint.m_gap_s = kStartGapS;
     endpoint.m_prefill_s = kStartPrefillS;
   }
-  endpoint.m_limit =
-      std::min<double>(endpoint.m_limit, std::max(1, config.m_max_concurrency));
+  endpoint.m_limit = std::max(1, config.m_max_concurrency);
 }
 
 /// Nothing waits for an endpoint that gets no new work, and nothing counts on
@@ -51,7 +48,7 @@
           {"configured", endpoint.m_configured},
           {"leaving", endpoint.m_leaving},
           {"running", endpoint.m_running.size()},
-          {"limit", static_cast<int>(endpoint.m_limit)},
+          {"limit", endpoint.m_limit},
           {"waiting_warm",
            endpoint.m_warm.m_short.size() + endpoint.m_warm.m_long.size()},
           {"token_gap_us", static_cast<std::int64_t>(endpoint.m_gap_s * 1e6)},
--- a/src/libcore/policy_dispatch.cc
+++ b/src/libcore/policy_dispatch.cc
@@ -3,7 +3,6 @@
 #include "policy_ejection.h"
 #include "policy_endpoint.h"
 #include "policy_hedging.h"
-#include "policy_limit.h"
 #include "policy_order.h"
 #include "policy_quarantine.h"
 #include "policy_retention.h"
--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy_ejection.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "policy_endpoint.h"
-#include "policy_limit.h"
 #include "policy_order.h"
 
 namespace dotterelshed::pvt {
@@ -20,8 +19,6 @@
 constexpr double kSlowStepWeight = 0.5;
 constexpr double kStepWeight = 0.05;
 constexpr double kFirstTokenWeight = 0.1;
-/// Waiting inside an engine is not to pass for its prefill rate.
-constexpr double kLateFirstTokenWeight = 0.01;
 /// One endpoint in this many may be out at once.
 constexpr int kFloorDivisor = 3;
 constexpr Duration kFirstProbeWait = std::chrono::milliseconds(1000);
@@ -34,16 +31,23 @@
   rate = rate <= 0 ? sample : rate + weight * (sample - rate);
 }
 
-auto MayEject(const PoolPolicy& policy, const EndpointWork& endpoint) -> bool {
+/// Slow and failing endpoints are better than too few. One that refuses
+/// connections is no use, so of those all but one may be out.
+auto MayEject(const PoolPolicy& policy,
+              const EndpointWork& endpoint,
+              EndpointEvent event) -> bool {
   if (endpoint.m_state != EndpointState::kServing) {
     return true;
   }
+  auto configured = 0;
   auto out = 0;
   for (const auto& [id, other] : policy.m_endpoints) {
+    configured += other.m_configured && !other.m_leaving ? 1 : 0;
     out +=
         other.m_configured && other.m_state != EndpointState::kServing ? 1 : 0;
   }
-  return out < MostEjected(policy);
+  return event == EndpointEvent::kUnreachable ? out < configured - 1
+                                              : out < MostEjected(policy);
 }
 
 /// Spreads probes by a fraction that depends on seed and endpoint.
@@ -193,7 +197,7 @@
   const auto prompt =
       std::max<std::int64_t>(64, attempt.m_uncached + attempt.m_ahead);
   MixIn(endpoint.m_prefill_s, ToSeconds(took) / static_cast<double>(prompt),
-        IsLate(attempt, took) ? kLateFirstTokenWeight : kFirstTokenWeight);
+        kFirstTokenWeight);
 }
 
 auto ApplyEndpointEvent(PoolPolicy& policy,
@@ -205,8 +209,8 @@
     return;
   }
   const auto* step = chart->Find(endpoint.m_state, event);
-  if (step == nullptr ||
-      (step->m_to == EndpointState::kEjected && !MayEject(policy, endpoint))) {
+  if (step == nullptr || (step->m_to == EndpointState::kEjected &&
+                          !MayEject(policy, endpoint, event))) {
     return;
   }
   endpoint.m_state = step->m_to;
--- a/src/libcore/policy_ejection_unittest.cc
+++ b/src/libcore/policy_ejection_unittest.cc
@@ -44,6 +44,26 @@
   CHECK(out == 2);
 }
 
+TEST_CASE("calls get past endpoints that refuse, also beyond the floor") {
+  TestPool pool({.m_endpoints = 5});
+  TakeSteps(pool, 0, 2, milliseconds(200));
+  for (auto i = 0; i < 8; ++i) {
+    pool.Add(pool.Call("p" + std::to_string(i)));
+  }
+  auto done = 0;
+  for (auto started = pool.Start(); !started.empty(); started = pool.Start()) {
+    for (const auto& attempt : started) {
+      const auto refuses = attempt.m_endpoint != EndpointId("e4");
+      const auto end = refuses ? AttemptEnd::kRefused : AttemptEnd::kCompleted;
+      done += pool.End(attempt, end).m_kind == FinishVerdict::Kind::kFinal &&
+                      !refuses
+                  ? 1
+                  : 0;
+    }
+  }
+  CHECK(done == 8);
+}
+
 TEST_CASE("a lone endpoint stays in service whatever happens") {
   TestPool pool({.m_endpoints = 1});
   pvt::ApplyEndpointEvent(*pool.m_policy, pool.Endpoint(0),
--- a/src/libcore/policy_endpoint.cc
+++ b/src/libcore/policy_endpoint.cc
@@ -63,7 +63,7 @@
   if (endpoint.m_state == EndpointState::kProbing) {
     return running == 0;
   }
-  if (running >= static_cast<int>(endpoint.m_limit)) {
+  if (running >= endpoint.m_limit) {
     return false;
   }
   return !is_long || endpoint.m_running_long < LongSlots(policy, endpoint);
--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -4,7 +4,6 @@
 #include "policy_ejection.h"
 #include "policy_endpoint.h"
 #include "policy_hedging.h"
-#include "policy_limit.h"
 #include "policy_order.h"
 #include "policy_quarantine.h"
 #include "policy_retention.h"
@@ -106,8 +105,10 @@
       std::max(result.m_usage.m_generated, attempt.m_generated);
   KeepPrefix(policy, endpoint, call, attempt.m_hold,
              call.m_call.m_prompt_tokens + generated, now);
-  EndIsolation(policy, call.m_call.m_request);
-  ClearSuspect(policy, call);
+  if (call.m_suspect) {
+    EndIsolation(policy, call.m_call.m_request);
+    ClearSuspect(policy, call);
+  }
   ForgetCall(policy, RequestId(call.m_call.m_request), now);
   return verdict;
 }
@@ -127,6 +128,8 @@
                    TimePoint now) -> void {
   switch (end) {
     case AttemptEnd::kRefused:
+      ApplyEndpointEvent(policy, endpoint, EndpointEvent::kUnreachable, now);
+      break;
     case AttemptEnd::kLost:
     case AttemptEnd::kTimedOut:
     case AttemptEnd::kErrored:
@@ -160,7 +163,9 @@
                   TimePoint now) -> FinishVerdict {
   auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
   JudgeEndpoint(policy, endpoint, end, now);
-  EndIsolation(policy, call.m_call.m_request);
+  if (call.m_suspect) {
+    EndIsolation(policy, call.m_call.m_request);
+  }
   const auto* prefix = FindPrefix(policy, call.m_call.m_program);
   if (end == AttemptEnd::kLost && prefix != nullptr &&
       prefix->m_endpoint == attempt.m_endpoint) {
@@ -211,7 +216,6 @@
     const auto took = now - attempt.m_started;
     attempt.m_first_token = now;
     AddPending(endpoint, attempt.m_long, -attempt.m_uncached);
-    pvt::AdaptLimit(policy, endpoint, attempt, took, now);
     pvt::NoteFirstToken(endpoint, attempt, took);
     pvt::UpdateFree(policy, endpoint);
   }
@@ -242,7 +246,6 @@
     return {};
   }
   auto stopped = pvt::StopAttempts(policy, found->second);
-  pvt::EndIsolation(policy, request);
   pvt::ForgetCall(policy, request, now);
   return stopped;
 }
--- a/src/libcore/policy_quarantine.cc
+++ b/src/libcore/policy_quarantine.cc
@@ -87,24 +87,47 @@
   }
 }
 
+/// Contents that run, or are about to run, on reserved endpoints.
+auto IsolatedContents(const PoolPolicy& policy) -> std::set<Digest> {
+  std::set<Digest> out;
+  for (const auto& [id, endpoint] : policy.m_endpoints) {
+    if (!endpoint.m_isolated.empty()) {
+      out.insert(policy.m_calls.at(endpoint.m_isolated).m_call.m_content);
+    }
+  }
+  return out;
+}
+
+/// Has the next Expire drop the waiting calls with this content.
+auto ExpireWaiting(PoolPolicy& policy, const Digest& content) -> void {
+  for (const auto& request : policy.m_isolation) {
+    auto& call = policy.m_calls.at(request).m_call;
+    if (call.m_content == content) {
+      policy.m_deadlines.erase({call.m_deadline, request});
+      call.m_deadline = TimePoint{};
+      policy.m_deadlines.emplace(call.m_deadline, request);
+    }
+  }
+}
+
 auto ReserveForSuspects(PoolPolicy& policy) -> void {
   const auto most = std::max<int>(
       1, static_cast<int>(policy.m_endpoints.size()) / kIsolationDivisor);
   auto reserved = ReservedEndpoints(policy);
-  std::set<RequestId> served;
-  for (const auto& [id, endpoint] : policy.m_endpoints) {
-    served.insert(endpoint.m_isolated);
-  }
+  auto contents = IsolatedContents(policy);
   for (const auto& request : policy.m_isolation) {
     if (reserved >= most) {
       return;
     }
-    if (served.contains(request)) {
+    const auto& call = policy.m_calls.at(request);
+    if (policy.m_quarantined.contains(call.m_call.m_content) ||
+        contents.contains(call.m_call.m_content)) {
       continue;
     }
-    auto* endpoint = FindIsolationEndpoint(policy, policy.m_calls.at(request));
+    auto* endpoint = FindIsolationEndpoint(policy, call);
     if (endpoint != nullptr) {
       endpoint->m_isolated = request;
+      contents.insert(call.m_call.m_content);
       ++reserved;
     }
   }
@@ -140,6 +163,7 @@
   if (!policy.m_quarantined.insert(content).second) {
     return;
   }
+  ExpireWaiting(policy, content);
   policy.m_quarantine_order.push_back(content);
   const auto most =
       static_cast<std::size_t>(policy.m_options.m_max_quarantined);
--- a/src/libcore/policy_quarantine_unittest.cc
+++ b/src/libcore/policy_quarantine_unittest.cc
@@ -73,6 +73,24 @@
   CHECK(pool.Start().size() == 1);
 }
 
+TEST_CASE("copies of one content that wait together crash no third endpoint") {
+  TestPool pool({.m_endpoints = 12});
+  for (auto i = 0; i < 4; ++i) {
+    auto killer = pool.Call("k" + std::to_string(i));
+    killer.m_content = Digest("killer");
+    pool.Add(killer);
+    if (i == 0) {
+      pool.End(pool.Start().at(0), AttemptEnd::kLost);
+    }
+  }
+  const auto second = pool.Start();
+  REQUIRE(second.size() == 1);
+  CHECK(pool.End(second[0], AttemptEnd::kLost).m_kind ==
+        FinishVerdict::Kind::kQuarantine);
+  CHECK(pool.Start().empty());
+  CHECK(Expire(*pool.m_policy, pool.m_now).size() == 3);
+}
+
 TEST_CASE("when many endpoints go down at once no content is blamed") {
   TestPool pool({.m_endpoints = 8, .m_concurrency = 1});
   for (auto i = 0; i < 8; ++i) {
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -114,8 +114,8 @@
   EndpointState m_state = EndpointState::kServing;
   std::set<AttemptId> m_running;
   int m_running_long = 0;
-  double m_limit = 1;
-  TimePoint m_limit_cut_at;
+  /// Calls that may run at once, from the operators' text.
+  int m_limit = 1;
   CallQueue m_warm;
   /// Mean seconds between tokens; slow steps weigh more.
   double m_gap_s = 0;
