--- a/src/libcore/pool_budget.cc
+++ b/src/libcore/pool_budget.cc
@@ -30,7 +30,7 @@
 
 auto UsesEscrow(const PoolState& pool) -> bool {
   const auto alone_by_table = pool.m_assignment.m_holder.m_host.empty() &&
-                              pool.m_role == PoolRole::kPrimary;
+                              pool.m_role >= PoolRole::kCopying;
   return pool.m_mode != CopyMode::kHolder && !alone_by_table;
 }
 
--- a/src/libcore/pool_budget.h
+++ b/src/libcore/pool_budget.h
@@ -9,7 +9,9 @@
 
 namespace dotterelshed::pvt {
 
-/// True while this host spends only what nobody else can spend.
+/// True while this host spends only what nobody else can spend. A primary that
+/// the table names without a copy holder spends the common budget, also while
+/// it finds that there is nobody to copy to.
 auto UsesEscrow(const PoolState& pool) -> bool;
 
 /// Makes room for @p amount in the common budget, at the cost of the escrows
