--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -180,8 +180,9 @@
   sim.Pause(host, seconds(20));
   sim.Run(seconds(10));
   for (const auto& [id, pool] : sim.Table().m_pools) {
-    CHECK(FencingNumber(sim.OwnershipOf(pool.m_primary.m_host)) >
-          FencingNumber(sim.OwnershipOf(host)));
+    const auto number = FencingNumber(sim.OwnershipOf(pool.m_primary.m_host));
+    CHECK(number > FencingNumber(sim.OwnershipOf(host)));
+    CHECK(number >= pool.m_term);
   }
 }
 
