--- a/src/libcore/policy_endpoint_unittest.cc
+++ b/src/libcore/policy_endpoint_unittest.cc
@@ -11,7 +11,7 @@
   TestPool pool({.m_endpoints = 4});
   for (auto turn = 1; turn < 6; ++turn) {
     auto call = pool.Call("p", turn);
-    call.m_prompt_tokens = Tokens(1000 * turn);
+    call.m_prompt_tokens = Tokens(std::int64_t{1000} * turn);
     CHECK(pool.RunWhole(call) == EndpointId("e0"));
   }
 }
--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -25,7 +25,7 @@
 
 /// Takes an attempt off its endpoint and forgets it.
 auto RemoveAttempt(PoolPolicy& policy, const AttemptId& id) -> AttemptState {
-  const auto attempt = policy.m_attempts.at(id);
+  auto attempt = policy.m_attempts.at(id);
   policy.m_attempts.erase(id);
   policy.m_attempt_timers.erase({attempt.m_check_at, id});
   auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
--- a/src/libcore/policy_walk_unittest.cc
+++ b/src/libcore/policy_walk_unittest.cc
@@ -83,7 +83,7 @@
 
   auto TakeRunning() -> Dispatched {
     const auto place = Draw(0, static_cast<int>(m_running.size()) - 1);
-    const auto attempt = m_running[static_cast<std::size_t>(place)];
+    auto attempt = m_running[static_cast<std::size_t>(place)];
     m_running.erase(m_running.begin() + place);
     return attempt;
   }
