Spend from the whole budget as soon as the table leaves no copy holder

Cause (testsuite/rolling_restart under the thread sanitizer, 5 to 9 of about 220 requests refused with budget_exceeded): when the table drops a dead copy holder, reservations under way are made again before the pool has taken up its new role, and were looked for in a share for outages that a pool without holder does not have. Ruled out: budgets used up (first turns of new programs), inherited shares of earlier terms.

Calls that end without being done are logged again (110), with their reason: that line showed the cause.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -22,6 +22,8 @@
   kHostStarted = 101,
   kHostDraining = 102,
   kHostStopped = 103,
+  kCallRefused = 110,
+  kCallFinished = 111,
   kLeadChanged = 201,
   kPoolChanged = 202,
   kHostSuspected = 203,
--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -14,9 +14,11 @@
 namespace {
 
 /// True while this host spends only what nobody else can spend.
-auto UsesEscrow(const PoolState& pool) -> bool {
-  const auto alone_by_table = pool.m_assignment.m_holder.m_host.empty() &&
-                              pool.m_role == PoolRole::kPrimary;
+auto UsesEscrow(const HostCore& core, const PoolState& pool) -> bool {
+  const auto& assignment = pool.m_assignment;
+  // Nobody else may spend then, also before this host has taken up the role.
+  const auto alone_by_table = assignment.m_holder.m_host.empty() &&
+                              assignment.m_primary == core.m_options.m_self;
   return pool.m_mode != CopyMode::kHolder && !alone_by_table;
 }
 
@@ -236,10 +238,12 @@
 }
 
 /// True for a raised reservation that only the lost copy holder may confirm.
-auto AwaitsHolder(const PoolState& pool, const PendingChange& change) -> bool {
+auto AwaitsHolder(const HostCore& core,
+                  const PoolState& pool,
+                  const PendingChange& change) -> bool {
   const auto* reserve = std::get_if<ReserveRequest>(&change.m_message);
   return reserve != nullptr && !reserve->m_reservation.m_from_escrow &&
-         UsesEscrow(pool);
+         UsesEscrow(core, pool);
 }
 
 template <typename Reply>
@@ -300,7 +304,7 @@
   auto& record = pool.m_store.m_programs.at(call.m_call.m_program).m_record;
   auto& ledger = pool.m_store.m_ledgers.at(record.m_root);
   const auto amount = call.m_call.m_cost_bound * attempts;
-  const auto escrow = UsesEscrow(pool);
+  const auto escrow = UsesEscrow(core, pool);
   const auto fits = escrow ? TakeFromEscrow(core, pool, ledger, amount)
                            : TakeFromBudget(core, pool, ledger, amount);
   if (!fits) {
@@ -338,7 +342,7 @@
   const auto previous = ChainEnd(record);
   std::optional<TurnRecord> turn;
   if (call.m_record_turn) {
-    const auto provisional = UsesEscrow(pool);
+    const auto provisional = UsesEscrow(core, pool);
     turn = MakeTurn(call, record, provisional);
     call.m_answer->m_provisional = provisional;
     record.m_turns.push_back(*turn);
@@ -398,7 +402,7 @@
   if (found == pool.m_changes.end()) {
     return;
   }
-  if (AwaitsHolder(pool, found->second) ||
+  if (AwaitsHolder(step.m_core, pool, found->second) ||
       RefuseUnaffordable(step, pool, program)) {
     return;
   }
--- a/src/libcore/pool_takeover_unittest.cc
+++ b/src/libcore/pool_takeover_unittest.cc
@@ -49,6 +49,20 @@
   }
 }
 
+TEST_CASE("a call under way goes on when the table drops the copy holder") {
+  Bench bench;
+  bench.Give(0, CallArrived{bench.MakeCall("r1", 1)});
+  REQUIRE(bench.Drop<ReserveRequest>() == 1);
+  bench.MovePool(0, -1);
+  bench.DeliverAll();
+  CHECK(bench.m_answers.empty());
+  REQUIRE(bench.m_starts.size() == 1);
+  bench.FinishLast(0, AttemptEnd::kCompleted, "hello");
+  bench.DeliverAll();
+  REQUIRE(bench.m_answers.size() == 1);
+  CHECK(bench.m_answers[0].m_outcome == OutcomeKind::kDone);
+}
+
 TEST_CASE("reservations of a lost primary count as spent") {
   Bench bench;
   bench.Give(0, CallArrived{bench.MakeCall("r1", 1)});
--- a/src/libhost/call_router.cc
+++ b/src/libhost/call_router.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "answer_text.h"
+#include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 
 namespace dotterelshed::pvt {
@@ -50,6 +51,15 @@
       routed.m_uncertain || answer.m_outcome == OutcomeKind::kUnknown;
 }
 
+auto LogAnswer(const CallAnswer& answer) -> void {
+  const auto refused = answer.m_outcome != OutcomeKind::kDone;
+  LogEvent(refused ? LogEventId::kCallRefused : LogEventId::kCallFinished,
+           {{"request", answer.m_request.value()},
+            {"outcome", std::string(ToString(answer.m_outcome))},
+            {"reason", std::string(ToString(answer.m_reason))},
+            {"message", answer.m_message}});
+}
+
 auto ListenOn(const RequestEntryPtr& entry,
               std::uint64_t offset,
               const CallSink& sink) -> std::function<void()> {
@@ -184,6 +194,7 @@
         "an earlier try got no answer and may have run; " + answer.m_message;
   }
   Forget(routed->m_call.m_request);
+  LogAnswer(answer);
   m_services.m_requests.Finish(answer, AnswerText(answer.m_body));
 }
 
