--- a/bench/replay.cc
+++ b/bench/replay.cc
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "program_tree.h"
+#include "replay_events.h"
 
 namespace dotterelshed::bench {
 
@@ -15,52 +16,6 @@
 /// A replay that lasts longer has a call that never ends.
 constexpr Duration kLongestReplay = std::chrono::hours(48);
 
-struct CallDue {
-  std::size_t m_node = 0;
-};
-struct SubmitDue {
-  Dispatched m_dispatched;
-};
-struct StepDue {
-  std::size_t m_engine = 0;
-  std::uint64_t m_epoch = 0;
-};
-struct FinishDue {
-  AttemptId m_attempt;
-  AttemptResult m_result;
-};
-struct ReportDue {};
-struct ReportArrives {
-  LoadReport m_report;
-};
-struct SlowdownDue {
-  std::size_t m_engine = 0;
-  double m_factor = 1;
-};
-struct WakeUp {};
-
-using Happening = std::variant<CallDue,
-                               SubmitDue,
-                               StepDue,
-                               FinishDue,
-                               ReportDue,
-                               ReportArrives,
-                               SlowdownDue,
-                               WakeUp>;
-
-struct Scheduled {
-  TimePoint m_at;
-  std::uint64_t m_order = 0;
-  Happening m_what;
-};
-
-struct Later {
-  auto operator()(const Scheduled& left, const Scheduled& right) const -> bool {
-    return std::tie(left.m_at, left.m_order) >
-           std::tie(right.m_at, right.m_order);
-  }
-};
-
 struct OpenCall {
   std::size_t m_node = 0;
   TimePoint m_arrived;
