Don't count refused attempts as tries of a call

Cause: a bystander of a crash whose attempts meet the dead engine again (its probe, say) used up its four tries on connections that were refused, and ended as no_endpoint although nothing had run (seen in crash_request by two of us). Ruled out: the share for retries (its reserve of 32 was not used up). Refused tries now have a bound of their own, 16, and still draw on the share, so the check that retries stay below it holds unchanged.

--- a/src/libcore/policy_finish.cc
+++ b/src/libcore/policy_finish.cc
@@ -16,6 +16,8 @@
 
 /// Attempts that one call may take.
 constexpr int kMaxTries = 4;
+/// Tries of one call that endpoints refused; they cost nothing but time.
+constexpr int kMaxRefusedTries = 16;
 /// Weight of a new call in the means of its class.
 constexpr double kStatsWeight = 0.02;
 
@@ -117,7 +119,10 @@
   const auto repeats = end == AttemptEnd::kLost ||
                        end == AttemptEnd::kErrored ||
                        end == AttemptEnd::kTimedOut;
-  return call.m_call.m_repeatable && call.m_tries < kMaxTries &&
+  const auto ran = call.m_tries - call.m_refused_tries;
+  const auto tries_left =
+      ran < kMaxTries && call.m_refused_tries < kMaxRefusedTries;
+  return call.m_call.m_repeatable && tries_left &&
          call.m_call.m_deadline > now && (repeats || CannotHaveRun(end));
 }
 
@@ -163,6 +168,7 @@
                   TimePoint now) -> FinishVerdict {
   auto& endpoint = policy.m_endpoints.at(attempt.m_endpoint);
   JudgeEndpoint(policy, endpoint, end, now);
+  call.m_refused_tries += CannotHaveRun(end) ? 1 : 0;
   if (call.m_suspect) {
     EndIsolation(policy, call.m_call.m_request);
   }
--- a/src/libcore/policy_hedging_unittest.cc
+++ b/src/libcore/policy_hedging_unittest.cc
@@ -63,6 +63,21 @@
         FinishVerdict::Kind::kFinal);
 }
 
+TEST_CASE("attempts that an endpoint refused do not use up a call's tries") {
+  constexpr int kRounds = 5;
+  TestPool pool({.m_endpoints = 2});
+  pool.Add(pool.Call("p"));
+  for (auto round = 0; round < kRounds; ++round) {
+    const auto started = pool.Start();
+    REQUIRE_FALSE(started.empty());
+    for (const auto& attempt : started) {
+      CHECK(pool.End(attempt, AttemptEnd::kRefused).m_kind !=
+            FinishVerdict::Kind::kFinal);
+    }
+    pool.m_now += std::chrono::seconds(30);
+  }
+}
+
 TEST_CASE("the loser's late end is ignored") {
   TestPool pool({.m_endpoints = 3});
   const auto attempts = StalledAttempts(pool, pool.Call("p"));
--- a/src/libcore/policy_state.h
+++ b/src/libcore/policy_state.h
@@ -57,6 +57,8 @@
   EndpointId m_warm_endpoint;
   std::set<AttemptId> m_attempts;
   int m_tries = 0;
+  /// Tries that an endpoint refused, so that nothing ran.
+  int m_refused_tries = 0;
   bool m_hedged = false;
   /// Its content was running when an endpoint crashed.
   bool m_suspect = false;
