--- a/src/include/dotterelshed/backend_client.h
+++ b/src/include/dotterelshed/backend_client.h
@@ -35,6 +35,8 @@
   std::optional<Term> m_fence;
   /// Program that the engine accounts kept memory to; empty for none.
   ProgramId m_program;
+  /// Order among what the engine runs and queues; lower goes first.
+  int m_priority = 0;
   /// Prefix that the engine keeps after the call; empty for none.
   HoldId m_hold;
   Duration m_timeout{0};
--- a/src/libbackend/run_attempt.cc
+++ b/src/libbackend/run_attempt.cc
@@ -170,6 +170,8 @@
     request.m_path = "/v1/chat/completions";
     request.m_body = StreamingBody(m_spec.m_body);
     request.m_headers = CommonHeaders(m_spec);
+    request.m_headers.emplace_back("X-Priority",
+                                   std::to_string(m_spec.m_priority));
     if (!m_spec.m_hold.empty()) {
       request.m_headers.emplace_back("X-Kv-Hold", m_spec.m_hold.value());
     }
--- a/src/libbackend/run_attempt_unittest.cc
+++ b/src/libbackend/run_attempt_unittest.cc
@@ -45,6 +45,7 @@
 auto ModelSpec(const TestServer& server) -> AttemptSpec {
   AttemptSpec spec;
   spec.m_attempt = AttemptId("attempt-1");
+  spec.m_priority = 3;
   spec.m_endpoint = server.Endpoint();
   spec.m_body = R"({"model":"m","messages":[]})";
   spec.m_timeout = std::chrono::seconds(30);
@@ -96,6 +97,7 @@
                      [](const auto& request, auto& response) {
                        const auto body = Json::parse(request.body);
                        REQUIRE(body["stream"] == true);
+                       CHECK(request.get_header_value("X-Priority") == "3");
                        response.set_content(Rest(0), "text/event-stream");
                      });
   server.Start();
--- a/src/libhost/attempt_runner.cc
+++ b/src/libhost/attempt_runner.cc
@@ -39,6 +39,7 @@
                    .m_body = call.m_body,
                    .m_key = call.m_key,
                    .m_program = call.m_program,
+                   .m_priority = start.m_priority,
                    .m_hold = start.m_hold,
                    .m_timeout = std::min(service.m_timeout, left),
                    .m_progress_timeout = service.m_progress_timeout};
