--- a/src/include/dotterelshed/settings.h
+++ b/src/include/dotterelshed/settings.h
@@ -20,6 +20,9 @@
   /// "IP:port" each; port 0 lets the system choose.
   std::string m_http_address = "127.0.0.1:0";
   std::string m_peer_address = "127.0.0.1:0";
+  /// What other hosts are told, where it differs from the address that the
+  /// host listens on; empty otherwise.
+  std::string m_peer_advertised;
   /// The platform's object API.
   std::string m_platform_address;
   /// Peer addresses to ask when the platform can't be reached at start.
--- a/src/libconfig/settings.cc
+++ b/src/libconfig/settings.cc
@@ -33,6 +33,8 @@
       pvt::ReadText(root, "http_address", settings.m_http_address);
   settings.m_peer_address =
       pvt::ReadText(root, "peer_address", settings.m_peer_address);
+  settings.m_peer_advertised =
+      pvt::ReadText(root, "peer_advertised", settings.m_peer_advertised);
   settings.m_platform_address = pvt::ReadText(root, "platform_address");
   for (const auto& peer : pvt::ReadTexts(root, "seed_peers")) {
     settings.m_seed_peers.push_back(peer.m_text);
--- a/src/libconfig/settings_keys.cc
+++ b/src/libconfig/settings_keys.cc
@@ -30,7 +30,11 @@
     {.m_path = "peer_address",
      .m_type = ValueType::kAddress,
      .m_default = "127.0.0.1:0",
-     .m_meaning = "Where other hosts reach it."},
+     .m_meaning = "Where it listens for other hosts."},
+    {.m_path = "peer_advertised",
+     .m_type = ValueType::kAddress,
+     .m_meaning = "Where other hosts reach it, if that is another address "
+                  "than the one that it listens on."},
     {.m_path = "platform_address",
      .m_type = ValueType::kAddress,
      .m_required = true,
--- a/src/libhost/host_process.cc
+++ b/src/libhost/host_process.cc
@@ -91,7 +91,9 @@
     return tl::unexpected<Error>(peers.error());
   }
   m_peers = std::move(*peers);
-  m_addresses.m_peer = m_peers->address();
+  m_addresses.m_peer = m_settings.m_peer_advertised.empty()
+                           ? m_peers->address()
+                           : m_settings.m_peer_advertised;
   return {};
 }
 
@@ -194,7 +196,7 @@
   const auto temporary = m_settings.m_ready_file + ".new";
   std::ofstream out(temporary);
   out << nlohmann::json{{"http", m_addresses.m_http},
-                        {"peer", m_addresses.m_peer},
+                        {"peer", m_peers->address()},
                         {"pid", getpid()}}
       << "\n";
   out.close();
--- a/testsuite/harness/desk.py
+++ b/testsuite/harness/desk.py
@@ -58,6 +58,8 @@
         self.host_by_name = {}
         #: Address that hosts of a domain use for the platform, if another.
         self.platform_address_of = {}
+        #: Relay in front of a host's peer address, by the host's name.
+        self.peer_relay_of = {}
         #: Address by which an endpoint is named in the text, if another.
         self.address_of = {}
 
@@ -107,6 +109,9 @@
                                                  domain).start())
         for host in self.hosts:
             host.wait_ready()
+            if host.name in self.peer_relay_of:
+                self.peer_relay_of[host.name].forward_to(
+                    host.addresses["peer"])
 
     def make_host(self, name, domain, **settings):
         values = {
@@ -121,6 +126,8 @@
             "heartbeat_interval": HEARTBEAT,
             "missed_heartbeats": 5,
         }
+        if name in self.peer_relay_of:
+            values["peer_advertised"] = self.peer_relay_of[name].address
         values.update(self.options.host_settings)
         values.update(settings)
         path = os.path.join(self.folder, f"{name}.settings.jsonc")
--- a/testsuite/harness/relay.py
+++ b/testsuite/harness/relay.py
@@ -15,9 +15,10 @@
     heal(): new connections work again.
     """
 
-    def __init__(self, target):
-        host, port = target.rsplit(":", 1)
-        self._target = (host, int(port))
+    def __init__(self, target=None):
+        self._target = None
+        if target:
+            self.forward_to(target)
         self._lock = threading.Lock()
         self._pairs = []
         self._mode = "open"
@@ -26,6 +27,11 @@
         self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def forward_to(self, target):
+        """Connections go to this address from now on."""
+        host, port = target.rsplit(":", 1)
+        self._target = (host, int(port))
+
     def cut(self):
         with self._lock:
             self._mode = "cut"
@@ -65,7 +71,7 @@
     def _serve(self, client):
         with self._lock:
             mode = self._mode
-        if mode == "cut":
+        if mode == "cut" or not self._target:
             client.close()
             return
         try:
