--- a/src/libhost/caller_front.cc
+++ b/src/libhost/caller_front.cc
@@ -342,7 +342,7 @@
                           TimePoint deadline) -> RequestEntryPtr {
   RequestEntryPtr best;
   for (const auto& program : programs) {
-    const auto entry = m_router.Ask(id, program);
+    auto entry = m_router.Ask(id, program);
     const auto first = entry->Read(0, deadline - SteadyTime());
     const auto found =
         !first.m_answer || first.m_answer->m_reason == ReasonCode::kNone;
