--- a/src/include/dotterelshed/load_chart.h
+++ b/src/include/dotterelshed/load_chart.h
@@ -20,6 +20,19 @@
 auto LoadChart(const std::string& directory, const std::string& name)
     -> Result<ChartSpec>;
 
+/// Reads a chart and binds it to the enums of the code that it drives.
+/// @tparam BoundChart a Chart<State, Event, Action>
+template <typename BoundChart>
+auto LoadBoundChart(const std::string& directory,
+                    const std::string& name,
+                    const ChartVocabulary& vocabulary) -> Result<BoundChart> {
+  const auto spec = LoadChart(directory, name);
+  if (!spec) {
+    return tl::unexpected<Error>(spec.error());
+  }
+  return BoundChart::Bind(*spec, vocabulary);
+}
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_LOAD_CHART_H_
--- a/src/libcore/actions_chart.cc
+++ b/src/libcore/actions_chart.cc
@@ -74,11 +74,8 @@
 }
 
 auto LoadClaimChart(const std::string& directory) -> Result<ClaimChart> {
-  const auto spec = LoadChart(directory, "action");
-  if (!spec) {
-    return tl::unexpected<Error>(spec.error());
-  }
-  return ClaimChart::Bind(*spec, {kStates, kEvents, kActions});
+  return LoadBoundChart<ClaimChart>(directory, "action",
+                                    {kStates, kEvents, kActions});
 }
 
 auto FireClaim(ActionBook& book,
--- a/src/libcore/core_charts.cc
+++ b/src/libcore/core_charts.cc
@@ -28,27 +28,16 @@
     {"collect_state", "settle_inherited", "copy_state", "serve_waiting",
      "drop_calls"});
 
-template <typename BoundChart>
-auto LoadBound(const std::string& directory,
-               const std::string& name,
-               const ChartVocabulary& vocabulary) -> Result<BoundChart> {
-  const auto spec = LoadChart(directory, name);
-  if (!spec) {
-    return tl::unexpected<Error>(spec.error());
-  }
-  return BoundChart::Bind(*spec, vocabulary);
-}
-
 }  // namespace
 
 auto LoadCallChart(const std::string& directory) -> Result<CallChart> {
-  return LoadBound<CallChart>(directory, "program",
-                              {kCallStates, kCallEvents, kCallActions});
+  return LoadBoundChart<CallChart>(directory, "program",
+                                   {kCallStates, kCallEvents, kCallActions});
 }
 
 auto LoadPoolChart(const std::string& directory) -> Result<PoolChart> {
-  return LoadBound<PoolChart>(directory, "pool_role",
-                              {kPoolRoles, kPoolEvents, kPoolActions});
+  return LoadBoundChart<PoolChart>(directory, "pool_role",
+                                   {kPoolRoles, kPoolEvents, kPoolActions});
 }
 
 auto ToString(CallState state) -> std::string_view {
--- a/src/libcore/endpoint_chart.cc
+++ b/src/libcore/endpoint_chart.cc
@@ -23,11 +23,8 @@
 
 auto LoadEndpointChart(const std::string& directory)
     -> Result<std::shared_ptr<const EndpointChart>> {
-  const auto spec = LoadChart(directory, "endpoint");
-  if (!spec) {
-    return tl::unexpected<Error>(spec.error());
-  }
-  auto chart = EndpointChart::Bind(*spec, {kStates, kEvents, kActions});
+  auto chart = LoadBoundChart<EndpointChart>(directory, "endpoint",
+                                             {kStates, kEvents, kActions});
   if (!chart) {
     return tl::unexpected<Error>(chart.error());
   }
--- a/src/libcore/ownership_charts.cc
+++ b/src/libcore/ownership_charts.cc
@@ -24,28 +24,17 @@
     {"choose_primary", "choose_holder", "clear_primary", "promote_holder",
      "clear_holder", "swap_roles"});
 
-template <typename BoundChart>
-auto LoadAndBind(const std::string& directory,
-                 const std::string& name,
-                 const ChartVocabulary& vocabulary) -> Result<BoundChart> {
-  const auto spec = LoadChart(directory, name);
-  if (!spec) {
-    return tl::unexpected<Error>(spec.error());
-  }
-  return BoundChart::Bind(*spec, vocabulary);
-}
-
 }  // namespace
 
 auto LoadOwnershipCharts(const std::string& directory)
     -> Result<OwnershipCharts> {
-  auto host = LoadAndBind<HostChart>(directory, "host",
-                                     {kHostStates, kHostEvents, kHostActions});
+  auto host = LoadBoundChart<HostChart>(
+      directory, "host", {kHostStates, kHostEvents, kHostActions});
   if (!host) {
     return tl::unexpected<Error>(host.error());
   }
-  auto pool = LoadAndBind<PoolChart>(directory, "pool",
-                                     {kPoolStates, kPoolEvents, kPoolActions});
+  auto pool = LoadBoundChart<PoolChart>(
+      directory, "pool", {kPoolStates, kPoolEvents, kPoolActions});
   if (!pool) {
     return tl::unexpected<Error>(pool.error());
   }
--- a/src/libcore/rollout.cc
+++ b/src/libcore/rollout.cc
@@ -260,12 +260,9 @@
 
 auto MakeRollout(const RolloutOptions& options)
     -> Result<std::shared_ptr<Rollout>> {
-  const auto spec = LoadChart(options.m_charts_dir, "rollout");
-  if (!spec) {
-    return tl::unexpected<Error>(spec.error());
-  }
-  auto chart = pvt::RolloutChart::Bind(
-      *spec, {pvt::kStates, pvt::kEvents, pvt::kActions});
+  auto chart = LoadBoundChart<pvt::RolloutChart>(
+      options.m_charts_dir, "rollout",
+      {pvt::kStates, pvt::kEvents, pvt::kActions});
   if (!chart) {
     return tl::unexpected<Error>(chart.error());
   }
--- a/src/libpeer/membership.capnp
+++ b/src/libpeer/membership.capnp
@@ -3,20 +3,16 @@
 # Wire form of membership_messages.h. Field numbers are never reused.
 
 using Cxx = import "/capnp/c++.capnp";
+using Call = import "call.capnp";
 $Cxx.namespace("dotterelshed::schema");
 
-struct HostRef {
-  host @0 :Text;
-  incarnation @1 :Int64;
-}
-
 struct HostAddresses {
   peer @0 :Text;
   http @1 :Text;
 }
 
 struct Heartbeat {
-  from @0 :HostRef;
+  from @0 :Call.HostRef;
   domain @1 :Text;
   addresses @2 :HostAddresses;
   tableVersion @3 :Int64;
@@ -31,7 +27,7 @@
 }
 
 struct MemberInfo {
-  host @0 :HostRef;
+  host @0 :Call.HostRef;
   addresses @1 :HostAddresses;
   alive @2 :Bool;
   draining @3 :Bool;
@@ -43,8 +39,8 @@
 struct PoolAssignment {
   pool @0 :Text;
   term @1 :Int64;
-  primary @2 :HostRef;
-  holder @3 :HostRef;
+  primary @2 :Call.HostRef;
+  holder @3 :Call.HostRef;
   primarySince @4 :Int64;
 }
 
@@ -58,7 +54,7 @@
   domain @0 :Text;
   version @1 :Int64;
   leadTerm @2 :Int64;
-  lead @3 :HostRef;
+  lead @3 :Call.HostRef;
   pools @4 :List(PoolAssignment);
   members @5 :List(MemberRecord);
   generation @6 :Int64;
@@ -66,7 +62,7 @@
 }
 
 struct DomainDigest {
-  from @0 :HostRef;
+  from @0 :Call.HostRef;
   # Null when absent.
   table @1 :DomainTable;
   hasTableBase @2 :Bool;
@@ -94,12 +90,12 @@
 }
 
 struct ConfigRequest {
-  from @0 :HostRef;
+  from @0 :Call.HostRef;
   have @1 :Int64;
 }
 
 struct ConfigOffer {
-  from @0 :HostRef;
+  from @0 :Call.HostRef;
   generation @1 :Int64;
   hasBase @2 :Bool;
   base @3 :Int64;
--- a/src/libpeer/membership.capnp.c++
+++ b/src/libpeer/membership.capnp.c++
@@ -5,66 +5,6 @@
 
 namespace capnp {
 namespace schemas {
-static const ::capnp::_::AlignedData<49> b_dbe048c6b41dd6b1 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
-     17,   0,   0,   0,   1,   0,   1,   0,
-    233,  18,  16, 221, 122,  46, 120, 149,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 202,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    109, 101, 109,  98, 101, 114, 115, 104,
-    105, 112,  46,  99,  97, 112, 110, 112,
-     58,  72, 111, 115, 116,  82, 101, 102,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  98,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
-    104, 111, 115, 116,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    105, 110,  99,  97, 114, 110,  97, 116,
-    105, 111, 110,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_dbe048c6b41dd6b1 = b_dbe048c6b41dd6b1.words;
-#if !CAPNP_LITE
-static const uint16_t m_dbe048c6b41dd6b1[] = {0, 1};
-static const uint16_t i_dbe048c6b41dd6b1[] = {0, 1};
-const ::capnp::_::RawSchema s_dbe048c6b41dd6b1 = {
-  0xdbe048c6b41dd6b1, b_dbe048c6b41dd6b1.words, 49, nullptr, m_dbe048c6b41dd6b1,
-  0, 2, i_dbe048c6b41dd6b1, nullptr, nullptr, { &s_dbe048c6b41dd6b1, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<48> b_f16471039294dd96 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     150, 221, 148, 146,   3, 113, 100, 241,
@@ -229,7 +169,7 @@
     196,   1,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -347,7 +287,7 @@
 ::capnp::word const* const bp_b5063a0bf6d85ba0 = b_b5063a0bf6d85ba0.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_b5063a0bf6d85ba0[] = {
-  &s_dbe048c6b41dd6b1,
+  &s_9a2c09fb4538702d,
   &s_f16471039294dd96,
 };
 static const uint16_t m_b5063a0bf6d85ba0[] = {2, 1, 6, 0, 4, 5, 8, 9, 11, 7, 3, 10};
@@ -427,7 +367,7 @@
     228,   0,   0,   0,   2,   0,   1,   0,
     104, 111, 115, 116,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -489,7 +429,7 @@
 ::capnp::word const* const bp_a235e074010c5df3 = b_a235e074010c5df3.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_a235e074010c5df3[] = {
-  &s_dbe048c6b41dd6b1,
+  &s_9a2c09fb4538702d,
   &s_f16471039294dd96,
 };
 static const uint16_t m_a235e074010c5df3[] = {1, 2, 3, 5, 4, 6, 0};
@@ -571,7 +511,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     112, 114, 105, 109,  97, 114, 121,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -579,7 +519,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     104, 111, 108, 100, 101, 114,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -598,7 +538,7 @@
 ::capnp::word const* const bp_807546bf28bb6b27 = b_807546bf28bb6b27.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_807546bf28bb6b27[] = {
-  &s_dbe048c6b41dd6b1,
+  &s_9a2c09fb4538702d,
 };
 static const uint16_t m_807546bf28bb6b27[] = {3, 0, 2, 4, 1};
 static const uint16_t i_807546bf28bb6b27[] = {0, 1, 2, 3, 4};
@@ -788,7 +728,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
     108, 101,  97, 100,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -841,8 +781,8 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_b722295f27e09b6c[] = {
   &s_807546bf28bb6b27,
+  &s_9a2c09fb4538702d,
   &s_aeb3b51c0f2ccbe7,
-  &s_dbe048c6b41dd6b1,
 };
 static const uint16_t m_b722295f27e09b6c[] = {0, 6, 7, 3, 2, 5, 4, 1};
 static const uint16_t i_b722295f27e09b6c[] = {0, 1, 2, 3, 4, 5, 6, 7};
@@ -998,7 +938,7 @@
     248,   2,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1193,9 +1133,9 @@
 ::capnp::word const* const bp_c6539f34a1e645fc = b_c6539f34a1e645fc.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_c6539f34a1e645fc[] = {
+  &s_9a2c09fb4538702d,
   &s_a235e074010c5df3,
   &s_b722295f27e09b6c,
-  &s_dbe048c6b41dd6b1,
 };
 static const uint16_t m_c6539f34a1e645fc[] = {9, 0, 7, 2, 14, 16, 10, 8, 15, 12, 11, 5, 4, 17, 1, 3, 6, 13};
 static const uint16_t i_c6539f34a1e645fc[] = {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17};
@@ -1317,7 +1257,7 @@
      52,   0,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1335,7 +1275,7 @@
 ::capnp::word const* const bp_85843812c9e4964a = b_85843812c9e4964a.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_85843812c9e4964a[] = {
-  &s_dbe048c6b41dd6b1,
+  &s_9a2c09fb4538702d,
 };
 static const uint16_t m_85843812c9e4964a[] = {0, 1};
 static const uint16_t i_85843812c9e4964a[] = {0, 1};
@@ -1407,7 +1347,7 @@
     184,   0,   0,   0,   2,   0,   1,   0,
     102, 114, 111, 109,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    177, 214,  29, 180, 198,  72, 224, 219,
+     45, 112,  56,  69, 251,   9,  44, 154,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
@@ -1458,7 +1398,7 @@
 ::capnp::word const* const bp_addd4e5d0778f49e = b_addd4e5d0778f49e.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_addd4e5d0778f49e[] = {
-  &s_dbe048c6b41dd6b1,
+  &s_9a2c09fb4538702d,
 };
 static const uint16_t m_addd4e5d0778f49e[] = {3, 5, 0, 1, 2, 4};
 static const uint16_t i_addd4e5d0778f49e[] = {0, 1, 2, 3, 4, 5};
@@ -1475,14 +1415,6 @@
 namespace dotterelshed {
 namespace schema {
 
-// HostRef
-constexpr uint16_t HostRef::_capnpPrivate::dataWordSize;
-constexpr uint16_t HostRef::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind HostRef::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* HostRef::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 // HostAddresses
 constexpr uint16_t HostAddresses::_capnpPrivate::dataWordSize;
 constexpr uint16_t HostAddresses::_capnpPrivate::pointerCount;
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -10,13 +10,13 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "call.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(dbe048c6b41dd6b1);
 CAPNP_DECLARE_SCHEMA(f16471039294dd96);
 CAPNP_DECLARE_SCHEMA(b5063a0bf6d85ba0);
 CAPNP_DECLARE_SCHEMA(a235e074010c5df3);
@@ -34,21 +34,6 @@
 namespace dotterelshed {
 namespace schema {
 
-struct HostRef {
-  HostRef() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dbe048c6b41dd6b1, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct HostAddresses {
   HostAddresses() = delete;
 
@@ -201,92 +186,6 @@
 
 // =======================================================================================
 
-class HostRef::Reader {
-public:
-  typedef HostRef Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::int64_t getIncarnation() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class HostRef::Builder {
-public:
-  typedef HostRef Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class HostRef::Pipeline {
-public:
-  typedef HostRef Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class HostAddresses::Reader {
 public:
   typedef HostAddresses Reads;
@@ -396,7 +295,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline bool hasDomain() const;
   inline  ::capnp::Text::Reader getDomain() const;
@@ -454,11 +353,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline  ::dotterelshed::schema::HostRef::Builder getFrom();
-  inline void setFrom( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline bool hasDomain();
   inline  ::capnp::Text::Builder getDomain();
@@ -534,7 +433,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
   inline  ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -562,7 +461,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
   inline bool hasAddresses() const;
   inline  ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
@@ -606,11 +505,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline  ::dotterelshed::schema::HostRef::Builder getHost();
-  inline void setHost( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
   inline bool hasAddresses();
   inline  ::dotterelshed::schema::HostAddresses::Builder getAddresses();
@@ -652,7 +551,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getHost();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
   inline  ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -685,10 +584,10 @@
   inline  ::int64_t getTerm() const;
 
   inline bool hasPrimary() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getPrimary() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getPrimary() const;
 
   inline bool hasHolder() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getHolder() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHolder() const;
 
   inline  ::int64_t getPrimarySince() const;
 
@@ -731,18 +630,18 @@
   inline void setTerm( ::int64_t value);
 
   inline bool hasPrimary();
-  inline  ::dotterelshed::schema::HostRef::Builder getPrimary();
-  inline void setPrimary( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initPrimary();
-  inline void adoptPrimary(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownPrimary();
+  inline  ::dotterelshed::wire::HostRef::Builder getPrimary();
+  inline void setPrimary( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownPrimary();
 
   inline bool hasHolder();
-  inline  ::dotterelshed::schema::HostRef::Builder getHolder();
-  inline void setHolder( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initHolder();
-  inline void adoptHolder(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownHolder();
+  inline  ::dotterelshed::wire::HostRef::Builder getHolder();
+  inline void setHolder( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHolder();
 
   inline  ::int64_t getPrimarySince();
   inline void setPrimarySince( ::int64_t value);
@@ -765,8 +664,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getPrimary();
-  inline  ::dotterelshed::schema::HostRef::Pipeline getHolder();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getPrimary();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHolder();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -897,7 +796,7 @@
   inline  ::int64_t getLeadTerm() const;
 
   inline bool hasLead() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getLead() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getLead() const;
 
   inline bool hasPools() const;
   inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Reader getPools() const;
@@ -951,11 +850,11 @@
   inline void setLeadTerm( ::int64_t value);
 
   inline bool hasLead();
-  inline  ::dotterelshed::schema::HostRef::Builder getLead();
-  inline void setLead( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initLead();
-  inline void adoptLead(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownLead();
+  inline  ::dotterelshed::wire::HostRef::Builder getLead();
+  inline void setLead( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initLead();
+  inline void adoptLead(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownLead();
 
   inline bool hasPools();
   inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Builder getPools();
@@ -995,7 +894,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getLead();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getLead();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1022,7 +921,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline bool hasTable() const;
   inline  ::dotterelshed::schema::DomainTable::Reader getTable() const;
@@ -1096,11 +995,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline  ::dotterelshed::schema::HostRef::Builder getFrom();
-  inline void setFrom( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline bool hasTable();
   inline  ::dotterelshed::schema::DomainTable::Builder getTable();
@@ -1213,7 +1112,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
   inline  ::dotterelshed::schema::DomainTable::Pipeline getTable();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -1338,7 +1237,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline  ::int64_t getHave() const;
 
@@ -1371,11 +1270,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline  ::dotterelshed::schema::HostRef::Builder getFrom();
-  inline void setFrom( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline  ::int64_t getHave();
   inline void setHave( ::int64_t value);
@@ -1398,7 +1297,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1425,7 +1324,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline  ::dotterelshed::schema::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline  ::int64_t getGeneration() const;
 
@@ -1468,11 +1367,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline  ::dotterelshed::schema::HostRef::Builder getFrom();
-  inline void setFrom( ::dotterelshed::schema::HostRef::Reader value);
-  inline  ::dotterelshed::schema::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline  ::int64_t getGeneration();
   inline void setGeneration( ::int64_t value);
@@ -1515,7 +1414,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::schema::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1526,54 +1425,6 @@
 
 // =======================================================================================
 
-inline bool HostRef::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool HostRef::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader HostRef::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder HostRef::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void HostRef::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder HostRef::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void HostRef::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> HostRef::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t HostRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t HostRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HostRef::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool HostAddresses::Reader::hasPeer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1650,34 +1501,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader Heartbeat::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader Heartbeat::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder Heartbeat::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline Heartbeat::Pipeline::getFrom() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline Heartbeat::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setFrom( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder Heartbeat::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Heartbeat::Builder::adoptFrom(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> Heartbeat::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Heartbeat::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -1960,34 +1811,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader MemberInfo::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader MemberInfo::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder MemberInfo::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline MemberInfo::Pipeline::getHost() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline MemberInfo::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void MemberInfo::Builder::setHost( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void MemberInfo::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder MemberInfo::Builder::initHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void MemberInfo::Builder::adoptHost(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> MemberInfo::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> MemberInfo::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2156,34 +2007,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader PoolAssignment::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader PoolAssignment::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline PoolAssignment::Pipeline::getPrimary() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline PoolAssignment::Pipeline::getPrimary() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void PoolAssignment::Builder::setPrimary( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void PoolAssignment::Builder::setPrimary( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptPrimary(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> PoolAssignment::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> PoolAssignment::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2195,34 +2046,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader PoolAssignment::Reader::getHolder() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader PoolAssignment::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline PoolAssignment::Pipeline::getHolder() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(2));
+inline  ::dotterelshed::wire::HostRef::Pipeline PoolAssignment::Pipeline::getHolder() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void PoolAssignment::Builder::setHolder( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void PoolAssignment::Builder::setHolder( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder PoolAssignment::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptHolder(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> PoolAssignment::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> PoolAssignment::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -2397,34 +2248,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader DomainTable::Reader::getLead() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader DomainTable::Reader::getLead() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder DomainTable::Builder::getLead() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::getLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline DomainTable::Pipeline::getLead() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline DomainTable::Pipeline::getLead() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void DomainTable::Builder::setLead( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void DomainTable::Builder::setLead( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder DomainTable::Builder::initLead() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::initLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void DomainTable::Builder::adoptLead(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> DomainTable::Builder::disownLead() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> DomainTable::Builder::disownLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2532,34 +2383,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader DomainDigest::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader DomainDigest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder DomainDigest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder DomainDigest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline DomainDigest::Pipeline::getFrom() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline DomainDigest::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void DomainDigest::Builder::setFrom( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void DomainDigest::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder DomainDigest::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder DomainDigest::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void DomainDigest::Builder::adoptFrom(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> DomainDigest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> DomainDigest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -3104,34 +2955,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader ConfigRequest::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader ConfigRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder ConfigRequest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ConfigRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline ConfigRequest::Pipeline::getFrom() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline ConfigRequest::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ConfigRequest::Builder::setFrom( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void ConfigRequest::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder ConfigRequest::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ConfigRequest::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ConfigRequest::Builder::adoptFrom(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> ConfigRequest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ConfigRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -3157,34 +3008,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::schema::HostRef::Reader ConfigOffer::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader ConfigOffer::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::schema::HostRef::Builder ConfigOffer::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::schema::HostRef::Pipeline ConfigOffer::Pipeline::getFrom() {
-  return  ::dotterelshed::schema::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline ConfigOffer::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ConfigOffer::Builder::setFrom( ::dotterelshed::schema::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::set(_builder.getPointerField(
+inline void ConfigOffer::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::schema::HostRef::Builder ConfigOffer::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ConfigOffer::Builder::adoptFrom(
-    ::capnp::Orphan< ::dotterelshed::schema::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::schema::HostRef> ConfigOffer::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ConfigOffer::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
--- a/src/libpeer/membership_codec.cc
+++ b/src/libpeer/membership_codec.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <vector>
 
+#include "call_codec.h"
+
 namespace dotterelshed {
 
 namespace {
@@ -60,16 +62,6 @@
 
 }  // namespace
 
-auto Encode(const HostRef& value, schema::HostRef::Builder out) -> void {
-  out.setHost(value.m_host.value().c_str());
-  out.setIncarnation(value.m_incarnation.value());
-}
-
-auto Decode(schema::HostRef::Reader in) -> HostRef {
-  return {.m_host = HostId(ToString(in.getHost())),
-          .m_incarnation = Incarnation(in.getIncarnation())};
-}
-
 auto Encode(const HostAddresses& value, schema::HostAddresses::Builder out)
     -> void {
   out.setPeer(value.m_peer.c_str());
@@ -81,7 +73,7 @@
 }
 
 auto Encode(const Heartbeat& value, schema::Heartbeat::Builder out) -> void {
-  Encode(value.m_from, out.initFrom());
+  WriteHostRef(value.m_from, out.initFrom());
   out.setDomain(value.m_domain.value().c_str());
   Encode(value.m_addresses, out.initAddresses());
   out.setTableVersion(value.m_table_version.value());
@@ -98,7 +90,7 @@
 }
 
 auto Decode(schema::Heartbeat::Reader in) -> Heartbeat {
-  return {.m_from = Decode(in.getFrom()),
+  return {.m_from = ReadHostRef(in.getFrom()),
           .m_domain = DomainId(ToString(in.getDomain())),
           .m_addresses = Decode(in.getAddresses()),
           .m_table_version = ResourceVersion(in.getTableVersion()),
@@ -113,7 +105,7 @@
 }
 
 auto Encode(const MemberInfo& value, schema::MemberInfo::Builder out) -> void {
-  Encode(value.m_host, out.initHost());
+  WriteHostRef(value.m_host, out.initHost());
   Encode(value.m_addresses, out.initAddresses());
   out.setAlive(value.m_alive);
   out.setDraining(value.m_draining);
@@ -123,7 +115,7 @@
 }
 
 auto Decode(schema::MemberInfo::Reader in) -> MemberInfo {
-  return {.m_host = Decode(in.getHost()),
+  return {.m_host = ReadHostRef(in.getHost()),
           .m_addresses = Decode(in.getAddresses()),
           .m_alive = in.getAlive(),
           .m_draining = in.getDraining(),
@@ -137,16 +129,16 @@
   out.setPool(value.m_pool.value().c_str());
   out.setTerm(value.m_term.value());
   out.setPrimarySince(value.m_primary_since.value());
-  Encode(value.m_primary, out.initPrimary());
-  Encode(value.m_holder, out.initHolder());
+  WriteHostRef(value.m_primary, out.initPrimary());
+  WriteHostRef(value.m_holder, out.initHolder());
 }
 
 auto Decode(schema::PoolAssignment::Reader in) -> PoolAssignment {
   return {.m_pool = PoolId(ToString(in.getPool())),
           .m_term = Term(in.getTerm()),
           .m_primary_since = Term(in.getPrimarySince()),
-          .m_primary = Decode(in.getPrimary()),
-          .m_holder = Decode(in.getHolder())};
+          .m_primary = ReadHostRef(in.getPrimary()),
+          .m_holder = ReadHostRef(in.getHolder())};
 }
 
 auto Encode(const DomainTable& value, schema::DomainTable::Builder out)
@@ -154,7 +146,7 @@
   out.setDomain(value.m_domain.value().c_str());
   out.setVersion(value.m_version.value());
   out.setLeadTerm(value.m_lead_term.value());
-  Encode(value.m_lead, out.initLead());
+  WriteHostRef(value.m_lead, out.initLead());
   out.setGeneration(value.m_generation.value());
   out.setHighestTerm(value.m_highest_term.value());
   EncodePools(value, out);
@@ -166,7 +158,7 @@
   table.m_domain = DomainId(ToString(in.getDomain()));
   table.m_version = ResourceVersion(in.getVersion());
   table.m_lead_term = Term(in.getLeadTerm());
-  table.m_lead = Decode(in.getLead());
+  table.m_lead = ReadHostRef(in.getLead());
   table.m_generation = Generation(in.getGeneration());
   table.m_highest_term = Term(in.getHighestTerm());
   for (const auto pool : in.getPools()) {
@@ -185,7 +177,7 @@
 
 auto Encode(const DomainDigest& value, schema::DomainDigest::Builder out)
     -> void {
-  Encode(value.m_from, out.initFrom());
+  WriteHostRef(value.m_from, out.initFrom());
   if (value.m_table) {
     Encode(*value.m_table, out.initTable());
   }
@@ -216,7 +208,7 @@
 
 auto Decode(schema::DomainDigest::Reader in) -> DomainDigest {
   DomainDigest digest;
-  digest.m_from = Decode(in.getFrom());
+  digest.m_from = ReadHostRef(in.getFrom());
   if (in.hasTable()) {
     digest.m_table = Decode(in.getTable());
   }
@@ -259,17 +251,18 @@
 
 auto Encode(const ConfigRequest& value, schema::ConfigRequest::Builder out)
     -> void {
-  Encode(value.m_from, out.initFrom());
+  WriteHostRef(value.m_from, out.initFrom());
   out.setHave(value.m_have.value());
 }
 
 auto Decode(schema::ConfigRequest::Reader in) -> ConfigRequest {
-  return {.m_from = Decode(in.getFrom()), .m_have = Generation(in.getHave())};
+  return {.m_from = ReadHostRef(in.getFrom()),
+          .m_have = Generation(in.getHave())};
 }
 
 auto Encode(const ConfigOffer& value, schema::ConfigOffer::Builder out)
     -> void {
-  Encode(value.m_from, out.initFrom());
+  WriteHostRef(value.m_from, out.initFrom());
   out.setGeneration(value.m_generation.value());
   out.setHasBase(value.m_base.has_value());
   out.setBase(value.m_base.value_or(Generation()).value());
@@ -280,7 +273,7 @@
 
 auto Decode(schema::ConfigOffer::Reader in) -> ConfigOffer {
   ConfigOffer offer;
-  offer.m_from = Decode(in.getFrom());
+  offer.m_from = ReadHostRef(in.getFrom());
   offer.m_generation = Generation(in.getGeneration());
   if (in.getHasBase()) {
     offer.m_base = Generation(in.getBase());
--- a/src/libpeer/membership_codec.h
+++ b/src/libpeer/membership_codec.h
@@ -11,7 +11,6 @@
 
 namespace dotterelshed {
 
-auto Encode(const HostRef& value, schema::HostRef::Builder out) -> void;
 auto Encode(const HostAddresses& value, schema::HostAddresses::Builder out)
     -> void;
 auto Encode(const Heartbeat& value, schema::Heartbeat::Builder out) -> void;
@@ -27,7 +26,6 @@
     -> void;
 auto Encode(const ConfigOffer& value, schema::ConfigOffer::Builder out) -> void;
 
-auto Decode(schema::HostRef::Reader in) -> HostRef;
 auto Decode(schema::HostAddresses::Reader in) -> HostAddresses;
 auto Decode(schema::Heartbeat::Reader in) -> Heartbeat;
 auto Decode(schema::MemberInfo::Reader in) -> MemberInfo;
--- a/src/libpeer/turn.capnp
+++ b/src/libpeer/turn.capnp
@@ -2,20 +2,9 @@
 # Messages of the turn protocol; see turn_messages.h for their meaning.
 
 using Cxx = import "/capnp/c++.capnp";
+using Call = import "call.capnp";
 $Cxx.namespace("dotterelshed::turn_rpc");
 
-struct HostRef {
-  host @0 :Text;
-  incarnation @1 :Int64;
-}
-
-struct Usage {
-  prompt @0 :Int64;
-  cached @1 :Int64;
-  generated @2 :Int64;
-  cost @3 :Int64;
-}
-
 struct TurnRecord {
   turn @0 :Int64;
   request @1 :Text;
@@ -25,7 +14,7 @@
   reason @5 :UInt16;
   httpStatus @6 :Int32;
   answer @7 :Data;
-  usage @8 :Usage;
+  usage @8 :Call.Usage;
   provisional @9 :Bool;
 }
 
@@ -33,20 +22,20 @@
   request @0 :Text;
   turn @1 :Int64;
   amount @2 :Int64;
-  host @3 :HostRef;
+  host @3 :Call.HostRef;
   term @4 :Int64;
   fromEscrow @5 :Bool;
 }
 
 struct SpendEntry {
-  host @0 :HostRef;
+  host @0 :Call.HostRef;
   term @1 :Int64;
   fromEscrow @2 :Bool;
   amount @3 :Int64;
 }
 
 struct EscrowEntry {
-  host @0 :HostRef;
+  host @0 :Call.HostRef;
   term @1 :Int64;
   amount @2 :Int64;
 }
@@ -76,7 +65,7 @@
   open @7 :Reservation;
   holds @8 :List(HoldRecord);
   ended @9 :Bool;
-  writer @10 :HostRef;
+  writer @10 :Call.HostRef;
   term @11 :Int64;
 }
 
@@ -84,7 +73,7 @@
 struct Envelope {
   pool @0 :Text;
   term @1 :Int64;
-  from @2 :HostRef;
+  from @2 :Call.HostRef;
 }
 
 struct ReserveRequest {
--- a/src/libpeer/turn.capnp.h
+++ b/src/libpeer/turn.capnp.h
@@ -10,14 +10,13 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "call.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(f5250819e8f4c848);
-CAPNP_DECLARE_SCHEMA(e030182c1f883f28);
 CAPNP_DECLARE_SCHEMA(8c78ca927a5b8b8b);
 CAPNP_DECLARE_SCHEMA(b60af96dcb9dd67b);
 CAPNP_DECLARE_SCHEMA(831d929d0066418e);
@@ -40,36 +39,6 @@
 namespace dotterelshed {
 namespace turn_rpc {
 
-struct HostRef {
-  HostRef() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f5250819e8f4c848, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Usage {
-  Usage() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e030182c1f883f28, 4, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct TurnRecord {
   TurnRecord() = delete;
 
@@ -297,183 +266,6 @@
 
 // =======================================================================================
 
-class HostRef::Reader {
-public:
-  typedef HostRef Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::int64_t getIncarnation() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class HostRef::Builder {
-public:
-  typedef HostRef Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::int64_t getIncarnation();
-  inline void setIncarnation( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class HostRef::Pipeline {
-public:
-  typedef HostRef Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Usage::Reader {
-public:
-  typedef Usage Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getPrompt() const;
-
-  inline  ::int64_t getCached() const;
-
-  inline  ::int64_t getGenerated() const;
-
-  inline  ::int64_t getCost() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Usage::Builder {
-public:
-  typedef Usage Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getPrompt();
-  inline void setPrompt( ::int64_t value);
-
-  inline  ::int64_t getCached();
-  inline void setCached( ::int64_t value);
-
-  inline  ::int64_t getGenerated();
-  inline void setGenerated( ::int64_t value);
-
-  inline  ::int64_t getCost();
-  inline void setCost( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Usage::Pipeline {
-public:
-  typedef Usage Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class TurnRecord::Reader {
 public:
   typedef TurnRecord Reads;
@@ -512,7 +304,7 @@
   inline  ::capnp::Data::Reader getAnswer() const;
 
   inline bool hasUsage() const;
-  inline  ::dotterelshed::turn_rpc::Usage::Reader getUsage() const;
+  inline  ::dotterelshed::wire::Usage::Reader getUsage() const;
 
   inline bool getProvisional() const;
 
@@ -585,11 +377,11 @@
   inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
   inline bool hasUsage();
-  inline  ::dotterelshed::turn_rpc::Usage::Builder getUsage();
-  inline void setUsage( ::dotterelshed::turn_rpc::Usage::Reader value);
-  inline  ::dotterelshed::turn_rpc::Usage::Builder initUsage();
-  inline void adoptUsage(::capnp::Orphan< ::dotterelshed::turn_rpc::Usage>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Usage> disownUsage();
+  inline  ::dotterelshed::wire::Usage::Builder getUsage();
+  inline void setUsage( ::dotterelshed::wire::Usage::Reader value);
+  inline  ::dotterelshed::wire::Usage::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::dotterelshed::wire::Usage>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::Usage> disownUsage();
 
   inline bool getProvisional();
   inline void setProvisional(bool value);
@@ -612,7 +404,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::turn_rpc::Usage::Pipeline getUsage();
+  inline  ::dotterelshed::wire::Usage::Pipeline getUsage();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -646,7 +438,7 @@
   inline  ::int64_t getAmount() const;
 
   inline bool hasHost() const;
-  inline  ::dotterelshed::turn_rpc::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
   inline  ::int64_t getTerm() const;
 
@@ -694,11 +486,11 @@
   inline void setAmount( ::int64_t value);
 
   inline bool hasHost();
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder getHost();
-  inline void setHost( ::dotterelshed::turn_rpc::HostRef::Reader value);
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
   inline  ::int64_t getTerm();
   inline void setTerm( ::int64_t value);
@@ -724,7 +516,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getHost();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -751,7 +543,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline  ::dotterelshed::turn_rpc::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
   inline  ::int64_t getTerm() const;
 
@@ -788,11 +580,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder getHost();
-  inline void setHost( ::dotterelshed::turn_rpc::HostRef::Reader value);
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
   inline  ::int64_t getTerm();
   inline void setTerm( ::int64_t value);
@@ -821,7 +613,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getHost();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -848,7 +640,7 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline  ::dotterelshed::turn_rpc::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
   inline  ::int64_t getTerm() const;
 
@@ -883,11 +675,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder getHost();
-  inline void setHost( ::dotterelshed::turn_rpc::HostRef::Reader value);
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
   inline  ::int64_t getTerm();
   inline void setTerm( ::int64_t value);
@@ -913,7 +705,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getHost();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1179,7 +971,7 @@
   inline bool getEnded() const;
 
   inline bool hasWriter() const;
-  inline  ::dotterelshed::turn_rpc::HostRef::Reader getWriter() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getWriter() const;
 
   inline  ::int64_t getTerm() const;
 
@@ -1270,11 +1062,11 @@
   inline void setEnded(bool value);
 
   inline bool hasWriter();
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder getWriter();
-  inline void setWriter( ::dotterelshed::turn_rpc::HostRef::Reader value);
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder initWriter();
-  inline void adoptWriter(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownWriter();
+  inline  ::dotterelshed::wire::HostRef::Builder getWriter();
+  inline void setWriter( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initWriter();
+  inline void adoptWriter(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownWriter();
 
   inline  ::int64_t getTerm();
   inline void setTerm( ::int64_t value);
@@ -1298,7 +1090,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::dotterelshed::turn_rpc::Reservation::Pipeline getOpen();
-  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getWriter();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getWriter();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1330,7 +1122,7 @@
   inline  ::int64_t getTerm() const;
 
   inline bool hasFrom() const;
-  inline  ::dotterelshed::turn_rpc::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1371,11 +1163,11 @@
   inline void setTerm( ::int64_t value);
 
   inline bool hasFrom();
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder getFrom();
-  inline void setFrom( ::dotterelshed::turn_rpc::HostRef::Reader value);
-  inline  ::dotterelshed::turn_rpc::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value);
-  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1395,7 +1187,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::dotterelshed::turn_rpc::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2230,110 +2022,6 @@
 
 // =======================================================================================
 
-inline bool HostRef::Reader::hasHost() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool HostRef::Builder::hasHost() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader HostRef::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder HostRef::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void HostRef::Builder::setHost( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder HostRef::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void HostRef::Builder::adoptHost(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> HostRef::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t HostRef::Reader::getIncarnation() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t HostRef::Builder::getIncarnation() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void HostRef::Builder::setIncarnation( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Usage::Reader::getPrompt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Usage::Builder::getPrompt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Usage::Builder::setPrompt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Usage::Reader::getCached() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Usage::Builder::getCached() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Usage::Builder::setCached( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Usage::Reader::getGenerated() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Usage::Builder::getGenerated() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Usage::Builder::setGenerated( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Usage::Reader::getCost() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Usage::Builder::getCost() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Usage::Builder::setCost( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::int64_t TurnRecord::Reader::getTurn() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2534,34 +2222,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::Usage::Reader TurnRecord::Reader::getUsage() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::Usage::Reader TurnRecord::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::Usage::Builder TurnRecord::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::Usage::Pipeline TurnRecord::Pipeline::getUsage() {
-  return  ::dotterelshed::turn_rpc::Usage::Pipeline(_typeless.getPointerField(4));
+inline  ::dotterelshed::wire::Usage::Pipeline TurnRecord::Pipeline::getUsage() {
+  return  ::dotterelshed::wire::Usage::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void TurnRecord::Builder::setUsage( ::dotterelshed::turn_rpc::Usage::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::set(_builder.getPointerField(
+inline void TurnRecord::Builder::setUsage( ::dotterelshed::wire::Usage::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::Usage::Builder TurnRecord::Builder::initUsage() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::initUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void TurnRecord::Builder::adoptUsage(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::Usage>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::Usage>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Usage> TurnRecord::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Usage>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::Usage> TurnRecord::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
@@ -2649,34 +2337,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Reader Reservation::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader Reservation::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder Reservation::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Reservation::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::HostRef::Pipeline Reservation::Pipeline::getHost() {
-  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline Reservation::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Reservation::Builder::setHost( ::dotterelshed::turn_rpc::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+inline void Reservation::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder Reservation::Builder::initHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Reservation::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Reservation::Builder::adoptHost(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> Reservation::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Reservation::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
@@ -2716,34 +2404,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Reader SpendEntry::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader SpendEntry::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder SpendEntry::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::HostRef::Pipeline SpendEntry::Pipeline::getHost() {
-  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline SpendEntry::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SpendEntry::Builder::setHost( ::dotterelshed::turn_rpc::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+inline void SpendEntry::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder SpendEntry::Builder::initHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void SpendEntry::Builder::adoptHost(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> SpendEntry::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> SpendEntry::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -2797,34 +2485,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Reader EscrowEntry::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader EscrowEntry::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder EscrowEntry::Builder::getHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::HostRef::Pipeline EscrowEntry::Pipeline::getHost() {
-  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline EscrowEntry::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EscrowEntry::Builder::setHost( ::dotterelshed::turn_rpc::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+inline void EscrowEntry::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder EscrowEntry::Builder::initHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EscrowEntry::Builder::adoptHost(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> EscrowEntry::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> EscrowEntry::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -3381,34 +3069,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Reader ProgramRecord::Reader::getWriter() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader ProgramRecord::Reader::getWriter() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder ProgramRecord::Builder::getWriter() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ProgramRecord::Builder::getWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::HostRef::Pipeline ProgramRecord::Pipeline::getWriter() {
-  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(7));
+inline  ::dotterelshed::wire::HostRef::Pipeline ProgramRecord::Pipeline::getWriter() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(7));
 }
 #endif  // !CAPNP_LITE
-inline void ProgramRecord::Builder::setWriter( ::dotterelshed::turn_rpc::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+inline void ProgramRecord::Builder::setWriter( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder ProgramRecord::Builder::initWriter() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder ProgramRecord::Builder::initWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void ProgramRecord::Builder::adoptWriter(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> ProgramRecord::Builder::disownWriter() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ProgramRecord::Builder::disownWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
@@ -3482,34 +3170,34 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Reader Envelope::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_reader.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Reader Envelope::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder Envelope::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::get(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Envelope::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::dotterelshed::turn_rpc::HostRef::Pipeline Envelope::Pipeline::getFrom() {
-  return  ::dotterelshed::turn_rpc::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline Envelope::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Envelope::Builder::setFrom( ::dotterelshed::turn_rpc::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::set(_builder.getPointerField(
+inline void Envelope::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::dotterelshed::turn_rpc::HostRef::Builder Envelope::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::init(_builder.getPointerField(
+inline  ::dotterelshed::wire::HostRef::Builder Envelope::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Envelope::Builder::adoptFrom(
-    ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef>&& value) {
-  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::dotterelshed::turn_rpc::HostRef> Envelope::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::HostRef>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Envelope::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
--- a/src/libpeer/turn_codec.cc
+++ b/src/libpeer/turn_codec.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "call_codec.h"
+
 namespace dotterelshed {
 
 namespace {
@@ -19,30 +21,6 @@
   return Id(ToText(text));
 }
 
-auto Write(const HostRef& host, rpc::HostRef::Builder out) -> void {
-  out.setHost(host.m_host.value());
-  out.setIncarnation(host.m_incarnation.value());
-}
-
-auto Read(rpc::HostRef::Reader in) -> HostRef {
-  return {.m_host = ToId<HostId>(in.getHost()),
-          .m_incarnation = Incarnation(in.getIncarnation())};
-}
-
-auto Write(const Usage& usage, rpc::Usage::Builder out) -> void {
-  out.setPrompt(usage.m_prompt.value());
-  out.setCached(usage.m_cached.value());
-  out.setGenerated(usage.m_generated.value());
-  out.setCost(usage.m_cost.value());
-}
-
-auto Read(rpc::Usage::Reader in) -> Usage {
-  return {.m_prompt = Tokens(in.getPrompt()),
-          .m_cached = Tokens(in.getCached()),
-          .m_generated = Tokens(in.getGenerated()),
-          .m_cost = Cost(in.getCost())};
-}
-
 auto Write(const TurnRecord& record, rpc::TurnRecord::Builder out) -> void {
   out.setTurn(record.m_turn.value());
   out.setRequest(record.m_request.value());
@@ -53,7 +31,7 @@
   out.setHttpStatus(record.m_http_status);
   auto answer = out.initAnswer(record.m_answer.size());
   std::copy(record.m_answer.begin(), record.m_answer.end(), answer.begin());
-  Write(record.m_usage, out.initUsage());
+  WriteUsage(record.m_usage, out.initUsage());
   out.setProvisional(record.m_provisional);
 }
 
@@ -67,7 +45,7 @@
           .m_reason = static_cast<ReasonCode>(in.getReason()),
           .m_http_status = in.getHttpStatus(),
           .m_answer = std::string(answer.begin(), answer.size()),
-          .m_usage = Read(in.getUsage()),
+          .m_usage = ReadUsage(in.getUsage()),
           .m_provisional = in.getProvisional()};
 }
 
@@ -76,7 +54,7 @@
   out.setRequest(reservation.m_request.value());
   out.setTurn(reservation.m_turn.value());
   out.setAmount(reservation.m_amount.value());
-  Write(reservation.m_host, out.initHost());
+  WriteHostRef(reservation.m_host, out.initHost());
   out.setTerm(reservation.m_term.value());
   out.setFromEscrow(reservation.m_from_escrow);
 }
@@ -85,33 +63,33 @@
   return {.m_request = ToId<RequestId>(in.getRequest()),
           .m_turn = Turn(in.getTurn()),
           .m_amount = Cost(in.getAmount()),
-          .m_host = Read(in.getHost()),
+          .m_host = ReadHostRef(in.getHost()),
           .m_term = Term(in.getTerm()),
           .m_from_escrow = in.getFromEscrow()};
 }
 
 auto Write(const SpendEntry& entry, rpc::SpendEntry::Builder out) -> void {
-  Write(entry.m_host, out.initHost());
+  WriteHostRef(entry.m_host, out.initHost());
   out.setTerm(entry.m_term.value());
   out.setFromEscrow(entry.m_from_escrow);
   out.setAmount(entry.m_amount.value());
 }
 
 auto Read(rpc::SpendEntry::Reader in) -> SpendEntry {
-  return {.m_host = Read(in.getHost()),
+  return {.m_host = ReadHostRef(in.getHost()),
           .m_term = Term(in.getTerm()),
           .m_from_escrow = in.getFromEscrow(),
           .m_amount = Cost(in.getAmount())};
 }
 
 auto Write(const EscrowEntry& entry, rpc::EscrowEntry::Builder out) -> void {
-  Write(entry.m_host, out.initHost());
+  WriteHostRef(entry.m_host, out.initHost());
   out.setTerm(entry.m_term.value());
   out.setAmount(entry.m_amount.value());
 }
 
 auto Read(rpc::EscrowEntry::Reader in) -> EscrowEntry {
-  return {.m_host = Read(in.getHost()),
+  return {.m_host = ReadHostRef(in.getHost()),
           .m_term = Term(in.getTerm()),
           .m_amount = Cost(in.getAmount())};
 }
@@ -178,7 +156,7 @@
   out.setAccount(record.m_account.value());
   out.setClass(record.m_class.value());
   out.setSequence(record.m_sequence);
-  Write(record.m_writer, out.initWriter());
+  WriteHostRef(record.m_writer, out.initWriter());
   out.setTerm(record.m_term.value());
   out.setTried(record.m_tried.value());
   WriteList(record.m_turns, out.initTurns(record.m_turns.size()));
@@ -195,7 +173,7 @@
                        .m_account = ToId<AccountId>(in.getAccount()),
                        .m_class = ToId<ClassId>(in.getClass()),
                        .m_sequence = in.getSequence(),
-                       .m_writer = Read(in.getWriter()),
+                       .m_writer = ReadHostRef(in.getWriter()),
                        .m_term = Term(in.getTerm()),
                        .m_tried = Turn(in.getTried()),
                        .m_turns = ReadList<TurnRecord>(in.getTurns()),
@@ -211,7 +189,7 @@
 auto WriteEnvelope(const Message& message, rpc::Envelope::Builder out) -> void {
   out.setPool(message.m_pool.value());
   out.setTerm(message.m_term.value());
-  Write(message.m_from, out.initFrom());
+  WriteHostRef(message.m_from, out.initFrom());
 }
 
 template <typename Message>
@@ -219,7 +197,7 @@
   Message message;
   message.m_pool = ToId<PoolId>(in.getPool());
   message.m_term = Term(in.getTerm());
-  message.m_from = Read(in.getFrom());
+  message.m_from = ReadHostRef(in.getFrom());
   return message;
 }
 
--- a/src/libpeer/turn_codec_unittest.cc
+++ b/src/libpeer/turn_codec_unittest.cc
@@ -63,7 +63,7 @@
 auto RoundTrip(const Message& message, Reader read) -> Message {
   capnp::MallocMessageBuilder first;
   WriteMessage(message, first.initRoot<Wire>());
-  const Message copy = read(first.getRoot<Wire>().asReader());
+  Message copy = read(first.getRoot<Wire>().asReader());
   capnp::MallocMessageBuilder second;
   WriteMessage(copy, second.initRoot<Wire>());
   CHECK(first.getRoot<Wire>().toString().flatten() ==
