--- a/src/include/dotterelshed/desk_config.h
+++ b/src/include/dotterelshed/desk_config.h
@@ -22,7 +22,7 @@
   DomainId m_domain;
   /// IP address and port, "127.0.0.1:8000".
   std::string m_address;
-  /// Requests that it may run at once; upper bound of the adaptive limit.
+  /// Requests that it may run at once.
   int m_max_concurrency = 16;
   /// Memory for KV prefixes.
   Tokens m_kv_capacity;
--- a/src/libconfig/desk_keys.cc
+++ b/src/libconfig/desk_keys.cc
@@ -150,8 +150,7 @@
      .m_default = "16",
      .m_min = 1,
      .m_max = 4096,
-     .m_meaning = "Calls that it may run at once; upper bound of the adaptive "
-                  "limit."},
+     .m_meaning = "Calls that it may run at once."},
     {.m_path = "services[].endpoints[].kv_tokens",
      .m_type = ValueType::kCount,
      .m_default = "0",
