Make the limits of the random walk options, and walk without them

New cases: owners fail at any moment; the same, where a break passes only if the walk saw the last copy of that very history or spend crash; message loss in planned stops.

--- a/src/libcore/core_walk.h
+++ b/src/libcore/core_walk.h
@@ -32,12 +32,21 @@
   int m_faults = 6;
   /// Budget of a root program, in bounds of one call; 0 takes it from the seed.
   int m_budget_calls = 0;
+  /// Two copies survive one loss, so an owner of the pool fails only while the
+  /// other one, or in an outage another live host, has what callers were told.
+  /// Off, owners fail at any moment.
+  bool m_spare_last_copy = true;
+  /// Three lost heartbeats make a host count as down, so no message is lost in
+  /// walks with only planned stops. Off, messages are lost there as well.
+  bool m_lossless_stops = true;
   CoreMechanisms m_mechanisms;
 };
 
 struct WalkResult {
   /// What broke; empty if everything held.
   std::string m_violation;
+  /// What broke needs a history or a spend whose last copy crashed before.
+  bool m_copies_lost = false;
   int m_answers = 0;
   int m_provisional = 0;
   int m_runs = 0;
@@ -110,6 +119,12 @@
  private:
   auto Roll(int sides) -> int;
   auto Violate(const std::string& what) -> void;
+  /// Breaks that can follow from a lost history of a program, or from a lost
+  /// spend of a root.
+  auto ViolateHistory(const std::string& what, const ProgramId& program)
+      -> void;
+  auto ViolateBudget(const ProgramId& root) -> void;
+  auto NoteLostCopies(const WalkHost& victim) -> void;
   auto IsUp(const WalkHost& host) const -> bool;
   auto AllUp() const -> bool;
   auto Find(const HostId& host) -> WalkHost&;
@@ -168,6 +183,8 @@
   std::map<RequestId, int> m_runs_by_request;
   std::map<std::string, int> m_runs_by_key;
   std::map<ProgramId, Cost> m_spent;
+  std::set<ProgramId> m_lost_histories;
+  std::set<ProgramId> m_lost_spends;
   std::set<RequestId> m_not_run;
   struct Released {
     std::string m_body;
--- a/src/libcore/core_walk_callers_unittest.cc
+++ b/src/libcore/core_walk_callers_unittest.cc
@@ -140,7 +140,7 @@
   const auto first = released.m_body.empty();
   const auto provisional = released.m_provisional || answer.m_provisional;
   if (!first && released.m_body != answer.m_body && !provisional) {
-    Violate("two answers for " + content);
+    ViolateHistory("two answers for " + content, caller.m_program);
   }
   released = {answer.m_body, provisional};
 }
@@ -216,6 +216,9 @@
 }
 
 auto World::MayFail(const WalkHost& victim) -> bool {
+  if (!m_options.m_spare_last_copy) {
+    return true;
+  }
   // A pool is on two hosts, so that one of them may fail, and the next one
   // when the pool is on two hosts again. Outages come on top at any time; then
   // a host may fail if another one still has what callers were told.
@@ -264,6 +267,40 @@
   return known;
 }
 
+auto World::ViolateHistory(const std::string& what, const ProgramId& program)
+    -> void {
+  if (m_result.m_violation.empty()) {
+    m_result.m_copies_lost = m_lost_histories.contains(program);
+  }
+  Violate(what);
+}
+
+auto World::ViolateBudget(const ProgramId& root) -> void {
+  if (m_result.m_violation.empty()) {
+    m_result.m_copies_lost = m_lost_spends.contains(root);
+  }
+  Violate("over budget: " + root.value());
+}
+
+auto World::NoteLostCopies(const WalkHost& victim) -> void {
+  for (const auto& caller : m_callers) {
+    const auto token = m_last_token.find(caller.m_program);
+    if (token != m_last_token.end() && !KeptBeside(victim, token->second)) {
+      m_lost_histories.insert(caller.m_program);
+    }
+    const auto known =
+        std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+          return item.first != victim.m_ref.m_host &&
+                 item.second.m_core != nullptr &&
+                 KnownSpent(item.first, caller.m_root) >=
+                     m_spent[caller.m_root];
+        });
+    if (!known) {
+      m_lost_spends.insert(caller.m_root);
+    }
+  }
+}
+
 auto World::EndProgram(const ProgramId& program) -> void {
   for (auto& [id, host] : m_hosts) {
     if (IsUp(host)) {
@@ -297,7 +334,8 @@
   }
   for (auto& caller : m_callers) {
     if (stuck(caller)) {
-      Violate("history lost or stuck: " + caller.m_program.value());
+      ViolateHistory("history lost or stuck: " + caller.m_program.value(),
+                     caller.m_program);
     }
     caller.m_over = true;
   }
--- a/src/libcore/core_walk_unittest.cc
+++ b/src/libcore/core_walk_unittest.cc
@@ -15,30 +15,60 @@
   return text == nullptr ? fallback : std::atoi(text);
 }
 
-TEST_CASE("random walks keep every promise") {
+auto Add(WalkResult& sum, const WalkResult& result) -> void {
+  sum.m_answers += result.m_answers;
+  sum.m_provisional += result.m_provisional;
+  sum.m_runs += result.m_runs;
+  sum.m_crashes += result.m_crashes;
+  sum.m_outages += result.m_outages;
+  sum.m_pauses += result.m_pauses;
+  sum.m_drains += result.m_drains;
+}
+
+enum class Breaks { kNone, kCopiesLost };
+
+/// Runs walks of the seeds that the environment asks for and checks that none
+/// breaks.
+auto CheckWalks(WalkOptions options, Breaks allowed = Breaks::kNone) -> void {
   const auto walks = NumberFromEnvironment("DOTTERELSHED_WALKS", 500);
   const auto first = NumberFromEnvironment("DOTTERELSHED_SEED", 1);
   WalkResult sum;
   auto broken = 0;
+  auto copies_lost = 0;
   for (auto seed = first; seed < first + walks; ++seed) {
-    const auto result = RunWalk({.m_seed = static_cast<std::uint64_t>(seed)});
-    sum.m_answers += result.m_answers;
-    sum.m_provisional += result.m_provisional;
-    sum.m_runs += result.m_runs;
-    sum.m_crashes += result.m_crashes;
-    sum.m_outages += result.m_outages;
-    sum.m_pauses += result.m_pauses;
-    sum.m_drains += result.m_drains;
-    if (!result.m_violation.empty()) {
+    options.m_seed = static_cast<std::uint64_t>(seed);
+    const auto result = RunWalk(options);
+    Add(sum, result);
+    if (allowed == Breaks::kCopiesLost && result.m_copies_lost) {
+      ++copies_lost;
+    } else if (!result.m_violation.empty()) {
       ++broken;
       UNSCOPED_INFO("seed " << seed << ": " << result.m_violation);
     }
   }
   CAPTURE(walks, sum.m_answers, sum.m_provisional, sum.m_runs, sum.m_crashes,
-          sum.m_outages, sum.m_pauses, sum.m_drains);
+          sum.m_outages, sum.m_pauses, sum.m_drains, copies_lost);
   CHECK(broken == 0);
 }
 
+TEST_CASE("random walks keep every promise") {
+  CheckWalks({});
+}
+
+TEST_CASE("walks whose owners fail at any moment keep every promise", "[.]") {
+  CheckWalks({.m_spare_last_copy = false});
+}
+
+// Two crashes can destroy both copies. Whatever else breaks is a fault.
+TEST_CASE("walks whose owners fail at any moment break only by lost copies") {
+  CheckWalks({.m_spare_last_copy = false}, Breaks::kCopiesLost);
+}
+
+TEST_CASE("walks that lose messages in planned stops keep every promise",
+          "[.]") {
+  CheckWalks({.m_lossless_stops = false});
+}
+
 /// A mechanism that is off, and the first seed to try: the search goes on from
 /// there, so that the test stays quick until the walks change.
 struct SwitchedOff {
--- a/src/libcore/core_walk_world_unittest.cc
+++ b/src/libcore/core_walk_world_unittest.cc
@@ -131,6 +131,7 @@
 }
 
 auto World::Crash(WalkHost& host) -> void {
+  NoteLostCopies(host);
   host.m_core.reset();
   host.m_ref.m_incarnation = host.m_ref.m_incarnation.Next();
   host.m_down_until = m_now + milliseconds(100 + Roll(1500));
@@ -206,8 +207,8 @@
   if (!keep) {
     m_bag.erase(m_bag.begin() + static_cast<std::ptrdiff_t>(index));
   }
-  // Three lost heartbeats make a host count as down, which is no planned stop.
-  const auto lossy = !m_calm && !OnlyPlannedStops();
+  const auto lossless = OnlyPlannedStops() && m_options.m_lossless_stops;
+  const auto lossy = !m_calm && !lossless;
   const auto lost = message && lossy && Roll(25) == 0;
   const auto meant =
       message || *delivery.m_incarnation == host.m_ref.m_incarnation;
@@ -346,7 +347,7 @@
   auto& spent = m_spent[call.m_root];
   spent += cost;
   if (spent > m_budget) {
-    Violate("over budget: " + call.m_root.value());
+    ViolateBudget(call.m_root);
   }
   if (!start.m_hold.empty()) {
     m_held[start.m_endpoint][start.m_hold] = {start.m_hold, start.m_endpoint,
