--- a/src/libconfig/text_values.cc
+++ b/src/libconfig/text_values.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::int64_t kMillion = 1000000;
-constexpr int kMaxDecimals = 6;
+constexpr std::size_t kMaxDecimals = 6;
 constexpr std::size_t kMaxNameLength = 64;
 constexpr int kMaxPort = 65535;
 
@@ -53,6 +53,47 @@
   return found == units.end() ? nullptr : found;
 }
 
+/// Length of the digits and points that @p text begins with.
+auto LengthOfDigits(std::string_view text) -> std::size_t {
+  const auto end = std::find_if_not(text.begin(), text.end(), [](char letter) {
+    return IsDigit(letter) || letter == '.';
+  });
+  return static_cast<std::size_t>(end - text.begin());
+}
+
+/// @p value with one more decimal digit, or nothing if it is too large.
+auto AppendDigit(std::int64_t value, int digit) -> std::optional<std::int64_t> {
+  constexpr auto kBase = 10;
+  if (value > (std::numeric_limits<std::int64_t>::max() - digit) / kBase) {
+    return std::nullopt;
+  }
+  return value * kBase + digit;
+}
+
+/// A number like "12" or "12.50" in millionths; nothing if @p text is no such
+/// number, has too many decimals, or is too large.
+auto ParseMillionths(std::string_view text) -> std::optional<std::int64_t> {
+  const auto point = std::min(text.find('.'), text.size());
+  const auto whole = text.substr(0, point);
+  const auto decimals = text.substr(std::min(point + 1, text.size()));
+  const auto has_point = point < text.size();
+  const auto malformed = whole.empty() || (has_point && decimals.empty()) ||
+                         decimals.find('.') != std::string_view::npos;
+  if (malformed || decimals.size() > kMaxDecimals) {
+    return std::nullopt;
+  }
+  auto digits = std::string(whole) + std::string(decimals);
+  digits.append(kMaxDecimals - decimals.size(), '0');
+  std::optional<std::int64_t> value = 0;
+  for (const auto letter : digits) {
+    value = AppendDigit(*value, letter - '0');
+    if (!value) {
+      return std::nullopt;
+    }
+  }
+  return value;
+}
+
 /// @p number times @p factor, or nothing if that is no whole 64-bit count.
 auto Scale(const NumberWithUnit& number, std::int64_t factor)
     -> std::optional<std::int64_t> {
@@ -138,43 +179,14 @@
 }  // namespace
 
 auto SplitNumber(std::string_view text) -> std::optional<NumberWithUnit> {
-  std::int64_t value = 0;
-  auto decimals = 0;
-  auto seen_point = false;
-  auto digits = std::size_t{0};
-  auto at = std::size_t{0};
-  for (; at < text.size() && (IsDigit(text[at]) || text[at] == '.'); ++at) {
-    if (text[at] == '.') {
-      if (seen_point || digits == 0) {
-        return std::nullopt;
-      }
-      seen_point = true;
-      continue;
-    }
-    decimals += seen_point ? 1 : 0;
-    const auto digit = text[at] - '0';
-    const auto overflows =
-        value > (std::numeric_limits<std::int64_t>::max() - digit) / 10;
-    if (overflows || decimals > kMaxDecimals) {
-      return std::nullopt;
-    }
-    value = value * 10 + digit;
-    ++digits;
-  }
-  if (digits == 0 || text[at - 1] == '.') {
+  const auto length = LengthOfDigits(text);
+  const auto value = ParseMillionths(text.substr(0, length));
+  if (!value) {
     return std::nullopt;
   }
-  for (; decimals < kMaxDecimals; ++decimals) {
-    if (value > std::numeric_limits<std::int64_t>::max() / 10) {
-      return std::nullopt;
-    }
-    value *= 10;
-  }
-  text.remove_prefix(at);
-  while (!text.empty() && text.front() == ' ') {
-    text.remove_prefix(1);
-  }
-  return NumberWithUnit{.m_millionths = value, .m_unit = text};
+  auto unit = text.substr(length);
+  unit.remove_prefix(std::min(unit.find_first_not_of(' '), unit.size()));
+  return NumberWithUnit{.m_millionths = *value, .m_unit = unit};
 }
 
 auto ParseDuration(std::string_view text) -> Parsed<Duration> {
