--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -41,6 +41,9 @@
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
 
+/// Name of a kind in the Prometheus text format.
+auto ToString(MetricKind kind) -> std::string_view;
+
 /// One metric as the catalogue lists it.
 struct MetricInfo {
   MetricId m_id;
--- a/src/libbase/metrics.cc
+++ b/src/libbase/metrics.cc
@@ -130,18 +130,6 @@
          FormatNumber(series.m_value) + "\n";
 }
 
-auto TypeName(MetricKind kind) -> std::string {
-  switch (kind) {
-    case MetricKind::kCounter:
-      return "counter";
-    case MetricKind::kGauge:
-      return "gauge";
-    case MetricKind::kHistogram:
-      return "histogram";
-  }
-  return "untyped";
-}
-
 }  // namespace
 
 auto CountMetric(MetricId id, std::string_view label, std::int64_t amount)
@@ -185,7 +173,7 @@
     }
     const auto name = std::string(info.m_name);
     text += "# HELP " + name + " " + std::string(info.m_help) + "\n";
-    text += "# TYPE " + name + " " + TypeName(info.m_kind) + "\n";
+    text += "# TYPE " + name + " " + std::string(ToString(info.m_kind)) + "\n";
     for (const auto& [label, series] : all) {
       text += FormatSeries(info, label, series);
     }
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -47,6 +47,8 @@
      "Log events, by level, whether they were written or not."},
 });
 
+}  // namespace
+
 auto ToString(MetricKind kind) -> std::string_view {
   switch (kind) {
     case MetricKind::kCounter:
@@ -59,8 +61,6 @@
   return "gauge";
 }
 
-}  // namespace
-
 auto MetricCatalogue() -> std::span<const MetricInfo> {
   return kCatalogue;
 }
