--- a/src/libconfig/desk_references.cc
+++ b/src/libconfig/desk_references.cc
@@ -2,7 +2,7 @@
 #include <set>
 
 #include "desk_compiler.h"
-#include "key_schema.h"
+#include "nearest_name.h"
 #include "node_reader.h"
 #include "text_values.h"
 
@@ -222,7 +222,7 @@
     }
   }
 
-  /// Follows depends_on from each service; a way back to the start is a cycle.
+  /// Follows depends_on from each service; a path back to it is a cycle.
   auto CheckCycles() -> void {
     for (const auto& node : ReadItems(m_root, "services")) {
       auto& edges = m_dependencies[ReadText(node, "name")];
@@ -234,7 +234,7 @@
     for (const auto& entry : m_dependencies) {
       std::vector<std::string> cycle;
       std::set<std::string> visited;
-      const auto found = FindWay(entry.first, entry.first, visited, cycle);
+      const auto found = FindPath(entry.first, entry.first, visited, cycle);
       if (found && !reported.contains(entry.first)) {
         ReportCycle(cycle);
         reported.insert(cycle.begin(), cycle.end());
@@ -242,36 +242,37 @@
     }
   }
 
-  /// Whether @p target can be reached from @p from; the way is left in @p way.
-  auto FindWay(const std::string& from,
-               const std::string& target,
-               std::set<std::string>& visited,
-               std::vector<std::string>& way) -> bool {
-    way.push_back(from);
+  /// Whether @p target can be reached from @p from; the services
+  /// on the path are left in @p path.
+  auto FindPath(const std::string& from,
+                const std::string& target,
+                std::set<std::string>& visited,
+                std::vector<std::string>& path) -> bool {
+    path.push_back(from);
     for (const auto& next : m_dependencies[from]) {
       if (next == target) {
         return true;
       }
       if (m_dependencies.contains(next) && visited.insert(next).second &&
-          FindWay(next, target, visited, way)) {
+          FindPath(next, target, visited, path)) {
         return true;
       }
     }
-    way.pop_back();
+    path.pop_back();
     return false;
   }
 
   auto ReportCycle(const std::vector<std::string>& cycle) -> void {
-    std::string way;
+    std::string path;
     for (const auto& name : cycle) {
-      way += name + " -> ";
+      path += name + " -> ";
     }
     const auto& services = ReadItems(m_root, "services");
     for (auto i = std::size_t{0}; i < services.size(); ++i) {
       if (ReadText(services[i], "name") == cycle.front()) {
         Report({ItemPath("services", i) + ".depends_on",
                 LineOf(services[i], "depends_on")},
-               "services depend on each other: " + way + cycle.front(),
+               "services depend on each other: " + path + cycle.front(),
                "remove one of these dependencies");
         return;
       }
--- a/src/libconfig/key_reference.cc
+++ b/src/libconfig/key_reference.cc
@@ -1,5 +1,6 @@
 #include "dotterelshed/key_reference.h"
 
+#include "key_description.h"
 #include "key_schema.h"
 
 namespace dotterelshed {
--- a/src/libconfig/key_schema.cc
+++ b/src/libconfig/key_schema.cc
@@ -1,15 +1,15 @@
 #include "key_schema.h"
 
 #include <algorithm>
-#include <optional>
 
+#include "key_description.h"
+#include "nearest_name.h"
 #include "text_values.h"
 
 namespace dotterelshed::pvt {
 
 namespace {
 
-constexpr auto kNoUpperBound = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t kSha256HexLength = 64;
 
 /// Where a value stands: its place in the text and its pattern in the table.
@@ -19,11 +19,6 @@
   int m_line = 1;
 };
 
-auto ChildPattern(const std::string& parent, std::string_view key)
-    -> std::string {
-  return MemberPath(parent, key);
-}
-
 auto IsSha256(std::string_view text) -> bool {
   const auto is_hex = [](char letter) {
     return (letter >= '0' && letter <= '9') || (letter >= 'a' && letter <= 'f');
@@ -32,16 +27,6 @@
          std::all_of(text.begin(), text.end(), is_hex);
 }
 
-auto SplitChoices(std::string_view choices) -> std::vector<std::string> {
-  std::vector<std::string> result;
-  while (!choices.empty()) {
-    const auto bar = std::min(choices.find('|'), choices.size());
-    result.emplace_back(choices.substr(0, bar));
-    choices.remove_prefix(std::min(bar + 1, choices.size()));
-  }
-  return result;
-}
-
 /// Walks the tree beside the table.
 class KeyChecker {
  public:
@@ -115,7 +100,7 @@
                    const std::vector<const KeySpec*>& known) -> void {
     const ValuePlace place{
         .m_path = MemberPath(parent.m_path, member.m_key),
-        .m_pattern = ChildPattern(parent.m_pattern, member.m_key),
+        .m_pattern = MemberPath(parent.m_pattern, member.m_key),
         .m_line = member.m_line};
     const auto* key = FindKey(place.m_pattern);
     if (key == nullptr) {
@@ -292,38 +277,6 @@
   std::vector<ConfigProblem> m_problems;
 };
 
-/// Single-letter edits that turn @p left into @p right.
-auto EditDistance(std::string_view left, std::string_view right)
-    -> std::size_t {
-  std::vector<std::size_t> row(right.size() + 1);
-  for (auto j = std::size_t{0}; j <= right.size(); ++j) {
-    row[j] = j;
-  }
-  for (auto i = std::size_t{1}; i <= left.size(); ++i) {
-    auto diagonal = row[0];
-    row[0] = i;
-    for (auto j = std::size_t{1}; j <= right.size(); ++j) {
-      const auto replaced = diagonal + (left[i - 1] == right[j - 1] ? 0U : 1U);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
-    }
-  }
-  return row[right.size()];
-}
-
-auto FormatBound(const KeySpec& key, std::int64_t bound) -> std::string {
-  switch (key.m_type) {
-    case ValueType::kDuration:
-      return FormatDuration(Duration(bound));
-    case ValueType::kBytes:
-      return FormatBytes(Bytes(bound));
-    case ValueType::kPercent:
-      return std::to_string(bound) + "%";
-    default:
-      return std::to_string(bound);
-  }
-}
-
 }  // namespace
 
 auto CheckKeys(const TextNode& root, const CheckContext& context)
@@ -331,77 +284,4 @@
   return KeyChecker(context).Run(root);
 }
 
-auto NearestName(std::string_view name,
-                 const std::vector<std::string>& candidates) -> std::string {
-  constexpr std::size_t kMaxLength = 64;
-  std::string best;
-  auto best_distance = std::max<std::size_t>(name.size() / 2, 2);
-  if (name.size() > kMaxLength) {
-    return best;
-  }
-  for (const auto& candidate : candidates) {
-    const auto distance = EditDistance(name, candidate);
-    if (distance < best_distance ||
-        (distance == best_distance && best.empty())) {
-      best = candidate;
-      best_distance = distance;
-    }
-  }
-  return best;
-}
-
-auto DescribeRange(const KeySpec& key) -> std::string {
-  const auto ranged =
-      key.m_type == ValueType::kCount || key.m_type == ValueType::kDuration ||
-      key.m_type == ValueType::kBytes || key.m_type == ValueType::kPercent;
-  if (!ranged) {
-    return "";
-  }
-  const auto low = FormatBound(key, key.m_min);
-  if (key.m_max == kNoUpperBound) {
-    return "at least " + low;
-  }
-  return low + " to " + FormatBound(key, key.m_max);
-}
-
-auto DescribeType(const KeySpec& key) -> std::string {
-  switch (key.m_type) {
-    case ValueType::kMap:
-      return "a map";
-    case ValueType::kList:
-      return "a list of maps";
-    case ValueType::kNameList:
-      return "a list of names";
-    case ValueType::kAddressList:
-      return "a list of addresses like \"10.1.0.11:8000\"";
-    case ValueType::kName:
-      return "a name";
-    case ValueType::kText:
-      return "a string";
-    case ValueType::kBoolean:
-      return "true or false";
-    case ValueType::kCount:
-      return "a whole number";
-    case ValueType::kDuration:
-      return "a duration like \"500ms\", \"60s\" or \"10m\"";
-    case ValueType::kBytes:
-      return "a size like \"64KiB\" or \"4MiB\"";
-    case ValueType::kPercent:
-      return "a percentage like \"25%\"";
-    case ValueType::kMoney:
-      return "an amount with the currency, like \"12.50 DKK\"";
-    case ValueType::kAddress:
-      return "an address like \"10.1.0.11:8000\"";
-    case ValueType::kSha256:
-      return "a SHA-256 in hex";
-    case ValueType::kChoice:
-      break;
-  }
-  std::string text;
-  for (const auto& choice : SplitChoices(key.m_choices)) {
-    text += (text.empty() ? "\"" : " or \"") + choice + "\"";
-  }
-  return text;
-}
-
 }  // namespace dotterelshed::pvt
--- a/src/libconfig/key_schema.h
+++ b/src/libconfig/key_schema.h
@@ -67,15 +67,6 @@
 auto CheckKeys(const TextNode& root, const CheckContext& context)
     -> std::vector<ConfigProblem>;
 
-/// The member of @p candidates closest to @p name, or empty if none is near.
-auto NearestName(std::string_view name,
-                 const std::vector<std::string>& candidates) -> std::string;
-
-/// Range of a key for people: "1 to 64", "at least 0", or empty.
-auto DescribeRange(const KeySpec& key) -> std::string;
-/// What a value of this key looks like, for people.
-auto DescribeType(const KeySpec& key) -> std::string;
-
 }  // namespace dotterelshed::pvt
 
 #endif  // DOTTERELSHED_LIBCONFIG_KEY_SCHEMA_H_
