Add event lists for three faults that only walks had shown

Each list passes, and was seen failing with its mend taken out: repeats not held back for the spare; turns not marked when the copy holder is lost; a new lead's own write not taken as an answer of the platform (both places in OnTableArrived taken out; which of the two suffices was not tried).

--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership_unittest.cc
@@ -219,6 +219,24 @@
   CHECK(AllServed(sim));
 }
 
+TEST_CASE("a host that became lead by its own write finds the platform up") {
+  FakeDomain sim({.m_hosts = 4});
+  sim.Run(seconds(5));
+  const auto lead = sim.Lead();
+  sim.Host(lead).m_cut_from_platform = true;
+  auto seen = 0;
+  auto wrong = 0;
+  sim.m_check = [&](const testing::FakeHost& host) {
+    if (host.m_self.m_host != lead && IsLead(*host.m_ownership)) {
+      ++seen;
+      wrong += PlatformReachable(*host.m_ownership) ? 0 : 1;
+    }
+  };
+  sim.Run(minutes(1));
+  CHECK(seen > 0);
+  CHECK(wrong == 0);
+}
+
 TEST_CASE("one broken way to the lead does not move the lead") {
   FakeDomain sim({.m_hosts = 5});
   sim.Run(seconds(5));
--- a/src/libcore/pool_takeover_unittest.cc
+++ b/src/libcore/pool_takeover_unittest.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "budget_ledger.h"
+#include "copy_target.h"
 #include "core_bench.h"
 
 namespace dotterelshed::bench {
@@ -225,6 +226,57 @@
   CHECK(bench.m_starts.size() == 1);
 }
 
+/// Host 0, a primary, finds the platform down and its copy holder silent; only
+/// host 2 is left beside it.
+auto LoseHolderInOutage(Bench& bench) -> void {
+  auto& core = *bench.m_cores[0];
+  core.m_platform_reachable = false;
+  core.m_live = {{.m_host = bench.ref(2), .m_alive = true}};
+  core.m_trust_silence_after = TimePoint();
+  Effects effects;
+  pvt::StepContext step{core, bench.m_now, effects};
+  pvt::ChooseTarget(step, bench.pool(0));
+  for (const auto& effect : effects) {
+    const auto& send = std::get<SendPeer>(effect);
+    REQUIRE(send.m_to == bench.ref(2).m_host);
+    bench.m_mail.push_back({0, 2, send.m_message});
+  }
+}
+
+TEST_CASE("a stored answer is repeated once the spare has it") {
+  Bench bench({.m_hosts = 3});
+  bench.RunTurn(0, 1);
+  LoseHolderInOutage(bench);
+  REQUIRE(bench.pool(0).m_target == bench.ref(2));
+  bench.Give(0, CallArrived{bench.MakeCall("again", 1)});
+  REQUIRE(bench.m_answers.size() == 2);
+  CHECK_FALSE(bench.m_answers[1].m_token);
+  bench.DeliverAll();
+  REQUIRE(TurnsAt(bench, 2) == 1);
+  bench.Give(0, CallArrived{bench.MakeCall("again2", 1)});
+  REQUIRE(bench.m_answers.size() == 3);
+  CHECK(bench.m_answers[2].m_body == "answer1");
+  CHECK(bench.m_starts.size() == 1);
+}
+
+TEST_CASE("a turn that a spare confirms is marked provisional") {
+  Bench bench({.m_hosts = 3});
+  bench.Give(0, CallArrived{bench.MakeCall("r1", 1)});
+  bench.DeliverAll();
+  bench.FinishLast(0, AttemptEnd::kCompleted, "hello");
+  REQUIRE(bench.Drop<AppendRequest>() == 1);
+  LoseHolderInOutage(bench);
+  CHECK(bench.m_answers.empty());
+  bench.DeliverAll();
+  REQUIRE(bench.m_answers.size() == 1);
+  CHECK(bench.m_answers[0].m_body == "hello");
+  CHECK(bench.m_answers[0].m_provisional);
+  CHECK(bench.pool(2)
+            .m_store.m_programs.at(kProgram)
+            .m_record.m_turns.back()
+            .m_provisional);
+}
+
 TEST_CASE("a call under way does not use its escrow for a second one") {
   BenchOptions options;
   options.m_budget = Cost(400);
