--- a/src/libpeer/loop_tasks.cc
+++ b/src/libpeer/loop_tasks.cc
@@ -4,21 +4,23 @@
 
 namespace dotterelshed::pvt {
 
-auto LoopTasks::Post(std::function<void()> task) -> void {
+auto LoopTasks::Post(std::function<void()> task) -> bool {
   const std::lock_guard lock(m_mutex);
   if (m_stopped) {
-    return;
+    return false;
   }
   m_tasks.push_back(std::move(task));
-  if (m_wake.get() != nullptr) {
-    m_wake->fulfill();
-    m_wake = nullptr;
-  }
+  Wake();
+  return true;
 }
 
 auto LoopTasks::Stop() -> void {
   const std::lock_guard lock(m_mutex);
   m_stopped = true;
+  Wake();
+}
+
+auto LoopTasks::Wake() -> void {
   if (m_wake.get() != nullptr) {
     m_wake->fulfill();
     m_wake = nullptr;
--- a/src/libpeer/loop_tasks.h
+++ b/src/libpeer/loop_tasks.h
@@ -16,8 +16,8 @@
 /// Run is called once on the loop's thread.
 class LoopTasks {
  public:
-  /// Queues @p task. Tasks posted after Stop are dropped.
-  auto Post(std::function<void()> task) -> void;
+  /// Queues @p task. After Stop it is dropped, and the result is false.
+  auto Post(std::function<void()> task) -> bool;
 
   /// Makes Run return after the tasks queued so far.
   auto Stop() -> void;
@@ -26,6 +26,8 @@
   auto Run(kj::WaitScope& wait_scope) -> void;
 
  private:
+  /// Ends the loop's wait, if it waits. Called with the mutex held.
+  auto Wake() -> void;
   auto Take() -> std::vector<std::function<void()>>;
 
   std::mutex m_mutex;
--- a/src/libpeer/peer_node.cc
+++ b/src/libpeer/peer_node.cc
@@ -149,8 +149,9 @@
 auto PeerNode::Counts() const -> PeerCounts {
   std::promise<PeerCounts> result;
   auto future = result.get_future();
-  m_impl->m_tasks.Post([this, &result] { result.set_value(m_impl->m_counts); });
-  return future.get();
+  const auto posted = m_impl->m_tasks.Post(
+      [this, &result] { result.set_value(m_impl->m_counts); });
+  return posted ? future.get() : PeerCounts();
 }
 
 }  // namespace dotterelshed
