Split long functions on the way of a call and a change

CheckCall (63 lines) and SendChange (46) did several things in a row; the two ways of asking OrderOf repeated its arguments.

--- a/src/libcore/call_check.cc
+++ b/src/libcore/call_check.cc
@@ -194,6 +194,53 @@
   return {call.m_token->m_turn, call.m_token->m_chain};
 }
 
+/// No history here, nor at the hosts that were asked, leads to the token.
+auto RefuseUnknownHistory(StepContext& step,
+                          PoolState& pool,
+                          PendingCall& call,
+                          const Position& position) -> void {
+  step.m_out.push_back(
+      WriteLog{LogEventId::kHistoryMismatch,
+               {{"program", call.m_call.m_program.value()},
+                {"turn", std::to_string(position.m_after.value())}}});
+  if (!call.m_fetch_from.empty()) {
+    RefuseSoon(step, pool, call, ReasonCode::kHomeUnreachable,
+               "hosts that hold the program's history don't answer");
+    return;
+  }
+  Refuse(step, pool, call, ReasonCode::kBadToken,
+         "the token's history is not on record");
+}
+
+/// A turn after a history that is in use here: new, or a repeat.
+auto TakeTurn(StepContext& step,
+              PoolState& pool,
+              PendingCall& call,
+              const Position& position) -> void {
+  const auto& request = call.m_call;
+  if (request.m_turn != position.m_after.Next()) {
+    Refuse(step, pool, call, ReasonCode::kTurnOutOfOrder,
+           "the turn does not follow the token's turn");
+    return;
+  }
+  auto* entry = EnsureProgram(step, pool, request);
+  if (entry == nullptr) {
+    RefuseSoon(step, pool, call, ReasonCode::kOverLimit,
+               "the host keeps as many programs as it may");
+    return;
+  }
+  entry->m_last_used = step.m_now;
+  if (auto* root = FindProgram(pool.m_store, request.m_root); root != nullptr) {
+    root->m_last_used = step.m_now;  // It waits for its sub-agent.
+  }
+  const auto* turn = FindTurn(entry->m_record, request.m_turn);
+  if (turn != nullptr) {
+    AnswerRepeat(step, pool, call, *entry, *turn);
+    return;
+  }
+  AcceptTurn(step, pool, call, *entry);
+}
+
 }  // namespace
 
 auto AnswerFromRecord(StepContext& step,
@@ -258,40 +305,10 @@
     return;
   }
   if (!known) {
-    step.m_out.push_back(
-        WriteLog{LogEventId::kHistoryMismatch,
-                 {{"program", request.m_program.value()},
-                  {"turn", std::to_string(position.m_after.value())}}});
-    if (!call.m_fetch_from.empty()) {
-      RefuseSoon(step, pool, call, ReasonCode::kHomeUnreachable,
-                 "hosts that hold the program's history don't answer");
-      return;
-    }
-    Refuse(step, pool, call, ReasonCode::kBadToken,
-           "the token's history is not on record");
-    return;
-  }
-  if (request.m_turn != position.m_after.Next()) {
-    Refuse(step, pool, call, ReasonCode::kTurnOutOfOrder,
-           "the turn does not follow the token's turn");
-    return;
-  }
-  entry = EnsureProgram(step, pool, request);
-  if (entry == nullptr) {
-    RefuseSoon(step, pool, call, ReasonCode::kOverLimit,
-               "the host keeps as many programs as it may");
-    return;
-  }
-  entry->m_last_used = step.m_now;
-  if (auto* root = FindProgram(pool.m_store, request.m_root); root != nullptr) {
-    root->m_last_used = step.m_now;  // It waits for its sub-agent.
-  }
-  const auto* turn = FindTurn(entry->m_record, request.m_turn);
-  if (turn != nullptr) {
-    AnswerRepeat(step, pool, call, *entry, *turn);
+    RefuseUnknownHistory(step, pool, call, position);
     return;
   }
-  AcceptTurn(step, pool, call, *entry);
+  TakeTurn(step, pool, call, position);
 }
 
 }  // namespace dotterelshed::pvt
--- a/src/libcore/change_log.cc
+++ b/src/libcore/change_log.cc
@@ -181,6 +181,25 @@
   }
 }
 
+/// Brings a change up to the term, the spending and the history as they are
+/// now; they may have moved on since it was made or last sent.
+auto RenewChange(const PoolState& pool,
+                 const ProgramId& program,
+                 PendingChange& change) -> void {
+  const auto& record = pool.m_store.m_programs.at(program).m_record;
+  const auto& ledger = pool.m_store.m_ledgers.at(record.m_root);
+  std::visit(
+      [&pool, &ledger](auto& message) {
+        message.m_term = pool.m_assignment.m_term;
+        message.m_ledger = ledger;
+      },
+      change.m_message);
+  auto* append = std::get_if<AppendRequest>(&change.m_message);
+  if (append != nullptr && !append->m_record) {
+    append->m_previous_chain = ChainEnd(record);
+  }
+}
+
 }  // namespace
 
 auto SendAllChanges(StepContext& step, PoolState& pool) -> void {
@@ -309,20 +328,7 @@
   }
   auto& change = found->second;
   change.m_sent = step.m_now;
-  const auto term = pool.m_assignment.m_term;
-  const auto& ledger = pool.m_store.m_ledgers.at(
-      pool.m_store.m_programs.at(program).m_record.m_root);
-  std::visit(
-      [term, &ledger](auto& message) {
-        message.m_term = term;
-        message.m_ledger = ledger;
-      },
-      change.m_message);
-  if (auto* append = std::get_if<AppendRequest>(&change.m_message);
-      append != nullptr && !append->m_record) {
-    append->m_previous_chain =
-        ChainEnd(pool.m_store.m_programs.at(program).m_record);
-  }
+  RenewChange(pool, program, change);
   step.m_out.push_back(std::visit(
       [&pool](const auto& message) {
         return SendPeer{pool.m_target.m_host, message};
--- a/src/libcore/copy_holder.cc
+++ b/src/libcore/copy_holder.cc
@@ -59,22 +59,21 @@
 enum class Order { kNew, kRepeat, kOld, kForeign };
 
 /// Where a change stands in the order of changes of its program.
+template <typename Message>
 auto OrderOf(const ProgramRecord& record,
              const HostRef& self,
-             const HostRef& from,
-             Term term,
-             std::int64_t sequence) -> Order {
-  if (record.m_writer != from) {
-    const auto foreign = record.m_term == term && record.m_open &&
+             const Message& message) -> Order {
+  if (record.m_writer != message.m_from) {
+    const auto foreign = record.m_term == message.m_term && record.m_open &&
                          record.m_open->m_host != self &&
-                         record.m_open->m_host != from;
+                         record.m_open->m_host != message.m_from;
     return foreign ? Order::kForeign : Order::kNew;
   }
   // A primary that stays goes on counting in its next term.
-  if (sequence == record.m_sequence) {
+  if (message.m_sequence == record.m_sequence) {
     return Order::kRepeat;
   }
-  return sequence > record.m_sequence ? Order::kNew : Order::kOld;
+  return message.m_sequence > record.m_sequence ? Order::kNew : Order::kOld;
 }
 
 template <typename Message>
@@ -100,9 +99,7 @@
     return false;
   }
   auto& record = entry->m_record;
-  const auto order =
-      OrderOf(record, step.m_core.m_options.m_self, message.m_from,
-              message.m_term, message.m_sequence);
+  const auto order = OrderOf(record, step.m_core.m_options.m_self, message);
   if (order == Order::kRepeat || order == Order::kOld) {
     return order == Order::kRepeat;
   }
@@ -126,9 +123,7 @@
     return false;
   }
   auto& record = entry->m_record;
-  const auto order =
-      OrderOf(record, step.m_core.m_options.m_self, message.m_from,
-              message.m_term, message.m_sequence);
+  const auto order = OrderOf(record, step.m_core.m_options.m_self, message);
   if (order == Order::kRepeat || order == Order::kOld) {
     return order == Order::kRepeat;
   }
