--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "call_claims.h"
 #include "change_log.h"
 #include "core_route.h"
 #include "hold_ledger.h"
@@ -92,30 +93,6 @@
   }
 }
 
-/// Makes the decision stand: recorded as a turn if it was done, or if it is
-/// the end of a call that is not to run again.
-auto DecideCall(StepContext& step,
-                PoolState& pool,
-                PendingCall& call,
-                CallAnswer answer) -> void {
-  answer.m_request = call.m_call.m_request;
-  answer.m_program = call.m_call.m_program;
-  answer.m_turn = call.m_call.m_turn;
-  answer.m_usage = call.m_usage;
-  const auto record =
-      answer.m_outcome == OutcomeKind::kDone ||
-      (call.m_needs_claim && answer.m_outcome != OutcomeKind::kNotRun &&
-       answer.m_reason != ReasonCode::kKeyUnreadable);
-  StopAttempts(step, pool, call);
-  if (!record) {
-    RefuseCall(step, pool, call, answer);
-    return;
-  }
-  call.m_answer = std::move(answer);
-  call.m_record_turn = true;
-  AdvanceCall(step, pool, call, CallEvent::kAnswered);
-}
-
 auto AnswerOf(const PendingCall& call, const AttemptResult& result)
     -> CallAnswer {
   return {.m_outcome = OutcomeOf(call, result.m_end),
@@ -169,15 +146,6 @@
 }
 
 /// Tells the claims how a call ended that was allowed to be sent once.
-auto RecordClaimEnd(StepContext& step,
-                    const PendingCall& call,
-                    const CallAnswer& answer) -> void {
-  ApplyActionStep(
-      step, RecordActionResult(*step.m_core.m_actions, call.m_call.m_request,
-                               answer.m_outcome, answer.m_http_status,
-                               answer.m_body, step.m_now));
-}
-
 auto FinishAttempt(StepContext& step,
                    PoolState& pool,
                    const AttemptId& attempt,
@@ -269,61 +237,6 @@
   RefuseCall(step, pool, found->second, answer);
 }
 
-auto TakeClaimDecision(StepContext& step,
-                       PoolState& pool,
-                       PendingCall& call,
-                       const ClaimDecision& decision) -> void {
-  const auto& record = decision.m_record;
-  switch (decision.m_verdict) {
-    case ClaimDecision::Verdict::kGranted:
-      call.m_send_by = decision.m_send_by;
-      AdvanceCall(step, pool, call, CallEvent::kDispatched);
-      return;
-    case ClaimDecision::Verdict::kHasResult:
-      DecideCall(step, pool, call,
-                 {.m_outcome = record.m_outcome,
-                  .m_body = record.m_answer,
-                  .m_http_status = record.m_http_status});
-      return;
-    case ClaimDecision::Verdict::kUnknown:
-      DecideCall(step, pool, call,
-                 {.m_outcome = OutcomeKind::kUnknown,
-                  .m_reason = ReasonCode::kClaimedElsewhere,
-                  .m_message = "sent before without a known end; an operator "
-                               "has to look"});
-      return;
-    case ClaimDecision::Verdict::kOtherContent:
-      DecideCall(step, pool, call,
-                 {.m_outcome = OutcomeKind::kNotRun,
-                  .m_reason = ReasonCode::kBadRequest,
-                  .m_message = "the key was used for another call"});
-      return;
-    case ClaimDecision::Verdict::kNotClaimed:
-      DecideCall(step, pool, call,
-                 {.m_outcome = OutcomeKind::kNotRun,
-                  .m_reason = ReasonCode::kNoPlatform,
-                  .m_message = "the claim could not be written",
-                  .m_retry_after = std::chrono::seconds(1)});
-      return;
-    case ClaimDecision::Verdict::kCannotTell:
-      DecideCall(step, pool, call,
-                 {.m_outcome = OutcomeKind::kUnknown,
-                  .m_reason = ReasonCode::kKeyUnreadable,
-                  .m_message = "the key's record can't be read now",
-                  .m_retry_after = std::chrono::seconds(1)});
-      return;
-  }
-}
-
-/// A claim was granted for a call that is gone: it will never be sent.
-auto GiveBackClaim(StepContext& step, const ClaimDecision& decision) -> void {
-  if (decision.m_verdict == ClaimDecision::Verdict::kGranted) {
-    ApplyActionStep(
-        step, RecordActionResult(*step.m_core.m_actions, decision.m_request,
-                                 OutcomeKind::kNotRun, 0, "", step.m_now));
-  }
-}
-
 }  // namespace
 
 auto PolicyOf(StepContext& step, PoolState& pool, const ServiceId& service)
@@ -399,18 +312,6 @@
   ForgetReleased(pool);
 }
 
-auto RequestCallClaim(StepContext& step, PendingCall& call) -> void {
-  if (!call.m_call.m_key) {
-    call.m_call.m_key =
-        IdempotencyKey(call.m_call.m_program.value() + "/" +
-                       std::to_string(call.m_call.m_turn.value()));
-  } else {
-    call.m_first = false;
-  }
-  ApplyActionStep(step, RequestClaim(*step.m_core.m_actions, call.m_call,
-                                     call.m_first, step.m_now));
-}
-
 auto StartAttempts(StepContext& step, PoolState& pool, PendingCall& call)
     -> void {
   while (!call.m_ready.empty() &&
@@ -435,25 +336,6 @@
   }
 }
 
-auto ApplyActionStep(StepContext& step, const ActionStep& result) -> void {
-  step.m_out.insert(step.m_out.end(), result.m_effects.begin(),
-                    result.m_effects.end());
-  for (const auto& decision : result.m_decisions) {
-    auto known = false;
-    for (auto& [id, pool] : step.m_core.m_pools) {
-      const auto found = pool.m_calls.find(decision.m_request);
-      if (found != pool.m_calls.end() &&
-          found->second.m_state == CallState::kClaiming) {
-        TakeClaimDecision(step, pool, found->second, decision);
-        known = true;
-      }
-    }
-    if (!known) {
-      GiveBackClaim(step, decision);
-    }
-  }
-}
-
 auto OnAttemptProgressed(StepContext& step, const AttemptProgressed& event)
     -> void {
   const auto found = step.m_core.m_attempts.find(event.m_attempt);
@@ -479,6 +361,28 @@
   FinishAttempt(step, pool, event.m_attempt, owner, event.m_result);
 }
 
+auto DecideCall(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                CallAnswer answer) -> void {
+  answer.m_request = call.m_call.m_request;
+  answer.m_program = call.m_call.m_program;
+  answer.m_turn = call.m_call.m_turn;
+  answer.m_usage = call.m_usage;
+  const auto record =
+      answer.m_outcome == OutcomeKind::kDone ||
+      (call.m_needs_claim && answer.m_outcome != OutcomeKind::kNotRun &&
+       answer.m_reason != ReasonCode::kKeyUnreadable);
+  StopAttempts(step, pool, call);
+  if (!record) {
+    RefuseCall(step, pool, call, answer);
+    return;
+  }
+  call.m_answer = std::move(answer);
+  call.m_record_turn = true;
+  AdvanceCall(step, pool, call, CallEvent::kAnswered);
+}
+
 auto StopAttempts(StepContext& step, PoolState& pool, PendingCall& call)
     -> void {
   const auto policy = pool.m_policies.find(call.m_call.m_service);
--- a/src/libcore/call_attempts.h
+++ b/src/libcore/call_attempts.h
@@ -4,8 +4,8 @@
 #include "core_state.h"
 
 /// @file
-/// From the queue to the endpoint and back: admission, dispatch, claims of
-/// non-idempotent calls, and what the end of an attempt means for its call.
+/// From the queue to the endpoint and back: admission, dispatch, and
+/// what the end of an attempt means for its call.
 
 namespace dotterelshed::pvt {
 
@@ -19,18 +19,21 @@
 auto AdmitCall(StepContext& step, PoolState& pool, PendingCall& call) -> void;
 /// Starts what the policies want started, and drops what can't be in time.
 auto DispatchCalls(StepContext& step, PoolState& pool) -> void;
-/// Asks for the right to send a non-idempotent call.
-auto RequestCallClaim(StepContext& step, PendingCall& call) -> void;
 /// Starts attempts that wait, as far as they are paid for.
 auto StartAttempts(StepContext& step, PoolState& pool, PendingCall& call)
     -> void;
-/// Takes effects and decisions of the claims.
-auto ApplyActionStep(StepContext& step, const ActionStep& result) -> void;
 
 auto OnAttemptProgressed(StepContext& step, const AttemptProgressed& event)
     -> void;
 auto OnAttemptFinished(StepContext& step, const AttemptFinished& event) -> void;
 
+/// Makes the decision stand: recorded as a turn if it was done, or if it is
+/// the end of a call that is not to run again.
+auto DecideCall(StepContext& step,
+                PoolState& pool,
+                PendingCall& call,
+                CallAnswer answer) -> void;
+
 /// Stops all attempts of a call and takes it out of the queue.
 auto StopAttempts(StepContext& step, PoolState& pool, PendingCall& call)
     -> void;
--- /dev/null
+++ b/src/libcore/call_claims.h
@@ -0,0 +1,25 @@
+#ifndef DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
+#define DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
+
+#include "core_state.h"
+
+/// @file
+/// Claims of non-idempotent calls: asked for before a call is sent, decided by
+/// actions.h, closed with the call's end.
+
+namespace dotterelshed::pvt {
+
+/// Asks for the right to send a non-idempotent call.
+auto RequestCallClaim(StepContext& step, PendingCall& call) -> void;
+
+/// Closes the claim of a call with what came of it.
+auto RecordClaimEnd(StepContext& step,
+                    const PendingCall& call,
+                    const CallAnswer& answer) -> void;
+
+/// Takes effects and decisions of the claims.
+auto ApplyActionStep(StepContext& step, const ActionStep& result) -> void;
+
+}  // namespace dotterelshed::pvt
+
+#endif  // DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "call_attempts.h"
+#include "call_claims.h"
 #include "change_log.h"
 #include "copy_holder.h"
 #include "copy_target.h"
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/turn_primary.cc
@@ -5,6 +5,7 @@
 #include "budget_ledger.h"
 #include "call_attempts.h"
 #include "call_check.h"
+#include "call_claims.h"
 #include "change_log.h"
 #include "core_route.h"
 #include "hold_ledger.h"
