--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -27,7 +27,7 @@
      RunStatus},
     {"dump", "HOST", "platform", "print the whole state of one host", RunDump},
     {"drain", "HOST", "platform wait json",
-     "stop one host without cutting anything off", RunDrain},
+     "finish a host's open requests, then stop it", RunDrain},
     {"actions", "", "platform all json",
      "list non-idempotent calls without a result", RunActions},
     {"resolve", "KEY", "platform outcome json",
@@ -51,8 +51,8 @@
       "longest wait in seconds (default: apply 10, drain 60)")(
       "outcome", po::value<std::string>(),
       "what became of the call: done, failed or not_run")("json", "print JSON")(
-      "all", "list also what needs nobody")("markdown",
-                                            "print the page of the docs")(
+      "all", "list also calls with a result")("markdown",
+                                              "print the page of the docs")(
       "metrics", "metrics instead of log events");
   return all;
 }
@@ -91,7 +91,7 @@
 }
 
 /// Whether @p name is one of the blank-separated words of @p list.
-auto Lists(std::string_view list, std::string_view name) -> bool {
+auto ContainsWord(std::string_view list, std::string_view name) -> bool {
   std::istringstream words{std::string(list)};
   std::string word;
   while (words >> word) {
@@ -102,13 +102,13 @@
   return false;
 }
 
-/// The mistake in the options of a command, or an empty text.
-auto FindMistake(const Command& command,
-                 const po::variables_map& values,
-                 const CommandOptions& options) -> std::string {
+/// What is wrong with the options of a command, or an empty text.
+auto FindUsageError(const Command& command,
+                    const po::variables_map& values,
+                    const CommandOptions& options) -> std::string {
   for (const auto& [name, value] : values) {
     const auto own = name == "command" || name == "words";
-    if (!own && !value.defaulted() && !Lists(command.m_options, name)) {
+    if (!own && !value.defaulted() && !ContainsWord(command.m_options, name)) {
       return std::string(command.m_name) + " takes no --" + name;
     }
   }
@@ -120,9 +120,10 @@
   if (options.m_words.size() > wanted) {
     return "unexpected word '" + options.m_words.back() + "'";
   }
-  const auto lacks_platform =
-      Lists(command.m_options, "platform") && options.m_platform.empty() &&
-      options.m_hosts.empty() && command.m_words != "HOST";
+  const auto lacks_platform = ContainsWord(command.m_options, "platform") &&
+                              options.m_platform.empty() &&
+                              options.m_hosts.empty() &&
+                              command.m_words != "HOST";
   if (lacks_platform) {
     return std::string(command.m_name) + " needs --platform IP:port";
   }
@@ -163,9 +164,9 @@
     return UsageError("unknown command '" + name + "'", output);
   }
   const auto options = ReadOptions(values);
-  const auto mistake = FindMistake(*command, values, options);
-  if (!mistake.empty()) {
-    return UsageError(mistake, output);
+  const auto error = FindUsageError(*command, values, options);
+  if (!error.empty()) {
+    return UsageError(error, output);
   }
   return command->m_run(options, output);
 }
--- a/src/dotterelctl/status_print.cc
+++ b/src/dotterelctl/status_print.cc
@@ -74,7 +74,7 @@
   for (const auto& host : report.m_hosts) {
     auto owned = 0;
     for (const auto& [id, pool] : host.m_pools) {
-      owned += pool.m_role == "primary" ? 1 : 0;
+      owned += IsPrimary(pool) ? 1 : 0;
     }
     table.m_rows.push_back(
         {host.m_name.empty() ? "-" : host.m_name,
--- a/src/dotterelctl/status_report.cc
+++ b/src/dotterelctl/status_report.cc
@@ -11,7 +11,6 @@
 
 /// Time for the answer to be written after the call has timed out.
 constexpr auto kResultMargin = std::chrono::seconds(30);
-constexpr auto kPrimaryRole = "primary";
 
 /// Adds what does not hold to a report.
 class ProblemFinder {
@@ -93,7 +92,7 @@
       Report("host " + name + " can't reach the platform");
     }
     for (const auto& [id, pool] : host.m_pools) {
-      if (pool.m_role == kPrimaryRole && !pool.m_copied) {
+      if (IsPrimary(pool) && !pool.m_copied) {
         Report("pool " + id + " has unconfirmed copies on host " + name);
       }
     }
@@ -154,6 +153,10 @@
 
 }  // namespace
 
+auto IsPrimary(const HostPool& pool) -> bool {
+  return pool.m_role == "primary";
+}
+
 auto UnknownAfter(const StoredDesk& desk) -> Duration {
   const auto check = CheckConfigText(desk.m_config.m_text, Generation(0));
   Duration longest{0};
--- a/src/dotterelctl/status_report.h
+++ b/src/dotterelctl/status_report.h
@@ -16,7 +16,7 @@
 
 namespace dotterelshed::ctl {
 
-/// One pool as the host that is its primary sees it.
+/// One pool as a host with a role in it sees it.
 struct HostPool {
   std::string m_role;
   /// Whether a copy holder has confirmed everything.
@@ -25,6 +25,9 @@
   std::int64_t m_open_calls = 0;
 };
 
+/// Whether the host is the primary of this pool.
+auto IsPrimary(const HostPool& pool) -> bool;
+
 /// One endpoint as the host that schedules it sees it.
 struct HostEndpoint {
   std::string m_state;
