--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -145,7 +145,6 @@
   }
 }
 
-/// Tells the claims how a call ended that was allowed to be sent once.
 auto FinishAttempt(StepContext& step,
                    PoolState& pool,
                    const AttemptId& attempt,
--- a/src/libcore/call_claims.h
+++ b/src/libcore/call_claims.h
@@ -12,7 +12,7 @@
 /// Asks for the right to send a non-idempotent call.
 auto RequestCallClaim(StepContext& step, PendingCall& call) -> void;
 
-/// Closes the claim of a call with what came of it.
+/// Tells the claims how a call ended that was allowed to be sent once.
 auto RecordClaimEnd(StepContext& step,
                     const PendingCall& call,
                     const CallAnswer& answer) -> void;
