--- a/src/cmake/CompilerOptions.cmake
+++ b/src/cmake/CompilerOptions.cmake
@@ -8,8 +8,9 @@
   set(CMAKE_BUILD_TYPE RelWithDebInfo)
 endif()
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O1 -g1")
+set(CMAKE_CXX_FLAGS_RELEASE "-O2 -DNDEBUG")
 add_compile_options(-Wall -Wextra -Wno-missing-field-initializers
-  -Wno-maybe-uninitialized -Werror)
+  -Wno-maybe-uninitialized -Wno-restrict -Werror)
 
 set(DOTTERELSHED_SANITIZE "" CACHE STRING
   "Sanitizers to build with: address,undefined or thread")
--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -4,7 +4,8 @@
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
-set(DOTTERELSHED_PACKAGES base config core platform peer backend host)
+set(DOTTERELSHED_PACKAGES base http routing ledger gateway config core platform
+  peer backend host)
 
 function(dotterelshed_link target)
   foreach(dep IN LISTS ARGN)
@@ -31,7 +32,7 @@
     ${PROJECT_SOURCE_DIR}/src/include ${PROJECT_SOURCE_DIR}/src/lib${name})
   dotterelshed_link(dotterelshed_${name} ${ARG_DEPENDS} Threads::Threads)
 
-  if(tests)
+  if(tests AND NOT DOTTERELSHED_ENTRY_ONLY)
     add_executable(${name}_unittests ${tests}
       ${PROJECT_SOURCE_DIR}/src/cmake/catch_main.cc)
     target_link_libraries(${name}_unittests PRIVATE dotterelshed_${name})
@@ -54,7 +55,7 @@
   list(FILTER tests INCLUDE REGEX "_unittest\\.cc$")
   add_executable(${name} ${sources})
   dotterelshed_link(${name} ${ARG_DEPENDS} Boost::program_options)
-  if(tests)
+  if(tests AND NOT DOTTERELSHED_ENTRY_ONLY)
     list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
     add_executable(${name}_unittests ${sources} ${tests}
       ${PROJECT_SOURCE_DIR}/src/cmake/catch_main.cc)
--- /dev/null
+++ b/src/dotterelshed_entry/main.cc
@@ -0,0 +1,169 @@
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "disk_host.h"
+#include "dotterelshed/log_events.h"
+#include "entry_host.h"
+#include "entry_settings.h"
+
+namespace dotterelshed {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int kRunError = 1;
+constexpr int kUsageError = 2;
+
+auto MakeOptions() -> options::options_description {
+  options::options_description description(
+      "dotterelshed_entry: one host on the platform. Usage: dotterelshed_entry "
+      "--settings FILE");
+  description.add_options()("help", "show this text")(
+      "settings", options::value<std::string>(),
+      "settings file, JSON with comments")("check",
+                                           "check the settings and exit");
+  return description;
+}
+
+auto ReadSettings(const std::string& file) -> Result<EntrySettings> {
+  std::ifstream in(file);
+  if (!in) {
+    return Fail(ErrorCode::kNotFound, "can't be read", file);
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseEntrySettings(text.str(), file);
+}
+
+/// Calls @p on_stop at SIGTERM and SIGINT, and @p on_reload at SIGHUP.
+class SignalWatch {
+ public:
+  SignalWatch(EventLoop& loop,
+              std::function<void()> on_stop,
+              std::function<void()> on_reload)
+      : m_signals(loop, SIGTERM, SIGINT, SIGHUP),
+        m_on_stop(std::move(on_stop)),
+        m_on_reload(std::move(on_reload)) {
+    Wait();
+  }
+
+ private:
+  auto Wait() -> void {
+    m_signals.async_wait([this](const boost::system::error_code& error, int n) {
+      if (error) {
+        return;
+      }
+      (n == SIGHUP ? m_on_reload : m_on_stop)();
+      Wait();
+    });
+  }
+
+  boost::asio::signal_set m_signals;
+  std::function<void()> m_on_stop;
+  std::function<void()> m_on_reload;
+};
+
+/// Addresses and names can't change while the process runs; the level of the
+/// log can.
+auto Reload(const std::string& file) -> void {
+  const auto settings = ReadSettings(file);
+  if (!settings) {
+    LogEvent(LogEventId::kSettingsReloaded,
+             {{"outcome", "rejected"},
+              {"place", settings.error().m_place},
+              {"reason", settings.error().m_message}});
+    return;
+  }
+  const auto level = ParseLogLevel(settings->m_log_level);
+  const auto status =
+      StartLogging({.m_level = level.value_or(LogLevel::kInfo),
+                    .m_host = settings->m_host.value()});
+  LogEvent(LogEventId::kSettingsReloaded,
+           {{"outcome", status ? "in_force" : "rejected"}});
+}
+
+auto RunHost(const EntrySettings& settings, const std::string& file) -> int {
+  EventLoop loop(1);
+  const auto reload = [&file] { Reload(file); };
+  if (settings.m_role == HostRole::kDisk) {
+    DiskHost host(loop, settings);
+    const SignalWatch signals(loop, [&loop] { loop.stop(); }, reload);
+    host.Start();
+    loop.run();
+    LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
+    return 0;
+  }
+  EntryHost host(loop, settings);
+  const SignalWatch signals(loop, [&host] { host.Stop(); }, reload);
+  const auto started = host.Start();
+  if (!started) {
+    std::cerr << started.error().m_place << ": " << started.error().m_message
+              << "\n";
+    return kRunError;
+  }
+  loop.run();
+  return 0;
+}
+
+auto Run(const options::variables_map& given, const std::string& usage) -> int {
+  if (given.count("help") > 0) {
+    std::cout << usage;
+    return 0;
+  }
+  if (given.count("settings") == 0) {
+    std::cerr << usage;
+    return kUsageError;
+  }
+  const auto file = given["settings"].as<std::string>();
+  const auto settings = ReadSettings(file);
+  if (!settings) {
+    std::cerr << settings.error().m_place << ": " << settings.error().m_message
+              << "\n";
+    return kUsageError;
+  }
+  if (given.count("check") > 0) {
+    return 0;
+  }
+  const auto logging = StartLogging(
+      {.m_level = ParseLogLevel(settings->m_log_level).value_or(LogLevel::kInfo),
+       .m_host = settings->m_host.value()});
+  if (!logging) {
+    std::cerr << logging.error().m_message << "\n";
+    return kRunError;
+  }
+  const auto code = RunHost(*settings, file);
+  FlushLog();
+  return code;
+}
+
+}  // namespace
+}  // namespace dotterelshed
+
+auto main(int argc, char** argv) -> int {
+  using dotterelshed::kRunError;
+  // A closed peer is seen as an error of the write.
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const auto description = dotterelshed::MakeOptions();
+    std::ostringstream usage;
+    usage << description << "\n";
+    boost::program_options::variables_map given;
+    boost::program_options::store(
+        boost::program_options::parse_command_line(argc, argv, description),
+        given);
+    return dotterelshed::Run(given, usage.str());
+  } catch (const boost::program_options::error& error) {
+    std::cerr << error.what() << "\n";
+    return dotterelshed::kUsageError;
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return kRunError;
+  }
+}
--- /dev/null
+++ b/src/include/dotterelshed/byte_stream.h
@@ -0,0 +1,80 @@
+#ifndef DOTTERELSHED_BYTE_STREAM_H_
+#define DOTTERELSHED_BYTE_STREAM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "dotterelshed/error.h"
+
+/// @file
+/// A TCP connection on the event loop: bytes are handed on as they arrive, and
+/// what can't be written at once is kept. One thread runs the loop, and all
+/// functions are called on it.
+
+namespace dotterelshed {
+
+using EventLoop = boost::asio::io_context;
+using TcpSocket = boost::asio::ip::tcp::socket;
+using TcpAddress = boost::asio::ip::tcp::endpoint;
+
+/// Parses "IP:port". Errors: kInvalidArgument.
+auto ParseTcpAddress(std::string_view text) -> Result<TcpAddress>;
+
+/// How the other side ended a connection.
+enum class StreamEnd {
+  kClosed,  ///< In order: all of its bytes have arrived.
+  kReset,   ///< Broken: bytes may be missing.
+};
+
+struct ByteStreamHandlers {
+  std::function<void(std::string_view)> m_on_bytes;
+  std::function<void(StreamEnd)> m_on_end;
+  /// All that was written has been taken by the system; may be empty.
+  std::function<void()> m_on_drained;
+};
+
+class ByteStream : public std::enable_shared_from_this<ByteStream> {
+ public:
+  explicit ByteStream(TcpSocket socket);
+
+  /// Begins to read. No handler runs before this returns.
+  auto Start(ByteStreamHandlers handlers) -> void;
+  auto Write(std::string_view bytes) -> void;
+  /// Bytes that the system hasn't taken yet.
+  auto pending_bytes() const -> std::size_t { return m_pending.size(); }
+  /// Stops or resumes reading, to slow the sender down.
+  auto SetReading(bool reading) -> void;
+  /// Ends the connection at once; no handler runs any more.
+  auto Close() -> void;
+  /// Ends the connection once what was written is gone, and reads on for a
+  /// moment so that the other side gets it all. No handler runs any more.
+  auto CloseAfterWrites() -> void;
+  auto closed() const -> bool { return m_closed; }
+
+ private:
+  auto WaitReadable() -> void;
+  auto OnReadable() -> void;
+  auto WaitWritable() -> void;
+  auto FlushPending() -> void;
+  auto End(StreamEnd end) -> void;
+  auto BeginLinger() -> void;
+
+  TcpSocket m_socket;
+  ByteStreamHandlers m_handlers;
+  std::string m_pending;
+  std::unique_ptr<boost::asio::steady_timer> m_linger_timer;
+  bool m_reading = true;
+  bool m_read_armed = false;
+  bool m_write_armed = false;
+  bool m_closing = false;
+  bool m_closed = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_BYTE_STREAM_H_
--- /dev/null
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -0,0 +1,67 @@
+#ifndef DOTTERELSHED_ENDPOINT_DIRECTORY_H_
+#define DOTTERELSHED_ENDPOINT_DIRECTORY_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// The endpoints that a host knows of, as the platform lists them, and the rule
+/// for entries that lapsed while the platform itself was away.
+
+namespace dotterelshed {
+
+struct EndpointEntry {
+  EndpointId m_id;
+  ServiceId m_service;
+  /// "IP:port".
+  std::string m_address;
+  DomainId m_domain;
+  int m_slots = 1;
+  /// True when it takes no new work.
+  bool m_leaving = false;
+  /// Time of its start by its own clock in Unix milliseconds; a change says
+  /// that it forgot everything.
+  std::int64_t m_started_unix_ms = 0;
+  ResourceVersion m_version;
+};
+
+struct EndpointDirectory {
+  std::map<EndpointId, EndpointEntry> m_entries;
+  std::map<ServiceId, std::vector<EndpointId>> m_by_service;
+  /// Entries that vanished with an outage, and until when they are still used.
+  std::map<EndpointId, TimePoint> m_lapsing;
+  /// Until when a vanished entry may be one that lapsed in an outage.
+  std::optional<TimePoint> m_lapse_window_end;
+};
+
+/// The platform answers again after it didn't.
+auto NotePlatformBack(EndpointDirectory& directory, TimePoint now) -> void;
+
+/// Takes a new or changed entry.
+auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry) -> void;
+
+/// Takes note of a removed entry; shortly after an outage it stays in use for a
+/// moment.
+auto RemoveEndpoint(EndpointDirectory& directory,
+                    const EndpointId& id,
+                    TimePoint now) -> void;
+
+/// Replaces all entries by a complete listing.
+auto ReplaceEndpoints(EndpointDirectory& directory,
+                      std::vector<EndpointEntry> entries,
+                      TimePoint now) -> void;
+
+/// Drops entries whose time to come back is over.
+auto DropLapsed(EndpointDirectory& directory, TimePoint now) -> void;
+
+auto FindEndpoint(const EndpointDirectory& directory, const EndpointId& id)
+    -> const EndpointEntry*;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ENDPOINT_DIRECTORY_H_
--- /dev/null
+++ b/src/include/dotterelshed/http_listener.h
@@ -0,0 +1,134 @@
+#ifndef DOTTERELSHED_HTTP_LISTENER_H_
+#define DOTTERELSHED_HTTP_LISTENER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "dotterelshed/byte_stream.h"
+#include "dotterelshed/http_parser.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// Server side of HTTP/1.1: a listening socket and the connections that come in
+/// on it. Requests of one connection are handled one after the other.
+
+namespace dotterelshed {
+
+/// What the sender of requests may take its time for.
+struct ListenerLimits {
+  ParserLimits m_parser;
+  Duration m_header_timeout = std::chrono::seconds(3);
+  Duration m_idle_timeout = std::chrono::seconds(15);
+  /// Connections beyond this number are closed at once.
+  std::size_t m_max_connections = 2000;
+};
+
+struct IncomingRequest {
+  RequestHead m_head;
+  std::string m_body;
+};
+
+class HttpListener;
+
+/// One accepted connection. An answer is given either whole by Answer, or by
+/// BeginAnswer, SendBody and EndAnswer.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(HttpListener& listener, TcpSocket socket);
+
+  auto Start() -> void;
+  auto Answer(int status, HttpFields fields, std::string_view body) -> void;
+  /// @param length  stated length of the body; without it the body is chunked.
+  auto BeginAnswer(int status,
+                   std::string_view reason,
+                   HttpFields fields,
+                   std::optional<std::uint64_t> length) -> void;
+  auto SendBody(std::string_view bytes) -> void;
+  auto EndAnswer() -> void;
+  /// Closes the connection without an answer, or within one so that it doesn't
+  /// look complete.
+  auto Abort() -> void;
+
+  /// Called when the other side leaves while a request of it is open.
+  auto SetGoneHandler(std::function<void()> on_gone) -> void;
+  /// Called whenever all that was sent has been taken by the system.
+  auto SetDrainedHandler(std::function<void()> on_drained) -> void;
+  auto pending_bytes() const -> std::size_t;
+  /// True while a request is open.
+  auto busy() const -> bool { return m_busy; }
+  auto begun() const -> bool { return m_begun; }
+
+ private:
+  friend class HttpListener;
+
+  auto OnBytes(std::string_view bytes) -> void;
+  auto OnEnd() -> void;
+  auto ParseAhead() -> void;
+  auto HandleParsed() -> void;
+  auto Refuse(int status) -> void;
+  auto FinishAnswer() -> void;
+  auto Tick(TimePoint now) -> void;
+  auto CloseIfIdle() -> void;
+  auto Forget() -> void;
+
+  HttpListener* m_listener;
+  std::shared_ptr<ByteStream> m_stream;
+  std::unique_ptr<RequestParser> m_parser;
+  std::string m_ahead;
+  std::function<void()> m_on_gone;
+  std::function<void()> m_on_drained;
+  TimePoint m_since;
+  bool m_busy = false;
+  bool m_begun = false;
+  bool m_chunked = false;
+  bool m_bodyless = false;
+  bool m_keep_alive = true;
+  bool m_continued = false;
+};
+
+class HttpListener {
+ public:
+  using RequestHandler =
+      std::function<void(const std::shared_ptr<ServerConnection>&,
+                         IncomingRequest)>;
+
+  HttpListener(EventLoop& loop, RequestHandler on_request);
+  ~HttpListener();
+
+  /// Errors: kUnavailable when the address can't be bound.
+  auto Listen(const TcpAddress& address) -> Status;
+  auto local_address() const -> TcpAddress;
+  auto SetLimits(const ListenerLimits& limits) -> void { m_limits = limits; }
+  /// To be called several times a second: enforces the time limits.
+  auto Tick(TimePoint now) -> void;
+
+  /// Answers from now on end their connections.
+  auto CloseAfterAnswers() -> void { m_close_after_answers = true; }
+  /// Takes no new connections, closes those without an open request and, as
+  /// their answers end, the others.
+  auto StopListening() -> void;
+  /// Requests that have no whole answer yet.
+  auto open_requests() const -> int { return m_open_requests; }
+  auto connections() const -> std::size_t { return m_connections.size(); }
+
+ private:
+  friend class ServerConnection;
+
+  auto Accept() -> void;
+
+  EventLoop& m_loop;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  RequestHandler m_on_request;
+  ListenerLimits m_limits;
+  std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
+  int m_open_requests = 0;
+  bool m_close_after_answers = false;
+  bool m_stopped = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_HTTP_LISTENER_H_
--- /dev/null
+++ b/src/include/dotterelshed/program_ledger.h
@@ -0,0 +1,123 @@
+#ifndef DOTTERELSHED_PROGRAM_LEDGER_H_
+#define DOTTERELSHED_PROGRAM_LEDGER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// Token budgets of programs, kept by the lead of a failure domain. The sum of
+/// what a program's turns generate stays within its budget plus one turn, over
+/// any loss of the lead's memory.
+///
+/// The lead keeps a record of the programs in the platform's store: for each an
+/// upper bound of the tokens granted so far. A turn is granted only if the sum
+/// of all grants stays within the budget, and within what is on record; only a
+/// program's first turn may run before its record stands. A lead that takes
+/// over starts from the record, counts it as spent and gives no such advance,
+/// so that each program gets it at most once.
+///
+/// @code
+///   switch (RequestGrant(ledger, request, now)) {
+///     case GrantDecision::kNeedsRecord:
+///       // write BeginRecord(ledger) to the store, NoteRecorded, ask again
+///   }
+/// @endcode
+
+namespace dotterelshed {
+
+struct LedgerOptions {
+  /// Turns that the record allows beyond those under way, so that an outage of
+  /// the store doesn't stop programs at once.
+  int m_turns_ahead = 2;
+  /// Time after a takeover in which unknown programs get no advance: one of
+  /// them may have had it from the lead before.
+  Duration m_settle_time = std::chrono::seconds(8);
+  /// Time for which a program is remembered after its last turn.
+  Duration m_retention = std::chrono::seconds(75);
+};
+
+/// One program's account.
+struct ProgramAccount {
+  Tokens m_budget{0};
+  /// Tokens of turns that have ended.
+  Tokens m_spent{0};
+  /// Upper bound on record in the store.
+  Tokens m_recorded{0};
+  /// Lowest bound of the writes that may have reached the store since.
+  std::optional<Tokens> m_recording;
+  /// The most of one turn.
+  Tokens m_turn_max{0};
+  /// Turns under way and the most that each generates.
+  std::map<RequestId, Tokens> m_running;
+  TimePoint m_last_used;
+  /// True when no grant may exceed the record.
+  bool m_advance_used = false;
+};
+
+/// What stands in the store: bounds of the programs' grants.
+struct LedgerRecord {
+  std::map<ProgramId, Tokens> m_bounds;
+};
+
+struct ProgramLedger {
+  LedgerOptions m_options;
+  std::map<ProgramId, ProgramAccount> m_accounts;
+  /// Start of this lead's term.
+  TimePoint m_since;
+  /// True when a coming turn needs a higher bound on record.
+  bool m_dirty = false;
+};
+
+struct GrantRequest {
+  ProgramId m_program;
+  RequestId m_request;
+  Tokens m_budget{0};
+  /// The most that this turn generates.
+  Tokens m_turn_max{0};
+};
+
+enum class GrantDecision {
+  kGranted,
+  kBudgetSpent,  ///< The budget doesn't hold this turn.
+  kNeedsRecord,  ///< A record has to be written first.
+};
+
+/// Grants a turn and counts it as running. A repeated request id is granted
+/// again without being counted twice.
+auto RequestGrant(ProgramLedger& ledger,
+                  const GrantRequest& request,
+                  TimePoint now) -> GrantDecision;
+
+/// A turn has ended after generating @p used tokens.
+auto SettleTurn(ProgramLedger& ledger,
+                const ProgramId& program,
+                const RequestId& request,
+                Tokens used,
+                TimePoint now) -> void;
+
+/// True when the program has an account here.
+auto KnowsProgram(const ProgramLedger& ledger, const ProgramId& program)
+    -> bool;
+
+/// The record to write now. From here on it may be what the store holds, so no
+/// grant exceeds it, whether or not the write is known to have succeeded.
+auto BeginRecord(ProgramLedger& ledger) -> LedgerRecord;
+
+/// @p record has been stored under this lead's term, after all earlier ones.
+auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void;
+
+/// Begins a term from what the store holds.
+auto AdoptRecord(ProgramLedger& ledger,
+                 const LedgerRecord& record,
+                 TimePoint now) -> void;
+
+/// Forgets programs that have been idle for the retention time.
+auto ForgetIdlePrograms(ProgramLedger& ledger, TimePoint now) -> void;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_PROGRAM_LEDGER_H_
--- /dev/null
+++ b/src/include/dotterelshed/route_table.h
@@ -0,0 +1,109 @@
+#ifndef DOTTERELSHED_ROUTE_TABLE_H_
+#define DOTTERELSHED_ROUTE_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// One version of the routes: which requests go to which service, and what may
+/// be done with them. Immutable once built; a newer version replaces it whole.
+
+namespace dotterelshed {
+
+/// What may be repeated.
+enum class CallKind {
+  kIdempotent,     ///< May run more than once.
+  kNonIdempotent,  ///< Runs at most once for each request of a caller.
+  kStream,         ///< A turn: a series of events, resumable if the route says.
+};
+
+/// Stable lower-case name, for logs and metrics.
+auto ToString(CallKind kind) -> std::string_view;
+
+struct WeightedService {
+  ServiceId m_service;
+  int m_weight = 1;
+};
+
+struct Route {
+  std::string m_name;
+  std::string m_host;
+  /// Begins and ends with a slash.
+  std::string m_path_prefix;
+  CallKind m_kind = CallKind::kNonIdempotent;
+  /// Longest time that a caller is kept waiting.
+  Duration m_timeout = std::chrono::seconds(5);
+  /// Time to the first byte within which an answer is worth most.
+  Duration m_target_latency = std::chrono::milliseconds(250);
+  /// Rank among the routes; 0 is the most urgent.
+  int m_priority = 0;
+  /// Where the requests go; more than one when traffic is being moved.
+  std::vector<WeightedService> m_services;
+  /// Endpoints that one request may be run on.
+  int m_max_attempts = 1;
+  /// True when endpoints that served the same subject before are faster.
+  bool m_sticky = false;
+  /// True when a broken stream may go on at another endpoint.
+  bool m_resumable = false;
+  /// Time for which a program's spending is remembered after its last turn.
+  Duration m_retention = std::chrono::seconds(60);
+};
+
+/// What is known of the model engines of a service.
+struct EngineTraits {
+  int m_slots = 1;
+  Tokens m_cache_capacity{0};
+  int m_tokens_per_event = 1;
+};
+
+struct ServiceTraits {
+  ServiceId m_id;
+  /// Connections that one endpoint accepts from all hosts together.
+  int m_max_connections = 100;
+  /// Set for model engines only.
+  std::optional<EngineTraits> m_engine;
+};
+
+/// What callers may send.
+struct CallerLimits {
+  std::uint32_t m_header_bytes = 16384;
+  std::uint64_t m_body_bytes = 4194304;
+  Duration m_header_timeout = std::chrono::seconds(3);
+  Duration m_idle_timeout = std::chrono::seconds(15);
+};
+
+struct RouteTable {
+  Generation m_generation;
+  std::vector<Route> m_routes;
+  std::map<ServiceId, ServiceTraits> m_services;
+  CallerLimits m_limits;
+  /// Routes of each host, longest prefix first; made by IndexRoutes.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> m_by_host;
+};
+
+/// Fills m_by_host; call once after the routes are complete.
+auto IndexRoutes(RouteTable& table) -> void;
+
+/// The route of a request, or nullptr.
+/// @param host    value of Host, with or without a port.
+/// @param target  path and query.
+auto FindRoute(const RouteTable& table,
+               std::string_view host,
+               std::string_view target) -> const Route*;
+
+/// The service for one request. @p draw is uniform in [0, 1).
+auto PickService(const Route& route, double draw) -> const ServiceId&;
+
+/// Traits of a service; defaults when the table doesn't describe it.
+auto TraitsOf(const RouteTable& table, const ServiceId& service)
+    -> const ServiceTraits&;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/libgateway/call_exchange.cc
@@ -0,0 +1,502 @@
+#include "call_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+
+namespace dotterelshed {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTimeout = 408;
+constexpr int kStatusMisdirected = 421;
+constexpr int kStatusTooMany = 429;
+constexpr int kStatusBadGateway = 502;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusGatewayTimeout = 504;
+constexpr int kFirstServerError = 500;
+
+/// Part of a route's timeout that is kept for the way back to the caller.
+constexpr Duration kTimeoutMargin = std::chrono::milliseconds(40);
+/// Less than this isn't worth an attempt.
+constexpr Duration kLeastAttemptTime = std::chrono::milliseconds(30);
+constexpr int kMaxAttempts = 6;
+/// A kept connection that was idle for longer may be closing at the other end:
+/// a request that may run only once goes on a new one.
+constexpr Duration kMaxIdleNonIdempotent = std::chrono::milliseconds(1000);
+constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(20);
+constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+/// Bytes kept for a caller that doesn't read, before the endpoint has to wait.
+constexpr std::size_t kMaxPendingBytes = 131072;
+/// A longer event is no event of an engine.
+constexpr std::size_t kMaxEventBytes = 1048576;
+
+auto IsSuccess(int status) -> bool {
+  return status >= kStatusOk && status < 300;
+}
+
+/// Statuses that promise that the request hasn't run.
+auto IsPromise(int status) -> bool {
+  return status == kStatusTimeout || status == kStatusMisdirected ||
+         status == kStatusTooMany || status == kStatusUnavailable;
+}
+
+auto ToMs(Duration duration) -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+CallExchange::CallExchange(EntryContext& context,
+                           GrantClient& grants,
+                           std::shared_ptr<ServerConnection> caller,
+                           IncomingRequest request,
+                           const Route& route,
+                           Ended ended)
+    : m_context(context),
+      m_grants(grants),
+      m_caller(std::move(caller)),
+      m_request(std::move(request)),
+      m_route(route),
+      m_ended(std::move(ended)),
+      m_facts(ReadCallFacts(m_request.m_head)),
+      m_begun(SteadyTime()) {
+  m_service = PickService(m_route, m_context.Draw());
+  const auto& engine = TraitsOf(*m_context.m_routes, m_service).m_engine;
+  if (engine) {
+    m_tokens_per_event = engine->m_tokens_per_event;
+  }
+  auto wait = m_route.m_timeout - kTimeoutMargin;
+  if (m_facts.m_deadline) {
+    wait = std::min(wait, *m_facts.m_deadline);
+  }
+  m_deadline = m_begun + wait;
+  m_last_event = m_facts.m_resume_after;
+}
+
+auto CallExchange::IsTurn() const -> bool {
+  return m_route.m_kind == CallKind::kStream && !m_facts.m_program.empty() &&
+         m_facts.m_budget.has_value();
+}
+
+auto CallExchange::MayRepeat() const -> bool {
+  return m_route.m_kind == CallKind::kIdempotent ||
+         (m_route.m_kind == CallKind::kStream && m_route.m_resumable);
+}
+
+auto CallExchange::Start() -> void {
+  m_caller->SetGoneHandler([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerGone();
+    }
+  });
+  if (IsTurn()) {
+    AskGrant();
+  } else {
+    NextAttempt();
+  }
+}
+
+// Budget.
+
+auto CallExchange::AskGrant() -> void {
+  GrantQuestion question;
+  question.m_grant = {.m_program = m_facts.m_program,
+                      .m_request = m_facts.m_request,
+                      .m_budget = *m_facts.m_budget,
+                      .m_turn_max = m_facts.m_max_tokens};
+  question.m_service = m_service;
+  question.m_prompt = m_facts.m_prompt_tokens;
+  // A first prompt has one shared part and one of its own.
+  constexpr std::size_t kOpeningParts = 2;
+  question.m_opening = m_facts.m_prompt.size() <= kOpeningParts;
+  m_granted = true;
+  m_grants.Ask(question, [self = shared_from_this()](const GrantAnswer& answer) {
+    self->OnGrant(answer);
+  });
+}
+
+auto CallExchange::OnGrant(const GrantAnswer& answer) -> void {
+  if (answer.m_verdict != GrantVerdict::kGranted) {
+    m_granted = false;
+  }
+  if (m_over) {
+    // The caller left meanwhile: the turn doesn't run.
+    if (m_granted) {
+      m_grants.Settle(
+          {.m_program = m_facts.m_program, .m_request = m_facts.m_request});
+    }
+    return;
+  }
+  switch (answer.m_verdict) {
+    case GrantVerdict::kGranted:
+      m_next = answer.m_endpoint;
+      NextAttempt();
+      return;
+    case GrantVerdict::kBudgetSpent:
+      AnswerSelf(kStatusBudgetSpent, "budget_spent", false);
+      return;
+    default:
+      AnswerSelf(kStatusUnavailable, "no_grant", true);
+      return;
+  }
+}
+
+// Attempts.
+
+auto CallExchange::Choose() -> std::optional<EndpointId> {
+  const auto next = std::exchange(m_next, EndpointId());
+  const auto* entry = FindEndpoint(m_context.m_directory, next);
+  const auto resumed = m_run_on.contains(next);
+  if (entry != nullptr && (!entry->m_leaving || resumed) &&
+      !m_excluded.contains(next)) {
+    return next;
+  }
+  return ChooseEndpoint(m_context.m_directory, m_context.m_loads,
+                        {.m_service = m_service,
+                         .m_domain = m_context.m_settings.m_domain,
+                         .m_excluded = m_excluded,
+                         .m_prompt = m_facts.m_prompt_tokens,
+                         .m_draw = m_context.Draw()},
+                        SteadyTime());
+}
+
+auto CallExchange::NextAttempt() -> void {
+  const auto now = SteadyTime();
+  const auto endpoint = Choose();
+  if (!endpoint || m_attempts >= kMaxAttempts ||
+      m_deadline - now < kLeastAttemptTime) {
+    const auto reason = endpoint ? "attempts_used_up" : "no_endpoint";
+    if (m_passing) {
+      BreakOff(reason);
+    } else if (m_run_on.empty()) {
+      AnswerSelf(kStatusUnavailable, reason, true);
+    } else {
+      AnswerSelf(kStatusBadGateway, reason, false);
+    }
+    return;
+  }
+  const auto* entry = FindEndpoint(m_context.m_directory, *endpoint);
+  m_attempt = {};
+  m_attempt.m_endpoint = *endpoint;
+  m_attempt.m_address = entry->m_address;
+  ++m_context.m_loads[*endpoint].m_outstanding;
+  ++m_attempts;
+  const auto max_idle =
+      MayRepeat() ? kMaxIdleRepeatable : kMaxIdleNonIdempotent;
+  m_context.m_endpoints.Take(
+      entry->m_address, max_idle,
+      [self = shared_from_this(), attempt = m_attempts](
+          std::shared_ptr<ClientConnection> connection) {
+        self->OnConnection(attempt, std::move(connection));
+      });
+}
+
+auto CallExchange::OnConnection(int attempt,
+                                std::shared_ptr<ClientConnection> connection)
+    -> void {
+  if (m_over || attempt != m_attempts) {
+    if (connection) {
+      m_context.m_endpoints.Return(m_attempt.m_address, connection,
+                                   std::nullopt);
+    }
+    return;
+  }
+  if (!connection) {
+    NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
+    // An endpoint that can't be reached has ended or is cut off.
+    m_run_on.erase(m_attempt.m_endpoint);
+    AfterNotRun("not_connected");
+    return;
+  }
+  m_attempt.m_connection = std::move(connection);
+  SendAttempt();
+}
+
+auto CallExchange::SendAttempt() -> void {
+  const auto now = SteadyTime();
+  AttemptFacts attempt;
+  attempt.m_endpoint = m_attempt.m_endpoint;
+  attempt.m_deadline = m_deadline - now;
+  if (m_last_event) {
+    attempt.m_resume_after = m_last_event;
+  }
+  const auto& head = m_request.m_head;
+  auto bytes = FormatRequest(head.m_method, head.m_target,
+                             MakeEndpointFields(head.m_fields, attempt),
+                             m_request.m_body);
+  m_attempt.m_sent = true;
+  m_attempt.m_sent_at = now;
+  m_attempt.m_first_here = m_run_on.insert(m_attempt.m_endpoint).second;
+  const auto self = shared_from_this();
+  m_attempt.m_connection->Exchange(
+      std::move(bytes), head.m_method == "HEAD",
+      {.m_on_head = [self](ResponseHead& answer) { return self->OnHead(answer); },
+       .m_on_body = [self](std::string_view body) { self->OnBody(body); },
+       .m_on_done = [self] { self->OnDone(); },
+       .m_on_failure =
+           [self](ExchangeFailure failure) { self->OnFailure(failure); }});
+}
+
+// Answers.
+
+auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
+  auto facts = ReadAnswerFacts(head);
+  if (facts.m_request.empty()) {
+    // On a used connection it could be anybody's.
+    if (m_attempt.m_connection->exchanges() > 1 && !facts.m_not_run) {
+      return HeadVerdict::kAbort;
+    }
+  } else if (facts.m_request != m_facts.m_request) {
+    return HeadVerdict::kSkip;
+  }
+  if (IsSuccess(head.m_status) && !facts.m_signed) {
+    return HeadVerdict::kAbort;
+  }
+  m_attempt.m_facts = std::move(facts);
+  m_attempt.m_head = std::move(head);
+  m_attempt.m_answered = true;
+  const auto status = m_attempt.m_head.m_status;
+  const auto not_run = m_attempt.m_facts.m_not_run;
+  const auto unclear_promise = IsPromise(status) && !not_run;
+  const auto repeatable_error =
+      status >= kFirstServerError && MayRepeat() &&
+      static_cast<int>(m_run_on.size()) < m_route.m_max_attempts;
+  m_attempt.m_discard = (not_run && status != kStatusBadRequest) ||
+                        unclear_promise || repeatable_error ||
+                        (m_passing && !IsSuccess(status));
+  if (!m_attempt.m_discard) {
+    m_first_byte = SteadyTime() - m_begun;
+    BeginPassing();
+  }
+  return HeadVerdict::kTake;
+}
+
+auto CallExchange::BeginPassing() -> void {
+  auto& head = m_attempt.m_head;
+  NoteAnswer(m_context.m_loads[m_attempt.m_endpoint],
+             SteadyTime() - m_attempt.m_sent_at);
+  if (m_passing) {
+    // A resumed stream goes on under the head of its first endpoint.
+    return;
+  }
+  m_passing = true;
+  m_is_event_stream =
+      m_route.m_kind == CallKind::kStream && IsSuccess(head.m_status);
+  m_caller->BeginAnswer(head.m_status, head.m_reason,
+                        EndToEndFields(head.m_fields),
+                        m_is_event_stream ? std::nullopt : head.m_length);
+}
+
+auto CallExchange::OnBody(std::string_view bytes) -> void {
+  if (m_over || m_attempt.m_discard) {
+    return;
+  }
+  if (m_is_event_stream) {
+    m_events.Add(bytes);
+    PassEvents();
+  } else {
+    m_caller->SendBody(bytes);
+  }
+  if (!m_over && m_caller->pending_bytes() > kMaxPendingBytes) {
+    m_attempt.m_connection->SetReading(false);
+    m_caller->SetDrainedHandler([weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->m_attempt.m_connection) {
+        self->m_attempt.m_connection->SetReading(true);
+      }
+    });
+  }
+}
+
+auto CallExchange::PassEvents() -> void {
+  while (auto event = m_events.Next()) {
+    if (event->m_id && m_last_event) {
+      if (*event->m_id <= *m_last_event) {
+        continue;
+      }
+      if (*event->m_id > *m_last_event + 1) {
+        BreakOff("event_missing");
+        return;
+      }
+    }
+    if (event->m_id) {
+      m_last_event = event->m_id;
+    }
+    ++m_events_passed;
+    m_caller->SendBody(event->m_text);
+  }
+  if (m_events.buffered_bytes() > kMaxEventBytes) {
+    BreakOff("event_too_long");
+  }
+}
+
+auto CallExchange::OnDone() -> void {
+  if (m_over) {
+    return;
+  }
+  if (m_attempt.m_discard) {
+    const auto not_run = m_attempt.m_facts.m_not_run;
+    const auto status = m_attempt.m_head.m_status;
+    const auto reason = "status_" + std::to_string(status);
+    if (not_run) {
+      if (m_attempt.m_first_here) {
+        m_run_on.erase(m_attempt.m_endpoint);
+      }
+      AfterNotRun(reason);
+    } else {
+      AfterLostAttempt(reason);
+    }
+    return;
+  }
+  if (m_is_event_stream && !m_events.empty()) {
+    m_events = {};
+    AfterLostAttempt("partial_event");
+    return;
+  }
+  const auto status = m_attempt.m_head.m_status;
+  EndAttempt();
+  m_caller->EndAnswer();
+  Finish(status, "answered");
+}
+
+auto CallExchange::OnFailure(ExchangeFailure failure) -> void {
+  if (m_over) {
+    return;
+  }
+  NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
+  AfterLostAttempt(ToString(failure));
+}
+
+/// The request may have run, and there is no whole answer.
+auto CallExchange::AfterLostAttempt(std::string_view reason) -> void {
+  LogAttempt(reason, true);
+  const auto endpoint = m_attempt.m_endpoint;
+  EndAttempt();
+  m_events = {};
+  if (m_passing && !m_is_event_stream) {
+    BreakOff(reason);
+    return;
+  }
+  if (!MayRepeat()) {
+    AnswerSelf(kStatusBadGateway, reason, false);
+    return;
+  }
+  // The route bounds how many endpoints may run it; the same one may again.
+  if (static_cast<int>(m_run_on.size()) >= m_route.m_max_attempts) {
+    m_next = endpoint;
+  } else {
+    m_excluded.insert(endpoint);
+  }
+  NextAttempt();
+}
+
+/// The request certainly hasn't run at the attempt's endpoint.
+auto CallExchange::AfterNotRun(std::string_view reason) -> void {
+  LogAttempt(reason, false);
+  m_excluded.insert(m_attempt.m_endpoint);
+  EndAttempt();
+  if (!m_run_on.empty() && !MayRepeat()) {
+    AnswerSelf(kStatusBadGateway, reason, false);
+    return;
+  }
+  NextAttempt();
+}
+
+auto CallExchange::EndAttempt() -> void {
+  if (m_attempt.m_endpoint.empty()) {
+    return;
+  }
+  --m_context.m_loads[m_attempt.m_endpoint].m_outstanding;
+  if (const auto connection = std::exchange(m_attempt.m_connection, nullptr)) {
+    m_context.m_endpoints.Return(m_attempt.m_address, connection,
+                                 m_attempt.m_facts.m_keep_alive);
+  }
+  m_attempt.m_endpoint = EndpointId();
+}
+
+// Ends.
+
+auto CallExchange::AnswerSelf(int status, std::string_view reason, bool retry)
+    -> void {
+  if (m_passing) {
+    BreakOff(reason);
+    return;
+  }
+  HttpFields fields;
+  if (retry) {
+    fields.push_back(MakeRetryAfterField(kRetryAfter));
+  }
+  EndAttempt();
+  m_caller->Answer(status, std::move(fields), "");
+  Finish(status, reason);
+}
+
+auto CallExchange::BreakOff(std::string_view reason) -> void {
+  EndAttempt();
+  m_caller->Abort();
+  Finish(0, reason);
+}
+
+auto CallExchange::OnCallerGone() -> void {
+  if (m_over) {
+    return;
+  }
+  if (m_attempt.m_connection) {
+    // Closing the connection stops the endpoint's work.
+    m_attempt.m_connection->Close();
+  }
+  EndAttempt();
+  Finish(0, "caller_gone");
+}
+
+auto CallExchange::Tick(TimePoint now) -> void {
+  if (m_over || now < m_deadline) {
+    return;
+  }
+  if (m_attempt.m_connection) {
+    m_attempt.m_connection->Close();
+  }
+  const auto may_run = m_attempt.m_sent || !m_run_on.empty();
+  AnswerSelf(may_run ? kStatusGatewayTimeout : kStatusUnavailable, "deadline",
+             !may_run);
+}
+
+auto CallExchange::Finish(int status, std::string_view reason) -> void {
+  m_over = true;
+  if (m_granted) {
+    const auto used = Tokens(m_events_passed * m_tokens_per_event);
+    m_grants.Settle({.m_program = m_facts.m_program,
+                     .m_request = m_facts.m_request,
+                     .m_used = used});
+  }
+  LogEvent(LogEventId::kRequestEnded,
+           {{"request", m_facts.m_request.value()},
+            {"program", m_facts.m_program.value()},
+            {"route", m_route.m_name},
+            {"status", std::to_string(status)},
+            {"reason", std::string(reason)},
+            {"attempts", std::to_string(m_attempts)},
+            {"events", std::to_string(m_events_passed)},
+            {"first_ms", ToMs(m_first_byte)},
+            {"ms", ToMs(SteadyTime() - m_begun)}});
+  m_ended(shared_from_this());
+}
+
+auto CallExchange::LogAttempt(std::string_view reason, bool may_have_run)
+    -> void {
+  LogEvent(LogEventId::kAttemptEnded,
+           {{"request", m_facts.m_request.value()},
+            {"endpoint", m_attempt.m_endpoint.value()},
+            {"reason", std::string(reason)},
+            {"may_have_run", may_have_run ? "yes" : "no"},
+            {"attempt", std::to_string(m_attempts)},
+            {"ms", ToMs(SteadyTime() - m_begun)}});
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/call_exchange.h
@@ -0,0 +1,116 @@
+#ifndef DOTTERELSHED_CALL_EXCHANGE_H_
+#define DOTTERELSHED_CALL_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "dotterelshed/http_client.h"
+#include "dotterelshed/http_listener.h"
+#include "dotterelshed/route_table.h"
+#include "entry_context.h"
+#include "event_splitter.h"
+#include "grant_client.h"
+#include "platform/call_headers.h"
+
+/// @file
+/// One request of a caller, from its arrival to the end of its answer: grant,
+/// attempts at endpoints, and the answer passed on as it comes.
+///
+/// Whether it may be sent again depends on what is known of the attempts
+/// before: one that can't have run may be repeated anywhere, one that may have
+/// run only if the route's kind allows it.
+
+namespace dotterelshed {
+
+class CallExchange : public std::enable_shared_from_this<CallExchange> {
+ public:
+  using Ended = std::function<void(const std::shared_ptr<CallExchange>&)>;
+
+  CallExchange(EntryContext& context,
+               GrantClient& grants,
+               std::shared_ptr<ServerConnection> caller,
+               IncomingRequest request,
+               const Route& route,
+               Ended ended);
+
+  auto Start() -> void;
+  /// Ends the request when its time is over; call several times a second.
+  auto Tick(TimePoint now) -> void;
+
+ private:
+  /// What the current attempt has brought so far.
+  struct Attempt {
+    EndpointId m_endpoint;
+    std::string m_address;
+    std::shared_ptr<ClientConnection> m_connection;
+    TimePoint m_sent_at;
+    ResponseHead m_head;
+    AnswerFacts m_facts;
+    bool m_sent = false;
+    bool m_answered = false;
+    /// No earlier attempt may have run at this endpoint.
+    bool m_first_here = false;
+    /// The answer isn't passed on; the request is sent elsewhere.
+    bool m_discard = false;
+  };
+
+  auto IsTurn() const -> bool;
+  auto MayRepeat() const -> bool;
+  auto AskGrant() -> void;
+  auto OnGrant(const GrantAnswer& answer) -> void;
+  auto NextAttempt() -> void;
+  auto Choose() -> std::optional<EndpointId>;
+  auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
+      -> void;
+  auto SendAttempt() -> void;
+  auto OnHead(ResponseHead& head) -> HeadVerdict;
+  auto BeginPassing() -> void;
+  auto OnBody(std::string_view bytes) -> void;
+  auto PassEvents() -> void;
+  auto OnDone() -> void;
+  auto OnFailure(ExchangeFailure failure) -> void;
+  auto AfterLostAttempt(std::string_view reason) -> void;
+  auto AfterNotRun(std::string_view reason) -> void;
+  auto EndAttempt() -> void;
+  auto LogAttempt(std::string_view reason, bool may_have_run) -> void;
+  auto AnswerSelf(int status, std::string_view reason, bool retry) -> void;
+  auto BreakOff(std::string_view reason) -> void;
+  auto OnCallerGone() -> void;
+  auto Finish(int status, std::string_view reason) -> void;
+
+  EntryContext& m_context;
+  GrantClient& m_grants;
+  std::shared_ptr<ServerConnection> m_caller;
+  IncomingRequest m_request;
+  Route m_route;
+  ServiceId m_service;
+  int m_tokens_per_event = 1;
+  Ended m_ended;
+  CallFacts m_facts;
+  TimePoint m_begun;
+  TimePoint m_deadline;
+
+  Attempt m_attempt;
+  int m_attempts = 0;
+  /// Endpoints that refused or couldn't be reached.
+  std::set<EndpointId> m_excluded;
+  /// Endpoints that may have run the request.
+  std::set<EndpointId> m_run_on;
+  /// Where the next attempt goes, if that is decided already.
+  EndpointId m_next;
+  EventSplitter m_events;
+  std::optional<std::int64_t> m_last_event;
+  std::int64_t m_events_passed = 0;
+  Duration m_first_byte{0};
+  bool m_granted = false;
+  bool m_passing = false;
+  bool m_is_event_stream = false;
+  bool m_over = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_CALL_EXCHANGE_H_
--- /dev/null
+++ b/src/libgateway/endpoint_pool.cc
@@ -0,0 +1,90 @@
+#include "endpoint_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/steady_time.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// Part of the stated keep-alive time that is used; the rest is for the way.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+EndpointPool::EndpointPool(EventLoop& loop, const PoolOptions& options)
+    : m_loop(loop), m_options(options) {}
+
+auto EndpointPool::Take(const std::string& address,
+                        Duration max_idle,
+                        Taken taken) -> void {
+  const auto now = SteadyTime();
+  auto& idle = m_idle[address];
+  while (!idle.empty()) {
+    auto last = std::move(idle.back());
+    idle.pop_back();
+    const auto fresh = now - last.m_since <= max_idle && now < last.m_until;
+    if (fresh && last.m_connection->reusable()) {
+      taken(std::move(last.m_connection));
+      return;
+    }
+    last.m_connection->Close();
+  }
+  const auto parsed = ParseTcpAddress(address);
+  if (!parsed) {
+    taken(nullptr);
+    return;
+  }
+  ++m_opened;
+  auto connection = std::make_shared<ClientConnection>(m_loop);
+  connection->Connect(*parsed, {.m_timeout = m_options.m_connect_timeout},
+                      [connection, taken = std::move(taken)](bool connected) {
+                        taken(connected ? connection : nullptr);
+                      });
+}
+
+auto EndpointPool::Return(const std::string& address,
+                          const std::shared_ptr<ClientConnection>& connection,
+                          std::optional<Duration> keep_alive) -> void {
+  auto& idle = m_idle[address];
+  if (!connection->reusable() ||
+      idle.size() >= m_options.m_max_idle_per_address) {
+    connection->Close();
+    return;
+  }
+  const auto now = SteadyTime();
+  auto keep = m_options.m_max_idle;
+  if (keep_alive) {
+    keep = std::min(keep, std::max(*keep_alive - kKeepAliveMargin,
+                                   *keep_alive / 2));
+  }
+  idle.push_back({connection, now, now + keep});
+}
+
+auto EndpointPool::Tick(TimePoint now) -> void {
+  for (auto it = m_idle.begin(); it != m_idle.end();) {
+    std::erase_if(it->second, [now](const Idle& one) {
+      const auto over = now >= one.m_until || !one.m_connection->reusable();
+      if (over) {
+        one.m_connection->Close();
+      }
+      return over;
+    });
+    it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+  }
+}
+
+auto EndpointPool::Forget(const std::string& address) -> void {
+  const auto found = m_idle.find(address);
+  if (found == m_idle.end()) {
+    return;
+  }
+  for (const auto& one : found->second) {
+    one.m_connection->Close();
+  }
+  m_idle.erase(found);
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/endpoint_pool.h
@@ -0,0 +1,66 @@
+#ifndef DOTTERELSHED_ENDPOINT_POOL_H_
+#define DOTTERELSHED_ENDPOINT_POOL_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/http_client.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// Kept connections to endpoints and hosts, by address.
+
+namespace dotterelshed {
+
+struct PoolOptions {
+  Duration m_connect_timeout = std::chrono::milliseconds(250);
+  /// Connections idle for longer are closed, unless the other side said that it
+  /// keeps them for less.
+  Duration m_max_idle = std::chrono::seconds(20);
+  std::size_t m_max_idle_per_address = 8;
+};
+
+class EndpointPool {
+ public:
+  using Taken = std::function<void(std::shared_ptr<ClientConnection>)>;
+
+  EndpointPool(EventLoop& loop, const PoolOptions& options);
+
+  /// Gives a kept connection at once, or a new one later; nullptr when it can't
+  /// be established.
+  /// @param max_idle  a kept connection that was idle for longer isn't given.
+  auto Take(const std::string& address, Duration max_idle, Taken taken) -> void;
+
+  /// Gives a connection back after an exchange.
+  /// @param keep_alive  time for which the other side keeps it open, if known.
+  auto Return(const std::string& address,
+              const std::shared_ptr<ClientConnection>& connection,
+              std::optional<Duration> keep_alive) -> void;
+
+  /// Closes what has been idle for too long.
+  auto Tick(TimePoint now) -> void;
+  /// Closes the kept connections of an address.
+  auto Forget(const std::string& address) -> void;
+
+  auto opened() const -> std::int64_t { return m_opened; }
+
+ private:
+  struct Idle {
+    std::shared_ptr<ClientConnection> m_connection;
+    TimePoint m_since;
+    TimePoint m_until;
+  };
+
+  EventLoop& m_loop;
+  PoolOptions m_options;
+  std::map<std::string, std::vector<Idle>> m_idle;
+  std::int64_t m_opened = 0;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ENDPOINT_POOL_H_
--- /dev/null
+++ b/src/libgateway/entry_host.cc
@@ -0,0 +1,431 @@
+#include "entry_host.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
+#include "platform/call_headers.h"
+
+namespace dotterelshed {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+/// Precision of all time limits that aren't timers of their own.
+constexpr Duration kTick = std::chrono::milliseconds(25);
+/// Time after SIGTERM in which new requests are still taken: the balancer
+/// needs two missed readiness questions, a second apart.
+constexpr Duration kLameDuck = std::chrono::milliseconds(2800);
+/// Part of the stop grace that is kept for the exit itself.
+constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+/// A domain without lead gets one after this time at the latest; hosts wait
+/// for different parts of it, so that mostly one of them tries.
+constexpr Duration kLeadPatience = std::chrono::milliseconds(1500);
+constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+/// Descriptors kept for everything but callers' connections.
+constexpr int kReservedDescriptors = 400;
+
+auto RandomIncarnation() -> Incarnation {
+  std::random_device device;
+  constexpr auto kShift = 31;
+  const auto high = static_cast<std::int64_t>(device() >> 1);
+  return Incarnation((high << kShift) | (device() >> 1));
+}
+
+auto AddressOrDie(const std::string& text) -> TcpAddress {
+  // Checked when the settings were read.
+  const auto address = ParseTcpAddress(text);
+  DOTTERELSHED_CHECK(address.has_value());
+  return *address;
+}
+
+}  // namespace
+
+EntryHost::EntryHost(EventLoop& loop, const EntrySettings& settings)
+    : m_context{.m_loop = loop,
+                .m_settings = settings,
+                .m_incarnation = RandomIncarnation(),
+                .m_store = ObjectStore(
+                    loop,
+                    {.m_address = AddressOrDie(settings.m_platform_address)}),
+                .m_endpoints = EndpointPool(loop, {}),
+                .m_peers = EndpointPool(loop, {}),
+                .m_random = std::mt19937_64(std::random_device()())},
+      m_lead(m_context),
+      m_grants(m_context, m_lead),
+      m_callers(loop,
+                [this](const std::shared_ptr<ServerConnection>& connection,
+                       IncomingRequest request) {
+                  OnCaller(connection, std::move(request));
+                }),
+      m_readiness(loop,
+                  [this](const std::shared_ptr<ServerConnection>& connection,
+                         const IncomingRequest& request) {
+                    OnReadinessQuestion(connection, request);
+                  }),
+      m_peers(loop,
+              [this](const std::shared_ptr<ServerConnection>& connection,
+                     const IncomingRequest& request) {
+                OnPeer(connection, request);
+              }),
+      m_tick_timer(loop),
+      m_started_at(SteadyTime()) {
+  m_lead_patience = FromSeconds(ToSeconds(kLeadPatience) * m_context.Draw());
+  MakeFollowers();
+}
+
+auto EntryHost::MakeFollowers() -> void {
+  auto& loop = m_context.m_loop;
+  const auto on_reachable = [this](bool reachable) {
+    if (reachable) {
+      NotePlatformBack(m_context.m_directory, SteadyTime());
+    }
+  };
+  m_config_follower = std::make_shared<KindFollower>(
+      loop, m_context.m_store, ObjectKind::kConfig,
+      FollowerHandlers{
+          .m_on_listing =
+              [this](const ObjectListing& listing) {
+                for (const auto& object : listing.m_objects) {
+                  TakeConfig(object);
+                }
+              },
+          .m_on_changes =
+              [this](const ObjectChanges& changes) {
+                for (const auto& change : changes.m_changes) {
+                  TakeConfig(change.m_object);
+                }
+              },
+          .m_on_reachable = [](bool /*reachable*/) {}});
+  m_endpoint_follower = std::make_shared<KindFollower>(
+      loop, m_context.m_store, ObjectKind::kEndpoints,
+      FollowerHandlers{
+          .m_on_listing =
+              [this](const ObjectListing& listing) { TakeEndpoints(listing); },
+          .m_on_changes =
+              [this](const ObjectChanges& changes) {
+                for (const auto& change : changes.m_changes) {
+                  TakeEndpoint(change.m_object, change.m_removed);
+                }
+              },
+          .m_on_reachable = on_reachable});
+  m_lead_follower = std::make_shared<KindFollower>(
+      loop, m_context.m_store, ObjectKind::kLeads,
+      FollowerHandlers{
+          .m_on_listing =
+              [this](const ObjectListing& listing) {
+                for (const auto& object : listing.m_objects) {
+                  TakeLead(object, false);
+                }
+              },
+          .m_on_changes =
+              [this](const ObjectChanges& changes) {
+                for (const auto& change : changes.m_changes) {
+                  TakeLead(change.m_object, change.m_removed);
+                }
+              },
+          .m_on_reachable = [](bool /*reachable*/) {}});
+}
+
+auto EntryHost::Start() -> Status {
+  const auto& settings = m_context.m_settings;
+  ApplyLimits();
+  for (auto [listener, address] :
+       {std::pair(&m_peers, &settings.m_peer_address),
+        std::pair(&m_callers, &settings.m_caller_address),
+        std::pair(&m_readiness, &settings.m_ready_address)}) {
+    const auto listening = listener->Listen(AddressOrDie(*address));
+    if (!listening) {
+      return listening;
+    }
+  }
+  m_config_follower->Start();
+  m_endpoint_follower->Start();
+  m_lead_follower->Start();
+  ArmTick();
+  LogEvent(LogEventId::kHostStarted,
+           {{"domain", settings.m_domain.value()},
+            {"incarnation", std::to_string(m_context.m_incarnation.value())},
+            {"callers", settings.m_caller_address}});
+  return {};
+}
+
+// What the store says.
+
+auto EntryHost::TakeConfig(const StoredObject& object) -> void {
+  if (object.m_name != kMainConfig) {
+    return;
+  }
+  auto table = DecodeRoutes(object);
+  if (!table) {
+    LogEvent(LogEventId::kConfigRejected, {{"place", table.error().m_place},
+                                           {"reason", table.error().m_message}});
+    return;
+  }
+  const auto& current = m_context.m_routes;
+  if (current && table->m_generation <= current->m_generation) {
+    return;
+  }
+  LogEvent(LogEventId::kConfigInForce,
+           {{"generation", std::to_string(table->m_generation.value())},
+            {"routes", std::to_string(table->m_routes.size())}});
+  m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
+  ApplyLimits();
+}
+
+auto EntryHost::ApplyLimits() -> void {
+  ListenerLimits limits;
+  if (m_context.m_routes) {
+    const auto& stated = m_context.m_routes->m_limits;
+    limits.m_parser = {.m_max_header_bytes = stated.m_header_bytes,
+                       .m_max_body_bytes = stated.m_body_bytes};
+    limits.m_header_timeout = stated.m_header_timeout;
+    limits.m_idle_timeout = stated.m_idle_timeout;
+  }
+  const auto spare =
+      m_context.m_settings.m_max_descriptors - kReservedDescriptors;
+  limits.m_max_connections =
+      static_cast<std::size_t>(std::max(spare / 2, 1));
+  m_callers.SetLimits(limits);
+}
+
+auto EntryHost::TakeEndpoint(const StoredObject& object, bool removed) -> void {
+  const auto id = EndpointId(object.m_name);
+  const auto now = SteadyTime();
+  auto& directory = m_context.m_directory;
+  if (removed) {
+    LogEvent(LogEventId::kEndpointChanged,
+             {{"endpoint", id.value()}, {"state", "removed"}});
+    RemoveEndpoint(directory, id, now);
+    return;
+  }
+  auto entry = DecodeEndpoint(object);
+  if (!entry) {
+    LogEvent(LogEventId::kEndpointRejected,
+             {{"endpoint", id.value()}, {"reason", entry.error().m_message}});
+    RemoveEndpoint(directory, id, now);
+    return;
+  }
+  const auto* known = FindEndpoint(directory, id);
+  const auto restarted = known != nullptr && known->m_started_unix_ms !=
+                                                 entry->m_started_unix_ms;
+  if (restarted) {
+    m_context.m_loads.erase(id);
+    m_context.m_endpoints.Forget(known->m_address);
+  }
+  if (known == nullptr || known->m_leaving != entry->m_leaving || restarted) {
+    LogEvent(LogEventId::kEndpointChanged,
+             {{"endpoint", id.value()},
+              {"service", entry->m_service.value()},
+              {"domain", entry->m_domain.value()},
+              {"state", entry->m_leaving ? "leaving" : "ready"},
+              {"version", std::to_string(entry->m_version.value())}});
+  }
+  PutEndpoint(directory, std::move(*entry));
+}
+
+auto EntryHost::TakeEndpoints(const ObjectListing& listing) -> void {
+  std::vector<EndpointEntry> entries;
+  for (const auto& object : listing.m_objects) {
+    if (auto entry = DecodeEndpoint(object)) {
+      entries.push_back(std::move(*entry));
+    } else {
+      LogEvent(LogEventId::kEndpointRejected,
+               {{"endpoint", object.m_name},
+                {"reason", entry.error().m_message}});
+    }
+  }
+  ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
+}
+
+auto EntryHost::TakeLead(const StoredObject& object, bool removed) -> void {
+  const auto domain = DomainId(object.m_name);
+  const auto known = m_context.m_leads.find(domain);
+  if (known != m_context.m_leads.end() &&
+      known->second.m_version > object.m_version) {
+    return;
+  }
+  const auto entry = DecodeLeadEntry(object.m_spec);
+  if (removed || !entry) {
+    m_context.m_leads.erase(domain);
+  } else {
+    m_context.m_leads[domain] = {*entry, object.m_version};
+  }
+  if (domain != m_context.m_settings.m_domain) {
+    return;
+  }
+  const auto now_known = m_context.m_leads.find(domain);
+  m_lead.NoteLead(now_known == m_context.m_leads.end()
+                      ? std::nullopt
+                      : std::optional(now_known->second));
+}
+
+// Requests.
+
+auto EntryHost::OnCaller(const std::shared_ptr<ServerConnection>& connection,
+                         IncomingRequest request) -> void {
+  if (!m_context.m_routes) {
+    Refuse(connection, request, kStatusUnavailable, "no_configuration");
+    return;
+  }
+  const auto* host = FindField(request.m_head.m_fields, "host");
+  const auto* route = host == nullptr
+                          ? nullptr
+                          : FindRoute(*m_context.m_routes, *host,
+                                      request.m_head.m_target);
+  if (route == nullptr) {
+    Refuse(connection, request, kStatusNotFound, "no_route");
+    return;
+  }
+  auto exchange = std::make_shared<CallExchange>(
+      m_context, m_grants, connection, std::move(request), *route,
+      [this](const std::shared_ptr<CallExchange>& ended) {
+        m_exchanges.erase(ended);
+      });
+  m_exchanges.insert(exchange);
+  exchange->Start();
+}
+
+auto EntryHost::Refuse(const std::shared_ptr<ServerConnection>& connection,
+                       const IncomingRequest& request,
+                       int status,
+                       std::string_view reason) -> void {
+  HttpFields fields;
+  if (status == kStatusUnavailable) {
+    fields.push_back(MakeRetryAfterField(kRetryAfter));
+  }
+  LogEvent(LogEventId::kRequestEnded,
+           {{"request", ReadCallFacts(request.m_head).m_request.value()},
+            {"target", request.m_head.m_target},
+            {"status", std::to_string(status)},
+            {"reason", std::string(reason)}});
+  connection->Answer(status, std::move(fields), "");
+}
+
+auto EntryHost::IsReady() const -> bool {
+  return !m_stopping && m_context.m_routes &&
+         !m_context.m_directory.m_entries.empty() &&
+         m_lead_follower->listed();
+}
+
+auto EntryHost::OnReadinessQuestion(
+    const std::shared_ptr<ServerConnection>& connection,
+    const IncomingRequest& request) -> void {
+  if (!IsReadinessQuestion(request.m_head)) {
+    connection->Answer(kStatusNotFound, {}, "");
+    return;
+  }
+  connection->Answer(IsReady() ? kStatusOk : kStatusUnavailable, {}, "");
+}
+
+auto EntryHost::OnPeer(const std::shared_ptr<ServerConnection>& connection,
+                       const IncomingRequest& request) -> void {
+  const auto& target = request.m_head.m_target;
+  if (target == kGrantPath) {
+    const auto question = DecodeGrantQuestion(request.m_body);
+    if (!question) {
+      connection->Answer(400, {}, question.error().m_message);
+      return;
+    }
+    m_lead.Ask(*question, [connection](const GrantAnswer& answer) {
+      connection->Answer(kStatusOk, {}, EncodeGrantAnswer(answer));
+    });
+    return;
+  }
+  if (target == kSettlePath) {
+    const auto settlements = DecodeSettlements(request.m_body);
+    if (!settlements) {
+      connection->Answer(400, {}, settlements.error().m_message);
+      return;
+    }
+    m_lead.Settle(*settlements);
+    connection->Answer(kStatusOk, {}, "");
+    return;
+  }
+  if (target == kFindPath) {
+    if (!m_lead.active()) {
+      connection->Answer(kStatusUnavailable, {}, "");
+      return;
+    }
+    const auto known = m_lead.Knows(ProgramId(request.m_body));
+    connection->Answer(kStatusOk, {}, known ? "yes" : "no");
+    return;
+  }
+  connection->Answer(kStatusNotFound, {}, "");
+}
+
+// Time.
+
+auto EntryHost::ArmTick() -> void {
+  m_tick_timer.expires_after(kTick);
+  m_tick_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+auto EntryHost::EnsureLead(TimePoint now) -> void {
+  const auto led = m_context.m_leads.contains(m_context.m_settings.m_domain);
+  if (!led && m_lead_follower->listed() && !m_stopping &&
+      now - m_started_at > m_lead_patience) {
+    m_lead.TakeOver();
+  }
+}
+
+auto EntryHost::Tick() -> void {
+  const auto now = SteadyTime();
+  const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
+                                                        m_exchanges.end());
+  for (const auto& exchange : open) {
+    exchange->Tick(now);
+  }
+  DropLapsed(m_context.m_directory, now);
+  m_context.m_endpoints.Tick(now);
+  m_context.m_peers.Tick(now);
+  m_callers.Tick(now);
+  m_lead.Tick(now);
+  m_grants.Tick(now);
+  EnsureLead(now);
+  if (m_stopping) {
+    ContinueStop(now);
+  }
+  if (!m_context.m_loop.stopped()) {
+    ArmTick();
+  }
+}
+
+auto EntryHost::Stop() -> void {
+  if (std::exchange(m_stopping, true)) {
+    return;
+  }
+  m_stop_begun = SteadyTime();
+  m_callers.CloseAfterAnswers();
+  LogEvent(LogEventId::kHostDraining,
+           {{"open", std::to_string(m_callers.open_requests())}});
+}
+
+auto EntryHost::ContinueStop(TimePoint now) -> void {
+  const auto since = now - m_stop_begun;
+  const auto grace = m_context.m_settings.m_stop_grace;
+  if (since < std::min(kLameDuck, grace / 2)) {
+    return;
+  }
+  m_callers.StopListening();
+  const auto over = m_callers.open_requests() == 0;
+  if (over || since > grace - kExitMargin) {
+    LogEvent(LogEventId::kHostStopped,
+             {{"open", std::to_string(m_callers.open_requests())},
+              {"exit_code", "0"}});
+    m_context.m_loop.stop();
+  }
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/entry_host.h
@@ -0,0 +1,74 @@
+#ifndef DOTTERELSHED_ENTRY_HOST_H_
+#define DOTTERELSHED_ENTRY_HOST_H_
+
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "call_exchange.h"
+#include "dotterelshed/http_listener.h"
+#include "entry_context.h"
+#include "grant_client.h"
+#include "kind_follower.h"
+#include "lead_service.h"
+
+/// @file
+/// One entry host: listens for callers, for the balancer's readiness questions
+/// and for other hosts, follows the platform's store, and stops gracefully.
+
+namespace dotterelshed {
+
+class EntryHost {
+ public:
+  EntryHost(EventLoop& loop, const EntrySettings& settings);
+
+  /// Errors: kUnavailable when an address can't be bound.
+  auto Start() -> Status;
+  /// Begins a planned stop; the loop ends when it is over.
+  auto Stop() -> void;
+
+ private:
+  auto MakeFollowers() -> void;
+  auto OnCaller(const std::shared_ptr<ServerConnection>& connection,
+                IncomingRequest request) -> void;
+  auto OnReadinessQuestion(const std::shared_ptr<ServerConnection>& connection,
+                           const IncomingRequest& request) -> void;
+  auto OnPeer(const std::shared_ptr<ServerConnection>& connection,
+              const IncomingRequest& request) -> void;
+  auto Refuse(const std::shared_ptr<ServerConnection>& connection,
+              const IncomingRequest& request,
+              int status,
+              std::string_view reason) -> void;
+
+  auto TakeConfig(const StoredObject& object) -> void;
+  auto TakeEndpoint(const StoredObject& object, bool removed) -> void;
+  auto TakeEndpoints(const ObjectListing& listing) -> void;
+  auto TakeLead(const StoredObject& object, bool removed) -> void;
+  auto ApplyLimits() -> void;
+  auto EnsureLead(TimePoint now) -> void;
+
+  auto IsReady() const -> bool;
+  auto Tick() -> void;
+  auto ContinueStop(TimePoint now) -> void;
+  auto ArmTick() -> void;
+
+  EntryContext m_context;
+  LeadService m_lead;
+  GrantClient m_grants;
+  HttpListener m_callers;
+  HttpListener m_readiness;
+  HttpListener m_peers;
+  std::shared_ptr<KindFollower> m_config_follower;
+  std::shared_ptr<KindFollower> m_endpoint_follower;
+  std::shared_ptr<KindFollower> m_lead_follower;
+  std::unordered_set<std::shared_ptr<CallExchange>> m_exchanges;
+  boost::asio::steady_timer m_tick_timer;
+  TimePoint m_started_at;
+  TimePoint m_stop_begun;
+  Duration m_lead_patience{0};
+  bool m_stopping = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ENTRY_HOST_H_
--- /dev/null
+++ b/src/libgateway/entry_settings.cc
@@ -0,0 +1,131 @@
+#include "entry_settings.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "dotterelshed/byte_stream.h"
+#include "dotterelshed/log_events.h"
+
+namespace dotterelshed {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t kLeastDescriptors = 64;
+
+/// Reads members of one object and keeps the first mistake.
+struct SettingsReader {
+  const Json& m_json;
+  std::string m_file;
+  std::set<std::string> m_known;
+  std::string m_mistake;
+  std::string m_place;
+
+  auto Blame(const std::string& key, const std::string& mistake) -> void {
+    if (m_mistake.empty()) {
+      m_mistake = mistake;
+      m_place = m_file + ": " + key;
+    }
+  }
+
+  auto Find(const std::string& key) -> const Json* {
+    m_known.insert(key);
+    const auto found = m_json.find(key);
+    return found == m_json.end() ? nullptr : &*found;
+  }
+
+  auto Text(const std::string& key, bool required) -> std::string {
+    const auto* value = Find(key);
+    if (value == nullptr || !value->is_string()) {
+      if (value != nullptr || required) {
+        Blame(key, "needs a text");
+      }
+      return "";
+    }
+    auto text = value->get<std::string>();
+    if (required && text.empty()) {
+      Blame(key, "must not be empty");
+    }
+    return text;
+  }
+
+  auto Address(const std::string& key, bool required) -> std::string {
+    auto text = Text(key, required);
+    if (!text.empty() && !ParseTcpAddress(text)) {
+      Blame(key, "'" + text + "' is not an address IP:port");
+    }
+    return text;
+  }
+
+  auto Number(const std::string& key, double least, double otherwise)
+      -> double {
+    const auto* value = Find(key);
+    if (value == nullptr) {
+      return otherwise;
+    }
+    if (!value->is_number() || value->get<double>() < least) {
+      Blame(key, fmt::format("needs a number of at least {}", least));
+      return otherwise;
+    }
+    return value->get<double>();
+  }
+
+  auto CheckUnknown() -> void {
+    for (const auto& [key, value] : m_json.items()) {
+      if (!m_known.contains(key)) {
+        Blame(key, "unknown key");
+      }
+    }
+  }
+};
+
+auto ReadRole(SettingsReader& reader) -> HostRole {
+  const auto role = reader.Text("role", true);
+  if (role != "entry" && role != "disk") {
+    reader.Blame("role", "'" + role + "' is neither entry nor disk");
+  }
+  return role == "disk" ? HostRole::kDisk : HostRole::kEntry;
+}
+
+}  // namespace
+
+auto ParseEntrySettings(std::string_view text, std::string_view file)
+    -> Result<EntrySettings> {
+  const auto json = Json::parse(text, nullptr, false, true);
+  if (!json.is_object()) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "not an object in JSON with comments", std::string(file));
+  }
+  SettingsReader reader{.m_json = json, .m_file = std::string(file)};
+  EntrySettings settings;
+  settings.m_role = ReadRole(reader);
+  const auto entry = settings.m_role == HostRole::kEntry;
+  settings.m_host = HostId(reader.Text("host", true));
+  settings.m_domain = DomainId(reader.Text("domain", true));
+  settings.m_caller_address = reader.Address("caller_address", entry);
+  settings.m_ready_address = reader.Address("ready_address", entry);
+  settings.m_peer_address = reader.Address("peer_address", true);
+  settings.m_platform_address = reader.Address("platform_address", true);
+  settings.m_stop_grace =
+      FromSeconds(reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
+  settings.m_max_descriptors = static_cast<int>(
+      reader.Number("max_descriptors", kLeastDescriptors,
+                    settings.m_max_descriptors));
+  const auto level = reader.Text("log_level", false);
+  if (!level.empty()) {
+    settings.m_log_level = level;
+  }
+  if (!ParseLogLevel(settings.m_log_level)) {
+    reader.Blame("log_level", "write debug, info, warning or error");
+  }
+  reader.CheckUnknown();
+  if (!reader.m_mistake.empty()) {
+    return Fail(ErrorCode::kInvalidArgument, reader.m_mistake, reader.m_place);
+  }
+  return settings;
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/entry_settings.h
@@ -0,0 +1,45 @@
+#ifndef DOTTERELSHED_ENTRY_SETTINGS_H_
+#define DOTTERELSHED_ENTRY_SETTINGS_H_
+
+#include <string>
+#include <string_view>
+
+#include "dotterelshed/error.h"
+#include "dotterelshed/ids.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// Settings of one process of the platform path: JSON with comments, rendered
+/// by the platform from deploy/host.jsonc.in.
+
+namespace dotterelshed {
+
+enum class HostRole {
+  kEntry,  ///< Takes callers' requests.
+  kDisk,   ///< Stands on a host with a disk and answers retirements.
+};
+
+struct EntrySettings {
+  HostId m_host;
+  DomainId m_domain;
+  HostRole m_role = HostRole::kEntry;
+  /// "IP:port" each; the first three are empty on disk hosts.
+  std::string m_caller_address;
+  std::string m_ready_address;
+  std::string m_peer_address;
+  std::string m_platform_address;
+  /// Time from SIGTERM to SIGKILL.
+  Duration m_stop_grace = std::chrono::seconds(8);
+  /// Sockets, files and pipes that the process may hold.
+  int m_max_descriptors = 1024;
+  std::string m_log_level = "info";
+};
+
+/// Parses and checks settings. Unknown keys are errors. The error names file
+/// and key.
+auto ParseEntrySettings(std::string_view text, std::string_view file)
+    -> Result<EntrySettings>;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/libgateway/kind_follower.cc
@@ -0,0 +1,137 @@
+#include "kind_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// Longest wait of one watch call.
+constexpr Duration kWatchWait = std::chrono::seconds(15);
+/// Pause after a change, so that those which follow come in one call.
+constexpr Duration kJoinTime = std::chrono::milliseconds(250);
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
+constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+KindFollower::KindFollower(EventLoop& loop,
+                           ObjectStore& store,
+                           ObjectKind kind,
+                           FollowerHandlers handlers)
+    : m_store(store),
+      m_kind(kind),
+      m_handlers(std::move(handlers)),
+      m_timer(loop) {}
+
+auto KindFollower::Start() -> void {
+  List();
+}
+
+auto KindFollower::Stop() -> void {
+  m_stopped = true;
+  ++m_round;
+  m_timer.cancel();
+}
+
+auto KindFollower::Refresh() -> void {
+  m_timer.cancel();
+  List();
+}
+
+auto KindFollower::After(Duration wait, void (KindFollower::*step)()) -> void {
+  m_timer.expires_after(wait);
+  m_timer.async_wait([weak = weak_from_this(), step, round = m_round](
+                         const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (!error && self && round == self->m_round) {
+      ((*self).*step)();
+    }
+  });
+}
+
+auto KindFollower::List() -> void {
+  m_store.List(m_kind, [weak = weak_from_this(), round = ++m_round](
+                           const Result<ObjectListing>& listing) {
+    const auto self = weak.lock();
+    if (self && round == self->m_round) {
+      self->OnListing(listing);
+    }
+  });
+}
+
+auto KindFollower::Watch() -> void {
+  m_store.Watch(m_kind, m_version, kWatchWait,
+                [weak = weak_from_this(),
+                 round = ++m_round](const Result<ObjectChanges>& changes) {
+                  const auto self = weak.lock();
+                  if (self && round == self->m_round) {
+                    self->OnChanges(changes);
+                  }
+                });
+}
+
+auto KindFollower::OnListing(const Result<ObjectListing>& listing) -> void {
+  if (!listing) {
+    OnFailure(listing.error());
+    return;
+  }
+  SetReachable(true);
+  m_listed = true;
+  m_version = listing->m_store_version;
+  m_handlers.m_on_listing(*listing);
+  Watch();
+}
+
+auto KindFollower::OnChanges(const Result<ObjectChanges>& changes) -> void {
+  if (!changes) {
+    OnFailure(changes.error());
+    return;
+  }
+  SetReachable(true);
+  m_version = std::max(m_version, changes->m_store_version);
+  if (changes->m_changes.empty()) {
+    Watch();
+    return;
+  }
+  m_handlers.m_on_changes(*changes);
+  After(kJoinTime, &KindFollower::Watch);
+}
+
+auto KindFollower::OnFailure(const Error& error) -> void {
+  if (error.m_code == ErrorCode::kGone) {
+    // The history was dropped, not the store: the listing shows what changed.
+    m_listed = false;
+    List();
+    return;
+  }
+  if (m_reachable) {
+    LogEvent(LogEventId::kPlatformLost,
+             {{"kind", std::string(KindName(m_kind))},
+              {"code", std::string(ToString(error.m_code))},
+              {"reason", error.m_message}});
+  }
+  SetReachable(false);
+  m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
+  After(m_backoff, m_listed ? &KindFollower::Watch : &KindFollower::List);
+}
+
+auto KindFollower::SetReachable(bool reachable) -> void {
+  if (reachable) {
+    m_backoff = Duration{0};
+  }
+  if (m_reachable == reachable) {
+    return;
+  }
+  m_reachable = reachable;
+  if (reachable) {
+    LogEvent(LogEventId::kPlatformBack,
+             {{"kind", std::string(KindName(m_kind))}});
+  }
+  m_handlers.m_on_reachable(reachable);
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/kind_follower.h
@@ -0,0 +1,66 @@
+#ifndef DOTTERELSHED_KIND_FOLLOWER_H_
+#define DOTTERELSHED_KIND_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+
+#include "dotterelshed/byte_stream.h"
+#include "dotterelshed/units.h"
+#include "platform/object_store.h"
+
+/// @file
+/// Keeps up with one kind of objects in the platform's store: lists it once,
+/// then watches, and lists again when the history it needs is gone.
+
+namespace dotterelshed {
+
+struct FollowerHandlers {
+  /// A complete listing; replaces what was known.
+  std::function<void(const ObjectListing&)> m_on_listing;
+  std::function<void(const ObjectChanges&)> m_on_changes;
+  /// The store stopped answering, or answers again.
+  std::function<void(bool)> m_on_reachable;
+};
+
+class KindFollower : public std::enable_shared_from_this<KindFollower> {
+ public:
+  KindFollower(EventLoop& loop,
+               ObjectStore& store,
+               ObjectKind kind,
+               FollowerHandlers handlers);
+
+  auto Start() -> void;
+  /// Ends the following; no handler runs any more.
+  auto Stop() -> void;
+  /// Lists at once instead of waiting for a change.
+  auto Refresh() -> void;
+  /// True once a listing has arrived.
+  auto listed() const -> bool { return m_listed; }
+  /// True while the last call succeeded.
+  auto reachable() const -> bool { return m_reachable; }
+
+ private:
+  auto List() -> void;
+  auto Watch() -> void;
+  auto OnListing(const Result<ObjectListing>& listing) -> void;
+  auto OnChanges(const Result<ObjectChanges>& changes) -> void;
+  auto OnFailure(const Error& error) -> void;
+  auto SetReachable(bool reachable) -> void;
+  auto After(Duration wait, void (KindFollower::*step)()) -> void;
+
+  ObjectStore& m_store;
+  ObjectKind m_kind;
+  FollowerHandlers m_handlers;
+  boost::asio::steady_timer m_timer;
+  ResourceVersion m_version;
+  Duration m_backoff{0};
+  /// Counts calls, so that a late answer to an abandoned one is ignored.
+  int m_round = 0;
+  bool m_listed = false;
+  bool m_reachable = true;
+  bool m_stopped = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_KIND_FOLLOWER_H_
--- /dev/null
+++ b/src/libgateway/lead_messages.cc
@@ -0,0 +1,167 @@
+#include "lead_messages.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace dotterelshed {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr auto kVerdicts = std::to_array<GrantVerdict>(
+    {GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
+     GrantVerdict::kElsewhere, GrantVerdict::kNotLead,
+     GrantVerdict::kUnavailable});
+
+/// Runs @p decode; a missing or mistyped member becomes an error.
+template <typename T, typename Decode>
+auto Read(const Json& json, Decode decode) -> Result<T> {
+  try {
+    return decode(json);
+  } catch (const Json::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "peer message");
+  }
+}
+
+template <typename T, typename Decode>
+auto Parse(std::string_view text, Decode decode) -> Result<T> {
+  return Read<T>(Json::parse(text, nullptr, false), decode);
+}
+
+auto ToTokens(const Json& value) -> Tokens {
+  return Tokens(value.get<std::int64_t>());
+}
+
+}  // namespace
+
+auto ToString(GrantVerdict verdict) -> std::string_view {
+  switch (verdict) {
+    case GrantVerdict::kGranted:
+      return "granted";
+    case GrantVerdict::kBudgetSpent:
+      return "budget_spent";
+    case GrantVerdict::kElsewhere:
+      return "elsewhere";
+    case GrantVerdict::kNotLead:
+      return "not_lead";
+    case GrantVerdict::kUnavailable:
+      return "unavailable";
+  }
+  return "unavailable";
+}
+
+auto EncodeGrantQuestion(const GrantQuestion& question) -> std::string {
+  return Json{{"program", question.m_grant.m_program.value()},
+              {"request", question.m_grant.m_request.value()},
+              {"budget", question.m_grant.m_budget.value()},
+              {"most", question.m_grant.m_turn_max.value()},
+              {"service", question.m_service.value()},
+              {"prompt", question.m_prompt.value()},
+              {"opening", question.m_opening}}
+      .dump();
+}
+
+auto DecodeGrantQuestion(std::string_view text) -> Result<GrantQuestion> {
+  return Parse<GrantQuestion>(text, [](const Json& json) {
+    GrantQuestion question;
+    question.m_grant.m_program = ProgramId(json.at("program"));
+    question.m_grant.m_request = RequestId(json.at("request"));
+    question.m_grant.m_budget = ToTokens(json.at("budget"));
+    question.m_grant.m_turn_max = ToTokens(json.at("most"));
+    question.m_service = ServiceId(json.at("service"));
+    question.m_prompt = ToTokens(json.at("prompt"));
+    question.m_opening = json.at("opening").get<bool>();
+    return question;
+  });
+}
+
+auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string {
+  return Json{{"verdict", ToString(answer.m_verdict)},
+              {"domain", answer.m_domain.value()},
+              {"endpoint", answer.m_endpoint.value()}}
+      .dump();
+}
+
+auto DecodeGrantAnswer(std::string_view text) -> Result<GrantAnswer> {
+  return Parse<GrantAnswer>(text, [](const Json& json) {
+    GrantAnswer answer;
+    const auto verdict = json.at("verdict").get<std::string>();
+    for (const auto one : kVerdicts) {
+      if (ToString(one) == verdict) {
+        answer.m_verdict = one;
+      }
+    }
+    answer.m_domain = DomainId(json.at("domain"));
+    answer.m_endpoint = EndpointId(json.at("endpoint"));
+    return answer;
+  });
+}
+
+auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
+    -> std::string {
+  auto list = Json::array();
+  for (const auto& one : settlements) {
+    list.push_back({{"program", one.m_program.value()},
+                    {"request", one.m_request.value()},
+                    {"used", one.m_used.value()}});
+  }
+  return list.dump();
+}
+
+auto DecodeSettlements(std::string_view text)
+    -> Result<std::vector<TurnSettlement>> {
+  return Parse<std::vector<TurnSettlement>>(text, [](const Json& json) {
+    std::vector<TurnSettlement> settlements;
+    for (const auto& one : json) {
+      settlements.push_back({ProgramId(one.at("program")),
+                             RequestId(one.at("request")),
+                             ToTokens(one.at("used"))});
+    }
+    return settlements;
+  });
+}
+
+auto EncodeLeadEntry(const LeadEntry& entry) -> Json {
+  return Json{{"host", entry.m_host.value()},
+              {"incarnation", entry.m_incarnation.value()},
+              {"peer_address", entry.m_peer_address}};
+}
+
+auto DecodeLeadEntry(const Json& body) -> Result<LeadEntry> {
+  return Read<LeadEntry>(body, [](const Json& json) {
+    LeadEntry entry;
+    entry.m_host = HostId(json.at("host"));
+    entry.m_incarnation =
+        Incarnation(json.at("incarnation").get<std::int64_t>());
+    entry.m_peer_address = json.at("peer_address").get<std::string>();
+    return entry;
+  });
+}
+
+auto EncodeStoredLedger(const StoredLedger& ledger) -> Json {
+  auto bounds = Json::object();
+  for (const auto& [program, bound] : ledger.m_record.m_bounds) {
+    bounds[program.value()] = bound.value();
+  }
+  return Json{{"host", ledger.m_host.value()},
+              {"incarnation", ledger.m_incarnation.value()},
+              {"write", ledger.m_write},
+              {"bounds", std::move(bounds)}};
+}
+
+auto DecodeStoredLedger(const Json& body) -> Result<StoredLedger> {
+  return Read<StoredLedger>(body, [](const Json& json) {
+    StoredLedger ledger;
+    ledger.m_host = HostId(json.at("host"));
+    ledger.m_incarnation =
+        Incarnation(json.at("incarnation").get<std::int64_t>());
+    ledger.m_write = json.at("write").get<std::int64_t>();
+    for (const auto& [program, bound] : json.at("bounds").items()) {
+      ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
+    }
+    return ledger;
+  });
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/lead_messages.h
@@ -0,0 +1,87 @@
+#ifndef DOTTERELSHED_LEAD_MESSAGES_H_
+#define DOTTERELSHED_LEAD_MESSAGES_H_
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dotterelshed/error.h"
+#include "dotterelshed/ids.h"
+#include "dotterelshed/program_ledger.h"
+#include "dotterelshed/units.h"
+
+/// @file
+/// What hosts and leads say to each other, and what a lead keeps in the store.
+/// Bodies are JSON.
+
+namespace dotterelshed {
+
+/// A host asks the lead of its failure domain before a turn.
+struct GrantQuestion {
+  GrantRequest m_grant;
+  ServiceId m_service;
+  Tokens m_prompt{0};
+  /// True when the prompt is too short to hold an earlier turn.
+  bool m_opening = false;
+};
+
+enum class GrantVerdict {
+  kGranted,
+  kBudgetSpent,
+  kElsewhere,    ///< Another domain's lead keeps the program's account.
+  kNotLead,      ///< The asked host isn't the lead.
+  kUnavailable,  ///< Can't be decided now; the turn must not run.
+};
+
+/// Stable lower-case name, on the wire and in logs.
+auto ToString(GrantVerdict verdict) -> std::string_view;
+
+struct GrantAnswer {
+  GrantVerdict m_verdict = GrantVerdict::kUnavailable;
+  /// With kElsewhere: the domain to ask.
+  DomainId m_domain;
+  /// With kGranted: where the turn should run; may be empty.
+  EndpointId m_endpoint;
+};
+
+/// A turn that was granted has ended.
+struct TurnSettlement {
+  ProgramId m_program;
+  RequestId m_request;
+  Tokens m_used{0};
+};
+
+/// Who leads a domain; kept in the store under the domain's name.
+struct LeadEntry {
+  HostId m_host;
+  /// Differs for each start of the process.
+  Incarnation m_incarnation;
+  std::string m_peer_address;
+};
+
+/// The stored ledger of a domain.
+struct StoredLedger {
+  HostId m_host;
+  Incarnation m_incarnation;
+  /// Counts the writes of one incarnation, to tell one's own apart.
+  std::int64_t m_write = 0;
+  LedgerRecord m_record;
+};
+
+auto EncodeGrantQuestion(const GrantQuestion& question) -> std::string;
+auto DecodeGrantQuestion(std::string_view text) -> Result<GrantQuestion>;
+auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string;
+auto DecodeGrantAnswer(std::string_view text) -> Result<GrantAnswer>;
+auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
+    -> std::string;
+auto DecodeSettlements(std::string_view text)
+    -> Result<std::vector<TurnSettlement>>;
+auto EncodeLeadEntry(const LeadEntry& entry) -> nlohmann::json;
+auto DecodeLeadEntry(const nlohmann::json& json) -> Result<LeadEntry>;
+auto EncodeStoredLedger(const StoredLedger& ledger) -> nlohmann::json;
+auto DecodeStoredLedger(const nlohmann::json& json) -> Result<StoredLedger>;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_LEAD_MESSAGES_H_
--- /dev/null
+++ b/src/libgateway/lead_service.cc
@@ -0,0 +1,536 @@
+#include "lead_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// Longest time that a question waits for its answer.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(550);
+/// Time between two writes while turns wait for one.
+constexpr Duration kUrgentWriteInterval = std::chrono::milliseconds(80);
+/// Time between two writes that only prepare coming turns.
+constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(500);
+constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
+/// Longest wait for another domain's lead.
+constexpr Duration kFindTimeout = std::chrono::milliseconds(150);
+/// Time for which a silent lead isn't asked again.
+constexpr Duration kSilentTime = std::chrono::milliseconds(1000);
+/// Age up to which another domain's stored ledger needn't be read again.
+constexpr Duration kOtherLedgerAge = std::chrono::milliseconds(400);
+constexpr Duration kSweepInterval = std::chrono::seconds(5);
+/// Turns that never reported their end are taken for over after this time.
+constexpr Duration kMaxTurnTime = std::chrono::seconds(20);
+
+}  // namespace
+
+LeadService::LeadService(EntryContext& context) : m_context(context) {}
+
+auto LeadService::IsMine(const LeadEntry& entry) const -> bool {
+  return entry.m_host == m_context.m_settings.m_host &&
+         entry.m_incarnation == m_context.m_incarnation;
+}
+
+auto LeadService::Knows(const ProgramId& program) const -> bool {
+  return active() && KnowsProgram(m_ledger, program);
+}
+
+// Becoming lead.
+
+auto LeadService::TakeOver() -> void {
+  if (m_phase != Phase::kIdle || SteadyTime() < m_retry_at) {
+    return;
+  }
+  m_phase = Phase::kClaiming;
+  const auto& domain = m_context.m_settings.m_domain;
+  StoredObject object{
+      .m_name = domain.value(),
+      .m_spec = EncodeLeadEntry(
+          {.m_host = m_context.m_settings.m_host,
+           .m_incarnation = m_context.m_incarnation,
+           .m_peer_address = m_context.m_settings.m_peer_address})};
+  const auto after = [this](const Result<StoredObject>& stored) {
+    AfterClaim(stored);
+  };
+  const auto known = m_context.m_leads.find(domain);
+  if (known == m_context.m_leads.end()) {
+    m_context.m_store.Create(ObjectKind::kLeads, std::move(object), after);
+    return;
+  }
+  object.m_version = known->second.m_version;
+  m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after);
+}
+
+auto LeadService::AfterClaim(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kClaiming) {
+    return;
+  }
+  if (!stored) {
+    LogEvent(LogEventId::kLeadClaimFailed,
+             {{"code", std::string(ToString(stored.error().m_code))},
+              {"reason", stored.error().m_message}});
+    // If it was done all the same, the store's list of leads will say so.
+    BecomeIdle();
+    return;
+  }
+  const auto entry = DecodeLeadEntry(stored->m_spec);
+  if (!entry || !IsMine(*entry)) {
+    BecomeIdle();
+    return;
+  }
+  m_context.m_leads[m_context.m_settings.m_domain] = {*entry,
+                                                      stored->m_version};
+  m_phase = Phase::kAdopting;
+  Adopt();
+}
+
+auto LeadService::NoteLead(const std::optional<KnownLead>& lead) -> void {
+  if (lead && IsMine(lead->m_entry)) {
+    if (m_phase == Phase::kIdle || m_phase == Phase::kClaiming) {
+      m_phase = Phase::kAdopting;
+      Adopt();
+    }
+    return;
+  }
+  if (m_phase == Phase::kActive || m_phase == Phase::kAdopting) {
+    BecomeIdle();
+  }
+}
+
+auto LeadService::Adopt() -> void {
+  m_writing = true;
+  m_context.m_store.Get(ObjectKind::kLedgers,
+                        m_context.m_settings.m_domain.value(),
+                        [this](const Result<StoredObject>& stored) {
+                          m_writing = false;
+                          AfterAdoptRead(stored);
+                        });
+}
+
+auto LeadService::AfterAdoptRead(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kAdopting) {
+    return;
+  }
+  const auto now = SteadyTime();
+  if (!stored) {
+    if (stored.error().m_code != ErrorCode::kNotFound) {
+      m_retry_at = now + kStoreRetryWait;
+      return;
+    }
+    m_ledger_version = ResourceVersion(0);
+    AdoptRecord(m_ledger, {}, now);
+    WriteAdopted();
+    return;
+  }
+  const auto ledger = DecodeStoredLedger(stored->m_spec);
+  if (!ledger) {
+    LogEvent(LogEventId::kLeadClaimFailed,
+             {{"code", "invalid_argument"},
+              {"reason", ledger.error().m_message}});
+    m_retry_at = now + kStoreRetryWait;
+    return;
+  }
+  m_ledger_version = stored->m_version;
+  AdoptRecord(m_ledger, ledger->m_record, now);
+  WriteAdopted();
+}
+
+auto LeadService::WriteAdopted() -> void {
+  m_writing = true;
+  auto object = MakeLedgerObject(BeginRecord(m_ledger));
+  const auto after = [this](const Result<StoredObject>& stored) {
+    m_writing = false;
+    AfterAdoptWrite(stored);
+  };
+  if (m_ledger_version == ResourceVersion(0)) {
+    m_context.m_store.Create(ObjectKind::kLedgers, std::move(object), after);
+  } else {
+    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after);
+  }
+}
+
+auto LeadService::AfterAdoptWrite(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kAdopting) {
+    return;
+  }
+  const auto now = SteadyTime();
+  if (!stored) {
+    // Read again: another lead may have written, or this write may be there.
+    m_retry_at = now + kStoreRetryWait;
+    return;
+  }
+  m_ledger_version = stored->m_version;
+  m_last_write = now;
+  m_phase = Phase::kActive;
+  LogEvent(LogEventId::kLeadChanged,
+           {{"domain", m_context.m_settings.m_domain.value()},
+            {"lead", m_context.m_settings.m_host.value()},
+            {"programs", std::to_string(m_ledger.m_accounts.size())}});
+  DecideWaiting();
+}
+
+auto LeadService::BecomeIdle() -> void {
+  if (m_phase == Phase::kActive) {
+    LogEvent(LogEventId::kLeadLost,
+             {{"domain", m_context.m_settings.m_domain.value()}});
+  }
+  m_phase = Phase::kIdle;
+  m_retry_at = SteadyTime() + kStoreRetryWait;
+  m_ledger = {};
+  m_notes.clear();
+  m_loads.clear();
+  m_placed.clear();
+  auto waiting = std::exchange(m_waiting, {});
+  for (auto& [program, search] : std::exchange(m_searches, {})) {
+    waiting.insert(waiting.end(), search.m_waiting.begin(),
+                   search.m_waiting.end());
+  }
+  for (const auto& one : waiting) {
+    one.m_answered({.m_verdict = GrantVerdict::kNotLead});
+  }
+}
+
+// Answering questions.
+
+auto LeadService::Ask(const GrantQuestion& question, Answered answered)
+    -> void {
+  if (m_phase == Phase::kIdle) {
+    answered({.m_verdict = GrantVerdict::kNotLead});
+    return;
+  }
+  const Waiting waiting{question, std::move(answered),
+                        SteadyTime() + kAnswerTime};
+  if (m_phase != Phase::kActive) {
+    m_waiting.push_back(waiting);
+    return;
+  }
+  Decide(waiting);
+}
+
+auto LeadService::Decide(const Waiting& waiting) -> void {
+  const auto& program = waiting.m_question.m_grant.m_program;
+  const auto note = m_notes.find(program);
+  if (KnowsProgram(m_ledger, program)) {
+    Grant(waiting);
+  } else if (note != m_notes.end() && !note->second.m_domain.empty()) {
+    waiting.m_answered({.m_verdict = GrantVerdict::kElsewhere,
+                        .m_domain = note->second.m_domain});
+  } else {
+    StartSearch(waiting);
+  }
+}
+
+auto LeadService::Grant(const Waiting& waiting) -> void {
+  const auto now = SteadyTime();
+  switch (RequestGrant(m_ledger, waiting.m_question.m_grant, now)) {
+    case GrantDecision::kGranted:
+      waiting.m_answered({.m_verdict = GrantVerdict::kGranted,
+                          .m_endpoint = Place(waiting.m_question, now)});
+      return;
+    case GrantDecision::kBudgetSpent:
+      waiting.m_answered({.m_verdict = GrantVerdict::kBudgetSpent});
+      return;
+    case GrantDecision::kNeedsRecord:
+      m_waiting.push_back(waiting);
+      MaybeWrite(now);
+      return;
+  }
+}
+
+auto LeadService::Place(const GrantQuestion& question, TimePoint now)
+    -> EndpointId {
+  auto& note = m_notes[question.m_grant.m_program];
+  note.m_last_used = now;
+  const auto chosen = ChooseEndpoint(m_context.m_directory, m_loads,
+                                     {.m_service = question.m_service,
+                                      .m_domain = m_context.m_settings.m_domain,
+                                      .m_warm = note.m_endpoint,
+                                      .m_prompt = question.m_prompt,
+                                      .m_draw = m_context.Draw()},
+                                     now);
+  if (!chosen) {
+    return {};
+  }
+  note.m_endpoint = *chosen;
+  ++m_loads[*chosen].m_outstanding;
+  m_placed[question.m_grant.m_request] = {*chosen, now};
+  return *chosen;
+}
+
+auto LeadService::Settle(const std::vector<TurnSettlement>& settlements)
+    -> void {
+  const auto now = SteadyTime();
+  for (const auto& one : settlements) {
+    SettleTurn(m_ledger, one.m_program, one.m_request, one.m_used, now);
+    const auto placed = m_placed.find(one.m_request);
+    if (placed != m_placed.end()) {
+      --m_loads[placed->second.m_endpoint].m_outstanding;
+      m_placed.erase(placed);
+    }
+  }
+}
+
+// Finding the account of an unknown program.
+
+auto LeadService::StartSearch(const Waiting& waiting) -> void {
+  const auto program = waiting.m_question.m_grant.m_program;
+  const auto [found, is_new] = m_searches.try_emplace(program);
+  found->second.m_waiting.push_back(waiting);
+  if (!is_new) {
+    return;
+  }
+  for (const auto& [domain, lead] : m_context.m_leads) {
+    if (domain != m_context.m_settings.m_domain) {
+      found->second.m_open.insert(domain);
+    }
+  }
+  const auto domains = found->second.m_open;
+  if (domains.empty()) {
+    for (const auto& one : EndSearch(program)) {
+      Grant(one);
+    }
+    return;
+  }
+  for (const auto& domain : domains) {
+    AskOther(program, domain);
+  }
+}
+
+auto LeadService::AskOther(const ProgramId& program, const DomainId& domain)
+    -> void {
+  const auto silent = m_silent_until.find(domain);
+  if (silent != m_silent_until.end() && SteadyTime() < silent->second) {
+    ReadOtherLedger(program, domain);
+    return;
+  }
+  const auto& address = m_context.m_leads.at(domain).m_entry.m_peer_address;
+  CallPeer(m_context.m_loop, m_context.m_peers, address, kFindPath,
+           program.value(), kFindTimeout,
+           [this, program, domain](const Result<std::string>& reply) {
+             if (!m_searches.contains(program)) {
+               return;
+             }
+             if (reply && (*reply == "yes" || *reply == "no")) {
+               AfterSearch(program, domain, *reply == "yes");
+               return;
+             }
+             m_silent_until[domain] = SteadyTime() + kSilentTime;
+             ReadOtherLedger(program, domain);
+           });
+}
+
+auto LeadService::ReadOtherLedger(const ProgramId& program,
+                                  const DomainId& domain) -> void {
+  const auto known = m_other_ledgers.find(domain);
+  if (known != m_other_ledgers.end() &&
+      SteadyTime() - known->second.m_read_at < kOtherLedgerAge) {
+    AfterSearch(program, domain,
+                known->second.m_record.m_bounds.contains(program));
+    return;
+  }
+  m_context.m_store.Get(
+      ObjectKind::kLedgers, domain.value(),
+      [this, program, domain](const Result<StoredObject>& stored) {
+        if (!m_searches.contains(program)) {
+          return;
+        }
+        if (!stored && stored.error().m_code == ErrorCode::kNotFound) {
+          AfterSearch(program, domain, false);
+          return;
+        }
+        const auto ledger =
+            stored ? DecodeStoredLedger(stored->m_spec)
+                   : Result<StoredLedger>(tl::unexpected(stored.error()));
+        if (!ledger) {
+          AfterFailedSearch(program, domain);
+          return;
+        }
+        m_other_ledgers[domain] = {SteadyTime(), ledger->m_record};
+        AfterSearch(program, domain,
+                    ledger->m_record.m_bounds.contains(program));
+      });
+}
+
+auto LeadService::AfterSearch(const ProgramId& program,
+                              const DomainId& domain,
+                              bool found) -> void {
+  if (found) {
+    m_notes[program] = {.m_domain = domain, .m_last_used = SteadyTime()};
+    for (const auto& one : EndSearch(program)) {
+      one.m_answered(
+          {.m_verdict = GrantVerdict::kElsewhere, .m_domain = domain});
+    }
+    return;
+  }
+  auto& search = m_searches.at(program);
+  search.m_open.erase(domain);
+  if (search.m_open.empty()) {
+    for (const auto& one : EndSearch(program)) {
+      Grant(one);
+    }
+  }
+}
+
+auto LeadService::AfterFailedSearch(const ProgramId& program,
+                                    const DomainId& domain) -> void {
+  // Neither the domain's lead nor its ledger can be read. A program that begins
+  // has no account there; one that is under way may have.
+  auto& search = m_searches.at(program);
+  const auto opening = std::all_of(
+      search.m_waiting.begin(), search.m_waiting.end(),
+      [](const Waiting& one) { return one.m_question.m_opening; });
+  if (opening) {
+    AfterSearch(program, domain, false);
+    return;
+  }
+  for (const auto& one : EndSearch(program)) {
+    one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+  }
+}
+
+auto LeadService::EndSearch(const ProgramId& program) -> std::vector<Waiting> {
+  const auto found = m_searches.find(program);
+  auto waiting = std::move(found->second.m_waiting);
+  m_searches.erase(found);
+  return waiting;
+}
+
+// Recording.
+
+auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
+  return {.m_name = m_context.m_settings.m_domain.value(),
+          .m_version = m_ledger_version,
+          .m_spec = EncodeStoredLedger(
+              {.m_host = m_context.m_settings.m_host,
+               .m_incarnation = m_context.m_incarnation,
+               .m_write = ++m_write,
+               .m_record = record})};
+}
+
+auto LeadService::MaybeWrite(TimePoint now) -> void {
+  if (m_phase != Phase::kActive || m_writing || now < m_retry_at) {
+    return;
+  }
+  const auto interval =
+      m_waiting.empty() ? kLazyWriteInterval : kUrgentWriteInterval;
+  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty;
+  if (!wanted || now - m_last_write < interval) {
+    return;
+  }
+  m_writing = true;
+  m_last_write = now;
+  auto record = BeginRecord(m_ledger);
+  auto object = MakeLedgerObject(record);
+  m_context.m_store.Replace(
+      ObjectKind::kLedgers, std::move(object),
+      [this, record = std::move(record)](const Result<StoredObject>& stored) {
+        m_writing = false;
+        AfterWrite(record, stored);
+      });
+}
+
+auto LeadService::AfterWrite(const LedgerRecord& record,
+                             const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kActive) {
+    return;
+  }
+  if (stored) {
+    m_ledger_version = stored->m_version;
+    NoteRecorded(m_ledger, record);
+    DecideWaiting();
+    return;
+  }
+  LogEvent(LogEventId::kLedgerWriteFailed,
+           {{"code", std::string(ToString(stored.error().m_code))},
+            {"reason", stored.error().m_message},
+            {"waiting", std::to_string(m_waiting.size())}});
+  m_ledger.m_dirty = true;
+  if (stored.error().m_code == ErrorCode::kUnavailable) {
+    m_retry_at = SteadyTime() + kStoreRetryWait;
+    return;
+  }
+  CheckLedger(record);
+}
+
+auto LeadService::CheckLedger(const LedgerRecord& record) -> void {
+  m_writing = true;
+  m_context.m_store.Get(
+      ObjectKind::kLedgers, m_context.m_settings.m_domain.value(),
+      [this, record](const Result<StoredObject>& stored) {
+        m_writing = false;
+        if (m_phase != Phase::kActive) {
+          return;
+        }
+        const auto now = SteadyTime();
+        if (!stored) {
+          m_retry_at = now + kStoreRetryWait;
+          return;
+        }
+        const auto ledger = DecodeStoredLedger(stored->m_spec);
+        if (!ledger || ledger->m_host != m_context.m_settings.m_host ||
+            ledger->m_incarnation != m_context.m_incarnation) {
+          BecomeIdle();
+          return;
+        }
+        m_ledger_version = stored->m_version;
+        if (ledger->m_write == m_write) {
+          NoteRecorded(m_ledger, record);
+          DecideWaiting();
+        }
+      });
+}
+
+auto LeadService::DecideWaiting() -> void {
+  for (const auto& one : std::exchange(m_waiting, {})) {
+    Decide(one);
+  }
+}
+
+auto LeadService::AnswerLate(TimePoint now) -> void {
+  const auto late = [now](const Waiting& one) {
+    if (one.m_deadline > now) {
+      return false;
+    }
+    one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+    return true;
+  };
+  std::erase_if(m_waiting, late);
+  for (auto& [program, search] : m_searches) {
+    std::erase_if(search.m_waiting, late);
+  }
+}
+
+auto LeadService::ForgetOld(TimePoint now) -> void {
+  if (now - m_last_sweep < kSweepInterval) {
+    return;
+  }
+  m_last_sweep = now;
+  ForgetIdlePrograms(m_ledger, now);
+  std::erase_if(m_notes, [this, now](const auto& item) {
+    return now - item.second.m_last_used > m_ledger.m_options.m_retention;
+  });
+  std::erase_if(m_placed, [this, now](const auto& item) {
+    const auto over = now - item.second.m_since > kMaxTurnTime;
+    if (over) {
+      --m_loads[item.second.m_endpoint].m_outstanding;
+    }
+    return over;
+  });
+}
+
+auto LeadService::Tick(TimePoint now) -> void {
+  AnswerLate(now);
+  if (m_phase == Phase::kAdopting && !m_writing && now >= m_retry_at) {
+    Adopt();
+  }
+  MaybeWrite(now);
+  ForgetOld(now);
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/lead_service.h
@@ -0,0 +1,128 @@
+#ifndef DOTTERELSHED_LEAD_SERVICE_H_
+#define DOTTERELSHED_LEAD_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/program_ledger.h"
+#include "entry_context.h"
+#include "lead_messages.h"
+
+/// @file
+/// The lead of a failure domain: keeps the ledger of the programs that entered
+/// there, records it in the store, and says where turns run. Any host may
+/// become lead by replacing the domain's entry in the store; the first write to
+/// the ledger then shuts the lead before out.
+
+namespace dotterelshed {
+
+class LeadService {
+ public:
+  using Answered = std::function<void(const GrantAnswer&)>;
+
+  explicit LeadService(EntryContext& context);
+
+  /// Answers within about half a second.
+  auto Ask(const GrantQuestion& question, Answered answered) -> void;
+  auto Settle(const std::vector<TurnSettlement>& settlements) -> void;
+  /// True when this lead keeps the program's account.
+  auto Knows(const ProgramId& program) const -> bool;
+
+  /// Tries to become lead in place of what the store names now.
+  auto TakeOver() -> void;
+  /// The store names another lead, or none.
+  auto NoteLead(const std::optional<KnownLead>& lead) -> void;
+  /// True when this host leads and its ledger is in force.
+  auto active() const -> bool { return m_phase == Phase::kActive; }
+  auto Tick(TimePoint now) -> void;
+
+ private:
+  enum class Phase { kIdle, kClaiming, kAdopting, kActive };
+
+  /// A question that waits for a record or for other leads.
+  struct Waiting {
+    GrantQuestion m_question;
+    Answered m_answered;
+    TimePoint m_deadline;
+  };
+  /// Search for the domain that keeps an unknown program's account.
+  struct Search {
+    std::vector<Waiting> m_waiting;
+    std::set<DomainId> m_open;
+  };
+  /// What another domain's stored ledger said a moment ago.
+  struct OtherLedger {
+    TimePoint m_read_at;
+    LedgerRecord m_record;
+  };
+  /// A turn under way and where it was placed.
+  struct Placed {
+    EndpointId m_endpoint;
+    TimePoint m_since;
+  };
+  /// What helps the next question of a program.
+  struct ProgramNote {
+    /// Domain that keeps its account; empty if this one does.
+    DomainId m_domain;
+    EndpointId m_endpoint;
+    TimePoint m_last_used;
+  };
+
+  auto IsMine(const LeadEntry& entry) const -> bool;
+  auto BecomeIdle() -> void;
+  auto AfterClaim(const Result<StoredObject>& stored) -> void;
+  auto Adopt() -> void;
+  auto AfterAdoptRead(const Result<StoredObject>& stored) -> void;
+  auto WriteAdopted() -> void;
+  auto AfterAdoptWrite(const Result<StoredObject>& stored) -> void;
+
+  auto Decide(const Waiting& waiting) -> void;
+  auto Grant(const Waiting& waiting) -> void;
+  auto StartSearch(const Waiting& waiting) -> void;
+  auto AskOther(const ProgramId& program, const DomainId& domain) -> void;
+  auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
+      -> void;
+  auto AfterSearch(const ProgramId& program, const DomainId& domain, bool found)
+      -> void;
+  auto AfterFailedSearch(const ProgramId& program, const DomainId& domain)
+      -> void;
+  auto EndSearch(const ProgramId& program) -> std::vector<Waiting>;
+  auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
+
+  auto MaybeWrite(TimePoint now) -> void;
+  auto AfterWrite(const LedgerRecord& record, const Result<StoredObject>& stored)
+      -> void;
+  auto CheckLedger(const LedgerRecord& record) -> void;
+  auto DecideWaiting() -> void;
+  auto AnswerLate(TimePoint now) -> void;
+  auto ForgetOld(TimePoint now) -> void;
+  auto MakeLedgerObject(const LedgerRecord& record) -> StoredObject;
+
+  EntryContext& m_context;
+  Phase m_phase = Phase::kIdle;
+  ProgramLedger m_ledger;
+  ResourceVersion m_ledger_version;
+  std::int64_t m_write = 0;
+  bool m_writing = false;
+  TimePoint m_last_write;
+  TimePoint m_retry_at;
+  std::vector<Waiting> m_waiting;
+  std::map<ProgramId, Search> m_searches;
+  std::map<DomainId, OtherLedger> m_other_ledgers;
+  /// Domains whose lead didn't answer, and until when it isn't asked.
+  std::map<DomainId, TimePoint> m_silent_until;
+  std::map<ProgramId, ProgramNote> m_notes;
+  /// Turns under way in this domain, for placing the next.
+  EndpointLoads m_loads;
+  std::map<RequestId, Placed> m_placed;
+  TimePoint m_last_sweep;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_LEAD_SERVICE_H_
--- /dev/null
+++ b/src/libhttp/http_listener.cc
@@ -0,0 +1,342 @@
+#include "dotterelshed/http_listener.h"
+
+#include <utility>
+#include <vector>
+
+#include "dotterelshed/steady_time.h"
+
+namespace dotterelshed {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCodeIn = boost::system::error_code;
+
+constexpr int kListenBacklog = 1024;
+/// Bytes of later requests that are read while one is open.
+constexpr std::size_t kMaxAheadBytes = 65536;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+auto HasNoBody(int status) -> bool {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(HttpListener& listener, TcpSocket socket)
+    : m_listener(&listener),
+      m_stream(std::make_shared<ByteStream>(std::move(socket))),
+      m_parser(
+          std::make_unique<RequestParser>(listener.m_limits.m_parser)),
+      m_since(SteadyTime()) {}
+
+auto ServerConnection::Start() -> void {
+  const std::weak_ptr<ServerConnection> weak = weak_from_this();
+  m_stream->Start({.m_on_bytes =
+                       [weak](std::string_view bytes) {
+                         if (const auto self = weak.lock()) {
+                           self->OnBytes(bytes);
+                         }
+                       },
+                   .m_on_end =
+                       [weak](StreamEnd /*end*/) {
+                         if (const auto self = weak.lock()) {
+                           self->OnEnd();
+                         }
+                       },
+                   .m_on_drained =
+                       [weak] {
+                         const auto self = weak.lock();
+                         if (self && self->m_on_drained) {
+                           self->m_on_drained();
+                         }
+                       }});
+}
+
+auto ServerConnection::OnBytes(std::string_view bytes) -> void {
+  const auto self = shared_from_this();
+  if (!m_parser->started()) {
+    m_since = SteadyTime();
+  }
+  m_ahead += bytes;
+  if (m_busy) {
+    m_stream->SetReading(m_ahead.size() < kMaxAheadBytes);
+    return;
+  }
+  ParseAhead();
+}
+
+auto ServerConnection::ParseAhead() -> void {
+  if (m_ahead.empty() || m_listener == nullptr) {
+    return;
+  }
+  const auto used = m_parser->Feed(m_ahead);
+  m_ahead.erase(0, used);
+  HandleParsed();
+}
+
+auto ServerConnection::HandleParsed() -> void {
+  switch (m_parser->state()) {
+    case ParseState::kHead:
+      return;
+    case ParseState::kBody:
+      if (m_parser->expects_continue() && !m_continued) {
+        m_continued = true;
+        m_stream->Write(kContinue);
+      }
+      return;
+    case ParseState::kMalformed:
+      Refuse(400);
+      return;
+    case ParseState::kHeaderTooLarge:
+      Refuse(431);
+      return;
+    case ParseState::kBodyTooLarge:
+      Refuse(413);
+      return;
+    case ParseState::kDone:
+      break;
+  }
+  m_busy = true;
+  m_begun = false;
+  ++m_listener->m_open_requests;
+  m_keep_alive = m_parser->head().m_keep_alive;
+  m_bodyless = m_parser->head().m_method == "HEAD";
+  IncomingRequest request{.m_head = std::move(m_parser->head()),
+                          .m_body = std::move(m_parser->body())};
+  m_parser = std::make_unique<RequestParser>(m_listener->m_limits.m_parser);
+  m_continued = false;
+  m_listener->m_on_request(shared_from_this(), std::move(request));
+}
+
+auto ServerConnection::Refuse(int status) -> void {
+  if (m_listener == nullptr) {
+    return;
+  }
+  m_busy = true;
+  ++m_listener->m_open_requests;
+  m_keep_alive = false;
+  Answer(status, {}, "");
+}
+
+auto ServerConnection::Answer(int status,
+                              HttpFields fields,
+                              std::string_view body) -> void {
+  BeginAnswer(status, "", std::move(fields), body.size());
+  if (!body.empty()) {
+    SendBody(body);
+  }
+  EndAnswer();
+}
+
+auto ServerConnection::BeginAnswer(int status,
+                                   std::string_view reason,
+                                   HttpFields fields,
+                                   std::optional<std::uint64_t> length)
+    -> void {
+  if (!m_busy || m_listener == nullptr) {
+    return;
+  }
+  m_begun = true;
+  m_keep_alive = m_keep_alive && !m_listener->m_close_after_answers;
+  m_bodyless = m_bodyless || HasNoBody(status);
+  m_chunked = !length.has_value() && !m_bodyless;
+  if (length && !HasNoBody(status)) {
+    fields.push_back({"Content-Length", std::to_string(*length)});
+  } else if (m_chunked) {
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  }
+  if (!m_keep_alive) {
+    fields.push_back({"Connection", "close"});
+  }
+  m_stream->Write(FormatResponseHead(status, reason, fields));
+}
+
+auto ServerConnection::SendBody(std::string_view bytes) -> void {
+  if (!m_busy || bytes.empty() || m_bodyless) {
+    return;
+  }
+  if (m_chunked) {
+    m_stream->Write(FormatChunk(bytes));
+  } else {
+    m_stream->Write(bytes);
+  }
+}
+
+auto ServerConnection::EndAnswer() -> void {
+  if (!m_busy || m_listener == nullptr) {
+    return;
+  }
+  if (m_chunked) {
+    m_stream->Write(kLastChunk);
+  }
+  FinishAnswer();
+}
+
+auto ServerConnection::FinishAnswer() -> void {
+  const auto self = shared_from_this();
+  m_busy = false;
+  m_chunked = false;
+  m_on_gone = {};
+  m_on_drained = {};
+  --m_listener->m_open_requests;
+  m_since = SteadyTime();
+  if (!m_keep_alive || m_listener->m_stopped) {
+    m_stream->CloseAfterWrites();
+    Forget();
+    return;
+  }
+  m_stream->SetReading(true);
+  if (!m_ahead.empty()) {
+    asio::post(m_listener->m_loop, [self] {
+      if (!self->m_busy) {
+        self->ParseAhead();
+      }
+    });
+  }
+}
+
+auto ServerConnection::Abort() -> void {
+  if (m_listener == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (m_busy) {
+    --m_listener->m_open_requests;
+  }
+  m_busy = false;
+  m_on_gone = {};
+  m_on_drained = {};
+  m_stream->Close();
+  Forget();
+}
+
+auto ServerConnection::OnEnd() -> void {
+  const auto self = shared_from_this();
+  const auto on_gone = std::exchange(m_on_gone, {});
+  const auto was_busy = m_busy;
+  Abort();
+  if (was_busy && on_gone) {
+    on_gone();
+  }
+}
+
+auto ServerConnection::SetGoneHandler(std::function<void()> on_gone) -> void {
+  m_on_gone = std::move(on_gone);
+}
+
+auto ServerConnection::SetDrainedHandler(std::function<void()> on_drained)
+    -> void {
+  m_on_drained = std::move(on_drained);
+}
+
+auto ServerConnection::pending_bytes() const -> std::size_t {
+  return m_stream->pending_bytes();
+}
+
+auto ServerConnection::Tick(TimePoint now) -> void {
+  if (m_busy) {
+    return;
+  }
+  const auto& limits = m_listener->m_limits;
+  if (m_parser->started()) {
+    if (now - m_since > limits.m_header_timeout) {
+      Refuse(408);
+    }
+    return;
+  }
+  if (now - m_since > limits.m_idle_timeout) {
+    CloseIfIdle();
+  }
+}
+
+auto ServerConnection::CloseIfIdle() -> void {
+  if (m_busy || m_parser->started() || !m_ahead.empty()) {
+    return;
+  }
+  m_stream->Close();
+  Forget();
+}
+
+auto ServerConnection::Forget() -> void {
+  auto* listener = std::exchange(m_listener, nullptr);
+  if (listener != nullptr) {
+    listener->m_connections.erase(shared_from_this());
+  }
+}
+
+HttpListener::HttpListener(EventLoop& loop, RequestHandler on_request)
+    : m_loop(loop), m_acceptor(loop), m_on_request(std::move(on_request)) {}
+
+HttpListener::~HttpListener() {
+  for (const auto& connection : m_connections) {
+    connection->m_listener = nullptr;
+  }
+}
+
+auto HttpListener::Listen(const TcpAddress& address) -> Status {
+  ErrorCodeIn error;
+  m_acceptor.open(address.protocol(), error);
+  if (!error) {
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(address, error);
+  }
+  if (!error) {
+    m_acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return Fail(ErrorCode::kUnavailable, error.message(),
+                address.address().to_string() + ":" +
+                    std::to_string(address.port()));
+  }
+  Accept();
+  return {};
+}
+
+auto HttpListener::local_address() const -> TcpAddress {
+  ErrorCodeIn error;
+  return m_acceptor.local_endpoint(error);
+}
+
+auto HttpListener::Accept() -> void {
+  m_acceptor.async_accept([this](const ErrorCodeIn& error, TcpSocket socket) {
+    if (!m_acceptor.is_open()) {
+      return;
+    }
+    if (!error && m_connections.size() < m_limits.m_max_connections) {
+      auto connection =
+          std::make_shared<ServerConnection>(*this, std::move(socket));
+      m_connections.insert(connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+auto HttpListener::Tick(TimePoint now) -> void {
+  const std::vector<std::shared_ptr<ServerConnection>> all(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : all) {
+    connection->Tick(now);
+  }
+}
+
+auto HttpListener::StopListening() -> void {
+  if (std::exchange(m_stopped, true)) {
+    return;
+  }
+  m_close_after_answers = true;
+  ErrorCodeIn error;
+  m_acceptor.close(error);
+  const std::vector<std::shared_ptr<ServerConnection>> all(
+      m_connections.begin(), m_connections.end());
+  for (const auto& connection : all) {
+    connection->CloseIfIdle();
+  }
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/librouting/endpoint_choice.cc
@@ -0,0 +1,98 @@
+#include "dotterelshed/endpoint_choice.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace dotterelshed {
+
+namespace {
+
+/// An endpoint of another failure domain is this much worse, in the share of
+/// its slots: traffic stays at home until home is clearly fuller.
+constexpr double kForeignPenalty = 0.5;
+/// Reading a whole prompt again costs as much as this share of a full engine.
+constexpr double kColdPenalty = 0.25;
+/// A failing or slow endpoint is chosen only when all others are full.
+constexpr double kAvoidedPenalty = 100;
+/// Difference below which two endpoints are as good.
+constexpr double kTieWidth = 0.01;
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr int kMaxDoublings = 4;
+constexpr int kFailuresBeforeAvoidance = 2;
+constexpr double kLatencyWeight = 0.2;
+
+struct Scored {
+  EndpointId m_id;
+  double m_score = 0;
+};
+
+auto Score(const EndpointEntry& entry,
+           const EndpointLoads& loads,
+           const ChoiceQuery& query,
+           TimePoint now) -> double {
+  auto score = entry.m_domain == query.m_domain ? 0 : kForeignPenalty;
+  if (!query.m_warm.empty() && query.m_warm != entry.m_id) {
+    score += kColdPenalty;
+  }
+  const auto found = loads.find(entry.m_id);
+  if (found == loads.end()) {
+    return score;
+  }
+  const auto& load = found->second;
+  score += static_cast<double>(load.m_outstanding) / std::max(1, entry.m_slots);
+  if (load.m_avoid_until > now) {
+    score += kAvoidedPenalty;
+  }
+  return score;
+}
+
+}  // namespace
+
+auto ChooseEndpoint(const EndpointDirectory& directory,
+                    const EndpointLoads& loads,
+                    const ChoiceQuery& query,
+                    TimePoint now) -> std::optional<EndpointId> {
+  const auto service = directory.m_by_service.find(query.m_service);
+  if (service == directory.m_by_service.end()) {
+    return std::nullopt;
+  }
+  std::vector<Scored> scored;
+  for (const auto& id : service->second) {
+    const auto& entry = directory.m_entries.at(id);
+    if (!entry.m_leaving && !query.m_excluded.contains(id)) {
+      scored.push_back({id, Score(entry, loads, query, now)});
+    }
+  }
+  if (scored.empty()) {
+    return std::nullopt;
+  }
+  const auto best = std::min_element(
+      scored.begin(), scored.end(),
+      [](const Scored& a, const Scored& b) { return a.m_score < b.m_score; });
+  const auto limit = best->m_score + kTieWidth;
+  std::erase_if(scored,
+                [limit](const Scored& one) { return one.m_score > limit; });
+  const auto index = static_cast<std::size_t>(
+      query.m_draw * static_cast<double>(scored.size()));
+  return scored[std::min(index, scored.size() - 1)].m_id;
+}
+
+auto NoteFailure(EndpointLoad& load, TimePoint now) -> void {
+  ++load.m_failures_in_a_row;
+  const auto over = load.m_failures_in_a_row - kFailuresBeforeAvoidance;
+  if (over >= 0) {
+    const auto doublings = std::min(over, kMaxDoublings);
+    load.m_avoid_until = now + kFirstAvoidance * (1 << doublings);
+  }
+}
+
+auto NoteAnswer(EndpointLoad& load, Duration latency) -> void {
+  load.m_failures_in_a_row = 0;
+  load.m_avoid_until = TimePoint{};
+  ++load.m_answers;
+  const auto weight = load.m_answers == 1 ? 1.0 : kLatencyWeight;
+  const auto change = weight * ToSeconds(latency - load.m_mean_latency);
+  load.m_mean_latency += FromSeconds(change);
+}
+
+}  // namespace dotterelshed
