Bound what a lead grants while accounts can't be found

Change: one blind turn a program, which takes the place of the advance; the record allows half of what is left ahead.

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -30,9 +30,11 @@
 namespace dotterelshed {
 
 struct LedgerOptions {
-  /// Turns that the record allows beyond those under way, so that an outage of
-  /// the store doesn't stop programs at once.
+  /// The record allows at least so many turns beyond those under way, ...
   int m_turns_ahead = 2;
+  /// ... and one in so many parts of what is left of the budget, so that an
+  /// outage of the store doesn't stop programs at once.
+  int m_ahead_divisor = 2;
   /// Time after a takeover in which unknown programs get no advance: one of
   /// them may have had it from the lead before.
   Duration m_settle_time = std::chrono::seconds(8);
@@ -58,6 +60,14 @@
   bool m_advance_used = false;
 };
 
+/// A turn that was granted while it was unknown whether another domain keeps
+/// the program's account. It takes the place of the advance.
+struct BlindGrant {
+  RequestId m_request;
+  Tokens m_turn_max{0};
+  TimePoint m_granted_at;
+};
+
 /// What stands in the store: bounds of the programs' grants.
 struct LedgerRecord {
   std::map<ProgramId, Tokens> m_bounds;
@@ -66,6 +76,7 @@
 struct ProgramLedger {
   LedgerOptions m_options;
   std::map<ProgramId, ProgramAccount> m_accounts;
+  std::map<ProgramId, BlindGrant> m_blind_grants;
   /// Start of this lead's term.
   TimePoint m_since;
   /// True when a coming turn needs a higher bound on record.
@@ -92,6 +103,13 @@
                   const GrantRequest& request,
                   TimePoint now) -> GrantDecision;
 
+/// Grants a program's only turn for as long as its account can't be found: any
+/// other account of it stays within the budget by itself. Returns false when the
+/// program had its blind grant already.
+auto RequestBlindGrant(ProgramLedger& ledger,
+                       const GrantRequest& request,
+                       TimePoint now) -> bool;
+
 /// A turn has ended after generating @p used tokens.
 auto SettleTurn(ProgramLedger& ledger,
                 const ProgramId& program,
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -112,9 +112,6 @@
                       .m_turn_max = m_facts.m_max_tokens};
   question.m_service = m_service;
   question.m_prompt = m_facts.m_prompt_tokens;
-  // A first prompt has one shared part and one of its own.
-  constexpr std::size_t kOpeningParts = 2;
-  question.m_opening = m_facts.m_prompt.size() <= kOpeningParts;
   m_granted = true;
   m_grants.Ask(question, [self = shared_from_this()](const GrantAnswer& answer) {
     self->OnGrant(answer);
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -373,9 +373,15 @@
 }
 
 auto EntryHost::EnsureLead(TimePoint now) -> void {
-  const auto led = m_context.m_leads.contains(m_context.m_settings.m_domain);
-  if (!led && m_lead_follower->listed() && !m_stopping &&
-      now - m_started_at > m_lead_patience) {
+  if (m_stopping || !m_lead_follower->listed() || m_lead.leading()) {
+    return;
+  }
+  const auto lead = m_context.m_leads.find(m_context.m_settings.m_domain);
+  const auto none = lead == m_context.m_leads.end();
+  // The store may still name this host's process of before.
+  const auto self =
+      !none && lead->second.m_entry.m_host == m_context.m_settings.m_host;
+  if (self || (none && now - m_started_at > m_lead_patience)) {
     m_lead.TakeOver();
   }
 }
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -15,6 +15,8 @@
 constexpr Duration kLeadTimeout = std::chrono::milliseconds(750);
 /// Longest time from the question to the answer, over several leads.
 constexpr Duration kAskTime = std::chrono::milliseconds(1500);
+/// Answers of hosts that no longer lead, before one's own takes over.
+constexpr int kMaxNotLead = 4;
 constexpr Duration kAskAgainWait = std::chrono::milliseconds(60);
 /// Settlements are sent together after this time; budgets may count a turn at
 /// its most until then.
@@ -37,6 +39,7 @@
   TimePoint m_deadline;
   DomainId m_domain;
   bool m_sent_on = false;
+  int m_not_lead = 0;
   boost::asio::steady_timer m_timer;
 };
 
@@ -88,7 +91,12 @@
 auto GrantClient::OnAnswer(const std::shared_ptr<Asking>& asking,
                            const GrantAnswer& answer) -> void {
   if (answer.m_verdict == GrantVerdict::kNotLead) {
-    OnNoAnswer(asking);
+    // It lives and has restarted or been replaced: news of a lead is on its way.
+    if (++asking->m_not_lead > kMaxNotLead) {
+      OnNoAnswer(asking);
+    } else {
+      AskAgain(asking);
+    }
     return;
   }
   if (answer.m_verdict == GrantVerdict::kElsewhere) {
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -57,8 +57,7 @@
               {"budget", question.m_grant.m_budget.value()},
               {"most", question.m_grant.m_turn_max.value()},
               {"service", question.m_service.value()},
-              {"prompt", question.m_prompt.value()},
-              {"opening", question.m_opening}}
+              {"prompt", question.m_prompt.value()}}
       .dump();
 }
 
@@ -71,7 +70,6 @@
     question.m_grant.m_turn_max = ToTokens(json.at("most"));
     question.m_service = ServiceId(json.at("service"));
     question.m_prompt = ToTokens(json.at("prompt"));
-    question.m_opening = json.at("opening").get<bool>();
     return question;
   });
 }
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -22,8 +22,6 @@
   GrantRequest m_grant;
   ServiceId m_service;
   Tokens m_prompt{0};
-  /// True when the prompt is too short to hold an earlier turn.
-  bool m_opening = false;
 };
 
 enum class GrantVerdict {
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -183,6 +183,7 @@
   m_phase = Phase::kIdle;
   m_retry_at = SteadyTime() + kStoreRetryWait;
   m_ledger = {};
+  m_other_ledgers.clear();
   m_notes.clear();
   m_loads.clear();
   m_placed.clear();
@@ -298,7 +299,10 @@
     return;
   }
   for (const auto& domain : domains) {
-    AskOther(program, domain);
+    // What is known already may have ended the search.
+    if (m_searches.contains(program)) {
+      AskOther(program, domain);
+    }
   }
 }
 
@@ -348,7 +352,7 @@
             stored ? DecodeStoredLedger(stored->m_spec)
                    : Result<StoredLedger>(tl::unexpected(stored.error()));
         if (!ledger) {
-          AfterFailedSearch(program, domain);
+          AfterFailedSearch(program);
           return;
         }
         m_other_ledgers[domain] = {SteadyTime(), ledger->m_record};
@@ -377,20 +381,17 @@
   }
 }
 
-auto LeadService::AfterFailedSearch(const ProgramId& program,
-                                    const DomainId& domain) -> void {
-  // Neither the domain's lead nor its ledger can be read. A program that begins
-  // has no account there; one that is under way may have.
-  auto& search = m_searches.at(program);
-  const auto opening = std::all_of(
-      search.m_waiting.begin(), search.m_waiting.end(),
-      [](const Waiting& one) { return one.m_question.m_opening; });
-  if (opening) {
-    AfterSearch(program, domain, false);
-    return;
-  }
+auto LeadService::AfterFailedSearch(const ProgramId& program) -> void {
+  // Neither the domain's lead nor its ledger can be read: it may keep the
+  // program's account.
+  const auto now = SteadyTime();
   for (const auto& one : EndSearch(program)) {
-    one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+    if (!RequestBlindGrant(m_ledger, one.m_question.m_grant, now)) {
+      one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+      continue;
+    }
+    one.m_answered({.m_verdict = GrantVerdict::kGranted,
+                    .m_endpoint = Place(one.m_question, now)});
   }
 }
 
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -39,6 +39,8 @@
   auto NoteLead(const std::optional<KnownLead>& lead) -> void;
   /// True when this host leads and its ledger is in force.
   auto active() const -> bool { return m_phase == Phase::kActive; }
+  /// True when it leads or is about to.
+  auto leading() const -> bool { return m_phase != Phase::kIdle; }
   auto Tick(TimePoint now) -> void;
 
  private:
@@ -89,8 +91,7 @@
       -> void;
   auto AfterSearch(const ProgramId& program, const DomainId& domain, bool found)
       -> void;
-  auto AfterFailedSearch(const ProgramId& program, const DomainId& domain)
-      -> void;
+  auto AfterFailedSearch(const ProgramId& program) -> void;
   auto EndSearch(const ProgramId& program) -> std::vector<Waiting>;
   auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
 
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -18,7 +18,10 @@
 auto WantedBound(const ProgramLedger& ledger, const ProgramAccount& account)
     -> Tokens {
   const auto granted = account.m_spent + SumRunning(account);
-  const auto ahead = account.m_turn_max * ledger.m_options.m_turns_ahead;
+  const auto& options = ledger.m_options;
+  const auto left = account.m_budget - granted;
+  const auto ahead = std::max(account.m_turn_max * options.m_turns_ahead,
+                              Tokens(left.value() / options.m_ahead_divisor));
   return std::max(std::min(account.m_budget, granted + ahead), granted);
 }
 
@@ -37,6 +40,12 @@
   auto& account = ledger.m_accounts[request.m_program];
   account.m_budget = request.m_budget;
   account.m_advance_used = now - ledger.m_since < ledger.m_options.m_settle_time;
+  const auto blind = ledger.m_blind_grants.find(request.m_program);
+  if (blind != ledger.m_blind_grants.end()) {
+    account.m_spent = blind->second.m_turn_max;
+    account.m_advance_used = true;
+    ledger.m_blind_grants.erase(blind);
+  }
   return account;
 }
 
@@ -80,6 +89,20 @@
   return GrantDecision::kGranted;
 }
 
+auto RequestBlindGrant(ProgramLedger& ledger,
+                       const GrantRequest& request,
+                       TimePoint now) -> bool {
+  // A lead that has just begun can't know whom the one before gave a turn.
+  const auto settled = now - ledger.m_since >= ledger.m_options.m_settle_time;
+  if (!settled || request.m_turn_max > request.m_budget) {
+    return false;
+  }
+  const auto [grant, is_new] = ledger.m_blind_grants.try_emplace(
+      request.m_program,
+      BlindGrant{request.m_request, request.m_turn_max, now});
+  return is_new || grant->second.m_request == request.m_request;
+}
+
 auto SettleTurn(ProgramLedger& ledger,
                 const ProgramId& program,
                 const RequestId& request,
@@ -131,6 +154,7 @@
                  const LedgerRecord& record,
                  TimePoint now) -> void {
   ledger.m_accounts.clear();
+  ledger.m_blind_grants.clear();
   ledger.m_since = now;
   ledger.m_dirty = false;
   for (const auto& [program, bound] : record.m_bounds) {
@@ -146,6 +170,9 @@
   std::erase_if(ledger.m_accounts, [&ledger, now](const auto& item) {
     return now - item.second.m_last_used > ledger.m_options.m_retention;
   });
+  std::erase_if(ledger.m_blind_grants, [&ledger, now](const auto& item) {
+    return now - item.second.m_granted_at > ledger.m_options.m_retention;
+  });
 }
 
 }  // namespace dotterelshed
