--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -10,20 +10,23 @@
 
 /// @file
 /// Token budgets of programs, kept by the lead of a failure domain. The sum of
-/// what a program's turns generate stays within its budget plus one turn, over
-/// any loss of the lead's memory.
+/// what a program's turns generate stays within its budget plus the most of one
+/// turn, over any loss of the lead's memory.
 ///
 /// The lead keeps a record of the programs in the platform's store: for each an
-/// upper bound of the tokens granted so far. A turn is granted only if the sum
-/// of all grants stays within the budget, and within what is on record; only a
-/// program's first turn may run before its record stands. A lead that takes
-/// over starts from the record, counts it as spent and gives no such advance,
-/// so that each program gets it at most once.
+/// upper bound of the tokens granted so far. The sum of all grants stays within
+/// the budget, and within what is on record plus an advance of one turn's most.
+/// A lead that takes over starts from the record, counts it as spent and gives
+/// no advance, so that each program gets it at most once.
+///
+/// An account is blind while it is unknown whether another domain's lead keeps
+/// one of the same program. It grants no more than the advance: the other
+/// account stays within the budget by itself.
 ///
 /// @code
-///   switch (RequestGrant(ledger, request, now)) {
-///     case GrantDecision::kNeedsRecord:
-///       // write BeginRecord(ledger) to the store, NoteRecorded, ask again
+///   const auto grant = RequestGrant(ledger, request, {}, now);
+///   if (grant.m_decision == GrantDecision::kNeedsRecord) {
+///     // store BeginRecord(ledger), then NoteRecorded and ask again
 ///   }
 /// @endcode
 
@@ -35,6 +38,9 @@
   /// ... and one in so many parts of what is left of the budget, so that an
   /// outage of the store doesn't stop programs at once.
   int m_ahead_divisor = 2;
+  /// Without a record a turn may get a part of its most, down to one in so
+  /// many; most turns generate far less than their most.
+  int m_least_part_divisor = 3;
   /// Time after a takeover in which unknown programs get no advance: one of
   /// them may have had it from the lead before.
   Duration m_settle_time = std::chrono::seconds(8);
@@ -53,19 +59,13 @@
   std::optional<Tokens> m_recording;
   /// The most of one turn.
   Tokens m_turn_max{0};
-  /// Turns under way and the most that each generates.
+  /// Turns under way and what each was granted.
   std::map<RequestId, Tokens> m_running;
   TimePoint m_last_used;
-  /// True when no grant may exceed the record.
-  bool m_advance_used = false;
-};
-
-/// A turn that was granted while it was unknown whether another domain keeps
-/// the program's account. It takes the place of the advance.
-struct BlindGrant {
-  RequestId m_request;
-  Tokens m_turn_max{0};
-  TimePoint m_granted_at;
+  /// True when grants may exceed the record by one turn's most.
+  bool m_has_advance = false;
+  /// True while another domain may keep an account of the program.
+  bool m_blind = false;
 };
 
 /// What stands in the store: bounds of the programs' grants.
@@ -76,7 +76,6 @@
 struct ProgramLedger {
   LedgerOptions m_options;
   std::map<ProgramId, ProgramAccount> m_accounts;
-  std::map<ProgramId, BlindGrant> m_blind_grants;
   /// Start of this lead's term.
   TimePoint m_since;
   /// True when a coming turn needs a higher bound on record.
@@ -91,24 +90,32 @@
   Tokens m_turn_max{0};
 };
 
+/// What the lead knows while it decides.
+struct GrantConditions {
+  /// Another domain may keep the program's account.
+  bool m_blind = false;
+  /// The store can't be written now: a part of a turn is better than none.
+  bool m_partial = false;
+};
+
 enum class GrantDecision {
   kGranted,
   kBudgetSpent,  ///< The budget doesn't hold this turn.
   kNeedsRecord,  ///< A record has to be written first.
 };
 
+struct TurnGrant {
+  GrantDecision m_decision = GrantDecision::kNeedsRecord;
+  /// Tokens that the turn may generate; less than its most for a partial grant.
+  Tokens m_tokens{0};
+};
+
 /// Grants a turn and counts it as running. A repeated request id is granted
 /// again without being counted twice.
 auto RequestGrant(ProgramLedger& ledger,
                   const GrantRequest& request,
-                  TimePoint now) -> GrantDecision;
-
-/// Grants a program's only turn for as long as its account can't be found: any
-/// other account of it stays within the budget by itself. Returns false when the
-/// program had its blind grant already.
-auto RequestBlindGrant(ProgramLedger& ledger,
-                       const GrantRequest& request,
-                       TimePoint now) -> bool;
+                  const GrantConditions& conditions,
+                  TimePoint now) -> TurnGrant;
 
 /// A turn has ended after generating @p used tokens.
 auto SettleTurn(ProgramLedger& ledger,
@@ -117,7 +124,7 @@
                 Tokens used,
                 TimePoint now) -> void;
 
-/// True when the program has an account here.
+/// True when the program has an account here that isn't blind.
 auto KnowsProgram(const ProgramLedger& ledger, const ProgramId& program)
     -> bool;
 
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -133,6 +133,9 @@
   switch (answer.m_verdict) {
     case GrantVerdict::kGranted:
       m_next = answer.m_endpoint;
+      if (answer.m_tokens < m_facts.m_max_tokens) {
+        m_partial_grant = answer.m_tokens;
+      }
       NextAttempt();
       return;
     case GrantVerdict::kBudgetSpent:
@@ -322,6 +325,11 @@
         return;
       }
     }
+    const auto used = Tokens((m_events_passed + 1) * m_tokens_per_event);
+    if (m_partial_grant && used > *m_partial_grant) {
+      BreakOff("grant_used_up");
+      return;
+    }
     if (event->m_id) {
       m_last_event = event->m_id;
     }
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -99,6 +99,15 @@
     }
     return;
   }
+  if (answer.m_verdict == GrantVerdict::kNoStore) {
+    if (m_own_lead.leading() ||
+        asking->m_domain != m_context.m_settings.m_domain) {
+      GiveUp(*asking);
+    } else {
+      OnNoAnswer(asking);
+    }
+    return;
+  }
   if (answer.m_verdict == GrantVerdict::kElsewhere) {
     if (std::exchange(asking->m_sent_on, true)) {
       GiveUp(*asking);
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -116,7 +116,9 @@
   }
   SetReachable(false);
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
-  After(m_backoff, m_listed ? &KindFollower::Watch : &KindFollower::List);
+  // A listing shows at once when the store is back; a watch would stay silent
+  // until the next change.
+  After(m_backoff, &KindFollower::List);
 }
 
 auto KindFollower::SetReachable(bool reachable) -> void {
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -11,7 +11,7 @@
 
 constexpr auto kVerdicts = std::to_array<GrantVerdict>(
     {GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
-     GrantVerdict::kElsewhere, GrantVerdict::kNotLead,
+     GrantVerdict::kElsewhere, GrantVerdict::kNotLead, GrantVerdict::kNoStore,
      GrantVerdict::kUnavailable});
 
 /// Runs @p decode; a missing or mistyped member becomes an error.
@@ -45,6 +45,8 @@
       return "elsewhere";
     case GrantVerdict::kNotLead:
       return "not_lead";
+    case GrantVerdict::kNoStore:
+      return "no_store";
     case GrantVerdict::kUnavailable:
       return "unavailable";
   }
@@ -77,7 +79,8 @@
 auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string {
   return Json{{"verdict", ToString(answer.m_verdict)},
               {"domain", answer.m_domain.value()},
-              {"endpoint", answer.m_endpoint.value()}}
+              {"endpoint", answer.m_endpoint.value()},
+              {"tokens", answer.m_tokens.value()}}
       .dump();
 }
 
@@ -92,6 +95,7 @@
     }
     answer.m_domain = DomainId(json.at("domain"));
     answer.m_endpoint = EndpointId(json.at("endpoint"));
+    answer.m_tokens = ToTokens(json.at("tokens"));
     return answer;
   });
 }
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -29,6 +29,7 @@
   kBudgetSpent,
   kElsewhere,    ///< Another domain's lead keeps the program's account.
   kNotLead,      ///< The asked host isn't the lead.
+  kNoStore,      ///< The lead can't write its record; another host might.
   kUnavailable,  ///< Can't be decided now; the turn must not run.
 };
 
@@ -41,6 +42,8 @@
   DomainId m_domain;
   /// With kGranted: where the turn should run; may be empty.
   EndpointId m_endpoint;
+  /// With kGranted: tokens that the turn may generate.
+  Tokens m_tokens{0};
 };
 
 /// A turn that was granted has ended.
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -183,6 +183,7 @@
   m_phase = Phase::kIdle;
   m_retry_at = SteadyTime() + kStoreRetryWait;
   m_ledger = {};
+  m_store_lost = false;
   m_other_ledgers.clear();
   m_notes.clear();
   m_loads.clear();
@@ -218,7 +219,7 @@
   const auto& program = waiting.m_question.m_grant.m_program;
   const auto note = m_notes.find(program);
   if (KnowsProgram(m_ledger, program)) {
-    Grant(waiting);
+    Grant(waiting, {.m_partial = m_store_lost});
   } else if (note != m_notes.end() && !note->second.m_domain.empty()) {
     waiting.m_answered({.m_verdict = GrantVerdict::kElsewhere,
                         .m_domain = note->second.m_domain});
@@ -227,20 +228,30 @@
   }
 }
 
-auto LeadService::Grant(const Waiting& waiting) -> void {
+auto LeadService::Grant(const Waiting& waiting,
+                        const GrantConditions& conditions) -> void {
   const auto now = SteadyTime();
-  switch (RequestGrant(m_ledger, waiting.m_question.m_grant, now)) {
+  const auto grant =
+      RequestGrant(m_ledger, waiting.m_question.m_grant, conditions, now);
+  switch (grant.m_decision) {
     case GrantDecision::kGranted:
       waiting.m_answered({.m_verdict = GrantVerdict::kGranted,
-                          .m_endpoint = Place(waiting.m_question, now)});
+                          .m_endpoint = Place(waiting.m_question, now),
+                          .m_tokens = grant.m_tokens});
       return;
     case GrantDecision::kBudgetSpent:
       waiting.m_answered({.m_verdict = GrantVerdict::kBudgetSpent});
       return;
     case GrantDecision::kNeedsRecord:
-      m_waiting.push_back(waiting);
-      MaybeWrite(now);
-      return;
+      break;
+  }
+  if (conditions.m_blind) {
+    waiting.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+  } else if (conditions.m_partial) {
+    waiting.m_answered({.m_verdict = GrantVerdict::kNoStore});
+  } else {
+    m_waiting.push_back(waiting);
+    MaybeWrite(now);
   }
 }
 
@@ -294,7 +305,7 @@
   const auto domains = found->second.m_open;
   if (domains.empty()) {
     for (const auto& one : EndSearch(program)) {
-      Grant(one);
+      Grant(one, {.m_partial = m_store_lost});
     }
     return;
   }
@@ -338,9 +349,16 @@
                 known->second.m_record.m_bounds.contains(program));
     return;
   }
+  if (SteadyTime() < m_no_reads_until) {
+    AfterFailedSearch(program);
+    return;
+  }
   m_context.m_store.Get(
       ObjectKind::kLedgers, domain.value(),
       [this, program, domain](const Result<StoredObject>& stored) {
+        if (!stored && stored.error().m_code != ErrorCode::kNotFound) {
+          m_no_reads_until = SteadyTime() + kSilentTime;
+        }
         if (!m_searches.contains(program)) {
           return;
         }
@@ -376,7 +394,7 @@
   search.m_open.erase(domain);
   if (search.m_open.empty()) {
     for (const auto& one : EndSearch(program)) {
-      Grant(one);
+      Grant(one, {.m_partial = m_store_lost});
     }
   }
 }
@@ -384,14 +402,8 @@
 auto LeadService::AfterFailedSearch(const ProgramId& program) -> void {
   // Neither the domain's lead nor its ledger can be read: it may keep the
   // program's account.
-  const auto now = SteadyTime();
   for (const auto& one : EndSearch(program)) {
-    if (!RequestBlindGrant(m_ledger, one.m_question.m_grant, now)) {
-      one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
-      continue;
-    }
-    one.m_answered({.m_verdict = GrantVerdict::kGranted,
-                    .m_endpoint = Place(one.m_question, now)});
+    Grant(one, {.m_blind = true, .m_partial = true});
   }
 }
 
@@ -443,6 +455,7 @@
   }
   if (stored) {
     m_ledger_version = stored->m_version;
+    m_store_lost = false;
     NoteRecorded(m_ledger, record);
     DecideWaiting();
     return;
@@ -452,11 +465,16 @@
             {"reason", stored.error().m_message},
             {"waiting", std::to_string(m_waiting.size())}});
   m_ledger.m_dirty = true;
-  if (stored.error().m_code == ErrorCode::kUnavailable) {
-    m_retry_at = SteadyTime() + kStoreRetryWait;
+  if (stored.error().m_code == ErrorCode::kConflict) {
+    CheckLedger(record);
     return;
   }
-  CheckLedger(record);
+  m_retry_at = SteadyTime() + kStoreRetryWait;
+  m_store_lost = true;
+  DecideWaiting();
+  if (stored.error().m_code != ErrorCode::kUnavailable) {
+    CheckLedger(record);
+  }
 }
 
 auto LeadService::CheckLedger(const LedgerRecord& record) -> void {
@@ -481,6 +499,7 @@
         }
         m_ledger_version = stored->m_version;
         if (ledger->m_write == m_write) {
+          m_store_lost = false;
           NoteRecorded(m_ledger, record);
           DecideWaiting();
         }
@@ -494,16 +513,25 @@
 }
 
 auto LeadService::AnswerLate(TimePoint now) -> void {
-  const auto late = [now](const Waiting& one) {
-    if (one.m_deadline > now) {
-      return false;
-    }
-    one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
-    return true;
+  const auto take_late = [now](std::vector<Waiting>& waiting) {
+    const auto begin = std::partition(
+        waiting.begin(), waiting.end(),
+        [now](const Waiting& one) { return one.m_deadline > now; });
+    std::vector<Waiting> late(begin, waiting.end());
+    waiting.erase(begin, waiting.end());
+    return late;
   };
-  std::erase_if(m_waiting, late);
+  for (const auto& one : take_late(m_waiting)) {
+    if (m_phase == Phase::kActive) {
+      Grant(one, {.m_partial = true});
+    } else {
+      one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+    }
+  }
   for (auto& [program, search] : m_searches) {
-    std::erase_if(search.m_waiting, late);
+    for (const auto& one : take_late(search.m_waiting)) {
+      one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
+    }
   }
 }
 
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -84,7 +84,8 @@
   auto AfterAdoptWrite(const Result<StoredObject>& stored) -> void;
 
   auto Decide(const Waiting& waiting) -> void;
-  auto Grant(const Waiting& waiting) -> void;
+  auto Grant(const Waiting& waiting, const GrantConditions& conditions)
+      -> void;
   auto StartSearch(const Waiting& waiting) -> void;
   auto AskOther(const ProgramId& program, const DomainId& domain) -> void;
   auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
@@ -112,6 +113,10 @@
   bool m_writing = false;
   TimePoint m_last_write;
   TimePoint m_retry_at;
+  /// The last write failed, and none has succeeded since.
+  bool m_store_lost = false;
+  /// Until when another domain's ledger isn't read again after a failure.
+  TimePoint m_no_reads_until;
   std::vector<Waiting> m_waiting;
   std::map<ProgramId, Search> m_searches;
   std::map<DomainId, OtherLedger> m_other_ledgers;
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -6,10 +6,11 @@
 
 namespace {
 
-auto SumRunning(const ProgramAccount& account) -> Tokens {
-  Tokens sum{0};
-  for (const auto& [request, most] : account.m_running) {
-    sum += most;
+/// Tokens that have been granted: spent ones and those of turns under way.
+auto GrantedTokens(const ProgramAccount& account) -> Tokens {
+  auto sum = account.m_spent;
+  for (const auto& [request, tokens] : account.m_running) {
+    sum += tokens;
   }
   return sum;
 }
@@ -17,7 +18,7 @@
 /// Bound that the record should give, so that the next turns need no other.
 auto WantedBound(const ProgramLedger& ledger, const ProgramAccount& account)
     -> Tokens {
-  const auto granted = account.m_spent + SumRunning(account);
+  const auto granted = GrantedTokens(account);
   const auto& options = ledger.m_options;
   const auto left = account.m_budget - granted;
   const auto ahead = std::max(account.m_turn_max * options.m_turns_ahead,
@@ -25,82 +26,83 @@
   return std::max(std::min(account.m_budget, granted + ahead), granted);
 }
 
-/// The most that all grants of a program may sum up to without a new record.
+/// Bound that the store is sure to hold at least.
 auto SecuredBound(const ProgramAccount& account) -> Tokens {
   return account.m_recording
              ? std::min(account.m_recorded, *account.m_recording)
              : account.m_recorded;
 }
 
+/// The most that all grants of a program may sum up to without a new record.
+auto GrantLimit(const ProgramAccount& account) -> Tokens {
+  const auto advance =
+      account.m_has_advance ? account.m_turn_max : Tokens(0);
+  return account.m_blind
+             ? advance
+             : std::min(account.m_budget, SecuredBound(account) + advance);
+}
+
 /// Opens an account. Until the settle time is over, a program may have had its
 /// advance from an earlier lead.
 auto OpenAccount(ProgramLedger& ledger,
                  const GrantRequest& request,
+                 bool blind,
                  TimePoint now) -> ProgramAccount& {
   auto& account = ledger.m_accounts[request.m_program];
-  account.m_budget = request.m_budget;
-  account.m_advance_used = now - ledger.m_since < ledger.m_options.m_settle_time;
-  const auto blind = ledger.m_blind_grants.find(request.m_program);
-  if (blind != ledger.m_blind_grants.end()) {
-    account.m_spent = blind->second.m_turn_max;
-    account.m_advance_used = true;
-    ledger.m_blind_grants.erase(blind);
-  }
+  account.m_has_advance =
+      now - ledger.m_since >= ledger.m_options.m_settle_time;
+  account.m_blind = blind;
   return account;
 }
 
-auto IsFirstTurn(const ProgramAccount& account) -> bool {
-  return account.m_spent == Tokens(0) && account.m_running.empty();
+/// What the turn gets of @p room.
+auto PartOf(const ProgramLedger& ledger,
+            Tokens room,
+            Tokens most,
+            bool partial) -> Tokens {
+  if (room >= most) {
+    return most;
+  }
+  const auto least =
+      Tokens(most.value() / ledger.m_options.m_least_part_divisor);
+  return partial && room >= least ? room : Tokens(0);
 }
 
 }  // namespace
 
 auto RequestGrant(ProgramLedger& ledger,
                   const GrantRequest& request,
-                  TimePoint now) -> GrantDecision {
+                  const GrantConditions& conditions,
+                  TimePoint now) -> TurnGrant {
   const auto found = ledger.m_accounts.find(request.m_program);
-  auto& account = found == ledger.m_accounts.end()
-                      ? OpenAccount(ledger, request, now)
-                      : found->second;
+  auto& account =
+      found == ledger.m_accounts.end()
+          ? OpenAccount(ledger, request, conditions.m_blind, now)
+          : found->second;
   account.m_last_used = now;
+  account.m_budget = std::max(account.m_budget, request.m_budget);
   account.m_turn_max = std::max(account.m_turn_max, request.m_turn_max);
-  if (account.m_budget == Tokens(0)) {
-    account.m_budget = request.m_budget;
-  }
-  if (account.m_running.contains(request.m_request)) {
-    return GrantDecision::kGranted;
+  account.m_blind = account.m_blind && conditions.m_blind;
+  const auto running = account.m_running.find(request.m_request);
+  if (running != account.m_running.end()) {
+    return {GrantDecision::kGranted, running->second};
   }
-  const auto granted =
-      account.m_spent + SumRunning(account) + request.m_turn_max;
-  if (granted > account.m_budget) {
-    return GrantDecision::kBudgetSpent;
+  const auto most = request.m_turn_max;
+  const auto granted = GrantedTokens(account);
+  if (!account.m_blind && granted + most > account.m_budget) {
+    return {GrantDecision::kBudgetSpent};
   }
-  const auto advance = !account.m_advance_used && IsFirstTurn(account);
-  if (granted > SecuredBound(account) && !advance) {
-    ledger.m_dirty = true;
-    return GrantDecision::kNeedsRecord;
+  const auto tokens = PartOf(ledger, GrantLimit(account) - granted, most,
+                             conditions.m_partial);
+  const auto next_fits =
+      granted + tokens + most <= SecuredBound(account) ||
+      SecuredBound(account) >= account.m_budget;
+  ledger.m_dirty = ledger.m_dirty || (!account.m_blind && !next_fits);
+  if (tokens == Tokens(0) && most > Tokens(0)) {
+    return {GrantDecision::kNeedsRecord};
   }
-  account.m_advance_used = true;
-  account.m_running.emplace(request.m_request, request.m_turn_max);
-  if (granted + request.m_turn_max > account.m_recorded &&
-      account.m_recorded < account.m_budget) {
-    ledger.m_dirty = true;
-  }
-  return GrantDecision::kGranted;
-}
-
-auto RequestBlindGrant(ProgramLedger& ledger,
-                       const GrantRequest& request,
-                       TimePoint now) -> bool {
-  // A lead that has just begun can't know whom the one before gave a turn.
-  const auto settled = now - ledger.m_since >= ledger.m_options.m_settle_time;
-  if (!settled || request.m_turn_max > request.m_budget) {
-    return false;
-  }
-  const auto [grant, is_new] = ledger.m_blind_grants.try_emplace(
-      request.m_program,
-      BlindGrant{request.m_request, request.m_turn_max, now});
-  return is_new || grant->second.m_request == request.m_request;
+  account.m_running.emplace(request.m_request, tokens);
+  return {GrantDecision::kGranted, tokens};
 }
 
 auto SettleTurn(ProgramLedger& ledger,
@@ -125,12 +127,16 @@
 
 auto KnowsProgram(const ProgramLedger& ledger, const ProgramId& program)
     -> bool {
-  return ledger.m_accounts.contains(program);
+  const auto found = ledger.m_accounts.find(program);
+  return found != ledger.m_accounts.end() && !found->second.m_blind;
 }
 
 auto BeginRecord(ProgramLedger& ledger) -> LedgerRecord {
   LedgerRecord record;
   for (auto& [program, account] : ledger.m_accounts) {
+    if (account.m_blind) {
+      continue;
+    }
     const auto bound = WantedBound(ledger, account);
     record.m_bounds.emplace(program, bound);
     account.m_recording =
@@ -154,7 +160,6 @@
                  const LedgerRecord& record,
                  TimePoint now) -> void {
   ledger.m_accounts.clear();
-  ledger.m_blind_grants.clear();
   ledger.m_since = now;
   ledger.m_dirty = false;
   for (const auto& [program, bound] : record.m_bounds) {
@@ -162,7 +167,6 @@
     account.m_spent = bound;
     account.m_recorded = bound;
     account.m_last_used = now;
-    account.m_advance_used = true;
   }
 }
 
@@ -170,9 +174,6 @@
   std::erase_if(ledger.m_accounts, [&ledger, now](const auto& item) {
     return now - item.second.m_last_used > ledger.m_options.m_retention;
   });
-  std::erase_if(ledger.m_blind_grants, [&ledger, now](const auto& item) {
-    return now - item.second.m_granted_at > ledger.m_options.m_retention;
-  });
 }
 
 }  // namespace dotterelshed
