Let one of two leads open an account that both look for

Ruled out: the advance of a replaced lead, which stays within one turn. Change: a lead that is searching claims the account against domains after it by name.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -354,8 +354,12 @@
       connection->Answer(kStatusUnavailable, {}, "");
       return;
     }
-    const auto known = m_lead.Knows(ProgramId(request.m_body));
-    connection->Answer(kStatusOk, {}, known ? "yes" : "no");
+    const auto question = DecodeFindQuestion(request.m_body);
+    if (!question) {
+      connection->Answer(400, {}, question.error().m_message);
+      return;
+    }
+    connection->Answer(kStatusOk, {}, m_lead.Claims(*question) ? "yes" : "no");
     return;
   }
   connection->Answer(kStatusNotFound, {}, "");
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -17,6 +17,9 @@
 constexpr Duration kAskTime = std::chrono::milliseconds(1500);
 /// Answers of hosts that no longer lead, before one's own takes over.
 constexpr int kMaxNotLead = 4;
+/// Domains that a question is sent on to; two leads may each have heard of the
+/// other's account only.
+constexpr int kMaxSentOn = 2;
 constexpr Duration kAskAgainWait = std::chrono::milliseconds(60);
 /// Settlements are sent together after this time; budgets may count a turn at
 /// its most until then.
@@ -38,7 +41,7 @@
   Answered m_answered;
   TimePoint m_deadline;
   DomainId m_domain;
-  bool m_sent_on = false;
+  int m_sent_on = 0;
   int m_not_lead = 0;
   boost::asio::steady_timer m_timer;
 };
@@ -109,7 +112,7 @@
     return;
   }
   if (answer.m_verdict == GrantVerdict::kElsewhere) {
-    if (std::exchange(asking->m_sent_on, true)) {
+    if (++asking->m_sent_on > kMaxSentOn) {
       GiveUp(*asking);
       return;
     }
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -100,6 +100,19 @@
   });
 }
 
+auto EncodeFindQuestion(const FindQuestion& question) -> std::string {
+  return Json{{"program", question.m_program.value()},
+              {"domain", question.m_domain.value()}}
+      .dump();
+}
+
+auto DecodeFindQuestion(std::string_view text) -> Result<FindQuestion> {
+  return Parse<FindQuestion>(text, [](const Json& json) {
+    return FindQuestion{.m_program = ProgramId(json.at("program")),
+                        .m_domain = DomainId(json.at("domain"))};
+  });
+}
+
 auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
     -> std::string {
   auto list = Json::array();
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -46,6 +46,13 @@
   Tokens m_tokens{0};
 };
 
+/// A lead asks another whether it keeps a program's account.
+struct FindQuestion {
+  ProgramId m_program;
+  /// Domain of the lead that asks.
+  DomainId m_domain;
+};
+
 /// A turn that was granted has ended.
 struct TurnSettlement {
   ProgramId m_program;
@@ -74,6 +81,8 @@
 auto DecodeGrantQuestion(std::string_view text) -> Result<GrantQuestion>;
 auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string;
 auto DecodeGrantAnswer(std::string_view text) -> Result<GrantAnswer>;
+auto EncodeFindQuestion(const FindQuestion& question) -> std::string;
+auto DecodeFindQuestion(std::string_view text) -> Result<FindQuestion>;
 auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
     -> std::string;
 auto DecodeSettlements(std::string_view text)
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -37,8 +37,13 @@
          entry.m_incarnation == m_context.m_incarnation;
 }
 
-auto LeadService::Knows(const ProgramId& program) const -> bool {
-  return active() && KnowsProgram(m_ledger, program);
+auto LeadService::Claims(const FindQuestion& question) const -> bool {
+  if (!active()) {
+    return false;
+  }
+  const auto searching = m_searches.contains(question.m_program);
+  return KnowsProgram(m_ledger, question.m_program) ||
+         (searching && m_context.m_settings.m_domain < question.m_domain);
 }
 
 // Becoming lead.
@@ -326,7 +331,10 @@
   }
   const auto& address = m_context.m_leads.at(domain).m_entry.m_peer_address;
   CallPeer(m_context.m_loop, m_context.m_peers, address, kFindPath,
-           program.value(), kFindTimeout,
+           EncodeFindQuestion(
+               {.m_program = program,
+                .m_domain = m_context.m_settings.m_domain}),
+           kFindTimeout,
            [this, program, domain](const Result<std::string>& reply) {
              if (!m_searches.contains(program)) {
                return;
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -30,8 +30,10 @@
   /// Answers within about half a second.
   auto Ask(const GrantQuestion& question, Answered answered) -> void;
   auto Settle(const std::vector<TurnSettlement>& settlements) -> void;
-  /// True when this lead keeps the program's account.
-  auto Knows(const ProgramId& program) const -> bool;
+  /// True when this lead keeps the program's account, or is about to open it.
+  /// Of two leads that look for the same account at once, the one of the domain
+  /// that is first by name opens it.
+  auto Claims(const FindQuestion& question) const -> bool;
 
   /// Tries to become lead in place of what the store names now.
   auto TakeOver() -> void;
