--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -35,6 +35,7 @@
   kLeadLost = 206,
   kHistoryMismatch = 303,
   kLedgerWriteFailed = 304,
+  kTurnDecided = 305,
   kClaimWritten = 401,
   kActionUnknown = 402,
   kContentQuarantined = 503,
--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -3,7 +3,7 @@
 
 #include <map>
 #include <optional>
-#include <string>
+#include <string_view>
 
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
@@ -104,6 +104,9 @@
   kNeedsRecord,  ///< A record has to be written first.
 };
 
+/// Stable lower-case name, for logs.
+auto ToString(GrantDecision decision) -> std::string_view;
+
 struct TurnGrant {
   GrantDecision m_decision = GrantDecision::kNeedsRecord;
   /// Tokens that the turn may generate; less than its most for a partial grant.
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -46,6 +46,9 @@
      "ledger_write_failed",
      "The record of budgets was not confirmed by the store; turns that need it "
      "wait."},
+    {LogEventId::kTurnDecided, LogLevel::kInfo, "turn_decided",
+     "A lead granted or refused a turn; the program's account and the state of "
+     "the store are in the fields."},
     {LogEventId::kClaimWritten, LogLevel::kDebug, "claim_written",
      "A non-idempotent call was claimed in the platform."},
     {LogEventId::kActionUnknown, LogLevel::kError, "action_unknown",
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -102,14 +102,16 @@
 
 auto EncodeFindQuestion(const FindQuestion& question) -> std::string {
   return Json{{"program", question.m_program.value()},
-              {"domain", question.m_domain.value()}}
+              {"domain", question.m_domain.value()},
+              {"blind", question.m_blind}}
       .dump();
 }
 
 auto DecodeFindQuestion(std::string_view text) -> Result<FindQuestion> {
   return Parse<FindQuestion>(text, [](const Json& json) {
     return FindQuestion{.m_program = ProgramId(json.at("program")),
-                        .m_domain = DomainId(json.at("domain"))};
+                        .m_domain = DomainId(json.at("domain")),
+                        .m_blind = json.at("blind").get<bool>()};
   });
 }
 
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -51,6 +51,8 @@
   ProgramId m_program;
   /// Domain of the lead that asks.
   DomainId m_domain;
+  /// The lead that asks keeps a blind account itself.
+  bool m_blind = false;
 };
 
 /// A turn that was granted has ended.
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -41,9 +41,14 @@
   if (!active()) {
     return false;
   }
-  const auto searching = m_searches.contains(question.m_program);
-  return KnowsProgram(m_ledger, question.m_program) ||
-         (searching && m_context.m_settings.m_domain < question.m_domain);
+  if (KnowsProgram(m_ledger, question.m_program)) {
+    return true;
+  }
+  const auto first = m_context.m_settings.m_domain < question.m_domain;
+  if (m_ledger.m_accounts.contains(question.m_program)) {
+    return first || !question.m_blind;
+  }
+  return m_searches.contains(question.m_program) && first && !question.m_blind;
 }
 
 // Becoming lead.
@@ -238,6 +243,7 @@
   const auto now = SteadyTime();
   const auto grant =
       RequestGrant(m_ledger, waiting.m_question.m_grant, conditions, now);
+  LogDecision(waiting.m_question.m_grant, conditions, grant);
   switch (grant.m_decision) {
     case GrantDecision::kGranted:
       waiting.m_answered({.m_verdict = GrantVerdict::kGranted,
@@ -260,6 +266,24 @@
   }
 }
 
+auto LeadService::LogDecision(const GrantRequest& request,
+                              const GrantConditions& conditions,
+                              const TurnGrant& grant) const -> void {
+  const auto& account = m_ledger.m_accounts.at(request.m_program);
+  LogEvent(LogEventId::kTurnDecided,
+           {{"request", request.m_request.value()},
+            {"program", request.m_program.value()},
+            {"decision", std::string(ToString(grant.m_decision))},
+            {"tokens", std::to_string(grant.m_tokens.value())},
+            {"budget", std::to_string(account.m_budget.value())},
+            {"spent", std::to_string(account.m_spent.value())},
+            {"running", std::to_string(account.m_running.size())},
+            {"recorded", std::to_string(account.m_recorded.value())},
+            {"advance", account.m_has_advance ? "yes" : "no"},
+            {"blind", conditions.m_blind ? "yes" : "no"},
+            {"store", m_store_lost ? "lost" : "reached"}});
+}
+
 auto LeadService::Place(const GrantQuestion& question, TimePoint now)
     -> EndpointId {
   auto& note = m_notes[question.m_grant.m_program];
@@ -295,6 +319,10 @@
 
 // Finding the account of an unknown program.
 
+auto LeadService::FoundIf(bool found) -> SearchResult {
+  return found ? SearchResult::kFound : SearchResult::kNone;
+}
+
 auto LeadService::StartSearch(const Waiting& waiting) -> void {
   const auto program = waiting.m_question.m_grant.m_program;
   const auto [found, is_new] = m_searches.try_emplace(program);
@@ -333,14 +361,15 @@
   CallPeer(m_context.m_loop, m_context.m_peers, address, kFindPath,
            EncodeFindQuestion(
                {.m_program = program,
-                .m_domain = m_context.m_settings.m_domain}),
+                .m_domain = m_context.m_settings.m_domain,
+                .m_blind = m_ledger.m_accounts.contains(program)}),
            kFindTimeout,
            [this, program, domain](const Result<std::string>& reply) {
              if (!m_searches.contains(program)) {
                return;
              }
              if (reply && (*reply == "yes" || *reply == "no")) {
-               AfterSearch(program, domain, *reply == "yes");
+               AfterSearch(program, domain, FoundIf(*reply == "yes"));
                return;
              }
              m_silent_until[domain] = SteadyTime() + kSilentTime;
@@ -354,11 +383,11 @@
   if (known != m_other_ledgers.end() &&
       SteadyTime() - known->second.m_read_at < kOtherLedgerAge) {
     AfterSearch(program, domain,
-                known->second.m_record.m_bounds.contains(program));
+                FoundIf(known->second.m_record.m_bounds.contains(program)));
     return;
   }
   if (SteadyTime() < m_no_reads_until) {
-    AfterFailedSearch(program);
+    AfterSearch(program, domain, SearchResult::kUnknown);
     return;
   }
   m_context.m_store.Get(
@@ -371,26 +400,26 @@
           return;
         }
         if (!stored && stored.error().m_code == ErrorCode::kNotFound) {
-          AfterSearch(program, domain, false);
+          AfterSearch(program, domain, SearchResult::kNone);
           return;
         }
         const auto ledger =
             stored ? DecodeStoredLedger(stored->m_spec)
                    : Result<StoredLedger>(tl::unexpected(stored.error()));
         if (!ledger) {
-          AfterFailedSearch(program);
+          AfterSearch(program, domain, SearchResult::kUnknown);
           return;
         }
         m_other_ledgers[domain] = {SteadyTime(), ledger->m_record};
         AfterSearch(program, domain,
-                    ledger->m_record.m_bounds.contains(program));
+                    FoundIf(ledger->m_record.m_bounds.contains(program)));
       });
 }
 
 auto LeadService::AfterSearch(const ProgramId& program,
                               const DomainId& domain,
-                              bool found) -> void {
-  if (found) {
+                              SearchResult result) -> void {
+  if (result == SearchResult::kFound) {
     m_notes[program] = {.m_domain = domain, .m_last_used = SteadyTime()};
     for (const auto& one : EndSearch(program)) {
       one.m_answered(
@@ -400,18 +429,13 @@
   }
   auto& search = m_searches.at(program);
   search.m_open.erase(domain);
-  if (search.m_open.empty()) {
-    for (const auto& one : EndSearch(program)) {
-      Grant(one, {.m_partial = m_store_lost});
-    }
+  search.m_blind = search.m_blind || result == SearchResult::kUnknown;
+  if (!search.m_open.empty()) {
+    return;
   }
-}
-
-auto LeadService::AfterFailedSearch(const ProgramId& program) -> void {
-  // Neither the domain's lead nor its ledger can be read: it may keep the
-  // program's account.
+  const auto blind = search.m_blind;
   for (const auto& one : EndSearch(program)) {
-    Grant(one, {.m_blind = true, .m_partial = true});
+    Grant(one, {.m_blind = blind, .m_partial = blind || m_store_lost});
   }
 }
 
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -31,8 +31,8 @@
   auto Ask(const GrantQuestion& question, Answered answered) -> void;
   auto Settle(const std::vector<TurnSettlement>& settlements) -> void;
   /// True when this lead keeps the program's account, or is about to open it.
-  /// Of two leads that look for the same account at once, the one of the domain
-  /// that is first by name opens it.
+  /// Of two leads that look for the same account at once, or keep a blind one
+  /// each, the one of the domain that is first by name goes on.
   auto Claims(const FindQuestion& question) const -> bool;
 
   /// Tries to become lead in place of what the store names now.
@@ -58,6 +58,13 @@
   struct Search {
     std::vector<Waiting> m_waiting;
     std::set<DomainId> m_open;
+    /// Neither a domain's lead nor its ledger could be read.
+    bool m_blind = false;
+  };
+  enum class SearchResult {
+    kFound,
+    kNone,
+    kUnknown,  ///< Neither the lead nor its ledger can be read.
   };
   /// What another domain's stored ledger said a moment ago.
   struct OtherLedger {
@@ -88,13 +95,17 @@
   auto Decide(const Waiting& waiting) -> void;
   auto Grant(const Waiting& waiting, const GrantConditions& conditions)
       -> void;
+  auto LogDecision(const GrantRequest& request,
+                   const GrantConditions& conditions,
+                   const TurnGrant& grant) const -> void;
   auto StartSearch(const Waiting& waiting) -> void;
   auto AskOther(const ProgramId& program, const DomainId& domain) -> void;
   auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
       -> void;
-  auto AfterSearch(const ProgramId& program, const DomainId& domain, bool found)
-      -> void;
-  auto AfterFailedSearch(const ProgramId& program) -> void;
+  static auto FoundIf(bool found) -> SearchResult;
+  auto AfterSearch(const ProgramId& program,
+                   const DomainId& domain,
+                   SearchResult result) -> void;
   auto EndSearch(const ProgramId& program) -> std::vector<Waiting>;
   auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
 
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -70,6 +70,18 @@
 
 }  // namespace
 
+auto ToString(GrantDecision decision) -> std::string_view {
+  switch (decision) {
+    case GrantDecision::kGranted:
+      return "granted";
+    case GrantDecision::kBudgetSpent:
+      return "budget_spent";
+    case GrantDecision::kNeedsRecord:
+      return "needs_record";
+  }
+  return "needs_record";
+}
+
 auto RequestGrant(ProgramLedger& ledger,
                   const GrantRequest& request,
                   const GrantConditions& conditions,
