Have a new lead announce itself before it opens accounts

Now a lead lists the leads after its claim, tells them and the one before it, and hosts that no longer lead name the one that does.

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "dotterelshed/byte_stream.h"
@@ -20,13 +21,6 @@
 
 namespace dotterelshed {
 
-/// A domain's lead as the store names it.
-struct KnownLead {
-  LeadEntry m_entry;
-  /// Version of the entry, for replacing it.
-  ResourceVersion m_version;
-};
-
 struct EntryContext {
   EventLoop& m_loop;
   EntrySettings m_settings;
@@ -43,6 +37,23 @@
   std::map<DomainId, KnownLead> m_leads;
   std::mt19937_64 m_random;
 
+  /// The lead of a domain, if one is known.
+  auto LeadOf(const DomainId& domain) const -> std::optional<KnownLead> {
+    const auto found = m_leads.find(domain);
+    return found == m_leads.end() ? std::nullopt : std::optional(found->second);
+  }
+
+  /// Takes a lead that the store or another host names. Returns false when it
+  /// is older than what is known.
+  auto TakeLead(const KnownLead& lead) -> bool {
+    const auto known = LeadOf(lead.m_domain);
+    if (known && known->m_version >= lead.m_version) {
+      return false;
+    }
+    m_leads[lead.m_domain] = lead;
+    return true;
+  }
+
   /// Uniform in [0, 1).
   auto Draw() -> double {
     return std::uniform_real_distribution<double>()(m_random);
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -122,13 +122,16 @@
           .m_on_listing =
               [this](const ObjectListing& listing) {
                 for (const auto& object : listing.m_objects) {
-                  TakeLead(object, false);
+                  TakeLead(object);
                 }
               },
           .m_on_changes =
               [this](const ObjectChanges& changes) {
                 for (const auto& change : changes.m_changes) {
-                  TakeLead(change.m_object, change.m_removed);
+                  // Leads are replaced, never removed.
+                  if (!change.m_removed) {
+                    TakeLead(change.m_object);
+                  }
                 }
               },
           .m_on_reachable = [](bool /*reachable*/) {}});
@@ -245,26 +248,17 @@
   ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
 }
 
-auto EntryHost::TakeLead(const StoredObject& object, bool removed) -> void {
-  const auto domain = DomainId(object.m_name);
-  const auto known = m_context.m_leads.find(domain);
-  if (known != m_context.m_leads.end() &&
-      known->second.m_version > object.m_version) {
-    return;
-  }
+auto EntryHost::TakeLead(const StoredObject& object) -> void {
   const auto entry = DecodeLeadEntry(object.m_spec);
-  if (removed || !entry) {
-    m_context.m_leads.erase(domain);
-  } else {
-    m_context.m_leads[domain] = {*entry, object.m_version};
-  }
-  if (domain != m_context.m_settings.m_domain) {
+  if (!entry) {
+    LogEvent(LogEventId::kLeadClaimFailed,
+             {{"code", "invalid_argument"},
+              {"reason", entry.error().m_message}});
     return;
   }
-  const auto now_known = m_context.m_leads.find(domain);
-  m_lead.NoteLead(now_known == m_context.m_leads.end()
-                      ? std::nullopt
-                      : std::optional(now_known->second));
+  m_lead.NoteLead({.m_domain = DomainId(object.m_name),
+                   .m_entry = *entry,
+                   .m_version = object.m_version});
 }
 
 // Requests.
@@ -350,16 +344,22 @@
     return;
   }
   if (target == kFindPath) {
-    if (!m_lead.active()) {
-      connection->Answer(kStatusUnavailable, {}, "");
-      return;
-    }
     const auto question = DecodeFindQuestion(request.m_body);
     if (!question) {
       connection->Answer(400, {}, question.error().m_message);
       return;
     }
-    connection->Answer(kStatusOk, {}, m_lead.Claims(*question) ? "yes" : "no");
+    connection->Answer(kStatusOk, {}, EncodeFindAnswer(m_lead.Find(*question)));
+    return;
+  }
+  if (target == kLeadPath) {
+    const auto lead = DecodeKnownLead(request.m_body);
+    if (!lead) {
+      connection->Answer(400, {}, lead.error().m_message);
+      return;
+    }
+    m_lead.NoteLead(*lead);
+    connection->Answer(kStatusOk, {}, "");
     return;
   }
   connection->Answer(kStatusNotFound, {}, "");
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -43,7 +43,7 @@
   auto TakeConfig(const StoredObject& object) -> void;
   auto TakeEndpoint(const StoredObject& object, bool removed) -> void;
   auto TakeEndpoints(const ObjectListing& listing) -> void;
-  auto TakeLead(const StoredObject& object, bool removed) -> void;
+  auto TakeLead(const StoredObject& object) -> void;
   auto ApplyLimits() -> void;
   auto EnsureLead(TimePoint now) -> void;
 
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -94,7 +94,11 @@
 auto GrantClient::OnAnswer(const std::shared_ptr<Asking>& asking,
                            const GrantAnswer& answer) -> void {
   if (answer.m_verdict == GrantVerdict::kNotLead) {
-    // It lives and has restarted or been replaced: news of a lead is on its way.
+    // It lives and has restarted or been replaced.
+    if (answer.m_lead && m_own_lead.NoteLead(*answer.m_lead)) {
+      AskLead(asking);
+      return;
+    }
     if (++asking->m_not_lead > kMaxNotLead) {
       OnNoAnswer(asking);
     } else {
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -33,6 +33,34 @@
   return Tokens(value.get<std::int64_t>());
 }
 
+auto ReadLeadEntry(const Json& json) -> LeadEntry {
+  LeadEntry entry;
+  entry.m_host = HostId(json.at("host"));
+  entry.m_incarnation = Incarnation(json.at("incarnation").get<std::int64_t>());
+  entry.m_peer_address = json.at("peer_address").get<std::string>();
+  return entry;
+}
+
+auto WriteKnownLead(const KnownLead& lead) -> Json {
+  return {{"domain", lead.m_domain.value()},
+          {"entry", EncodeLeadEntry(lead.m_entry)},
+          {"version", lead.m_version.value()}};
+}
+
+auto ReadKnownLead(const Json& json) -> KnownLead {
+  return {.m_domain = DomainId(json.at("domain")),
+          .m_entry = ReadLeadEntry(json.at("entry")),
+          .m_version = ResourceVersion(json.at("version").get<std::int64_t>())};
+}
+
+auto WriteOptionalLead(const std::optional<KnownLead>& lead) -> Json {
+  return lead ? WriteKnownLead(*lead) : Json();
+}
+
+auto ReadOptionalLead(const Json& json) -> std::optional<KnownLead> {
+  return json.is_null() ? std::nullopt : std::optional(ReadKnownLead(json));
+}
+
 }  // namespace
 
 auto ToString(GrantVerdict verdict) -> std::string_view {
@@ -80,7 +108,8 @@
   return Json{{"verdict", ToString(answer.m_verdict)},
               {"domain", answer.m_domain.value()},
               {"endpoint", answer.m_endpoint.value()},
-              {"tokens", answer.m_tokens.value()}}
+              {"tokens", answer.m_tokens.value()},
+              {"lead", WriteOptionalLead(answer.m_lead)}}
       .dump();
 }
 
@@ -96,6 +125,7 @@
     answer.m_domain = DomainId(json.at("domain"));
     answer.m_endpoint = EndpointId(json.at("endpoint"));
     answer.m_tokens = ToTokens(json.at("tokens"));
+    answer.m_lead = ReadOptionalLead(json.at("lead"));
     return answer;
   });
 }
@@ -115,6 +145,21 @@
   });
 }
 
+auto EncodeFindAnswer(const FindAnswer& answer) -> std::string {
+  return Json{{"leads", answer.m_leads},
+              {"found", answer.m_found},
+              {"lead", WriteOptionalLead(answer.m_lead)}}
+      .dump();
+}
+
+auto DecodeFindAnswer(std::string_view text) -> Result<FindAnswer> {
+  return Parse<FindAnswer>(text, [](const Json& json) {
+    return FindAnswer{.m_leads = json.at("leads").get<bool>(),
+                      .m_found = json.at("found").get<bool>(),
+                      .m_lead = ReadOptionalLead(json.at("lead"))};
+  });
+}
+
 auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
     -> std::string {
   auto list = Json::array();
@@ -146,14 +191,15 @@
 }
 
 auto DecodeLeadEntry(const Json& body) -> Result<LeadEntry> {
-  return Read<LeadEntry>(body, [](const Json& json) {
-    LeadEntry entry;
-    entry.m_host = HostId(json.at("host"));
-    entry.m_incarnation =
-        Incarnation(json.at("incarnation").get<std::int64_t>());
-    entry.m_peer_address = json.at("peer_address").get<std::string>();
-    return entry;
-  });
+  return Read<LeadEntry>(body, ReadLeadEntry);
+}
+
+auto EncodeKnownLead(const KnownLead& lead) -> std::string {
+  return WriteKnownLead(lead).dump();
+}
+
+auto DecodeKnownLead(std::string_view text) -> Result<KnownLead> {
+  return Parse<KnownLead>(text, ReadKnownLead);
 }
 
 auto EncodeStoredLedger(const StoredLedger& ledger) -> Json {
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHED_LEAD_MESSAGES_H_
 
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,21 @@
   Tokens m_prompt{0};
 };
 
+/// Who leads a domain; kept in the store under the domain's name.
+struct LeadEntry {
+  HostId m_host;
+  /// Differs for each start of the process.
+  Incarnation m_incarnation;
+  std::string m_peer_address;
+};
+
+/// A domain's lead as the store names it; a higher version is newer.
+struct KnownLead {
+  DomainId m_domain;
+  LeadEntry m_entry;
+  ResourceVersion m_version;
+};
+
 enum class GrantVerdict {
   kGranted,
   kBudgetSpent,
@@ -44,6 +60,8 @@
   EndpointId m_endpoint;
   /// With kGranted: tokens that the turn may generate.
   Tokens m_tokens{0};
+  /// With kNotLead: the lead as the asked host knows it.
+  std::optional<KnownLead> m_lead;
 };
 
 /// A lead asks another whether it keeps a program's account.
@@ -55,6 +73,14 @@
   bool m_blind = false;
 };
 
+struct FindAnswer {
+  /// The asked host leads its domain, so that the rest holds.
+  bool m_leads = false;
+  bool m_found = false;
+  /// Otherwise the lead as the asked host knows it.
+  std::optional<KnownLead> m_lead;
+};
+
 /// A turn that was granted has ended.
 struct TurnSettlement {
   ProgramId m_program;
@@ -62,14 +88,6 @@
   Tokens m_used{0};
 };
 
-/// Who leads a domain; kept in the store under the domain's name.
-struct LeadEntry {
-  HostId m_host;
-  /// Differs for each start of the process.
-  Incarnation m_incarnation;
-  std::string m_peer_address;
-};
-
 /// The stored ledger of a domain.
 struct StoredLedger {
   HostId m_host;
@@ -85,6 +103,10 @@
 auto DecodeGrantAnswer(std::string_view text) -> Result<GrantAnswer>;
 auto EncodeFindQuestion(const FindQuestion& question) -> std::string;
 auto DecodeFindQuestion(std::string_view text) -> Result<FindQuestion>;
+auto EncodeFindAnswer(const FindAnswer& answer) -> std::string;
+auto DecodeFindAnswer(std::string_view text) -> Result<FindAnswer>;
+auto EncodeKnownLead(const KnownLead& lead) -> std::string;
+auto DecodeKnownLead(std::string_view text) -> Result<KnownLead>;
 auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
     -> std::string;
 auto DecodeSettlements(std::string_view text)
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -37,10 +37,14 @@
          entry.m_incarnation == m_context.m_incarnation;
 }
 
-auto LeadService::Claims(const FindQuestion& question) const -> bool {
+auto LeadService::Find(const FindQuestion& question) const -> FindAnswer {
   if (!active()) {
-    return false;
+    return {.m_lead = m_context.LeadOf(m_context.m_settings.m_domain)};
   }
+  return {.m_leads = true, .m_found = Claims(question)};
+}
+
+auto LeadService::Claims(const FindQuestion& question) const -> bool {
   if (KnowsProgram(m_ledger, question.m_program)) {
     return true;
   }
@@ -48,7 +52,12 @@
   if (m_ledger.m_accounts.contains(question.m_program)) {
     return first || !question.m_blind;
   }
-  return m_searches.contains(question.m_program) && first && !question.m_blind;
+  const auto search = m_searches.find(question.m_program);
+  if (search == m_searches.end() || question.m_blind) {
+    return false;
+  }
+  // One that has answered this search already began its own later.
+  return first || !search->second.m_open.contains(question.m_domain);
 }
 
 // Becoming lead.
@@ -68,12 +77,12 @@
   const auto after = [this](const Result<StoredObject>& stored) {
     AfterClaim(stored);
   };
-  const auto known = m_context.m_leads.find(domain);
-  if (known == m_context.m_leads.end()) {
+  m_before = m_context.LeadOf(domain);
+  if (!m_before) {
     m_context.m_store.Create(ObjectKind::kLeads, std::move(object), after);
     return;
   }
-  object.m_version = known->second.m_version;
+  object.m_version = m_before->m_version;
   m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after);
 }
 
@@ -94,23 +103,30 @@
     BecomeIdle();
     return;
   }
-  m_context.m_leads[m_context.m_settings.m_domain] = {*entry,
-                                                      stored->m_version};
+  m_context.TakeLead({.m_domain = m_context.m_settings.m_domain,
+                      .m_entry = *entry,
+                      .m_version = stored->m_version});
   m_phase = Phase::kAdopting;
   Adopt();
 }
 
-auto LeadService::NoteLead(const std::optional<KnownLead>& lead) -> void {
-  if (lead && IsMine(lead->m_entry)) {
-    if (m_phase == Phase::kIdle || m_phase == Phase::kClaiming) {
-      m_phase = Phase::kAdopting;
-      Adopt();
-    }
-    return;
+auto LeadService::NoteLead(const KnownLead& lead) -> bool {
+  if (!m_context.TakeLead(lead)) {
+    return false;
   }
-  if (m_phase == Phase::kActive || m_phase == Phase::kAdopting) {
-    BecomeIdle();
+  if (lead.m_domain != m_context.m_settings.m_domain) {
+    return true;
+  }
+  const auto begun = m_phase != Phase::kIdle && m_phase != Phase::kClaiming;
+  if (!IsMine(lead.m_entry)) {
+    if (begun) {
+      BecomeIdle();
+    }
+  } else if (!begun) {
+    m_phase = Phase::kAdopting;
+    Adopt();
   }
+  return true;
 }
 
 auto LeadService::Adopt() -> void {
@@ -177,6 +193,64 @@
   }
   m_ledger_version = stored->m_version;
   m_last_write = now;
+  m_phase = Phase::kAnnouncing;
+  ListLeads();
+}
+
+/// Of two leads that begin at once, the one that lists later knows the other,
+/// and tells it before it opens an account.
+auto LeadService::ListLeads() -> void {
+  m_context.m_store.List(ObjectKind::kLeads,
+                         [this](const Result<ObjectListing>& listing) {
+                           if (m_phase != Phase::kAnnouncing) {
+                             return;
+                           }
+                           if (!listing) {
+                             // Goes on with the leads that are known.
+                             Announce();
+                             return;
+                           }
+                           for (const auto& object : listing->m_objects) {
+                             const auto entry = DecodeLeadEntry(object.m_spec);
+                             if (entry) {
+                               NoteLead({.m_domain = DomainId(object.m_name),
+                                         .m_entry = *entry,
+                                         .m_version = object.m_version});
+                             }
+                           }
+                           if (m_phase == Phase::kAnnouncing) {
+                             Announce();
+                           }
+                         });
+}
+
+auto LeadService::Announce() -> void {
+  const auto own = m_context.LeadOf(m_context.m_settings.m_domain);
+  std::vector<std::string> addresses;
+  if (m_before && m_before->m_entry.m_host != m_context.m_settings.m_host) {
+    addresses.push_back(m_before->m_entry.m_peer_address);
+  }
+  for (const auto& [domain, lead] : m_context.m_leads) {
+    if (domain != m_context.m_settings.m_domain) {
+      addresses.push_back(lead.m_entry.m_peer_address);
+    }
+  }
+  m_unannounced = static_cast<int>(addresses.size()) + 1;
+  for (const auto& address : addresses) {
+    CallPeer(m_context.m_loop, m_context.m_peers, address, kLeadPath,
+             EncodeKnownLead(*own), kFindTimeout,
+             [this](const Result<std::string>& /*reply*/) {
+               // One that can't be reached can't be asked by its callers either.
+               AfterAnnouncement();
+             });
+  }
+  AfterAnnouncement();
+}
+
+auto LeadService::AfterAnnouncement() -> void {
+  if (--m_unannounced > 0 || m_phase != Phase::kAnnouncing) {
+    return;
+  }
   m_phase = Phase::kActive;
   LogEvent(LogEventId::kLeadChanged,
            {{"domain", m_context.m_settings.m_domain.value()},
@@ -213,7 +287,8 @@
 auto LeadService::Ask(const GrantQuestion& question, Answered answered)
     -> void {
   if (m_phase == Phase::kIdle) {
-    answered({.m_verdict = GrantVerdict::kNotLead});
+    answered({.m_verdict = GrantVerdict::kNotLead,
+              .m_lead = m_context.LeadOf(m_context.m_settings.m_domain)});
     return;
   }
   const Waiting waiting{question, std::move(answered),
@@ -365,18 +440,28 @@
                 .m_blind = m_ledger.m_accounts.contains(program)}),
            kFindTimeout,
            [this, program, domain](const Result<std::string>& reply) {
-             if (!m_searches.contains(program)) {
-               return;
-             }
-             if (reply && (*reply == "yes" || *reply == "no")) {
-               AfterSearch(program, domain, FoundIf(*reply == "yes"));
-               return;
-             }
-             m_silent_until[domain] = SteadyTime() + kSilentTime;
-             ReadOtherLedger(program, domain);
+             AfterFind(program, domain, reply.and_then(DecodeFindAnswer));
            });
 }
 
+auto LeadService::AfterFind(const ProgramId& program,
+                            const DomainId& domain,
+                            const Result<FindAnswer>& answer) -> void {
+  if (!m_searches.contains(program)) {
+    return;
+  }
+  if (answer && answer->m_leads) {
+    AfterSearch(program, domain, FoundIf(answer->m_found));
+    return;
+  }
+  if (answer && answer->m_lead && m_context.TakeLead(*answer->m_lead)) {
+    AskOther(program, domain);
+    return;
+  }
+  m_silent_until[domain] = SteadyTime() + kSilentTime;
+  ReadOtherLedger(program, domain);
+}
+
 auto LeadService::ReadOtherLedger(const ProgramId& program,
                                   const DomainId& domain) -> void {
   const auto known = m_other_ledgers.find(domain);
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -33,12 +33,13 @@
   /// True when this lead keeps the program's account, or is about to open it.
   /// Of two leads that look for the same account at once, or keep a blind one
   /// each, the one of the domain that is first by name goes on.
-  auto Claims(const FindQuestion& question) const -> bool;
+  auto Find(const FindQuestion& question) const -> FindAnswer;
 
   /// Tries to become lead in place of what the store names now.
   auto TakeOver() -> void;
-  /// The store names another lead, or none.
-  auto NoteLead(const std::optional<KnownLead>& lead) -> void;
+  /// Takes a lead that the store or another host names. Returns false when it
+  /// is older than what is known.
+  auto NoteLead(const KnownLead& lead) -> bool;
   /// True when this host leads and its ledger is in force.
   auto active() const -> bool { return m_phase == Phase::kActive; }
   /// True when it leads or is about to.
@@ -46,7 +47,7 @@
   auto Tick(TimePoint now) -> void;
 
  private:
-  enum class Phase { kIdle, kClaiming, kAdopting, kActive };
+  enum class Phase { kIdle, kClaiming, kAdopting, kAnnouncing, kActive };
 
   /// A question that waits for a record or for other leads.
   struct Waiting {
@@ -91,6 +92,10 @@
   auto AfterAdoptRead(const Result<StoredObject>& stored) -> void;
   auto WriteAdopted() -> void;
   auto AfterAdoptWrite(const Result<StoredObject>& stored) -> void;
+  auto ListLeads() -> void;
+  auto Announce() -> void;
+  auto AfterAnnouncement() -> void;
+  auto Claims(const FindQuestion& question) const -> bool;
 
   auto Decide(const Waiting& waiting) -> void;
   auto Grant(const Waiting& waiting, const GrantConditions& conditions)
@@ -100,6 +105,9 @@
                    const TurnGrant& grant) const -> void;
   auto StartSearch(const Waiting& waiting) -> void;
   auto AskOther(const ProgramId& program, const DomainId& domain) -> void;
+  auto AfterFind(const ProgramId& program,
+                 const DomainId& domain,
+                 const Result<FindAnswer>& answer) -> void;
   auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
       -> void;
   static auto FoundIf(bool found) -> SearchResult;
@@ -124,6 +132,10 @@
   ResourceVersion m_ledger_version;
   std::int64_t m_write = 0;
   bool m_writing = false;
+  /// Hosts that haven't confirmed yet that they know of this lead.
+  int m_unannounced = 0;
+  /// The lead before this one, which may not know that it was replaced.
+  std::optional<KnownLead> m_before;
   TimePoint m_last_write;
   TimePoint m_retry_at;
   /// The last write failed, and none has succeeded since.
