--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -17,7 +17,9 @@
 /// upper bound of the tokens granted so far. The sum of all grants stays within
 /// the budget, and within what is on record plus an advance of one turn's most.
 /// A lead that takes over starts from the record, counts it as spent and gives
-/// no advance, so that each program gets it at most once.
+/// no advance on it. To unknown programs it gives one only after the settle time,
+/// and no lead gives one when its last confirmed write is older than that: so a
+/// lead that was replaced without knowing stops before the next begins.
 ///
 /// An account is blind while it is unknown whether another domain's lead keeps
 /// one of the same program. It grants no more than the advance: the other
@@ -26,7 +28,7 @@
 /// @code
 ///   const auto grant = RequestGrant(ledger, request, {}, now);
 ///   if (grant.m_decision == GrantDecision::kNeedsRecord) {
-///     // store BeginRecord(ledger), then NoteRecorded and ask again
+///     // store BeginRecord(ledger, now), then NoteRecorded and ask again
 ///   }
 /// @endcode
 
@@ -41,8 +43,9 @@
   /// Without a record a turn may get a part of its most, down to one in so
   /// many; most turns generate far less than their most.
   int m_least_part_divisor = 3;
-  /// Time after a takeover in which unknown programs get no advance: one of
-  /// them may have had it from the lead before.
+  /// Time after a takeover in which unknown programs get no advance, and after
+  /// the last confirmed write from which on they get none. Longer than any
+  /// pause between a program's turns.
   Duration m_settle_time = std::chrono::seconds(8);
   /// Time for which a program is remembered after its last turn.
   Duration m_retention = std::chrono::seconds(75);
@@ -78,6 +81,9 @@
   std::map<ProgramId, ProgramAccount> m_accounts;
   /// Start of this lead's term.
   TimePoint m_since;
+  /// When the write under way began, and when the last confirmed one did.
+  TimePoint m_write_begun;
+  TimePoint m_confirmed;
   /// True when a coming turn needs a higher bound on record.
   bool m_dirty = false;
 };
@@ -133,7 +139,7 @@
 
 /// The record to write now. From here on it may be what the store holds, so no
 /// grant exceeds it, whether or not the write is known to have succeeded.
-auto BeginRecord(ProgramLedger& ledger) -> LedgerRecord;
+auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord;
 
 /// @p record has been stored under this lead's term, after all earlier ones.
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void;
--- a/src/include/dotterelshed/steady_time.h
+++ b/src/include/dotterelshed/steady_time.h
@@ -1,7 +1,7 @@
 #ifndef DOTTERELSHED_STEADY_TIME_H_
 #define DOTTERELSHED_STEADY_TIME_H_
 
-#include <chrono>
+#include <ctime>
 
 #include "dotterelshed/units.h"
 
@@ -11,10 +11,14 @@
 
 namespace dotterelshed {
 
-/// Time on the steady clock, in the decision code's type.
+/// Time on a clock that never jumps, in the decision code's type. It goes on
+/// while the machine is suspended, so that what has expired is seen to have.
 inline auto SteadyTime() -> TimePoint {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -35,6 +35,8 @@
   EndpointPool m_endpoints;
   EndpointPool m_peers;
   std::map<DomainId, KnownLead> m_leads;
+  /// True while this host's calls to the store succeed.
+  bool m_store_reached = true;
   std::mt19937_64 m_random;
 
   /// The lead of a domain, if one is known.
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -84,6 +84,7 @@
 auto EntryHost::MakeFollowers() -> void {
   auto& loop = m_context.m_loop;
   const auto on_reachable = [this](bool reachable) {
+    m_context.m_store_reached = reachable;
     if (reachable) {
       NotePlatformBack(m_context.m_directory, SteadyTime());
     }
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -20,6 +20,8 @@
 /// Domains that a question is sent on to; two leads may each have heard of the
 /// other's account only.
 constexpr int kMaxSentOn = 2;
+/// Questions without answer, before another domain's lead is asked.
+constexpr int kMaxUnanswered = 2;
 constexpr Duration kAskAgainWait = std::chrono::milliseconds(60);
 /// Settlements are sent together after this time; budgets may count a turn at
 /// its most until then.
@@ -43,6 +45,7 @@
   DomainId m_domain;
   int m_sent_on = 0;
   int m_not_lead = 0;
+  int m_unanswered = 0;
   boost::asio::steady_timer m_timer;
 };
 
@@ -107,11 +110,14 @@
     return;
   }
   if (answer.m_verdict == GrantVerdict::kNoStore) {
-    if (m_own_lead.leading() ||
-        asking->m_domain != m_context.m_settings.m_domain) {
-      GiveUp(*asking);
-    } else {
+    // A host that reaches the store can do better than the lead.
+    const auto replaceable =
+        asking->m_domain == m_context.m_settings.m_domain &&
+        !m_own_lead.leading() && m_context.m_store_reached;
+    if (replaceable) {
       OnNoAnswer(asking);
+    } else {
+      GiveUp(*asking);
     }
     return;
   }
@@ -130,12 +136,31 @@
 }
 
 auto GrantClient::OnNoAnswer(const std::shared_ptr<Asking>& asking) -> void {
-  if (asking->m_domain == m_context.m_settings.m_domain) {
+  const auto& own = m_context.m_settings.m_domain;
+  if (asking->m_domain == own) {
     m_own_lead.TakeOver();
+    if (++asking->m_unanswered >= kMaxUnanswered) {
+      asking->m_domain = FallbackDomain(asking->m_question.m_grant.m_program);
+    }
   }
   AskAgain(asking);
 }
 
+/// Another domain's lead, the same for all turns of a program: it can grant
+/// what a blind account allows.
+auto GrantClient::FallbackDomain(const ProgramId& program) const -> DomainId {
+  std::vector<DomainId> others;
+  for (const auto& [domain, lead] : m_context.m_leads) {
+    if (domain != m_context.m_settings.m_domain) {
+      others.push_back(domain);
+    }
+  }
+  if (others.empty()) {
+    return m_context.m_settings.m_domain;
+  }
+  return others[std::hash<ProgramId>{}(program) % others.size()];
+}
+
 auto GrantClient::AskAgain(const std::shared_ptr<Asking>& asking) -> void {
   if (SteadyTime() + kAskAgainWait > asking->m_deadline) {
     GiveUp(*asking);
--- a/src/libgateway/grant_client.h
+++ b/src/libgateway/grant_client.h
@@ -41,6 +41,7 @@
                 const GrantAnswer& answer) -> void;
   auto OnNoAnswer(const std::shared_ptr<Asking>& asking) -> void;
   auto AskAgain(const std::shared_ptr<Asking>& asking) -> void;
+  auto FallbackDomain(const ProgramId& program) const -> DomainId;
   auto GiveUp(const Asking& asking) -> void;
   auto HomeOf(const ProgramId& program) const -> DomainId;
   auto SendSettlements(const DomainId& domain) -> void;
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -17,6 +17,8 @@
 constexpr Duration kUrgentWriteInterval = std::chrono::milliseconds(80);
 /// Time between two writes that only prepare coming turns.
 constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(500);
+/// A lead that has nothing to record confirms in this time that it still leads.
+constexpr Duration kConfirmInterval = std::chrono::seconds(4);
 constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
 /// Longest wait for another domain's lead.
 constexpr Duration kFindTimeout = std::chrono::milliseconds(150);
@@ -37,11 +39,16 @@
          entry.m_incarnation == m_context.m_incarnation;
 }
 
-auto LeadService::Find(const FindQuestion& question) const -> FindAnswer {
+auto LeadService::Find(const FindQuestion& question) -> FindAnswer {
   if (!active()) {
     return {.m_lead = m_context.LeadOf(m_context.m_settings.m_domain)};
   }
-  return {.m_leads = true, .m_found = Claims(question)};
+  const auto claimed = Claims(question);
+  if (!claimed) {
+    m_notes[question.m_program] = {.m_domain = question.m_domain,
+                                   .m_last_used = SteadyTime()};
+  }
+  return {.m_leads = true, .m_found = claimed};
 }
 
 auto LeadService::Claims(const FindQuestion& question) const -> bool {
@@ -52,12 +59,7 @@
   if (m_ledger.m_accounts.contains(question.m_program)) {
     return first || !question.m_blind;
   }
-  const auto search = m_searches.find(question.m_program);
-  if (search == m_searches.end() || question.m_blind) {
-    return false;
-  }
-  // One that has answered this search already began its own later.
-  return first || !search->second.m_open.contains(question.m_domain);
+  return m_searches.contains(question.m_program) && first && !question.m_blind;
 }
 
 // Becoming lead.
@@ -169,7 +171,7 @@
 
 auto LeadService::WriteAdopted() -> void {
   m_writing = true;
-  auto object = MakeLedgerObject(BeginRecord(m_ledger));
+  auto object = MakeLedgerObject(BeginRecord(m_ledger, SteadyTime()));
   const auto after = [this](const Result<StoredObject>& stored) {
     m_writing = false;
     AfterAdoptWrite(stored);
@@ -518,6 +520,16 @@
   if (!search.m_open.empty()) {
     return;
   }
+  const auto note = m_notes.find(program);
+  if (note != m_notes.end() && !note->second.m_domain.empty()) {
+    // The other one that looked for it at the same time goes on.
+    const auto other = note->second.m_domain;
+    for (const auto& one : EndSearch(program)) {
+      one.m_answered(
+          {.m_verdict = GrantVerdict::kElsewhere, .m_domain = other});
+    }
+    return;
+  }
   const auto blind = search.m_blind;
   for (const auto& one : EndSearch(program)) {
     Grant(one, {.m_blind = blind, .m_partial = blind || m_store_lost});
@@ -549,13 +561,14 @@
   }
   const auto interval =
       m_waiting.empty() ? kLazyWriteInterval : kUrgentWriteInterval;
-  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty;
+  const auto confirm = now - m_ledger.m_confirmed >= kConfirmInterval;
+  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm;
   if (!wanted || now - m_last_write < interval) {
     return;
   }
   m_writing = true;
   m_last_write = now;
-  auto record = BeginRecord(m_ledger);
+  auto record = BeginRecord(m_ledger, now);
   auto object = MakeLedgerObject(record);
   m_context.m_store.Replace(
       ObjectKind::kLedgers, std::move(object),
@@ -582,16 +595,12 @@
             {"reason", stored.error().m_message},
             {"waiting", std::to_string(m_waiting.size())}});
   m_ledger.m_dirty = true;
-  if (stored.error().m_code == ErrorCode::kConflict) {
-    CheckLedger(record);
+  if (stored.error().m_code == ErrorCode::kUnavailable) {
+    LoseStore();
     return;
   }
-  m_retry_at = SteadyTime() + kStoreRetryWait;
-  m_store_lost = true;
-  DecideWaiting();
-  if (stored.error().m_code != ErrorCode::kUnavailable) {
-    CheckLedger(record);
-  }
+  // It may have been done, or another lead may have written.
+  CheckLedger(record);
 }
 
 auto LeadService::CheckLedger(const LedgerRecord& record) -> void {
@@ -603,9 +612,8 @@
         if (m_phase != Phase::kActive) {
           return;
         }
-        const auto now = SteadyTime();
         if (!stored) {
-          m_retry_at = now + kStoreRetryWait;
+          LoseStore();
           return;
         }
         const auto ledger = DecodeStoredLedger(stored->m_spec);
@@ -623,6 +631,12 @@
       });
 }
 
+auto LeadService::LoseStore() -> void {
+  m_store_lost = true;
+  m_retry_at = SteadyTime() + kStoreRetryWait;
+  DecideWaiting();
+}
+
 auto LeadService::DecideWaiting() -> void {
   for (const auto& one : std::exchange(m_waiting, {})) {
     Decide(one);
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -33,7 +33,8 @@
   /// True when this lead keeps the program's account, or is about to open it.
   /// Of two leads that look for the same account at once, or keep a blind one
   /// each, the one of the domain that is first by name goes on.
-  auto Find(const FindQuestion& question) const -> FindAnswer;
+  /// One that is told that there is none goes on, and is remembered for it.
+  auto Find(const FindQuestion& question) -> FindAnswer;
 
   /// Tries to become lead in place of what the store names now.
   auto TakeOver() -> void;
@@ -121,6 +122,7 @@
   auto AfterWrite(const LedgerRecord& record, const Result<StoredObject>& stored)
       -> void;
   auto CheckLedger(const LedgerRecord& record) -> void;
+  auto LoseStore() -> void;
   auto DecideWaiting() -> void;
   auto AnswerLate(TimePoint now) -> void;
   auto ForgetOld(TimePoint now) -> void;
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -42,15 +42,20 @@
              : std::min(account.m_budget, SecuredBound(account) + advance);
 }
 
-/// Opens an account. Until the settle time is over, a program may have had its
-/// advance from an earlier lead.
+/// True when no other lead can be giving advances, or have given them to
+/// programs that are still under way.
+auto MayAdvance(const ProgramLedger& ledger, TimePoint now) -> bool {
+  const auto settle_time = ledger.m_options.m_settle_time;
+  return now - ledger.m_since >= settle_time &&
+         now - ledger.m_confirmed < settle_time;
+}
+
 auto OpenAccount(ProgramLedger& ledger,
                  const GrantRequest& request,
                  bool blind,
                  TimePoint now) -> ProgramAccount& {
   auto& account = ledger.m_accounts[request.m_program];
-  account.m_has_advance =
-      now - ledger.m_since >= ledger.m_options.m_settle_time;
+  account.m_has_advance = MayAdvance(ledger, now);
   account.m_blind = blind;
   return account;
 }
@@ -143,8 +148,9 @@
   return found != ledger.m_accounts.end() && !found->second.m_blind;
 }
 
-auto BeginRecord(ProgramLedger& ledger) -> LedgerRecord {
+auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
   LedgerRecord record;
+  ledger.m_write_begun = now;
   for (auto& [program, account] : ledger.m_accounts) {
     if (account.m_blind) {
       continue;
@@ -159,6 +165,7 @@
 }
 
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void {
+  ledger.m_confirmed = ledger.m_write_begun;
   for (const auto& [program, bound] : record.m_bounds) {
     const auto found = ledger.m_accounts.find(program);
     if (found != ledger.m_accounts.end()) {
@@ -173,6 +180,7 @@
                  TimePoint now) -> void {
   ledger.m_accounts.clear();
   ledger.m_since = now;
+  ledger.m_confirmed = now;
   ledger.m_dirty = false;
   for (const auto& [program, bound] : record.m_bounds) {
     auto& account = ledger.m_accounts[program];
--- a/src/libledger/program_ledger_unittest.cc
+++ b/src/libledger/program_ledger_unittest.cc
@@ -9,6 +9,13 @@
 constexpr Tokens kBudget(400);
 const TimePoint kSettled{std::chrono::seconds(100)};
 
+/// A ledger whose lead has led for long and reached the store just now.
+auto MakeLedger() -> ProgramLedger {
+  ProgramLedger ledger;
+  ledger.m_confirmed = kSettled;
+  return ledger;
+}
+
 auto Ask(ProgramLedger& ledger,
          const std::string& request,
          const GrantConditions& conditions = {}) -> TurnGrant {
@@ -21,7 +28,7 @@
 }
 
 auto Record(ProgramLedger& ledger) -> LedgerRecord {
-  auto record = BeginRecord(ledger);
+  auto record = BeginRecord(ledger, kSettled);
   NoteRecorded(ledger, record);
   return record;
 }
@@ -32,7 +39,7 @@
 }
 
 TEST_CASE("a first turn runs before its record, a second one doesn't") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   CHECK(Ask(ledger, "a").m_decision == GrantDecision::kGranted);
   CHECK(Ask(ledger, "b").m_decision == GrantDecision::kNeedsRecord);
   Record(ledger);
@@ -40,14 +47,14 @@
 }
 
 TEST_CASE("a repeated question is counted once") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   Ask(ledger, "a");
   CHECK(Ask(ledger, "a").m_tokens == kMost);
   CHECK(ledger.m_accounts.at(ProgramId("p")).m_running.size() == 1);
 }
 
 TEST_CASE("a turn that doesn't fit is refused for its budget") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   for (const auto* request : {"a", "b", "c", "d"}) {
     Record(ledger);
     REQUIRE(Ask(ledger, request).m_decision == GrantDecision::kGranted);
@@ -61,7 +68,7 @@
 }
 
 TEST_CASE("without the store turns get parts of the advance") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   const GrantConditions lost{.m_partial = true};
   CHECK(Ask(ledger, "a", lost).m_tokens == kMost);
   Settle(ledger, "a", Tokens(30));
@@ -71,23 +78,23 @@
 }
 
 TEST_CASE("a blind account grants no more than the advance") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   const GrantConditions blind{.m_blind = true, .m_partial = true};
   Ask(ledger, "a", blind);
   Settle(ledger, "a", Tokens(60));
   CHECK_FALSE(KnowsProgram(ledger, ProgramId("p")));
   CHECK(Ask(ledger, "b", blind).m_tokens == Tokens(40));
-  CHECK(BeginRecord(ledger).m_bounds.empty());
+  CHECK(BeginRecord(ledger, kSettled).m_bounds.empty());
   CHECK(Ask(ledger, "c").m_decision == GrantDecision::kNeedsRecord);
   CHECK(KnowsProgram(ledger, ProgramId("p")));
 }
 
 TEST_CASE("a write that may have failed binds grants to its bound") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   Ask(ledger, "a");
   Record(ledger);
   Settle(ledger, "a", Tokens(0));
-  const auto lower = BeginRecord(ledger).m_bounds.at(ProgramId("p"));
+  const auto lower = BeginRecord(ledger, kSettled).m_bounds.at(ProgramId("p"));
   const auto& account = ledger.m_accounts.at(ProgramId("p"));
   CHECK(lower < account.m_recorded);
   Ask(ledger, "b");
@@ -100,7 +107,7 @@
 }
 
 TEST_CASE("a lead that takes over counts the record as spent") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   Ask(ledger, "a");
   const auto record = Record(ledger);
   ProgramLedger next;
@@ -116,8 +123,14 @@
   CHECK(Ask(ledger, "a").m_decision == GrantDecision::kNeedsRecord);
 }
 
+TEST_CASE("a lead that can't confirm its term gives no advance") {
+  auto ledger = MakeLedger();
+  ledger.m_confirmed = kSettled - std::chrono::seconds(8);
+  CHECK(Ask(ledger, "a").m_decision == GrantDecision::kNeedsRecord);
+}
+
 TEST_CASE("idle programs are forgotten after the retention time") {
-  ProgramLedger ledger;
+  auto ledger = MakeLedger();
   Ask(ledger, "a");
   ForgetIdlePrograms(ledger, kSettled + std::chrono::seconds(75));
   CHECK(ledger.m_accounts.size() == 1);
--- a/src/libledger/program_ledger_walk_unittest.cc
+++ b/src/libledger/program_ledger_walk_unittest.cc
@@ -63,6 +63,7 @@
   std::map<std::string, Tokens> m_handed;
   std::map<std::string, Tokens> m_budget;
   std::map<std::string, Tokens> m_most;
+  std::map<std::string, TimePoint> m_last_asked;
   bool m_lead_was_lost = false;
   int m_requests = 0;
   int m_wrongly_refused = 0;
@@ -96,6 +97,13 @@
              std::int64_t term,
              const GrantConditions& conditions) -> void {
   const auto program = ProgramName(world);
+  // Pauses between the turns of a program are shorter than the settle time: one
+  // that was silent for longer has ended, and others take its name.
+  const auto last = world.m_last_asked.try_emplace(program, world.m_now).first;
+  if (world.m_now - last->second >= LedgerOptions{}.m_settle_time) {
+    return;
+  }
+  last->second = world.m_now;
   const auto request = "r" + std::to_string(++world.m_requests);
   const auto grant = RequestGrant(ledger,
                                   {.m_program = ProgramId(program),
@@ -144,10 +152,10 @@
   }
 }
 
-auto BeginWrite(Lead& lead) -> void {
+auto BeginWrite(World& world, Lead& lead) -> void {
   if (!lead.m_write) {
-    lead.m_write = Write{BeginRecord(lead.m_ledger), lead.m_version,
-                         lead.m_term};
+    lead.m_write = Write{BeginRecord(lead.m_ledger, world.m_now),
+                         lead.m_version, lead.m_term};
   }
 }
 
@@ -210,7 +218,7 @@
       return;
     case 8:
     case 9:
-      BeginWrite(world.m_lead);
+      BeginWrite(world, world.m_lead);
       return;
     case 10:
     case 11:
@@ -275,7 +283,7 @@
         EndTurn(world);
       } else {
         NoteRecorded(world.m_lead.m_ledger,
-                     BeginRecord(world.m_lead.m_ledger));
+                     BeginRecord(world.m_lead.m_ledger, world.m_now));
       }
       CheckRule(world);
     }
