--- /dev/null
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -0,0 +1,53 @@
+#include "entry_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace dotterelshed {
+namespace {
+
+constexpr auto kText = R"({
+  // a comment
+  "role": "entry",
+  "host": "h1",
+  "domain": "z",
+  "caller_address": "127.0.0.1:1",
+  "ready_address": "127.0.0.1:2",
+  "peer_address": "127.0.0.1:3",
+  "platform_address": "127.0.0.1:4",
+  "stop_grace_s": 8.5
+})";
+
+auto Changed(const std::string& from, const std::string& to) -> std::string {
+  std::string text = kText;
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST_CASE("settings are read") {
+  const auto settings = ParseEntrySettings(kText, "f");
+  REQUIRE(settings);
+  CHECK(settings->m_role == HostRole::kEntry);
+  CHECK(settings->m_host == HostId("h1"));
+  CHECK(settings->m_stop_grace == std::chrono::milliseconds(8500));
+}
+
+TEST_CASE("each mistake names its key") {
+  const auto [from, to, key] = GENERATE(
+      std::tuple("\"entry\"", "\"other\"", "role"),
+      std::tuple("\"h1\"", "\"\"", "host"),
+      std::tuple("127.0.0.1:2", "127.0.0.1", "ready_address"),
+      std::tuple("8.5", "-1", "stop_grace_s"),
+      std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
+  const auto settings = ParseEntrySettings(Changed(from, to), "f");
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().m_place == "f: " + std::string(key));
+}
+
+TEST_CASE("a disk host needs no callers' address") {
+  const auto text = R"({"role": "disk", "host": "h", "domain": "z",
+    "caller_address": "", "ready_address": "", "peer_address": "127.0.0.1:3",
+    "platform_address": "127.0.0.1:4"})";
+  CHECK(ParseEntrySettings(text, "f"));
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -0,0 +1,66 @@
+#include "lead_messages.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace dotterelshed {
+namespace {
+
+auto MakeLead() -> KnownLead {
+  return {.m_domain = DomainId("z"),
+          .m_entry = {.m_host = HostId("h"),
+                      .m_incarnation = Incarnation(1LL << 60),
+                      .m_peer_address = "127.0.0.1:5"},
+          .m_version = ResourceVersion(12)};
+}
+
+TEST_CASE("questions and answers survive the wire") {
+  const GrantQuestion question{.m_grant = {.m_program = ProgramId("p"),
+                                           .m_request = RequestId("r"),
+                                           .m_budget = Tokens(400),
+                                           .m_turn_max = Tokens(135)},
+                               .m_service = ServiceId("s"),
+                               .m_prompt = Tokens(3000)};
+  const auto read = DecodeGrantQuestion(EncodeGrantQuestion(question));
+  REQUIRE(read);
+  CHECK(read->m_grant.m_program == ProgramId("p"));
+  CHECK(read->m_grant.m_budget == Tokens(400));
+  CHECK(read->m_prompt == Tokens(3000));
+
+  const auto verdict =
+      GENERATE(GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
+               GrantVerdict::kElsewhere, GrantVerdict::kNotLead,
+               GrantVerdict::kNoStore, GrantVerdict::kUnavailable);
+  const auto answer = DecodeGrantAnswer(EncodeGrantAnswer(
+      {.m_verdict = verdict, .m_tokens = Tokens(9), .m_lead = MakeLead()}));
+  REQUIRE(answer);
+  CHECK(answer->m_verdict == verdict);
+  CHECK(answer->m_tokens == Tokens(9));
+  REQUIRE(answer->m_lead);
+  CHECK(answer->m_lead->m_entry.m_incarnation == Incarnation(1LL << 60));
+  CHECK(answer->m_lead->m_version == ResourceVersion(12));
+}
+
+TEST_CASE("a stored ledger survives the store") {
+  const StoredLedger ledger{
+      .m_host = HostId("h"),
+      .m_incarnation = Incarnation(5),
+      .m_write = 3,
+      .m_record = {{{ProgramId("p"), Tokens(270)}}}};
+  const auto read = DecodeStoredLedger(EncodeStoredLedger(ledger));
+  REQUIRE(read);
+  CHECK(read->m_write == 3);
+  CHECK(read->m_record.m_bounds.at(ProgramId("p")) == Tokens(270));
+}
+
+TEST_CASE("a message that can't be read is an error, not a default") {
+  const auto* text = GENERATE("", "{}", "[]", "7", R"({"program":7})");
+  CHECK_FALSE(DecodeGrantQuestion(text));
+  CHECK_FALSE(DecodeGrantAnswer(text));
+  CHECK_FALSE(DecodeFindQuestion(text));
+  CHECK_FALSE(DecodeFindAnswer(text));
+  CHECK_FALSE(DecodeKnownLead(text));
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/librouting/endpoint_choice_unittest.cc
@@ -0,0 +1,83 @@
+#include "dotterelshed/endpoint_choice.h"
+
+#include <catch2/catch.hpp>
+
+namespace dotterelshed {
+namespace {
+
+const TimePoint kNow{std::chrono::seconds(50)};
+const DomainId kHome("home");
+
+auto MakeDirectory() -> EndpointDirectory {
+  EndpointDirectory directory;
+  for (const auto& [id, domain] :
+       {std::pair("a", "home"), std::pair("b", "home"),
+        std::pair("c", "away")}) {
+    PutEndpoint(directory, {.m_id = EndpointId(id),
+                            .m_service = ServiceId("s"),
+                            .m_domain = DomainId(domain),
+                            .m_slots = 10});
+  }
+  return directory;
+}
+
+auto Choose(const EndpointDirectory& directory,
+            const EndpointLoads& loads,
+            ChoiceQuery query = {}) -> std::string {
+  query.m_service = ServiceId("s");
+  query.m_domain = kHome;
+  const auto chosen = ChooseEndpoint(directory, loads, query, kNow);
+  return chosen ? chosen->value() : "none";
+}
+
+TEST_CASE("the least busy endpoint of the own domain is chosen") {
+  EndpointLoads loads;
+  loads[EndpointId("a")].m_outstanding = 2;
+  CHECK(Choose(MakeDirectory(), loads) == "b");
+}
+
+TEST_CASE("another domain helps when the own is clearly fuller") {
+  EndpointLoads loads;
+  loads[EndpointId("a")].m_outstanding = 6;
+  loads[EndpointId("b")].m_outstanding = 6;
+  CHECK(Choose(MakeDirectory(), loads) == "c");
+}
+
+TEST_CASE("a warm endpoint is worth a short queue") {
+  EndpointLoads loads;
+  loads[EndpointId("a")].m_outstanding = 2;
+  CHECK(Choose(MakeDirectory(), loads, {.m_warm = EndpointId("a")}) == "a");
+  loads[EndpointId("a")].m_outstanding = 5;
+  CHECK(Choose(MakeDirectory(), loads, {.m_warm = EndpointId("a")}) == "b");
+}
+
+TEST_CASE("leaving and excluded endpoints are never chosen") {
+  auto directory = MakeDirectory();
+  PutEndpoint(directory, {.m_id = EndpointId("a"),
+                          .m_service = ServiceId("s"),
+                          .m_domain = kHome,
+                          .m_leaving = true,
+                          .m_version = ResourceVersion(1)});
+  ChoiceQuery query{.m_excluded = {EndpointId("b"), EndpointId("c")}};
+  CHECK(Choose(directory, {}, query) == "none");
+}
+
+TEST_CASE("a failing endpoint is left until all others are full") {
+  EndpointLoads loads;
+  NoteFailure(loads[EndpointId("a")], kNow);
+  NoteFailure(loads[EndpointId("a")], kNow);
+  loads[EndpointId("b")].m_outstanding = 9;
+  CHECK(Choose(MakeDirectory(), loads) == "c");
+  ChoiceQuery query{.m_excluded = {EndpointId("b"), EndpointId("c")}};
+  CHECK(Choose(MakeDirectory(), loads, query) == "a");
+  NoteAnswer(loads[EndpointId("a")], std::chrono::milliseconds(5));
+  CHECK(Choose(MakeDirectory(), loads) == "a");
+}
+
+TEST_CASE("ties are broken by the draw") {
+  CHECK(Choose(MakeDirectory(), {}, {.m_draw = 0.1}) == "a");
+  CHECK(Choose(MakeDirectory(), {}, {.m_draw = 0.9}) == "b");
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/librouting/route_table_unittest.cc
@@ -0,0 +1,46 @@
+#include "dotterelshed/route_table.h"
+
+#include <catch2/catch.hpp>
+
+namespace dotterelshed {
+namespace {
+
+auto MakeTable() -> RouteTable {
+  RouteTable table;
+  for (const auto* prefix : {"/a/", "/a/b/", "/c/"}) {
+    Route route;
+    route.m_name = prefix;
+    route.m_host = "Desk.example";
+    route.m_path_prefix = prefix;
+    route.m_services = {{ServiceId("s"), 1}};
+    table.m_routes.push_back(route);
+  }
+  IndexRoutes(table);
+  return table;
+}
+
+auto NameOf(const Route* route) -> std::string {
+  return route == nullptr ? "none" : route->m_name;
+}
+
+TEST_CASE("the longest prefix of the host decides") {
+  const auto table = MakeTable();
+  CHECK(NameOf(FindRoute(table, "desk.example", "/a/x")) == "/a/");
+  CHECK(NameOf(FindRoute(table, "desk.example", "/a/b/x")) == "/a/b/");
+  CHECK(NameOf(FindRoute(table, "desk.example:80", "/c/?q=/a/")) == "/c/");
+  CHECK(NameOf(FindRoute(table, "desk.example", "/a")) == "none");
+  CHECK(NameOf(FindRoute(table, "desk.example", "/d/?q=/a/")) == "none");
+  CHECK(NameOf(FindRoute(table, "other.example", "/a/x")) == "none");
+}
+
+TEST_CASE("services are drawn by weight") {
+  Route route;
+  route.m_services = {{ServiceId("a"), 90}, {ServiceId("b"), 10}};
+  CHECK(PickService(route, 0.0) == ServiceId("a"));
+  CHECK(PickService(route, 0.899) == ServiceId("a"));
+  CHECK(PickService(route, 0.901) == ServiceId("b"));
+  CHECK(PickService(route, 0.9999999) == ServiceId("b"));
+}
+
+}  // namespace
+}  // namespace dotterelshed
