--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -150,6 +150,10 @@
       return listening;
     }
   }
+  // The port may have been left to the system.
+  const auto peer = m_peers.local_address();
+  m_context.m_settings.m_peer_address =
+      peer.address().to_string() + ":" + std::to_string(peer.port());
   m_config_follower->Start();
   m_endpoint_follower->Start();
   m_lead_follower->Start();
@@ -304,7 +308,7 @@
   connection->Answer(status, std::move(fields), "");
 }
 
-auto EntryHost::IsReady() const -> bool {
+auto EntryHost::ready() const -> bool {
   return !m_stopping && m_context.m_routes &&
          !m_context.m_directory.m_entries.empty() &&
          m_lead_follower->listed();
@@ -317,7 +321,7 @@
     connection->Answer(kStatusNotFound, {}, "");
     return;
   }
-  connection->Answer(IsReady() ? kStatusOk : kStatusUnavailable, {}, "");
+  connection->Answer(ready() ? kStatusOk : kStatusUnavailable, {}, "");
 }
 
 auto EntryHost::OnPeer(const std::shared_ptr<ServerConnection>& connection,
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -24,6 +24,13 @@
 
   /// Errors: kUnavailable when an address can't be bound.
   auto Start() -> Status;
+  /// True when it may take callers' requests.
+  auto ready() const -> bool;
+  /// True when it leads its failure domain.
+  auto leads() const -> bool { return m_lead.active(); }
+  auto caller_address() const -> TcpAddress {
+    return m_callers.local_address();
+  }
   /// Begins a planned stop; the loop ends when it is over.
   auto Stop() -> void;
 
@@ -47,7 +54,6 @@
   auto ApplyLimits() -> void;
   auto EnsureLead(TimePoint now) -> void;
 
-  auto IsReady() const -> bool;
   auto Tick() -> void;
   auto ContinueStop(TimePoint now) -> void;
   auto ArmTick() -> void;
--- /dev/null
+++ b/src/libgateway/forwarding_unittest.cc
@@ -0,0 +1,283 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "test_world.h"
+
+/// @file
+/// Requests through one host, with endpoints that answer, fail and misbehave.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+const std::string kSafe =
+    "GET /safe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
+    "Deadline-Ms: 3000\r\n\r\n";
+const std::string kUnsafe =
+    "POST /unsafe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
+    "Deadline-Ms: 3000\r\nHold: 7\r\nContent-Length: 4\r\n\r\nbody";
+
+auto MakeTurn(const std::string& id, int budget, int most) -> std::string {
+  return "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
+         "\r\nProgram-Id: p\r\nSession-Id: p\r\nToken-Budget: " +
+         std::to_string(budget) +
+         "\r\nToken-Counts: 100," + std::to_string(most) +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+auto MakeEvent(int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: t\n\n";
+}
+
+auto ChunkedHead(const Request& request) -> std::string {
+  return request.Head(200, "Transfer-Encoding: chunked\r\n");
+}
+
+/// Events from @p first to @p last as chunks.
+auto Chunks(int first, int last) -> std::string {
+  std::string text;
+  for (int id = first; id <= last; ++id) {
+    text += FormatChunk(MakeEvent(id));
+  }
+  return text;
+}
+
+TEST_CASE("an answer is passed on unchanged") {
+  TestWorld world;
+  Request seen;
+  world.AddEndpoint([&seen](const Request& request) {
+    seen = request;
+    request.m_stream->Write(request.Whole("hello"));
+  });
+  world.Start();
+  const auto caller = world.Finish(kUnsafe);
+  CHECK(caller->Status() == 200);
+  CHECK(caller->Body() == "hello");
+  CHECK(caller->m_got.find("Response-Signature: sig") != std::string::npos);
+  CHECK(seen.m_head.m_target == "/unsafe/x");
+  CHECK(seen.m_body == "body");
+  CHECK(seen.Field("expect-instance") == "e1");
+  CHECK(seen.Field("hold").empty());
+  CHECK(std::stoi(seen.Field("deadline-ms")) <= 3000);
+  CHECK(std::stoi(seen.Field("deadline-ms")) > 0);
+}
+
+TEST_CASE("an extra answer to an earlier request is passed over") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(
+        "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: s\r\n"
+        "Content-Length: 5\r\n\r\nwrong" +
+        request.Whole("right"));
+  });
+  world.Start();
+  CHECK(world.Finish(kSafe)->Body() == "right");
+}
+
+TEST_CASE("a success without signature is no answer") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok");
+  });
+  world.Start();
+  CHECK(world.Finish(kUnsafe)->Status() == 502);
+  CHECK(endpoint.requests() == 1);
+}
+
+TEST_CASE("a non-idempotent request that may have run is never sent again") {
+  TestWorld world;
+  const auto reply = GENERATE(
+      "", "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 429 X\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n",
+      "not http\r\n\r\n");
+  const ScriptedEndpoint::Script script = [&reply](const Request& request) {
+    request.m_stream->Write(reply);
+    request.m_stream->CloseAfterWrites();
+  };
+  auto& first = world.AddEndpoint(script);
+  auto& second = world.AddEndpoint(script);
+  world.Start();
+  CHECK(world.Finish(kUnsafe)->Status() == 502);
+  CHECK(first.requests() + second.requests() == 1);
+}
+
+TEST_CASE("one that surely hasn't run is sent elsewhere, then refused") {
+  TestWorld world;
+  const ScriptedEndpoint::Script full = [](const Request& request) {
+    request.m_stream->Write(
+        request.Head(503, "Not-Executed: 1\r\nContent-Length: 0\r\n"));
+  };
+  auto& first = world.AddEndpoint(full);
+  auto& second = world.AddEndpoint(full);
+  world.Start();
+  const auto caller = world.Finish(kUnsafe);
+  CHECK(caller->Status() == 503);
+  CHECK(caller->m_got.find("Retry-After: ") != std::string::npos);
+  CHECK(caller->m_got.find("Response-Signature") == std::string::npos);
+  CHECK(first.requests() == 1);
+  CHECK(second.requests() == 1);
+}
+
+TEST_CASE("an idempotent request is repeated at the same endpoint only") {
+  TestWorld world;
+  const ScriptedEndpoint::Script once = [](const Request& request) {
+    if (request.m_number == 1) {
+      request.m_stream->Close();
+    } else {
+      request.m_stream->Write(request.Whole("late"));
+    }
+  };
+  auto& first = world.AddEndpoint(once);
+  auto& second = world.AddEndpoint(once);
+  world.Start();
+  CHECK(world.Finish(kSafe)->Body() == "late");
+  CHECK(first.requests() * second.requests() == 0);
+}
+
+TEST_CASE("an endpoint's own error is passed on") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Head(500, "Content-Length: 3\r\n") + "bad");
+  });
+  world.Start();
+  const auto caller = world.Finish(kSafe);
+  CHECK(caller->Status() == 500);
+  CHECK(caller->Body() == "bad");
+}
+
+TEST_CASE("an answer cut short never looks complete") {
+  TestWorld world;
+  const auto head = GENERATE("Content-Length: 9\r\n",
+                             "Transfer-Encoding: chunked\r\n");
+  world.AddEndpoint([&head](const Request& request) {
+    request.m_stream->Write(request.Head(200, head) + "5\r\nab");
+    request.m_stream->CloseAfterWrites();
+  });
+  world.Start();
+  const auto caller = world.Finish(kUnsafe);
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("an answer without length ends with its connection") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Head(200, "") + "all of it");
+    request.m_stream->CloseAfterWrites();
+  });
+  world.Start();
+  CHECK(world.Finish(kUnsafe)->Body() == "all of it");
+}
+
+TEST_CASE("a broken stream goes on behind its last whole event") {
+  TestWorld world;
+  std::vector<std::string> resumed;
+  world.AddEndpoint([&resumed](const Request& request) {
+    resumed.push_back(request.Field("last-event-id"));
+    if (request.m_number == 1) {
+      request.m_stream->Write(ChunkedHead(request) + Chunks(1, 2) +
+                              FormatChunk("id: 3\nda"));
+      request.m_stream->CloseAfterWrites();
+      return;
+    }
+    request.m_stream->Write(ChunkedHead(request) + Chunks(3, 4) +
+                            std::string(kLastChunk));
+  });
+  world.Start();
+  const auto caller = world.Finish(MakeTurn("r1", 400, 100));
+  CHECK(caller->Body() ==
+        MakeEvent(1) + MakeEvent(2) + MakeEvent(3) + MakeEvent(4));
+  CHECK(resumed == std::vector<std::string>{"", "2"});
+}
+
+TEST_CASE("a stream with a missing event is broken off") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 2) +
+                            Chunks(4, 5) + std::string(kLastChunk));
+  });
+  world.Start();
+  const auto caller = world.Finish(MakeTurn("r1", 400, 100));
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("an endpoint stops working for a caller that left") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 1));
+  });
+  world.Start();
+  const auto caller = world.Call(MakeTurn("r1", 400, 100));
+  world.RunUntil([&caller] { return caller->Status() == 200; });
+  caller->m_stream->Close();
+  world.RunUntil([&endpoint] { return endpoint.ended() == 1; });
+}
+
+TEST_CASE("a turn that the budget doesn't hold is refused unrun") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 30) +
+                            std::string(kLastChunk));
+  });
+  world.Start();
+  CHECK(world.Finish(MakeTurn("r1", 150, 100))->Status() == 200);
+  CHECK(world.Finish(MakeTurn("r2", 150, 100))->Status() == 402);
+  CHECK(endpoint.requests() == 1);
+}
+
+TEST_CASE("what no route takes and what can't be framed is refused") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(
+      [](const Request& request) { request.m_stream->Write("x"); });
+  world.Start();
+  CHECK(world.Finish("GET /other/ HTTP/1.1\r\nHost: desk\r\n\r\n")->Status() ==
+        404);
+  CHECK(world.Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
+                     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: desk\r\n\r\n")
+            ->Status() == 400);
+  CHECK(world.Finish("GET /safe/ HTTP/1.1\r\nHost: desk\r\nA: " +
+                     std::string(5000, 'a'))
+            ->Status() == 431);
+  CHECK(world.Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
+                     "Content-Length: 10001\r\n\r\n")
+            ->Status() == 413);
+  CHECK(endpoint.requests() == 0);
+}
+
+TEST_CASE("a leaving endpoint gets no new requests") {
+  TestWorld world;
+  const ScriptedEndpoint::Script script = [](const Request& request) {
+    request.m_stream->Write(request.Whole("ok"));
+  };
+  auto& first = world.AddEndpoint(script);
+  world.Start();
+  CHECK(world.Finish(kSafe)->Status() == 200);
+  auto entry = world.m_store.Find("servers", "e1")["spec"];
+  entry["state"] = "draining";
+  world.m_store.Put("servers", "e1", entry);
+  world.RunUntil([&world] { return world.Finish(kSafe)->Status() == 503; });
+  CHECK(first.requests() >= 1);
+}
+
+TEST_CASE("a planned stop answers what is open and ends the loop") {
+  TestWorld world;
+  std::optional<Request> open;
+  world.AddEndpoint([&open](const Request& request) { open = request; });
+  world.Start();
+  const auto caller = world.Call(kSafe);
+  world.RunUntil([&open] { return open.has_value(); });
+  world.m_host->Stop();
+  CHECK_FALSE(world.m_host->ready());
+  open->m_stream->Write(open->Whole("in time"));
+  world.RunUntil([&caller] { return caller->m_ended; });
+  CHECK(caller->Body() == "in time");
+  CHECK(caller->m_got.find("Connection: close") != std::string::npos);
+  world.RunUntil([&world] { return world.m_loop.stopped(); });
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/test_store.cc
@@ -0,0 +1,193 @@
+#include "test_store.h"
+
+#include <utility>
+
+#include "dotterelshed/steady_time.h"
+
+namespace dotterelshed {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kRoot = "/v1/objects/";
+
+/// Value of a number in a query; 0 if it isn't there.
+auto QueryNumber(const std::string& query, const std::string& name)
+    -> std::int64_t {
+  const auto begin = query.find(name + "=");
+  return begin == std::string::npos
+             ? 0
+             : std::atoll(query.c_str() + begin + name.size() + 1);
+}
+
+auto Reply(const std::shared_ptr<ServerConnection>& connection,
+           int status,
+           const Json& body) -> void {
+  connection->Answer(status, {{"Content-Type", "application/json"}},
+                     body.dump());
+}
+
+}  // namespace
+
+TestStore::TestStore(EventLoop& loop)
+    : m_listener(loop,
+                 [this](const std::shared_ptr<ServerConnection>& connection,
+                        const IncomingRequest& request) {
+                   OnRequest(connection, request);
+                 }) {}
+
+auto TestStore::Listen(const TcpAddress& address) -> Status {
+  return m_listener.Listen(address);
+}
+
+auto TestStore::Store(const std::string& kind,
+                      const std::string& name,
+                      Json object,
+                      bool removed) -> void {
+  ++m_version;
+  object["metadata"]["name"] = name;
+  object["metadata"]["revision"] = m_version;
+  m_history.push_back(
+      {kind, m_version, {{"removed", removed}, {"object", object}}});
+  if (removed) {
+    m_objects[kind].erase(name);
+  } else {
+    m_objects[kind][name] = std::move(object);
+  }
+  Wake();
+}
+
+auto TestStore::Put(const std::string& kind,
+                    const std::string& name,
+                    const Json& spec) -> void {
+  Store(kind, name, {{"spec", spec}}, false);
+}
+
+auto TestStore::Remove(const std::string& kind, const std::string& name)
+    -> void {
+  Store(kind, name, Find(kind, name), true);
+}
+
+auto TestStore::Find(const std::string& kind, const std::string& name)
+    -> Json {
+  const auto& objects = m_objects[kind];
+  const auto found = objects.find(name);
+  return found == objects.end() ? Json() : found->second;
+}
+
+auto TestStore::OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                          const IncomingRequest& request) -> void {
+  const auto& target = request.m_head.m_target;
+  if (m_down || !target.starts_with(kRoot)) {
+    Reply(connection, m_down ? 503 : 404, {{"error", "refused"}});
+    return;
+  }
+  const auto question = target.find('?');
+  auto path = target.substr(kRoot.size(), question - kRoot.size());
+  const auto query =
+      question == std::string::npos ? "" : target.substr(question + 1);
+  const auto status = path.ends_with("/status");
+  if (status) {
+    path.resize(path.size() - std::string_view("/status").size());
+  }
+  const auto slash = path.find('/');
+  const auto kind = path.substr(0, slash);
+  const auto name =
+      slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  if (request.m_head.m_method == "GET") {
+    OnRead(connection, kind, name, query);
+  } else {
+    OnWrite(connection, request, kind, name, status);
+  }
+}
+
+auto TestStore::OnRead(const std::shared_ptr<ServerConnection>& connection,
+                       const std::string& kind,
+                       const std::string& name,
+                       const std::string& query) -> void {
+  if (!name.empty()) {
+    const auto object = Find(kind, name);
+    Reply(connection, object.is_null() ? 404 : 200, object);
+    return;
+  }
+  if (const auto since = QueryNumber(query, "watch")) {
+    m_waiting.push_back(
+        {connection, kind, since,
+         SteadyTime() +
+             std::chrono::milliseconds(QueryNumber(query, "waitMs"))});
+    Wake();
+    return;
+  }
+  auto items = Json::array();
+  for (const auto& [key, object] : m_objects[kind]) {
+    items.push_back(object);
+  }
+  Reply(connection, 200,
+        {{"items", items}, {"hasMore", false}, {"storeRevision", m_version}});
+}
+
+auto TestStore::OnWrite(const std::shared_ptr<ServerConnection>& connection,
+                        const IncomingRequest& request,
+                        const std::string& kind,
+                        std::string name,
+                        bool status) -> void {
+  const auto body = Json::parse(request.m_body, nullptr, false);
+  if (!body.is_object()) {
+    Reply(connection, 400, {{"error", "not JSON"}});
+    return;
+  }
+  const auto create = request.m_head.m_method == "POST";
+  if (create) {
+    name = body["metadata"]["name"].get<std::string>();
+  }
+  auto object = Find(kind, name);
+  const auto metadata = body.value("metadata", Json::object());
+  const auto expected = metadata.value("revision", std::int64_t{0});
+  if (!create && object.is_null()) {
+    Reply(connection, 404, Json::object());
+    return;
+  }
+  const auto conflict =
+      create ? !object.is_null()
+             : expected != 0 && object["metadata"]["revision"] != expected;
+  if (conflict) {
+    Reply(connection, 409, object);
+    return;
+  }
+  const auto* part = status ? "status" : "spec";
+  object[part] = body.value(part, Json());
+  Store(kind, name, std::move(object), false);
+  Reply(connection, 200, Find(kind, name));
+}
+
+auto TestStore::ChangesSince(const std::string& kind, std::int64_t since)
+    -> Json {
+  auto events = Json::array();
+  for (const auto& change : m_history) {
+    if (change.m_kind == kind && change.m_version > since) {
+      events.push_back(change.m_event);
+    }
+  }
+  return events;
+}
+
+auto TestStore::Wake() -> void {
+  for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+    const auto events = ChangesSince(it->m_kind, it->m_since);
+    if (events.empty() && SteadyTime() < it->m_until) {
+      ++it;
+      continue;
+    }
+    Reply(it->m_connection, 200,
+          {{"events", events}, {"storeRevision", m_version}});
+    it = m_waiting.erase(it);
+  }
+}
+
+auto TestStore::Tick(TimePoint now) -> void {
+  m_listener.Tick(now);
+  Wake();
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/test_store.h
@@ -0,0 +1,79 @@
+#ifndef DOTTERELSHED_TEST_STORE_H_
+#define DOTTERELSHED_TEST_STORE_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/http_listener.h"
+
+/// @file
+/// A small store that speaks the platform's object protocol, for tests and for
+/// the stand-in: objects by kind and name, conditional writes, watches.
+
+namespace dotterelshed {
+
+class TestStore {
+ public:
+  explicit TestStore(EventLoop& loop);
+
+  auto Listen(const TcpAddress& address) -> Status;
+  auto address() const -> TcpAddress { return m_listener.local_address(); }
+  /// Writes an object as the operator or an endpoint would.
+  auto Put(const std::string& kind,
+           const std::string& name,
+           const nlohmann::json& spec) -> void;
+  auto Remove(const std::string& kind, const std::string& name) -> void;
+  /// The object as stored; null if there is none.
+  auto Find(const std::string& kind, const std::string& name)
+      -> nlohmann::json;
+  /// While set, every call gets 503.
+  auto SetDown(bool down) -> void { m_down = down; }
+  auto Tick(TimePoint now) -> void;
+
+ private:
+  struct Change {
+    std::string m_kind;
+    std::int64_t m_version = 0;
+    nlohmann::json m_event;
+  };
+  struct Waiting {
+    std::shared_ptr<ServerConnection> m_connection;
+    std::string m_kind;
+    std::int64_t m_since = 0;
+    TimePoint m_until;
+  };
+
+  auto OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                 const IncomingRequest& request) -> void;
+  auto OnRead(const std::shared_ptr<ServerConnection>& connection,
+              const std::string& kind,
+              const std::string& name,
+              const std::string& query) -> void;
+  auto OnWrite(const std::shared_ptr<ServerConnection>& connection,
+               const IncomingRequest& request,
+               const std::string& kind,
+               std::string name,
+               bool status) -> void;
+  auto ChangesSince(const std::string& kind, std::int64_t since)
+      -> nlohmann::json;
+  auto Store(const std::string& kind,
+             const std::string& name,
+             nlohmann::json object,
+             bool removed) -> void;
+  auto Wake() -> void;
+
+  HttpListener m_listener;
+  std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+  std::vector<Change> m_history;
+  std::list<Waiting> m_waiting;
+  std::int64_t m_version = 100;
+  bool m_down = false;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_TEST_STORE_H_
--- /dev/null
+++ b/src/libgateway/test_world.h
@@ -0,0 +1,227 @@
+#ifndef DOTTERELSHED_TEST_WORLD_H_
+#define DOTTERELSHED_TEST_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dotterelshed/byte_stream.h"
+#include "dotterelshed/http_parser.h"
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "entry_host.h"
+#include "test_store.h"
+
+/// @file
+/// One entry host with a store, endpoints that answer as a test says, and
+/// callers that see each byte; all on loopback and one event loop.
+
+namespace dotterelshed {
+
+inline auto Loopback() -> TcpAddress {
+  return {boost::asio::ip::address_v4::loopback(), 0};
+}
+
+inline auto ToText(const TcpAddress& address) -> std::string {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+/// Accepts connections and hands each request to the test.
+class ScriptedEndpoint {
+ public:
+  struct Request {
+    std::shared_ptr<ByteStream> m_stream;
+    RequestHead m_head;
+    std::string m_body;
+    /// Counts the requests of this endpoint from 1.
+    int m_number = 0;
+
+    auto Field(std::string_view name) const -> std::string {
+      const auto* value = FindField(m_head.m_fields, name);
+      return value == nullptr ? "" : *value;
+    }
+    /// Status line and the fields that every endpoint sends.
+    auto Head(int status, const std::string& more) const -> std::string {
+      return "HTTP/1.1 " + std::to_string(status) +
+             " X\r\nRequest-Id: " + Field("request-id") +
+             "\r\nResponse-Signature: sig\r\n" + more + "\r\n";
+    }
+    auto Whole(const std::string& body) const -> std::string {
+      return Head(200, "Content-Length: " + std::to_string(body.size()) +
+                           "\r\n") +
+             body;
+    }
+  };
+  using Script = std::function<void(const Request&)>;
+
+  ScriptedEndpoint(EventLoop& loop, Script script)
+      : m_acceptor(loop, Loopback()), m_script(std::move(script)) {
+    Accept();
+  }
+
+  auto address() const -> TcpAddress { return m_acceptor.local_endpoint(); }
+  auto requests() const -> int { return m_requests; }
+  /// Connections that the other side has ended.
+  auto ended() const -> int { return m_ended; }
+
+ private:
+  struct Connection {
+    std::shared_ptr<ByteStream> m_stream;
+    RequestParser m_parser{{}};
+  };
+
+  auto Accept() -> void {
+    m_acceptor.async_accept([this](const boost::system::error_code& error,
+                                   TcpSocket socket) {
+      if (error) {
+        return;
+      }
+      auto connection = std::make_shared<Connection>();
+      connection->m_stream = std::make_shared<ByteStream>(std::move(socket));
+      m_connections.push_back(connection);
+      connection->m_stream->Start(
+          {.m_on_bytes = [this, raw = connection.get()](
+                             std::string_view bytes) { Feed(*raw, bytes); },
+           .m_on_end = [this](StreamEnd /*end*/) { ++m_ended; },
+           .m_on_drained = {}});
+      Accept();
+    });
+  }
+
+  auto Feed(Connection& connection, std::string_view bytes) -> void {
+    while (!bytes.empty()) {
+      bytes.remove_prefix(connection.m_parser.Feed(bytes));
+      if (connection.m_parser.state() != ParseState::kDone) {
+        return;
+      }
+      const Request request{connection.m_stream, connection.m_parser.head(),
+                            connection.m_parser.body(), ++m_requests};
+      connection.m_parser = RequestParser({});
+      m_script(request);
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  Script m_script;
+  std::vector<std::shared_ptr<Connection>> m_connections;
+  int m_requests = 0;
+  int m_ended = 0;
+};
+
+/// Sends bytes to the host and keeps what comes back.
+struct TestCaller {
+  std::shared_ptr<ByteStream> m_stream;
+  std::string m_got;
+  bool m_ended = false;
+
+  /// Status of the first answer; 0 before it is there.
+  auto Status() const -> int {
+    constexpr std::string_view kStart = "HTTP/1.1 ";
+    return m_got.starts_with(kStart) && m_got.size() > kStart.size() + 3
+               ? std::stoi(m_got.substr(kStart.size(), 3))
+               : 0;
+  }
+  /// The first answer, if it is whole.
+  auto Body() const -> std::optional<std::string> {
+    std::string body;
+    ResponseParser parser({}, false,
+                          {.m_on_head = [](ResponseHead&) {},
+                           .m_on_body = [&body](std::string_view bytes) {
+                             body += bytes;
+                           }});
+    parser.Feed(m_got);
+    if (m_ended) {
+      parser.FeedEnd();
+    }
+    return parser.state() == ParseState::kDone ? std::optional(body)
+                                               : std::nullopt;
+  }
+};
+
+class TestWorld {
+ public:
+  TestWorld() : m_store(m_loop) {
+    REQUIRE(StartLogging({.m_level = LogLevel::kError}));
+    REQUIRE(m_store.Listen(Loopback()));
+    m_store.Put("config", "main", nlohmann::json::parse(R"({"version":1,
+      "routes":[
+       {"name":"safe","host":"desk","pathPrefix":"/safe/","kind":"safe",
+        "service":"s","timeoutMs":4000},
+       {"name":"unsafe","host":"desk","pathPrefix":"/unsafe/","kind":"unsafe",
+        "service":"s","timeoutMs":4000},
+       {"name":"turn","host":"desk","pathPrefix":"/turn/","kind":"stream",
+        "service":"s","timeoutMs":4000,"resumable":true}],
+      "services":[{"name":"s","engine":{"slots":4,"tokensPerEvent":3}}],
+      "limits":{"headerBytes":4000,"maxBodyBytes":10000}})"));
+  }
+
+  auto AddEndpoint(ScriptedEndpoint::Script script) -> ScriptedEndpoint& {
+    m_endpoints.push_back(
+        std::make_unique<ScriptedEndpoint>(m_loop, std::move(script)));
+    const auto name = "e" + std::to_string(m_endpoints.size());
+    m_store.Put("servers", name,
+                {{"service", "s"},
+                 {"address", ToText(m_endpoints.back()->address())},
+                 {"zone", "z"},
+                 {"slots", 4},
+                 {"state", "ready"}});
+    return *m_endpoints.back();
+  }
+
+  /// Starts the host and waits until it is ready.
+  auto Start() -> void {
+    EntrySettings settings;
+    settings.m_host = HostId("h1");
+    settings.m_domain = DomainId("z");
+    settings.m_caller_address = "127.0.0.1:0";
+    settings.m_ready_address = "127.0.0.1:0";
+    settings.m_peer_address = "127.0.0.1:0";
+    settings.m_platform_address = ToText(m_store.address());
+    m_host = std::make_unique<EntryHost>(m_loop, settings);
+    REQUIRE(m_host->Start());
+    RunUntil([this] { return m_host->ready() && m_host->leads(); });
+  }
+
+  auto Call(const std::string& request) -> std::shared_ptr<TestCaller> {
+    auto caller = std::make_shared<TestCaller>();
+    TcpSocket socket(m_loop);
+    socket.connect(m_host->caller_address());
+    caller->m_stream = std::make_shared<ByteStream>(std::move(socket));
+    caller->m_stream->Start(
+        {.m_on_bytes = [caller](std::string_view bytes) {
+           caller->m_got += bytes;
+         },
+         .m_on_end = [caller](StreamEnd /*end*/) { caller->m_ended = true; },
+         .m_on_drained = {}});
+    caller->m_stream->Write(request);
+    return caller;
+  }
+
+  /// A call that has ended, one way or the other.
+  auto Finish(const std::string& request) -> std::shared_ptr<TestCaller> {
+    auto caller = Call(request);
+    RunUntil([&caller] { return caller->m_ended || caller->Body(); });
+    return caller;
+  }
+
+  auto RunUntil(const std::function<bool()>& done) -> void {
+    constexpr auto kLimit = std::chrono::seconds(20);
+    const auto begun = std::chrono::steady_clock::now();
+    while (!done()) {
+      REQUIRE(std::chrono::steady_clock::now() - begun < kLimit);
+      m_loop.run_for(std::chrono::milliseconds(5));
+      m_store.Tick(SteadyTime());
+    }
+  }
+
+  EventLoop m_loop;
+  TestStore m_store;
+  std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
+  std::unique_ptr<EntryHost> m_host;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_TEST_WORLD_H_
