--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -37,6 +37,11 @@
   kCoreStepSeconds,
   kConfigGeneration,
   kLogEvents,
+  kEntryRequests,
+  kEntrySeconds,
+  kEntryFirstByteSeconds,
+  kTurnDecisions,
+  kEndpointConnections,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -45,6 +45,21 @@
     {MetricId::kLogEvents, MetricKind::kCounter,
      "dotterelshed_log_events_total", "level",
      "Log events, by level, whether they were written or not."},
+    {MetricId::kEntryRequests, MetricKind::kCounter,
+     "dotterelshed_entry_requests_total", "reason",
+     "Requests that ended on an entry host, by reason."},
+    {MetricId::kEntrySeconds, MetricKind::kHistogram,
+     "dotterelshed_entry_seconds", "kind",
+     "Time from a request's arrival to the end of its answer, by kind."},
+    {MetricId::kEntryFirstByteSeconds, MetricKind::kHistogram,
+     "dotterelshed_entry_first_byte_seconds", "kind",
+     "Time from a request's arrival to the first byte of its answer, by kind."},
+    {MetricId::kTurnDecisions, MetricKind::kCounter,
+     "dotterelshed_turn_decisions_total", "decision",
+     "Turns that this lead decided on, by decision."},
+    {MetricId::kEndpointConnections, MetricKind::kCounter,
+     "dotterelshed_endpoint_connections_total", "outcome",
+     "Connections that an entry host asked for, by whether one was kept."},
 });
 
 }  // namespace
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
@@ -480,6 +481,12 @@
                      .m_request = m_facts.m_request,
                      .m_used = used});
   }
+  const auto kind = ToString(m_route.m_kind);
+  CountMetric(MetricId::kEntryRequests, reason);
+  ObserveMetric(MetricId::kEntrySeconds, kind, SteadyTime() - m_begun);
+  if (m_passing) {
+    ObserveMetric(MetricId::kEntryFirstByteSeconds, kind, m_first_byte);
+  }
   LogEvent(LogEventId::kRequestEnded,
            {{"request", m_facts.m_request.value()},
             {"program", m_facts.m_program.value()},
--- a/src/libgateway/endpoint_pool.cc
+++ b/src/libgateway/endpoint_pool.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
@@ -27,6 +28,7 @@
     idle.pop_back();
     const auto fresh = now - last.m_since <= max_idle && now < last.m_until;
     if (fresh && last.m_connection->reusable()) {
+      CountMetric(MetricId::kEndpointConnections, "kept");
       taken(std::move(last.m_connection));
       return;
     }
@@ -37,7 +39,7 @@
     taken(nullptr);
     return;
   }
-  ++m_opened;
+  CountMetric(MetricId::kEndpointConnections, "new");
   auto connection = std::make_shared<ClientConnection>(m_loop);
   connection->Connect(*parsed, {.m_timeout = m_options.m_connect_timeout},
                       [connection, taken = std::move(taken)](bool connected) {
--- a/src/libgateway/endpoint_pool.h
+++ b/src/libgateway/endpoint_pool.h
@@ -46,8 +46,6 @@
   /// Closes the kept connections of an address.
   auto Forget(const std::string& address) -> void;
 
-  auto opened() const -> std::int64_t { return m_opened; }
-
  private:
   struct Idle {
     std::shared_ptr<ClientConnection> m_connection;
@@ -58,7 +56,6 @@
   EventLoop& m_loop;
   PoolOptions m_options;
   std::map<std::string, std::vector<Idle>> m_idle;
-  std::int64_t m_opened = 0;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 #include "platform/call_headers.h"
@@ -14,6 +15,7 @@
 
 namespace {
 
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
@@ -185,6 +187,8 @@
   LogEvent(LogEventId::kConfigInForce,
            {{"generation", std::to_string(table->m_generation.value())},
             {"routes", std::to_string(table->m_routes.size())}});
+  SetMetric(MetricId::kConfigGeneration,
+            static_cast<double>(table->m_generation.value()));
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
@@ -328,6 +332,12 @@
 auto EntryHost::OnPeer(const std::shared_ptr<ServerConnection>& connection,
                        const IncomingRequest& request) -> void {
   const auto& target = request.m_head.m_target;
+  if (target == kMetricsPath) {
+    connection->Answer(kStatusOk,
+                       {{"Content-Type", std::string(kMetricsContentType)}},
+                       FormatMetrics());
+    return;
+  }
   if (target == kGrantPath) {
     const auto question = DecodeGrantQuestion(request.m_body);
     if (!question) {
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
@@ -346,6 +347,7 @@
 auto LeadService::LogDecision(const GrantRequest& request,
                               const GrantConditions& conditions,
                               const TurnGrant& grant) const -> void {
+  CountMetric(MetricId::kTurnDecisions, ToString(grant.m_decision));
   const auto& account = m_ledger.m_accounts.at(request.m_program);
   LogEvent(LogEventId::kTurnDecided,
            {{"request", request.m_request.value()},
