--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -26,6 +26,15 @@
 /// Less than this isn't worth an attempt.
 constexpr Duration kLeastAttemptTime = std::chrono::milliseconds(30);
 constexpr int kMaxAttempts = 6;
+/// Time without an answer after which a repeatable request is sent once more:
+/// a multiple of the endpoint's mean, within bounds.
+constexpr int kSilenceFactor = 5;
+constexpr Duration kLeastSilence = std::chrono::milliseconds(400);
+constexpr Duration kMostSilence = std::chrono::milliseconds(900);
+/// Callers give streams up that are silent for two seconds.
+constexpr Duration kSilentStream = std::chrono::milliseconds(1300);
+/// Less time than this isn't worth a repetition.
+constexpr Duration kLeastRepeatTime = std::chrono::milliseconds(200);
 /// A kept connection that was idle for longer may be closing at the other end:
 /// a request that may run only once goes on a new one.
 constexpr Duration kMaxIdleNonIdempotent = std::chrono::milliseconds(1000);
@@ -461,7 +470,35 @@
   Finish(0, "caller_gone");
 }
 
+auto CallExchange::SilenceLimit() const -> Duration {
+  if (m_route.m_kind == CallKind::kStream) {
+    return kSilentStream;
+  }
+  const auto load = m_context.m_loads.find(m_attempt.m_endpoint);
+  const auto mean = load == m_context.m_loads.end()
+                        ? Duration{0}
+                        : load->second.m_mean_latency;
+  return std::clamp(mean * kSilenceFactor, kLeastSilence, kMostSilence);
+}
+
+/// An answer that doesn't come may be lost, though the endpoint is well.
+auto CallExchange::RepeatIfSilent(TimePoint now) -> void {
+  const auto waits = m_attempt.m_sent && !m_attempt.m_answered &&
+                     m_attempt.m_connection != nullptr;
+  if (!waits || !MayRepeat() || m_repeated_in_silence ||
+      now - m_attempt.m_sent_at < SilenceLimit() ||
+      m_deadline - now < kLeastRepeatTime) {
+    return;
+  }
+  m_repeated_in_silence = true;
+  m_attempt.m_connection->Close();
+  AfterLostAttempt("silent");
+}
+
 auto CallExchange::Tick(TimePoint now) -> void {
+  if (!m_over && now < m_deadline) {
+    RepeatIfSilent(now);
+  }
   if (m_over || now < m_deadline) {
     return;
   }
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -74,6 +74,8 @@
   auto OnFailure(ExchangeFailure failure) -> void;
   auto AfterLostAttempt(std::string_view reason) -> void;
   auto AfterNotRun(std::string_view reason) -> void;
+  auto SilenceLimit() const -> Duration;
+  auto RepeatIfSilent(TimePoint now) -> void;
   auto EndAttempt() -> void;
   auto LogAttempt(std::string_view reason, bool may_have_run) -> void;
   auto AnswerSelf(int status, std::string_view reason, bool retry) -> void;
@@ -107,6 +109,7 @@
   /// Set when the lead granted less than the turn's most.
   std::optional<Tokens> m_partial_grant;
   Duration m_first_byte{0};
+  bool m_repeated_in_silence = false;
   bool m_granted = false;
   bool m_passing = false;
   bool m_is_event_stream = false;
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -136,6 +136,18 @@
   CHECK(first.requests() * second.requests() == 0);
 }
 
+TEST_CASE("an answer that is lost is asked for once more, if it may be") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint([](const Request& request) {
+    if (request.m_number == 2) {
+      request.m_stream->Write(request.Whole("again"));
+    }
+  });
+  world.Start();
+  CHECK(world.Finish(kSafe)->Body() == "again");
+  CHECK(endpoint.requests() == 2);
+}
+
 TEST_CASE("an endpoint's own error is passed on") {
   TestWorld world;
   world.AddEndpoint([](const Request& request) {
