Keep ledgers on the disk hosts while the store can't be written

Now the lead keeps its ledger on the disk hosts, two of them where they answer, and a lead that takes over reads them first; a claim that has been read shuts older ones out.

--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -100,19 +100,14 @@
            {{"outcome", status ? "in_force" : "rejected"}});
 }
 
-auto RunHost(const EntrySettings& settings, const std::string& file) -> int {
-  EventLoop loop(1);
-  const auto reload = [&file] { Reload(file); };
-  if (settings.m_role == HostRole::kDisk) {
-    DiskHost host(loop, settings);
-    const SignalWatch signals(loop, [&loop] { loop.stop(); }, reload);
-    host.Start();
-    loop.run();
-    LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
-    return 0;
-  }
-  EntryHost host(loop, settings);
-  const SignalWatch signals(loop, [&host] { host.Stop(); }, reload);
+/// Starts a host and runs it until @p on_stop has ended the loop.
+template <typename Host>
+auto RunHost(EventLoop& loop,
+             Host& host,
+             std::function<void()> on_stop,
+             const std::string& file) -> int {
+  const SignalWatch signals(loop, std::move(on_stop),
+                            [&file] { Reload(file); });
   const auto started = host.Start();
   if (!started) {
     std::cerr << started.error().m_place << ": " << started.error().m_message
@@ -123,6 +118,20 @@
   return 0;
 }
 
+auto RunRole(const EntrySettings& settings, const std::string& file) -> int {
+  EventLoop loop(1);
+  if (settings.m_role == HostRole::kDisk) {
+    DiskHost host(loop, settings);
+    const auto stop = [&loop] {
+      LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
+      loop.stop();
+    };
+    return RunHost(loop, host, stop, file);
+  }
+  EntryHost host(loop, settings);
+  return RunHost(loop, host, [&host] { host.Stop(); }, file);
+}
+
 auto Run(const options::variables_map& given, const std::string& usage) -> int {
   if (given.count("help") > 0) {
     std::cout << usage;
@@ -147,7 +156,7 @@
     std::cerr << logging.error().m_message << "\n";
     return kRunError;
   }
-  const auto code = RunHost(*settings, file);
+  const auto code = RunRole(*settings, file);
   FlushLog();
   return code;
 }
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -37,6 +37,8 @@
   kHistoryMismatch = 303,
   kLedgerWriteFailed = 304,
   kTurnDecided = 305,
+  kJournalUsed = 306,
+  kJournalFailed = 307,
   kClaimWritten = 401,
   kActionUnknown = 402,
   kContentQuarantined = 503,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -52,6 +52,12 @@
     {LogEventId::kTurnDecided, LogLevel::kInfo, "turn_decided",
      "A lead granted or refused a turn; the program's account and the state of "
      "the store are in the fields."},
+    {LogEventId::kJournalUsed, LogLevel::kInfo, "journal_used",
+     "A lead kept its ledger on disk hosts, or took it over from them, since "
+     "the store could not be written."},
+    {LogEventId::kJournalFailed, LogLevel::kWarning, "journal_failed",
+     "A ledger could not be kept on disk hosts, or an entry there can't be "
+     "read."},
     {LogEventId::kClaimWritten, LogLevel::kDebug, "claim_written",
      "A non-idempotent call was claimed in the platform."},
     {LogEventId::kActionUnknown, LogLevel::kError, "action_unknown",
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -1,23 +1,52 @@
 #include "disk_host.h"
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
 
 namespace dotterelshed {
 
 namespace {
 
-auto StoreAddress(const EntrySettings& settings) -> TcpAddress {
+constexpr int kStatusOk = 200;
+constexpr Duration kRegisterRetryWait = std::chrono::milliseconds(500);
+constexpr Duration kTick = std::chrono::milliseconds(500);
+
+auto AddressOf(const std::string& text) -> TcpAddress {
   // Checked when the settings were read.
-  const auto address = ParseTcpAddress(settings.m_platform_address);
+  const auto address = ParseTcpAddress(text);
   DOTTERELSHED_CHECK(address.has_value());
   return *address;
 }
 
+/// Status that tells a peer how a journal call ended.
+auto StatusOf(const Error& error) -> int {
+  switch (error.m_code) {
+    case ErrorCode::kConflict:
+      return 409;
+    case ErrorCode::kNotFound:
+      return 404;
+    case ErrorCode::kInvalidArgument:
+      return 400;
+    default:
+      return 503;
+  }
+}
+
 }  // namespace
 
 DiskHost::DiskHost(EventLoop& loop, const EntrySettings& settings)
-    : m_settings(settings),
-      m_store(loop, {.m_address = StoreAddress(settings)}) {
+    : m_loop(loop),
+      m_settings(settings),
+      m_store(loop, {.m_address = AddressOf(settings.m_platform_address)}),
+      m_peers(loop,
+              [this](const std::shared_ptr<ServerConnection>& connection,
+                     const IncomingRequest& request) {
+                OnPeer(connection, request);
+              }),
+      m_journal(OpenJournal(settings.m_data_dir)),
+      m_register_timer(loop),
+      m_tick_timer(loop) {
   m_follower = std::make_shared<KindFollower>(
       loop, m_store, ObjectKind::kRetirements,
       FollowerHandlers{.m_on_listing =
@@ -37,11 +66,92 @@
                        .m_on_reachable = [](bool /*reachable*/) {}});
 }
 
-auto DiskHost::Start() -> void {
+auto DiskHost::Start() -> Status {
+  const auto listening = m_peers.Listen(AddressOf(m_settings.m_peer_address));
+  if (!listening) {
+    return listening;
+  }
   m_follower->Start();
+  Register();
+  ArmTick();
   LogEvent(LogEventId::kHostStarted,
-           {{"domain", m_settings.m_domain.value()}, {"role", "disk"}});
+           {{"domain", m_settings.m_domain.value()},
+            {"role", "disk"},
+            {"journals", std::to_string(m_journal.m_entries.size())}});
   FlushLog();
+  return {};
+}
+
+auto DiskHost::Register() -> void {
+  const auto peer = peer_address();
+  StoredObject object{
+      .m_name = m_settings.m_host.value(),
+      .m_spec = EncodeLeadEntry(
+          {.m_host = m_settings.m_host,
+           .m_peer_address = peer.address().to_string() + ":" +
+                             std::to_string(peer.port())})};
+  m_store.Replace(ObjectKind::kDiskHosts, object,
+                  [this, object](const Result<StoredObject>& stored) {
+                    if (stored) {
+                      return;
+                    }
+                    if (stored.error().m_code != ErrorCode::kNotFound) {
+                      RegisterLater(stored.error());
+                      return;
+                    }
+                    m_store.Create(ObjectKind::kDiskHosts, object,
+                                   [this](const Result<StoredObject>& created) {
+                                     if (!created) {
+                                       RegisterLater(created.error());
+                                     }
+                                   });
+                  });
+}
+
+auto DiskHost::RegisterLater(const Error& error) -> void {
+  LogEvent(LogEventId::kPlatformLost,
+           {{"kind", std::string(KindName(ObjectKind::kDiskHosts))},
+            {"code", std::string(ToString(error.m_code))},
+            {"reason", error.m_message}});
+  m_register_timer.expires_after(kRegisterRetryWait);
+  m_register_timer.async_wait([this](const boost::system::error_code& failed) {
+    if (!failed) {
+      Register();
+    }
+  });
+}
+
+auto DiskHost::OnPeer(const std::shared_ptr<ServerConnection>& connection,
+                      const IncomingRequest& request) -> void {
+  const auto entry = DecodeJournalEntry(request.m_body);
+  if (!entry) {
+    connection->Answer(StatusOf(entry.error()), {}, entry.error().m_message);
+    return;
+  }
+  if (request.m_head.m_target == kJournalWritePath) {
+    const auto written = WriteJournal(m_journal, *entry);
+    if (!written) {
+      LogEvent(LogEventId::kJournalFailed,
+               {{"domain", entry->m_domain.value()},
+                {"reason", written.error().m_message}});
+    }
+    connection->Answer(written ? kStatusOk : StatusOf(written.error()), {}, "");
+    return;
+  }
+  const auto found = ReadJournal(m_journal, entry->m_domain, entry->m_claim);
+  connection->Answer(found ? kStatusOk : StatusOf(found.error()), {},
+                     found ? EncodeJournalEntry(*found) : "");
+}
+
+auto DiskHost::ArmTick() -> void {
+  m_tick_timer.expires_after(kTick);
+  m_tick_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      m_peers.Tick(SteadyTime());
+      FlushLog();
+      ArmTick();
+    }
+  });
 }
 
 auto DiskHost::TakeRetirement(const StoredObject& object) -> void {
@@ -60,7 +170,6 @@
           m_answered = ResourceVersion(0);
           m_follower->Refresh();
         }
-        FlushLog();
       });
 }
 
--- a/src/libgateway/disk_host.h
+++ b/src/libgateway/disk_host.h
@@ -3,13 +3,16 @@
 
 #include <memory>
 
+#include "dotterelshed/http_listener.h"
 #include "entry_settings.h"
+#include "journal_files.h"
 #include "kind_follower.h"
 #include "platform/object_store.h"
 
 /// @file
-/// The process on a host with a disk. It keeps nothing there, so it can tell
-/// the platform at once that the host may be taken away.
+/// The process on a host with a disk. It keeps the leads' ledgers while the
+/// platform's store can't be written; what it has is of no use once the store is
+/// back, so it can tell the platform at once that the host may be taken away.
 
 namespace dotterelshed {
 
@@ -17,14 +20,26 @@
  public:
   DiskHost(EventLoop& loop, const EntrySettings& settings);
 
-  auto Start() -> void;
+  /// Errors: kUnavailable when the address can't be bound.
+  auto Start() -> Status;
+  auto peer_address() const -> TcpAddress { return m_peers.local_address(); }
 
  private:
+  auto Register() -> void;
+  auto RegisterLater(const Error& error) -> void;
+  auto OnPeer(const std::shared_ptr<ServerConnection>& connection,
+              const IncomingRequest& request) -> void;
   auto TakeRetirement(const StoredObject& object) -> void;
+  auto ArmTick() -> void;
 
+  EventLoop& m_loop;
   EntrySettings m_settings;
   ObjectStore m_store;
+  HttpListener m_peers;
+  JournalFiles m_journal;
   std::shared_ptr<KindFollower> m_follower;
+  boost::asio::steady_timer m_register_timer;
+  boost::asio::steady_timer m_tick_timer;
   /// Version of the request that has been answered.
   ResourceVersion m_answered;
 };
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -23,11 +23,13 @@
   HostId m_host;
   DomainId m_domain;
   HostRole m_role = HostRole::kEntry;
-  /// "IP:port" each; the first three are empty on disk hosts.
+  /// "IP:port" each; the first two are empty on disk hosts.
   std::string m_caller_address;
   std::string m_ready_address;
   std::string m_peer_address;
   std::string m_platform_address;
+  /// Data folder of a disk host.
+  std::string m_data_dir;
   /// Time from SIGTERM to SIGKILL.
   Duration m_stop_grace = std::chrono::seconds(8);
   /// Sockets, files and pipes that the process may hold.
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -45,7 +45,7 @@
 TEST_CASE("a disk host needs no callers' address") {
   const auto text = R"({"role": "disk", "host": "h", "domain": "z",
     "caller_address": "", "ready_address": "", "peer_address": "127.0.0.1:3",
-    "platform_address": "127.0.0.1:4"})";
+    "platform_address": "127.0.0.1:4", "data_dir": "/d"})";
   CHECK(ParseEntrySettings(text, "f"));
 }
 
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
 #include <string>
 
 #include "test_world.h"
@@ -240,6 +242,34 @@
   CHECK(endpoint.requests() == 1);
 }
 
+TEST_CASE("turns go on by the disk hosts while the store is down") {
+  char folder[] = "/tmp/dotterelshed_world_XXXXXX";
+  REQUIRE(mkdtemp(folder) != nullptr);
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 30) +
+                            std::string(kLastChunk));
+  });
+  world.AddDiskHost("d1", folder);
+  world.Start();
+  world.m_store.SetDown(true);
+  const auto status = [&world](const std::string& id) {
+    auto status = 503;
+    // The first answers may come before the lead has given the store up.
+    for (int tries = 0; tries < 20 && status == 503; ++tries) {
+      status = world.Finish(MakeTurn(id, 400, 100))->Status();
+    }
+    return status;
+  };
+  for (const auto* id : {"r1", "r2", "r3"}) {
+    CHECK(status(id) == 200);
+  }
+  world.m_store.SetDown(false);
+  CHECK(status("r4") == 200);
+  CHECK(status("r5") == 402);
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("what no route takes and what can't be framed is refused") {
   TestWorld world;
   auto& endpoint = world.AddEndpoint(
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -53,6 +53,18 @@
           .m_version = ResourceVersion(json.at("version").get<std::int64_t>())};
 }
 
+auto ReadStoredLedger(const Json& json) -> StoredLedger {
+  StoredLedger ledger;
+  ledger.m_host = HostId(json.at("host"));
+  ledger.m_incarnation =
+      Incarnation(json.at("incarnation").get<std::int64_t>());
+  ledger.m_write = json.at("write").get<std::int64_t>();
+  for (const auto& [program, bound] : json.at("bounds").items()) {
+    ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
+  }
+  return ledger;
+}
+
 auto WriteOptionalLead(const std::optional<KnownLead>& lead) -> Json {
   return lead ? WriteKnownLead(*lead) : Json();
 }
@@ -214,16 +226,22 @@
 }
 
 auto DecodeStoredLedger(const Json& body) -> Result<StoredLedger> {
-  return Read<StoredLedger>(body, [](const Json& json) {
-    StoredLedger ledger;
-    ledger.m_host = HostId(json.at("host"));
-    ledger.m_incarnation =
-        Incarnation(json.at("incarnation").get<std::int64_t>());
-    ledger.m_write = json.at("write").get<std::int64_t>();
-    for (const auto& [program, bound] : json.at("bounds").items()) {
-      ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
-    }
-    return ledger;
+  return Read<StoredLedger>(body, ReadStoredLedger);
+}
+
+auto EncodeJournalEntry(const JournalEntry& entry) -> std::string {
+  return Json{{"domain", entry.m_domain.value()},
+              {"claim", entry.m_claim.value()},
+              {"ledger", EncodeStoredLedger(entry.m_ledger)}}
+      .dump();
+}
+
+auto DecodeJournalEntry(std::string_view text) -> Result<JournalEntry> {
+  return Parse<JournalEntry>(text, [](const Json& json) {
+    return JournalEntry{
+        .m_domain = DomainId(json.at("domain")),
+        .m_claim = ResourceVersion(json.at("claim").get<std::int64_t>()),
+        .m_ledger = ReadStoredLedger(json.at("ledger"))};
   });
 }
 
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -97,6 +97,14 @@
   LedgerRecord m_record;
 };
 
+/// What a lead keeps on disk hosts while it can't write to the store.
+struct JournalEntry {
+  DomainId m_domain;
+  /// Version of the lead's claim; entries of older claims are refused.
+  ResourceVersion m_claim;
+  StoredLedger m_ledger;
+};
+
 auto EncodeGrantQuestion(const GrantQuestion& question) -> std::string;
 auto DecodeGrantQuestion(std::string_view text) -> Result<GrantQuestion>;
 auto EncodeGrantAnswer(const GrantAnswer& answer) -> std::string;
@@ -115,6 +123,8 @@
 auto DecodeLeadEntry(const nlohmann::json& json) -> Result<LeadEntry>;
 auto EncodeStoredLedger(const StoredLedger& ledger) -> nlohmann::json;
 auto DecodeStoredLedger(const nlohmann::json& json) -> Result<StoredLedger>;
+auto EncodeJournalEntry(const JournalEntry& entry) -> std::string;
+auto DecodeJournalEntry(std::string_view text) -> Result<JournalEntry>;
 
 }  // namespace dotterelshed
 
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -20,6 +20,8 @@
 constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(500);
 /// A lead that has nothing to record confirms in this time that it still leads.
 constexpr Duration kConfirmInterval = std::chrono::seconds(4);
+/// A lead whose writes fail tries the store again after this time.
+constexpr Duration kStoreProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
 /// Longest wait for another domain's lead.
 constexpr Duration kFindTimeout = std::chrono::milliseconds(150);
@@ -33,7 +35,8 @@
 
 }  // namespace
 
-LeadService::LeadService(EntryContext& context) : m_context(context) {}
+LeadService::LeadService(EntryContext& context)
+    : m_context(context), m_journal(context) {}
 
 auto LeadService::IsMine(const LeadEntry& entry) const -> bool {
   return entry.m_host == m_context.m_settings.m_host &&
@@ -153,8 +156,7 @@
       return;
     }
     m_ledger_version = ResourceVersion(0);
-    AdoptRecord(m_ledger, {}, now);
-    WriteAdopted();
+    AdoptJournal({});
     return;
   }
   const auto ledger = DecodeStoredLedger(stored->m_spec);
@@ -166,8 +168,34 @@
     return;
   }
   m_ledger_version = stored->m_version;
-  AdoptRecord(m_ledger, ledger->m_record, now);
-  WriteAdopted();
+  AdoptJournal(*ledger);
+}
+
+/// The lead before may have gone on without the store.
+auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
+  const auto& domain = m_context.m_settings.m_domain;
+  m_writing = true;
+  m_journal.Read(
+      domain, m_context.LeadOf(domain)->m_version, stored,
+      [this, record = stored.m_record](
+          const std::optional<JournalEntry>& entry) mutable {
+        m_writing = false;
+        if (m_phase != Phase::kAdopting) {
+          return;
+        }
+        if (entry) {
+          for (const auto& [program, bound] :
+               entry->m_ledger.m_record.m_bounds) {
+            auto& known = record.m_bounds[program];
+            known = std::max(known, bound);
+          }
+          LogEvent(LogEventId::kJournalUsed,
+                   {{"step", "taken_over"},
+                    {"write", std::to_string(entry->m_ledger.m_write)}});
+        }
+        AdoptRecord(m_ledger, record, SteadyTime());
+        WriteAdopted();
+      });
 }
 
 auto LeadService::WriteAdopted() -> void {
@@ -271,6 +299,7 @@
   m_retry_at = SteadyTime() + kStoreRetryWait;
   m_ledger = {};
   m_store_lost = false;
+  m_journal_lost = false;
   m_other_ledgers.clear();
   m_notes.clear();
   m_loads.clear();
@@ -307,7 +336,7 @@
   const auto& program = waiting.m_question.m_grant.m_program;
   const auto note = m_notes.find(program);
   if (KnowsProgram(m_ledger, program)) {
-    Grant(waiting, {.m_partial = m_store_lost});
+    Grant(waiting, {.m_partial = RecordLost()});
   } else if (note != m_notes.end() && !note->second.m_domain.empty()) {
     waiting.m_answered({.m_verdict = GrantVerdict::kElsewhere,
                         .m_domain = note->second.m_domain});
@@ -419,7 +448,7 @@
   const auto domains = found->second.m_open;
   if (domains.empty()) {
     for (const auto& one : EndSearch(program)) {
-      Grant(one, {.m_partial = m_store_lost});
+      Grant(one, {.m_partial = RecordLost()});
     }
     return;
   }
@@ -536,7 +565,7 @@
   }
   const auto blind = search.m_blind;
   for (const auto& one : EndSearch(program)) {
-    Grant(one, {.m_blind = blind, .m_partial = blind || m_store_lost});
+    Grant(one, {.m_blind = blind, .m_partial = blind || RecordLost()});
   }
 }
 
@@ -559,8 +588,46 @@
                .m_record = record})};
 }
 
+auto LeadService::WriteJournal(TimePoint now) -> void {
+  if (m_waiting.empty() || now - m_last_write < kUrgentWriteInterval) {
+    return;
+  }
+  m_writing = true;
+  m_last_write = now;
+  const auto& domain = m_context.m_settings.m_domain;
+  auto record = BeginRecord(m_ledger, now);
+  const JournalEntry entry{
+      .m_domain = domain,
+      .m_claim = m_context.LeadOf(domain)->m_version,
+      .m_ledger = {.m_host = m_context.m_settings.m_host,
+                   .m_incarnation = m_context.m_incarnation,
+                   .m_write = ++m_write,
+                   .m_record = record}};
+  m_journal.Write(entry, [this, record = std::move(record)](bool secured) {
+    m_writing = false;
+    if (m_phase != Phase::kActive) {
+      return;
+    }
+    m_journal_lost = !secured;
+    LogEvent(
+        secured ? LogEventId::kJournalUsed : LogEventId::kJournalFailed,
+        {{"step", "written"}, {"waiting", std::to_string(m_waiting.size())}});
+    if (secured) {
+      NoteRecorded(m_ledger, record);
+    }
+    DecideWaiting();
+  });
+}
+
 auto LeadService::MaybeWrite(TimePoint now) -> void {
-  if (m_phase != Phase::kActive || m_writing || now < m_retry_at) {
+  if (m_phase != Phase::kActive || m_writing) {
+    return;
+  }
+  if (m_store_lost && now < m_retry_at) {
+    WriteJournal(now);
+    return;
+  }
+  if (now < m_retry_at) {
     return;
   }
   const auto interval =
@@ -636,8 +703,10 @@
 }
 
 auto LeadService::LoseStore() -> void {
+  // Each time the store fails, the disk hosts are tried again.
+  m_journal_lost = false;
   m_store_lost = true;
-  m_retry_at = SteadyTime() + kStoreRetryWait;
+  m_retry_at = SteadyTime() + kStoreProbeInterval;
   DecideWaiting();
 }
 
@@ -694,6 +763,9 @@
     Adopt();
   }
   MaybeWrite(now);
+  if (leading()) {
+    m_journal.Refresh(now);
+  }
   ForgetOld(now);
 }
 
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -12,6 +12,7 @@
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
 #include "lead_messages.h"
+#include "ledger_journal.h"
 
 /// @file
 /// The lead of a failure domain: keeps the ledger of the programs that entered
@@ -91,6 +92,7 @@
   auto AfterClaim(const Result<StoredObject>& stored) -> void;
   auto Adopt() -> void;
   auto AfterAdoptRead(const Result<StoredObject>& stored) -> void;
+  auto AdoptJournal(const StoredLedger& stored) -> void;
   auto WriteAdopted() -> void;
   auto AfterAdoptWrite(const Result<StoredObject>& stored) -> void;
   auto ListLeads() -> void;
@@ -123,6 +125,9 @@
       -> void;
   auto CheckLedger(const LedgerRecord& record) -> void;
   auto LoseStore() -> void;
+  auto WriteJournal(TimePoint now) -> void;
+  /// True while no record can be written, in the store or on disk hosts.
+  auto RecordLost() const -> bool { return m_store_lost && m_journal_lost; }
   auto DecideWaiting() -> void;
   auto AnswerLate(TimePoint now) -> void;
   auto ForgetOld(TimePoint now) -> void;
@@ -142,6 +147,9 @@
   TimePoint m_retry_at;
   /// The last write failed, and none has succeeded since.
   bool m_store_lost = false;
+  /// The same for the journal on the disk hosts.
+  bool m_journal_lost = false;
+  LedgerJournal m_journal;
   /// Until when another domain's ledger isn't read again after a failure.
   TimePoint m_no_reads_until;
   std::vector<Waiting> m_waiting;
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "disk_host.h"
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/http_parser.h"
 #include "dotterelshed/log_events.h"
@@ -143,7 +144,7 @@
 class TestWorld {
  public:
   TestWorld() : m_store(m_loop) {
-    REQUIRE(StartLogging({.m_level = LogLevel::kError}));
+    REQUIRE(StartLogging({.m_level = getenv("DBG") ? LogLevel::kInfo : LogLevel::kError}));
     REQUIRE(m_store.Listen(Loopback()));
     m_store.Put("config", "main", nlohmann::json::parse(R"({"version":1,
       "routes":[
@@ -170,6 +171,22 @@
     return *m_endpoints.back();
   }
 
+  /// Starts a disk host that keeps its journal in @p folder.
+  auto AddDiskHost(const std::string& name, const std::string& folder) -> void {
+    EntrySettings settings;
+    settings.m_host = HostId(name);
+    settings.m_domain = DomainId("z");
+    settings.m_role = HostRole::kDisk;
+    settings.m_peer_address = "127.0.0.1:0";
+    settings.m_platform_address = ToText(m_store.address());
+    settings.m_data_dir = folder;
+    m_disk_hosts.push_back(std::make_unique<DiskHost>(m_loop, settings));
+    REQUIRE(m_disk_hosts.back()->Start());
+    RunUntil([this, &name] {
+      return !m_store.Find("disk-hosts", name).is_null();
+    });
+  }
+
   /// Starts the host and waits until it is ready.
   auto Start() -> void {
     EntrySettings settings;
@@ -219,6 +236,7 @@
   EventLoop m_loop;
   TestStore m_store;
   std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
+  std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
 };
 
