--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -129,7 +129,8 @@
     return RunHost(loop, host, stop, file);
   }
   EntryHost host(loop, settings);
-  return RunHost(loop, host, [&host] { host.Stop(); }, file);
+  return RunHost(
+      loop, host, [&host] { host.Stop(); }, file);
 }
 
 auto Run(const options::variables_map& given, const std::string& usage) -> int {
--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -17,10 +17,10 @@
 
 /// Why an exchange has no whole answer.
 enum class ExchangeFailure {
-  kNotConnected,   ///< The connection was never established; nothing was sent.
-  kClosed,         ///< It ended in order before the answer was whole.
-  kReset,          ///< It broke before the answer was whole.
-  kMalformed,      ///< The bytes are no answer, or not one to this request.
+  kNotConnected,  ///< The connection was never established; nothing was sent.
+  kClosed,        ///< It ended in order before the answer was whole.
+  kReset,         ///< It broke before the answer was whole.
+  kMalformed,     ///< The bytes are no answer, or not one to this request.
 };
 
 /// Stable lower-case name, for logs.
--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -17,9 +17,10 @@
 /// upper bound of the tokens granted so far. The sum of all grants stays within
 /// the budget, and within what is on record plus an advance of one turn's most.
 /// A lead that takes over starts from the record, counts it as spent and gives
-/// no advance on it. To unknown programs it gives one only after the settle time,
-/// and no lead gives one when its last confirmed write is older than that: so a
-/// lead that was replaced without knowing stops before the next begins.
+/// no advance on it. To unknown programs it gives one only after the settle
+/// time, and no lead gives one when its last confirmed write is older than
+/// that: so a lead that was replaced without knowing stops before the next
+/// begins.
 ///
 /// An account is blind while it is unknown whether another domain's lead keeps
 /// one of the same program. It grants no more than the advance: the other
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -45,8 +45,7 @@
      "This host is no longer lead; another one has written the ledger."},
     {LogEventId::kHistoryMismatch, LogLevel::kWarning, "history_mismatch",
      "A caller's token does not match the stored history; refused."},
-    {LogEventId::kLedgerWriteFailed, LogLevel::kWarning,
-     "ledger_write_failed",
+    {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
      "The record of budgets was not confirmed by the store; turns that need it "
      "wait."},
     {LogEventId::kTurnDecided, LogLevel::kInfo, "turn_decided",
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -123,9 +123,10 @@
   question.m_service = m_service;
   question.m_prompt = m_facts.m_prompt_tokens;
   m_granted = true;
-  m_grants.Ask(question, [self = shared_from_this()](const GrantAnswer& answer) {
-    self->OnGrant(answer);
-  });
+  m_grants.Ask(question,
+               [self = shared_from_this()](const GrantAnswer& answer) {
+                 self->OnGrant(answer);
+               });
 }
 
 auto CallExchange::OnGrant(const GrantAnswer& answer) -> void {
@@ -201,8 +202,8 @@
       MayRepeat() ? kMaxIdleRepeatable : kMaxIdleNonIdempotent;
   m_context.m_endpoints.Take(
       entry->m_address, max_idle,
-      [self = shared_from_this(), attempt = m_attempts](
-          std::shared_ptr<ClientConnection> connection) {
+      [self = shared_from_this(),
+       attempt = m_attempts](std::shared_ptr<ClientConnection> connection) {
         self->OnConnection(attempt, std::move(connection));
       });
 }
@@ -246,7 +247,8 @@
   const auto self = shared_from_this();
   m_attempt.m_connection->Exchange(
       std::move(bytes), head.m_method == "HEAD",
-      {.m_on_head = [self](ResponseHead& answer) { return self->OnHead(answer); },
+      {.m_on_head =
+           [self](ResponseHead& answer) { return self->OnHead(answer); },
        .m_on_body = [self](std::string_view body) { self->OnBody(body); },
        .m_on_done = [self] { self->OnDone(); },
        .m_on_failure =
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -48,7 +48,7 @@
       m_register_timer(loop),
       m_tick_timer(loop) {
   m_follower = std::make_shared<KindFollower>(
-      loop, m_store, ObjectKind::kRetirements,
+      loop, m_store, FollowerOptions{.m_kind = ObjectKind::kRetirements},
       FollowerHandlers{.m_on_listing =
                            [this](const ObjectListing& listing) {
                              for (const auto& object : listing.m_objects) {
@@ -84,12 +84,11 @@
 
 auto DiskHost::Register() -> void {
   const auto peer = peer_address();
-  StoredObject object{
-      .m_name = m_settings.m_host.value(),
-      .m_spec = EncodeLeadEntry(
-          {.m_host = m_settings.m_host,
-           .m_peer_address = peer.address().to_string() + ":" +
-                             std::to_string(peer.port())})};
+  StoredObject object{.m_name = m_settings.m_host.value(),
+                      .m_spec = EncodeLeadEntry(
+                          {.m_host = m_settings.m_host,
+                           .m_peer_address = peer.address().to_string() + ":" +
+                                             std::to_string(peer.port())})};
   m_store.Replace(ObjectKind::kDiskHosts, object,
                   [this, object](const Result<StoredObject>& stored) {
                     if (stored) {
@@ -163,9 +162,9 @@
   m_store.SetRetirementStatus(
       object.m_name, true, [this](const Result<StoredObject>& stored) {
         LogEvent(LogEventId::kRetirementAnswered,
-                 {{"outcome", stored ? "stored"
-                                     : std::string(ToString(
-                                           stored.error().m_code))}});
+                 {{"outcome",
+                   stored ? "stored"
+                          : std::string(ToString(stored.error().m_code))}});
         if (!stored) {
           m_answered = ResourceVersion(0);
           m_follower->Refresh();
--- a/src/libgateway/disk_host.h
+++ b/src/libgateway/disk_host.h
@@ -11,8 +11,9 @@
 
 /// @file
 /// The process on a host with a disk. It keeps the leads' ledgers while the
-/// platform's store can't be written; what it has is of no use once the store is
-/// back, so it can tell the platform at once that the host may be taken away.
+/// platform's store can't be written; what it has is of no use once the store
+/// is back, so it can tell the platform at once that the host may be taken
+/// away.
 
 namespace dotterelshed {
 
--- a/src/libgateway/endpoint_pool.cc
+++ b/src/libgateway/endpoint_pool.cc
@@ -59,8 +59,8 @@
   const auto now = SteadyTime();
   auto keep = m_options.m_max_idle;
   if (keep_alive) {
-    keep = std::min(keep, std::max(*keep_alive - kKeepAliveMargin,
-                                   *keep_alive / 2));
+    keep = std::min(keep,
+                    std::max(*keep_alive - kKeepAliveMargin, *keep_alive / 2));
   }
   idle.push_back({connection, now, now + keep});
 }
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -30,6 +30,9 @@
 /// A domain without lead gets one after this time at the latest; hosts wait
 /// for different parts of it, so that mostly one of them tries.
 constexpr Duration kLeadPatience = std::chrono::milliseconds(1500);
+/// Endpoints come and go in groups; a leaving one must be known within two
+/// seconds.
+constexpr Duration kEndpointJoinTime = std::chrono::milliseconds(800);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -93,23 +96,24 @@
     }
   };
   m_config_follower = std::make_shared<KindFollower>(
-      loop, m_context.m_store, ObjectKind::kConfig,
-      FollowerHandlers{
-          .m_on_listing =
-              [this](const ObjectListing& listing) {
-                for (const auto& object : listing.m_objects) {
-                  TakeConfig(object);
-                }
-              },
-          .m_on_changes =
-              [this](const ObjectChanges& changes) {
-                for (const auto& change : changes.m_changes) {
-                  TakeConfig(change.m_object);
-                }
-              },
-          .m_on_reachable = [](bool /*reachable*/) {}});
+      loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kConfig},
+      FollowerHandlers{.m_on_listing =
+                           [this](const ObjectListing& listing) {
+                             for (const auto& object : listing.m_objects) {
+                               TakeConfig(object);
+                             }
+                           },
+                       .m_on_changes =
+                           [this](const ObjectChanges& changes) {
+                             for (const auto& change : changes.m_changes) {
+                               TakeConfig(change.m_object);
+                             }
+                           },
+                       .m_on_reachable = [](bool /*reachable*/) {}});
   m_endpoint_follower = std::make_shared<KindFollower>(
-      loop, m_context.m_store, ObjectKind::kEndpoints,
+      loop, m_context.m_store,
+      FollowerOptions{.m_kind = ObjectKind::kEndpoints,
+                      .m_join_time = kEndpointJoinTime},
       FollowerHandlers{
           .m_on_listing =
               [this](const ObjectListing& listing) { TakeEndpoints(listing); },
@@ -121,24 +125,23 @@
               },
           .m_on_reachable = on_reachable});
   m_lead_follower = std::make_shared<KindFollower>(
-      loop, m_context.m_store, ObjectKind::kLeads,
-      FollowerHandlers{
-          .m_on_listing =
-              [this](const ObjectListing& listing) {
-                for (const auto& object : listing.m_objects) {
-                  TakeLead(object);
-                }
-              },
-          .m_on_changes =
-              [this](const ObjectChanges& changes) {
-                for (const auto& change : changes.m_changes) {
-                  // Leads are replaced, never removed.
-                  if (!change.m_removed) {
-                    TakeLead(change.m_object);
-                  }
-                }
-              },
-          .m_on_reachable = [](bool /*reachable*/) {}});
+      loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kLeads},
+      FollowerHandlers{.m_on_listing =
+                           [this](const ObjectListing& listing) {
+                             for (const auto& object : listing.m_objects) {
+                               TakeLead(object);
+                             }
+                           },
+                       .m_on_changes =
+                           [this](const ObjectChanges& changes) {
+                             for (const auto& change : changes.m_changes) {
+                               // Leads are replaced, never removed.
+                               if (!change.m_removed) {
+                                 TakeLead(change.m_object);
+                               }
+                             }
+                           },
+                       .m_on_reachable = [](bool /*reachable*/) {}});
 }
 
 auto EntryHost::Start() -> Status {
@@ -176,8 +179,9 @@
   }
   auto table = DecodeRoutes(object);
   if (!table) {
-    LogEvent(LogEventId::kConfigRejected, {{"place", table.error().m_place},
-                                           {"reason", table.error().m_message}});
+    LogEvent(LogEventId::kConfigRejected,
+             {{"place", table.error().m_place},
+              {"reason", table.error().m_message}});
     return;
   }
   const auto& current = m_context.m_routes;
@@ -204,8 +208,7 @@
   }
   const auto spare =
       m_context.m_settings.m_max_descriptors - kReservedDescriptors;
-  limits.m_max_connections =
-      static_cast<std::size_t>(std::max(spare / 2, 1));
+  limits.m_max_connections = static_cast<std::size_t>(std::max(spare / 2, 1));
   m_callers.SetLimits(limits);
 }
 
@@ -227,8 +230,8 @@
     return;
   }
   const auto* known = FindEndpoint(directory, id);
-  const auto restarted = known != nullptr && known->m_started_unix_ms !=
-                                                 entry->m_started_unix_ms;
+  const auto restarted =
+      known != nullptr && known->m_started_unix_ms != entry->m_started_unix_ms;
   if (restarted) {
     m_context.m_loads.erase(id);
     m_context.m_endpoints.Forget(known->m_address);
@@ -250,9 +253,9 @@
     if (auto entry = DecodeEndpoint(object)) {
       entries.push_back(std::move(*entry));
     } else {
-      LogEvent(LogEventId::kEndpointRejected,
-               {{"endpoint", object.m_name},
-                {"reason", entry.error().m_message}});
+      LogEvent(
+          LogEventId::kEndpointRejected,
+          {{"endpoint", object.m_name}, {"reason", entry.error().m_message}});
     }
   }
   ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
@@ -261,9 +264,9 @@
 auto EntryHost::TakeLead(const StoredObject& object) -> void {
   const auto entry = DecodeLeadEntry(object.m_spec);
   if (!entry) {
-    LogEvent(LogEventId::kLeadClaimFailed,
-             {{"code", "invalid_argument"},
-              {"reason", entry.error().m_message}});
+    LogEvent(
+        LogEventId::kLeadClaimFailed,
+        {{"code", "invalid_argument"}, {"reason", entry.error().m_message}});
     return;
   }
   m_lead.NoteLead({.m_domain = DomainId(object.m_name),
@@ -280,10 +283,9 @@
     return;
   }
   const auto* host = FindField(request.m_head.m_fields, "host");
-  const auto* route = host == nullptr
-                          ? nullptr
-                          : FindRoute(*m_context.m_routes, *host,
-                                      request.m_head.m_target);
+  const auto* route = host == nullptr ? nullptr
+                                      : FindRoute(*m_context.m_routes, *host,
+                                                  request.m_head.m_target);
   if (route == nullptr) {
     Refuse(connection, request, kStatusNotFound, "no_route");
     return;
@@ -315,8 +317,7 @@
 
 auto EntryHost::ready() const -> bool {
   return !m_stopping && m_context.m_routes &&
-         !m_context.m_directory.m_entries.empty() &&
-         m_lead_follower->listed();
+         !m_context.m_directory.m_entries.empty() && m_lead_follower->listed();
 }
 
 auto EntryHost::OnReadinessQuestion(
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -110,11 +110,10 @@
   settings.m_peer_address = reader.Address("peer_address", true);
   settings.m_platform_address = reader.Address("platform_address", true);
   settings.m_data_dir = reader.Text("data_dir", !entry);
-  settings.m_stop_grace =
-      FromSeconds(reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
-  settings.m_max_descriptors = static_cast<int>(
-      reader.Number("max_descriptors", kLeastDescriptors,
-                    settings.m_max_descriptors));
+  settings.m_stop_grace = FromSeconds(
+      reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
+  settings.m_max_descriptors = static_cast<int>(reader.Number(
+      "max_descriptors", kLeastDescriptors, settings.m_max_descriptors));
   const auto level = reader.Text("log_level", false);
   if (!level.empty()) {
     settings.m_log_level = level;
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -31,12 +31,12 @@
 }
 
 TEST_CASE("each mistake names its key") {
-  const auto [from, to, key] = GENERATE(
-      std::tuple("\"entry\"", "\"other\"", "role"),
-      std::tuple("\"h1\"", "\"\"", "host"),
-      std::tuple("127.0.0.1:2", "127.0.0.1", "ready_address"),
-      std::tuple("8.5", "-1", "stop_grace_s"),
-      std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
+  const auto [from, to, key] =
+      GENERATE(std::tuple("\"entry\"", "\"other\"", "role"),
+               std::tuple("\"h1\"", "\"\"", "host"),
+               std::tuple("127.0.0.1:2", "127.0.0.1", "ready_address"),
+               std::tuple("8.5", "-1", "stop_grace_s"),
+               std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
   REQUIRE_FALSE(settings);
   CHECK(settings.error().m_place == "f: " + std::string(key));
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -23,9 +23,8 @@
 auto MakeTurn(const std::string& id, int budget, int most) -> std::string {
   return "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
          "\r\nProgram-Id: p\r\nSession-Id: p\r\nToken-Budget: " +
-         std::to_string(budget) +
-         "\r\nToken-Counts: 100," + std::to_string(most) +
-         "\r\nContent-Length: 0\r\n\r\n";
+         std::to_string(budget) + "\r\nToken-Counts: 100," +
+         std::to_string(most) + "\r\nContent-Length: 0\r\n\r\n";
 }
 
 auto MakeEvent(int id) -> std::string {
@@ -163,8 +162,8 @@
 
 TEST_CASE("an answer cut short never looks complete") {
   TestWorld world;
-  const auto head = GENERATE("Content-Length: 9\r\n",
-                             "Transfer-Encoding: chunked\r\n");
+  const auto head =
+      GENERATE("Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n");
   world.AddEndpoint([&head](const Request& request) {
     request.m_stream->Write(request.Head(200, head) + "5\r\nab");
     request.m_stream->CloseAfterWrites();
@@ -209,8 +208,8 @@
 TEST_CASE("a stream with a missing event is broken off") {
   TestWorld world;
   world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 2) +
-                            Chunks(4, 5) + std::string(kLastChunk));
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 2) + Chunks(4, 5) +
+                            std::string(kLastChunk));
   });
   world.Start();
   const auto caller = world.Finish(MakeTurn("r1", 400, 100));
@@ -277,15 +276,18 @@
   world.Start();
   CHECK(world.Finish("GET /other/ HTTP/1.1\r\nHost: desk\r\n\r\n")->Status() ==
         404);
-  CHECK(world.Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
-                     "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
-                     "0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: desk\r\n\r\n")
+  CHECK(world
+            .Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
+                    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "0\r\n\r\nGET /safe/ HTTP/1.1\r\nHost: desk\r\n\r\n")
             ->Status() == 400);
-  CHECK(world.Finish("GET /safe/ HTTP/1.1\r\nHost: desk\r\nA: " +
-                     std::string(5000, 'a'))
+  CHECK(world
+            .Finish("GET /safe/ HTTP/1.1\r\nHost: desk\r\nA: " +
+                    std::string(5000, 'a'))
             ->Status() == 431);
-  CHECK(world.Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
-                     "Content-Length: 10001\r\n\r\n")
+  CHECK(world
+            .Finish("POST /unsafe/ HTTP/1.1\r\nHost: desk\r\n"
+                    "Content-Length: 10001\r\n\r\n")
             ->Status() == 413);
   CHECK(endpoint.requests() == 0);
 }
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -77,9 +77,10 @@
   }
   const auto& entry = lead->second.m_entry;
   if (own && entry.m_host == m_context.m_settings.m_host) {
-    m_own_lead.Ask(asking->m_question, [this, asking](const GrantAnswer& answer) {
-      OnAnswer(asking, answer);
-    });
+    m_own_lead.Ask(asking->m_question,
+                   [this, asking](const GrantAnswer& answer) {
+                     OnAnswer(asking, answer);
+                   });
     return;
   }
   CallPeer(m_context.m_loop, m_context.m_peers, entry.m_peer_address,
@@ -203,8 +204,8 @@
   auto body = EncodeSettlements(list);
   CallPeer(m_context.m_loop, m_context.m_peers, entry.m_peer_address,
            kSettlePath, std::move(body), kSettleTimeout,
-           [this, domain, list = std::move(list)](
-               const Result<std::string>& reply) mutable {
+           [this, domain,
+            list = std::move(list)](const Result<std::string>& reply) mutable {
              if (reply) {
                return;
              }
--- a/src/libgateway/journal_files.cc
+++ b/src/libgateway/journal_files.cc
@@ -43,8 +43,8 @@
     return DiskError(fresh);
   }
   const auto written = write(descriptor, text.data(), text.size());
-  const auto whole = written == static_cast<ssize_t>(text.size()) &&
-                     fsync(descriptor) == 0;
+  const auto whole =
+      written == static_cast<ssize_t>(text.size()) && fsync(descriptor) == 0;
   close(descriptor);
   if (!whole || rename(fresh.c_str(), file.c_str()) != 0) {
     return DiskError(file);
@@ -86,8 +86,7 @@
                 entry.m_domain.value());
   }
   const auto written =
-      ReplaceFile(files.m_folder,
-                  entry.m_domain.value() + std::string(kSuffix),
+      ReplaceFile(files.m_folder, entry.m_domain.value() + std::string(kSuffix),
                   EncodeJournalEntry(entry));
   if (written) {
     fence = entry.m_claim;
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -10,9 +10,7 @@
 namespace {
 
 /// Longest wait of one watch call.
-constexpr Duration kWatchWait = std::chrono::seconds(15);
-/// Pause after a change, so that those which follow come in one call.
-constexpr Duration kJoinTime = std::chrono::milliseconds(250);
+constexpr Duration kWatchWait = std::chrono::seconds(28);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
 
@@ -20,10 +18,10 @@
 
 KindFollower::KindFollower(EventLoop& loop,
                            ObjectStore& store,
-                           ObjectKind kind,
+                           const FollowerOptions& options,
                            FollowerHandlers handlers)
     : m_store(store),
-      m_kind(kind),
+      m_options(options),
       m_handlers(std::move(handlers)),
       m_timer(loop) {}
 
@@ -44,8 +42,8 @@
 
 auto KindFollower::After(Duration wait, void (KindFollower::*step)()) -> void {
   m_timer.expires_after(wait);
-  m_timer.async_wait([weak = weak_from_this(), step, round = m_round](
-                         const boost::system::error_code& error) {
+  m_timer.async_wait([weak = weak_from_this(), step,
+                      round = m_round](const boost::system::error_code& error) {
     const auto self = weak.lock();
     if (!error && self && round == self->m_round) {
       ((*self).*step)();
@@ -54,8 +52,8 @@
 }
 
 auto KindFollower::List() -> void {
-  m_store.List(m_kind, [weak = weak_from_this(), round = ++m_round](
-                           const Result<ObjectListing>& listing) {
+  m_store.List(m_options.m_kind, [weak = weak_from_this(), round = ++m_round](
+                                     const Result<ObjectListing>& listing) {
     const auto self = weak.lock();
     if (self && round == self->m_round) {
       self->OnListing(listing);
@@ -64,7 +62,7 @@
 }
 
 auto KindFollower::Watch() -> void {
-  m_store.Watch(m_kind, m_version, kWatchWait,
+  m_store.Watch(m_options.m_kind, m_version, kWatchWait,
                 [weak = weak_from_this(),
                  round = ++m_round](const Result<ObjectChanges>& changes) {
                   const auto self = weak.lock();
@@ -98,7 +96,7 @@
     return;
   }
   m_handlers.m_on_changes(*changes);
-  After(kJoinTime, &KindFollower::Watch);
+  After(m_options.m_join_time, &KindFollower::Watch);
 }
 
 auto KindFollower::OnFailure(const Error& error) -> void {
@@ -110,7 +108,7 @@
   }
   if (m_reachable) {
     LogEvent(LogEventId::kPlatformLost,
-             {{"kind", std::string(KindName(m_kind))},
+             {{"kind", std::string(KindName(m_options.m_kind))},
               {"code", std::string(ToString(error.m_code))},
               {"reason", error.m_message}});
   }
@@ -131,7 +129,7 @@
   m_reachable = reachable;
   if (reachable) {
     LogEvent(LogEventId::kPlatformBack,
-             {{"kind", std::string(KindName(m_kind))}});
+             {{"kind", std::string(KindName(m_options.m_kind))}});
   }
   m_handlers.m_on_reachable(reachable);
 }
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -14,6 +14,12 @@
 
 namespace dotterelshed {
 
+struct FollowerOptions {
+  ObjectKind m_kind = ObjectKind::kConfig;
+  /// Pause after a change, so that those which follow come in one call.
+  Duration m_join_time = std::chrono::milliseconds(250);
+};
+
 struct FollowerHandlers {
   /// A complete listing; replaces what was known.
   std::function<void(const ObjectListing&)> m_on_listing;
@@ -26,7 +32,7 @@
  public:
   KindFollower(EventLoop& loop,
                ObjectStore& store,
-               ObjectKind kind,
+               const FollowerOptions& options,
                FollowerHandlers handlers);
 
   auto Start() -> void;
@@ -49,7 +55,7 @@
   auto After(Duration wait, void (KindFollower::*step)()) -> void;
 
   ObjectStore& m_store;
-  ObjectKind m_kind;
+  FollowerOptions m_options;
   FollowerHandlers m_handlers;
   boost::asio::steady_timer m_timer;
   ResourceVersion m_version;
--- a/src/libgateway/lead_messages_unittest.cc
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -42,11 +42,10 @@
 }
 
 TEST_CASE("a stored ledger survives the store") {
-  const StoredLedger ledger{
-      .m_host = HostId("h"),
-      .m_incarnation = Incarnation(5),
-      .m_write = 3,
-      .m_record = {{{ProgramId("p"), Tokens(270)}}}};
+  const StoredLedger ledger{.m_host = HostId("h"),
+                            .m_incarnation = Incarnation(5),
+                            .m_write = 3,
+                            .m_record = {{{ProgramId("p"), Tokens(270)}}}};
   const auto read = DecodeStoredLedger(EncodeStoredLedger(ledger));
   REQUIRE(read);
   CHECK(read->m_write == 3);
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -17,11 +17,13 @@
 /// Time between two writes while turns wait for one.
 constexpr Duration kUrgentWriteInterval = std::chrono::milliseconds(80);
 /// Time between two writes that only prepare coming turns.
-constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(500);
+constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(1000);
 /// A lead that has nothing to record confirms in this time that it still leads.
 constexpr Duration kConfirmInterval = std::chrono::seconds(4);
 /// A lead whose writes fail tries the store again after this time.
 constexpr Duration kStoreProbeInterval = std::chrono::milliseconds(500);
+/// A host that couldn't reach the store for its claim waits this long.
+constexpr Duration kClaimRetryWait = std::chrono::milliseconds(1000);
 constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
 /// Longest wait for another domain's lead.
 constexpr Duration kFindTimeout = std::chrono::milliseconds(150);
@@ -102,6 +104,9 @@
               {"reason", stored.error().m_message}});
     // If it was done all the same, the store's list of leads will say so.
     BecomeIdle();
+    if (stored.error().m_code != ErrorCode::kConflict) {
+      m_retry_at = SteadyTime() + kClaimRetryWait;
+    }
     return;
   }
   const auto entry = DecodeLeadEntry(stored->m_spec);
@@ -161,9 +166,9 @@
   }
   const auto ledger = DecodeStoredLedger(stored->m_spec);
   if (!ledger) {
-    LogEvent(LogEventId::kLeadClaimFailed,
-             {{"code", "invalid_argument"},
-              {"reason", ledger.error().m_message}});
+    LogEvent(
+        LogEventId::kLeadClaimFailed,
+        {{"code", "invalid_argument"}, {"reason", ledger.error().m_message}});
     m_retry_at = now + kStoreRetryWait;
     return;
   }
@@ -175,27 +180,27 @@
 auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
   const auto& domain = m_context.m_settings.m_domain;
   m_writing = true;
-  m_journal.Read(
-      domain, m_context.LeadOf(domain)->m_version, stored,
-      [this, record = stored.m_record](
-          const std::optional<JournalEntry>& entry) mutable {
-        m_writing = false;
-        if (m_phase != Phase::kAdopting) {
-          return;
-        }
-        if (entry) {
-          for (const auto& [program, bound] :
-               entry->m_ledger.m_record.m_bounds) {
-            auto& known = record.m_bounds[program];
-            known = std::max(known, bound);
-          }
-          LogEvent(LogEventId::kJournalUsed,
-                   {{"step", "taken_over"},
-                    {"write", std::to_string(entry->m_ledger.m_write)}});
-        }
-        AdoptRecord(m_ledger, record, SteadyTime());
-        WriteAdopted();
-      });
+  m_journal.Read(domain, m_context.LeadOf(domain)->m_version, stored,
+                 [this, record = stored.m_record](
+                     const std::optional<JournalEntry>& entry) mutable {
+                   m_writing = false;
+                   if (m_phase != Phase::kAdopting) {
+                     return;
+                   }
+                   if (entry) {
+                     for (const auto& [program, bound] :
+                          entry->m_ledger.m_record.m_bounds) {
+                       auto& known = record.m_bounds[program];
+                       known = std::max(known, bound);
+                     }
+                     LogEvent(
+                         LogEventId::kJournalUsed,
+                         {{"step", "taken_over"},
+                          {"write", std::to_string(entry->m_ledger.m_write)}});
+                   }
+                   AdoptRecord(m_ledger, record, SteadyTime());
+                   WriteAdopted();
+                 });
 }
 
 auto LeadService::WriteAdopted() -> void {
@@ -271,7 +276,8 @@
     CallPeer(m_context.m_loop, m_context.m_peers, address, kLeadPath,
              EncodeKnownLead(*own), kFindTimeout,
              [this](const Result<std::string>& /*reply*/) {
-               // One that can't be reached can't be asked by its callers either.
+               // One that can't be reached can't be asked by its callers
+               // either.
                AfterAnnouncement();
              });
   }
@@ -468,15 +474,14 @@
     return;
   }
   const auto& address = m_context.m_leads.at(domain).m_entry.m_peer_address;
-  CallPeer(m_context.m_loop, m_context.m_peers, address, kFindPath,
-           EncodeFindQuestion(
-               {.m_program = program,
-                .m_domain = m_context.m_settings.m_domain,
-                .m_blind = m_ledger.m_accounts.contains(program)}),
-           kFindTimeout,
-           [this, program, domain](const Result<std::string>& reply) {
-             AfterFind(program, domain, reply.and_then(DecodeFindAnswer));
-           });
+  CallPeer(
+      m_context.m_loop, m_context.m_peers, address, kFindPath,
+      EncodeFindQuestion({.m_program = program,
+                          .m_domain = m_context.m_settings.m_domain,
+                          .m_blind = m_ledger.m_accounts.contains(program)}),
+      kFindTimeout, [this, program, domain](const Result<std::string>& reply) {
+        AfterFind(program, domain, reply.and_then(DecodeFindAnswer));
+      });
 }
 
 auto LeadService::AfterFind(const ProgramId& program,
@@ -579,13 +584,13 @@
 // Recording.
 
 auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
-  return {.m_name = m_context.m_settings.m_domain.value(),
-          .m_version = m_ledger_version,
-          .m_spec = EncodeStoredLedger(
-              {.m_host = m_context.m_settings.m_host,
-               .m_incarnation = m_context.m_incarnation,
-               .m_write = ++m_write,
-               .m_record = record})};
+  return {
+      .m_name = m_context.m_settings.m_domain.value(),
+      .m_version = m_ledger_version,
+      .m_spec = EncodeStoredLedger({.m_host = m_context.m_settings.m_host,
+                                    .m_incarnation = m_context.m_incarnation,
+                                    .m_write = ++m_write,
+                                    .m_record = record})};
 }
 
 auto LeadService::WriteJournal(TimePoint now) -> void {
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -101,8 +101,7 @@
   auto Claims(const FindQuestion& question) const -> bool;
 
   auto Decide(const Waiting& waiting) -> void;
-  auto Grant(const Waiting& waiting, const GrantConditions& conditions)
-      -> void;
+  auto Grant(const Waiting& waiting, const GrantConditions& conditions) -> void;
   auto LogDecision(const GrantRequest& request,
                    const GrantConditions& conditions,
                    const TurnGrant& grant) const -> void;
@@ -121,8 +120,8 @@
   auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
 
   auto MaybeWrite(TimePoint now) -> void;
-  auto AfterWrite(const LedgerRecord& record, const Result<StoredObject>& stored)
-      -> void;
+  auto AfterWrite(const LedgerRecord& record,
+                  const Result<StoredObject>& stored) -> void;
   auto CheckLedger(const LedgerRecord& record) -> void;
   auto LoseStore() -> void;
   auto WriteJournal(TimePoint now) -> void;
--- a/src/libgateway/ledger_journal.cc
+++ b/src/libgateway/ledger_journal.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration kRefreshInterval = std::chrono::seconds(10);
+constexpr Duration kRefreshInterval = std::chrono::seconds(30);
 constexpr Duration kRefreshRetryWait = std::chrono::seconds(1);
 /// Longest wait for a disk host: a sync takes 5 ms.
 constexpr Duration kDiskTimeout = std::chrono::milliseconds(150);
@@ -77,18 +77,17 @@
   const auto addresses = m_addresses;
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peers, address, kJournalWritePath,
-             body, kDiskTimeout,
-             [answered](const Result<std::string>& reply) {
+             body, kDiskTimeout, [answered](const Result<std::string>& reply) {
                answered(reply.has_value());
              });
   }
 }
 
-auto LedgerJournal::Read(
-    const DomainId& domain,
-    ResourceVersion claim,
-    const StoredLedger& stored,
-    std::function<void(std::optional<JournalEntry>)> done) -> void {
+auto LedgerJournal::Read(const DomainId& domain,
+                         ResourceVersion claim,
+                         const StoredLedger& stored,
+                         std::function<void(std::optional<JournalEntry>)> done)
+    -> void {
   ListDiskHosts([this, domain, claim, stored, done = std::move(done)] {
     AskDiskHosts({.m_domain = domain, .m_claim = claim}, stored, done);
   });
@@ -121,8 +120,7 @@
   const auto addresses = m_addresses;
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peers, address, kJournalReadPath,
-             body, kDiskTimeout,
-             [answered](const Result<std::string>& reply) {
+             body, kDiskTimeout, [answered](const Result<std::string>& reply) {
                answered(reply.and_then(DecodeJournalEntry));
              });
   }
--- a/src/libgateway/peer_call.cc
+++ b/src/libgateway/peer_call.cc
@@ -75,8 +75,8 @@
 
   auto OnDone() -> void {
     if (m_status != kStatusOk) {
-      Finish(Fail(ErrorCode::kUnavailable,
-                  "status " + std::to_string(m_status), m_address));
+      Finish(Fail(ErrorCode::kUnavailable, "status " + std::to_string(m_status),
+                  m_address));
       return;
     }
     Finish(std::move(m_body));
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -69,8 +69,7 @@
   Store(kind, name, Find(kind, name), true);
 }
 
-auto TestStore::Find(const std::string& kind, const std::string& name)
-    -> Json {
+auto TestStore::Find(const std::string& kind, const std::string& name) -> Json {
   const auto& objects = m_objects[kind];
   const auto found = objects.find(name);
   return found == objects.end() ? Json() : found->second;
@@ -112,10 +111,9 @@
     return;
   }
   if (const auto since = QueryNumber(query, "watch")) {
-    m_waiting.push_back(
-        {connection, kind, since,
-         SteadyTime() +
-             std::chrono::milliseconds(QueryNumber(query, "waitMs"))});
+    m_waiting.push_back({connection, kind, since,
+                         SteadyTime() + std::chrono::milliseconds(
+                                            QueryNumber(query, "waitMs"))});
     Wake();
     return;
   }
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -28,8 +28,7 @@
            const nlohmann::json& spec) -> void;
   auto Remove(const std::string& kind, const std::string& name) -> void;
   /// The object as stored; null if there is none.
-  auto Find(const std::string& kind, const std::string& name)
-      -> nlohmann::json;
+  auto Find(const std::string& kind, const std::string& name) -> nlohmann::json;
   /// While set, every call gets 503.
   auto SetDown(bool down) -> void { m_down = down; }
   auto Tick(TimePoint now) -> void;
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -50,8 +50,8 @@
              "\r\nResponse-Signature: sig\r\n" + more + "\r\n";
     }
     auto Whole(const std::string& body) const -> std::string {
-      return Head(200, "Content-Length: " + std::to_string(body.size()) +
-                           "\r\n") +
+      return Head(200,
+                  "Content-Length: " + std::to_string(body.size()) + "\r\n") +
              body;
     }
   };
@@ -127,11 +127,10 @@
   /// The first answer, if it is whole.
   auto Body() const -> std::optional<std::string> {
     std::string body;
-    ResponseParser parser({}, false,
-                          {.m_on_head = [](ResponseHead&) {},
-                           .m_on_body = [&body](std::string_view bytes) {
-                             body += bytes;
-                           }});
+    ResponseParser parser(
+        {}, false,
+        {.m_on_head = [](ResponseHead&) {},
+         .m_on_body = [&body](std::string_view bytes) { body += bytes; }});
     parser.Feed(m_got);
     if (m_ended) {
       parser.FeedEnd();
@@ -144,7 +143,8 @@
 class TestWorld {
  public:
   TestWorld() : m_store(m_loop) {
-    REQUIRE(StartLogging({.m_level = getenv("DBG") ? LogLevel::kInfo : LogLevel::kError}));
+    REQUIRE(StartLogging(
+        {.m_level = getenv("DBG") ? LogLevel::kInfo : LogLevel::kError}));
     REQUIRE(m_store.Listen(Loopback()));
     m_store.Put("config", "main", nlohmann::json::parse(R"({"version":1,
       "routes":[
@@ -182,9 +182,8 @@
     settings.m_data_dir = folder;
     m_disk_hosts.push_back(std::make_unique<DiskHost>(m_loop, settings));
     REQUIRE(m_disk_hosts.back()->Start());
-    RunUntil([this, &name] {
-      return !m_store.Find("disk-hosts", name).is_null();
-    });
+    RunUntil(
+        [this, &name] { return !m_store.Find("disk-hosts", name).is_null(); });
   }
 
   /// Starts the host and waits until it is ready.
@@ -207,9 +206,8 @@
     socket.connect(m_host->caller_address());
     caller->m_stream = std::make_shared<ByteStream>(std::move(socket));
     caller->m_stream->Start(
-        {.m_on_bytes = [caller](std::string_view bytes) {
-           caller->m_got += bytes;
-         },
+        {.m_on_bytes =
+             [caller](std::string_view bytes) { caller->m_got += bytes; },
          .m_on_end = [caller](StreamEnd /*end*/) { caller->m_ended = true; },
          .m_on_drained = {}});
     caller->m_stream->Write(request);
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -68,14 +68,13 @@
     return;
   }
   m_read_armed = true;
-  m_socket.async_wait(
-      asio::socket_base::wait_read,
-      [self = shared_from_this()](const ErrorCodeIn& error) {
-        self->m_read_armed = false;
-        if (!error && !self->m_closed) {
-          self->OnReadable();
-        }
-      });
+  m_socket.async_wait(asio::socket_base::wait_read,
+                      [self = shared_from_this()](const ErrorCodeIn& error) {
+                        self->m_read_armed = false;
+                        if (!error && !self->m_closed) {
+                          self->OnReadable();
+                        }
+                      });
 }
 
 auto ByteStream::OnReadable() -> void {
@@ -186,8 +185,8 @@
   m_closing = true;
   asio::post(m_socket.get_executor(),
              [self = shared_from_this()] { self->m_handlers = {}; });
-  m_linger_timer = std::make_unique<asio::steady_timer>(
-      m_socket.get_executor(), kLingerTime);
+  m_linger_timer = std::make_unique<asio::steady_timer>(m_socket.get_executor(),
+                                                        kLingerTime);
   m_linger_timer->async_wait(
       [self = shared_from_this()](const ErrorCodeIn& error) {
         if (!error) {
--- a/src/libhttp/http_client.cc
+++ b/src/libhttp/http_client.cc
@@ -97,20 +97,19 @@
   m_connecting.reset();
   m_reusable = true;
   const std::weak_ptr<ClientConnection> weak = weak_from_this();
-  m_stream->Start(
-      {.m_on_bytes =
-           [weak](std::string_view bytes) {
-             if (const auto self = weak.lock()) {
-               self->OnBytes(bytes);
-             }
-           },
-       .m_on_end =
-           [weak](StreamEnd end) {
-             if (const auto self = weak.lock()) {
-               self->OnEnd(end);
-             }
-           },
-       .m_on_drained = {}});
+  m_stream->Start({.m_on_bytes =
+                       [weak](std::string_view bytes) {
+                         if (const auto self = weak.lock()) {
+                           self->OnBytes(bytes);
+                         }
+                       },
+                   .m_on_end =
+                       [weak](StreamEnd end) {
+                         if (const auto self = weak.lock()) {
+                           self->OnEnd(end);
+                         }
+                       },
+                   .m_on_drained = {}});
 }
 
 auto ClientConnection::reusable() const -> bool {
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -28,8 +28,7 @@
 ServerConnection::ServerConnection(HttpListener& listener, TcpSocket socket)
     : m_listener(&listener),
       m_stream(std::make_shared<ByteStream>(std::move(socket))),
-      m_parser(
-          std::make_unique<RequestParser>(listener.m_limits.m_parser)),
+      m_parser(std::make_unique<RequestParser>(listener.m_limits.m_parser)),
       m_since(SteadyTime()) {}
 
 auto ServerConnection::Start() -> void {
@@ -289,9 +288,9 @@
     m_acceptor.listen(kListenBacklog, error);
   }
   if (error) {
-    return Fail(ErrorCode::kUnavailable, error.message(),
-                address.address().to_string() + ":" +
-                    std::to_string(address.port()));
+    return Fail(
+        ErrorCode::kUnavailable, error.message(),
+        address.address().to_string() + ":" + std::to_string(address.port()));
   }
   Accept();
   return {};
--- a/src/libhttp/http_message.cc
+++ b/src/libhttp/http_message.cc
@@ -30,19 +30,18 @@
 }
 
 auto IsHopByHop(std::string_view name) -> bool {
-  return std::any_of(kHopByHop.begin(), kHopByHop.end(),
-                     [name](std::string_view one) {
-                       return EqualsIgnoringCase(one, name);
-                     });
+  return std::any_of(
+      kHopByHop.begin(), kHopByHop.end(),
+      [name](std::string_view one) { return EqualsIgnoringCase(one, name); });
 }
 
 auto NamedByConnection(const HttpFields& fields, std::string_view name)
     -> bool {
-  return std::any_of(
-      fields.begin(), fields.end(), [name](const HttpField& field) {
-        return EqualsIgnoringCase(field.m_name, "connection") &&
-               HasToken(field.m_value, name);
-      });
+  return std::any_of(fields.begin(), fields.end(),
+                     [name](const HttpField& field) {
+                       return EqualsIgnoringCase(field.m_name, "connection") &&
+                              HasToken(field.m_value, name);
+                     });
 }
 
 auto UsuallyHasBody(std::string_view method) -> bool {
--- a/src/libhttp/http_parser.cc
+++ b/src/libhttp/http_parser.cc
@@ -80,8 +80,7 @@
                      beast::string_view name,
                      beast::string_view value,
                      ErrorCodeIn& error) -> void override {
-    m_fields.push_back(
-        {std::string(ToView(name)), std::string(ToView(value))});
+    m_fields.push_back({std::string(ToView(name)), std::string(ToView(value))});
     error = {};
   }
   auto on_header_impl(ErrorCodeIn& error) -> void override {
@@ -178,8 +177,8 @@
     while (used < input.size() && !m_parser->is_done()) {
       ErrorCodeIn error;
       const auto rest = input.substr(used);
-      used += m_parser->put(boost::asio::buffer(rest.data(), rest.size()),
-                            error);
+      used +=
+          m_parser->put(boost::asio::buffer(rest.data(), rest.size()), error);
       if (error == http::error::need_more) {
         break;
       }
@@ -312,8 +311,7 @@
   std::size_t used = 0;
   do {
     used += m_impl->m_feeder.Feed(bytes.substr(used));
-    const auto interim_over =
-        m_impl->m_interim && state() == ParseState::kDone;
+    const auto interim_over = m_impl->m_interim && state() == ParseState::kDone;
     if (!interim_over) {
       break;
     }
--- a/src/libhttp/http_parser_unittest.cc
+++ b/src/libhttp/http_parser_unittest.cc
@@ -61,8 +61,7 @@
       "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n",
       "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
       "Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: +5\r\n",
-      "Content-Length : 5\r\n",
-      "Content-Length: -1\r\n");
+      "Content-Length : 5\r\n", "Content-Length: -1\r\n");
   RequestParser parser({});
   CAPTURE(head);
   parser.Feed("POST / HTTP/1.1\r\nHost: x\r\n" + std::string(head) +
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -35,8 +35,7 @@
 
 /// The most that all grants of a program may sum up to without a new record.
 auto GrantLimit(const ProgramAccount& account) -> Tokens {
-  const auto advance =
-      account.m_has_advance ? account.m_turn_max : Tokens(0);
+  const auto advance = account.m_has_advance ? account.m_turn_max : Tokens(0);
   return account.m_blind
              ? advance
              : std::min(account.m_budget, SecuredBound(account) + advance);
@@ -61,10 +60,8 @@
 }
 
 /// What the turn gets of @p room.
-auto PartOf(const ProgramLedger& ledger,
-            Tokens room,
-            Tokens most,
-            bool partial) -> Tokens {
+auto PartOf(const ProgramLedger& ledger, Tokens room, Tokens most, bool partial)
+    -> Tokens {
   if (room >= most) {
     return most;
   }
@@ -92,10 +89,9 @@
                   const GrantConditions& conditions,
                   TimePoint now) -> TurnGrant {
   const auto found = ledger.m_accounts.find(request.m_program);
-  auto& account =
-      found == ledger.m_accounts.end()
-          ? OpenAccount(ledger, request, conditions.m_blind, now)
-          : found->second;
+  auto& account = found == ledger.m_accounts.end()
+                      ? OpenAccount(ledger, request, conditions.m_blind, now)
+                      : found->second;
   account.m_last_used = now;
   account.m_budget = std::max(account.m_budget, request.m_budget);
   account.m_turn_max = std::max(account.m_turn_max, request.m_turn_max);
@@ -109,11 +105,10 @@
   if (!account.m_blind && granted + most > account.m_budget) {
     return {GrantDecision::kBudgetSpent};
   }
-  const auto tokens = PartOf(ledger, GrantLimit(account) - granted, most,
-                             conditions.m_partial);
-  const auto next_fits =
-      granted + tokens + most <= SecuredBound(account) ||
-      SecuredBound(account) >= account.m_budget;
+  const auto tokens =
+      PartOf(ledger, GrantLimit(account) - granted, most, conditions.m_partial);
+  const auto next_fits = granted + tokens + most <= SecuredBound(account) ||
+                         SecuredBound(account) >= account.m_budget;
   ledger.m_dirty = ledger.m_dirty || (!account.m_blind && !next_fits);
   if (tokens == Tokens(0) && most > Tokens(0)) {
     return {GrantDecision::kNeedsRecord};
@@ -157,8 +152,7 @@
     }
     const auto bound = WantedBound(ledger, account);
     record.m_bounds.emplace(program, bound);
-    account.m_recording =
-        std::min(account.m_recording.value_or(bound), bound);
+    account.m_recording = std::min(account.m_recording.value_or(bound), bound);
   }
   ledger.m_dirty = false;
   return record;
--- a/src/libledger/program_ledger_walk_unittest.cc
+++ b/src/libledger/program_ledger_walk_unittest.cc
@@ -140,7 +140,8 @@
     world.m_lead_was_lost = true;
     return;
   }
-  for (auto* lead : {&world.m_lead, world.m_stale ? &*world.m_stale : nullptr}) {
+  for (auto* lead :
+       {&world.m_lead, world.m_stale ? &*world.m_stale : nullptr}) {
     if (lead != nullptr && lead->m_term == turn.m_term) {
       SettleTurn(lead->m_ledger, ProgramId(turn.m_program),
                  RequestId(turn.m_request), used, world.m_now);
