--- a/src/libpeer/call.capnp.h
+++ b/src/libpeer/call.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -40,11 +40,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(9a2c09fb4538702d, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -57,11 +55,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cd736d60f1893931, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -71,18 +67,16 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     NONE,
     SOME,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a34b2c3c75057f60, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -92,18 +86,16 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     NONE,
     SOME,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ec65b4a32fa43f40, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -113,18 +105,16 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     NONE,
     SOME,
   };
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(817312ab40b4b4b4, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -137,11 +127,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f8a7255a8f660c11, 7, 14)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -154,11 +142,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d1bf179f75f88bab, 4, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -171,22 +157,20 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b61360241a2c2d59, 5, 7)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class HostRef::Reader {
- public:
+public:
   typedef HostRef Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -199,11 +183,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline ::int64_t getIncarnation() const;
+  inline  ::int64_t getIncarnation() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -216,36 +200,32 @@
 };
 
 class HostRef::Builder {
- public:
+public:
   typedef HostRef Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline ::int64_t getIncarnation();
-  inline void setIncarnation(::int64_t value);
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -256,14 +236,14 @@
 
 #if !CAPNP_LITE
 class HostRef::Pipeline {
- public:
+public:
   typedef HostRef Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -272,11 +252,11 @@
 #endif  // !CAPNP_LITE
 
 class ContinuationToken::Reader {
- public:
+public:
   typedef ContinuationToken Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -289,21 +269,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::int64_t getTurn() const;
+  inline  ::int64_t getTurn() const;
 
   inline bool hasChain() const;
-  inline ::capnp::Text::Reader getChain() const;
+  inline  ::capnp::Text::Reader getChain() const;
 
   inline bool hasHolders() const;
-  inline ::capnp::List<::dotterelshed::wire::HostRef,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHolders() const;
+  inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Reader getHolders() const;
 
-  inline ::int64_t getSpentMicros() const;
+  inline  ::int64_t getSpentMicros() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -316,62 +294,49 @@
 };
 
 class ContinuationToken::Builder {
- public:
+public:
   typedef ContinuationToken Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::int64_t getTurn();
-  inline void setTurn(::int64_t value);
+  inline  ::int64_t getTurn();
+  inline void setTurn( ::int64_t value);
 
   inline bool hasChain();
-  inline ::capnp::Text::Builder getChain();
-  inline void setChain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initChain(unsigned int size);
-  inline void adoptChain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownChain();
+  inline  ::capnp::Text::Builder getChain();
+  inline void setChain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChain(unsigned int size);
+  inline void adoptChain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChain();
 
   inline bool hasHolders();
-  inline ::capnp::List<::dotterelshed::wire::HostRef,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHolders();
-  inline void setHolders(::capnp::List<::dotterelshed::wire::HostRef,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::wire::HostRef,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHolders(unsigned int size);
-  inline void adoptHolders(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::wire::HostRef,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>
-  disownHolders();
-
-  inline ::int64_t getSpentMicros();
-  inline void setSpentMicros(::int64_t value);
-
- private:
+  inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Builder getHolders();
+  inline void setHolders( ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Builder initHolders(unsigned int size);
+  inline void adoptHolders(::capnp::Orphan< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>> disownHolders();
+
+  inline  ::int64_t getSpentMicros();
+  inline void setSpentMicros( ::int64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -382,14 +347,14 @@
 
 #if !CAPNP_LITE
 class ContinuationToken::Pipeline {
- public:
+public:
   typedef ContinuationToken Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -398,11 +363,11 @@
 #endif  // !CAPNP_LITE
 
 class OptionalText::Reader {
- public:
+public:
   typedef OptionalText Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -416,13 +381,13 @@
 
   inline Which which() const;
   inline bool isNone() const;
-  inline ::capnp::Void getNone() const;
+  inline  ::capnp::Void getNone() const;
 
   inline bool isSome() const;
   inline bool hasSome() const;
-  inline ::capnp::Text::Reader getSome() const;
+  inline  ::capnp::Text::Reader getSome() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -435,39 +400,35 @@
 };
 
 class OptionalText::Builder {
- public:
+public:
   typedef OptionalText Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isNone();
-  inline ::capnp::Void getNone();
-  inline void setNone(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getNone();
+  inline void setNone( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isSome();
   inline bool hasSome();
-  inline ::capnp::Text::Builder getSome();
-  inline void setSome(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initSome(unsigned int size);
-  inline void adoptSome(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownSome();
+  inline  ::capnp::Text::Builder getSome();
+  inline void setSome( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSome(unsigned int size);
+  inline void adoptSome(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSome();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -478,14 +439,14 @@
 
 #if !CAPNP_LITE
 class OptionalText::Pipeline {
- public:
+public:
   typedef OptionalText Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -494,11 +455,11 @@
 #endif  // !CAPNP_LITE
 
 class OptionalInt64::Reader {
- public:
+public:
   typedef OptionalInt64 Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -512,12 +473,12 @@
 
   inline Which which() const;
   inline bool isNone() const;
-  inline ::capnp::Void getNone() const;
+  inline  ::capnp::Void getNone() const;
 
   inline bool isSome() const;
-  inline ::int64_t getSome() const;
+  inline  ::int64_t getSome() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -530,35 +491,31 @@
 };
 
 class OptionalInt64::Builder {
- public:
+public:
   typedef OptionalInt64 Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isNone();
-  inline ::capnp::Void getNone();
-  inline void setNone(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getNone();
+  inline void setNone( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isSome();
-  inline ::int64_t getSome();
-  inline void setSome(::int64_t value);
+  inline  ::int64_t getSome();
+  inline void setSome( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -569,14 +526,14 @@
 
 #if !CAPNP_LITE
 class OptionalInt64::Pipeline {
- public:
+public:
   typedef OptionalInt64 Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -585,11 +542,11 @@
 #endif  // !CAPNP_LITE
 
 class OptionalToken::Reader {
- public:
+public:
   typedef OptionalToken Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -603,13 +560,13 @@
 
   inline Which which() const;
   inline bool isNone() const;
-  inline ::capnp::Void getNone() const;
+  inline  ::capnp::Void getNone() const;
 
   inline bool isSome() const;
   inline bool hasSome() const;
-  inline ::dotterelshed::wire::ContinuationToken::Reader getSome() const;
+  inline  ::dotterelshed::wire::ContinuationToken::Reader getSome() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -622,40 +579,35 @@
 };
 
 class OptionalToken::Builder {
- public:
+public:
   typedef OptionalToken Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isNone();
-  inline ::capnp::Void getNone();
-  inline void setNone(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getNone();
+  inline void setNone( ::capnp::Void value = ::capnp::VOID);
 
   inline bool isSome();
   inline bool hasSome();
-  inline ::dotterelshed::wire::ContinuationToken::Builder getSome();
-  inline void setSome(::dotterelshed::wire::ContinuationToken::Reader value);
-  inline ::dotterelshed::wire::ContinuationToken::Builder initSome();
-  inline void adoptSome(
-      ::capnp::Orphan<::dotterelshed::wire::ContinuationToken>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::ContinuationToken> disownSome();
-
- private:
+  inline  ::dotterelshed::wire::ContinuationToken::Builder getSome();
+  inline void setSome( ::dotterelshed::wire::ContinuationToken::Reader value);
+  inline  ::dotterelshed::wire::ContinuationToken::Builder initSome();
+  inline void adoptSome(::capnp::Orphan< ::dotterelshed::wire::ContinuationToken>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::ContinuationToken> disownSome();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -666,14 +618,14 @@
 
 #if !CAPNP_LITE
 class OptionalToken::Pipeline {
- public:
+public:
   typedef OptionalToken Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -682,11 +634,11 @@
 #endif  // !CAPNP_LITE
 
 class CallRequest::Reader {
- public:
+public:
   typedef CallRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -699,58 +651,58 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::capnp::Text::Reader getRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
   inline bool hasRoot() const;
-  inline ::capnp::Text::Reader getRoot() const;
+  inline  ::capnp::Text::Reader getRoot() const;
 
   inline bool hasParent() const;
-  inline ::dotterelshed::wire::OptionalText::Reader getParent() const;
+  inline  ::dotterelshed::wire::OptionalText::Reader getParent() const;
 
-  inline ::int64_t getTurn() const;
+  inline  ::int64_t getTurn() const;
 
   inline bool hasToken() const;
-  inline ::dotterelshed::wire::OptionalToken::Reader getToken() const;
+  inline  ::dotterelshed::wire::OptionalToken::Reader getToken() const;
 
   inline bool hasKey() const;
-  inline ::dotterelshed::wire::OptionalText::Reader getKey() const;
+  inline  ::dotterelshed::wire::OptionalText::Reader getKey() const;
 
   inline bool hasAccount() const;
-  inline ::capnp::Text::Reader getAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
   inline bool hasClass() const;
-  inline ::capnp::Text::Reader getClass() const;
+  inline  ::capnp::Text::Reader getClass() const;
 
-  inline ::uint16_t getKind() const;
+  inline  ::uint16_t getKind() const;
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasModel() const;
-  inline ::capnp::Text::Reader getModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
   inline bool hasPath() const;
-  inline ::capnp::Text::Reader getPath() const;
+  inline  ::capnp::Text::Reader getPath() const;
 
   inline bool hasContent() const;
-  inline ::capnp::Text::Reader getContent() const;
+  inline  ::capnp::Text::Reader getContent() const;
 
-  inline ::int64_t getPromptTokens() const;
+  inline  ::int64_t getPromptTokens() const;
 
-  inline ::int64_t getMaxTokens() const;
+  inline  ::int64_t getMaxTokens() const;
 
-  inline ::int64_t getCostBoundMicros() const;
+  inline  ::int64_t getCostBoundMicros() const;
 
   inline bool hasBudgetMicros() const;
-  inline ::dotterelshed::wire::OptionalInt64::Reader getBudgetMicros() const;
+  inline  ::dotterelshed::wire::OptionalInt64::Reader getBudgetMicros() const;
 
-  inline ::int64_t getDeadlineInUs() const;
+  inline  ::int64_t getDeadlineInUs() const;
 
   inline bool getRepeatable() const;
 
@@ -758,9 +710,9 @@
 
   inline bool getEndProgram() const;
 
-  inline ::int64_t getExpectedPauseUs() const;
+  inline  ::int64_t getExpectedPauseUs() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -773,146 +725,136 @@
 };
 
 class CallRequest::Builder {
- public:
+public:
   typedef CallRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::capnp::Text::Builder getRequest();
-  inline void setRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
   inline bool hasRoot();
-  inline ::capnp::Text::Builder getRoot();
-  inline void setRoot(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRoot(unsigned int size);
-  inline void adoptRoot(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRoot();
+  inline  ::capnp::Text::Builder getRoot();
+  inline void setRoot( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoot();
 
   inline bool hasParent();
-  inline ::dotterelshed::wire::OptionalText::Builder getParent();
-  inline void setParent(::dotterelshed::wire::OptionalText::Reader value);
-  inline ::dotterelshed::wire::OptionalText::Builder initParent();
-  inline void adoptParent(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalText>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalText> disownParent();
+  inline  ::dotterelshed::wire::OptionalText::Builder getParent();
+  inline void setParent( ::dotterelshed::wire::OptionalText::Reader value);
+  inline  ::dotterelshed::wire::OptionalText::Builder initParent();
+  inline void adoptParent(::capnp::Orphan< ::dotterelshed::wire::OptionalText>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalText> disownParent();
 
-  inline ::int64_t getTurn();
-  inline void setTurn(::int64_t value);
+  inline  ::int64_t getTurn();
+  inline void setTurn( ::int64_t value);
 
   inline bool hasToken();
-  inline ::dotterelshed::wire::OptionalToken::Builder getToken();
-  inline void setToken(::dotterelshed::wire::OptionalToken::Reader value);
-  inline ::dotterelshed::wire::OptionalToken::Builder initToken();
-  inline void adoptToken(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalToken>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalToken> disownToken();
+  inline  ::dotterelshed::wire::OptionalToken::Builder getToken();
+  inline void setToken( ::dotterelshed::wire::OptionalToken::Reader value);
+  inline  ::dotterelshed::wire::OptionalToken::Builder initToken();
+  inline void adoptToken(::capnp::Orphan< ::dotterelshed::wire::OptionalToken>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalToken> disownToken();
 
   inline bool hasKey();
-  inline ::dotterelshed::wire::OptionalText::Builder getKey();
-  inline void setKey(::dotterelshed::wire::OptionalText::Reader value);
-  inline ::dotterelshed::wire::OptionalText::Builder initKey();
-  inline void adoptKey(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalText>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalText> disownKey();
+  inline  ::dotterelshed::wire::OptionalText::Builder getKey();
+  inline void setKey( ::dotterelshed::wire::OptionalText::Reader value);
+  inline  ::dotterelshed::wire::OptionalText::Builder initKey();
+  inline void adoptKey(::capnp::Orphan< ::dotterelshed::wire::OptionalText>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalText> disownKey();
 
   inline bool hasAccount();
-  inline ::capnp::Text::Builder getAccount();
-  inline void setAccount(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
   inline bool hasClass();
-  inline ::capnp::Text::Builder getClass();
-  inline void setClass(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initClass(unsigned int size);
-  inline void adoptClass(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownClass();
+  inline  ::capnp::Text::Builder getClass();
+  inline void setClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClass(unsigned int size);
+  inline void adoptClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClass();
 
-  inline ::uint16_t getKind();
-  inline void setKind(::uint16_t value);
+  inline  ::uint16_t getKind();
+  inline void setKind( ::uint16_t value);
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasModel();
-  inline ::capnp::Text::Builder getModel();
-  inline void setModel(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
   inline bool hasPath();
-  inline ::capnp::Text::Builder getPath();
-  inline void setPath(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPath(unsigned int size);
-  inline void adoptPath(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPath();
+  inline  ::capnp::Text::Builder getPath();
+  inline void setPath( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPath(unsigned int size);
+  inline void adoptPath(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPath();
 
   inline bool hasContent();
-  inline ::capnp::Text::Builder getContent();
-  inline void setContent(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContent(unsigned int size);
-  inline void adoptContent(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownContent();
+  inline  ::capnp::Text::Builder getContent();
+  inline void setContent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContent(unsigned int size);
+  inline void adoptContent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContent();
 
-  inline ::int64_t getPromptTokens();
-  inline void setPromptTokens(::int64_t value);
+  inline  ::int64_t getPromptTokens();
+  inline void setPromptTokens( ::int64_t value);
 
-  inline ::int64_t getMaxTokens();
-  inline void setMaxTokens(::int64_t value);
+  inline  ::int64_t getMaxTokens();
+  inline void setMaxTokens( ::int64_t value);
 
-  inline ::int64_t getCostBoundMicros();
-  inline void setCostBoundMicros(::int64_t value);
+  inline  ::int64_t getCostBoundMicros();
+  inline void setCostBoundMicros( ::int64_t value);
 
   inline bool hasBudgetMicros();
-  inline ::dotterelshed::wire::OptionalInt64::Builder getBudgetMicros();
-  inline void setBudgetMicros(
-      ::dotterelshed::wire::OptionalInt64::Reader value);
-  inline ::dotterelshed::wire::OptionalInt64::Builder initBudgetMicros();
-  inline void adoptBudgetMicros(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>
-  disownBudgetMicros();
-
-  inline ::int64_t getDeadlineInUs();
-  inline void setDeadlineInUs(::int64_t value);
+  inline  ::dotterelshed::wire::OptionalInt64::Builder getBudgetMicros();
+  inline void setBudgetMicros( ::dotterelshed::wire::OptionalInt64::Reader value);
+  inline  ::dotterelshed::wire::OptionalInt64::Builder initBudgetMicros();
+  inline void adoptBudgetMicros(::capnp::Orphan< ::dotterelshed::wire::OptionalInt64>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64> disownBudgetMicros();
+
+  inline  ::int64_t getDeadlineInUs();
+  inline void setDeadlineInUs( ::int64_t value);
 
   inline bool getRepeatable();
   inline void setRepeatable(bool value);
@@ -923,10 +865,10 @@
   inline bool getEndProgram();
   inline void setEndProgram(bool value);
 
-  inline ::int64_t getExpectedPauseUs();
-  inline void setExpectedPauseUs(::int64_t value);
+  inline  ::int64_t getExpectedPauseUs();
+  inline void setExpectedPauseUs( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -937,19 +879,18 @@
 
 #if !CAPNP_LITE
 class CallRequest::Pipeline {
- public:
+public:
   typedef CallRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::OptionalText::Pipeline getParent();
-  inline ::dotterelshed::wire::OptionalToken::Pipeline getToken();
-  inline ::dotterelshed::wire::OptionalText::Pipeline getKey();
-  inline ::dotterelshed::wire::OptionalInt64::Pipeline getBudgetMicros();
-
- private:
+  inline  ::dotterelshed::wire::OptionalText::Pipeline getParent();
+  inline  ::dotterelshed::wire::OptionalToken::Pipeline getToken();
+  inline  ::dotterelshed::wire::OptionalText::Pipeline getKey();
+  inline  ::dotterelshed::wire::OptionalInt64::Pipeline getBudgetMicros();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -958,11 +899,11 @@
 #endif  // !CAPNP_LITE
 
 class Usage::Reader {
- public:
+public:
   typedef Usage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -974,15 +915,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::int64_t getPrompt() const;
+  inline  ::int64_t getPrompt() const;
 
-  inline ::int64_t getCached() const;
+  inline  ::int64_t getCached() const;
 
-  inline ::int64_t getGenerated() const;
+  inline  ::int64_t getGenerated() const;
 
-  inline ::int64_t getCostMicros() const;
+  inline  ::int64_t getCostMicros() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -995,38 +936,34 @@
 };
 
 class Usage::Builder {
- public:
+public:
   typedef Usage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::int64_t getPrompt();
-  inline void setPrompt(::int64_t value);
+  inline  ::int64_t getPrompt();
+  inline void setPrompt( ::int64_t value);
 
-  inline ::int64_t getCached();
-  inline void setCached(::int64_t value);
+  inline  ::int64_t getCached();
+  inline void setCached( ::int64_t value);
 
-  inline ::int64_t getGenerated();
-  inline void setGenerated(::int64_t value);
+  inline  ::int64_t getGenerated();
+  inline void setGenerated( ::int64_t value);
 
-  inline ::int64_t getCostMicros();
-  inline void setCostMicros(::int64_t value);
+  inline  ::int64_t getCostMicros();
+  inline void setCostMicros( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1037,14 +974,14 @@
 
 #if !CAPNP_LITE
 class Usage::Pipeline {
- public:
+public:
   typedef Usage Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1053,11 +990,11 @@
 #endif  // !CAPNP_LITE
 
 class CallAnswer::Reader {
- public:
+public:
   typedef CallAnswer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1070,41 +1007,41 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::capnp::Text::Reader getRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::int64_t getTurn() const;
+  inline  ::int64_t getTurn() const;
 
-  inline ::uint16_t getOutcome() const;
+  inline  ::uint16_t getOutcome() const;
 
-  inline ::uint16_t getReason() const;
+  inline  ::uint16_t getReason() const;
 
   inline bool hasMessage() const;
-  inline ::capnp::Text::Reader getMessage() const;
+  inline  ::capnp::Text::Reader getMessage() const;
 
   inline bool hasBody() const;
-  inline ::capnp::Data::Reader getBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
 
-  inline ::int32_t getHttpStatus() const;
+  inline  ::int32_t getHttpStatus() const;
 
   inline bool hasUsage() const;
-  inline ::dotterelshed::wire::Usage::Reader getUsage() const;
+  inline  ::dotterelshed::wire::Usage::Reader getUsage() const;
 
-  inline ::int64_t getSpentMicros() const;
+  inline  ::int64_t getSpentMicros() const;
 
-  inline ::int64_t getRemainingMicros() const;
+  inline  ::int64_t getRemainingMicros() const;
 
   inline bool hasRetryAfterUs() const;
-  inline ::dotterelshed::wire::OptionalInt64::Reader getRetryAfterUs() const;
+  inline  ::dotterelshed::wire::OptionalInt64::Reader getRetryAfterUs() const;
 
   inline bool hasToken() const;
-  inline ::dotterelshed::wire::OptionalToken::Reader getToken() const;
+  inline  ::dotterelshed::wire::OptionalToken::Reader getToken() const;
 
   inline bool getProvisional() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1117,100 +1054,92 @@
 };
 
 class CallAnswer::Builder {
- public:
+public:
   typedef CallAnswer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::capnp::Text::Builder getRequest();
-  inline void setRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::int64_t getTurn();
-  inline void setTurn(::int64_t value);
+  inline  ::int64_t getTurn();
+  inline void setTurn( ::int64_t value);
 
-  inline ::uint16_t getOutcome();
-  inline void setOutcome(::uint16_t value);
+  inline  ::uint16_t getOutcome();
+  inline void setOutcome( ::uint16_t value);
 
-  inline ::uint16_t getReason();
-  inline void setReason(::uint16_t value);
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
 
   inline bool hasMessage();
-  inline ::capnp::Text::Builder getMessage();
-  inline void setMessage(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownMessage();
+  inline  ::capnp::Text::Builder getMessage();
+  inline void setMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMessage();
 
   inline bool hasBody();
-  inline ::capnp::Data::Builder getBody();
-  inline void setBody(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
-  inline ::int32_t getHttpStatus();
-  inline void setHttpStatus(::int32_t value);
+  inline  ::int32_t getHttpStatus();
+  inline void setHttpStatus( ::int32_t value);
 
   inline bool hasUsage();
-  inline ::dotterelshed::wire::Usage::Builder getUsage();
-  inline void setUsage(::dotterelshed::wire::Usage::Reader value);
-  inline ::dotterelshed::wire::Usage::Builder initUsage();
-  inline void adoptUsage(::capnp::Orphan<::dotterelshed::wire::Usage>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::Usage> disownUsage();
+  inline  ::dotterelshed::wire::Usage::Builder getUsage();
+  inline void setUsage( ::dotterelshed::wire::Usage::Reader value);
+  inline  ::dotterelshed::wire::Usage::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::dotterelshed::wire::Usage>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::Usage> disownUsage();
 
-  inline ::int64_t getSpentMicros();
-  inline void setSpentMicros(::int64_t value);
+  inline  ::int64_t getSpentMicros();
+  inline void setSpentMicros( ::int64_t value);
 
-  inline ::int64_t getRemainingMicros();
-  inline void setRemainingMicros(::int64_t value);
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
 
   inline bool hasRetryAfterUs();
-  inline ::dotterelshed::wire::OptionalInt64::Builder getRetryAfterUs();
-  inline void setRetryAfterUs(
-      ::dotterelshed::wire::OptionalInt64::Reader value);
-  inline ::dotterelshed::wire::OptionalInt64::Builder initRetryAfterUs();
-  inline void adoptRetryAfterUs(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>
-  disownRetryAfterUs();
+  inline  ::dotterelshed::wire::OptionalInt64::Builder getRetryAfterUs();
+  inline void setRetryAfterUs( ::dotterelshed::wire::OptionalInt64::Reader value);
+  inline  ::dotterelshed::wire::OptionalInt64::Builder initRetryAfterUs();
+  inline void adoptRetryAfterUs(::capnp::Orphan< ::dotterelshed::wire::OptionalInt64>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64> disownRetryAfterUs();
 
   inline bool hasToken();
-  inline ::dotterelshed::wire::OptionalToken::Builder getToken();
-  inline void setToken(::dotterelshed::wire::OptionalToken::Reader value);
-  inline ::dotterelshed::wire::OptionalToken::Builder initToken();
-  inline void adoptToken(
-      ::capnp::Orphan<::dotterelshed::wire::OptionalToken>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::OptionalToken> disownToken();
+  inline  ::dotterelshed::wire::OptionalToken::Builder getToken();
+  inline void setToken( ::dotterelshed::wire::OptionalToken::Reader value);
+  inline  ::dotterelshed::wire::OptionalToken::Builder initToken();
+  inline void adoptToken(::capnp::Orphan< ::dotterelshed::wire::OptionalToken>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::OptionalToken> disownToken();
 
   inline bool getProvisional();
   inline void setProvisional(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1221,18 +1150,17 @@
 
 #if !CAPNP_LITE
 class CallAnswer::Pipeline {
- public:
+public:
   typedef CallAnswer Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::Usage::Pipeline getUsage();
-  inline ::dotterelshed::wire::OptionalInt64::Pipeline getRetryAfterUs();
-  inline ::dotterelshed::wire::OptionalToken::Pipeline getToken();
-
- private:
+  inline  ::dotterelshed::wire::Usage::Pipeline getUsage();
+  inline  ::dotterelshed::wire::OptionalInt64::Pipeline getRetryAfterUs();
+  inline  ::dotterelshed::wire::OptionalToken::Pipeline getToken();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1243,226 +1171,190 @@
 // =======================================================================================
 
 inline bool HostRef::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostRef::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostRef::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostRef::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostRef::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostRef::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostRef::Builder::setHost(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HostRef::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostRef::Builder::initHost(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostRef::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HostRef::Builder::adoptHost(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostRef::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostRef::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t HostRef::Reader::getIncarnation() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t HostRef::Reader::getIncarnation() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t HostRef::Builder::getIncarnation() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t HostRef::Builder::getIncarnation() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostRef::Builder::setIncarnation(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void HostRef::Builder::setIncarnation( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ContinuationToken::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ContinuationToken::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ContinuationToken::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ContinuationToken::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ContinuationToken::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ContinuationToken::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ContinuationToken::Builder::setProgram(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ContinuationToken::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ContinuationToken::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ContinuationToken::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ContinuationToken::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-ContinuationToken::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ContinuationToken::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ContinuationToken::Reader::getTurn() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ContinuationToken::Reader::getTurn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ContinuationToken::Builder::getTurn() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ContinuationToken::Builder::getTurn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ContinuationToken::Builder::setTurn(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ContinuationToken::Builder::setTurn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ContinuationToken::Reader::hasChain() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ContinuationToken::Builder::hasChain() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ContinuationToken::Reader::getChain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ContinuationToken::Reader::getChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ContinuationToken::Builder::getChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ContinuationToken::Builder::getChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ContinuationToken::Builder::setChain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ContinuationToken::Builder::setChain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ContinuationToken::Builder::initChain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ContinuationToken::Builder::initChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ContinuationToken::Builder::adoptChain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-ContinuationToken::Builder::disownChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ContinuationToken::Builder::disownChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ContinuationToken::Reader::hasHolders() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ContinuationToken::Builder::hasHolders() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::wire::HostRef,
-                     ::capnp::Kind::STRUCT>::Reader
-ContinuationToken::Reader::getHolders() const {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::wire::HostRef,
-                     ::capnp::Kind::STRUCT>::Builder
-ContinuationToken::Builder::getHolders() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void ContinuationToken::Builder::setHolders(
-    ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>::Reader
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::wire::HostRef,
-                     ::capnp::Kind::STRUCT>::Builder
-ContinuationToken::Builder::initHolders(unsigned int size) {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Reader ContinuationToken::Reader::getHolders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Builder ContinuationToken::Builder::getHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ContinuationToken::Builder::setHolders( ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>::Builder ContinuationToken::Builder::initHolders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ContinuationToken::Builder::adoptHolders(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::wire::HostRef,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>
-ContinuationToken::Builder::disownHolders() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::dotterelshed::wire::HostRef, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>> ContinuationToken::Builder::disownHolders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::wire::HostRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ContinuationToken::Reader::getSpentMicros() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ContinuationToken::Reader::getSpentMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ContinuationToken::Builder::getSpentMicros() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ContinuationToken::Builder::getSpentMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ContinuationToken::Builder::setSpentMicros(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ContinuationToken::Builder::setSpentMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::dotterelshed::wire::OptionalText::Which OptionalText::Reader::which()
-    const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalText::Which OptionalText::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::dotterelshed::wire::OptionalText::Which
-OptionalText::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalText::Which OptionalText::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool OptionalText::Reader::isNone() const {
@@ -1471,23 +1363,23 @@
 inline bool OptionalText::Builder::isNone() {
   return which() == OptionalText::NONE;
 }
-inline ::capnp::Void OptionalText::Reader::getNone() const {
+inline  ::capnp::Void OptionalText::Reader::getNone() const {
   KJ_IREQUIRE((which() == OptionalText::NONE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                             ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void OptionalText::Builder::getNone() {
+inline  ::capnp::Void OptionalText::Builder::getNone() {
   KJ_IREQUIRE((which() == OptionalText::NONE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                              ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OptionalText::Builder::setNone(::capnp::Void value) {
+inline void OptionalText::Builder::setNone( ::capnp::Void value) {
   _builder.setDataField<OptionalText::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalText::NONE);
-  _builder.setDataField<::capnp::Void>(
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -1498,67 +1390,60 @@
   return which() == OptionalText::SOME;
 }
 inline bool OptionalText::Reader::hasSome() const {
-  if (which() != OptionalText::SOME)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != OptionalText::SOME) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool OptionalText::Builder::hasSome() {
-  if (which() != OptionalText::SOME)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != OptionalText::SOME) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader OptionalText::Reader::getSome() const {
+inline  ::capnp::Text::Reader OptionalText::Reader::getSome() const {
   KJ_IREQUIRE((which() == OptionalText::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder OptionalText::Builder::getSome() {
+inline  ::capnp::Text::Builder OptionalText::Builder::getSome() {
   KJ_IREQUIRE((which() == OptionalText::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OptionalText::Builder::setSome(::capnp::Text::Reader value) {
+inline void OptionalText::Builder::setSome( ::capnp::Text::Reader value) {
   _builder.setDataField<OptionalText::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalText::SOME);
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder OptionalText::Builder::initSome(
-    unsigned int size) {
+inline  ::capnp::Text::Builder OptionalText::Builder::initSome(unsigned int size) {
   _builder.setDataField<OptionalText::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalText::SOME);
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void OptionalText::Builder::adoptSome(
-    ::capnp::Orphan<::capnp::Text>&& value) {
+    ::capnp::Orphan< ::capnp::Text>&& value) {
   _builder.setDataField<OptionalText::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalText::SOME);
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> OptionalText::Builder::disownSome() {
+inline ::capnp::Orphan< ::capnp::Text> OptionalText::Builder::disownSome() {
   KJ_IREQUIRE((which() == OptionalText::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::dotterelshed::wire::OptionalInt64::Which OptionalInt64::Reader::which()
-    const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalInt64::Which OptionalInt64::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::dotterelshed::wire::OptionalInt64::Which
-OptionalInt64::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalInt64::Which OptionalInt64::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool OptionalInt64::Reader::isNone() const {
@@ -1567,23 +1452,23 @@
 inline bool OptionalInt64::Builder::isNone() {
   return which() == OptionalInt64::NONE;
 }
-inline ::capnp::Void OptionalInt64::Reader::getNone() const {
+inline  ::capnp::Void OptionalInt64::Reader::getNone() const {
   KJ_IREQUIRE((which() == OptionalInt64::NONE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                             ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void OptionalInt64::Builder::getNone() {
+inline  ::capnp::Void OptionalInt64::Builder::getNone() {
   KJ_IREQUIRE((which() == OptionalInt64::NONE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                              ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OptionalInt64::Builder::setNone(::capnp::Void value) {
+inline void OptionalInt64::Builder::setNone( ::capnp::Void value) {
   _builder.setDataField<OptionalInt64::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalInt64::NONE);
-  _builder.setDataField<::capnp::Void>(
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -1593,34 +1478,33 @@
 inline bool OptionalInt64::Builder::isSome() {
   return which() == OptionalInt64::SOME;
 }
-inline ::int64_t OptionalInt64::Reader::getSome() const {
+inline  ::int64_t OptionalInt64::Reader::getSome() const {
   KJ_IREQUIRE((which() == OptionalInt64::SOME),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t OptionalInt64::Builder::getSome() {
+inline  ::int64_t OptionalInt64::Builder::getSome() {
   KJ_IREQUIRE((which() == OptionalInt64::SOME),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void OptionalInt64::Builder::setSome(::int64_t value) {
+inline void OptionalInt64::Builder::setSome( ::int64_t value) {
   _builder.setDataField<OptionalInt64::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalInt64::SOME);
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::dotterelshed::wire::OptionalToken::Which OptionalToken::Reader::which()
-    const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalToken::Which OptionalToken::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::dotterelshed::wire::OptionalToken::Which
-OptionalToken::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::OptionalToken::Which OptionalToken::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool OptionalToken::Reader::isNone() const {
@@ -1629,23 +1513,23 @@
 inline bool OptionalToken::Builder::isNone() {
   return which() == OptionalToken::NONE;
 }
-inline ::capnp::Void OptionalToken::Reader::getNone() const {
+inline  ::capnp::Void OptionalToken::Reader::getNone() const {
   KJ_IREQUIRE((which() == OptionalToken::NONE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                             ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void OptionalToken::Builder::getNone() {
+inline  ::capnp::Void OptionalToken::Builder::getNone() {
   KJ_IREQUIRE((which() == OptionalToken::NONE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() *
-                                              ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void OptionalToken::Builder::setNone(::capnp::Void value) {
+inline void OptionalToken::Builder::setNone( ::capnp::Void value) {
   _builder.setDataField<OptionalToken::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalToken::NONE);
-  _builder.setDataField<::capnp::Void>(
+  _builder.setDataField< ::capnp::Void>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
@@ -1656,1222 +1540,1098 @@
   return which() == OptionalToken::SOME;
 }
 inline bool OptionalToken::Reader::hasSome() const {
-  if (which() != OptionalToken::SOME)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != OptionalToken::SOME) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool OptionalToken::Builder::hasSome() {
-  if (which() != OptionalToken::SOME)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != OptionalToken::SOME) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::ContinuationToken::Reader
-OptionalToken::Reader::getSome() const {
+inline  ::dotterelshed::wire::ContinuationToken::Reader OptionalToken::Reader::getSome() const {
   KJ_IREQUIRE((which() == OptionalToken::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::ContinuationToken::Builder
-OptionalToken::Builder::getSome() {
+inline  ::dotterelshed::wire::ContinuationToken::Builder OptionalToken::Builder::getSome() {
   KJ_IREQUIRE((which() == OptionalToken::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void OptionalToken::Builder::setSome(
-    ::dotterelshed::wire::ContinuationToken::Reader value) {
+inline void OptionalToken::Builder::setSome( ::dotterelshed::wire::ContinuationToken::Reader value) {
   _builder.setDataField<OptionalToken::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalToken::SOME);
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::ContinuationToken::Builder
-OptionalToken::Builder::initSome() {
+inline  ::dotterelshed::wire::ContinuationToken::Builder OptionalToken::Builder::initSome() {
   _builder.setDataField<OptionalToken::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalToken::SOME);
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void OptionalToken::Builder::adoptSome(
-    ::capnp::Orphan<::dotterelshed::wire::ContinuationToken>&& value) {
+    ::capnp::Orphan< ::dotterelshed::wire::ContinuationToken>&& value) {
   _builder.setDataField<OptionalToken::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, OptionalToken::SOME);
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::ContinuationToken>
-OptionalToken::Builder::disownSome() {
+inline ::capnp::Orphan< ::dotterelshed::wire::ContinuationToken> OptionalToken::Builder::disownSome() {
   KJ_IREQUIRE((which() == OptionalToken::SOME),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::ContinuationToken>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::ContinuationToken>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setRequest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initRequest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasRoot() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasRoot() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getRoot() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setRoot(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setRoot( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initRoot(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptRoot(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasParent() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasParent() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalText::Reader
-CallRequest::Reader::getParent() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Reader CallRequest::Reader::getParent() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalText::Builder
-CallRequest::Builder::getParent() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Builder CallRequest::Builder::getParent() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalText::Pipeline
-CallRequest::Pipeline::getParent() {
-  return ::dotterelshed::wire::OptionalText::Pipeline(
-      _typeless.getPointerField(3));
+inline  ::dotterelshed::wire::OptionalText::Pipeline CallRequest::Pipeline::getParent() {
+  return  ::dotterelshed::wire::OptionalText::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void CallRequest::Builder::setParent(
-    ::dotterelshed::wire::OptionalText::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setParent( ::dotterelshed::wire::OptionalText::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalText::Builder
-CallRequest::Builder::initParent() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Builder CallRequest::Builder::initParent() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void CallRequest::Builder::adoptParent(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalText>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalText>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalText>
-CallRequest::Builder::disownParent() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalText> CallRequest::Builder::disownParent() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CallRequest::Reader::getTurn() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getTurn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getTurn() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getTurn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setTurn(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setTurn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::hasToken() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasToken() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalToken::Reader
-CallRequest::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Reader CallRequest::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalToken::Builder
-CallRequest::Builder::getToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Builder CallRequest::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalToken::Pipeline
-CallRequest::Pipeline::getToken() {
-  return ::dotterelshed::wire::OptionalToken::Pipeline(
-      _typeless.getPointerField(4));
+inline  ::dotterelshed::wire::OptionalToken::Pipeline CallRequest::Pipeline::getToken() {
+  return  ::dotterelshed::wire::OptionalToken::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void CallRequest::Builder::setToken(
-    ::dotterelshed::wire::OptionalToken::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setToken( ::dotterelshed::wire::OptionalToken::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalToken::Builder
-CallRequest::Builder::initToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Builder CallRequest::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void CallRequest::Builder::adoptToken(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalToken>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalToken>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalToken>
-CallRequest::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalToken> CallRequest::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasKey() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasKey() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalText::Reader CallRequest::Reader::getKey()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Reader CallRequest::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalText::Builder
-CallRequest::Builder::getKey() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Builder CallRequest::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalText::Pipeline
-CallRequest::Pipeline::getKey() {
-  return ::dotterelshed::wire::OptionalText::Pipeline(
-      _typeless.getPointerField(5));
+inline  ::dotterelshed::wire::OptionalText::Pipeline CallRequest::Pipeline::getKey() {
+  return  ::dotterelshed::wire::OptionalText::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void CallRequest::Builder::setKey(
-    ::dotterelshed::wire::OptionalText::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setKey( ::dotterelshed::wire::OptionalText::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalText::Builder
-CallRequest::Builder::initKey() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalText::Builder CallRequest::Builder::initKey() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void CallRequest::Builder::adoptKey(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalText>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalText>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalText>
-CallRequest::Builder::disownKey() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalText>::disown(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalText> CallRequest::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalText>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasAccount() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasAccount() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setAccount(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initAccount(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptAccount(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasClass() const {
-  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasClass() {
-  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getClass() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setClass(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initClass(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptClass(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t CallRequest::Reader::getKind() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t CallRequest::Reader::getKind() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t CallRequest::Builder::getKind() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t CallRequest::Builder::getKind() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setKind(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CallRequest::Builder::setKind( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::hasService() const {
-  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasService() {
-  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setService(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initService(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptService(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasModel() const {
-  return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasModel() {
-  return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setModel(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initModel(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptModel(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader CallRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader CallRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder CallRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder CallRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder CallRequest::Builder::initBody(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder CallRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptBody(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> CallRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<10>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> CallRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasPath() const {
-  return !_reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasPath() {
-  return !_builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setPath(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initPath(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptPath(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<11>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasContent() const {
-  return !_reader.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasContent() {
-  return !_builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallRequest::Reader::getContent() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallRequest::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallRequest::Builder::getContent() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallRequest::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setContent(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setContent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallRequest::Builder::initContent(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallRequest::Builder::initContent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptContent(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownContent() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<12>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<12>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CallRequest::Reader::getPromptTokens() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getPromptTokens() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getPromptTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setPromptTokens(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setPromptTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t CallRequest::Reader::getMaxTokens() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getMaxTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getMaxTokens() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getMaxTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setMaxTokens(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setMaxTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t CallRequest::Reader::getCostBoundMicros() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getCostBoundMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getCostBoundMicros() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getCostBoundMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setCostBoundMicros(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setCostBoundMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::hasBudgetMicros() const {
-  return !_reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasBudgetMicros() {
-  return !_builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalInt64::Reader
-CallRequest::Reader::getBudgetMicros() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::get(
-      _reader.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Reader CallRequest::Reader::getBudgetMicros() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::get(_reader.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalInt64::Builder
-CallRequest::Builder::getBudgetMicros() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::get(
-      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Builder CallRequest::Builder::getBudgetMicros() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::get(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalInt64::Pipeline
-CallRequest::Pipeline::getBudgetMicros() {
-  return ::dotterelshed::wire::OptionalInt64::Pipeline(
-      _typeless.getPointerField(13));
+inline  ::dotterelshed::wire::OptionalInt64::Pipeline CallRequest::Pipeline::getBudgetMicros() {
+  return  ::dotterelshed::wire::OptionalInt64::Pipeline(_typeless.getPointerField(13));
 }
 #endif  // !CAPNP_LITE
-inline void CallRequest::Builder::setBudgetMicros(
-    ::dotterelshed::wire::OptionalInt64::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::set(
-      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
-      value);
+inline void CallRequest::Builder::setBudgetMicros( ::dotterelshed::wire::OptionalInt64::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::set(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalInt64::Builder
-CallRequest::Builder::initBudgetMicros() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::init(
-      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Builder CallRequest::Builder::initBudgetMicros() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::init(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 inline void CallRequest::Builder::adoptBudgetMicros(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::adopt(
-      _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::adopt(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>
-CallRequest::Builder::disownBudgetMicros() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<13>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64> CallRequest::Builder::disownBudgetMicros() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::disown(_builder.getPointerField(
+      ::capnp::bounded<13>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CallRequest::Reader::getDeadlineInUs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<5>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getDeadlineInUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getDeadlineInUs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getDeadlineInUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setDeadlineInUs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setDeadlineInUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::getRepeatable() const {
-  return _reader.getDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallRequest::Builder::getRepeatable() {
-  return _builder.getDataField<bool>(::capnp::bounded<80>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS);
 }
 inline void CallRequest::Builder::setRepeatable(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<80>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<80>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::getStream() const {
-  return _reader.getDataField<bool>(::capnp::bounded<81>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallRequest::Builder::getStream() {
-  return _builder.getDataField<bool>(::capnp::bounded<81>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS);
 }
 inline void CallRequest::Builder::setStream(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<81>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<81>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::getEndProgram() const {
-  return _reader.getDataField<bool>(::capnp::bounded<82>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallRequest::Builder::getEndProgram() {
-  return _builder.getDataField<bool>(::capnp::bounded<82>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS);
 }
 inline void CallRequest::Builder::setEndProgram(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<82>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<82>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t CallRequest::Reader::getExpectedPauseUs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<6>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Reader::getExpectedPauseUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallRequest::Builder::getExpectedPauseUs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<6>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallRequest::Builder::getExpectedPauseUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setExpectedPauseUs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallRequest::Builder::setExpectedPauseUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Usage::Reader::getPrompt() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Reader::getPrompt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Usage::Builder::getPrompt() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Builder::getPrompt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Usage::Builder::setPrompt(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Usage::Builder::setPrompt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Usage::Reader::getCached() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Reader::getCached() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Usage::Builder::getCached() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Builder::getCached() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Usage::Builder::setCached(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Usage::Builder::setCached( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Usage::Reader::getGenerated() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Reader::getGenerated() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Usage::Builder::getGenerated() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Builder::getGenerated() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Usage::Builder::setGenerated(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Usage::Builder::setGenerated( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Usage::Reader::getCostMicros() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Reader::getCostMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Usage::Builder::getCostMicros() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Usage::Builder::getCostMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Usage::Builder::setCostMicros(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Usage::Builder::setCostMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallAnswer::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallAnswer::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallAnswer::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallAnswer::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CallAnswer::Builder::setRequest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::initRequest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallAnswer::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void CallAnswer::Builder::adoptRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallAnswer::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallAnswer::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CallAnswer::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallAnswer::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallAnswer::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallAnswer::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CallAnswer::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallAnswer::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void CallAnswer::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallAnswer::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallAnswer::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CallAnswer::Reader::getTurn() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Reader::getTurn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallAnswer::Builder::getTurn() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Builder::getTurn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setTurn(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallAnswer::Builder::setTurn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t CallAnswer::Reader::getOutcome() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t CallAnswer::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t CallAnswer::Builder::getOutcome() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t CallAnswer::Builder::getOutcome() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setOutcome(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CallAnswer::Builder::setOutcome( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t CallAnswer::Reader::getReason() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t CallAnswer::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t CallAnswer::Builder::getReason() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t CallAnswer::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setReason(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void CallAnswer::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallAnswer::Reader::hasMessage() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasMessage() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CallAnswer::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CallAnswer::Reader::getMessage() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CallAnswer::Builder::getMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CallAnswer::Builder::setMessage(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setMessage( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CallAnswer::Builder::initMessage(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CallAnswer::Builder::initMessage(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void CallAnswer::Builder::adoptMessage(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CallAnswer::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CallAnswer::Builder::disownMessage() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CallAnswer::Reader::hasBody() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasBody() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader CallAnswer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader CallAnswer::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder CallAnswer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder CallAnswer::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void CallAnswer::Builder::setBody(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder CallAnswer::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder CallAnswer::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void CallAnswer::Builder::adoptBody(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> CallAnswer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> CallAnswer::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int32_t CallAnswer::Reader::getHttpStatus() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t CallAnswer::Reader::getHttpStatus() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t CallAnswer::Builder::getHttpStatus() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t CallAnswer::Builder::getHttpStatus() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setHttpStatus(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallAnswer::Builder::setHttpStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallAnswer::Reader::hasUsage() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasUsage() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::Usage::Reader CallAnswer::Reader::getUsage()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Reader CallAnswer::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::Usage::Builder CallAnswer::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Builder CallAnswer::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::Usage::Pipeline CallAnswer::Pipeline::getUsage() {
-  return ::dotterelshed::wire::Usage::Pipeline(_typeless.getPointerField(4));
+inline  ::dotterelshed::wire::Usage::Pipeline CallAnswer::Pipeline::getUsage() {
+  return  ::dotterelshed::wire::Usage::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void CallAnswer::Builder::setUsage(
-    ::dotterelshed::wire::Usage::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setUsage( ::dotterelshed::wire::Usage::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::Usage::Builder CallAnswer::Builder::initUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Builder CallAnswer::Builder::initUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void CallAnswer::Builder::adoptUsage(
-    ::capnp::Orphan<::dotterelshed::wire::Usage>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::Usage>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::Usage>
-CallAnswer::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::Usage> CallAnswer::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t CallAnswer::Reader::getSpentMicros() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Reader::getSpentMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallAnswer::Builder::getSpentMicros() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Builder::getSpentMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setSpentMicros(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallAnswer::Builder::setSpentMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t CallAnswer::Reader::getRemainingMicros() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Reader::getRemainingMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t CallAnswer::Builder::getRemainingMicros() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t CallAnswer::Builder::getRemainingMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CallAnswer::Builder::setRemainingMicros(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void CallAnswer::Builder::setRemainingMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallAnswer::Reader::hasRetryAfterUs() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasRetryAfterUs() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalInt64::Reader
-CallAnswer::Reader::getRetryAfterUs() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Reader CallAnswer::Reader::getRetryAfterUs() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalInt64::Builder
-CallAnswer::Builder::getRetryAfterUs() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Builder CallAnswer::Builder::getRetryAfterUs() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalInt64::Pipeline
-CallAnswer::Pipeline::getRetryAfterUs() {
-  return ::dotterelshed::wire::OptionalInt64::Pipeline(
-      _typeless.getPointerField(5));
+inline  ::dotterelshed::wire::OptionalInt64::Pipeline CallAnswer::Pipeline::getRetryAfterUs() {
+  return  ::dotterelshed::wire::OptionalInt64::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void CallAnswer::Builder::setRetryAfterUs(
-    ::dotterelshed::wire::OptionalInt64::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setRetryAfterUs( ::dotterelshed::wire::OptionalInt64::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalInt64::Builder
-CallAnswer::Builder::initRetryAfterUs() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::init(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalInt64::Builder CallAnswer::Builder::initRetryAfterUs() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void CallAnswer::Builder::adoptRetryAfterUs(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalInt64>
-CallAnswer::Builder::disownRetryAfterUs() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalInt64>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalInt64> CallAnswer::Builder::disownRetryAfterUs() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalInt64>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool CallAnswer::Reader::hasToken() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallAnswer::Builder::hasToken() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::OptionalToken::Reader
-CallAnswer::Reader::getToken() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::get(
-      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Reader CallAnswer::Reader::getToken() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::OptionalToken::Builder
-CallAnswer::Builder::getToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::get(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Builder CallAnswer::Builder::getToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::OptionalToken::Pipeline
-CallAnswer::Pipeline::getToken() {
-  return ::dotterelshed::wire::OptionalToken::Pipeline(
-      _typeless.getPointerField(6));
+inline  ::dotterelshed::wire::OptionalToken::Pipeline CallAnswer::Pipeline::getToken() {
+  return  ::dotterelshed::wire::OptionalToken::Pipeline(_typeless.getPointerField(6));
 }
 #endif  // !CAPNP_LITE
-inline void CallAnswer::Builder::setToken(
-    ::dotterelshed::wire::OptionalToken::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::set(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      value);
+inline void CallAnswer::Builder::setToken( ::dotterelshed::wire::OptionalToken::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::OptionalToken::Builder
-CallAnswer::Builder::initToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::init(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::OptionalToken::Builder CallAnswer::Builder::initToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 inline void CallAnswer::Builder::adoptToken(
-    ::capnp::Orphan<::dotterelshed::wire::OptionalToken>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::adopt(
-      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::OptionalToken>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::OptionalToken>
-CallAnswer::Builder::disownToken() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::OptionalToken>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::OptionalToken> CallAnswer::Builder::disownToken() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::OptionalToken>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool CallAnswer::Reader::getProvisional() const {
-  return _reader.getDataField<bool>(::capnp::bounded<256>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallAnswer::Builder::getProvisional() {
-  return _builder.getDataField<bool>(::capnp::bounded<256>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS);
 }
 inline void CallAnswer::Builder::setProvisional(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<256>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<256>() * ::capnp::ELEMENTS, value);
 }
 
-}  // namespace wire
-}  // namespace dotterelshed
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
