--- a/src/libpeer/host_rpc.capnp.h
+++ b/src/libpeer/host_rpc.capnp.h
@@ -10,8 +10,7 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
 #include "call.capnp.h"
@@ -51,14 +50,12 @@
   struct WriteParams;
   struct WriteResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(863c58e94082d169)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct TextSink::WriteParams {
@@ -70,11 +67,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f3a43651ca888a39, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -87,11 +82,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e78d82a353812ecc, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -112,14 +105,12 @@
   struct EndProgramParams;
   struct EndProgramResults;
 
-#if !CAPNP_LITE
+  #if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(88a9c43d27fcd351)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-#endif  // !CAPNP_LITE
+  #endif  // !CAPNP_LITE
 };
 
 struct Host::DeliverParams {
@@ -131,11 +122,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ccceb4412fcf707e, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -148,11 +137,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e089a708c3514ad1, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -165,11 +152,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f2fa27204bf65444, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -182,11 +167,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8aa95ed48814a12f, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -199,11 +182,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(96ca2dd0d9f48c6a, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -216,11 +197,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b3681bf0a6818c93, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -233,11 +212,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cf6947549789a0e6, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -250,29 +227,26 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a50720916f0047fb, 0, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 #if !CAPNP_LITE
-class TextSink::Client : public virtual ::capnp::Capability::Client {
- public:
+class TextSink::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef TextSink Calls;
   typedef TextSink Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -280,47 +254,46 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::dotterelshed::wire::TextSink::WriteParams,
-                   ::dotterelshed::wire::TextSink::WriteResults>
-  writeRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::dotterelshed::wire::TextSink::WriteParams,  ::dotterelshed::wire::TextSink::WriteResults> writeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
- protected:
+protected:
   Client() = default;
 };
 
-class TextSink::Server : public virtual ::capnp::Capability::Server {
- public:
+class TextSink::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef TextSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::dotterelshed::wire::TextSink::WriteParams WriteParams;
-  typedef ::dotterelshed::wire::TextSink::WriteResults WriteResults;
+protected:
+  typedef  ::dotterelshed::wire::TextSink::WriteParams WriteParams;
+  typedef  ::dotterelshed::wire::TextSink::WriteResults WriteResults;
   typedef ::capnp::CallContext<WriteParams, WriteResults> WriteContext;
   virtual ::kj::Promise<void> write(WriteContext context);
 
-  inline ::dotterelshed::wire::TextSink::Client thisCap() {
+  inline  ::dotterelshed::wire::TextSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::dotterelshed::wire::TextSink>();
+        .template castAs< ::dotterelshed::wire::TextSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class TextSink::WriteParams::Reader {
- public:
+public:
   typedef WriteParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -333,11 +306,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasText() const;
-  inline ::capnp::Data::Reader getText() const;
+  inline  ::capnp::Data::Reader getText() const;
 
-  inline ::int64_t getGenerated() const;
+  inline  ::int64_t getGenerated() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -350,36 +323,32 @@
 };
 
 class TextSink::WriteParams::Builder {
- public:
+public:
   typedef WriteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasText();
-  inline ::capnp::Data::Builder getText();
-  inline void setText(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
 
-  inline ::int64_t getGenerated();
-  inline void setGenerated(::int64_t value);
+  inline  ::int64_t getGenerated();
+  inline void setGenerated( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -390,14 +359,14 @@
 
 #if !CAPNP_LITE
 class TextSink::WriteParams::Pipeline {
- public:
+public:
   typedef WriteParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -406,11 +375,11 @@
 #endif  // !CAPNP_LITE
 
 class TextSink::WriteResults::Reader {
- public:
+public:
   typedef WriteResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -422,7 +391,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -435,26 +404,22 @@
 };
 
 class TextSink::WriteResults::Builder {
- public:
+public:
   typedef WriteResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -465,14 +430,14 @@
 
 #if !CAPNP_LITE
 class TextSink::WriteResults::Pipeline {
- public:
+public:
   typedef WriteResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -481,18 +446,17 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Host::Client : public virtual ::capnp::Capability::Client {
- public:
+class Host::Client
+    : public virtual ::capnp::Capability::Client {
+public:
   typedef Host Calls;
   typedef Host Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t,
-            typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -500,69 +464,64 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request<::dotterelshed::wire::Host::DeliverParams,
-                   ::dotterelshed::wire::Host::DeliverResults>
-  deliverRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::dotterelshed::wire::Host::CallParams,
-                   ::dotterelshed::wire::Host::CallResults>
-  callRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::dotterelshed::wire::Host::AskParams,
-                   ::dotterelshed::wire::Host::AskResults>
-  askRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::dotterelshed::wire::Host::EndProgramParams,
-                   ::dotterelshed::wire::Host::EndProgramResults>
-  endProgramRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-
- protected:
+  ::capnp::Request< ::dotterelshed::wire::Host::DeliverParams,  ::dotterelshed::wire::Host::DeliverResults> deliverRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::dotterelshed::wire::Host::CallParams,  ::dotterelshed::wire::Host::CallResults> callRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::dotterelshed::wire::Host::AskParams,  ::dotterelshed::wire::Host::AskResults> askRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::dotterelshed::wire::Host::EndProgramParams,  ::dotterelshed::wire::Host::EndProgramResults> endProgramRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
   Client() = default;
 };
 
-class Host::Server : public virtual ::capnp::Capability::Server {
- public:
+class Host::Server
+    : public virtual ::capnp::Capability::Server {
+public:
   typedef Host Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId,
-      uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
       override;
 
- protected:
-  typedef ::dotterelshed::wire::Host::DeliverParams DeliverParams;
-  typedef ::dotterelshed::wire::Host::DeliverResults DeliverResults;
+protected:
+  typedef  ::dotterelshed::wire::Host::DeliverParams DeliverParams;
+  typedef  ::dotterelshed::wire::Host::DeliverResults DeliverResults;
   typedef ::capnp::CallContext<DeliverParams, DeliverResults> DeliverContext;
   virtual ::kj::Promise<void> deliver(DeliverContext context);
-  typedef ::dotterelshed::wire::Host::CallParams CallParams;
-  typedef ::dotterelshed::wire::Host::CallResults CallResults;
+  typedef  ::dotterelshed::wire::Host::CallParams CallParams;
+  typedef  ::dotterelshed::wire::Host::CallResults CallResults;
   typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
   virtual ::kj::Promise<void> call(CallContext context);
-  typedef ::dotterelshed::wire::Host::AskParams AskParams;
-  typedef ::dotterelshed::wire::Host::AskResults AskResults;
+  typedef  ::dotterelshed::wire::Host::AskParams AskParams;
+  typedef  ::dotterelshed::wire::Host::AskResults AskResults;
   typedef ::capnp::CallContext<AskParams, AskResults> AskContext;
   virtual ::kj::Promise<void> ask(AskContext context);
-  typedef ::dotterelshed::wire::Host::EndProgramParams EndProgramParams;
-  typedef ::dotterelshed::wire::Host::EndProgramResults EndProgramResults;
-  typedef ::capnp::CallContext<EndProgramParams, EndProgramResults>
-      EndProgramContext;
+  typedef  ::dotterelshed::wire::Host::EndProgramParams EndProgramParams;
+  typedef  ::dotterelshed::wire::Host::EndProgramResults EndProgramResults;
+  typedef ::capnp::CallContext<EndProgramParams, EndProgramResults> EndProgramContext;
   virtual ::kj::Promise<void> endProgram(EndProgramContext context);
 
-  inline ::dotterelshed::wire::Host::Client thisCap() {
+  inline  ::dotterelshed::wire::Host::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs<::dotterelshed::wire::Host>();
+        .template castAs< ::dotterelshed::wire::Host>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
       uint16_t methodId,
-      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Host::DeliverParams::Reader {
- public:
+public:
   typedef DeliverParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -575,10 +534,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMessages() const;
-  inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Reader getMessages()
-      const;
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader getMessages() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -591,40 +549,30 @@
 };
 
 class Host::DeliverParams::Builder {
- public:
+public:
   typedef DeliverParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasMessages();
-  inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Builder
-  getMessages();
-  inline void setMessages(
-      ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Reader value);
-  inline void setMessages(::kj::ArrayPtr<const ::capnp::Data::Reader> value);
-  inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Builder
-  initMessages(unsigned int size);
-  inline void adoptMessages(
-      ::capnp::Orphan<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>
-  disownMessages();
-
- private:
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder getMessages();
+  inline void setMessages( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMessages(::kj::ArrayPtr<const  ::capnp::Data::Reader> value);
+  inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder initMessages(unsigned int size);
+  inline void adoptMessages(::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> disownMessages();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -635,14 +583,14 @@
 
 #if !CAPNP_LITE
 class Host::DeliverParams::Pipeline {
- public:
+public:
   typedef DeliverParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -651,11 +599,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::DeliverResults::Reader {
- public:
+public:
   typedef DeliverResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -667,7 +615,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -680,26 +628,22 @@
 };
 
 class Host::DeliverResults::Builder {
- public:
+public:
   typedef DeliverResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -710,14 +654,14 @@
 
 #if !CAPNP_LITE
 class Host::DeliverResults::Pipeline {
- public:
+public:
   typedef DeliverResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -726,11 +670,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::CallParams::Reader {
- public:
+public:
   typedef CallParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -743,16 +687,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::dotterelshed::wire::CallRequest::Reader getRequest() const;
+  inline  ::dotterelshed::wire::CallRequest::Reader getRequest() const;
 
-  inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::dotterelshed::wire::TextSink::Client getSink() const;
+  inline  ::dotterelshed::wire::TextSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -765,47 +709,41 @@
 };
 
 class Host::CallParams::Builder {
- public:
+public:
   typedef CallParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::dotterelshed::wire::CallRequest::Builder getRequest();
-  inline void setRequest(::dotterelshed::wire::CallRequest::Reader value);
-  inline ::dotterelshed::wire::CallRequest::Builder initRequest();
-  inline void adoptRequest(
-      ::capnp::Orphan<::dotterelshed::wire::CallRequest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::CallRequest> disownRequest();
+  inline  ::dotterelshed::wire::CallRequest::Builder getRequest();
+  inline void setRequest( ::dotterelshed::wire::CallRequest::Reader value);
+  inline  ::dotterelshed::wire::CallRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan< ::dotterelshed::wire::CallRequest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::CallRequest> disownRequest();
 
-  inline ::uint64_t getOffset();
-  inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::dotterelshed::wire::TextSink::Client getSink();
-  inline void setSink(::dotterelshed::wire::TextSink::Client&& value);
-  inline void setSink(::dotterelshed::wire::TextSink::Client& value);
-  inline void adoptSink(
-      ::capnp::Orphan<::dotterelshed::wire::TextSink>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::TextSink> disownSink();
+  inline  ::dotterelshed::wire::TextSink::Client getSink();
+  inline void setSink( ::dotterelshed::wire::TextSink::Client&& value);
+  inline void setSink( ::dotterelshed::wire::TextSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::dotterelshed::wire::TextSink>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::TextSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -816,17 +754,16 @@
 
 #if !CAPNP_LITE
 class Host::CallParams::Pipeline {
- public:
+public:
   typedef CallParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::CallRequest::Pipeline getRequest();
-  inline ::dotterelshed::wire::TextSink::Client getSink();
-
- private:
+  inline  ::dotterelshed::wire::CallRequest::Pipeline getRequest();
+  inline  ::dotterelshed::wire::TextSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -835,11 +772,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::CallResults::Reader {
- public:
+public:
   typedef CallResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -852,9 +789,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer() const;
-  inline ::dotterelshed::wire::CallAnswer::Reader getAnswer() const;
+  inline  ::dotterelshed::wire::CallAnswer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -867,34 +804,29 @@
 };
 
 class Host::CallResults::Builder {
- public:
+public:
   typedef CallResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer();
-  inline ::dotterelshed::wire::CallAnswer::Builder getAnswer();
-  inline void setAnswer(::dotterelshed::wire::CallAnswer::Reader value);
-  inline ::dotterelshed::wire::CallAnswer::Builder initAnswer();
-  inline void adoptAnswer(
-      ::capnp::Orphan<::dotterelshed::wire::CallAnswer>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::CallAnswer> disownAnswer();
-
- private:
+  inline  ::dotterelshed::wire::CallAnswer::Builder getAnswer();
+  inline void setAnswer( ::dotterelshed::wire::CallAnswer::Reader value);
+  inline  ::dotterelshed::wire::CallAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::dotterelshed::wire::CallAnswer>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::CallAnswer> disownAnswer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -905,16 +837,15 @@
 
 #if !CAPNP_LITE
 class Host::CallResults::Pipeline {
- public:
+public:
   typedef CallResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::CallAnswer::Pipeline getAnswer();
-
- private:
+  inline  ::dotterelshed::wire::CallAnswer::Pipeline getAnswer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -923,11 +854,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::AskParams::Reader {
- public:
+public:
   typedef AskParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -940,19 +871,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::capnp::Text::Reader getRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::uint64_t getOffset() const;
+  inline  ::uint64_t getOffset() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline ::dotterelshed::wire::TextSink::Client getSink() const;
+  inline  ::dotterelshed::wire::TextSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -965,53 +896,48 @@
 };
 
 class Host::AskParams::Builder {
- public:
+public:
   typedef AskParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::capnp::Text::Builder getRequest();
-  inline void setRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::uint64_t getOffset();
-  inline void setOffset(::uint64_t value);
+  inline  ::uint64_t getOffset();
+  inline void setOffset( ::uint64_t value);
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline ::dotterelshed::wire::TextSink::Client getSink();
-  inline void setSink(::dotterelshed::wire::TextSink::Client&& value);
-  inline void setSink(::dotterelshed::wire::TextSink::Client& value);
-  inline void adoptSink(
-      ::capnp::Orphan<::dotterelshed::wire::TextSink>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::TextSink> disownSink();
+  inline  ::dotterelshed::wire::TextSink::Client getSink();
+  inline void setSink( ::dotterelshed::wire::TextSink::Client&& value);
+  inline void setSink( ::dotterelshed::wire::TextSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::dotterelshed::wire::TextSink>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::TextSink> disownSink();
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1022,16 +948,15 @@
 
 #if !CAPNP_LITE
 class Host::AskParams::Pipeline {
- public:
+public:
   typedef AskParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::TextSink::Client getSink();
-
- private:
+  inline  ::dotterelshed::wire::TextSink::Client getSink();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1040,11 +965,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::AskResults::Reader {
- public:
+public:
   typedef AskResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1057,9 +982,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer() const;
-  inline ::dotterelshed::wire::CallAnswer::Reader getAnswer() const;
+  inline  ::dotterelshed::wire::CallAnswer::Reader getAnswer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1072,34 +997,29 @@
 };
 
 class Host::AskResults::Builder {
- public:
+public:
   typedef AskResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasAnswer();
-  inline ::dotterelshed::wire::CallAnswer::Builder getAnswer();
-  inline void setAnswer(::dotterelshed::wire::CallAnswer::Reader value);
-  inline ::dotterelshed::wire::CallAnswer::Builder initAnswer();
-  inline void adoptAnswer(
-      ::capnp::Orphan<::dotterelshed::wire::CallAnswer>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::CallAnswer> disownAnswer();
-
- private:
+  inline  ::dotterelshed::wire::CallAnswer::Builder getAnswer();
+  inline void setAnswer( ::dotterelshed::wire::CallAnswer::Reader value);
+  inline  ::dotterelshed::wire::CallAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::dotterelshed::wire::CallAnswer>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::CallAnswer> disownAnswer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1110,16 +1030,15 @@
 
 #if !CAPNP_LITE
 class Host::AskResults::Pipeline {
- public:
+public:
   typedef AskResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::CallAnswer::Pipeline getAnswer();
-
- private:
+  inline  ::dotterelshed::wire::CallAnswer::Pipeline getAnswer();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1128,11 +1047,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::EndProgramParams::Reader {
- public:
+public:
   typedef EndProgramParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1145,9 +1064,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1160,33 +1079,29 @@
 };
 
 class Host::EndProgramParams::Builder {
- public:
+public:
   typedef EndProgramParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1197,14 +1112,14 @@
 
 #if !CAPNP_LITE
 class Host::EndProgramParams::Pipeline {
- public:
+public:
   typedef EndProgramParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1213,11 +1128,11 @@
 #endif  // !CAPNP_LITE
 
 class Host::EndProgramResults::Reader {
- public:
+public:
   typedef EndProgramResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1229,7 +1144,7 @@
   }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1242,26 +1157,22 @@
 };
 
 class Host::EndProgramResults::Builder {
- public:
+public:
   typedef EndProgramResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1272,14 +1183,14 @@
 
 #if !CAPNP_LITE
 class Host::EndProgramResults::Pipeline {
- public:
+public:
   typedef EndProgramResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1292,7 +1203,8 @@
 #if !CAPNP_LITE
 inline TextSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline TextSink::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline TextSink::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline TextSink::Client::Client(::kj::Own<_t>&& server)
@@ -1302,76 +1214,69 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline TextSink::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::dotterelshed::wire::TextSink::Client& TextSink::Client::operator=(
-    Client& other) {
+inline  ::dotterelshed::wire::TextSink::Client& TextSink::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::dotterelshed::wire::TextSink::Client& TextSink::Client::operator=(
-    Client&& other) {
+inline  ::dotterelshed::wire::TextSink::Client& TextSink::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool TextSink::WriteParams::Reader::hasText() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TextSink::WriteParams::Builder::hasText() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader TextSink::WriteParams::Reader::getText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader TextSink::WriteParams::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder TextSink::WriteParams::Builder::getText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder TextSink::WriteParams::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TextSink::WriteParams::Builder::setText(
-    ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void TextSink::WriteParams::Builder::setText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder TextSink::WriteParams::Builder::initText(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder TextSink::WriteParams::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TextSink::WriteParams::Builder::adoptText(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data>
-TextSink::WriteParams::Builder::disownText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> TextSink::WriteParams::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t TextSink::WriteParams::Reader::getGenerated() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t TextSink::WriteParams::Reader::getGenerated() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t TextSink::WriteParams::Builder::getGenerated() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t TextSink::WriteParams::Builder::getGenerated() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TextSink::WriteParams::Builder::setGenerated(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void TextSink::WriteParams::Builder::setGenerated( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 #if !CAPNP_LITE
 inline Host::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
-inline Host::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
+inline Host::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Host::Client::Client(::kj::Own<_t>&& server)
@@ -1381,462 +1286,381 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Host::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline ::dotterelshed::wire::Host::Client& Host::Client::operator=(
-    Client& other) {
+inline  ::dotterelshed::wire::Host::Client& Host::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline ::dotterelshed::wire::Host::Client& Host::Client::operator=(
-    Client&& other) {
+inline  ::dotterelshed::wire::Host::Client& Host::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Host::DeliverParams::Reader::hasMessages() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::DeliverParams::Builder::hasMessages() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Reader
-Host::DeliverParams::Reader::getMessages() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Builder
-Host::DeliverParams::Builder::getMessages() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Host::DeliverParams::Builder::setMessages(
-    ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline void Host::DeliverParams::Builder::setMessages(
-    ::kj::ArrayPtr<const ::capnp::Data::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>::Builder
-Host::DeliverParams::Builder::initMessages(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader Host::DeliverParams::Reader::getMessages() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Host::DeliverParams::Builder::getMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Host::DeliverParams::Builder::setMessages( ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Host::DeliverParams::Builder::setMessages(::kj::ArrayPtr<const  ::capnp::Data::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>::Builder Host::DeliverParams::Builder::initMessages(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Host::DeliverParams::Builder::adoptMessages(
-    ::capnp::Orphan<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>
-Host::DeliverParams::Builder::disownMessages() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Data, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>> Host::DeliverParams::Builder::disownMessages() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Data,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Host::CallParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::CallParams::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::CallRequest::Reader
-Host::CallParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallRequest::Reader Host::CallParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::CallRequest::Builder
-Host::CallParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallRequest::Builder Host::CallParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::CallRequest::Pipeline
-Host::CallParams::Pipeline::getRequest() {
-  return ::dotterelshed::wire::CallRequest::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::wire::CallRequest::Pipeline Host::CallParams::Pipeline::getRequest() {
+  return  ::dotterelshed::wire::CallRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Host::CallParams::Builder::setRequest(
-    ::dotterelshed::wire::CallRequest::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Host::CallParams::Builder::setRequest( ::dotterelshed::wire::CallRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::CallRequest::Builder
-Host::CallParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallRequest::Builder Host::CallParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Host::CallParams::Builder::adoptRequest(
-    ::capnp::Orphan<::dotterelshed::wire::CallRequest>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::CallRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::CallRequest>
-Host::CallParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallRequest>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::CallRequest> Host::CallParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Host::CallParams::Reader::getOffset() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Host::CallParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Host::CallParams::Builder::getOffset() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Host::CallParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Host::CallParams::Builder::setOffset(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Host::CallParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Host::CallParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::CallParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::TextSink::Client
-Host::CallParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::dotterelshed::wire::TextSink::Client
-Host::CallParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::dotterelshed::wire::TextSink::Client
-Host::CallParams::Pipeline::getSink() {
-  return ::dotterelshed::wire::TextSink::Client(
-      _typeless.getPointerField(1).asCap());
-}
-inline void Host::CallParams::Builder::setSink(
-    ::dotterelshed::wire::TextSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(cap));
-}
-inline void Host::CallParams::Builder::setSink(
-    ::dotterelshed::wire::TextSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline  ::dotterelshed::wire::TextSink::Client Host::CallParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::dotterelshed::wire::TextSink::Client Host::CallParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::dotterelshed::wire::TextSink::Client Host::CallParams::Pipeline::getSink() {
+  return  ::dotterelshed::wire::TextSink::Client(_typeless.getPointerField(1).asCap());
+}
+inline void Host::CallParams::Builder::setSink( ::dotterelshed::wire::TextSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Host::CallParams::Builder::setSink( ::dotterelshed::wire::TextSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void Host::CallParams::Builder::adoptSink(
-    ::capnp::Orphan<::dotterelshed::wire::TextSink>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::TextSink>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::TextSink>
-Host::CallParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::TextSink> Host::CallParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Host::CallResults::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::CallResults::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::CallAnswer::Reader
-Host::CallResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Reader Host::CallResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::CallAnswer::Builder
-Host::CallResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Builder Host::CallResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::CallAnswer::Pipeline
-Host::CallResults::Pipeline::getAnswer() {
-  return ::dotterelshed::wire::CallAnswer::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::wire::CallAnswer::Pipeline Host::CallResults::Pipeline::getAnswer() {
+  return  ::dotterelshed::wire::CallAnswer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Host::CallResults::Builder::setAnswer(
-    ::dotterelshed::wire::CallAnswer::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Host::CallResults::Builder::setAnswer( ::dotterelshed::wire::CallAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::CallAnswer::Builder
-Host::CallResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Builder Host::CallResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Host::CallResults::Builder::adoptAnswer(
-    ::capnp::Orphan<::dotterelshed::wire::CallAnswer>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::CallAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::CallAnswer>
-Host::CallResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::CallAnswer> Host::CallResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Host::AskParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::AskParams::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Host::AskParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Host::AskParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Host::AskParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Host::AskParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Host::AskParams::Builder::setRequest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Host::AskParams::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Host::AskParams::Builder::initRequest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Host::AskParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Host::AskParams::Builder::adoptRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Host::AskParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Host::AskParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Host::AskParams::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::AskParams::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Host::AskParams::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Host::AskParams::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Host::AskParams::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Host::AskParams::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Host::AskParams::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Host::AskParams::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Host::AskParams::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Host::AskParams::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Host::AskParams::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Host::AskParams::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Host::AskParams::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Host::AskParams::Reader::getOffset() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint64_t Host::AskParams::Reader::getOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t Host::AskParams::Builder::getOffset() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint64_t Host::AskParams::Builder::getOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Host::AskParams::Builder::setOffset(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                    value);
+inline void Host::AskParams::Builder::setOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Host::AskParams::Reader::hasSink() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::AskParams::Builder::hasSink() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::TextSink::Client Host::AskParams::Reader::getSink()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::dotterelshed::wire::TextSink::Client
-Host::AskParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::dotterelshed::wire::TextSink::Client
-Host::AskParams::Pipeline::getSink() {
-  return ::dotterelshed::wire::TextSink::Client(
-      _typeless.getPointerField(2).asCap());
-}
-inline void Host::AskParams::Builder::setSink(
-    ::dotterelshed::wire::TextSink::Client&& cap) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(cap));
-}
-inline void Host::AskParams::Builder::setSink(
-    ::dotterelshed::wire::TextSink::Client& cap) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), cap);
+inline  ::dotterelshed::wire::TextSink::Client Host::AskParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterelshed::wire::TextSink::Client Host::AskParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::dotterelshed::wire::TextSink::Client Host::AskParams::Pipeline::getSink() {
+  return  ::dotterelshed::wire::TextSink::Client(_typeless.getPointerField(2).asCap());
+}
+inline void Host::AskParams::Builder::setSink( ::dotterelshed::wire::TextSink::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void Host::AskParams::Builder::setSink( ::dotterelshed::wire::TextSink::Client& cap) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), cap);
 }
 inline void Host::AskParams::Builder::adoptSink(
-    ::capnp::Orphan<::dotterelshed::wire::TextSink>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::TextSink>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::TextSink>
-Host::AskParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::TextSink>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::TextSink> Host::AskParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::TextSink>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Host::AskResults::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::AskResults::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::CallAnswer::Reader
-Host::AskResults::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Reader Host::AskResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::CallAnswer::Builder
-Host::AskResults::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Builder Host::AskResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::CallAnswer::Pipeline
-Host::AskResults::Pipeline::getAnswer() {
-  return ::dotterelshed::wire::CallAnswer::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::wire::CallAnswer::Pipeline Host::AskResults::Pipeline::getAnswer() {
+  return  ::dotterelshed::wire::CallAnswer::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Host::AskResults::Builder::setAnswer(
-    ::dotterelshed::wire::CallAnswer::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Host::AskResults::Builder::setAnswer( ::dotterelshed::wire::CallAnswer::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::CallAnswer::Builder
-Host::AskResults::Builder::initAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::CallAnswer::Builder Host::AskResults::Builder::initAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Host::AskResults::Builder::adoptAnswer(
-    ::capnp::Orphan<::dotterelshed::wire::CallAnswer>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::CallAnswer>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::CallAnswer>
-Host::AskResults::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::CallAnswer>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::CallAnswer> Host::AskResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::CallAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Host::EndProgramParams::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Host::EndProgramParams::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::Text::Reader Host::EndProgramParams::Reader::getProgram()
-    const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder Host::EndProgramParams::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Host::EndProgramParams::Builder::setProgram(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
-}
-inline ::capnp::Text::Builder Host::EndProgramParams::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Host::EndProgramParams::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Host::EndProgramParams::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Host::EndProgramParams::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Host::EndProgramParams::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Host::EndProgramParams::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Host::EndProgramParams::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Host::EndProgramParams::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace wire
-}  // namespace dotterelshed
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/libpeer/membership.capnp.h
+++ b/src/libpeer/membership.capnp.h
@@ -7,8 +7,7 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
 #include "call.capnp.h"
@@ -44,11 +43,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f16471039294dd96, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -61,11 +58,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b5063a0bf6d85ba0, 4, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -78,11 +73,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a235e074010c5df3, 2, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -95,11 +88,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(807546bf28bb6b27, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -112,11 +103,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(aeb3b51c0f2ccbe7, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -129,11 +118,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b722295f27e09b6c, 4, 4)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -146,11 +133,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c6539f34a1e645fc, 5, 10)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -163,11 +148,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bce2a08743c33e87, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -180,11 +163,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(85843812c9e4964a, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -197,22 +178,20 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(addd4e5d0778f49e, 3, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class HostAddresses::Reader {
- public:
+public:
   typedef HostAddresses Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -225,12 +204,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPeer() const;
-  inline ::capnp::Text::Reader getPeer() const;
+  inline  ::capnp::Text::Reader getPeer() const;
 
   inline bool hasHttp() const;
-  inline ::capnp::Text::Reader getHttp() const;
+  inline  ::capnp::Text::Reader getHttp() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -243,40 +222,36 @@
 };
 
 class HostAddresses::Builder {
- public:
+public:
   typedef HostAddresses Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasPeer();
-  inline ::capnp::Text::Builder getPeer();
-  inline void setPeer(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPeer(unsigned int size);
-  inline void adoptPeer(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPeer();
+  inline  ::capnp::Text::Builder getPeer();
+  inline void setPeer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeer(unsigned int size);
+  inline void adoptPeer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeer();
 
   inline bool hasHttp();
-  inline ::capnp::Text::Builder getHttp();
-  inline void setHttp(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHttp(unsigned int size);
-  inline void adoptHttp(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHttp();
+  inline  ::capnp::Text::Builder getHttp();
+  inline void setHttp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHttp(unsigned int size);
+  inline void adoptHttp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHttp();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -287,14 +262,14 @@
 
 #if !CAPNP_LITE
 class HostAddresses::Pipeline {
- public:
+public:
   typedef HostAddresses Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -303,11 +278,11 @@
 #endif  // !CAPNP_LITE
 
 class Heartbeat::Reader {
- public:
+public:
   typedef Heartbeat Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -320,39 +295,36 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline ::dotterelshed::wire::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline bool hasDomain() const;
-  inline ::capnp::Text::Reader getDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
   inline bool hasAddresses() const;
-  inline ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
+  inline  ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
 
-  inline ::int64_t getTableVersion() const;
+  inline  ::int64_t getTableVersion() const;
 
-  inline ::int64_t getGeneration() const;
+  inline  ::int64_t getGeneration() const;
 
   inline bool getHasDisk() const;
 
   inline bool getDraining() const;
 
   inline bool hasQuarantined() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getQuarantined() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getQuarantined() const;
 
-  inline ::int32_t getHeadroom() const;
+  inline  ::int32_t getHeadroom() const;
 
-  inline ::int64_t getNewsSeen() const;
+  inline  ::int64_t getNewsSeen() const;
 
   inline bool hasUnconfirmed() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getUnconfirmed() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnconfirmed() const;
 
   inline bool hasPinned() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getPinned()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getPinned() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -365,53 +337,47 @@
 };
 
 class Heartbeat::Builder {
- public:
+public:
   typedef Heartbeat Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline ::dotterelshed::wire::HostRef::Builder getFrom();
-  inline void setFrom(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline bool hasDomain();
-  inline ::capnp::Text::Builder getDomain();
-  inline void setDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
   inline bool hasAddresses();
-  inline ::dotterelshed::schema::HostAddresses::Builder getAddresses();
-  inline void setAddresses(::dotterelshed::schema::HostAddresses::Reader value);
-  inline ::dotterelshed::schema::HostAddresses::Builder initAddresses();
-  inline void adoptAddresses(
-      ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-  disownAddresses();
+  inline  ::dotterelshed::schema::HostAddresses::Builder getAddresses();
+  inline void setAddresses( ::dotterelshed::schema::HostAddresses::Reader value);
+  inline  ::dotterelshed::schema::HostAddresses::Builder initAddresses();
+  inline void adoptAddresses(::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> disownAddresses();
 
-  inline ::int64_t getTableVersion();
-  inline void setTableVersion(::int64_t value);
+  inline  ::int64_t getTableVersion();
+  inline void setTableVersion( ::int64_t value);
 
-  inline ::int64_t getGeneration();
-  inline void setGeneration(::int64_t value);
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
 
   inline bool getHasDisk();
   inline void setHasDisk(bool value);
@@ -420,53 +386,36 @@
   inline void setDraining(bool value);
 
   inline bool hasQuarantined();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getQuarantined();
-  inline void setQuarantined(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setQuarantined(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initQuarantined(unsigned int size);
-  inline void adoptQuarantined(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownQuarantined();
-
-  inline ::int32_t getHeadroom();
-  inline void setHeadroom(::int32_t value);
-
-  inline ::int64_t getNewsSeen();
-  inline void setNewsSeen(::int64_t value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setQuarantined(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownQuarantined();
+
+  inline  ::int32_t getHeadroom();
+  inline void setHeadroom( ::int32_t value);
+
+  inline  ::int64_t getNewsSeen();
+  inline void setNewsSeen( ::int64_t value);
 
   inline bool hasUnconfirmed();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getUnconfirmed();
-  inline void setUnconfirmed(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setUnconfirmed(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initUnconfirmed(unsigned int size);
-  inline void adoptUnconfirmed(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownUnconfirmed();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnconfirmed();
+  inline void setUnconfirmed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnconfirmed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnconfirmed(unsigned int size);
+  inline void adoptUnconfirmed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnconfirmed();
 
   inline bool hasPinned();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getPinned();
-  inline void setPinned(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setPinned(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initPinned(
-      unsigned int size);
-  inline void adoptPinned(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownPinned();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getPinned();
+  inline void setPinned( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setPinned(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initPinned(unsigned int size);
+  inline void adoptPinned(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownPinned();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -477,17 +426,16 @@
 
 #if !CAPNP_LITE
 class Heartbeat::Pipeline {
- public:
+public:
   typedef Heartbeat Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getFrom();
-  inline ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -496,11 +444,11 @@
 #endif  // !CAPNP_LITE
 
 class MemberInfo::Reader {
- public:
+public:
   typedef MemberInfo Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -513,10 +461,10 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::dotterelshed::wire::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
   inline bool hasAddresses() const;
-  inline ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
+  inline  ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
 
   inline bool getAlive() const;
 
@@ -524,11 +472,11 @@
 
   inline bool getHasDisk() const;
 
-  inline ::int64_t getGeneration() const;
+  inline  ::int64_t getGeneration() const;
 
-  inline ::int32_t getHeadroom() const;
+  inline  ::int32_t getHeadroom() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -541,40 +489,34 @@
 };
 
 class MemberInfo::Builder {
- public:
+public:
   typedef MemberInfo Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::dotterelshed::wire::HostRef::Builder getHost();
-  inline void setHost(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
   inline bool hasAddresses();
-  inline ::dotterelshed::schema::HostAddresses::Builder getAddresses();
-  inline void setAddresses(::dotterelshed::schema::HostAddresses::Reader value);
-  inline ::dotterelshed::schema::HostAddresses::Builder initAddresses();
-  inline void adoptAddresses(
-      ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-  disownAddresses();
+  inline  ::dotterelshed::schema::HostAddresses::Builder getAddresses();
+  inline void setAddresses( ::dotterelshed::schema::HostAddresses::Reader value);
+  inline  ::dotterelshed::schema::HostAddresses::Builder initAddresses();
+  inline void adoptAddresses(::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> disownAddresses();
 
   inline bool getAlive();
   inline void setAlive(bool value);
@@ -585,13 +527,13 @@
   inline bool getHasDisk();
   inline void setHasDisk(bool value);
 
-  inline ::int64_t getGeneration();
-  inline void setGeneration(::int64_t value);
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
 
-  inline ::int32_t getHeadroom();
-  inline void setHeadroom(::int32_t value);
+  inline  ::int32_t getHeadroom();
+  inline void setHeadroom( ::int32_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -602,17 +544,16 @@
 
 #if !CAPNP_LITE
 class MemberInfo::Pipeline {
- public:
+public:
   typedef MemberInfo Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getHost();
-  inline ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
+  inline  ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -621,11 +562,11 @@
 #endif  // !CAPNP_LITE
 
 class PoolAssignment::Reader {
- public:
+public:
   typedef PoolAssignment Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -638,19 +579,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool() const;
-  inline ::capnp::Text::Reader getPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
   inline bool hasPrimary() const;
-  inline ::dotterelshed::wire::HostRef::Reader getPrimary() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getPrimary() const;
 
   inline bool hasHolder() const;
-  inline ::dotterelshed::wire::HostRef::Reader getHolder() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHolder() const;
 
-  inline ::int64_t getPrimarySince() const;
+  inline  ::int64_t getPrimarySince() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -663,55 +604,49 @@
 };
 
 class PoolAssignment::Builder {
- public:
+public:
   typedef PoolAssignment Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasPool();
-  inline ::capnp::Text::Builder getPool();
-  inline void setPool(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
   inline bool hasPrimary();
-  inline ::dotterelshed::wire::HostRef::Builder getPrimary();
-  inline void setPrimary(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initPrimary();
-  inline void adoptPrimary(
-      ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownPrimary();
+  inline  ::dotterelshed::wire::HostRef::Builder getPrimary();
+  inline void setPrimary( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initPrimary();
+  inline void adoptPrimary(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownPrimary();
 
   inline bool hasHolder();
-  inline ::dotterelshed::wire::HostRef::Builder getHolder();
-  inline void setHolder(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initHolder();
-  inline void adoptHolder(
-      ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownHolder();
+  inline  ::dotterelshed::wire::HostRef::Builder getHolder();
+  inline void setHolder( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHolder();
+  inline void adoptHolder(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHolder();
 
-  inline ::int64_t getPrimarySince();
-  inline void setPrimarySince(::int64_t value);
+  inline  ::int64_t getPrimarySince();
+  inline void setPrimarySince( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -722,17 +657,16 @@
 
 #if !CAPNP_LITE
 class PoolAssignment::Pipeline {
- public:
+public:
   typedef PoolAssignment Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getPrimary();
-  inline ::dotterelshed::wire::HostRef::Pipeline getHolder();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getPrimary();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHolder();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -741,11 +675,11 @@
 #endif  // !CAPNP_LITE
 
 class MemberRecord::Reader {
- public:
+public:
   typedef MemberRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -758,14 +692,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::capnp::Text::Reader getHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-  inline ::int64_t getIncarnation() const;
+  inline  ::int64_t getIncarnation() const;
 
   inline bool hasAddresses() const;
-  inline ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
+  inline  ::dotterelshed::schema::HostAddresses::Reader getAddresses() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -778,45 +712,39 @@
 };
 
 class MemberRecord::Builder {
- public:
+public:
   typedef MemberRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::capnp::Text::Builder getHost();
-  inline void setHost(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
 
-  inline ::int64_t getIncarnation();
-  inline void setIncarnation(::int64_t value);
+  inline  ::int64_t getIncarnation();
+  inline void setIncarnation( ::int64_t value);
 
   inline bool hasAddresses();
-  inline ::dotterelshed::schema::HostAddresses::Builder getAddresses();
-  inline void setAddresses(::dotterelshed::schema::HostAddresses::Reader value);
-  inline ::dotterelshed::schema::HostAddresses::Builder initAddresses();
-  inline void adoptAddresses(
-      ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-  disownAddresses();
-
- private:
+  inline  ::dotterelshed::schema::HostAddresses::Builder getAddresses();
+  inline void setAddresses( ::dotterelshed::schema::HostAddresses::Reader value);
+  inline  ::dotterelshed::schema::HostAddresses::Builder initAddresses();
+  inline void adoptAddresses(::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> disownAddresses();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -827,16 +755,15 @@
 
 #if !CAPNP_LITE
 class MemberRecord::Pipeline {
- public:
+public:
   typedef MemberRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
-
- private:
+  inline  ::dotterelshed::schema::HostAddresses::Pipeline getAddresses();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -845,11 +772,11 @@
 #endif  // !CAPNP_LITE
 
 class DomainTable::Reader {
- public:
+public:
   typedef DomainTable Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -862,30 +789,26 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDomain() const;
-  inline ::capnp::Text::Reader getDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline ::int64_t getVersion() const;
+  inline  ::int64_t getVersion() const;
 
-  inline ::int64_t getLeadTerm() const;
+  inline  ::int64_t getLeadTerm() const;
 
   inline bool hasLead() const;
-  inline ::dotterelshed::wire::HostRef::Reader getLead() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getLead() const;
 
   inline bool hasPools() const;
-  inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                       ::capnp::Kind::STRUCT>::Reader
-  getPools() const;
+  inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Reader getPools() const;
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
-  inline ::int64_t getGeneration() const;
+  inline  ::int64_t getGeneration() const;
 
-  inline ::int64_t getHighestTerm() const;
+  inline  ::int64_t getHighestTerm() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -898,84 +821,62 @@
 };
 
 class DomainTable::Builder {
- public:
+public:
   typedef DomainTable Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasDomain();
-  inline ::capnp::Text::Builder getDomain();
-  inline void setDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline ::int64_t getVersion();
-  inline void setVersion(::int64_t value);
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
 
-  inline ::int64_t getLeadTerm();
-  inline void setLeadTerm(::int64_t value);
+  inline  ::int64_t getLeadTerm();
+  inline void setLeadTerm( ::int64_t value);
 
   inline bool hasLead();
-  inline ::dotterelshed::wire::HostRef::Builder getLead();
-  inline void setLead(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initLead();
-  inline void adoptLead(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownLead();
+  inline  ::dotterelshed::wire::HostRef::Builder getLead();
+  inline void setLead( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initLead();
+  inline void adoptLead(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownLead();
 
   inline bool hasPools();
-  inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                       ::capnp::Kind::STRUCT>::Builder
-  getPools();
-  inline void setPools(::capnp::List<::dotterelshed::schema::PoolAssignment,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                       ::capnp::Kind::STRUCT>::Builder
-  initPools(unsigned int size);
-  inline void adoptPools(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::schema::PoolAssignment,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::schema::PoolAssignment,
-                                       ::capnp::Kind::STRUCT>>
-  disownPools();
+  inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Builder getPools();
+  inline void setPools( ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Builder initPools(unsigned int size);
+  inline void adoptPools(::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>> disownPools();
 
   inline bool hasMembers();
-  inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(::capnp::List<::dotterelshed::schema::MemberRecord,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void adoptMembers(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::schema::MemberRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::schema::MemberRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownMembers();
-
-  inline ::int64_t getGeneration();
-  inline void setGeneration(::int64_t value);
-
-  inline ::int64_t getHighestTerm();
-  inline void setHighestTerm(::int64_t value);
-
- private:
+  inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
+
+  inline  ::int64_t getHighestTerm();
+  inline void setHighestTerm( ::int64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -986,16 +887,15 @@
 
 #if !CAPNP_LITE
 class DomainTable::Pipeline {
- public:
+public:
   typedef DomainTable Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getLead();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getLead();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1004,11 +904,11 @@
 #endif  // !CAPNP_LITE
 
 class DomainDigest::Reader {
- public:
+public:
   typedef DomainDigest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1021,62 +921,52 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline ::dotterelshed::wire::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
   inline bool hasTable() const;
-  inline ::dotterelshed::schema::DomainTable::Reader getTable() const;
+  inline  ::dotterelshed::schema::DomainTable::Reader getTable() const;
 
   inline bool getHasTableBase() const;
 
-  inline ::int64_t getTableBase() const;
+  inline  ::int64_t getTableBase() const;
 
   inline bool hasRemovedPools() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getRemovedPools() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedPools() const;
 
   inline bool hasRemovedMembers() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getRemovedMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedMembers() const;
 
-  inline ::int64_t getTableVersion() const;
+  inline  ::int64_t getTableVersion() const;
 
-  inline ::int64_t getGeneration() const;
+  inline  ::int64_t getGeneration() const;
 
-  inline ::int64_t getNews() const;
+  inline  ::int64_t getNews() const;
 
   inline bool getAllMembers() const;
 
   inline bool hasMembers() const;
-  inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                       ::capnp::Kind::STRUCT>::Reader
-  getMembers() const;
+  inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
   inline bool hasRemoteTables() const;
-  inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                       ::capnp::Kind::STRUCT>::Reader
-  getRemoteTables() const;
+  inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Reader getRemoteTables() const;
 
   inline bool hasQuarantined() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getQuarantined() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getQuarantined() const;
 
   inline bool hasUnconfirmed() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getUnconfirmed() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getUnconfirmed() const;
 
   inline bool getLeadHeard() const;
 
   inline bool getPlatformReachable() const;
 
   inline bool hasLeavingEndpoints() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getLeavingEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLeavingEndpoints() const;
 
   inline bool hasStayingEndpoints() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-  getStayingEndpoints() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getStayingEndpoints() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1089,148 +979,98 @@
 };
 
 class DomainDigest::Builder {
- public:
+public:
   typedef DomainDigest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline ::dotterelshed::wire::HostRef::Builder getFrom();
-  inline void setFrom(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
   inline bool hasTable();
-  inline ::dotterelshed::schema::DomainTable::Builder getTable();
-  inline void setTable(::dotterelshed::schema::DomainTable::Reader value);
-  inline ::dotterelshed::schema::DomainTable::Builder initTable();
-  inline void adoptTable(
-      ::capnp::Orphan<::dotterelshed::schema::DomainTable>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::DomainTable> disownTable();
+  inline  ::dotterelshed::schema::DomainTable::Builder getTable();
+  inline void setTable( ::dotterelshed::schema::DomainTable::Reader value);
+  inline  ::dotterelshed::schema::DomainTable::Builder initTable();
+  inline void adoptTable(::capnp::Orphan< ::dotterelshed::schema::DomainTable>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::DomainTable> disownTable();
 
   inline bool getHasTableBase();
   inline void setHasTableBase(bool value);
 
-  inline ::int64_t getTableBase();
-  inline void setTableBase(::int64_t value);
+  inline  ::int64_t getTableBase();
+  inline void setTableBase( ::int64_t value);
 
   inline bool hasRemovedPools();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getRemovedPools();
-  inline void setRemovedPools(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setRemovedPools(
-      ::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initRemovedPools(unsigned int size);
-  inline void adoptRemovedPools(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownRemovedPools();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedPools();
+  inline void setRemovedPools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedPools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedPools(unsigned int size);
+  inline void adoptRemovedPools(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedPools();
 
   inline bool hasRemovedMembers();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getRemovedMembers();
-  inline void setRemovedMembers(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setRemovedMembers(
-      ::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initRemovedMembers(unsigned int size);
-  inline void adoptRemovedMembers(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownRemovedMembers();
-
-  inline ::int64_t getTableVersion();
-  inline void setTableVersion(::int64_t value);
-
-  inline ::int64_t getGeneration();
-  inline void setGeneration(::int64_t value);
-
-  inline ::int64_t getNews();
-  inline void setNews(::int64_t value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedMembers();
+  inline void setRemovedMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedMembers(unsigned int size);
+  inline void adoptRemovedMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedMembers();
+
+  inline  ::int64_t getTableVersion();
+  inline void setTableVersion( ::int64_t value);
+
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
+
+  inline  ::int64_t getNews();
+  inline void setNews( ::int64_t value);
 
   inline bool getAllMembers();
   inline void setAllMembers(bool value);
 
   inline bool hasMembers();
-  inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                       ::capnp::Kind::STRUCT>::Builder
-  getMembers();
-  inline void setMembers(::capnp::List<::dotterelshed::schema::MemberInfo,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                       ::capnp::Kind::STRUCT>::Builder
-  initMembers(unsigned int size);
-  inline void adoptMembers(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::schema::MemberInfo,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>
-  disownMembers();
+  inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>> disownMembers();
 
   inline bool hasRemoteTables();
-  inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                       ::capnp::Kind::STRUCT>::Builder
-  getRemoteTables();
-  inline void setRemoteTables(
-      ::capnp::List<::dotterelshed::schema::DomainTable,
-                    ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                       ::capnp::Kind::STRUCT>::Builder
-  initRemoteTables(unsigned int size);
-  inline void adoptRemoteTables(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::schema::DomainTable,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<
-      ::capnp::List<::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>
-  disownRemoteTables();
+  inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Builder getRemoteTables();
+  inline void setRemoteTables( ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Builder initRemoteTables(unsigned int size);
+  inline void adoptRemoteTables(::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>> disownRemoteTables();
 
   inline bool hasQuarantined();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getQuarantined();
-  inline void setQuarantined(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setQuarantined(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initQuarantined(unsigned int size);
-  inline void adoptQuarantined(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownQuarantined();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setQuarantined(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownQuarantined();
 
   inline bool hasUnconfirmed();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getUnconfirmed();
-  inline void setUnconfirmed(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setUnconfirmed(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initUnconfirmed(unsigned int size);
-  inline void adoptUnconfirmed(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownUnconfirmed();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getUnconfirmed();
+  inline void setUnconfirmed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setUnconfirmed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initUnconfirmed(unsigned int size);
+  inline void adoptUnconfirmed(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownUnconfirmed();
 
   inline bool getLeadHeard();
   inline void setLeadHeard(bool value);
@@ -1239,36 +1079,22 @@
   inline void setPlatformReachable(bool value);
 
   inline bool hasLeavingEndpoints();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getLeavingEndpoints();
-  inline void setLeavingEndpoints(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setLeavingEndpoints(
-      ::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initLeavingEndpoints(unsigned int size);
-  inline void adoptLeavingEndpoints(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownLeavingEndpoints();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLeavingEndpoints();
+  inline void setLeavingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLeavingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLeavingEndpoints(unsigned int size);
+  inline void adoptLeavingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLeavingEndpoints();
 
   inline bool hasStayingEndpoints();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  getStayingEndpoints();
-  inline void setStayingEndpoints(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setStayingEndpoints(
-      ::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-  initStayingEndpoints(unsigned int size);
-  inline void adoptStayingEndpoints(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownStayingEndpoints();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getStayingEndpoints();
+  inline void setStayingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setStayingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initStayingEndpoints(unsigned int size);
+  inline void adoptStayingEndpoints(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownStayingEndpoints();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1279,17 +1105,16 @@
 
 #if !CAPNP_LITE
 class DomainDigest::Pipeline {
- public:
+public:
   typedef DomainDigest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getFrom();
-  inline ::dotterelshed::schema::DomainTable::Pipeline getTable();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
+  inline  ::dotterelshed::schema::DomainTable::Pipeline getTable();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1298,11 +1123,11 @@
 #endif  // !CAPNP_LITE
 
 class DomainStatus::Reader {
- public:
+public:
   typedef DomainStatus Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1315,15 +1140,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDomain() const;
-  inline ::capnp::Text::Reader getDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
 
-  inline ::int64_t getInForce() const;
+  inline  ::int64_t getInForce() const;
 
   inline bool hasBehind() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getBehind()
-      const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBehind() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1336,49 +1160,40 @@
 };
 
 class DomainStatus::Builder {
- public:
+public:
   typedef DomainStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasDomain();
-  inline ::capnp::Text::Builder getDomain();
-  inline void setDomain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
 
-  inline ::int64_t getInForce();
-  inline void setInForce(::int64_t value);
+  inline  ::int64_t getInForce();
+  inline void setInForce( ::int64_t value);
 
   inline bool hasBehind();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getBehind();
-  inline void setBehind(
-      ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setBehind(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initBehind(
-      unsigned int size);
-  inline void adoptBehind(
-      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-          value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-  disownBehind();
-
- private:
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getBehind();
+  inline void setBehind( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setBehind(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initBehind(unsigned int size);
+  inline void adoptBehind(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBehind();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1389,14 +1204,14 @@
 
 #if !CAPNP_LITE
 class DomainStatus::Pipeline {
- public:
+public:
   typedef DomainStatus Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1405,11 +1220,11 @@
 #endif  // !CAPNP_LITE
 
 class ConfigRequest::Reader {
- public:
+public:
   typedef ConfigRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1422,11 +1237,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline ::dotterelshed::wire::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
-  inline ::int64_t getHave() const;
+  inline  ::int64_t getHave() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1439,36 +1254,32 @@
 };
 
 class ConfigRequest::Builder {
- public:
+public:
   typedef ConfigRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline ::dotterelshed::wire::HostRef::Builder getFrom();
-  inline void setFrom(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
-  inline ::int64_t getHave();
-  inline void setHave(::int64_t value);
+  inline  ::int64_t getHave();
+  inline void setHave( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1479,16 +1290,15 @@
 
 #if !CAPNP_LITE
 class ConfigRequest::Pipeline {
- public:
+public:
   typedef ConfigRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getFrom();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1497,11 +1307,11 @@
 #endif  // !CAPNP_LITE
 
 class ConfigOffer::Reader {
- public:
+public:
   typedef ConfigOffer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1514,21 +1324,21 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom() const;
-  inline ::dotterelshed::wire::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
-  inline ::int64_t getGeneration() const;
+  inline  ::int64_t getGeneration() const;
 
   inline bool getHasBase() const;
 
-  inline ::int64_t getBase() const;
+  inline  ::int64_t getBase() const;
 
   inline bool hasText() const;
-  inline ::capnp::Data::Reader getText() const;
+  inline  ::capnp::Data::Reader getText() const;
 
   inline bool hasDigest() const;
-  inline ::capnp::Text::Reader getDigest() const;
+  inline  ::capnp::Text::Reader getDigest() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1541,56 +1351,52 @@
 };
 
 class ConfigOffer::Builder {
- public:
+public:
   typedef ConfigOffer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasFrom();
-  inline ::dotterelshed::wire::HostRef::Builder getFrom();
-  inline void setFrom(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
-  inline ::int64_t getGeneration();
-  inline void setGeneration(::int64_t value);
+  inline  ::int64_t getGeneration();
+  inline void setGeneration( ::int64_t value);
 
   inline bool getHasBase();
   inline void setHasBase(bool value);
 
-  inline ::int64_t getBase();
-  inline void setBase(::int64_t value);
+  inline  ::int64_t getBase();
+  inline void setBase( ::int64_t value);
 
   inline bool hasText();
-  inline ::capnp::Data::Builder getText();
-  inline void setText(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initText(unsigned int size);
-  inline void adoptText(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownText();
+  inline  ::capnp::Data::Builder getText();
+  inline void setText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initText(unsigned int size);
+  inline void adoptText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownText();
 
   inline bool hasDigest();
-  inline ::capnp::Text::Builder getDigest();
-  inline void setDigest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDigest(unsigned int size);
-  inline void adoptDigest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDigest();
+  inline  ::capnp::Text::Builder getDigest();
+  inline void setDigest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDigest(unsigned int size);
+  inline void adoptDigest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDigest();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1601,16 +1407,15 @@
 
 #if !CAPNP_LITE
 class ConfigOffer::Pipeline {
- public:
+public:
   typedef ConfigOffer Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getFrom();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
