@@ -1621,2101 +1426,1731 @@
 // =======================================================================================
 
 inline bool HostAddresses::Reader::hasPeer() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostAddresses::Builder::hasPeer() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostAddresses::Reader::getPeer() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostAddresses::Reader::getPeer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostAddresses::Builder::getPeer() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostAddresses::Builder::getPeer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HostAddresses::Builder::setPeer(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HostAddresses::Builder::setPeer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostAddresses::Builder::initPeer(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostAddresses::Builder::initPeer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HostAddresses::Builder::adoptPeer(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostAddresses::Builder::disownPeer() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostAddresses::Builder::disownPeer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool HostAddresses::Reader::hasHttp() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostAddresses::Builder::hasHttp() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HostAddresses::Reader::getHttp() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HostAddresses::Reader::getHttp() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HostAddresses::Builder::getHttp() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HostAddresses::Builder::getHttp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HostAddresses::Builder::setHttp(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void HostAddresses::Builder::setHttp( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HostAddresses::Builder::initHttp(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HostAddresses::Builder::initHttp(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void HostAddresses::Builder::adoptHttp(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostAddresses::Builder::disownHttp() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostAddresses::Builder::disownHttp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader Heartbeat::Reader::getFrom()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader Heartbeat::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline Heartbeat::Pipeline::getFrom() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline Heartbeat::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setFrom(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Heartbeat::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Heartbeat::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Heartbeat::Builder::adoptFrom(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-Heartbeat::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Heartbeat::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasDomain() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasDomain() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Heartbeat::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Heartbeat::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Heartbeat::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Heartbeat::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setDomain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Heartbeat::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Heartbeat::Builder::initDomain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Heartbeat::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptDomain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Heartbeat::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasAddresses() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasAddresses() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::HostAddresses::Reader
-Heartbeat::Reader::getAddresses() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Reader Heartbeat::Reader::getAddresses() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-Heartbeat::Builder::getAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder Heartbeat::Builder::getAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::schema::HostAddresses::Pipeline
-Heartbeat::Pipeline::getAddresses() {
-  return ::dotterelshed::schema::HostAddresses::Pipeline(
-      _typeless.getPointerField(2));
+inline  ::dotterelshed::schema::HostAddresses::Pipeline Heartbeat::Pipeline::getAddresses() {
+  return  ::dotterelshed::schema::HostAddresses::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void Heartbeat::Builder::setAddresses(
-    ::dotterelshed::schema::HostAddresses::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void Heartbeat::Builder::setAddresses( ::dotterelshed::schema::HostAddresses::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-Heartbeat::Builder::initAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder Heartbeat::Builder::initAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Heartbeat::Builder::adoptAddresses(
-    ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-Heartbeat::Builder::disownAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> Heartbeat::Builder::disownAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Heartbeat::Reader::getTableVersion() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Reader::getTableVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Heartbeat::Builder::getTableVersion() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Builder::getTableVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setTableVersion(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Heartbeat::Builder::setTableVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Heartbeat::Reader::getGeneration() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Heartbeat::Builder::getGeneration() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setGeneration(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Heartbeat::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::getHasDisk() const {
-  return _reader.getDataField<bool>(::capnp::bounded<128>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool Heartbeat::Builder::getHasDisk() {
-  return _builder.getDataField<bool>(::capnp::bounded<128>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setHasDisk(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<129>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
 inline bool Heartbeat::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<129>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 inline void Heartbeat::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::hasQuarantined() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasQuarantined() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-Heartbeat::Reader::getQuarantined() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::getQuarantined() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setQuarantined(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline void Heartbeat::Builder::setQuarantined(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Heartbeat::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setQuarantined( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setQuarantined(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptQuarantined(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-Heartbeat::Builder::disownQuarantined() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Heartbeat::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int32_t Heartbeat::Reader::getHeadroom() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<5>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t Heartbeat::Reader::getHeadroom() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t Heartbeat::Builder::getHeadroom() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t Heartbeat::Builder::getHeadroom() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setHeadroom(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Heartbeat::Builder::setHeadroom( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Heartbeat::Reader::getNewsSeen() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Reader::getNewsSeen() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Heartbeat::Builder::getNewsSeen() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Heartbeat::Builder::getNewsSeen() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setNewsSeen(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Heartbeat::Builder::setNewsSeen( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Heartbeat::Reader::hasUnconfirmed() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasUnconfirmed() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-Heartbeat::Reader::getUnconfirmed() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::getUnconfirmed() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setUnconfirmed(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline void Heartbeat::Builder::setUnconfirmed(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::initUnconfirmed(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Heartbeat::Reader::getUnconfirmed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::getUnconfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setUnconfirmed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setUnconfirmed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::initUnconfirmed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptUnconfirmed(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-Heartbeat::Builder::disownUnconfirmed() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Heartbeat::Builder::disownUnconfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Heartbeat::Reader::hasPinned() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Heartbeat::Builder::hasPinned() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-Heartbeat::Reader::getPinned() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::getPinned() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void Heartbeat::Builder::setPinned(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline void Heartbeat::Builder::setPinned(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-Heartbeat::Builder::initPinned(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Heartbeat::Reader::getPinned() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::getPinned() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setPinned( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void Heartbeat::Builder::setPinned(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Heartbeat::Builder::initPinned(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Heartbeat::Builder::adoptPinned(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-Heartbeat::Builder::disownPinned() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Heartbeat::Builder::disownPinned() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool MemberInfo::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberInfo::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader MemberInfo::Reader::getHost()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader MemberInfo::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline MemberInfo::Pipeline::getHost() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline MemberInfo::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void MemberInfo::Builder::setHost(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void MemberInfo::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::initHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder MemberInfo::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void MemberInfo::Builder::adoptHost(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-MemberInfo::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> MemberInfo::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool MemberInfo::Reader::hasAddresses() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberInfo::Builder::hasAddresses() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::HostAddresses::Reader
-MemberInfo::Reader::getAddresses() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Reader MemberInfo::Reader::getAddresses() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-MemberInfo::Builder::getAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder MemberInfo::Builder::getAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::schema::HostAddresses::Pipeline
-MemberInfo::Pipeline::getAddresses() {
-  return ::dotterelshed::schema::HostAddresses::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::dotterelshed::schema::HostAddresses::Pipeline MemberInfo::Pipeline::getAddresses() {
+  return  ::dotterelshed::schema::HostAddresses::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void MemberInfo::Builder::setAddresses(
-    ::dotterelshed::schema::HostAddresses::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void MemberInfo::Builder::setAddresses( ::dotterelshed::schema::HostAddresses::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-MemberInfo::Builder::initAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder MemberInfo::Builder::initAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void MemberInfo::Builder::adoptAddresses(
-    ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-MemberInfo::Builder::disownAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> MemberInfo::Builder::disownAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool MemberInfo::Reader::getAlive() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool MemberInfo::Builder::getAlive() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void MemberInfo::Builder::setAlive(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberInfo::Reader::getDraining() const {
-  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline bool MemberInfo::Builder::getDraining() {
-  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void MemberInfo::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberInfo::Reader::getHasDisk() const {
-  return _reader.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline bool MemberInfo::Builder::getHasDisk() {
-  return _builder.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void MemberInfo::Builder::setHasDisk(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t MemberInfo::Reader::getGeneration() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t MemberInfo::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t MemberInfo::Builder::getGeneration() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t MemberInfo::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberInfo::Builder::setGeneration(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void MemberInfo::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int32_t MemberInfo::Reader::getHeadroom() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t MemberInfo::Reader::getHeadroom() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t MemberInfo::Builder::getHeadroom() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t MemberInfo::Builder::getHeadroom() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberInfo::Builder::setHeadroom(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void MemberInfo::Builder::setHeadroom( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PoolAssignment::Reader::hasPool() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PoolAssignment::Builder::hasPool() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader PoolAssignment::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader PoolAssignment::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder PoolAssignment::Builder::getPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder PoolAssignment::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PoolAssignment::Builder::setPool(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void PoolAssignment::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder PoolAssignment::Builder::initPool(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder PoolAssignment::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void PoolAssignment::Builder::adoptPool(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> PoolAssignment::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> PoolAssignment::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t PoolAssignment::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t PoolAssignment::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t PoolAssignment::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t PoolAssignment::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void PoolAssignment::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void PoolAssignment::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool PoolAssignment::Reader::hasPrimary() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool PoolAssignment::Builder::hasPrimary() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader
-PoolAssignment::Reader::getPrimary() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader PoolAssignment::Reader::getPrimary() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder
-PoolAssignment::Builder::getPrimary() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::getPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-PoolAssignment::Pipeline::getPrimary() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline PoolAssignment::Pipeline::getPrimary() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void PoolAssignment::Builder::setPrimary(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void PoolAssignment::Builder::setPrimary( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder
-PoolAssignment::Builder::initPrimary() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::initPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptPrimary(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-PoolAssignment::Builder::disownPrimary() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> PoolAssignment::Builder::disownPrimary() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool PoolAssignment::Reader::hasHolder() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool PoolAssignment::Builder::hasHolder() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader PoolAssignment::Reader::getHolder()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader PoolAssignment::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder
-PoolAssignment::Builder::getHolder() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-PoolAssignment::Pipeline::getHolder() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(2));
+inline  ::dotterelshed::wire::HostRef::Pipeline PoolAssignment::Pipeline::getHolder() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void PoolAssignment::Builder::setHolder(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void PoolAssignment::Builder::setHolder( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder
-PoolAssignment::Builder::initHolder() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder PoolAssignment::Builder::initHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void PoolAssignment::Builder::adoptHolder(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-PoolAssignment::Builder::disownHolder() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> PoolAssignment::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t PoolAssignment::Reader::getPrimarySince() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t PoolAssignment::Reader::getPrimarySince() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t PoolAssignment::Builder::getPrimarySince() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t PoolAssignment::Builder::getPrimarySince() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void PoolAssignment::Builder::setPrimarySince(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void PoolAssignment::Builder::setPrimarySince( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberRecord::Reader::getHost() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberRecord::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberRecord::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberRecord::Builder::setHost(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberRecord::Builder::initHost(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder MemberRecord::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void MemberRecord::Builder::adoptHost(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberRecord::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberRecord::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t MemberRecord::Reader::getIncarnation() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t MemberRecord::Reader::getIncarnation() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t MemberRecord::Builder::getIncarnation() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t MemberRecord::Builder::getIncarnation() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberRecord::Builder::setIncarnation(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void MemberRecord::Builder::setIncarnation( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool MemberRecord::Reader::hasAddresses() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool MemberRecord::Builder::hasAddresses() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::HostAddresses::Reader
-MemberRecord::Reader::getAddresses() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Reader MemberRecord::Reader::getAddresses() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-MemberRecord::Builder::getAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder MemberRecord::Builder::getAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::schema::HostAddresses::Pipeline
-MemberRecord::Pipeline::getAddresses() {
-  return ::dotterelshed::schema::HostAddresses::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::dotterelshed::schema::HostAddresses::Pipeline MemberRecord::Pipeline::getAddresses() {
+  return  ::dotterelshed::schema::HostAddresses::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void MemberRecord::Builder::setAddresses(
-    ::dotterelshed::schema::HostAddresses::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void MemberRecord::Builder::setAddresses( ::dotterelshed::schema::HostAddresses::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::HostAddresses::Builder
-MemberRecord::Builder::initAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::HostAddresses::Builder MemberRecord::Builder::initAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void MemberRecord::Builder::adoptAddresses(
-    ::capnp::Orphan<::dotterelshed::schema::HostAddresses>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::schema::HostAddresses>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::HostAddresses>
-MemberRecord::Builder::disownAddresses() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::HostAddresses>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::schema::HostAddresses> MemberRecord::Builder::disownAddresses() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::HostAddresses>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool DomainTable::Reader::hasDomain() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainTable::Builder::hasDomain() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader DomainTable::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader DomainTable::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder DomainTable::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder DomainTable::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DomainTable::Builder::setDomain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void DomainTable::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder DomainTable::Builder::initDomain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder DomainTable::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void DomainTable::Builder::adoptDomain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> DomainTable::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> DomainTable::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t DomainTable::Reader::getVersion() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainTable::Builder::getVersion() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DomainTable::Builder::setVersion(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainTable::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t DomainTable::Reader::getLeadTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Reader::getLeadTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainTable::Builder::getLeadTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Builder::getLeadTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void DomainTable::Builder::setLeadTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainTable::Builder::setLeadTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainTable::Reader::hasLead() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainTable::Builder::hasLead() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader DomainTable::Reader::getLead()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader DomainTable::Reader::getLead() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::getLead() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::getLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-DomainTable::Pipeline::getLead() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline DomainTable::Pipeline::getLead() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void DomainTable::Builder::setLead(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void DomainTable::Builder::setLead( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::initLead() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder DomainTable::Builder::initLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void DomainTable::Builder::adoptLead(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-DomainTable::Builder::disownLead() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> DomainTable::Builder::disownLead() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool DomainTable::Reader::hasPools() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainTable::Builder::hasPools() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                     ::capnp::Kind::STRUCT>::Reader
-DomainTable::Reader::getPools() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainTable::Builder::getPools() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void DomainTable::Builder::setPools(
-    ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::schema::PoolAssignment,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainTable::Builder::initPools(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Reader DomainTable::Reader::getPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Builder DomainTable::Builder::getPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void DomainTable::Builder::setPools( ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>::Builder DomainTable::Builder::initPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void DomainTable::Builder::adoptPools(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::schema::PoolAssignment,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::schema::PoolAssignment,
-                                     ::capnp::Kind::STRUCT>>
-DomainTable::Builder::disownPools() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::PoolAssignment, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>> DomainTable::Builder::disownPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::PoolAssignment,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool DomainTable::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainTable::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-DomainTable::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainTable::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void DomainTable::Builder::setMembers(
-    ::capnp::List<::dotterelshed::schema::MemberRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::MemberRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::schema::MemberRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainTable::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader DomainTable::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder DomainTable::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DomainTable::Builder::setMembers( ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>::Builder DomainTable::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void DomainTable::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::schema::MemberRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::MemberRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::schema::MemberRecord, ::capnp::Kind::STRUCT>>
-DomainTable::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>> DomainTable::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t DomainTable::Reader::getGeneration() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainTable::Builder::getGeneration() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void DomainTable::Builder::setGeneration(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainTable::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t DomainTable::Reader::getHighestTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Reader::getHighestTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainTable::Builder::getHighestTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainTable::Builder::getHighestTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void DomainTable::Builder::setHighestTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainTable::Builder::setHighestTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader DomainDigest::Reader::getFrom()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader DomainDigest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder DomainDigest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder DomainDigest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-DomainDigest::Pipeline::getFrom() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline DomainDigest::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void DomainDigest::Builder::setFrom(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void DomainDigest::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder
-DomainDigest::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder DomainDigest::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void DomainDigest::Builder::adoptFrom(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-DomainDigest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> DomainDigest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasTable() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasTable() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::DomainTable::Reader
-DomainDigest::Reader::getTable() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::DomainTable::Reader DomainDigest::Reader::getTable() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::DomainTable::Builder
-DomainDigest::Builder::getTable() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::DomainTable::Builder DomainDigest::Builder::getTable() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::schema::DomainTable::Pipeline
-DomainDigest::Pipeline::getTable() {
-  return ::dotterelshed::schema::DomainTable::Pipeline(
-      _typeless.getPointerField(1));
+inline  ::dotterelshed::schema::DomainTable::Pipeline DomainDigest::Pipeline::getTable() {
+  return  ::dotterelshed::schema::DomainTable::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void DomainDigest::Builder::setTable(
-    ::dotterelshed::schema::DomainTable::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void DomainDigest::Builder::setTable( ::dotterelshed::schema::DomainTable::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::DomainTable::Builder
-DomainDigest::Builder::initTable() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::schema::DomainTable::Builder DomainDigest::Builder::initTable() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void DomainDigest::Builder::adoptTable(
-    ::capnp::Orphan<::dotterelshed::schema::DomainTable>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::schema::DomainTable>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::DomainTable>
-DomainDigest::Builder::disownTable() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainTable>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::schema::DomainTable> DomainDigest::Builder::disownTable() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainTable>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::getHasTableBase() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool DomainDigest::Builder::getHasTableBase() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void DomainDigest::Builder::setHasTableBase(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t DomainDigest::Reader::getTableBase() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Reader::getTableBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainDigest::Builder::getTableBase() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Builder::getTableBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void DomainDigest::Builder::setTableBase(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainDigest::Builder::setTableBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::hasRemovedPools() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasRemovedPools() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getRemovedPools() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getRemovedPools() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setRemovedPools(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setRemovedPools(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initRemovedPools(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getRemovedPools() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getRemovedPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setRemovedPools( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setRemovedPools(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initRemovedPools(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptRemovedPools(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownRemovedPools() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownRemovedPools() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasRemovedMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasRemovedMembers() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getRemovedMembers() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getRemovedMembers() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setRemovedMembers(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setRemovedMembers(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initRemovedMembers(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getRemovedMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getRemovedMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setRemovedMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setRemovedMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initRemovedMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptRemovedMembers(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownRemovedMembers() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownRemovedMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t DomainDigest::Reader::getTableVersion() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Reader::getTableVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainDigest::Builder::getTableVersion() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Builder::getTableVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void DomainDigest::Builder::setTableVersion(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainDigest::Builder::setTableVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t DomainDigest::Reader::getGeneration() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainDigest::Builder::getGeneration() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void DomainDigest::Builder::setGeneration(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainDigest::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t DomainDigest::Reader::getNews() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Reader::getNews() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainDigest::Builder::getNews() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainDigest::Builder::getNews() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void DomainDigest::Builder::setNews(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainDigest::Builder::setNews( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::getAllMembers() const {
-  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
 inline bool DomainDigest::Builder::getAllMembers() {
-  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 inline void DomainDigest::Builder::setAllMembers(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::hasMembers() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasMembers() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                     ::capnp::Kind::STRUCT>::Reader
-DomainDigest::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainDigest::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setMembers(
-    ::capnp::List<::dotterelshed::schema::MemberInfo,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::MemberInfo,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::schema::MemberInfo,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainDigest::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Reader DomainDigest::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Builder DomainDigest::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setMembers( ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>::Builder DomainDigest::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::schema::MemberInfo,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::MemberInfo,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>
-DomainDigest::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::MemberInfo, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>> DomainDigest::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::MemberInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasRemoteTables() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasRemoteTables() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                     ::capnp::Kind::STRUCT>::Reader
-DomainDigest::Reader::getRemoteTables() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainDigest::Builder::getRemoteTables() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setRemoteTables(
-    ::capnp::List<::dotterelshed::schema::DomainTable,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::DomainTable,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::schema::DomainTable,
-                     ::capnp::Kind::STRUCT>::Builder
-DomainDigest::Builder::initRemoteTables(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Reader DomainDigest::Reader::getRemoteTables() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Builder DomainDigest::Builder::getRemoteTables() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setRemoteTables( ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>::Builder DomainDigest::Builder::initRemoteTables(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptRemoteTables(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::schema::DomainTable,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::schema::DomainTable,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>
-DomainDigest::Builder::disownRemoteTables() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::schema::DomainTable, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>> DomainDigest::Builder::disownRemoteTables() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::schema::DomainTable,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasQuarantined() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasQuarantined() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getQuarantined() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getQuarantined() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setQuarantined(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setQuarantined(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setQuarantined( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setQuarantined(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptQuarantined(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownQuarantined() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasUnconfirmed() const {
-  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasUnconfirmed() {
-  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getUnconfirmed() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getUnconfirmed() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setUnconfirmed(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setUnconfirmed(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initUnconfirmed(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getUnconfirmed() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getUnconfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setUnconfirmed( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setUnconfirmed(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initUnconfirmed(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptUnconfirmed(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownUnconfirmed() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownUnconfirmed() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::getLeadHeard() const {
-  return _reader.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline bool DomainDigest::Builder::getLeadHeard() {
-  return _builder.getDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void DomainDigest::Builder::setLeadHeard(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::getPlatformReachable() const {
-  return _reader.getDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
 inline bool DomainDigest::Builder::getPlatformReachable() {
-  return _builder.getDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 inline void DomainDigest::Builder::setPlatformReachable(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainDigest::Reader::hasLeavingEndpoints() const {
-  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasLeavingEndpoints() {
-  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getLeavingEndpoints() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getLeavingEndpoints() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setLeavingEndpoints(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setLeavingEndpoints(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initLeavingEndpoints(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getLeavingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setLeavingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setLeavingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initLeavingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptLeavingEndpoints(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownLeavingEndpoints() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownLeavingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
 inline bool DomainDigest::Reader::hasStayingEndpoints() const {
-  return !_reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainDigest::Builder::hasStayingEndpoints() {
-  return !_builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainDigest::Reader::getStayingEndpoints() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::getStayingEndpoints() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
-}
-inline void DomainDigest::Builder::setStayingEndpoints(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainDigest::Builder::setStayingEndpoints(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainDigest::Builder::initStayingEndpoints(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainDigest::Reader::getStayingEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::getStayingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void DomainDigest::Builder::setStayingEndpoints( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline void DomainDigest::Builder::setStayingEndpoints(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainDigest::Builder::initStayingEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
 }
 inline void DomainDigest::Builder::adoptStayingEndpoints(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainDigest::Builder::disownStayingEndpoints() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<9>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainDigest::Builder::disownStayingEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
 inline bool DomainStatus::Reader::hasDomain() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainStatus::Builder::hasDomain() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader DomainStatus::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader DomainStatus::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder DomainStatus::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder DomainStatus::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void DomainStatus::Builder::setDomain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void DomainStatus::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder DomainStatus::Builder::initDomain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder DomainStatus::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void DomainStatus::Builder::adoptDomain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> DomainStatus::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> DomainStatus::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t DomainStatus::Reader::getInForce() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t DomainStatus::Reader::getInForce() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t DomainStatus::Builder::getInForce() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t DomainStatus::Builder::getInForce() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void DomainStatus::Builder::setInForce(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void DomainStatus::Builder::setInForce( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool DomainStatus::Reader::hasBehind() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool DomainStatus::Builder::hasBehind() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-DomainStatus::Reader::getBehind() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainStatus::Builder::getBehind() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void DomainStatus::Builder::setBehind(
-    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline void DomainStatus::Builder::setBehind(
-    ::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-DomainStatus::Builder::initBehind(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader DomainStatus::Reader::getBehind() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainStatus::Builder::getBehind() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void DomainStatus::Builder::setBehind( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void DomainStatus::Builder::setBehind(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder DomainStatus::Builder::initBehind(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void DomainStatus::Builder::adoptBehind(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&&
-        value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-DomainStatus::Builder::disownBehind() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> DomainStatus::Builder::disownBehind() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ConfigRequest::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ConfigRequest::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader ConfigRequest::Reader::getFrom()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader ConfigRequest::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder
-ConfigRequest::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ConfigRequest::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-ConfigRequest::Pipeline::getFrom() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline ConfigRequest::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ConfigRequest::Builder::setFrom(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ConfigRequest::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder
-ConfigRequest::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ConfigRequest::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ConfigRequest::Builder::adoptFrom(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-ConfigRequest::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ConfigRequest::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ConfigRequest::Reader::getHave() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ConfigRequest::Reader::getHave() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ConfigRequest::Builder::getHave() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ConfigRequest::Builder::getHave() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigRequest::Builder::setHave(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ConfigRequest::Builder::setHave( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ConfigOffer::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ConfigOffer::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader ConfigOffer::Reader::getFrom()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader ConfigOffer::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-ConfigOffer::Pipeline::getFrom() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline ConfigOffer::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ConfigOffer::Builder::setFrom(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ConfigOffer::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ConfigOffer::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ConfigOffer::Builder::adoptFrom(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-ConfigOffer::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ConfigOffer::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ConfigOffer::Reader::getGeneration() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ConfigOffer::Reader::getGeneration() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ConfigOffer::Builder::getGeneration() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ConfigOffer::Builder::getGeneration() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigOffer::Builder::setGeneration(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ConfigOffer::Builder::setGeneration( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ConfigOffer::Reader::getHasBase() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool ConfigOffer::Builder::getHasBase() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void ConfigOffer::Builder::setHasBase(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t ConfigOffer::Reader::getBase() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ConfigOffer::Reader::getBase() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ConfigOffer::Builder::getBase() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ConfigOffer::Builder::getBase() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfigOffer::Builder::setBase(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ConfigOffer::Builder::setBase( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ConfigOffer::Reader::hasText() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ConfigOffer::Builder::hasText() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader ConfigOffer::Reader::getText() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader ConfigOffer::Reader::getText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder ConfigOffer::Builder::getText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder ConfigOffer::Builder::getText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigOffer::Builder::setText(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ConfigOffer::Builder::setText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder ConfigOffer::Builder::initText(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder ConfigOffer::Builder::initText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ConfigOffer::Builder::adoptText(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> ConfigOffer::Builder::disownText() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> ConfigOffer::Builder::disownText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ConfigOffer::Reader::hasDigest() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ConfigOffer::Builder::hasDigest() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ConfigOffer::Reader::getDigest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ConfigOffer::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ConfigOffer::Builder::getDigest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ConfigOffer::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ConfigOffer::Builder::setDigest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void ConfigOffer::Builder::setDigest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ConfigOffer::Builder::initDigest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ConfigOffer::Builder::initDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ConfigOffer::Builder::adoptDigest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ConfigOffer::Builder::disownDigest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ConfigOffer::Builder::disownDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-}  // namespace schema
-}  // namespace dotterelshed
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
