--- a/src/libpeer/peer.capnp.h
+++ b/src/libpeer/peer.capnp.h
@@ -7,8 +7,7 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
 #include "membership.capnp.h"
@@ -33,7 +32,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t {
+  enum Which: uint16_t {
     RESERVE_REQUEST,
     RESERVE_REPLY,
     APPEND_REQUEST,
@@ -50,22 +49,20 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(85ba5f821c278a14, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class PeerMessage::Reader {
- public:
+public:
   typedef PeerMessage Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -80,57 +77,53 @@
   inline Which which() const;
   inline bool isReserveRequest() const;
   inline bool hasReserveRequest() const;
-  inline ::dotterelshed::turn_rpc::ReserveRequest::Reader getReserveRequest()
-      const;
+  inline  ::dotterelshed::turn_rpc::ReserveRequest::Reader getReserveRequest() const;
 
   inline bool isReserveReply() const;
   inline bool hasReserveReply() const;
-  inline ::dotterelshed::turn_rpc::ChangeReply::Reader getReserveReply() const;
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Reader getReserveReply() const;
 
   inline bool isAppendRequest() const;
   inline bool hasAppendRequest() const;
-  inline ::dotterelshed::turn_rpc::AppendRequest::Reader getAppendRequest()
-      const;
+  inline  ::dotterelshed::turn_rpc::AppendRequest::Reader getAppendRequest() const;
 
   inline bool isAppendReply() const;
   inline bool hasAppendReply() const;
-  inline ::dotterelshed::turn_rpc::ChangeReply::Reader getAppendReply() const;
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Reader getAppendReply() const;
 
   inline bool isStateCopy() const;
   inline bool hasStateCopy() const;
-  inline ::dotterelshed::turn_rpc::StateCopy::Reader getStateCopy() const;
+  inline  ::dotterelshed::turn_rpc::StateCopy::Reader getStateCopy() const;
 
   inline bool isStateCopyReply() const;
   inline bool hasStateCopyReply() const;
-  inline ::dotterelshed::turn_rpc::StateCopyReply::Reader getStateCopyReply()
-      const;
+  inline  ::dotterelshed::turn_rpc::StateCopyReply::Reader getStateCopyReply() const;
 
   inline bool isCollectRequest() const;
   inline bool hasCollectRequest() const;
-  inline ::dotterelshed::turn_rpc::CollectRequest::Reader getCollectRequest()
-      const;
+  inline  ::dotterelshed::turn_rpc::CollectRequest::Reader getCollectRequest() const;
 
   inline bool isCollectReply() const;
   inline bool hasCollectReply() const;
-  inline ::dotterelshed::turn_rpc::CollectReply::Reader getCollectReply() const;
+  inline  ::dotterelshed::turn_rpc::CollectReply::Reader getCollectReply() const;
 
   inline bool isHeartbeat() const;
   inline bool hasHeartbeat() const;
-  inline ::dotterelshed::schema::Heartbeat::Reader getHeartbeat() const;
+  inline  ::dotterelshed::schema::Heartbeat::Reader getHeartbeat() const;
 
   inline bool isDomainDigest() const;
   inline bool hasDomainDigest() const;
-  inline ::dotterelshed::schema::DomainDigest::Reader getDomainDigest() const;
+  inline  ::dotterelshed::schema::DomainDigest::Reader getDomainDigest() const;
 
   inline bool isConfigRequest() const;
   inline bool hasConfigRequest() const;
-  inline ::dotterelshed::schema::ConfigRequest::Reader getConfigRequest() const;
+  inline  ::dotterelshed::schema::ConfigRequest::Reader getConfigRequest() const;
 
   inline bool isConfigOffer() const;
   inline bool hasConfigOffer() const;
-  inline ::dotterelshed::schema::ConfigOffer::Reader getConfigOffer() const;
+  inline  ::dotterelshed::schema::ConfigOffer::Reader getConfigOffer() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -143,154 +136,119 @@
 };
 
 class PeerMessage::Builder {
- public:
+public:
   typedef PeerMessage Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isReserveRequest();
   inline bool hasReserveRequest();
-  inline ::dotterelshed::turn_rpc::ReserveRequest::Builder getReserveRequest();
-  inline void setReserveRequest(
-      ::dotterelshed::turn_rpc::ReserveRequest::Reader value);
-  inline ::dotterelshed::turn_rpc::ReserveRequest::Builder initReserveRequest();
-  inline void adoptReserveRequest(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::ReserveRequest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::ReserveRequest>
-  disownReserveRequest();
+  inline  ::dotterelshed::turn_rpc::ReserveRequest::Builder getReserveRequest();
+  inline void setReserveRequest( ::dotterelshed::turn_rpc::ReserveRequest::Reader value);
+  inline  ::dotterelshed::turn_rpc::ReserveRequest::Builder initReserveRequest();
+  inline void adoptReserveRequest(::capnp::Orphan< ::dotterelshed::turn_rpc::ReserveRequest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ReserveRequest> disownReserveRequest();
 
   inline bool isReserveReply();
   inline bool hasReserveReply();
-  inline ::dotterelshed::turn_rpc::ChangeReply::Builder getReserveReply();
-  inline void setReserveReply(
-      ::dotterelshed::turn_rpc::ChangeReply::Reader value);
-  inline ::dotterelshed::turn_rpc::ChangeReply::Builder initReserveReply();
-  inline void adoptReserveReply(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>
-  disownReserveReply();
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Builder getReserveReply();
+  inline void setReserveReply( ::dotterelshed::turn_rpc::ChangeReply::Reader value);
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Builder initReserveReply();
+  inline void adoptReserveReply(::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply> disownReserveReply();
 
   inline bool isAppendRequest();
   inline bool hasAppendRequest();
-  inline ::dotterelshed::turn_rpc::AppendRequest::Builder getAppendRequest();
-  inline void setAppendRequest(
-      ::dotterelshed::turn_rpc::AppendRequest::Reader value);
-  inline ::dotterelshed::turn_rpc::AppendRequest::Builder initAppendRequest();
-  inline void adoptAppendRequest(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::AppendRequest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::AppendRequest>
-  disownAppendRequest();
+  inline  ::dotterelshed::turn_rpc::AppendRequest::Builder getAppendRequest();
+  inline void setAppendRequest( ::dotterelshed::turn_rpc::AppendRequest::Reader value);
+  inline  ::dotterelshed::turn_rpc::AppendRequest::Builder initAppendRequest();
+  inline void adoptAppendRequest(::capnp::Orphan< ::dotterelshed::turn_rpc::AppendRequest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::AppendRequest> disownAppendRequest();
 
   inline bool isAppendReply();
   inline bool hasAppendReply();
-  inline ::dotterelshed::turn_rpc::ChangeReply::Builder getAppendReply();
-  inline void setAppendReply(
-      ::dotterelshed::turn_rpc::ChangeReply::Reader value);
-  inline ::dotterelshed::turn_rpc::ChangeReply::Builder initAppendReply();
-  inline void adoptAppendReply(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>
-  disownAppendReply();
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Builder getAppendReply();
+  inline void setAppendReply( ::dotterelshed::turn_rpc::ChangeReply::Reader value);
+  inline  ::dotterelshed::turn_rpc::ChangeReply::Builder initAppendReply();
+  inline void adoptAppendReply(::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply> disownAppendReply();
 
   inline bool isStateCopy();
   inline bool hasStateCopy();
-  inline ::dotterelshed::turn_rpc::StateCopy::Builder getStateCopy();
-  inline void setStateCopy(::dotterelshed::turn_rpc::StateCopy::Reader value);
-  inline ::dotterelshed::turn_rpc::StateCopy::Builder initStateCopy();
-  inline void adoptStateCopy(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopy>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopy> disownStateCopy();
+  inline  ::dotterelshed::turn_rpc::StateCopy::Builder getStateCopy();
+  inline void setStateCopy( ::dotterelshed::turn_rpc::StateCopy::Reader value);
+  inline  ::dotterelshed::turn_rpc::StateCopy::Builder initStateCopy();
+  inline void adoptStateCopy(::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopy>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopy> disownStateCopy();
 
   inline bool isStateCopyReply();
   inline bool hasStateCopyReply();
-  inline ::dotterelshed::turn_rpc::StateCopyReply::Builder getStateCopyReply();
-  inline void setStateCopyReply(
-      ::dotterelshed::turn_rpc::StateCopyReply::Reader value);
-  inline ::dotterelshed::turn_rpc::StateCopyReply::Builder initStateCopyReply();
-  inline void adoptStateCopyReply(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopyReply>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopyReply>
-  disownStateCopyReply();
+  inline  ::dotterelshed::turn_rpc::StateCopyReply::Builder getStateCopyReply();
+  inline void setStateCopyReply( ::dotterelshed::turn_rpc::StateCopyReply::Reader value);
+  inline  ::dotterelshed::turn_rpc::StateCopyReply::Builder initStateCopyReply();
+  inline void adoptStateCopyReply(::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopyReply>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopyReply> disownStateCopyReply();
 
   inline bool isCollectRequest();
   inline bool hasCollectRequest();
-  inline ::dotterelshed::turn_rpc::CollectRequest::Builder getCollectRequest();
-  inline void setCollectRequest(
-      ::dotterelshed::turn_rpc::CollectRequest::Reader value);
-  inline ::dotterelshed::turn_rpc::CollectRequest::Builder initCollectRequest();
-  inline void adoptCollectRequest(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::CollectRequest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::CollectRequest>
-  disownCollectRequest();
+  inline  ::dotterelshed::turn_rpc::CollectRequest::Builder getCollectRequest();
+  inline void setCollectRequest( ::dotterelshed::turn_rpc::CollectRequest::Reader value);
+  inline  ::dotterelshed::turn_rpc::CollectRequest::Builder initCollectRequest();
+  inline void adoptCollectRequest(::capnp::Orphan< ::dotterelshed::turn_rpc::CollectRequest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectRequest> disownCollectRequest();
 
   inline bool isCollectReply();
   inline bool hasCollectReply();
-  inline ::dotterelshed::turn_rpc::CollectReply::Builder getCollectReply();
-  inline void setCollectReply(
-      ::dotterelshed::turn_rpc::CollectReply::Reader value);
-  inline ::dotterelshed::turn_rpc::CollectReply::Builder initCollectReply();
-  inline void adoptCollectReply(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::CollectReply>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::CollectReply>
-  disownCollectReply();
+  inline  ::dotterelshed::turn_rpc::CollectReply::Builder getCollectReply();
+  inline void setCollectReply( ::dotterelshed::turn_rpc::CollectReply::Reader value);
+  inline  ::dotterelshed::turn_rpc::CollectReply::Builder initCollectReply();
+  inline void adoptCollectReply(::capnp::Orphan< ::dotterelshed::turn_rpc::CollectReply>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectReply> disownCollectReply();
 
   inline bool isHeartbeat();
   inline bool hasHeartbeat();
-  inline ::dotterelshed::schema::Heartbeat::Builder getHeartbeat();
-  inline void setHeartbeat(::dotterelshed::schema::Heartbeat::Reader value);
-  inline ::dotterelshed::schema::Heartbeat::Builder initHeartbeat();
-  inline void adoptHeartbeat(
-      ::capnp::Orphan<::dotterelshed::schema::Heartbeat>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::Heartbeat> disownHeartbeat();
+  inline  ::dotterelshed::schema::Heartbeat::Builder getHeartbeat();
+  inline void setHeartbeat( ::dotterelshed::schema::Heartbeat::Reader value);
+  inline  ::dotterelshed::schema::Heartbeat::Builder initHeartbeat();
+  inline void adoptHeartbeat(::capnp::Orphan< ::dotterelshed::schema::Heartbeat>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::Heartbeat> disownHeartbeat();
 
   inline bool isDomainDigest();
   inline bool hasDomainDigest();
-  inline ::dotterelshed::schema::DomainDigest::Builder getDomainDigest();
-  inline void setDomainDigest(
-      ::dotterelshed::schema::DomainDigest::Reader value);
-  inline ::dotterelshed::schema::DomainDigest::Builder initDomainDigest();
-  inline void adoptDomainDigest(
-      ::capnp::Orphan<::dotterelshed::schema::DomainDigest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::DomainDigest>
-  disownDomainDigest();
+  inline  ::dotterelshed::schema::DomainDigest::Builder getDomainDigest();
+  inline void setDomainDigest( ::dotterelshed::schema::DomainDigest::Reader value);
+  inline  ::dotterelshed::schema::DomainDigest::Builder initDomainDigest();
+  inline void adoptDomainDigest(::capnp::Orphan< ::dotterelshed::schema::DomainDigest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::DomainDigest> disownDomainDigest();
 
   inline bool isConfigRequest();
   inline bool hasConfigRequest();
-  inline ::dotterelshed::schema::ConfigRequest::Builder getConfigRequest();
-  inline void setConfigRequest(
-      ::dotterelshed::schema::ConfigRequest::Reader value);
-  inline ::dotterelshed::schema::ConfigRequest::Builder initConfigRequest();
-  inline void adoptConfigRequest(
-      ::capnp::Orphan<::dotterelshed::schema::ConfigRequest>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::ConfigRequest>
-  disownConfigRequest();
+  inline  ::dotterelshed::schema::ConfigRequest::Builder getConfigRequest();
+  inline void setConfigRequest( ::dotterelshed::schema::ConfigRequest::Reader value);
+  inline  ::dotterelshed::schema::ConfigRequest::Builder initConfigRequest();
+  inline void adoptConfigRequest(::capnp::Orphan< ::dotterelshed::schema::ConfigRequest>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::ConfigRequest> disownConfigRequest();
 
   inline bool isConfigOffer();
   inline bool hasConfigOffer();
-  inline ::dotterelshed::schema::ConfigOffer::Builder getConfigOffer();
-  inline void setConfigOffer(::dotterelshed::schema::ConfigOffer::Reader value);
-  inline ::dotterelshed::schema::ConfigOffer::Builder initConfigOffer();
-  inline void adoptConfigOffer(
-      ::capnp::Orphan<::dotterelshed::schema::ConfigOffer>&& value);
-  inline ::capnp::Orphan<::dotterelshed::schema::ConfigOffer>
-  disownConfigOffer();
-
- private:
+  inline  ::dotterelshed::schema::ConfigOffer::Builder getConfigOffer();
+  inline void setConfigOffer( ::dotterelshed::schema::ConfigOffer::Reader value);
+  inline  ::dotterelshed::schema::ConfigOffer::Builder initConfigOffer();
+  inline void adoptConfigOffer(::capnp::Orphan< ::dotterelshed::schema::ConfigOffer>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::schema::ConfigOffer> disownConfigOffer();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -301,14 +259,14 @@
 
 #if !CAPNP_LITE
 class PeerMessage::Pipeline {
- public:
+public:
   typedef PeerMessage Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -318,13 +276,13 @@
 
 // =======================================================================================
 
-inline ::dotterelshed::wire::PeerMessage::Which PeerMessage::Reader::which()
-    const {
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::PeerMessage::Which PeerMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::dotterelshed::wire::PeerMessage::Which PeerMessage::Builder::which() {
-  return _builder.getDataField<Which>(::capnp::bounded<0>() *
-                                      ::capnp::ELEMENTS);
+inline  ::dotterelshed::wire::PeerMessage::Which PeerMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool PeerMessage::Reader::isReserveRequest() const {
@@ -334,61 +292,51 @@
   return which() == PeerMessage::RESERVE_REQUEST;
 }
 inline bool PeerMessage::Reader::hasReserveRequest() const {
-  if (which() != PeerMessage::RESERVE_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::RESERVE_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasReserveRequest() {
-  if (which() != PeerMessage::RESERVE_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::RESERVE_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::ReserveRequest::Reader
-PeerMessage::Reader::getReserveRequest() const {
+inline  ::dotterelshed::turn_rpc::ReserveRequest::Reader PeerMessage::Reader::getReserveRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::ReserveRequest::Builder
-PeerMessage::Builder::getReserveRequest() {
+inline  ::dotterelshed::turn_rpc::ReserveRequest::Builder PeerMessage::Builder::getReserveRequest() {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setReserveRequest(
-    ::dotterelshed::turn_rpc::ReserveRequest::Reader value) {
+inline void PeerMessage::Builder::setReserveRequest( ::dotterelshed::turn_rpc::ReserveRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::ReserveRequest::Builder
-PeerMessage::Builder::initReserveRequest() {
+inline  ::dotterelshed::turn_rpc::ReserveRequest::Builder PeerMessage::Builder::initReserveRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REQUEST);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptReserveRequest(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::ReserveRequest>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::ReserveRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::ReserveRequest>
-PeerMessage::Builder::disownReserveRequest() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ReserveRequest> PeerMessage::Builder::disownReserveRequest() {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ReserveRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ReserveRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isReserveReply() const {
@@ -398,61 +346,51 @@
   return which() == PeerMessage::RESERVE_REPLY;
 }
 inline bool PeerMessage::Reader::hasReserveReply() const {
-  if (which() != PeerMessage::RESERVE_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::RESERVE_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasReserveReply() {
-  if (which() != PeerMessage::RESERVE_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::RESERVE_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Reader
-PeerMessage::Reader::getReserveReply() const {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Reader PeerMessage::Reader::getReserveReply() const {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Builder
-PeerMessage::Builder::getReserveReply() {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Builder PeerMessage::Builder::getReserveReply() {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setReserveReply(
-    ::dotterelshed::turn_rpc::ChangeReply::Reader value) {
+inline void PeerMessage::Builder::setReserveReply( ::dotterelshed::turn_rpc::ChangeReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Builder
-PeerMessage::Builder::initReserveReply() {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Builder PeerMessage::Builder::initReserveReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REPLY);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptReserveReply(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::RESERVE_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>
-PeerMessage::Builder::disownReserveReply() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply> PeerMessage::Builder::disownReserveReply() {
   KJ_IREQUIRE((which() == PeerMessage::RESERVE_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isAppendRequest() const {
@@ -462,61 +400,51 @@
   return which() == PeerMessage::APPEND_REQUEST;
 }
 inline bool PeerMessage::Reader::hasAppendRequest() const {
-  if (which() != PeerMessage::APPEND_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasAppendRequest() {
-  if (which() != PeerMessage::APPEND_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::AppendRequest::Reader
-PeerMessage::Reader::getAppendRequest() const {
+inline  ::dotterelshed::turn_rpc::AppendRequest::Reader PeerMessage::Reader::getAppendRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::AppendRequest::Builder
-PeerMessage::Builder::getAppendRequest() {
+inline  ::dotterelshed::turn_rpc::AppendRequest::Builder PeerMessage::Builder::getAppendRequest() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setAppendRequest(
-    ::dotterelshed::turn_rpc::AppendRequest::Reader value) {
+inline void PeerMessage::Builder::setAppendRequest( ::dotterelshed::turn_rpc::AppendRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::AppendRequest::Builder
-PeerMessage::Builder::initAppendRequest() {
+inline  ::dotterelshed::turn_rpc::AppendRequest::Builder PeerMessage::Builder::initAppendRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptAppendRequest(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::AppendRequest>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::AppendRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::AppendRequest>
-PeerMessage::Builder::disownAppendRequest() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::AppendRequest> PeerMessage::Builder::disownAppendRequest() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::AppendRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::AppendRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isAppendReply() const {
@@ -526,61 +454,51 @@
   return which() == PeerMessage::APPEND_REPLY;
 }
 inline bool PeerMessage::Reader::hasAppendReply() const {
-  if (which() != PeerMessage::APPEND_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasAppendReply() {
-  if (which() != PeerMessage::APPEND_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::APPEND_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Reader
-PeerMessage::Reader::getAppendReply() const {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Reader PeerMessage::Reader::getAppendReply() const {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Builder
-PeerMessage::Builder::getAppendReply() {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Builder PeerMessage::Builder::getAppendReply() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setAppendReply(
-    ::dotterelshed::turn_rpc::ChangeReply::Reader value) {
+inline void PeerMessage::Builder::setAppendReply( ::dotterelshed::turn_rpc::ChangeReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::ChangeReply::Builder
-PeerMessage::Builder::initAppendReply() {
+inline  ::dotterelshed::turn_rpc::ChangeReply::Builder PeerMessage::Builder::initAppendReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptAppendReply(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::APPEND_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::ChangeReply>
-PeerMessage::Builder::disownAppendReply() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ChangeReply> PeerMessage::Builder::disownAppendReply() {
   KJ_IREQUIRE((which() == PeerMessage::APPEND_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ChangeReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ChangeReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isStateCopy() const {
@@ -590,61 +508,51 @@
   return which() == PeerMessage::STATE_COPY;
 }
 inline bool PeerMessage::Reader::hasStateCopy() const {
-  if (which() != PeerMessage::STATE_COPY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATE_COPY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasStateCopy() {
-  if (which() != PeerMessage::STATE_COPY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATE_COPY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::StateCopy::Reader
-PeerMessage::Reader::getStateCopy() const {
+inline  ::dotterelshed::turn_rpc::StateCopy::Reader PeerMessage::Reader::getStateCopy() const {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::StateCopy::Builder
-PeerMessage::Builder::getStateCopy() {
+inline  ::dotterelshed::turn_rpc::StateCopy::Builder PeerMessage::Builder::getStateCopy() {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setStateCopy(
-    ::dotterelshed::turn_rpc::StateCopy::Reader value) {
+inline void PeerMessage::Builder::setStateCopy( ::dotterelshed::turn_rpc::StateCopy::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::StateCopy::Builder
-PeerMessage::Builder::initStateCopy() {
+inline  ::dotterelshed::turn_rpc::StateCopy::Builder PeerMessage::Builder::initStateCopy() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptStateCopy(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopy>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopy>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopy>
-PeerMessage::Builder::disownStateCopy() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopy> PeerMessage::Builder::disownStateCopy() {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopy>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopy>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isStateCopyReply() const {
@@ -654,61 +562,51 @@
   return which() == PeerMessage::STATE_COPY_REPLY;
 }
 inline bool PeerMessage::Reader::hasStateCopyReply() const {
-  if (which() != PeerMessage::STATE_COPY_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATE_COPY_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasStateCopyReply() {
-  if (which() != PeerMessage::STATE_COPY_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::STATE_COPY_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::StateCopyReply::Reader
-PeerMessage::Reader::getStateCopyReply() const {
+inline  ::dotterelshed::turn_rpc::StateCopyReply::Reader PeerMessage::Reader::getStateCopyReply() const {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::StateCopyReply::Builder
-PeerMessage::Builder::getStateCopyReply() {
+inline  ::dotterelshed::turn_rpc::StateCopyReply::Builder PeerMessage::Builder::getStateCopyReply() {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setStateCopyReply(
-    ::dotterelshed::turn_rpc::StateCopyReply::Reader value) {
+inline void PeerMessage::Builder::setStateCopyReply( ::dotterelshed::turn_rpc::StateCopyReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::StateCopyReply::Builder
-PeerMessage::Builder::initStateCopyReply() {
+inline  ::dotterelshed::turn_rpc::StateCopyReply::Builder PeerMessage::Builder::initStateCopyReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY_REPLY);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptStateCopyReply(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopyReply>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopyReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::STATE_COPY_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::StateCopyReply>
-PeerMessage::Builder::disownStateCopyReply() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::StateCopyReply> PeerMessage::Builder::disownStateCopyReply() {
   KJ_IREQUIRE((which() == PeerMessage::STATE_COPY_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::StateCopyReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::StateCopyReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isCollectRequest() const {
@@ -718,61 +616,51 @@
   return which() == PeerMessage::COLLECT_REQUEST;
 }
 inline bool PeerMessage::Reader::hasCollectRequest() const {
-  if (which() != PeerMessage::COLLECT_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::COLLECT_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasCollectRequest() {
-  if (which() != PeerMessage::COLLECT_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::COLLECT_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::CollectRequest::Reader
-PeerMessage::Reader::getCollectRequest() const {
+inline  ::dotterelshed::turn_rpc::CollectRequest::Reader PeerMessage::Reader::getCollectRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::CollectRequest::Builder
-PeerMessage::Builder::getCollectRequest() {
+inline  ::dotterelshed::turn_rpc::CollectRequest::Builder PeerMessage::Builder::getCollectRequest() {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setCollectRequest(
-    ::dotterelshed::turn_rpc::CollectRequest::Reader value) {
+inline void PeerMessage::Builder::setCollectRequest( ::dotterelshed::turn_rpc::CollectRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::CollectRequest::Builder
-PeerMessage::Builder::initCollectRequest() {
+inline  ::dotterelshed::turn_rpc::CollectRequest::Builder PeerMessage::Builder::initCollectRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REQUEST);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptCollectRequest(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::CollectRequest>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::CollectRequest>
-PeerMessage::Builder::disownCollectRequest() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectRequest> PeerMessage::Builder::disownCollectRequest() {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isCollectReply() const {
@@ -782,61 +670,51 @@
   return which() == PeerMessage::COLLECT_REPLY;
 }
 inline bool PeerMessage::Reader::hasCollectReply() const {
-  if (which() != PeerMessage::COLLECT_REPLY)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::COLLECT_REPLY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasCollectReply() {
-  if (which() != PeerMessage::COLLECT_REPLY)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::COLLECT_REPLY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::CollectReply::Reader
-PeerMessage::Reader::getCollectReply() const {
+inline  ::dotterelshed::turn_rpc::CollectReply::Reader PeerMessage::Reader::getCollectReply() const {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::
-      get(_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::CollectReply::Builder
-PeerMessage::Builder::getCollectReply() {
+inline  ::dotterelshed::turn_rpc::CollectReply::Builder PeerMessage::Builder::getCollectReply() {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::
-      get(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setCollectReply(
-    ::dotterelshed::turn_rpc::CollectReply::Reader value) {
+inline void PeerMessage::Builder::setCollectReply( ::dotterelshed::turn_rpc::CollectReply::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::CollectReply::Builder
-PeerMessage::Builder::initCollectReply() {
+inline  ::dotterelshed::turn_rpc::CollectReply::Builder PeerMessage::Builder::initCollectReply() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REPLY);
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptCollectReply(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::CollectReply>&& value) {
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectReply>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::COLLECT_REPLY);
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::CollectReply>
-PeerMessage::Builder::disownCollectReply() {
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::CollectReply> PeerMessage::Builder::disownCollectReply() {
   KJ_IREQUIRE((which() == PeerMessage::COLLECT_REPLY),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::CollectReply>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::CollectReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isHeartbeat() const {
@@ -846,60 +724,51 @@
   return which() == PeerMessage::HEARTBEAT;
 }
 inline bool PeerMessage::Reader::hasHeartbeat() const {
-  if (which() != PeerMessage::HEARTBEAT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::HEARTBEAT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasHeartbeat() {
-  if (which() != PeerMessage::HEARTBEAT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::HEARTBEAT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::Heartbeat::Reader
-PeerMessage::Reader::getHeartbeat() const {
+inline  ::dotterelshed::schema::Heartbeat::Reader PeerMessage::Reader::getHeartbeat() const {
   KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::Heartbeat::Builder
-PeerMessage::Builder::getHeartbeat() {
+inline  ::dotterelshed::schema::Heartbeat::Builder PeerMessage::Builder::getHeartbeat() {
   KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setHeartbeat(
-    ::dotterelshed::schema::Heartbeat::Reader value) {
+inline void PeerMessage::Builder::setHeartbeat( ::dotterelshed::schema::Heartbeat::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::Heartbeat::Builder
-PeerMessage::Builder::initHeartbeat() {
+inline  ::dotterelshed::schema::Heartbeat::Builder PeerMessage::Builder::initHeartbeat() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptHeartbeat(
-    ::capnp::Orphan<::dotterelshed::schema::Heartbeat>&& value) {
+    ::capnp::Orphan< ::dotterelshed::schema::Heartbeat>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::HEARTBEAT);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::Heartbeat>
-PeerMessage::Builder::disownHeartbeat() {
+inline ::capnp::Orphan< ::dotterelshed::schema::Heartbeat> PeerMessage::Builder::disownHeartbeat() {
   KJ_IREQUIRE((which() == PeerMessage::HEARTBEAT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::Heartbeat>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::Heartbeat>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isDomainDigest() const {
@@ -909,61 +778,51 @@
   return which() == PeerMessage::DOMAIN_DIGEST;
 }
 inline bool PeerMessage::Reader::hasDomainDigest() const {
-  if (which() != PeerMessage::DOMAIN_DIGEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::DOMAIN_DIGEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasDomainDigest() {
-  if (which() != PeerMessage::DOMAIN_DIGEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::DOMAIN_DIGEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::DomainDigest::Reader
-PeerMessage::Reader::getDomainDigest() const {
+inline  ::dotterelshed::schema::DomainDigest::Reader PeerMessage::Reader::getDomainDigest() const {
   KJ_IREQUIRE((which() == PeerMessage::DOMAIN_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::DomainDigest::Builder
-PeerMessage::Builder::getDomainDigest() {
+inline  ::dotterelshed::schema::DomainDigest::Builder PeerMessage::Builder::getDomainDigest() {
   KJ_IREQUIRE((which() == PeerMessage::DOMAIN_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setDomainDigest(
-    ::dotterelshed::schema::DomainDigest::Reader value) {
+inline void PeerMessage::Builder::setDomainDigest( ::dotterelshed::schema::DomainDigest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::DOMAIN_DIGEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::DomainDigest::Builder
-PeerMessage::Builder::initDomainDigest() {
+inline  ::dotterelshed::schema::DomainDigest::Builder PeerMessage::Builder::initDomainDigest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::DOMAIN_DIGEST);
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptDomainDigest(
-    ::capnp::Orphan<::dotterelshed::schema::DomainDigest>&& value) {
+    ::capnp::Orphan< ::dotterelshed::schema::DomainDigest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::DOMAIN_DIGEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::DomainDigest>
-PeerMessage::Builder::disownDomainDigest() {
+inline ::capnp::Orphan< ::dotterelshed::schema::DomainDigest> PeerMessage::Builder::disownDomainDigest() {
   KJ_IREQUIRE((which() == PeerMessage::DOMAIN_DIGEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::DomainDigest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::DomainDigest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isConfigRequest() const {
@@ -973,61 +832,51 @@
   return which() == PeerMessage::CONFIG_REQUEST;
 }
 inline bool PeerMessage::Reader::hasConfigRequest() const {
-  if (which() != PeerMessage::CONFIG_REQUEST)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CONFIG_REQUEST) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasConfigRequest() {
-  if (which() != PeerMessage::CONFIG_REQUEST)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CONFIG_REQUEST) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::ConfigRequest::Reader
-PeerMessage::Reader::getConfigRequest() const {
+inline  ::dotterelshed::schema::ConfigRequest::Reader PeerMessage::Reader::getConfigRequest() const {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::ConfigRequest::Builder
-PeerMessage::Builder::getConfigRequest() {
+inline  ::dotterelshed::schema::ConfigRequest::Builder PeerMessage::Builder::getConfigRequest() {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setConfigRequest(
-    ::dotterelshed::schema::ConfigRequest::Reader value) {
+inline void PeerMessage::Builder::setConfigRequest( ::dotterelshed::schema::ConfigRequest::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::ConfigRequest::Builder
-PeerMessage::Builder::initConfigRequest() {
+inline  ::dotterelshed::schema::ConfigRequest::Builder PeerMessage::Builder::initConfigRequest() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_REQUEST);
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::
-      init(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptConfigRequest(
-    ::capnp::Orphan<::dotterelshed::schema::ConfigRequest>&& value) {
+    ::capnp::Orphan< ::dotterelshed::schema::ConfigRequest>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_REQUEST);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::ConfigRequest>
-PeerMessage::Builder::disownConfigRequest() {
+inline ::capnp::Orphan< ::dotterelshed::schema::ConfigRequest> PeerMessage::Builder::disownConfigRequest() {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_REQUEST),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigRequest>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool PeerMessage::Reader::isConfigOffer() const {
@@ -1037,64 +886,55 @@
   return which() == PeerMessage::CONFIG_OFFER;
 }
 inline bool PeerMessage::Reader::hasConfigOffer() const {
-  if (which() != PeerMessage::CONFIG_OFFER)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CONFIG_OFFER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool PeerMessage::Builder::hasConfigOffer() {
-  if (which() != PeerMessage::CONFIG_OFFER)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  if (which() != PeerMessage::CONFIG_OFFER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::schema::ConfigOffer::Reader
-PeerMessage::Reader::getConfigOffer() const {
+inline  ::dotterelshed::schema::ConfigOffer::Reader PeerMessage::Reader::getConfigOffer() const {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_OFFER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::schema::ConfigOffer::Builder
-PeerMessage::Builder::getConfigOffer() {
+inline  ::dotterelshed::schema::ConfigOffer::Builder PeerMessage::Builder::getConfigOffer() {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_OFFER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void PeerMessage::Builder::setConfigOffer(
-    ::dotterelshed::schema::ConfigOffer::Reader value) {
+inline void PeerMessage::Builder::setConfigOffer( ::dotterelshed::schema::ConfigOffer::Reader value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_OFFER);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::schema::ConfigOffer::Builder
-PeerMessage::Builder::initConfigOffer() {
+inline  ::dotterelshed::schema::ConfigOffer::Builder PeerMessage::Builder::initConfigOffer() {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_OFFER);
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void PeerMessage::Builder::adoptConfigOffer(
-    ::capnp::Orphan<::dotterelshed::schema::ConfigOffer>&& value) {
+    ::capnp::Orphan< ::dotterelshed::schema::ConfigOffer>&& value) {
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, PeerMessage::CONFIG_OFFER);
-  ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+  ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::schema::ConfigOffer>
-PeerMessage::Builder::disownConfigOffer() {
+inline ::capnp::Orphan< ::dotterelshed::schema::ConfigOffer> PeerMessage::Builder::disownConfigOffer() {
   KJ_IREQUIRE((which() == PeerMessage::CONFIG_OFFER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::dotterelshed::schema::ConfigOffer>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::dotterelshed::schema::ConfigOffer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-}  // namespace wire
-}  // namespace dotterelshed
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/src/libpeer/turn.capnp.h
+++ b/src/libpeer/turn.capnp.h
@@ -7,8 +7,7 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error \
-    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
 #include "call.capnp.h"
@@ -49,11 +48,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8c78ca927a5b8b8b, 3, 5)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -66,11 +63,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b60af96dcb9dd67b, 4, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -83,11 +78,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(831d929d0066418e, 3, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -100,11 +93,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e8e18a8e1a1b2100, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -117,11 +108,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(aabf87d503ee88e4, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -134,11 +123,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c172d04d5d398c21, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -151,11 +138,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cfbac71957370681, 4, 8)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -168,11 +153,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(92011b279228b2f4, 1, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -185,11 +168,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cb415cd33f24b4f5, 1, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -202,11 +183,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b3a08d6b66a9577c, 3, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -219,11 +198,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fb49cbc33b3cfa49, 2, 6)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -236,11 +213,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a42ada988dc70958, 1, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -253,11 +228,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fd3e8bef7ca91520, 2, 3)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -270,11 +243,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(de00cbb094a8c1b5, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
@@ -287,22 +258,20 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(936a36aae8f4090e, 0, 4)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() {
-      return &schema->defaultBrand;
-    }
-#endif  // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class TurnRecord::Reader {
- public:
+public:
   typedef TurnRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -314,32 +283,32 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::int64_t getTurn() const;
+  inline  ::int64_t getTurn() const;
 
   inline bool hasRequest() const;
-  inline ::capnp::Text::Reader getRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
   inline bool hasContent() const;
-  inline ::capnp::Text::Reader getContent() const;
+  inline  ::capnp::Text::Reader getContent() const;
 
   inline bool hasChain() const;
-  inline ::capnp::Text::Reader getChain() const;
+  inline  ::capnp::Text::Reader getChain() const;
 
-  inline ::uint16_t getOutcome() const;
+  inline  ::uint16_t getOutcome() const;
 
-  inline ::uint16_t getReason() const;
+  inline  ::uint16_t getReason() const;
 
-  inline ::int32_t getHttpStatus() const;
+  inline  ::int32_t getHttpStatus() const;
 
   inline bool hasAnswer() const;
-  inline ::capnp::Data::Reader getAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
 
   inline bool hasUsage() const;
-  inline ::dotterelshed::wire::Usage::Reader getUsage() const;
+  inline  ::dotterelshed::wire::Usage::Reader getUsage() const;
 
   inline bool getProvisional() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -352,76 +321,72 @@
 };
 
 class TurnRecord::Builder {
- public:
+public:
   typedef TurnRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::int64_t getTurn();
-  inline void setTurn(::int64_t value);
+  inline  ::int64_t getTurn();
+  inline void setTurn( ::int64_t value);
 
   inline bool hasRequest();
-  inline ::capnp::Text::Builder getRequest();
-  inline void setRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
   inline bool hasContent();
-  inline ::capnp::Text::Builder getContent();
-  inline void setContent(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initContent(unsigned int size);
-  inline void adoptContent(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownContent();
+  inline  ::capnp::Text::Builder getContent();
+  inline void setContent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initContent(unsigned int size);
+  inline void adoptContent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownContent();
 
   inline bool hasChain();
-  inline ::capnp::Text::Builder getChain();
-  inline void setChain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initChain(unsigned int size);
-  inline void adoptChain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownChain();
+  inline  ::capnp::Text::Builder getChain();
+  inline void setChain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initChain(unsigned int size);
+  inline void adoptChain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownChain();
 
-  inline ::uint16_t getOutcome();
-  inline void setOutcome(::uint16_t value);
+  inline  ::uint16_t getOutcome();
+  inline void setOutcome( ::uint16_t value);
 
-  inline ::uint16_t getReason();
-  inline void setReason(::uint16_t value);
+  inline  ::uint16_t getReason();
+  inline void setReason( ::uint16_t value);
 
-  inline ::int32_t getHttpStatus();
-  inline void setHttpStatus(::int32_t value);
+  inline  ::int32_t getHttpStatus();
+  inline void setHttpStatus( ::int32_t value);
 
   inline bool hasAnswer();
-  inline ::capnp::Data::Builder getAnswer();
-  inline void setAnswer(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initAnswer(unsigned int size);
-  inline void adoptAnswer(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
 
   inline bool hasUsage();
-  inline ::dotterelshed::wire::Usage::Builder getUsage();
-  inline void setUsage(::dotterelshed::wire::Usage::Reader value);
-  inline ::dotterelshed::wire::Usage::Builder initUsage();
-  inline void adoptUsage(::capnp::Orphan<::dotterelshed::wire::Usage>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::Usage> disownUsage();
+  inline  ::dotterelshed::wire::Usage::Builder getUsage();
+  inline void setUsage( ::dotterelshed::wire::Usage::Reader value);
+  inline  ::dotterelshed::wire::Usage::Builder initUsage();
+  inline void adoptUsage(::capnp::Orphan< ::dotterelshed::wire::Usage>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::Usage> disownUsage();
 
   inline bool getProvisional();
   inline void setProvisional(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -432,16 +397,15 @@
 
 #if !CAPNP_LITE
 class TurnRecord::Pipeline {
- public:
+public:
   typedef TurnRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::Usage::Pipeline getUsage();
-
- private:
+  inline  ::dotterelshed::wire::Usage::Pipeline getUsage();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -450,11 +414,11 @@
 #endif  // !CAPNP_LITE
 
 class Reservation::Reader {
- public:
+public:
   typedef Reservation Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -467,20 +431,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline ::capnp::Text::Reader getRequest() const;
+  inline  ::capnp::Text::Reader getRequest() const;
 
-  inline ::int64_t getTurn() const;
+  inline  ::int64_t getTurn() const;
 
-  inline ::int64_t getAmount() const;
+  inline  ::int64_t getAmount() const;
 
   inline bool hasHost() const;
-  inline ::dotterelshed::wire::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
   inline bool getFromEscrow() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -493,52 +457,48 @@
 };
 
 class Reservation::Builder {
- public:
+public:
   typedef Reservation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline ::capnp::Text::Builder getRequest();
-  inline void setRequest(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequest(unsigned int size);
-  inline void adoptRequest(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequest();
+  inline  ::capnp::Text::Builder getRequest();
+  inline void setRequest( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequest();
 
-  inline ::int64_t getTurn();
-  inline void setTurn(::int64_t value);
+  inline  ::int64_t getTurn();
+  inline void setTurn( ::int64_t value);
 
-  inline ::int64_t getAmount();
-  inline void setAmount(::int64_t value);
+  inline  ::int64_t getAmount();
+  inline void setAmount( ::int64_t value);
 
   inline bool hasHost();
-  inline ::dotterelshed::wire::HostRef::Builder getHost();
-  inline void setHost(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
   inline bool getFromEscrow();
   inline void setFromEscrow(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -549,16 +509,15 @@
 
 #if !CAPNP_LITE
 class Reservation::Pipeline {
- public:
+public:
   typedef Reservation Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getHost();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -567,11 +526,11 @@
 #endif  // !CAPNP_LITE
 
 class SpendEntry::Reader {
- public:
+public:
   typedef SpendEntry Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -584,15 +543,15 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::dotterelshed::wire::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
   inline bool getFromEscrow() const;
 
-  inline ::int64_t getAmount() const;
+  inline  ::int64_t getAmount() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -605,42 +564,38 @@
 };
 
 class SpendEntry::Builder {
- public:
+public:
   typedef SpendEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::dotterelshed::wire::HostRef::Builder getHost();
-  inline void setHost(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
   inline bool getFromEscrow();
   inline void setFromEscrow(bool value);
 
-  inline ::int64_t getAmount();
-  inline void setAmount(::int64_t value);
+  inline  ::int64_t getAmount();
+  inline void setAmount( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -651,16 +606,15 @@
 
 #if !CAPNP_LITE
 class SpendEntry::Pipeline {
- public:
+public:
   typedef SpendEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getHost();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -669,11 +623,11 @@
 #endif  // !CAPNP_LITE
 
 class EscrowEntry::Reader {
- public:
+public:
   typedef EscrowEntry Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -686,13 +640,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHost() const;
-  inline ::dotterelshed::wire::HostRef::Reader getHost() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getHost() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
-  inline ::int64_t getAmount() const;
+  inline  ::int64_t getAmount() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -705,39 +659,35 @@
 };
 
 class EscrowEntry::Builder {
- public:
+public:
   typedef EscrowEntry Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasHost();
-  inline ::dotterelshed::wire::HostRef::Builder getHost();
-  inline void setHost(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initHost();
-  inline void adoptHost(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownHost();
+  inline  ::dotterelshed::wire::HostRef::Builder getHost();
+  inline void setHost( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initHost();
+  inline void adoptHost(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownHost();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
-  inline ::int64_t getAmount();
-  inline void setAmount(::int64_t value);
+  inline  ::int64_t getAmount();
+  inline void setAmount( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -748,16 +698,15 @@
 
 #if !CAPNP_LITE
 class EscrowEntry::Pipeline {
- public:
+public:
   typedef EscrowEntry Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getHost();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getHost();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -766,11 +715,11 @@
 #endif  // !CAPNP_LITE
 
 class BudgetLedger::Reader {
- public:
+public:
   typedef BudgetLedger Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -783,21 +732,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRoot() const;
-  inline ::capnp::Text::Reader getRoot() const;
+  inline  ::capnp::Text::Reader getRoot() const;
 
-  inline ::int64_t getBudget() const;
+  inline  ::int64_t getBudget() const;
 
   inline bool hasSpends() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                       ::capnp::Kind::STRUCT>::Reader
-  getSpends() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Reader getSpends() const;
 
   inline bool hasEscrows() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                       ::capnp::Kind::STRUCT>::Reader
-  getEscrows() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Reader getEscrows() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -810,68 +755,46 @@
 };
 
 class BudgetLedger::Builder {
- public:
+public:
   typedef BudgetLedger Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasRoot();
-  inline ::capnp::Text::Builder getRoot();
-  inline void setRoot(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRoot(unsigned int size);
-  inline void adoptRoot(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRoot();
+  inline  ::capnp::Text::Builder getRoot();
+  inline void setRoot( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoot();
 
-  inline ::int64_t getBudget();
-  inline void setBudget(::int64_t value);
+  inline  ::int64_t getBudget();
+  inline void setBudget( ::int64_t value);
 
   inline bool hasSpends();
-  inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  getSpends();
-  inline void setSpends(::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  initSpends(unsigned int size);
-  inline void adoptSpends(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                       ::capnp::Kind::STRUCT>>
-  disownSpends();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Builder getSpends();
+  inline void setSpends( ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Builder initSpends(unsigned int size);
+  inline void adoptSpends(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>> disownSpends();
 
   inline bool hasEscrows();
-  inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  getEscrows();
-  inline void setEscrows(::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                       ::capnp::Kind::STRUCT>::Builder
-  initEscrows(unsigned int size);
-  inline void adoptEscrows(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                                       ::capnp::Kind::STRUCT>>
-  disownEscrows();
-
- private:
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Builder getEscrows();
+  inline void setEscrows( ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Builder initEscrows(unsigned int size);
+  inline void adoptEscrows(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>> disownEscrows();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -882,14 +805,14 @@
 
 #if !CAPNP_LITE
 class BudgetLedger::Pipeline {
- public:
+public:
   typedef BudgetLedger Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -898,11 +821,11 @@
 #endif  // !CAPNP_LITE
 
 class HoldRecord::Reader {
- public:
+public:
   typedef HoldRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -915,17 +838,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline ::capnp::Text::Reader getId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
   inline bool hasEndpoint() const;
-  inline ::capnp::Text::Reader getEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
   inline bool getReleasePending() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -938,50 +861,46 @@
 };
 
 class HoldRecord::Builder {
- public:
+public:
   typedef HoldRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline ::capnp::Text::Builder getId();
-  inline void setId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
   inline bool hasEndpoint();
-  inline ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
   inline bool getReleasePending();
   inline void setReleasePending(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -992,14 +911,14 @@
 
 #if !CAPNP_LITE
 class HoldRecord::Pipeline {
- public:
+public:
   typedef HoldRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
- private:
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1008,11 +927,11 @@
 #endif  // !CAPNP_LITE
 
 class ProgramRecord::Reader {
- public:
+public:
   typedef ProgramRecord Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1025,42 +944,38 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
   inline bool hasRoot() const;
-  inline ::capnp::Text::Reader getRoot() const;
+  inline  ::capnp::Text::Reader getRoot() const;
 
   inline bool hasAccount() const;
-  inline ::capnp::Text::Reader getAccount() const;
+  inline  ::capnp::Text::Reader getAccount() const;
 
   inline bool hasClass() const;
-  inline ::capnp::Text::Reader getClass() const;
+  inline  ::capnp::Text::Reader getClass() const;
 
-  inline ::int64_t getSequence() const;
+  inline  ::int64_t getSequence() const;
 
-  inline ::int64_t getTried() const;
+  inline  ::int64_t getTried() const;
 
   inline bool hasTurns() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getTurns() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Reader getTurns() const;
 
   inline bool hasOpen() const;
-  inline ::dotterelshed::turn_rpc::Reservation::Reader getOpen() const;
+  inline  ::dotterelshed::turn_rpc::Reservation::Reader getOpen() const;
 
   inline bool hasHolds() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHolds() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader getHolds() const;
 
   inline bool getEnded() const;
 
   inline bool hasWriter() const;
-  inline ::dotterelshed::wire::HostRef::Reader getWriter() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getWriter() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1073,114 +988,90 @@
 };
 
 class ProgramRecord::Builder {
- public:
+public:
   typedef ProgramRecord Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
   inline bool hasRoot();
-  inline ::capnp::Text::Builder getRoot();
-  inline void setRoot(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRoot(unsigned int size);
-  inline void adoptRoot(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRoot();
+  inline  ::capnp::Text::Builder getRoot();
+  inline void setRoot( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoot(unsigned int size);
+  inline void adoptRoot(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoot();
 
   inline bool hasAccount();
-  inline ::capnp::Text::Builder getAccount();
-  inline void setAccount(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAccount(unsigned int size);
-  inline void adoptAccount(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAccount();
+  inline  ::capnp::Text::Builder getAccount();
+  inline void setAccount( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAccount(unsigned int size);
+  inline void adoptAccount(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAccount();
 
   inline bool hasClass();
-  inline ::capnp::Text::Builder getClass();
-  inline void setClass(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initClass(unsigned int size);
-  inline void adoptClass(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownClass();
+  inline  ::capnp::Text::Builder getClass();
+  inline void setClass( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initClass(unsigned int size);
+  inline void adoptClass(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownClass();
 
-  inline ::int64_t getSequence();
-  inline void setSequence(::int64_t value);
+  inline  ::int64_t getSequence();
+  inline void setSequence( ::int64_t value);
 
-  inline ::int64_t getTried();
-  inline void setTried(::int64_t value);
+  inline  ::int64_t getTried();
+  inline void setTried( ::int64_t value);
 
   inline bool hasTurns();
-  inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getTurns();
-  inline void setTurns(::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initTurns(unsigned int size);
-  inline void adoptTurns(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownTurns();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Builder getTurns();
+  inline void setTurns( ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Builder initTurns(unsigned int size);
+  inline void adoptTurns(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>> disownTurns();
 
   inline bool hasOpen();
-  inline ::dotterelshed::turn_rpc::Reservation::Builder getOpen();
-  inline void setOpen(::dotterelshed::turn_rpc::Reservation::Reader value);
-  inline ::dotterelshed::turn_rpc::Reservation::Builder initOpen();
-  inline void adoptOpen(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation> disownOpen();
+  inline  ::dotterelshed::turn_rpc::Reservation::Builder getOpen();
+  inline void setOpen( ::dotterelshed::turn_rpc::Reservation::Reader value);
+  inline  ::dotterelshed::turn_rpc::Reservation::Builder initOpen();
+  inline void adoptOpen(::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation> disownOpen();
 
   inline bool hasHolds();
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHolds();
-  inline void setHolds(::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHolds(unsigned int size);
-  inline void adoptHolds(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownHolds();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder getHolds();
+  inline void setHolds( ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder initHolds(unsigned int size);
+  inline void adoptHolds(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>> disownHolds();
 
   inline bool getEnded();
   inline void setEnded(bool value);
 
   inline bool hasWriter();
-  inline ::dotterelshed::wire::HostRef::Builder getWriter();
-  inline void setWriter(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initWriter();
-  inline void adoptWriter(
-      ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownWriter();
+  inline  ::dotterelshed::wire::HostRef::Builder getWriter();
+  inline void setWriter( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initWriter();
+  inline void adoptWriter(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownWriter();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1191,17 +1082,16 @@
 
 #if !CAPNP_LITE
 class ProgramRecord::Pipeline {
- public:
+public:
   typedef ProgramRecord Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Reservation::Pipeline getOpen();
-  inline ::dotterelshed::wire::HostRef::Pipeline getWriter();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Reservation::Pipeline getOpen();
+  inline  ::dotterelshed::wire::HostRef::Pipeline getWriter();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1210,11 +1100,11 @@
 #endif  // !CAPNP_LITE
 
 class Envelope::Reader {
- public:
+public:
   typedef Envelope Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1227,14 +1117,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPool() const;
-  inline ::capnp::Text::Reader getPool() const;
+  inline  ::capnp::Text::Reader getPool() const;
 
-  inline ::int64_t getTerm() const;
+  inline  ::int64_t getTerm() const;
 
   inline bool hasFrom() const;
-  inline ::dotterelshed::wire::HostRef::Reader getFrom() const;
+  inline  ::dotterelshed::wire::HostRef::Reader getFrom() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1247,43 +1137,39 @@
 };
 
 class Envelope::Builder {
- public:
+public:
   typedef Envelope Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasPool();
-  inline ::capnp::Text::Builder getPool();
-  inline void setPool(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPool(unsigned int size);
-  inline void adoptPool(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPool();
+  inline  ::capnp::Text::Builder getPool();
+  inline void setPool( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPool(unsigned int size);
+  inline void adoptPool(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPool();
 
-  inline ::int64_t getTerm();
-  inline void setTerm(::int64_t value);
+  inline  ::int64_t getTerm();
+  inline void setTerm( ::int64_t value);
 
   inline bool hasFrom();
-  inline ::dotterelshed::wire::HostRef::Builder getFrom();
-  inline void setFrom(::dotterelshed::wire::HostRef::Reader value);
-  inline ::dotterelshed::wire::HostRef::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan<::dotterelshed::wire::HostRef>&& value);
-  inline ::capnp::Orphan<::dotterelshed::wire::HostRef> disownFrom();
+  inline  ::dotterelshed::wire::HostRef::Builder getFrom();
+  inline void setFrom( ::dotterelshed::wire::HostRef::Reader value);
+  inline  ::dotterelshed::wire::HostRef::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> disownFrom();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1294,16 +1180,15 @@
 
 #if !CAPNP_LITE
 class Envelope::Pipeline {
- public:
+public:
   typedef Envelope Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::wire::HostRef::Pipeline getFrom();
-
- private:
+  inline  ::dotterelshed::wire::HostRef::Pipeline getFrom();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1312,11 +1197,11 @@
 #endif  // !CAPNP_LITE
 
 class ReserveRequest::Reader {
- public:
+public:
   typedef ReserveRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1329,26 +1214,26 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::int64_t getSequence() const;
+  inline  ::int64_t getSequence() const;
 
   inline bool hasReservation() const;
-  inline ::dotterelshed::turn_rpc::Reservation::Reader getReservation() const;
+  inline  ::dotterelshed::turn_rpc::Reservation::Reader getReservation() const;
 
   inline bool hasPreviousChain() const;
-  inline ::capnp::Text::Reader getPreviousChain() const;
+  inline  ::capnp::Text::Reader getPreviousChain() const;
 
   inline bool hasLedger() const;
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Reader getLedger() const;
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Reader getLedger() const;
 
   inline bool hasNewProgram() const;
-  inline ::dotterelshed::turn_rpc::ProgramRecord::Reader getNewProgram() const;
+  inline  ::dotterelshed::turn_rpc::ProgramRecord::Reader getNewProgram() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1361,79 +1246,67 @@
 };
 
 class ReserveRequest::Builder {
- public:
+public:
   typedef ReserveRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::int64_t getSequence();
-  inline void setSequence(::int64_t value);
+  inline  ::int64_t getSequence();
+  inline void setSequence( ::int64_t value);
 
   inline bool hasReservation();
-  inline ::dotterelshed::turn_rpc::Reservation::Builder getReservation();
-  inline void setReservation(
-      ::dotterelshed::turn_rpc::Reservation::Reader value);
-  inline ::dotterelshed::turn_rpc::Reservation::Builder initReservation();
-  inline void adoptReservation(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>
-  disownReservation();
+  inline  ::dotterelshed::turn_rpc::Reservation::Builder getReservation();
+  inline void setReservation( ::dotterelshed::turn_rpc::Reservation::Reader value);
+  inline  ::dotterelshed::turn_rpc::Reservation::Builder initReservation();
+  inline void adoptReservation(::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation> disownReservation();
 
   inline bool hasPreviousChain();
-  inline ::capnp::Text::Builder getPreviousChain();
-  inline void setPreviousChain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPreviousChain(unsigned int size);
-  inline void adoptPreviousChain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPreviousChain();
+  inline  ::capnp::Text::Builder getPreviousChain();
+  inline void setPreviousChain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreviousChain(unsigned int size);
+  inline void adoptPreviousChain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreviousChain();
 
   inline bool hasLedger();
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Builder getLedger();
-  inline void setLedger(::dotterelshed::turn_rpc::BudgetLedger::Reader value);
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Builder initLedger();
-  inline void adoptLedger(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger> disownLedger();
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder getLedger();
+  inline void setLedger( ::dotterelshed::turn_rpc::BudgetLedger::Reader value);
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder initLedger();
+  inline void adoptLedger(::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger> disownLedger();
 
   inline bool hasNewProgram();
-  inline ::dotterelshed::turn_rpc::ProgramRecord::Builder getNewProgram();
-  inline void setNewProgram(
-      ::dotterelshed::turn_rpc::ProgramRecord::Reader value);
-  inline ::dotterelshed::turn_rpc::ProgramRecord::Builder initNewProgram();
-  inline void adoptNewProgram(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::ProgramRecord>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::ProgramRecord>
-  disownNewProgram();
-
- private:
+  inline  ::dotterelshed::turn_rpc::ProgramRecord::Builder getNewProgram();
+  inline void setNewProgram( ::dotterelshed::turn_rpc::ProgramRecord::Reader value);
+  inline  ::dotterelshed::turn_rpc::ProgramRecord::Builder initNewProgram();
+  inline void adoptNewProgram(::capnp::Orphan< ::dotterelshed::turn_rpc::ProgramRecord>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ProgramRecord> disownNewProgram();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1444,19 +1317,18 @@
 
 #if !CAPNP_LITE
 class ReserveRequest::Pipeline {
- public:
+public:
   typedef ReserveRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-  inline ::dotterelshed::turn_rpc::Reservation::Pipeline getReservation();
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Pipeline getLedger();
-  inline ::dotterelshed::turn_rpc::ProgramRecord::Pipeline getNewProgram();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+  inline  ::dotterelshed::turn_rpc::Reservation::Pipeline getReservation();
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline getLedger();
+  inline  ::dotterelshed::turn_rpc::ProgramRecord::Pipeline getNewProgram();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1465,11 +1337,11 @@
 #endif  // !CAPNP_LITE
 
 class ChangeReply::Reader {
- public:
+public:
   typedef ChangeReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1482,18 +1354,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::int64_t getSequence() const;
+  inline  ::int64_t getSequence() const;
 
   inline bool getAccepted() const;
 
-  inline ::int64_t getHighest() const;
+  inline  ::int64_t getHighest() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1506,50 +1378,45 @@
 };
 
 class ChangeReply::Builder {
- public:
+public:
   typedef ChangeReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::int64_t getSequence();
-  inline void setSequence(::int64_t value);
+  inline  ::int64_t getSequence();
+  inline void setSequence( ::int64_t value);
 
   inline bool getAccepted();
   inline void setAccepted(bool value);
 
-  inline ::int64_t getHighest();
-  inline void setHighest(::int64_t value);
+  inline  ::int64_t getHighest();
+  inline void setHighest( ::int64_t value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1560,16 +1427,15 @@
 
 #if !CAPNP_LITE
 class ChangeReply::Pipeline {
- public:
+public:
   typedef ChangeReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1578,11 +1444,11 @@
 #endif  // !CAPNP_LITE
 
 class AppendRequest::Reader {
- public:
+public:
   typedef AppendRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1595,30 +1461,28 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
-  inline ::int64_t getSequence() const;
+  inline  ::int64_t getSequence() const;
 
   inline bool hasPreviousChain() const;
-  inline ::capnp::Text::Reader getPreviousChain() const;
+  inline  ::capnp::Text::Reader getPreviousChain() const;
 
   inline bool hasRecord() const;
-  inline ::dotterelshed::turn_rpc::TurnRecord::Reader getRecord() const;
+  inline  ::dotterelshed::turn_rpc::TurnRecord::Reader getRecord() const;
 
   inline bool hasLedger() const;
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Reader getLedger() const;
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Reader getLedger() const;
 
   inline bool hasHolds() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getHolds() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader getHolds() const;
 
   inline bool getEnded() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1631,86 +1495,70 @@
 };
 
 class AppendRequest::Builder {
- public:
+public:
   typedef AppendRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
-  inline ::int64_t getSequence();
-  inline void setSequence(::int64_t value);
+  inline  ::int64_t getSequence();
+  inline void setSequence( ::int64_t value);
 
   inline bool hasPreviousChain();
-  inline ::capnp::Text::Builder getPreviousChain();
-  inline void setPreviousChain(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initPreviousChain(unsigned int size);
-  inline void adoptPreviousChain(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownPreviousChain();
+  inline  ::capnp::Text::Builder getPreviousChain();
+  inline void setPreviousChain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreviousChain(unsigned int size);
+  inline void adoptPreviousChain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreviousChain();
 
   inline bool hasRecord();
-  inline ::dotterelshed::turn_rpc::TurnRecord::Builder getRecord();
-  inline void setRecord(::dotterelshed::turn_rpc::TurnRecord::Reader value);
-  inline ::dotterelshed::turn_rpc::TurnRecord::Builder initRecord();
-  inline void adoptRecord(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::TurnRecord>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::TurnRecord> disownRecord();
+  inline  ::dotterelshed::turn_rpc::TurnRecord::Builder getRecord();
+  inline void setRecord( ::dotterelshed::turn_rpc::TurnRecord::Reader value);
+  inline  ::dotterelshed::turn_rpc::TurnRecord::Builder initRecord();
+  inline void adoptRecord(::capnp::Orphan< ::dotterelshed::turn_rpc::TurnRecord>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::TurnRecord> disownRecord();
 
   inline bool hasLedger();
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Builder getLedger();
-  inline void setLedger(::dotterelshed::turn_rpc::BudgetLedger::Reader value);
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Builder initLedger();
-  inline void adoptLedger(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger> disownLedger();
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder getLedger();
+  inline void setLedger( ::dotterelshed::turn_rpc::BudgetLedger::Reader value);
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder initLedger();
+  inline void adoptLedger(::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger> disownLedger();
 
   inline bool hasHolds();
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getHolds();
-  inline void setHolds(::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                     ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initHolds(unsigned int size);
-  inline void adoptHolds(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownHolds();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder getHolds();
+  inline void setHolds( ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder initHolds(unsigned int size);
+  inline void adoptHolds(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>> disownHolds();
 
   inline bool getEnded();
   inline void setEnded(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1721,18 +1569,17 @@
 
 #if !CAPNP_LITE
 class AppendRequest::Pipeline {
- public:
+public:
   typedef AppendRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-  inline ::dotterelshed::turn_rpc::TurnRecord::Pipeline getRecord();
-  inline ::dotterelshed::turn_rpc::BudgetLedger::Pipeline getLedger();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+  inline  ::dotterelshed::turn_rpc::TurnRecord::Pipeline getRecord();
+  inline  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline getLedger();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1741,11 +1588,11 @@
 #endif  // !CAPNP_LITE
 
 class StateCopy::Reader {
- public:
+public:
   typedef StateCopy Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1758,23 +1605,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasPrograms() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getPrograms() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader getPrograms() const;
 
   inline bool hasLedgers() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLedgers() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader getLedgers() const;
 
-  inline ::int32_t getPart() const;
+  inline  ::int32_t getPart() const;
 
   inline bool getLast() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1787,72 +1630,49 @@
 };
 
 class StateCopy::Builder {
- public:
+public:
   typedef StateCopy Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasPrograms();
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getPrograms();
-  inline void setPrograms(::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                        ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initPrograms(unsigned int size);
-  inline void adoptPrograms(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownPrograms();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder getPrograms();
+  inline void setPrograms( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder initPrograms(unsigned int size);
+  inline void adoptPrograms(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> disownPrograms();
 
   inline bool hasLedgers();
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLedgers();
-  inline void setLedgers(::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLedgers(unsigned int size);
-  inline void adoptLedgers(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>>
-  disownLedgers();
-
-  inline ::int32_t getPart();
-  inline void setPart(::int32_t value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder getLedgers();
+  inline void setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder initLedgers(unsigned int size);
+  inline void adoptLedgers(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> disownLedgers();
+
+  inline  ::int32_t getPart();
+  inline void setPart( ::int32_t value);
 
   inline bool getLast();
   inline void setLast(bool value);
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1863,16 +1683,15 @@
 
 #if !CAPNP_LITE
 class StateCopy::Pipeline {
- public:
+public:
   typedef StateCopy Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1881,11 +1700,11 @@
 #endif  // !CAPNP_LITE
 
 class StateCopyReply::Reader {
- public:
+public:
   typedef StateCopyReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -1898,25 +1717,21 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
-  inline ::int32_t getPart() const;
+  inline  ::int32_t getPart() const;
 
   inline bool getAccepted() const;
 
-  inline ::int64_t getHighest() const;
+  inline  ::int64_t getHighest() const;
 
   inline bool hasLonger() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLonger() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader getLonger() const;
 
   inline bool hasLedgers() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLedgers() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader getLedgers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1929,75 +1744,52 @@
 };
 
 class StateCopyReply::Builder {
- public:
+public:
   typedef StateCopyReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
-  inline ::int32_t getPart();
-  inline void setPart(::int32_t value);
+  inline  ::int32_t getPart();
+  inline void setPart( ::int32_t value);
 
   inline bool getAccepted();
   inline void setAccepted(bool value);
 
-  inline ::int64_t getHighest();
-  inline void setHighest(::int64_t value);
+  inline  ::int64_t getHighest();
+  inline void setHighest( ::int64_t value);
 
   inline bool hasLonger();
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLonger();
-  inline void setLonger(::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                      ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLonger(unsigned int size);
-  inline void adoptLonger(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownLonger();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder getLonger();
+  inline void setLonger( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder initLonger(unsigned int size);
+  inline void adoptLonger(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> disownLonger();
 
   inline bool hasLedgers();
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLedgers();
-  inline void setLedgers(::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLedgers(unsigned int size);
-  inline void adoptLedgers(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>>
-  disownLedgers();
-
- private:
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder getLedgers();
+  inline void setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder initLedgers(unsigned int size);
+  inline void adoptLedgers(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> disownLedgers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2008,16 +1800,15 @@
 
 #if !CAPNP_LITE
 class StateCopyReply::Pipeline {
- public:
+public:
   typedef StateCopyReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2026,11 +1817,11 @@
 #endif  // !CAPNP_LITE
 
 class CollectRequest::Reader {
- public:
+public:
   typedef CollectRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2043,12 +1834,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2061,41 +1852,36 @@
 };
 
 class CollectRequest::Builder {
- public:
+public:
   typedef CollectRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
- private:
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2106,16 +1892,15 @@
 
 #if !CAPNP_LITE
 class CollectRequest::Pipeline {
- public:
+public:
   typedef CollectRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2124,11 +1909,11 @@
 #endif  // !CAPNP_LITE
 
 class CollectReply::Reader {
- public:
+public:
   typedef CollectReply Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
   inline ::capnp::MessageSize totalSize() const {
     return _reader.totalSize().asPublic();
@@ -2141,22 +1926,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope() const;
-  inline ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
+  inline  ::dotterelshed::turn_rpc::Envelope::Reader getEnvelope() const;
 
   inline bool hasProgram() const;
-  inline ::capnp::Text::Reader getProgram() const;
+  inline  ::capnp::Text::Reader getProgram() const;
 
   inline bool hasPrograms() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Reader
-  getPrograms() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader getPrograms() const;
 
   inline bool hasLedgers() const;
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Reader
-  getLedgers() const;
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader getLedgers() const;
 
- private:
+private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2169,73 +1950,50 @@
 };
 
 class CollectReply::Builder {
- public:
+public:
   typedef CollectReply Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const {
-    return asReader().totalSize();
-  }
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return asReader().toString();
-  }
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
   inline bool hasEnvelope();
-  inline ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
-  inline void setEnvelope(::dotterelshed::turn_rpc::Envelope::Reader value);
-  inline ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
-  inline void adoptEnvelope(
-      ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value);
-  inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope> disownEnvelope();
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder getEnvelope();
+  inline void setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value);
+  inline  ::dotterelshed::turn_rpc::Envelope::Builder initEnvelope();
+  inline void adoptEnvelope(::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value);
+  inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> disownEnvelope();
 
   inline bool hasProgram();
-  inline ::capnp::Text::Builder getProgram();
-  inline void setProgram(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initProgram(unsigned int size);
-  inline void adoptProgram(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownProgram();
+  inline  ::capnp::Text::Builder getProgram();
+  inline void setProgram( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProgram(unsigned int size);
+  inline void adoptProgram(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProgram();
 
   inline bool hasPrograms();
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  getPrograms();
-  inline void setPrograms(::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                        ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                       ::capnp::Kind::STRUCT>::Builder
-  initPrograms(unsigned int size);
-  inline void adoptPrograms(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                       ::capnp::Kind::STRUCT>>
-  disownPrograms();
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder getPrograms();
+  inline void setPrograms( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder initPrograms(unsigned int size);
+  inline void adoptPrograms(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> disownPrograms();
 
   inline bool hasLedgers();
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  getLedgers();
-  inline void setLedgers(::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                       ::capnp::Kind::STRUCT>::Builder
-  initLedgers(unsigned int size);
-  inline void adoptLedgers(
-      ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                    ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                       ::capnp::Kind::STRUCT>>
-  disownLedgers();
-
- private:
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder getLedgers();
+  inline void setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder initLedgers(unsigned int size);
+  inline void adoptLedgers(::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> disownLedgers();
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2246,16 +2004,15 @@
 
 #if !CAPNP_LITE
 class CollectReply::Pipeline {
- public:
+public:
   typedef CollectReply Pipelines;
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
-
- private:
+  inline  ::dotterelshed::turn_rpc::Envelope::Pipeline getEnvelope();
+private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
