@@ -2265,2750 +2022,2285 @@
 
 // =======================================================================================
 
-inline ::int64_t TurnRecord::Reader::getTurn() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t TurnRecord::Reader::getTurn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t TurnRecord::Builder::getTurn() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t TurnRecord::Builder::getTurn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TurnRecord::Builder::setTurn(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void TurnRecord::Builder::setTurn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TurnRecord::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool TurnRecord::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TurnRecord::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TurnRecord::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TurnRecord::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TurnRecord::Builder::setRequest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void TurnRecord::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::initRequest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder TurnRecord::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TurnRecord::Builder::adoptRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TurnRecord::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TurnRecord::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool TurnRecord::Reader::hasContent() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool TurnRecord::Builder::hasContent() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TurnRecord::Reader::getContent() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TurnRecord::Reader::getContent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::getContent() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TurnRecord::Builder::getContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TurnRecord::Builder::setContent(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void TurnRecord::Builder::setContent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::initContent(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder TurnRecord::Builder::initContent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void TurnRecord::Builder::adoptContent(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TurnRecord::Builder::disownContent() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TurnRecord::Builder::disownContent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool TurnRecord::Reader::hasChain() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool TurnRecord::Builder::hasChain() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TurnRecord::Reader::getChain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TurnRecord::Reader::getChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::getChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TurnRecord::Builder::getChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void TurnRecord::Builder::setChain(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void TurnRecord::Builder::setChain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TurnRecord::Builder::initChain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder TurnRecord::Builder::initChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void TurnRecord::Builder::adoptChain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> TurnRecord::Builder::disownChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> TurnRecord::Builder::disownChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::uint16_t TurnRecord::Reader::getOutcome() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t TurnRecord::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t TurnRecord::Builder::getOutcome() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<4>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t TurnRecord::Builder::getOutcome() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void TurnRecord::Builder::setOutcome(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TurnRecord::Builder::setOutcome( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t TurnRecord::Reader::getReason() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                          ::capnp::ELEMENTS);
+inline  ::uint16_t TurnRecord::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t TurnRecord::Builder::getReason() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<5>() *
-                                           ::capnp::ELEMENTS);
+inline  ::uint16_t TurnRecord::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void TurnRecord::Builder::setReason(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS,
-                                    value);
+inline void TurnRecord::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int32_t TurnRecord::Reader::getHttpStatus() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t TurnRecord::Reader::getHttpStatus() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t TurnRecord::Builder::getHttpStatus() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t TurnRecord::Builder::getHttpStatus() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TurnRecord::Builder::setHttpStatus(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void TurnRecord::Builder::setHttpStatus( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool TurnRecord::Reader::hasAnswer() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool TurnRecord::Builder::hasAnswer() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Data::Reader TurnRecord::Reader::getAnswer() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Reader TurnRecord::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Data::Builder TurnRecord::Builder::getAnswer() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Data::Builder TurnRecord::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TurnRecord::Builder::setAnswer(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void TurnRecord::Builder::setAnswer( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Data::Builder TurnRecord::Builder::initAnswer(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Data::Builder TurnRecord::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void TurnRecord::Builder::adoptAnswer(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> TurnRecord::Builder::disownAnswer() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> TurnRecord::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool TurnRecord::Reader::hasUsage() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool TurnRecord::Builder::hasUsage() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::Usage::Reader TurnRecord::Reader::getUsage()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::get(
-      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Reader TurnRecord::Reader::getUsage() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::getUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::get(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::getUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::Usage::Pipeline TurnRecord::Pipeline::getUsage() {
-  return ::dotterelshed::wire::Usage::Pipeline(_typeless.getPointerField(4));
+inline  ::dotterelshed::wire::Usage::Pipeline TurnRecord::Pipeline::getUsage() {
+  return  ::dotterelshed::wire::Usage::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void TurnRecord::Builder::setUsage(
-    ::dotterelshed::wire::Usage::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void TurnRecord::Builder::setUsage( ::dotterelshed::wire::Usage::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::initUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::init(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::Usage::Builder TurnRecord::Builder::initUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void TurnRecord::Builder::adoptUsage(
-    ::capnp::Orphan<::dotterelshed::wire::Usage>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::Usage>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::Usage>
-TurnRecord::Builder::disownUsage() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::Usage>::disown(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::Usage> TurnRecord::Builder::disownUsage() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::Usage>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool TurnRecord::Reader::getProvisional() const {
-  return _reader.getDataField<bool>(::capnp::bounded<128>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool TurnRecord::Builder::getProvisional() {
-  return _builder.getDataField<bool>(::capnp::bounded<128>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void TurnRecord::Builder::setProvisional(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Reservation::Reader::hasRequest() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reservation::Builder::hasRequest() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Reservation::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Reservation::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Reservation::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Reservation::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Reservation::Builder::setRequest(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Reservation::Builder::setRequest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Reservation::Builder::initRequest(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Reservation::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Reservation::Builder::adoptRequest(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Reservation::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Reservation::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Reservation::Reader::getTurn() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Reader::getTurn() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Reservation::Builder::getTurn() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Builder::getTurn() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Reservation::Builder::setTurn(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Reservation::Builder::setTurn( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Reservation::Reader::getAmount() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Reader::getAmount() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Reservation::Builder::getAmount() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Builder::getAmount() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Reservation::Builder::setAmount(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Reservation::Builder::setAmount( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Reservation::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Reservation::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader Reservation::Reader::getHost()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader Reservation::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder Reservation::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Reservation::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-Reservation::Pipeline::getHost() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline Reservation::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Reservation::Builder::setHost(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Reservation::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder Reservation::Builder::initHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Reservation::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Reservation::Builder::adoptHost(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-Reservation::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Reservation::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Reservation::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Reservation::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Reservation::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Reservation::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Reservation::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Reservation::Reader::getFromEscrow() const {
-  return _reader.getDataField<bool>(::capnp::bounded<192>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 
 inline bool Reservation::Builder::getFromEscrow() {
-  return _builder.getDataField<bool>(::capnp::bounded<192>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
 }
 inline void Reservation::Builder::setFromEscrow(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<192>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SpendEntry::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool SpendEntry::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader SpendEntry::Reader::getHost()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader SpendEntry::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline SpendEntry::Pipeline::getHost() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline SpendEntry::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void SpendEntry::Builder::setHost(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void SpendEntry::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::initHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder SpendEntry::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void SpendEntry::Builder::adoptHost(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-SpendEntry::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> SpendEntry::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t SpendEntry::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t SpendEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t SpendEntry::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t SpendEntry::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void SpendEntry::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void SpendEntry::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SpendEntry::Reader::getFromEscrow() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool SpendEntry::Builder::getFromEscrow() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void SpendEntry::Builder::setFromEscrow(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t SpendEntry::Reader::getAmount() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t SpendEntry::Reader::getAmount() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t SpendEntry::Builder::getAmount() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t SpendEntry::Builder::getAmount() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void SpendEntry::Builder::setAmount(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void SpendEntry::Builder::setAmount( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool EscrowEntry::Reader::hasHost() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool EscrowEntry::Builder::hasHost() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader EscrowEntry::Reader::getHost()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader EscrowEntry::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::getHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-EscrowEntry::Pipeline::getHost() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
+inline  ::dotterelshed::wire::HostRef::Pipeline EscrowEntry::Pipeline::getHost() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void EscrowEntry::Builder::setHost(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void EscrowEntry::Builder::setHost( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::initHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder EscrowEntry::Builder::initHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void EscrowEntry::Builder::adoptHost(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-EscrowEntry::Builder::disownHost() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> EscrowEntry::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t EscrowEntry::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t EscrowEntry::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t EscrowEntry::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t EscrowEntry::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EscrowEntry::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void EscrowEntry::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t EscrowEntry::Reader::getAmount() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t EscrowEntry::Reader::getAmount() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t EscrowEntry::Builder::getAmount() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t EscrowEntry::Builder::getAmount() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EscrowEntry::Builder::setAmount(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void EscrowEntry::Builder::setAmount( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool BudgetLedger::Reader::hasRoot() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool BudgetLedger::Builder::hasRoot() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader BudgetLedger::Reader::getRoot() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader BudgetLedger::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder BudgetLedger::Builder::getRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder BudgetLedger::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BudgetLedger::Builder::setRoot(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void BudgetLedger::Builder::setRoot( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder BudgetLedger::Builder::initRoot(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder BudgetLedger::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void BudgetLedger::Builder::adoptRoot(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> BudgetLedger::Builder::disownRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> BudgetLedger::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t BudgetLedger::Reader::getBudget() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t BudgetLedger::Reader::getBudget() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t BudgetLedger::Builder::getBudget() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t BudgetLedger::Builder::getBudget() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BudgetLedger::Builder::setBudget(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void BudgetLedger::Builder::setBudget( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool BudgetLedger::Reader::hasSpends() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool BudgetLedger::Builder::hasSpends() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                     ::capnp::Kind::STRUCT>::Reader
-BudgetLedger::Reader::getSpends() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::SpendEntry, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-BudgetLedger::Builder::getSpends() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::SpendEntry, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void BudgetLedger::Builder::setSpends(
-    ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-BudgetLedger::Builder::initSpends(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::SpendEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Reader BudgetLedger::Reader::getSpends() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Builder BudgetLedger::Builder::getSpends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BudgetLedger::Builder::setSpends( ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>::Builder BudgetLedger::Builder::initSpends(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void BudgetLedger::Builder::adoptSpends(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::SpendEntry,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::turn_rpc::SpendEntry, ::capnp::Kind::STRUCT>>
-BudgetLedger::Builder::disownSpends() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::SpendEntry, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>> BudgetLedger::Builder::disownSpends() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::SpendEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool BudgetLedger::Reader::hasEscrows() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool BudgetLedger::Builder::hasEscrows() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                     ::capnp::Kind::STRUCT>::Reader
-BudgetLedger::Reader::getEscrows() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-BudgetLedger::Builder::getEscrows() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void BudgetLedger::Builder::setEscrows(
-    ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                     ::capnp::Kind::STRUCT>::Builder
-BudgetLedger::Builder::initEscrows(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Reader BudgetLedger::Reader::getEscrows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Builder BudgetLedger::Builder::getEscrows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BudgetLedger::Builder::setEscrows( ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>::Builder BudgetLedger::Builder::initEscrows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void BudgetLedger::Builder::adoptEscrows(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::EscrowEntry,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>
-BudgetLedger::Builder::disownEscrows() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::EscrowEntry, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>> BudgetLedger::Builder::disownEscrows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::EscrowEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HoldRecord::Reader::hasId() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool HoldRecord::Builder::hasId() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HoldRecord::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HoldRecord::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HoldRecord::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void HoldRecord::Builder::setId(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void HoldRecord::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HoldRecord::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HoldRecord::Builder::adoptId(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HoldRecord::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HoldRecord::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool HoldRecord::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool HoldRecord::Builder::hasEndpoint() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HoldRecord::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HoldRecord::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HoldRecord::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void HoldRecord::Builder::setEndpoint(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void HoldRecord::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::initEndpoint(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HoldRecord::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void HoldRecord::Builder::adoptEndpoint(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HoldRecord::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HoldRecord::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool HoldRecord::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool HoldRecord::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader HoldRecord::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader HoldRecord::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder HoldRecord::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void HoldRecord::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void HoldRecord::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder HoldRecord::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder HoldRecord::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void HoldRecord::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HoldRecord::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HoldRecord::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool HoldRecord::Reader::getReleasePending() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool HoldRecord::Builder::getReleasePending() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void HoldRecord::Builder::setReleasePending(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProgramRecord::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ProgramRecord::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ProgramRecord::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ProgramRecord::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ProgramRecord::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ProgramRecord::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ProgramRecord::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ProgramRecord::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::hasRoot() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasRoot() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ProgramRecord::Reader::getRoot() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ProgramRecord::Reader::getRoot() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::getRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ProgramRecord::Builder::getRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ProgramRecord::Builder::setRoot(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setRoot( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::initRoot(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ProgramRecord::Builder::initRoot(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptRoot(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ProgramRecord::Builder::disownRoot() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ProgramRecord::Builder::disownRoot() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::hasAccount() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasAccount() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ProgramRecord::Reader::getAccount() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ProgramRecord::Reader::getAccount() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::getAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ProgramRecord::Builder::getAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ProgramRecord::Builder::setAccount(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setAccount( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::initAccount(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ProgramRecord::Builder::initAccount(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptAccount(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ProgramRecord::Builder::disownAccount() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ProgramRecord::Builder::disownAccount() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::hasClass() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasClass() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ProgramRecord::Reader::getClass() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ProgramRecord::Reader::getClass() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::getClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ProgramRecord::Builder::getClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ProgramRecord::Builder::setClass(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setClass( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ProgramRecord::Builder::initClass(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ProgramRecord::Builder::initClass(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptClass(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ProgramRecord::Builder::disownClass() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ProgramRecord::Builder::disownClass() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ProgramRecord::Reader::getSequence() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Reader::getSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ProgramRecord::Builder::getSequence() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Builder::getSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ProgramRecord::Builder::setSequence(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ProgramRecord::Builder::setSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t ProgramRecord::Reader::getTried() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Reader::getTried() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ProgramRecord::Builder::getTried() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Builder::getTried() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ProgramRecord::Builder::setTried(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ProgramRecord::Builder::setTried( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProgramRecord::Reader::hasTurns() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasTurns() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-ProgramRecord::Reader::getTurns() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::TurnRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-ProgramRecord::Builder::getTurns() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::TurnRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
-}
-inline void ProgramRecord::Builder::setTurns(
-    ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-ProgramRecord::Builder::initTurns(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::TurnRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Reader ProgramRecord::Reader::getTurns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Builder ProgramRecord::Builder::getTurns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ProgramRecord::Builder::setTurns( ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>::Builder ProgramRecord::Builder::initTurns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptTurns(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::TurnRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::turn_rpc::TurnRecord, ::capnp::Kind::STRUCT>>
-ProgramRecord::Builder::disownTurns() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::TurnRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>> ProgramRecord::Builder::disownTurns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::TurnRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::hasOpen() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasOpen() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Reservation::Reader
-ProgramRecord::Reader::getOpen() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::get(
-      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Reader ProgramRecord::Reader::getOpen() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Reservation::Builder
-ProgramRecord::Builder::getOpen() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::get(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Builder ProgramRecord::Builder::getOpen() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Reservation::Pipeline
-ProgramRecord::Pipeline::getOpen() {
-  return ::dotterelshed::turn_rpc::Reservation::Pipeline(
-      _typeless.getPointerField(5));
+inline  ::dotterelshed::turn_rpc::Reservation::Pipeline ProgramRecord::Pipeline::getOpen() {
+  return  ::dotterelshed::turn_rpc::Reservation::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void ProgramRecord::Builder::setOpen(
-    ::dotterelshed::turn_rpc::Reservation::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setOpen( ::dotterelshed::turn_rpc::Reservation::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Reservation::Builder
-ProgramRecord::Builder::initOpen() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Builder ProgramRecord::Builder::initOpen() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void ProgramRecord::Builder::adoptOpen(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>
-ProgramRecord::Builder::disownOpen() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation> ProgramRecord::Builder::disownOpen() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::hasHolds() const {
-  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasHolds() {
-  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-ProgramRecord::Reader::getHolds() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-ProgramRecord::Builder::getHolds() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void ProgramRecord::Builder::setHolds(
-    ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-ProgramRecord::Builder::initHolds(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader ProgramRecord::Reader::getHolds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder ProgramRecord::Builder::getHolds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void ProgramRecord::Builder::setHolds( ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder ProgramRecord::Builder::initHolds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void ProgramRecord::Builder::adoptHolds(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>
-ProgramRecord::Builder::disownHolds() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>> ProgramRecord::Builder::disownHolds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool ProgramRecord::Reader::getEnded() const {
-  return _reader.getDataField<bool>(::capnp::bounded<128>() *
-                                    ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool ProgramRecord::Builder::getEnded() {
-  return _builder.getDataField<bool>(::capnp::bounded<128>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void ProgramRecord::Builder::setEnded(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ProgramRecord::Reader::hasWriter() const {
-  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool ProgramRecord::Builder::hasWriter() {
-  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader ProgramRecord::Reader::getWriter()
-    const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader ProgramRecord::Reader::getWriter() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder
-ProgramRecord::Builder::getWriter() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ProgramRecord::Builder::getWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline
-ProgramRecord::Pipeline::getWriter() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(7));
+inline  ::dotterelshed::wire::HostRef::Pipeline ProgramRecord::Pipeline::getWriter() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(7));
 }
 #endif  // !CAPNP_LITE
-inline void ProgramRecord::Builder::setWriter(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-      value);
+inline void ProgramRecord::Builder::setWriter( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder
-ProgramRecord::Builder::initWriter() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder ProgramRecord::Builder::initWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void ProgramRecord::Builder::adoptWriter(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-ProgramRecord::Builder::disownWriter() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> ProgramRecord::Builder::disownWriter() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ProgramRecord::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ProgramRecord::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ProgramRecord::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ProgramRecord::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ProgramRecord::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Envelope::Reader::hasPool() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Envelope::Builder::hasPool() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Envelope::Reader::getPool() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Envelope::Reader::getPool() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Envelope::Builder::getPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Envelope::Builder::getPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Envelope::Builder::setPool(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void Envelope::Builder::setPool( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Envelope::Builder::initPool(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder Envelope::Builder::initPool(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Envelope::Builder::adoptPool(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Envelope::Builder::disownPool() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Envelope::Builder::disownPool() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Envelope::Reader::getTerm() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t Envelope::Reader::getTerm() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Envelope::Builder::getTerm() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t Envelope::Builder::getTerm() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Envelope::Builder::setTerm(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void Envelope::Builder::setTerm( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Envelope::Reader::hasFrom() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Envelope::Builder::hasFrom() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::wire::HostRef::Reader Envelope::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Reader Envelope::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::wire::HostRef::Builder Envelope::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Envelope::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::wire::HostRef::Pipeline Envelope::Pipeline::getFrom() {
-  return ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
+inline  ::dotterelshed::wire::HostRef::Pipeline Envelope::Pipeline::getFrom() {
+  return  ::dotterelshed::wire::HostRef::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Envelope::Builder::setFrom(
-    ::dotterelshed::wire::HostRef::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void Envelope::Builder::setFrom( ::dotterelshed::wire::HostRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::wire::HostRef::Builder Envelope::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::dotterelshed::wire::HostRef::Builder Envelope::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Envelope::Builder::adoptFrom(
-    ::capnp::Orphan<::dotterelshed::wire::HostRef>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::wire::HostRef>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::wire::HostRef>
-Envelope::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::wire::HostRef>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::wire::HostRef> Envelope::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::wire::HostRef>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool ReserveRequest::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-ReserveRequest::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader ReserveRequest::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-ReserveRequest::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder ReserveRequest::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-ReserveRequest::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline ReserveRequest::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ReserveRequest::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-ReserveRequest::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder ReserveRequest::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ReserveRequest::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-ReserveRequest::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> ReserveRequest::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ReserveRequest::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ReserveRequest::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ReserveRequest::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ReserveRequest::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ReserveRequest::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ReserveRequest::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ReserveRequest::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ReserveRequest::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ReserveRequest::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ReserveRequest::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ReserveRequest::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ReserveRequest::Reader::getSequence() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ReserveRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ReserveRequest::Builder::getSequence() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ReserveRequest::Builder::getSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ReserveRequest::Builder::setSequence(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ReserveRequest::Builder::setSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ReserveRequest::Reader::hasReservation() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasReservation() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Reservation::Reader
-ReserveRequest::Reader::getReservation() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Reader ReserveRequest::Reader::getReservation() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Reservation::Builder
-ReserveRequest::Builder::getReservation() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Builder ReserveRequest::Builder::getReservation() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Reservation::Pipeline
-ReserveRequest::Pipeline::getReservation() {
-  return ::dotterelshed::turn_rpc::Reservation::Pipeline(
-      _typeless.getPointerField(2));
+inline  ::dotterelshed::turn_rpc::Reservation::Pipeline ReserveRequest::Pipeline::getReservation() {
+  return  ::dotterelshed::turn_rpc::Reservation::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void ReserveRequest::Builder::setReservation(
-    ::dotterelshed::turn_rpc::Reservation::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setReservation( ::dotterelshed::turn_rpc::Reservation::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Reservation::Builder
-ReserveRequest::Builder::initReservation() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Reservation::Builder ReserveRequest::Builder::initReservation() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void ReserveRequest::Builder::adoptReservation(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Reservation>
-ReserveRequest::Builder::disownReservation() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Reservation>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Reservation> ReserveRequest::Builder::disownReservation() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Reservation>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool ReserveRequest::Reader::hasPreviousChain() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasPreviousChain() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ReserveRequest::Reader::getPreviousChain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ReserveRequest::Reader::getPreviousChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ReserveRequest::Builder::getPreviousChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ReserveRequest::Builder::getPreviousChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ReserveRequest::Builder::setPreviousChain(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setPreviousChain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ReserveRequest::Builder::initPreviousChain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ReserveRequest::Builder::initPreviousChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void ReserveRequest::Builder::adoptPreviousChain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-ReserveRequest::Builder::disownPreviousChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ReserveRequest::Builder::disownPreviousChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool ReserveRequest::Reader::hasLedger() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasLedger() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Reader
-ReserveRequest::Reader::getLedger() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Reader ReserveRequest::Reader::getLedger() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Builder
-ReserveRequest::Builder::getLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder ReserveRequest::Builder::getLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::BudgetLedger::Pipeline
-ReserveRequest::Pipeline::getLedger() {
-  return ::dotterelshed::turn_rpc::BudgetLedger::Pipeline(
-      _typeless.getPointerField(4));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline ReserveRequest::Pipeline::getLedger() {
+  return  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void ReserveRequest::Builder::setLedger(
-    ::dotterelshed::turn_rpc::BudgetLedger::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setLedger( ::dotterelshed::turn_rpc::BudgetLedger::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Builder
-ReserveRequest::Builder::initLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder ReserveRequest::Builder::initLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void ReserveRequest::Builder::adoptLedger(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>
-ReserveRequest::Builder::disownLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger> ReserveRequest::Builder::disownLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool ReserveRequest::Reader::hasNewProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool ReserveRequest::Builder::hasNewProgram() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::ProgramRecord::Reader
-ReserveRequest::Reader::getNewProgram() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::
-      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::ProgramRecord::Reader ReserveRequest::Reader::getNewProgram() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::ProgramRecord::Builder
-ReserveRequest::Builder::getNewProgram() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::
-      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::ProgramRecord::Builder ReserveRequest::Builder::getNewProgram() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::ProgramRecord::Pipeline
-ReserveRequest::Pipeline::getNewProgram() {
-  return ::dotterelshed::turn_rpc::ProgramRecord::Pipeline(
-      _typeless.getPointerField(5));
+inline  ::dotterelshed::turn_rpc::ProgramRecord::Pipeline ReserveRequest::Pipeline::getNewProgram() {
+  return  ::dotterelshed::turn_rpc::ProgramRecord::Pipeline(_typeless.getPointerField(5));
 }
 #endif  // !CAPNP_LITE
-inline void ReserveRequest::Builder::setNewProgram(
-    ::dotterelshed::turn_rpc::ProgramRecord::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::set(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      value);
+inline void ReserveRequest::Builder::setNewProgram( ::dotterelshed::turn_rpc::ProgramRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::ProgramRecord::Builder
-ReserveRequest::Builder::initNewProgram() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::ProgramRecord::Builder ReserveRequest::Builder::initNewProgram() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void ReserveRequest::Builder::adoptNewProgram(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::ProgramRecord>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::adopt(
-      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::ProgramRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::ProgramRecord>
-ReserveRequest::Builder::disownNewProgram() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::ProgramRecord>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::ProgramRecord> ReserveRequest::Builder::disownNewProgram() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::ProgramRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool ChangeReply::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChangeReply::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-ChangeReply::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader ChangeReply::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-ChangeReply::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder ChangeReply::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-ChangeReply::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline ChangeReply::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void ChangeReply::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void ChangeReply::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-ChangeReply::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder ChangeReply::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void ChangeReply::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-ChangeReply::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> ChangeReply::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool ChangeReply::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool ChangeReply::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader ChangeReply::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader ChangeReply::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder ChangeReply::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder ChangeReply::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ChangeReply::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void ChangeReply::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder ChangeReply::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder ChangeReply::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void ChangeReply::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> ChangeReply::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> ChangeReply::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t ChangeReply::Reader::getSequence() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ChangeReply::Reader::getSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ChangeReply::Builder::getSequence() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ChangeReply::Builder::getSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ChangeReply::Builder::setSequence(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ChangeReply::Builder::setSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool ChangeReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool ChangeReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void ChangeReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t ChangeReply::Reader::getHighest() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t ChangeReply::Reader::getHighest() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t ChangeReply::Builder::getHighest() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t ChangeReply::Builder::getHighest() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ChangeReply::Builder::setHighest(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS,
-                                   value);
+inline void ChangeReply::Builder::setHighest( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AppendRequest::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-AppendRequest::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader AppendRequest::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-AppendRequest::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder AppendRequest::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-AppendRequest::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline AppendRequest::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void AppendRequest::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void AppendRequest::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-AppendRequest::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder AppendRequest::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void AppendRequest::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-AppendRequest::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> AppendRequest::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AppendRequest::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AppendRequest::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AppendRequest::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AppendRequest::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AppendRequest::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AppendRequest::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void AppendRequest::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AppendRequest::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AppendRequest::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void AppendRequest::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> AppendRequest::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AppendRequest::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t AppendRequest::Reader::getSequence() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t AppendRequest::Reader::getSequence() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t AppendRequest::Builder::getSequence() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t AppendRequest::Builder::getSequence() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AppendRequest::Builder::setSequence(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void AppendRequest::Builder::setSequence( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AppendRequest::Reader::hasPreviousChain() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasPreviousChain() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader AppendRequest::Reader::getPreviousChain() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AppendRequest::Reader::getPreviousChain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder AppendRequest::Builder::getPreviousChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AppendRequest::Builder::getPreviousChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AppendRequest::Builder::setPreviousChain(
-    ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      value);
+inline void AppendRequest::Builder::setPreviousChain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder AppendRequest::Builder::initPreviousChain(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder AppendRequest::Builder::initPreviousChain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void AppendRequest::Builder::adoptPreviousChain(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-AppendRequest::Builder::disownPreviousChain() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AppendRequest::Builder::disownPreviousChain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool AppendRequest::Reader::hasRecord() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasRecord() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::TurnRecord::Reader
-AppendRequest::Reader::getRecord() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::get(
-      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::TurnRecord::Reader AppendRequest::Reader::getRecord() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::TurnRecord::Builder
-AppendRequest::Builder::getRecord() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::get(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::TurnRecord::Builder AppendRequest::Builder::getRecord() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::TurnRecord::Pipeline
-AppendRequest::Pipeline::getRecord() {
-  return ::dotterelshed::turn_rpc::TurnRecord::Pipeline(
-      _typeless.getPointerField(3));
+inline  ::dotterelshed::turn_rpc::TurnRecord::Pipeline AppendRequest::Pipeline::getRecord() {
+  return  ::dotterelshed::turn_rpc::TurnRecord::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void AppendRequest::Builder::setRecord(
-    ::dotterelshed::turn_rpc::TurnRecord::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::set(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      value);
+inline void AppendRequest::Builder::setRecord( ::dotterelshed::turn_rpc::TurnRecord::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::TurnRecord::Builder
-AppendRequest::Builder::initRecord() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::init(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::TurnRecord::Builder AppendRequest::Builder::initRecord() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void AppendRequest::Builder::adoptRecord(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::TurnRecord>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::adopt(
-      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::TurnRecord>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::TurnRecord>
-AppendRequest::Builder::disownRecord() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::TurnRecord>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::TurnRecord> AppendRequest::Builder::disownRecord() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::TurnRecord>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool AppendRequest::Reader::hasLedger() const {
-  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasLedger() {
-  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Reader
-AppendRequest::Reader::getLedger() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      get(_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Reader AppendRequest::Reader::getLedger() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Builder
-AppendRequest::Builder::getLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      get(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder AppendRequest::Builder::getLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::BudgetLedger::Pipeline
-AppendRequest::Pipeline::getLedger() {
-  return ::dotterelshed::turn_rpc::BudgetLedger::Pipeline(
-      _typeless.getPointerField(4));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline AppendRequest::Pipeline::getLedger() {
+  return  ::dotterelshed::turn_rpc::BudgetLedger::Pipeline(_typeless.getPointerField(4));
 }
 #endif  // !CAPNP_LITE
-inline void AppendRequest::Builder::setLedger(
-    ::dotterelshed::turn_rpc::BudgetLedger::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::set(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      value);
+inline void AppendRequest::Builder::setLedger( ::dotterelshed::turn_rpc::BudgetLedger::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::BudgetLedger::Builder
-AppendRequest::Builder::initLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      init(_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::BudgetLedger::Builder AppendRequest::Builder::initLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void AppendRequest::Builder::adoptLedger(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::adopt(
-      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::BudgetLedger>
-AppendRequest::Builder::disownLedger() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::BudgetLedger>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::BudgetLedger> AppendRequest::Builder::disownLedger() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::BudgetLedger>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool AppendRequest::Reader::hasHolds() const {
-  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool AppendRequest::Builder::hasHolds() {
-  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-AppendRequest::Reader::getHolds() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-AppendRequest::Builder::getHolds() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void AppendRequest::Builder::setHolds(
-    ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-AppendRequest::Builder::initHolds(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader AppendRequest::Reader::getHolds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder AppendRequest::Builder::getHolds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void AppendRequest::Builder::setHolds( ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>::Builder AppendRequest::Builder::initHolds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void AppendRequest::Builder::adoptHolds(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<::dotterelshed::turn_rpc::HoldRecord,
-                                           ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<
-    ::capnp::List<::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>
-AppendRequest::Builder::disownHolds() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::HoldRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>> AppendRequest::Builder::disownHolds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::HoldRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool AppendRequest::Reader::getEnded() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
 inline bool AppendRequest::Builder::getEnded() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 inline void AppendRequest::Builder::setEnded(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateCopy::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopy::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-StateCopy::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader StateCopy::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-StateCopy::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder StateCopy::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-StateCopy::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline StateCopy::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void StateCopy::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void StateCopy::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-StateCopy::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder StateCopy::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void StateCopy::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-StateCopy::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> StateCopy::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool StateCopy::Reader::hasPrograms() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopy::Builder::hasPrograms() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-StateCopy::Reader::getPrograms() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopy::Builder::getPrograms() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StateCopy::Builder::setPrograms(
-    ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopy::Builder::initPrograms(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader StateCopy::Reader::getPrograms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder StateCopy::Builder::getPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StateCopy::Builder::setPrograms( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder StateCopy::Builder::initPrograms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void StateCopy::Builder::adoptPrograms(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                     ::capnp::Kind::STRUCT>>
-StateCopy::Builder::disownPrograms() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> StateCopy::Builder::disownPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool StateCopy::Reader::hasLedgers() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopy::Builder::hasLedgers() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Reader
-StateCopy::Reader::getLedgers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopy::Builder::getLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StateCopy::Builder::setLedgers(
-    ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopy::Builder::initLedgers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader StateCopy::Reader::getLedgers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder StateCopy::Builder::getLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StateCopy::Builder::setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder StateCopy::Builder::initLedgers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void StateCopy::Builder::adoptLedgers(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                     ::capnp::Kind::STRUCT>>
-StateCopy::Builder::disownLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> StateCopy::Builder::disownLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int32_t StateCopy::Reader::getPart() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t StateCopy::Reader::getPart() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t StateCopy::Builder::getPart() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t StateCopy::Builder::getPart() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StateCopy::Builder::setPart(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void StateCopy::Builder::setPart( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateCopy::Reader::getLast() const {
-  return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
 inline bool StateCopy::Builder::getLast() {
-  return _builder.getDataField<bool>(::capnp::bounded<32>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 inline void StateCopy::Builder::setLast(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateCopyReply::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopyReply::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-StateCopyReply::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader StateCopyReply::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-StateCopyReply::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder StateCopyReply::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-StateCopyReply::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline StateCopyReply::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void StateCopyReply::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void StateCopyReply::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-StateCopyReply::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder StateCopyReply::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void StateCopyReply::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-StateCopyReply::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> StateCopyReply::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::int32_t StateCopyReply::Reader::getPart() const {
-  return _reader.getDataField<::int32_t>(::capnp::bounded<0>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int32_t StateCopyReply::Reader::getPart() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::int32_t StateCopyReply::Builder::getPart() {
-  return _builder.getDataField<::int32_t>(::capnp::bounded<0>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int32_t StateCopyReply::Builder::getPart() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void StateCopyReply::Builder::setPart(::int32_t value) {
-  _builder.setDataField<::int32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                   value);
+inline void StateCopyReply::Builder::setPart( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateCopyReply::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
 inline bool StateCopyReply::Builder::getAccepted() {
-  return _builder.getDataField<bool>(::capnp::bounded<32>() *
-                                     ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 inline void StateCopyReply::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS,
-                              value);
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t StateCopyReply::Reader::getHighest() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                         ::capnp::ELEMENTS);
+inline  ::int64_t StateCopyReply::Reader::getHighest() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t StateCopyReply::Builder::getHighest() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() *
-                                          ::capnp::ELEMENTS);
+inline  ::int64_t StateCopyReply::Builder::getHighest() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void StateCopyReply::Builder::setHighest(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS,
-                                   value);
+inline void StateCopyReply::Builder::setHighest( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool StateCopyReply::Reader::hasLonger() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopyReply::Builder::hasLonger() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-StateCopyReply::Reader::getLonger() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopyReply::Builder::getLonger() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void StateCopyReply::Builder::setLonger(
-    ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopyReply::Builder::initLonger(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader StateCopyReply::Reader::getLonger() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder StateCopyReply::Builder::getLonger() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StateCopyReply::Builder::setLonger( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder StateCopyReply::Builder::initLonger(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void StateCopyReply::Builder::adoptLonger(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                     ::capnp::Kind::STRUCT>>
-StateCopyReply::Builder::disownLonger() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> StateCopyReply::Builder::disownLonger() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool StateCopyReply::Reader::hasLedgers() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool StateCopyReply::Builder::hasLedgers() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Reader
-StateCopyReply::Reader::getLedgers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopyReply::Builder::getLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void StateCopyReply::Builder::setLedgers(
-    ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-StateCopyReply::Builder::initLedgers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
