+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader StateCopyReply::Reader::getLedgers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder StateCopyReply::Builder::getLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StateCopyReply::Builder::setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder StateCopyReply::Builder::initLedgers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void StateCopyReply::Builder::adoptLedgers(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                     ::capnp::Kind::STRUCT>>
-StateCopyReply::Builder::disownLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> StateCopyReply::Builder::disownLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CollectRequest::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectRequest::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-CollectRequest::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader CollectRequest::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-CollectRequest::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder CollectRequest::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-CollectRequest::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline CollectRequest::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CollectRequest::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void CollectRequest::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-CollectRequest::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder CollectRequest::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void CollectRequest::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-CollectRequest::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> CollectRequest::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CollectRequest::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectRequest::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CollectRequest::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CollectRequest::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CollectRequest::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CollectRequest::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CollectRequest::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void CollectRequest::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CollectRequest::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CollectRequest::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void CollectRequest::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CollectRequest::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CollectRequest::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CollectReply::Reader::hasEnvelope() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectReply::Builder::hasEnvelope() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::dotterelshed::turn_rpc::Envelope::Reader
-CollectReply::Reader::getEnvelope() const {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Reader CollectReply::Reader::getEnvelope() const {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-CollectReply::Builder::getEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder CollectReply::Builder::getEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::dotterelshed::turn_rpc::Envelope::Pipeline
-CollectReply::Pipeline::getEnvelope() {
-  return ::dotterelshed::turn_rpc::Envelope::Pipeline(
-      _typeless.getPointerField(0));
+inline  ::dotterelshed::turn_rpc::Envelope::Pipeline CollectReply::Pipeline::getEnvelope() {
+  return  ::dotterelshed::turn_rpc::Envelope::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CollectReply::Builder::setEnvelope(
-    ::dotterelshed::turn_rpc::Envelope::Reader value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      value);
+inline void CollectReply::Builder::setEnvelope( ::dotterelshed::turn_rpc::Envelope::Reader value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::dotterelshed::turn_rpc::Envelope::Builder
-CollectReply::Builder::initEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::dotterelshed::turn_rpc::Envelope::Builder CollectReply::Builder::initEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void CollectReply::Builder::adoptEnvelope(
-    ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>&& value) {
-  ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope>&& value) {
+  ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::dotterelshed::turn_rpc::Envelope>
-CollectReply::Builder::disownEnvelope() {
-  return ::capnp::_::PointerHelpers<::dotterelshed::turn_rpc::Envelope>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::dotterelshed::turn_rpc::Envelope> CollectReply::Builder::disownEnvelope() {
+  return ::capnp::_::PointerHelpers< ::dotterelshed::turn_rpc::Envelope>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool CollectReply::Reader::hasProgram() const {
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectReply::Builder::hasProgram() {
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS)
-              .isNull();
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader CollectReply::Reader::getProgram() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader CollectReply::Reader::getProgram() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder CollectReply::Builder::getProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder CollectReply::Builder::getProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CollectReply::Builder::setProgram(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      value);
+inline void CollectReply::Builder::setProgram( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder CollectReply::Builder::initProgram(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      size);
+inline  ::capnp::Text::Builder CollectReply::Builder::initProgram(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void CollectReply::Builder::adoptProgram(
-    ::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS),
-      kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> CollectReply::Builder::disownProgram() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> CollectReply::Builder::disownProgram() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CollectReply::Reader::hasPrograms() const {
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectReply::Builder::hasPrograms() {
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Reader
-CollectReply::Reader::getPrograms() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-CollectReply::Builder::getPrograms() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void CollectReply::Builder::setPrograms(
-    ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                     ::capnp::Kind::STRUCT>::Builder
-CollectReply::Builder::initPrograms(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader CollectReply::Reader::getPrograms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::getPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CollectReply::Builder::setPrograms( ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::initPrograms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void CollectReply::Builder::adoptPrograms(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS),
-            kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::ProgramRecord,
-                                     ::capnp::Kind::STRUCT>>
-CollectReply::Builder::disownPrograms() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::ProgramRecord, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>> CollectReply::Builder::disownPrograms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::ProgramRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CollectReply::Reader::hasLedgers() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool CollectReply::Builder::hasLedgers() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS)
-              .isNull();
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Reader
-CollectReply::Reader::getLedgers() const {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-CollectReply::Builder::getLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void CollectReply::Builder::setLedgers(
-    ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-          value);
-}
-inline ::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                     ::capnp::Kind::STRUCT>::Builder
-CollectReply::Builder::initLedgers(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-           size);
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader CollectReply::Reader::getLedgers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::getLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void CollectReply::Builder::setLedgers( ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>::Builder CollectReply::Builder::initLedgers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void CollectReply::Builder::adoptLedgers(
-    ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS),
-            kj::mv(value));
+    ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::dotterelshed::turn_rpc::BudgetLedger,
-                                     ::capnp::Kind::STRUCT>>
-CollectReply::Builder::disownLedgers() {
-  return ::capnp::_::PointerHelpers<::capnp::List<
-      ::dotterelshed::turn_rpc::BudgetLedger, ::capnp::Kind::STRUCT>>::
-      disown(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>> CollectReply::Builder::disownLedgers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::dotterelshed::turn_rpc::BudgetLedger,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-}  // namespace turn_rpc
-}  // namespace dotterelshed
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
