--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -67,7 +67,7 @@
 }
 
 auto DiskHost::Start() -> Status {
-  const auto listening = m_peers.Listen(AddressOf(m_settings.m_peer_address));
+  auto listening = m_peers.Listen(AddressOf(m_settings.m_peer_address));
   if (!listening) {
     return listening;
   }
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -151,7 +151,7 @@
        {std::pair(&m_peers, &settings.m_peer_address),
         std::pair(&m_callers, &settings.m_caller_address),
         std::pair(&m_readiness, &settings.m_ready_address)}) {
-    const auto listening = listener->Listen(AddressOrDie(*address));
+    auto listening = listener->Listen(AddressOrDie(*address));
     if (!listening) {
       return listening;
     }
