--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -61,8 +61,9 @@
 
   /// Sends a whole request. One exchange at a time.
   /// @param bodyless  true for HEAD.
-  auto Exchange(std::string request, bool bodyless, ExchangeHandlers handlers)
-      -> void;
+  auto Exchange(const std::string& request,
+                bool bodyless,
+                ExchangeHandlers handlers) -> void;
 
   /// True when the last exchange left the connection fit for another one and
   /// nothing unasked has arrived since.
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -246,7 +246,7 @@
   m_attempt.m_first_here = m_run_on.insert(m_attempt.m_endpoint).second;
   const auto self = shared_from_this();
   m_attempt.m_connection->Exchange(
-      std::move(bytes), head.m_method == "HEAD",
+      bytes, head.m_method == "HEAD",
       {.m_on_head =
            [self](ResponseHead& answer) { return self->OnHead(answer); },
        .m_on_body = [self](std::string_view body) { self->OnBody(body); },
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -201,9 +201,9 @@
     m_own_lead.Settle(list);
     return;
   }
-  auto body = EncodeSettlements(list);
+  const auto body = EncodeSettlements(list);
   CallPeer(m_context.m_loop, m_context.m_peers, entry.m_peer_address,
-           kSettlePath, std::move(body), kSettleTimeout,
+           kSettlePath, body, kSettleTimeout,
            [this, domain,
             list = std::move(list)](const Result<std::string>& reply) mutable {
              if (reply) {
--- a/src/libgateway/journal_files.cc
+++ b/src/libgateway/journal_files.cc
@@ -85,7 +85,7 @@
     return Fail(ErrorCode::kConflict, "a newer lead has read the entry",
                 entry.m_domain.value());
   }
-  const auto written =
+  auto written =
       ReplaceFile(files.m_folder, entry.m_domain.value() + std::string(kSuffix),
                   EncodeJournalEntry(entry));
   if (written) {
--- a/src/libgateway/peer_call.cc
+++ b/src/libgateway/peer_call.cc
@@ -113,7 +113,7 @@
               EndpointPool& pool,
               const std::string& address,
               std::string_view path,
-              std::string body,
+              const std::string& body,
               Duration timeout,
               std::function<void(Result<std::string>)> reply) -> void {
   auto call = std::make_shared<PeerCall>(loop, pool);
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -143,8 +143,7 @@
 class TestWorld {
  public:
   TestWorld() : m_store(m_loop) {
-    REQUIRE(StartLogging(
-        {.m_level = getenv("DBG") ? LogLevel::kInfo : LogLevel::kError}));
+    REQUIRE(StartLogging({.m_level = LogLevel::kError}));
     REQUIRE(m_store.Listen(Loopback()));
     m_store.Put("config", "main", nlohmann::json::parse(R"({"version":1,
       "routes":[
--- a/src/libhttp/http_client.cc
+++ b/src/libhttp/http_client.cc
@@ -116,7 +116,7 @@
   return m_reusable && !m_busy && m_stream && !m_stream->closed();
 }
 
-auto ClientConnection::Exchange(std::string request,
+auto ClientConnection::Exchange(const std::string& request,
                                 bool bodyless,
                                 ExchangeHandlers handlers) -> void {
   m_handlers = std::move(handlers);
--- a/src/libledger/program_ledger_walk_unittest.cc
+++ b/src/libledger/program_ledger_walk_unittest.cc
@@ -74,7 +74,7 @@
 };
 
 auto ProgramName(World& world) -> std::string {
-  const auto name = "p" + std::to_string(world.Draw(kPrograms));
+  auto name = "p" + std::to_string(world.Draw(kPrograms));
   if (!world.m_budget.contains(name)) {
     world.m_most[name] = Tokens(50 + world.Draw(100));
     world.m_budget[name] = world.m_most[name] * (1 + world.Draw(6));
