Replace only the lead whose silence was seen

The logs of all hosts show each domain changing its lead ten times in ten seconds and 80 refused claims a second: a host whose question to the dead lead timed out claimed with the version of the lead that had been announced meanwhile, so a healthy lead was replaced for the silence of the one before, and each takeover counts what was recorded ahead as spent. Ruled out: conflicts between claims (refused by the store, harmless). Change: a claim names the lead that was asked; if another is known by now, it is asked first. Test: lead_takeover_unittest, seen failing (h1 took the lead from h3).

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -45,6 +45,14 @@
     return found == m_leads.end() ? std::nullopt : std::optional(found->second);
   }
 
+  /// True when no other lead of the domain is known than @p lead.
+  auto IsNewest(const DomainId& domain,
+                const std::optional<KnownLead>& lead) const -> bool {
+    const auto known = LeadOf(domain);
+    return known.has_value() == lead.has_value() &&
+           (!known || known->m_version == lead->m_version);
+  }
+
   /// Takes a lead that the store or another host names. Returns false when it
   /// is older than what is known.
   auto TakeLead(const KnownLead& lead) -> bool {
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -397,13 +397,11 @@
   if (m_stopping || !m_lead_follower->listed() || m_lead.leading()) {
     return;
   }
-  const auto lead = m_context.m_leads.find(m_context.m_settings.m_domain);
-  const auto none = lead == m_context.m_leads.end();
+  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
   // The store may still name this host's process of before.
-  const auto self =
-      !none && lead->second.m_entry.m_host == m_context.m_settings.m_host;
-  if (self || (none && now - m_started_at > m_lead_patience)) {
-    m_lead.TakeOver();
+  const auto self = lead && lead->m_entry.m_host == m_context.m_settings.m_host;
+  if (self || (!lead && now - m_started_at > m_lead_patience)) {
+    m_lead.TakeOver(lead);
   }
 }
 
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -43,6 +43,8 @@
   Answered m_answered;
   TimePoint m_deadline;
   DomainId m_domain;
+  /// The lead that was asked last, if one was known.
+  std::optional<KnownLead> m_asked;
   int m_sent_on = 0;
   int m_not_lead = 0;
   int m_unanswered = 0;
@@ -70,12 +72,12 @@
 
 auto GrantClient::AskLead(const std::shared_ptr<Asking>& asking) -> void {
   const auto own = asking->m_domain == m_context.m_settings.m_domain;
-  const auto lead = m_context.m_leads.find(asking->m_domain);
-  if (lead == m_context.m_leads.end()) {
+  asking->m_asked = m_context.LeadOf(asking->m_domain);
+  if (!asking->m_asked) {
     OnNoAnswer(asking);
     return;
   }
-  const auto& entry = lead->second.m_entry;
+  const auto& entry = asking->m_asked->m_entry;
   if (own && entry.m_host == m_context.m_settings.m_host) {
     m_own_lead.Ask(asking->m_question,
                    [this, asking](const GrantAnswer& answer) {
@@ -138,8 +140,12 @@
 
 auto GrantClient::OnNoAnswer(const std::shared_ptr<Asking>& asking) -> void {
   const auto& own = m_context.m_settings.m_domain;
+  if (!m_context.IsNewest(asking->m_domain, asking->m_asked)) {
+    AskAgain(asking);
+    return;
+  }
   if (asking->m_domain == own) {
-    m_own_lead.TakeOver();
+    m_own_lead.TakeOver(asking->m_asked);
     if (++asking->m_unanswered >= kMaxUnanswered) {
       asking->m_domain = FallbackDomain(asking->m_question.m_grant.m_program);
     }
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -70,12 +70,13 @@
 
 // Becoming lead.
 
-auto LeadService::TakeOver() -> void {
-  if (m_phase != Phase::kIdle || SteadyTime() < m_retry_at) {
+auto LeadService::TakeOver(const std::optional<KnownLead>& silent) -> void {
+  const auto& domain = m_context.m_settings.m_domain;
+  if (m_phase != Phase::kIdle || SteadyTime() < m_retry_at ||
+      !m_context.IsNewest(domain, silent)) {
     return;
   }
   m_phase = Phase::kClaiming;
-  const auto& domain = m_context.m_settings.m_domain;
   StoredObject object{
       .m_name = domain.value(),
       .m_spec = EncodeLeadEntry(
@@ -85,7 +86,7 @@
   const auto after = [this](const Result<StoredObject>& stored) {
     AfterClaim(stored);
   };
-  m_before = m_context.LeadOf(domain);
+  m_before = silent;
   if (!m_before) {
     m_context.m_store.Create(ObjectKind::kLeads, std::move(object), after);
     return;
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -37,8 +37,9 @@
   /// One that is told that there is none goes on, and is remembered for it.
   auto Find(const FindQuestion& question) -> FindAnswer;
 
-  /// Tries to become lead in place of what the store names now.
-  auto TakeOver() -> void;
+  /// Tries to become lead in place of @p silent, or of none. Does nothing if
+  /// another one leads by now: it hasn't been asked yet.
+  auto TakeOver(const std::optional<KnownLead>& silent) -> void;
   /// Takes a lead that the store or another host names. Returns false when it
   /// is older than what is known.
   auto NoteLead(const KnownLead& lead) -> bool;
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -185,8 +185,14 @@
         [this, &name] { return !m_store.Find("disk-hosts", name).is_null(); });
   }
 
-  /// Starts the host and waits until it is ready.
+  /// Starts the host and waits until it is ready and leads its domain.
   auto Start() -> void {
+    StartFollower();
+    RunUntil([this] { return m_host->leads(); });
+  }
+
+  /// Starts the host and waits until it is ready.
+  auto StartFollower() -> void {
     EntrySettings settings;
     settings.m_host = HostId("h1");
     settings.m_domain = DomainId("z");
@@ -196,7 +202,7 @@
     settings.m_platform_address = ToText(m_store.address());
     m_host = std::make_unique<EntryHost>(m_loop, settings);
     REQUIRE(m_host->Start());
-    RunUntil([this] { return m_host->ready() && m_host->leads(); });
+    RunUntil([this] { return m_host->ready(); });
   }
 
   auto Call(const std::string& request) -> std::shared_ptr<TestCaller> {
