Let large hosts lead, and let leads hand over exactly

Cause: on grown sites a domain has two hosts of 0.5 cores and twenty of 0.084. Whichever claimed first led; after the loss of all power a small one answers too late for the turns of its domain (a write of 1,000 programs took 300 ms there), is taken for silent and replaced by the next small one. Change: the settings name the host's processor share, the lead's entry too; a host of twice the lead's share asks it to give way. A lead that gives way, or is being stopped, writes a last record: what was granted, nothing ahead, and the turns under way; the next lead goes on from exactly that. A lead that doesn't lead any more refuses settlements, so that the next one gets them.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -34,6 +34,7 @@
   kStaleTermSeen = 204,
   kLeadClaimFailed = 205,
   kLeadLost = 206,
+  kLeadYielded = 207,
   kHistoryMismatch = 303,
   kLedgerWriteFailed = 304,
   kTurnDecided = 305,
--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
@@ -72,9 +73,19 @@
   bool m_blind = false;
 };
 
+/// A turn under way and what it was granted.
+struct RunningTurn {
+  ProgramId m_program;
+  RequestId m_request;
+  Tokens m_tokens{0};
+};
+
 /// What stands in the store: bounds of the programs' grants.
 struct LedgerRecord {
   std::map<ProgramId, Tokens> m_bounds;
+  /// In a lead's last record, the turns under way: part of their program's
+  /// bound until the next lead hears of their end.
+  std::vector<RunningTurn> m_running;
 };
 
 struct ProgramLedger {
@@ -142,6 +153,11 @@
 /// grant exceeds it, whether or not the write is known to have succeeded.
 auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord;
 
+/// The record of a lead that gives way to another one: it holds what has been
+/// granted and nothing ahead, and names the turns under way. So the next lead
+/// counts nothing as spent that wasn't granted.
+auto BeginLastRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord;
+
 /// @p record has been stored under this lead's term, after all earlier ones.
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void;
 
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -43,6 +43,9 @@
      "This host could not become lead; it tries again when it needs one."},
     {LogEventId::kLeadLost, LogLevel::kInfo, "lead_lost",
      "This host is no longer lead; another one has written the ledger."},
+    {LogEventId::kLeadYielded, LogLevel::kInfo, "lead_yielded",
+     "This lead wrote down what it had granted and gave way, for a larger host "
+     "or its own planned stop."},
     {LogEventId::kHistoryMismatch, LogLevel::kWarning, "history_mismatch",
      "A caller's token does not match the stored history; refused."},
     {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
 
 /// Precision of all time limits that aren't timers of their own.
@@ -27,9 +28,6 @@
 constexpr Duration kLameDuck = std::chrono::milliseconds(2800);
 /// Part of the stop grace that is kept for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-/// A domain without lead gets one after this time at the latest; hosts wait
-/// for different parts of it, so that mostly one of them tries.
-constexpr Duration kLeadPatience = std::chrono::milliseconds(1500);
 /// Endpoints come and go in groups; a leaving one must be known within two
 /// seconds.
 constexpr Duration kEndpointJoinTime = std::chrono::milliseconds(800);
@@ -65,6 +63,7 @@
                 .m_peers = EndpointPool(loop, {}),
                 .m_random = std::mt19937_64(std::random_device()())},
       m_lead(m_context),
+      m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
       m_callers(loop,
                 [this](const std::shared_ptr<ServerConnection>& connection,
@@ -81,9 +80,7 @@
                      const IncomingRequest& request) {
                 OnPeer(connection, request);
               }),
-      m_tick_timer(loop),
-      m_started_at(SteadyTime()) {
-  m_lead_patience = FromSeconds(ToSeconds(kLeadPatience) * m_context.Draw());
+      m_tick_timer(loop) {
   MakeFollowers();
 }
 
@@ -356,8 +353,8 @@
       connection->Answer(400, {}, settlements.error().m_message);
       return;
     }
-    m_lead.Settle(*settlements);
-    connection->Answer(kStatusOk, {}, "");
+    const auto taken = m_lead.Settle(*settlements);
+    connection->Answer(taken ? kStatusOk : kStatusConflict, {}, "");
     return;
   }
   if (target == kFindPath) {
@@ -379,6 +376,21 @@
     connection->Answer(kStatusOk, {}, "");
     return;
   }
+  if (target == kYieldPath) {
+    const auto lead = DecodeKnownLead(request.m_body);
+    if (!lead) {
+      connection->Answer(400, {}, lead.error().m_message);
+      return;
+    }
+    if (!m_context.IsNewest(lead->m_domain, *lead)) {
+      connection->Answer(kStatusConflict, {}, "");
+      return;
+    }
+    m_lead.Yield("larger_host", [connection](bool done) {
+      connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
+    });
+    return;
+  }
   connection->Answer(kStatusNotFound, {}, "");
 }
 
@@ -393,18 +405,6 @@
   });
 }
 
-auto EntryHost::EnsureLead(TimePoint now) -> void {
-  if (m_stopping || !m_lead_follower->listed() || m_lead.leading()) {
-    return;
-  }
-  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
-  // The store may still name this host's process of before.
-  const auto self = lead && lead->m_entry.m_host == m_context.m_settings.m_host;
-  if (self || (!lead && now - m_started_at > m_lead_patience)) {
-    m_lead.TakeOver(lead);
-  }
-}
-
 auto EntryHost::Tick() -> void {
   const auto now = SteadyTime();
   const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
@@ -418,9 +418,10 @@
   m_callers.Tick(now);
   m_lead.Tick(now);
   m_grants.Tick(now);
-  EnsureLead(now);
   if (m_stopping) {
     ContinueStop(now);
+  } else if (m_lead_follower->listed()) {
+    m_election.Tick(now);
   }
   if (now - m_last_flush >= kLogFlushInterval) {
     m_last_flush = now;
@@ -437,6 +438,7 @@
   }
   m_stop_begun = SteadyTime();
   m_callers.CloseAfterAnswers();
+  m_lead.Yield("stop", [](bool /*done*/) {});
   LogEvent(LogEventId::kHostDraining,
            {{"open", std::to_string(m_callers.open_requests())}});
 }
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -10,6 +10,7 @@
 #include "entry_context.h"
 #include "grant_client.h"
 #include "kind_follower.h"
+#include "lead_election.h"
 #include "lead_service.h"
 
 /// @file
@@ -52,7 +53,6 @@
   auto TakeEndpoints(const ObjectListing& listing) -> void;
   auto TakeLead(const StoredObject& object) -> void;
   auto ApplyLimits() -> void;
-  auto EnsureLead(TimePoint now) -> void;
 
   auto Tick() -> void;
   auto ContinueStop(TimePoint now) -> void;
@@ -60,6 +60,7 @@
 
   EntryContext m_context;
   LeadService m_lead;
+  LeadElection m_election;
   GrantClient m_grants;
   HttpListener m_callers;
   HttpListener m_readiness;
@@ -69,10 +70,8 @@
   std::shared_ptr<KindFollower> m_lead_follower;
   std::unordered_set<std::shared_ptr<CallExchange>> m_exchanges;
   boost::asio::steady_timer m_tick_timer;
-  TimePoint m_started_at;
   TimePoint m_stop_begun;
   TimePoint m_last_flush;
-  Duration m_lead_patience{0};
   bool m_stopping = false;
 };
 
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -204,7 +204,9 @@
   auto list = std::exchange(m_settlements[domain], {});
   const auto& entry = lead->second.m_entry;
   if (entry.m_host == m_context.m_settings.m_host) {
-    m_own_lead.Settle(list);
+    if (!m_own_lead.Settle(list)) {
+      KeepSettlements(domain, std::move(list));
+    }
     return;
   }
   const auto body = EncodeSettlements(list);
@@ -212,18 +214,22 @@
            kSettlePath, body, kSettleTimeout,
            [this, domain,
             list = std::move(list)](const Result<std::string>& reply) mutable {
-             if (reply) {
-               return;
-             }
-             auto& kept = m_settlements[domain];
-             for (auto& one : list) {
-               if (kept.size() < kMaxSettlements) {
-                 kept.push_back(std::move(one));
-               }
+             if (!reply) {
+               KeepSettlements(domain, std::move(list));
              }
            });
 }
 
+auto GrantClient::KeepSettlements(const DomainId& domain,
+                                  std::vector<TurnSettlement> list) -> void {
+  auto& kept = m_settlements[domain];
+  for (auto& one : list) {
+    if (kept.size() < kMaxSettlements) {
+      kept.push_back(std::move(one));
+    }
+  }
+}
+
 auto GrantClient::Tick(TimePoint now) -> void {
   if (now - m_last_settled >= kSettleInterval) {
     m_last_settled = now;
--- a/src/libgateway/grant_client.h
+++ b/src/libgateway/grant_client.h
@@ -44,6 +44,9 @@
   auto FallbackDomain(const ProgramId& program) const -> DomainId;
   auto GiveUp(const Asking& asking) -> void;
   auto HomeOf(const ProgramId& program) const -> DomainId;
+  /// Keeps what a lead didn't take, for the next try.
+  auto KeepSettlements(const DomainId& domain, std::vector<TurnSettlement> list)
+      -> void;
   auto SendSettlements(const DomainId& domain) -> void;
 
   EntryContext& m_context;
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -38,6 +38,7 @@
   entry.m_host = HostId(json.at("host"));
   entry.m_incarnation = Incarnation(json.at("incarnation").get<std::int64_t>());
   entry.m_peer_address = json.at("peer_address").get<std::string>();
+  entry.m_processor_share = json.at("processor_share").get<double>();
   return entry;
 }
 
@@ -62,6 +63,11 @@
   for (const auto& [program, bound] : json.at("bounds").items()) {
     ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
   }
+  for (const auto& turn : json.at("running")) {
+    ledger.m_record.m_running.push_back({ProgramId(turn.at("program")),
+                                         RequestId(turn.at("request")),
+                                         ToTokens(turn.at("tokens"))});
+  }
   return ledger;
 }
 
@@ -199,7 +205,8 @@
 auto EncodeLeadEntry(const LeadEntry& entry) -> Json {
   return Json{{"host", entry.m_host.value()},
               {"incarnation", entry.m_incarnation.value()},
-              {"peer_address", entry.m_peer_address}};
+              {"peer_address", entry.m_peer_address},
+              {"processor_share", entry.m_processor_share}};
 }
 
 auto DecodeLeadEntry(const Json& body) -> Result<LeadEntry> {
@@ -219,10 +226,17 @@
   for (const auto& [program, bound] : ledger.m_record.m_bounds) {
     bounds[program.value()] = bound.value();
   }
+  auto running = Json::array();
+  for (const auto& turn : ledger.m_record.m_running) {
+    running.push_back({{"program", turn.m_program.value()},
+                       {"request", turn.m_request.value()},
+                       {"tokens", turn.m_tokens.value()}});
+  }
   return Json{{"host", ledger.m_host.value()},
               {"incarnation", ledger.m_incarnation.value()},
               {"write", ledger.m_write},
-              {"bounds", std::move(bounds)}};
+              {"bounds", std::move(bounds)},
+              {"running", std::move(running)}};
 }
 
 auto DecodeStoredLedger(const Json& body) -> Result<StoredLedger> {
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -31,6 +31,8 @@
   /// Differs for each start of the process.
   Incarnation m_incarnation;
   std::string m_peer_address;
+  /// Cores that the lead's host has; a larger host may ask it to yield.
+  double m_processor_share = 1.0;
 };
 
 /// A domain's lead as the store names it; a higher version is newer.
--- a/src/libgateway/lead_messages_unittest.cc
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -10,7 +10,8 @@
   return {.m_domain = DomainId("z"),
           .m_entry = {.m_host = HostId("h"),
                       .m_incarnation = Incarnation(1LL << 60),
-                      .m_peer_address = "127.0.0.1:5"},
+                      .m_peer_address = "127.0.0.1:5",
+                      .m_processor_share = 0.5},
           .m_version = ResourceVersion(12)};
 }
 
@@ -45,11 +46,17 @@
   const StoredLedger ledger{.m_host = HostId("h"),
                             .m_incarnation = Incarnation(5),
                             .m_write = 3,
-                            .m_record = {{{ProgramId("p"), Tokens(270)}}}};
+                            .m_record = {{{ProgramId("p"), Tokens(270)}},
+                                         {{.m_program = ProgramId("p"),
+                                           .m_request = RequestId("r"),
+                                           .m_tokens = Tokens(135)}}}};
   const auto read = DecodeStoredLedger(EncodeStoredLedger(ledger));
   REQUIRE(read);
   CHECK(read->m_write == 3);
   CHECK(read->m_record.m_bounds.at(ProgramId("p")) == Tokens(270));
+  REQUIRE(read->m_record.m_running.size() == 1);
+  CHECK(read->m_record.m_running[0].m_request == RequestId("r"));
+  CHECK(read->m_record.m_running[0].m_tokens == Tokens(135));
 }
 
 TEST_CASE("a message that can't be read is an error, not a default") {
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -22,6 +22,10 @@
 constexpr Duration kConfirmInterval = std::chrono::seconds(4);
 /// A lead whose writes fail tries the store again after this time.
 constexpr Duration kStoreProbeInterval = std::chrono::milliseconds(500);
+/// Longest time for the last write of a lead that gives way.
+constexpr Duration kYieldTime = std::chrono::milliseconds(800);
+/// One that gave way claims again after this time, if nobody else did.
+constexpr Duration kYieldPause = std::chrono::milliseconds(1500);
 /// A host that couldn't reach the store for its claim waits this long.
 constexpr Duration kClaimRetryWait = std::chrono::milliseconds(1000);
 constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
@@ -82,7 +86,8 @@
       .m_spec = EncodeLeadEntry(
           {.m_host = m_context.m_settings.m_host,
            .m_incarnation = m_context.m_incarnation,
-           .m_peer_address = m_context.m_settings.m_peer_address})};
+           .m_peer_address = m_context.m_settings.m_peer_address,
+           .m_processor_share = m_context.m_settings.m_processor_share})};
   const auto after = [this](const Result<StoredObject>& stored) {
     AfterClaim(stored);
   };
@@ -304,6 +309,9 @@
   }
   m_phase = Phase::kIdle;
   m_retry_at = SteadyTime() + kStoreRetryWait;
+  if (const auto yielded = std::exchange(m_yielded, nullptr)) {
+    yielded(false);
+  }
   m_ledger = {};
   m_store_lost = false;
   m_journal_lost = false;
@@ -321,6 +329,33 @@
   }
 }
 
+// Giving way.
+
+auto LeadService::Yield(std::string_view reason, Yielded yielded) -> void {
+  if (m_phase != Phase::kActive || m_yielded || m_store_lost) {
+    yielded(false);
+    return;
+  }
+  m_yielded = std::move(yielded);
+  m_yield_reason = reason;
+  m_yield_until = SteadyTime() + kYieldTime;
+  MaybeWrite(SteadyTime());
+}
+
+auto LeadService::FinishYield(bool done) -> void {
+  const auto yielded = std::exchange(m_yielded, nullptr);
+  if (done) {
+    LogEvent(LogEventId::kLeadYielded,
+             {{"domain", m_context.m_settings.m_domain.value()},
+              {"reason", m_yield_reason}});
+    BecomeIdle();
+    m_retry_at = SteadyTime() + kYieldPause;
+  } else {
+    DecideWaiting();
+  }
+  yielded(done);
+}
+
 // Answering questions.
 
 auto LeadService::Ask(const GrantQuestion& question, Answered answered)
@@ -354,6 +389,10 @@
 
 auto LeadService::Grant(const Waiting& waiting,
                         const GrantConditions& conditions) -> void {
+  if (m_yielded) {
+    m_waiting.push_back(waiting);
+    return;
+  }
   const auto now = SteadyTime();
   const auto grant =
       RequestGrant(m_ledger, waiting.m_question.m_grant, conditions, now);
@@ -422,7 +461,10 @@
 }
 
 auto LeadService::Settle(const std::vector<TurnSettlement>& settlements)
-    -> void {
+    -> bool {
+  if (m_phase != Phase::kActive || m_yielded) {
+    return false;
+  }
   const auto now = SteadyTime();
   for (const auto& one : settlements) {
     SettleTurn(m_ledger, one.m_program, one.m_request, one.m_used, now);
@@ -432,6 +474,7 @@
       m_placed.erase(placed);
     }
   }
+  return true;
 }
 
 // Finding the account of an unknown program.
@@ -640,31 +683,43 @@
       m_waiting.empty() ? kLazyWriteInterval : kUrgentWriteInterval;
   const auto confirm = now - m_ledger.m_confirmed >= kConfirmInterval;
   const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm;
-  if (!wanted || now - m_last_write < interval) {
+  const auto due = wanted && now - m_last_write >= interval;
+  if (!due && !m_yielded) {
     return;
   }
   m_writing = true;
   m_last_write = now;
-  auto record = BeginRecord(m_ledger, now);
-  auto object = MakeLedgerObject(record);
+  PendingWrite write{.m_record = m_yielded ? BeginLastRecord(m_ledger, now)
+                                           : BeginRecord(m_ledger, now),
+                     .m_last = m_yielded != nullptr};
+  auto object = MakeLedgerObject(write.m_record);
   m_context.m_store.Replace(
       ObjectKind::kLedgers, std::move(object),
-      [this, record = std::move(record)](const Result<StoredObject>& stored) {
+      [this, write = std::move(write)](const Result<StoredObject>& stored) {
         m_writing = false;
-        AfterWrite(record, stored);
+        AfterWrite(write, stored);
       });
 }
 
-auto LeadService::AfterWrite(const LedgerRecord& record,
+auto LeadService::Confirm(const PendingWrite& write, ResourceVersion version)
+    -> void {
+  m_ledger_version = version;
+  m_store_lost = false;
+  NoteRecorded(m_ledger, write.m_record);
+  if (write.m_last && m_yielded) {
+    FinishYield(true);
+  } else if (!m_yielded) {
+    DecideWaiting();
+  }
+}
+
+auto LeadService::AfterWrite(const PendingWrite& write,
                              const Result<StoredObject>& stored) -> void {
   if (m_phase != Phase::kActive) {
     return;
   }
   if (stored) {
-    m_ledger_version = stored->m_version;
-    m_store_lost = false;
-    NoteRecorded(m_ledger, record);
-    DecideWaiting();
+    Confirm(write, stored->m_version);
     return;
   }
   LogEvent(LogEventId::kLedgerWriteFailed,
@@ -677,14 +732,14 @@
     return;
   }
   // It may have been done, or another lead may have written.
-  CheckLedger(record);
+  CheckLedger(write);
 }
 
-auto LeadService::CheckLedger(const LedgerRecord& record) -> void {
+auto LeadService::CheckLedger(const PendingWrite& write) -> void {
   m_writing = true;
   m_context.m_store.Get(
       ObjectKind::kLedgers, m_context.m_settings.m_domain.value(),
-      [this, record](const Result<StoredObject>& stored) {
+      [this, write](const Result<StoredObject>& stored) {
         m_writing = false;
         if (m_phase != Phase::kActive) {
           return;
@@ -701,9 +756,7 @@
         }
         m_ledger_version = stored->m_version;
         if (ledger->m_write == m_write) {
-          m_store_lost = false;
-          NoteRecorded(m_ledger, record);
-          DecideWaiting();
+          Confirm(write, stored->m_version);
         }
       });
 }
@@ -713,7 +766,11 @@
   m_journal_lost = false;
   m_store_lost = true;
   m_retry_at = SteadyTime() + kStoreProbeInterval;
-  DecideWaiting();
+  if (m_yielded) {
+    FinishYield(false);
+  } else {
+    DecideWaiting();
+  }
 }
 
 auto LeadService::DecideWaiting() -> void {
@@ -732,7 +789,7 @@
     return late;
   };
   for (const auto& one : take_late(m_waiting)) {
-    if (m_phase == Phase::kActive) {
+    if (m_phase == Phase::kActive && !m_yielded) {
       Grant(one, {.m_partial = true});
     } else {
       one.m_answered({.m_verdict = GrantVerdict::kUnavailable});
@@ -765,6 +822,9 @@
 
 auto LeadService::Tick(TimePoint now) -> void {
   AnswerLate(now);
+  if (m_yielded && now > m_yield_until) {
+    FinishYield(false);
+  }
   if (m_phase == Phase::kAdopting && !m_writing && now >= m_retry_at) {
     Adopt();
   }
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -25,12 +25,15 @@
 class LeadService {
  public:
   using Answered = std::function<void(const GrantAnswer&)>;
+  using Yielded = std::function<void(bool)>;
 
   explicit LeadService(EntryContext& context);
 
   /// Answers within about half a second.
   auto Ask(const GrantQuestion& question, Answered answered) -> void;
-  auto Settle(const std::vector<TurnSettlement>& settlements) -> void;
+  /// Returns false when this host doesn't lead or gives way: the next lead
+  /// should hear of them.
+  auto Settle(const std::vector<TurnSettlement>& settlements) -> bool;
   /// True when this lead keeps the program's account, or is about to open it.
   /// Of two leads that look for the same account at once, or keep a blind one
   /// each, the one of the domain that is first by name goes on.
@@ -40,6 +43,9 @@
   /// Tries to become lead in place of @p silent, or of none. Does nothing if
   /// another one leads by now: it hasn't been asked yet.
   auto TakeOver(const std::optional<KnownLead>& silent) -> void;
+  /// Writes down what has been granted and stops leading, so that the next lead
+  /// starts from exactly that. @p yielded tells whether it is done.
+  auto Yield(std::string_view reason, Yielded yielded) -> void;
   /// Takes a lead that the store or another host names. Returns false when it
   /// is older than what is known.
   auto NoteLead(const KnownLead& lead) -> bool;
@@ -80,6 +86,12 @@
     EndpointId m_endpoint;
     TimePoint m_since;
   };
+  /// A write to the store that is under way.
+  struct PendingWrite {
+    LedgerRecord m_record;
+    /// Nothing is granted after it.
+    bool m_last = false;
+  };
   /// What helps the next question of a program.
   struct ProgramNote {
     /// Domain that keeps its account; empty if this one does.
@@ -120,10 +132,12 @@
   auto EndSearch(const ProgramId& program) -> std::vector<Waiting>;
   auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
 
+  auto FinishYield(bool done) -> void;
   auto MaybeWrite(TimePoint now) -> void;
-  auto AfterWrite(const LedgerRecord& record,
-                  const Result<StoredObject>& stored) -> void;
-  auto CheckLedger(const LedgerRecord& record) -> void;
+  auto AfterWrite(const PendingWrite& write, const Result<StoredObject>& stored)
+      -> void;
+  auto CheckLedger(const PendingWrite& write) -> void;
+  auto Confirm(const PendingWrite& write, ResourceVersion version) -> void;
   auto LoseStore() -> void;
   auto WriteJournal(TimePoint now) -> void;
   /// True while no record can be written, in the store or on disk hosts.
@@ -150,6 +164,10 @@
   /// The same for the journal on the disk hosts.
   bool m_journal_lost = false;
   LedgerJournal m_journal;
+  /// Set while this lead gives way; nothing is granted meanwhile.
+  Yielded m_yielded;
+  std::string m_yield_reason;
+  TimePoint m_yield_until;
   /// Until when another domain's ledger isn't read again after a failure.
   TimePoint m_no_reads_until;
   std::vector<Waiting> m_waiting;
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead_takeover_unittest.cc
@@ -1,5 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "lead_messages.h"
 #include "peer_call.h"
@@ -20,12 +25,13 @@
 
 auto PutLead(TestWorld& world,
              const std::string& host,
-             const ScriptedEndpoint& lead) -> void {
-  world.m_store.Put(
-      "leads", "z",
-      EncodeLeadEntry({.m_host = HostId(host),
-                       .m_incarnation = Incarnation(1),
-                       .m_peer_address = ToText(lead.address())}));
+             const ScriptedEndpoint& lead,
+             double processor_share = 1.0) -> void {
+  world.m_store.Put("leads", "z",
+                    EncodeLeadEntry({.m_host = HostId(host),
+                                     .m_incarnation = Incarnation(1),
+                                     .m_peer_address = ToText(lead.address()),
+                                     .m_processor_share = processor_share}));
 }
 
 auto LeadHost(TestWorld& world) -> std::string {
@@ -51,8 +57,8 @@
   ScriptedEndpoint next(world.m_loop, [](const Request& request) {
     const auto answer =
         request.m_head.m_target == kGrantPath
-            ? EncodeGrantAnswer({.m_verdict = GrantVerdict::kGranted,
-                                 .m_tokens = Tokens(10)})
+            ? EncodeGrantAnswer(
+                  {.m_verdict = GrantVerdict::kGranted, .m_tokens = Tokens(10)})
             : std::string();
     request.m_stream->Write(request.Whole(answer));
   });
@@ -70,5 +76,82 @@
   CHECK(LeadHost(world) == "h3");
 }
 
+TEST_CASE("a much larger host asks the lead to give way") {
+  // The host under test has the share 1.
+  const auto [share, leader] =
+      GENERATE(std::pair(0.4, "h1"), std::pair(0.6, "h2"));
+  TestWorld world;
+  std::vector<std::string> questions;
+  ScriptedEndpoint lead(world.m_loop, [&questions](const Request& request) {
+    questions.push_back(request.m_head.m_target);
+    request.m_stream->Write(request.Whole(
+        request.m_head.m_target == kGrantPath
+            ? EncodeGrantAnswer(
+                  {.m_verdict = GrantVerdict::kGranted, .m_tokens = Tokens(10)})
+            : std::string()));
+  });
+  PutLead(world, "h2", lead, share);
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+  });
+  world.StartFollower();
+  world.Finish(kTurn);
+  if (share < 0.5) {
+    world.RunUntil([&world] { return world.m_host->leads(); });
+  }
+  CHECK(LeadHost(world) == leader);
+  const auto asked = std::find(questions.begin(), questions.end(), kYieldPath);
+  CHECK((asked != questions.end()) == (share < 0.5));
+}
+
+TEST_CASE("a lead that doesn't give way goes on") {
+  TestWorld world;
+  ScriptedEndpoint lead(world.m_loop, [](const Request& request) {
+    request.m_stream->Write(request.Head(409, "Content-Length: 0\r\n"));
+  });
+  PutLead(world, "h2", lead, 0.1);
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+  });
+  world.StartFollower();
+  world.RunUntil([&lead] { return lead.requests() > 0; });
+  world.m_loop.run_for(std::chrono::milliseconds(100));
+  CHECK(LeadHost(world) == "h2");
+}
+
+TEST_CASE("a lead that gives way records what was granted, nothing ahead") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+  });
+  world.Start();
+  CHECK(world.Finish(kTurn)->Status() == 200);
+  const auto bounds = [&world] {
+    return world.m_store.Find("ledgers", "z")["spec"]["bounds"];
+  };
+  world.RunUntil([&bounds] { return bounds().value("p", 0) > 10; });
+  const auto lead = world.m_store.Find("leads", "z");
+  const auto entry = DecodeLeadEntry(lead["spec"]);
+  REQUIRE(entry);
+  const auto version =
+      ResourceVersion(std::stoll(lead["metadata"]["revision"].dump()));
+  EndpointPool pool(world.m_loop, {});
+  std::optional<bool> yielded;
+  CallPeer(
+      world.m_loop, pool, entry->m_peer_address, kYieldPath,
+      EncodeKnownLead(
+          {.m_domain = DomainId("z"), .m_entry = *entry, .m_version = version}),
+      std::chrono::seconds(5), [&yielded](const Result<std::string>& reply) {
+        yielded = reply.has_value();
+      });
+  world.RunUntil([&yielded] { return yielded.has_value(); });
+  CHECK(*yielded);
+  CHECK_FALSE(world.m_host->leads());
+  // The turn counts at its most until its end is reported.
+  CHECK(bounds().value("p", 0) <= 10);
+  // Nobody else claims, so it leads again.
+  world.RunUntil([&world] { return world.m_host->leads(); });
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -59,6 +59,23 @@
   return account;
 }
 
+template <typename Bound>
+auto MakeRecord(ProgramLedger& ledger, TimePoint now, Bound bound_of)
+    -> LedgerRecord {
+  LedgerRecord record;
+  ledger.m_write_begun = now;
+  for (auto& [program, account] : ledger.m_accounts) {
+    if (account.m_blind) {
+      continue;
+    }
+    const Tokens bound = bound_of(account);
+    record.m_bounds.emplace(program, bound);
+    account.m_recording = std::min(account.m_recording.value_or(bound), bound);
+  }
+  ledger.m_dirty = false;
+  return record;
+}
+
 /// What the turn gets of @p room.
 auto PartOf(const ProgramLedger& ledger, Tokens room, Tokens most, bool partial)
     -> Tokens {
@@ -144,17 +161,21 @@
 }
 
 auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
-  LedgerRecord record;
-  ledger.m_write_begun = now;
-  for (auto& [program, account] : ledger.m_accounts) {
+  return MakeRecord(ledger, now, [&ledger](const ProgramAccount& account) {
+    return WantedBound(ledger, account);
+  });
+}
+
+auto BeginLastRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
+  auto record = MakeRecord(ledger, now, GrantedTokens);
+  for (const auto& [program, account] : ledger.m_accounts) {
     if (account.m_blind) {
       continue;
     }
-    const auto bound = WantedBound(ledger, account);
-    record.m_bounds.emplace(program, bound);
-    account.m_recording = std::min(account.m_recording.value_or(bound), bound);
+    for (const auto& [request, tokens] : account.m_running) {
+      record.m_running.push_back({program, request, tokens});
+    }
   }
-  ledger.m_dirty = false;
   return record;
 }
 
@@ -182,6 +203,11 @@
     account.m_recorded = bound;
     account.m_last_used = now;
   }
+  for (const auto& turn : record.m_running) {
+    auto& account = ledger.m_accounts[turn.m_program];
+    account.m_spent -= turn.m_tokens;
+    account.m_running.emplace(turn.m_request, turn.m_tokens);
+  }
 }
 
 auto ForgetIdlePrograms(ProgramLedger& ledger, TimePoint now) -> void {
--- a/src/libledger/program_ledger_walk_unittest.cc
+++ b/src/libledger/program_ledger_walk_unittest.cc
@@ -201,9 +201,32 @@
   world.m_lead = next;
 }
 
+/// The lead writes its last record and tells the next one.
+auto HandOver(World& world) -> void {
+  auto& lead = world.m_lead;
+  if (lead.m_write) {
+    return;
+  }
+  const Write last{BeginLastRecord(lead.m_ledger, world.m_now), lead.m_version,
+                   lead.m_term};
+  if (!Carry(world, last)) {
+    return;
+  }
+  Lead next;
+  next.m_term = ++world.m_store.m_term;
+  next.m_version = ++world.m_store.m_version;
+  AdoptRecord(next.m_ledger, world.m_store.m_record, world.m_now);
+  for (auto& turn : world.m_running) {
+    if (turn.m_term == lead.m_term) {
+      turn.m_term = next.m_term;
+    }
+  }
+  lead = next;
+}
+
 auto Step(World& world) -> void {
   world.m_now += std::chrono::milliseconds(world.Draw(400));
-  switch (world.Draw(16)) {
+  switch (world.Draw(17)) {
     case 0:
     case 1:
     case 2:
@@ -236,6 +259,11 @@
         TakeOver(world);
       }
       return;
+    case 15:
+      if (world.Draw(4) == 0) {
+        HandOver(world);
+      }
+      return;
     case 14:
       if (world.m_stale) {
         // It lost the store, or it would know: it grants what is secured.
