Fence the ledger of a lead that can't be asked

Just after a cut healed, the leads of ikeja and surulere still held each other for silent. Each read the other's stored ledger, didn't find the program there, since a new account is on record only a second later, and opened an account of its own; both recorded it then. Ruled out: the crossing of two searches (neither asked the other), advances (both accounts had full records), the handover of leads (none at that time). Ways weighed: waiting until the other must have recorded (two leads can pass each other a second time); only the first domain by name goes on (halves what is served while a domain is cut off). Change: a lead that can't ask another one changes a counter in its ledger, by conditional update, before it takes a missing record for an answer. The other's next write fails; it then takes accounts that aren't on record for blind and looks for them again.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -35,6 +35,7 @@
   kLeadClaimFailed = 205,
   kLeadLost = 206,
   kLeadYielded = 207,
+  kLedgerFenced = 208,
   kHistoryMismatch = 303,
   kLedgerWriteFailed = 304,
   kTurnDecided = 305,
--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -27,6 +27,11 @@
 /// one of the same program. It grants no more than the advance: the other
 /// account stays within the budget by itself.
 ///
+/// A lead that another lead can't ask may keep an account that isn't on record
+/// yet. The other one fences it: it changes a counter beside the record, so
+/// that the next write of the record fails. A lead that finds its record fenced
+/// takes all accounts that aren't on record for blind.
+///
 /// @code
 ///   const auto grant = RequestGrant(ledger, request, {}, now);
 ///   if (grant.m_decision == GrantDecision::kNeedsRecord) {
@@ -67,6 +72,10 @@
   /// Turns under way and what each was granted.
   std::map<RequestId, Tokens> m_running;
   TimePoint m_last_used;
+  /// The store's record holds it, so that each other lead finds it there.
+  bool m_on_record = false;
+  /// Opened while another lead could only be fenced, so that it doesn't know.
+  bool m_unheard = false;
   /// True when grants may exceed the record by one turn's most.
   bool m_has_advance = false;
   /// True while another domain may keep an account of the program.
@@ -112,6 +121,8 @@
 struct GrantConditions {
   /// Another domain may keep the program's account.
   bool m_blind = false;
+  /// Another domain's lead couldn't be asked, and was fenced.
+  bool m_unheard = false;
   /// The store can't be written now: a part of a turn is better than none.
   bool m_partial = false;
 };
@@ -161,6 +172,13 @@
 /// @p record has been stored under this lead's term, after all earlier ones.
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void;
 
+/// @p record has been kept elsewhere, where other leads don't see it.
+auto NoteKept(ProgramLedger& ledger, const LedgerRecord& record) -> void;
+
+/// Another domain's lead has fenced the record: it may have opened accounts of
+/// programs that aren't on record here.
+auto NoteFence(ProgramLedger& ledger) -> void;
+
 /// Begins a term from what the store holds.
 auto AdoptRecord(ProgramLedger& ledger,
                  const LedgerRecord& record,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -46,6 +46,9 @@
     {LogEventId::kLeadYielded, LogLevel::kInfo, "lead_yielded",
      "This lead wrote down what it had granted and gave way, for a larger host "
      "or its own planned stop."},
+    {LogEventId::kLedgerFenced, LogLevel::kInfo, "ledger_fenced",
+     "Another domain's lead couldn't ask this one and fenced its ledger; "
+     "programs that aren't on record are looked for again."},
     {LogEventId::kHistoryMismatch, LogLevel::kWarning, "history_mismatch",
      "A caller's token does not match the stored history; refused."},
     {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -60,6 +60,7 @@
   ledger.m_incarnation =
       Incarnation(json.at("incarnation").get<std::int64_t>());
   ledger.m_write = json.at("write").get<std::int64_t>();
+  ledger.m_fence = json.at("fence").get<std::int64_t>();
   for (const auto& [program, bound] : json.at("bounds").items()) {
     ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
   }
@@ -235,6 +236,7 @@
   return Json{{"host", ledger.m_host.value()},
               {"incarnation", ledger.m_incarnation.value()},
               {"write", ledger.m_write},
+              {"fence", ledger.m_fence},
               {"bounds", std::move(bounds)},
               {"running", std::move(running)}};
 }
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -96,6 +96,8 @@
   Incarnation m_incarnation;
   /// Counts the writes of one incarnation, to tell one's own apart.
   std::int64_t m_write = 0;
+  /// Counts the fences of other domains' leads.
+  std::int64_t m_fence = 0;
   LedgerRecord m_record;
 };
 
--- a/src/libgateway/lead_messages_unittest.cc
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -46,6 +46,7 @@
   const StoredLedger ledger{.m_host = HostId("h"),
                             .m_incarnation = Incarnation(5),
                             .m_write = 3,
+                            .m_fence = 2,
                             .m_record = {{{ProgramId("p"), Tokens(270)}},
                                          {{.m_program = ProgramId("p"),
                                            .m_request = RequestId("r"),
@@ -53,6 +54,7 @@
   const auto read = DecodeStoredLedger(EncodeStoredLedger(ledger));
   REQUIRE(read);
   CHECK(read->m_write == 3);
+  CHECK(read->m_fence == 2);
   CHECK(read->m_record.m_bounds.at(ProgramId("p")) == Tokens(270));
   REQUIRE(read->m_record.m_running.size() == 1);
   CHECK(read->m_record.m_running[0].m_request == RequestId("r"));
--- /dev/null
+++ b/src/libgateway/lead_search_unittest.cc
@@ -0,0 +1,114 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "lead_messages.h"
+#include "peer_call.h"
+#include "test_world.h"
+
+/// @file
+/// How a lead finds out whether another domain keeps a program's account.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+auto MakeTurn(const std::string& id) -> std::string {
+  return "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
+         "\r\nProgram-Id: p\r\nSession-Id: p\r\nToken-Budget: 40\r\n"
+         "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
+}
+
+auto AnswerTurn(const Request& request) -> void {
+  request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+}
+
+/// Names @p lead as lead of domain "a".
+auto PutOtherLead(TestWorld& world, const ScriptedEndpoint& lead) -> void {
+  world.m_store.Put(
+      "leads", "a",
+      EncodeLeadEntry({.m_host = HostId("h2"),
+                       .m_incarnation = Incarnation(1),
+                       .m_peer_address = ToText(lead.address())}));
+}
+
+auto PutLedger(TestWorld& world,
+               const std::string& domain,
+               const StoredLedger& ledger) -> void {
+  world.m_store.Put("ledgers", domain, EncodeStoredLedger(ledger));
+}
+
+auto LedgerOf(TestWorld& world, const std::string& domain) -> StoredLedger {
+  const auto object = world.m_store.Find("ledgers", domain);
+  const auto ledger = DecodeStoredLedger(object["spec"]);
+  REQUIRE(ledger);
+  return *ledger;
+}
+
+TEST_CASE("a silent lead is fenced before its absence of a record counts") {
+  TestWorld world;
+  ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
+  PutOtherLead(world, silent);
+  const StoredLedger before{.m_host = HostId("h2"),
+                            .m_incarnation = Incarnation(1),
+                            .m_write = 7,
+                            .m_fence = 3,
+                            .m_record = {{{ProgramId("q"), Tokens(5)}}}};
+  PutLedger(world, "a", before);
+  world.AddEndpoint(AnswerTurn);
+  world.Start();
+  CHECK(world.Finish(MakeTurn("r1"))->Status() == 200);
+  const auto after = LedgerOf(world, "a");
+  CHECK(after.m_fence == 4);
+  CHECK(after.m_write == 7);
+  CHECK(after.m_host == HostId("h2"));
+  CHECK(after.m_record.m_bounds == before.m_record.m_bounds);
+}
+
+TEST_CASE("a silent lead that has the program on record keeps it") {
+  TestWorld world;
+  ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
+  PutOtherLead(world, silent);
+  PutLedger(world, "a",
+            {.m_host = HostId("h2"),
+             .m_incarnation = Incarnation(1),
+             .m_record = {{{ProgramId("p"), Tokens(5)}}}});
+  world.AddEndpoint(AnswerTurn);
+  world.Start();
+  CHECK(world.Finish(MakeTurn("r1"))->Status() == 503);
+  CHECK(LedgerOf(world, "z").m_record.m_bounds.empty());
+}
+
+TEST_CASE("a lead that was fenced looks for its unrecorded programs again") {
+  TestWorld world;
+  auto claimed = false;
+  int asked = 0;
+  ScriptedEndpoint other(world.m_loop, [&](const Request& request) {
+    const auto& target = request.m_head.m_target;
+    std::string answer;
+    if (target == kFindPath) {
+      ++asked;
+      answer = EncodeFindAnswer({.m_leads = true, .m_found = claimed});
+    } else if (target == kGrantPath) {
+      answer = EncodeGrantAnswer({.m_verdict = GrantVerdict::kBudgetSpent});
+    }
+    request.m_stream->Write(request.Whole(answer));
+  });
+  PutOtherLead(world, other);
+  world.AddEndpoint(AnswerTurn);
+  world.Start();
+  auto fenced = LedgerOf(world, "z");
+  ++fenced.m_fence;
+  const auto first = world.Call(MakeTurn("r1"));
+  world.RunUntil([&asked] { return asked == 1; });
+  claimed = true;
+  PutLedger(world, "z", fenced);
+  world.RunUntil([&first] { return first->m_ended || first->Body(); });
+  CHECK(asked == 2);
+  CHECK(first->Status() == 402);
+  CHECK_FALSE(LedgerOf(world, "z").m_record.m_bounds.contains(ProgramId("p")));
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -35,6 +35,8 @@
 constexpr Duration kSilentTime = std::chrono::milliseconds(1000);
 /// Age up to which another domain's stored ledger needn't be read again.
 constexpr Duration kOtherLedgerAge = std::chrono::milliseconds(400);
+/// Reads and writes of another domain's ledger until it is fenced.
+constexpr int kMaxFenceTries = 4;
 constexpr Duration kSweepInterval = std::chrono::seconds(5);
 /// Turns that never reported their end are taken for over after this time.
 constexpr Duration kMaxTurnTime = std::chrono::seconds(20);
@@ -167,6 +169,7 @@
       return;
     }
     m_ledger_version = ResourceVersion(0);
+    m_fence = 0;
     AdoptJournal({});
     return;
   }
@@ -179,6 +182,7 @@
     return;
   }
   m_ledger_version = stored->m_version;
+  m_fence = ledger->m_fence;
   AdoptJournal(*ledger);
 }
 
@@ -316,6 +320,7 @@
   m_store_lost = false;
   m_journal_lost = false;
   m_other_ledgers.clear();
+  m_fenced.clear();
   m_notes.clear();
   m_loads.clear();
   m_placed.clear();
@@ -479,10 +484,6 @@
 
 // Finding the account of an unknown program.
 
-auto LeadService::FoundIf(bool found) -> SearchResult {
-  return found ? SearchResult::kFound : SearchResult::kNone;
-}
-
 auto LeadService::StartSearch(const Waiting& waiting) -> void {
   const auto program = waiting.m_question.m_grant.m_program;
   const auto [found, is_new] = m_searches.try_emplace(program);
@@ -535,7 +536,8 @@
     return;
   }
   if (answer && answer->m_leads) {
-    AfterSearch(program, domain, FoundIf(answer->m_found));
+    AfterSearch(program, domain,
+                answer->m_found ? SearchResult::kFound : SearchResult::kNone);
     return;
   }
   if (answer && answer->m_lead && m_context.TakeLead(*answer->m_lead)) {
@@ -549,42 +551,98 @@
 auto LeadService::ReadOtherLedger(const ProgramId& program,
                                   const DomainId& domain) -> void {
   const auto known = m_other_ledgers.find(domain);
-  if (known != m_other_ledgers.end() &&
+  if (known != m_other_ledgers.end() && m_fenced.contains(domain) &&
       SteadyTime() - known->second.m_read_at < kOtherLedgerAge) {
-    AfterSearch(program, domain,
-                FoundIf(known->second.m_record.m_bounds.contains(program)));
+    AfterAbsence(program, domain, known->second.m_record);
     return;
   }
   if (SteadyTime() < m_no_reads_until) {
     AfterSearch(program, domain, SearchResult::kUnknown);
     return;
   }
+  auto& readers = m_readers[domain];
+  readers.push_back(program);
+  if (readers.size() == 1) {
+    GetOtherLedger(domain, kMaxFenceTries);
+  }
+}
+
+auto LeadService::GetOtherLedger(const DomainId& domain, int tries) -> void {
   m_context.m_store.Get(
       ObjectKind::kLedgers, domain.value(),
-      [this, program, domain](const Result<StoredObject>& stored) {
-        if (!stored && stored.error().m_code != ErrorCode::kNotFound) {
-          m_no_reads_until = SteadyTime() + kSilentTime;
-        }
-        if (!m_searches.contains(program)) {
-          return;
-        }
-        if (!stored && stored.error().m_code == ErrorCode::kNotFound) {
-          AfterSearch(program, domain, SearchResult::kNone);
-          return;
-        }
-        const auto ledger =
-            stored ? DecodeStoredLedger(stored->m_spec)
-                   : Result<StoredLedger>(tl::unexpected(stored.error()));
-        if (!ledger) {
-          AfterSearch(program, domain, SearchResult::kUnknown);
-          return;
+      [this, domain, tries](const Result<StoredObject>& stored) {
+        OnOtherLedger(domain, stored, tries);
+      });
+}
+
+auto LeadService::OnOtherLedger(const DomainId& domain,
+                                const Result<StoredObject>& stored,
+                                int tries) -> void {
+  if (!stored && stored.error().m_code == ErrorCode::kNotFound) {
+    // No lead there has ever kept an account.
+    EndReads(domain, LedgerRecord());
+    return;
+  }
+  const auto ledger = stored.and_then([](const StoredObject& object) {
+    return DecodeStoredLedger(object.m_spec);
+  });
+  if (!ledger) {
+    m_no_reads_until = SteadyTime() + kSilentTime;
+    EndReads(domain, std::nullopt);
+    return;
+  }
+  if (m_fenced.contains(domain)) {
+    EndReads(domain, ledger->m_record);
+    return;
+  }
+  auto fenced = *ledger;
+  ++fenced.m_fence;
+  m_context.m_store.Replace(
+      ObjectKind::kLedgers,
+      {.m_name = domain.value(),
+       .m_version = stored->m_version,
+       .m_spec = EncodeStoredLedger(fenced)},
+      [this, domain, tries,
+       record = ledger->m_record](const Result<StoredObject>& written) {
+        if (written && leading()) {
+          m_fenced.insert(domain);
+          EndReads(domain, record);
+        } else if (!written && tries > 1 &&
+                   written.error().m_code == ErrorCode::kConflict) {
+          GetOtherLedger(domain, tries - 1);
+        } else {
+          EndReads(domain, std::nullopt);
         }
-        m_other_ledgers[domain] = {SteadyTime(), ledger->m_record};
-        AfterSearch(program, domain,
-                    FoundIf(ledger->m_record.m_bounds.contains(program)));
       });
 }
 
+auto LeadService::EndReads(const DomainId& domain,
+                           const std::optional<LedgerRecord>& record) -> void {
+  if (record) {
+    m_other_ledgers[domain] = {SteadyTime(), *record};
+  }
+  for (const auto& program : std::exchange(m_readers[domain], {})) {
+    if (!m_searches.contains(program)) {
+      continue;
+    }
+    if (record) {
+      AfterAbsence(program, domain, *record);
+    } else {
+      AfterSearch(program, domain, SearchResult::kUnknown);
+    }
+  }
+}
+
+/// The other lead wasn't heard, but what it isn't known to have recorded it
+/// can't record any more without a search of its own.
+auto LeadService::AfterAbsence(const ProgramId& program,
+                               const DomainId& domain,
+                               const LedgerRecord& record) -> void {
+  AfterSearch(program, domain,
+              record.m_bounds.contains(program) ? SearchResult::kFound
+                                                : SearchResult::kUnheard);
+}
+
 auto LeadService::AfterSearch(const ProgramId& program,
                               const DomainId& domain,
                               SearchResult result) -> void {
@@ -599,6 +657,7 @@
   auto& search = m_searches.at(program);
   search.m_open.erase(domain);
   search.m_blind = search.m_blind || result == SearchResult::kUnknown;
+  search.m_unheard = search.m_unheard || result == SearchResult::kUnheard;
   if (!search.m_open.empty()) {
     return;
   }
@@ -612,9 +671,11 @@
     }
     return;
   }
-  const auto blind = search.m_blind;
+  const GrantConditions conditions{.m_blind = search.m_blind,
+                                   .m_unheard = search.m_unheard,
+                                   .m_partial = search.m_blind || RecordLost()};
   for (const auto& one : EndSearch(program)) {
-    Grant(one, {.m_blind = blind, .m_partial = blind || RecordLost()});
+    Grant(one, conditions);
   }
 }
 
@@ -634,6 +695,7 @@
       .m_spec = EncodeStoredLedger({.m_host = m_context.m_settings.m_host,
                                     .m_incarnation = m_context.m_incarnation,
                                     .m_write = ++m_write,
+                                    .m_fence = m_fence,
                                     .m_record = record})};
 }
 
@@ -651,6 +713,7 @@
       .m_ledger = {.m_host = m_context.m_settings.m_host,
                    .m_incarnation = m_context.m_incarnation,
                    .m_write = ++m_write,
+                   .m_fence = m_fence,
                    .m_record = record}};
   m_journal.Write(entry, [this, record = std::move(record)](bool secured) {
     m_writing = false;
@@ -662,7 +725,7 @@
         secured ? LogEventId::kJournalUsed : LogEventId::kJournalFailed,
         {{"step", "written"}, {"waiting", std::to_string(m_waiting.size())}});
     if (secured) {
-      NoteRecorded(m_ledger, record);
+      NoteKept(m_ledger, record);
     }
     DecideWaiting();
   });
@@ -758,9 +821,25 @@
         if (ledger->m_write == m_write) {
           Confirm(write, stored->m_version);
         }
+        if (ledger->m_fence != m_fence) {
+          TakeFence(ledger->m_fence);
+        }
       });
 }
 
+auto LeadService::TakeFence(std::int64_t fence) -> void {
+  m_fence = fence;
+  NoteFence(m_ledger);
+  // The other lead may go on without hearing of this one's accounts.
+  m_fenced.clear();
+  LogEvent(LogEventId::kLedgerFenced,
+           {{"domain", m_context.m_settings.m_domain.value()},
+            {"fence", std::to_string(fence)}});
+  if (!m_yielded) {
+    DecideWaiting();
+  }
+}
+
 auto LeadService::LoseStore() -> void {
   // Each time the store fails, the disk hosts are tried again.
   m_journal_lost = false;
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -70,10 +70,13 @@
     std::set<DomainId> m_open;
     /// Neither a domain's lead nor its ledger could be read.
     bool m_blind = false;
+    /// A domain's lead could only be fenced.
+    bool m_unheard = false;
   };
   enum class SearchResult {
     kFound,
     kNone,
+    kUnheard,  ///< The lead can't be asked; it is fenced and has no record.
     kUnknown,  ///< Neither the lead nor its ledger can be read.
   };
   /// What another domain's stored ledger said a moment ago.
@@ -125,7 +128,15 @@
                  const Result<FindAnswer>& answer) -> void;
   auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
       -> void;
-  static auto FoundIf(bool found) -> SearchResult;
+  auto GetOtherLedger(const DomainId& domain, int tries) -> void;
+  auto OnOtherLedger(const DomainId& domain,
+                     const Result<StoredObject>& stored,
+                     int tries) -> void;
+  auto EndReads(const DomainId& domain,
+                const std::optional<LedgerRecord>& record) -> void;
+  auto AfterAbsence(const ProgramId& program,
+                    const DomainId& domain,
+                    const LedgerRecord& record) -> void;
   auto AfterSearch(const ProgramId& program,
                    const DomainId& domain,
                    SearchResult result) -> void;
@@ -138,6 +149,7 @@
       -> void;
   auto CheckLedger(const PendingWrite& write) -> void;
   auto Confirm(const PendingWrite& write, ResourceVersion version) -> void;
+  auto TakeFence(std::int64_t fence) -> void;
   auto LoseStore() -> void;
   auto WriteJournal(TimePoint now) -> void;
   /// True while no record can be written, in the store or on disk hosts.
@@ -173,6 +185,13 @@
   std::vector<Waiting> m_waiting;
   std::map<ProgramId, Search> m_searches;
   std::map<DomainId, OtherLedger> m_other_ledgers;
+  /// Searches that wait for another domain's ledger.
+  std::map<DomainId, std::vector<ProgramId>> m_readers;
+  /// Domains whose ledger this lead has fenced. What they open later, they open
+  /// after asking this lead or fencing it.
+  std::set<DomainId> m_fenced;
+  /// Fences of this domain's ledger that are known here.
+  std::int64_t m_fence = 0;
   /// Domains whose lead didn't answer, and until when it isn't asked.
   std::map<DomainId, TimePoint> m_silent_until;
   std::map<ProgramId, ProgramNote> m_notes;
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -51,11 +51,12 @@
 
 auto OpenAccount(ProgramLedger& ledger,
                  const GrantRequest& request,
-                 bool blind,
+                 const GrantConditions& conditions,
                  TimePoint now) -> ProgramAccount& {
   auto& account = ledger.m_accounts[request.m_program];
   account.m_has_advance = MayAdvance(ledger, now);
-  account.m_blind = blind;
+  account.m_unheard = conditions.m_unheard;
+  account.m_blind = conditions.m_blind;
   return account;
 }
 
@@ -107,12 +108,15 @@
                   TimePoint now) -> TurnGrant {
   const auto found = ledger.m_accounts.find(request.m_program);
   auto& account = found == ledger.m_accounts.end()
-                      ? OpenAccount(ledger, request, conditions.m_blind, now)
+                      ? OpenAccount(ledger, request, conditions, now)
                       : found->second;
   account.m_last_used = now;
   account.m_budget = std::max(account.m_budget, request.m_budget);
   account.m_turn_max = std::max(account.m_turn_max, request.m_turn_max);
-  account.m_blind = account.m_blind && conditions.m_blind;
+  if (account.m_blind) {
+    account.m_blind = conditions.m_blind;
+    account.m_unheard = conditions.m_unheard;
+  }
   const auto running = account.m_running.find(request.m_request);
   if (running != account.m_running.end()) {
     return {GrantDecision::kGranted, running->second};
@@ -186,7 +190,31 @@
     if (found != ledger.m_accounts.end()) {
       found->second.m_recorded = bound;
       found->second.m_recording.reset();
+      found->second.m_on_record = true;
+    }
+  }
+}
+
+auto NoteKept(ProgramLedger& ledger, const LedgerRecord& record) -> void {
+  ledger.m_confirmed = ledger.m_write_begun;
+  for (const auto& [program, bound] : record.m_bounds) {
+    const auto found = ledger.m_accounts.find(program);
+    if (found == ledger.m_accounts.end()) {
+      continue;
     }
+    auto& account = found->second;
+    // The lead that wasn't heard may have opened one too, and would not learn
+    // of this one.
+    if (account.m_on_record || !account.m_unheard) {
+      account.m_recorded = bound;
+      account.m_recording.reset();
+    }
+  }
+}
+
+auto NoteFence(ProgramLedger& ledger) -> void {
+  for (auto& [program, account] : ledger.m_accounts) {
+    account.m_blind = account.m_blind || !account.m_on_record;
   }
 }
 
@@ -201,6 +229,7 @@
     auto& account = ledger.m_accounts[program];
     account.m_spent = bound;
     account.m_recorded = bound;
+    account.m_on_record = true;
     account.m_last_used = now;
   }
   for (const auto& turn : record.m_running) {
