Split the lead: search, term and record have their own files

Cause: lead_service.cc had grown to 900 lines with four topics.

ledger that can't be read now leaves a log line (308).

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -41,6 +41,7 @@
   kTurnDecided = 305,
   kJournalUsed = 306,
   kJournalFailed = 307,
+  kLedgerReadFailed = 308,
   kClaimWritten = 401,
   kActionUnknown = 402,
   kContentQuarantined = 503,
--- /dev/null
+++ b/src/libgateway/lead_record.cc
@@ -0,0 +1,190 @@
+#include "lead_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+
+/// @file
+/// The record of a lead's ledger: in the store, or in an outage on disk hosts.
+
+namespace dotterelshed {
+
+namespace {
+
+/// Time between two writes while turns wait for one.
+constexpr Duration kUrgentWriteInterval = std::chrono::milliseconds(80);
+/// Time between two writes that only prepare coming turns.
+constexpr Duration kLazyWriteInterval = std::chrono::milliseconds(1000);
+/// A lead that has nothing to record confirms in this time that it still leads.
+constexpr Duration kConfirmInterval = std::chrono::seconds(4);
+/// A lead whose writes fail tries the store again after this time.
+constexpr Duration kStoreProbeInterval = std::chrono::milliseconds(500);
+
+}  // namespace
+
+auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
+  return {
+      .m_name = m_context.m_settings.m_domain.value(),
+      .m_version = m_ledger_version,
+      .m_spec = EncodeStoredLedger({.m_host = m_context.m_settings.m_host,
+                                    .m_incarnation = m_context.m_incarnation,
+                                    .m_write = ++m_write,
+                                    .m_fence = m_fence,
+                                    .m_record = record})};
+}
+
+auto LeadService::WriteJournal(TimePoint now) -> void {
+  if (m_waiting.empty() || now - m_last_write < kUrgentWriteInterval) {
+    return;
+  }
+  m_writing = true;
+  m_last_write = now;
+  const auto& domain = m_context.m_settings.m_domain;
+  auto record = BeginRecord(m_ledger, now);
+  const JournalEntry entry{
+      .m_domain = domain,
+      .m_claim = m_context.LeadOf(domain)->m_version,
+      .m_ledger = {.m_host = m_context.m_settings.m_host,
+                   .m_incarnation = m_context.m_incarnation,
+                   .m_write = ++m_write,
+                   .m_fence = m_fence,
+                   .m_record = record}};
+  m_journal.Write(entry, [this, record = std::move(record)](bool secured) {
+    m_writing = false;
+    if (m_phase != Phase::kActive) {
+      return;
+    }
+    m_journal_lost = !secured;
+    LogEvent(
+        secured ? LogEventId::kJournalUsed : LogEventId::kJournalFailed,
+        {{"step", "written"}, {"waiting", std::to_string(m_waiting.size())}});
+    if (secured) {
+      NoteKept(m_ledger, record);
+    }
+    DecideWaiting();
+  });
+}
+
+auto LeadService::MaybeWrite(TimePoint now) -> void {
+  if (m_phase != Phase::kActive || m_writing) {
+    return;
+  }
+  if (m_store_lost && now < m_retry_at) {
+    WriteJournal(now);
+    return;
+  }
+  if (now < m_retry_at) {
+    return;
+  }
+  const auto interval =
+      m_waiting.empty() ? kLazyWriteInterval : kUrgentWriteInterval;
+  const auto confirm = now - m_ledger.m_confirmed >= kConfirmInterval;
+  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm;
+  const auto due = wanted && now - m_last_write >= interval;
+  if (!due && !m_yielded) {
+    return;
+  }
+  m_writing = true;
+  m_last_write = now;
+  PendingWrite write{.m_record = m_yielded ? BeginLastRecord(m_ledger, now)
+                                           : BeginRecord(m_ledger, now),
+                     .m_last = m_yielded != nullptr};
+  auto object = MakeLedgerObject(write.m_record);
+  m_context.m_store.Replace(
+      ObjectKind::kLedgers, std::move(object),
+      [this, write = std::move(write)](const Result<StoredObject>& stored) {
+        m_writing = false;
+        AfterWrite(write, stored);
+      });
+}
+
+auto LeadService::Confirm(const PendingWrite& write, ResourceVersion version)
+    -> void {
+  m_ledger_version = version;
+  m_store_lost = false;
+  NoteRecorded(m_ledger, write.m_record);
+  if (write.m_last && m_yielded) {
+    FinishYield(true);
+  } else if (!m_yielded) {
+    DecideWaiting();
+  }
+}
+
+auto LeadService::AfterWrite(const PendingWrite& write,
+                             const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kActive) {
+    return;
+  }
+  if (stored) {
+    Confirm(write, stored->m_version);
+    return;
+  }
+  LogEvent(LogEventId::kLedgerWriteFailed,
+           {{"code", std::string(ToString(stored.error().m_code))},
+            {"reason", stored.error().m_message},
+            {"waiting", std::to_string(m_waiting.size())}});
+  m_ledger.m_dirty = true;
+  if (stored.error().m_code == ErrorCode::kUnavailable) {
+    LoseStore();
+    return;
+  }
+  // It may have been done, or another lead may have written.
+  CheckLedger(write);
+}
+
+auto LeadService::CheckLedger(const PendingWrite& write) -> void {
+  m_writing = true;
+  m_context.m_store.Get(
+      ObjectKind::kLedgers, m_context.m_settings.m_domain.value(),
+      [this, write](const Result<StoredObject>& stored) {
+        m_writing = false;
+        if (m_phase != Phase::kActive) {
+          return;
+        }
+        if (!stored) {
+          LoseStore();
+          return;
+        }
+        const auto ledger = DecodeStoredLedger(stored->m_spec);
+        if (!ledger || ledger->m_host != m_context.m_settings.m_host ||
+            ledger->m_incarnation != m_context.m_incarnation) {
+          BecomeIdle();
+          return;
+        }
+        m_ledger_version = stored->m_version;
+        if (ledger->m_write == m_write) {
+          Confirm(write, stored->m_version);
+        }
+        if (ledger->m_fence != m_fence) {
+          TakeFence(ledger->m_fence);
+        }
+      });
+}
+
+auto LeadService::TakeFence(std::int64_t fence) -> void {
+  m_fence = fence;
+  NoteFence(m_ledger);
+  m_search.ForgetFences();
+  LogEvent(LogEventId::kLedgerFenced,
+           {{"domain", m_context.m_settings.m_domain.value()},
+            {"fence", std::to_string(fence)}});
+  if (!m_yielded) {
+    DecideWaiting();
+  }
+}
+
+auto LeadService::LoseStore() -> void {
+  // Each time the store fails, the disk hosts are tried again.
+  m_journal_lost = false;
+  m_store_lost = true;
+  m_retry_at = SteadyTime() + kStoreProbeInterval;
+  if (m_yielded) {
+    FinishYield(false);
+  } else {
+    DecideWaiting();
+  }
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -5,10 +5,10 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "account_search.h"
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
 #include "lead_messages.h"
@@ -64,26 +64,6 @@
     Answered m_answered;
     TimePoint m_deadline;
   };
-  /// Search for the domain that keeps an unknown program's account.
-  struct Search {
-    std::vector<Waiting> m_waiting;
-    std::set<DomainId> m_open;
-    /// Neither a domain's lead nor its ledger could be read.
-    bool m_blind = false;
-    /// A domain's lead could only be fenced.
-    bool m_unheard = false;
-  };
-  enum class SearchResult {
-    kFound,
-    kNone,
-    kUnheard,  ///< The lead can't be asked; it is fenced and has no record.
-    kUnknown,  ///< Neither the lead nor its ledger can be read.
-  };
-  /// What another domain's stored ledger said a moment ago.
-  struct OtherLedger {
-    TimePoint m_read_at;
-    LedgerRecord m_record;
-  };
   /// A turn under way and where it was placed.
   struct Placed {
     EndpointId m_endpoint;
@@ -121,26 +101,8 @@
   auto LogDecision(const GrantRequest& request,
                    const GrantConditions& conditions,
                    const TurnGrant& grant) const -> void;
-  auto StartSearch(const Waiting& waiting) -> void;
-  auto AskOther(const ProgramId& program, const DomainId& domain) -> void;
-  auto AfterFind(const ProgramId& program,
-                 const DomainId& domain,
-                 const Result<FindAnswer>& answer) -> void;
-  auto ReadOtherLedger(const ProgramId& program, const DomainId& domain)
+  auto AfterSearch(const ProgramId& program, const SearchOutcome& outcome)
       -> void;
-  auto GetOtherLedger(const DomainId& domain, int tries) -> void;
-  auto OnOtherLedger(const DomainId& domain,
-                     const Result<StoredObject>& stored,
-                     int tries) -> void;
-  auto EndReads(const DomainId& domain,
-                const std::optional<LedgerRecord>& record) -> void;
-  auto AfterAbsence(const ProgramId& program,
-                    const DomainId& domain,
-                    const LedgerRecord& record) -> void;
-  auto AfterSearch(const ProgramId& program,
-                   const DomainId& domain,
-                   SearchResult result) -> void;
-  auto EndSearch(const ProgramId& program) -> std::vector<Waiting>;
   auto Place(const GrantQuestion& question, TimePoint now) -> EndpointId;
 
   auto FinishYield(bool done) -> void;
@@ -180,20 +142,12 @@
   Yielded m_yielded;
   std::string m_yield_reason;
   TimePoint m_yield_until;
-  /// Until when another domain's ledger isn't read again after a failure.
-  TimePoint m_no_reads_until;
   std::vector<Waiting> m_waiting;
-  std::map<ProgramId, Search> m_searches;
-  std::map<DomainId, OtherLedger> m_other_ledgers;
-  /// Searches that wait for another domain's ledger.
-  std::map<DomainId, std::vector<ProgramId>> m_readers;
-  /// Domains whose ledger this lead has fenced. What they open later, they open
-  /// after asking this lead or fencing it.
-  std::set<DomainId> m_fenced;
+  AccountSearch m_search;
+  /// Questions that wait for the end of a search.
+  std::map<ProgramId, std::vector<Waiting>> m_searching;
   /// Fences of this domain's ledger that are known here.
   std::int64_t m_fence = 0;
-  /// Domains whose lead didn't answer, and until when it isn't asked.
-  std::map<DomainId, TimePoint> m_silent_until;
   std::map<ProgramId, ProgramNote> m_notes;
   /// Turns under way in this domain, for placing the next.
   EndpointLoads m_loads;
--- /dev/null
+++ b/src/libgateway/lead_term.cc
@@ -0,0 +1,315 @@
+#include "lead_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
+
+/// @file
+/// The term of a lead: how a host becomes lead, and how it gives way.
+
+namespace dotterelshed {
+
+namespace {
+
+/// Longest time for the last write of a lead that gives way.
+constexpr Duration kYieldTime = std::chrono::milliseconds(800);
+/// One that gave way claims again after this time, if nobody else did.
+constexpr Duration kYieldPause = std::chrono::milliseconds(1500);
+/// A host that couldn't reach the store for its claim waits this long.
+constexpr Duration kClaimRetryWait = std::chrono::milliseconds(1000);
+constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
+/// Longest wait for a host that is told of a new lead.
+constexpr Duration kAnnounceTimeout = std::chrono::milliseconds(150);
+
+}  // namespace
+
+auto LeadService::IsMine(const LeadEntry& entry) const -> bool {
+  return entry.m_host == m_context.m_settings.m_host &&
+         entry.m_incarnation == m_context.m_incarnation;
+}
+
+auto LeadService::TakeOver(const std::optional<KnownLead>& silent) -> void {
+  const auto& domain = m_context.m_settings.m_domain;
+  if (m_phase != Phase::kIdle || SteadyTime() < m_retry_at ||
+      !m_context.IsNewest(domain, silent)) {
+    return;
+  }
+  m_phase = Phase::kClaiming;
+  StoredObject object{
+      .m_name = domain.value(),
+      .m_spec = EncodeLeadEntry(
+          {.m_host = m_context.m_settings.m_host,
+           .m_incarnation = m_context.m_incarnation,
+           .m_peer_address = m_context.m_settings.m_peer_address,
+           .m_processor_share = m_context.m_settings.m_processor_share})};
+  const auto after = [this](const Result<StoredObject>& stored) {
+    AfterClaim(stored);
+  };
+  m_before = silent;
+  if (!m_before) {
+    m_context.m_store.Create(ObjectKind::kLeads, std::move(object), after);
+    return;
+  }
+  object.m_version = m_before->m_version;
+  m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after);
+}
+
+auto LeadService::AfterClaim(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kClaiming) {
+    return;
+  }
+  if (!stored) {
+    LogEvent(LogEventId::kLeadClaimFailed,
+             {{"code", std::string(ToString(stored.error().m_code))},
+              {"reason", stored.error().m_message}});
+    // If it was done all the same, the store's list of leads will say so.
+    BecomeIdle();
+    if (stored.error().m_code != ErrorCode::kConflict) {
+      m_retry_at = SteadyTime() + kClaimRetryWait;
+    }
+    return;
+  }
+  const auto entry = DecodeLeadEntry(stored->m_spec);
+  if (!entry || !IsMine(*entry)) {
+    BecomeIdle();
+    return;
+  }
+  m_context.TakeLead({.m_domain = m_context.m_settings.m_domain,
+                      .m_entry = *entry,
+                      .m_version = stored->m_version});
+  m_phase = Phase::kAdopting;
+  Adopt();
+}
+
+auto LeadService::NoteLead(const KnownLead& lead) -> bool {
+  if (!m_context.TakeLead(lead)) {
+    return false;
+  }
+  if (lead.m_domain != m_context.m_settings.m_domain) {
+    return true;
+  }
+  const auto begun = m_phase != Phase::kIdle && m_phase != Phase::kClaiming;
+  if (!IsMine(lead.m_entry)) {
+    if (begun) {
+      BecomeIdle();
+    }
+  } else if (!begun) {
+    m_phase = Phase::kAdopting;
+    Adopt();
+  }
+  return true;
+}
+
+auto LeadService::Adopt() -> void {
+  m_writing = true;
+  m_context.m_store.Get(ObjectKind::kLedgers,
+                        m_context.m_settings.m_domain.value(),
+                        [this](const Result<StoredObject>& stored) {
+                          m_writing = false;
+                          AfterAdoptRead(stored);
+                        });
+}
+
+auto LeadService::AfterAdoptRead(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kAdopting) {
+    return;
+  }
+  const auto now = SteadyTime();
+  if (!stored) {
+    if (stored.error().m_code != ErrorCode::kNotFound) {
+      m_retry_at = now + kStoreRetryWait;
+      return;
+    }
+    m_ledger_version = ResourceVersion(0);
+    m_fence = 0;
+    AdoptJournal({});
+    return;
+  }
+  const auto ledger = DecodeStoredLedger(stored->m_spec);
+  if (!ledger) {
+    LogEvent(
+        LogEventId::kLeadClaimFailed,
+        {{"code", "invalid_argument"}, {"reason", ledger.error().m_message}});
+    m_retry_at = now + kStoreRetryWait;
+    return;
+  }
+  m_ledger_version = stored->m_version;
+  m_fence = ledger->m_fence;
+  AdoptJournal(*ledger);
+}
+
+/// The lead before may have gone on without the store.
+auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
+  const auto& domain = m_context.m_settings.m_domain;
+  m_writing = true;
+  m_journal.Read(domain, m_context.LeadOf(domain)->m_version, stored,
+                 [this, record = stored.m_record](
+                     const std::optional<JournalEntry>& entry) mutable {
+                   m_writing = false;
+                   if (m_phase != Phase::kAdopting) {
+                     return;
+                   }
+                   if (entry) {
+                     for (const auto& [program, bound] :
+                          entry->m_ledger.m_record.m_bounds) {
+                       auto& known = record.m_bounds[program];
+                       known = std::max(known, bound);
+                     }
+                     LogEvent(
+                         LogEventId::kJournalUsed,
+                         {{"step", "taken_over"},
+                          {"write", std::to_string(entry->m_ledger.m_write)}});
+                   }
+                   AdoptRecord(m_ledger, record, SteadyTime());
+                   WriteAdopted();
+                 });
+}
+
+auto LeadService::WriteAdopted() -> void {
+  m_writing = true;
+  auto object = MakeLedgerObject(BeginRecord(m_ledger, SteadyTime()));
+  const auto after = [this](const Result<StoredObject>& stored) {
+    m_writing = false;
+    AfterAdoptWrite(stored);
+  };
+  if (m_ledger_version == ResourceVersion(0)) {
+    m_context.m_store.Create(ObjectKind::kLedgers, std::move(object), after);
+  } else {
+    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after);
+  }
+}
+
+auto LeadService::AfterAdoptWrite(const Result<StoredObject>& stored) -> void {
+  if (m_phase != Phase::kAdopting) {
+    return;
+  }
+  const auto now = SteadyTime();
+  if (!stored) {
+    // Read again: another lead may have written, or this write may be there.
+    m_retry_at = now + kStoreRetryWait;
+    return;
+  }
+  m_ledger_version = stored->m_version;
+  m_last_write = now;
+  m_phase = Phase::kAnnouncing;
+  ListLeads();
+}
+
+/// Of two leads that begin at once, the one that lists later knows the other,
+/// and tells it before it opens an account.
+auto LeadService::ListLeads() -> void {
+  m_context.m_store.List(ObjectKind::kLeads,
+                         [this](const Result<ObjectListing>& listing) {
+                           if (m_phase != Phase::kAnnouncing) {
+                             return;
+                           }
+                           if (!listing) {
+                             // Goes on with the leads that are known.
+                             Announce();
+                             return;
+                           }
+                           for (const auto& object : listing->m_objects) {
+                             const auto entry = DecodeLeadEntry(object.m_spec);
+                             if (entry) {
+                               NoteLead({.m_domain = DomainId(object.m_name),
+                                         .m_entry = *entry,
+                                         .m_version = object.m_version});
+                             }
+                           }
+                           if (m_phase == Phase::kAnnouncing) {
+                             Announce();
+                           }
+                         });
+}
+
+auto LeadService::Announce() -> void {
+  const auto own = m_context.LeadOf(m_context.m_settings.m_domain);
+  std::vector<std::string> addresses;
+  if (m_before && m_before->m_entry.m_host != m_context.m_settings.m_host) {
+    addresses.push_back(m_before->m_entry.m_peer_address);
+  }
+  for (const auto& [domain, lead] : m_context.m_leads) {
+    if (domain != m_context.m_settings.m_domain) {
+      addresses.push_back(lead.m_entry.m_peer_address);
+    }
+  }
+  m_unannounced = static_cast<int>(addresses.size()) + 1;
+  for (const auto& address : addresses) {
+    CallPeer(m_context.m_loop, m_context.m_peers, address, kLeadPath,
+             EncodeKnownLead(*own), kAnnounceTimeout,
+             [this](const Result<std::string>& /*reply*/) {
+               // One that can't be reached can't be asked by its callers
+               // either.
+               AfterAnnouncement();
+             });
+  }
+  AfterAnnouncement();
+}
+
+auto LeadService::AfterAnnouncement() -> void {
+  if (--m_unannounced > 0 || m_phase != Phase::kAnnouncing) {
+    return;
+  }
+  m_phase = Phase::kActive;
+  LogEvent(LogEventId::kLeadChanged,
+           {{"domain", m_context.m_settings.m_domain.value()},
+            {"lead", m_context.m_settings.m_host.value()},
+            {"programs", std::to_string(m_ledger.m_accounts.size())}});
+  DecideWaiting();
+}
+
+auto LeadService::BecomeIdle() -> void {
+  if (m_phase == Phase::kActive) {
+    LogEvent(LogEventId::kLeadLost,
+             {{"domain", m_context.m_settings.m_domain.value()}});
+  }
+  m_phase = Phase::kIdle;
+  m_retry_at = SteadyTime() + kStoreRetryWait;
+  if (const auto yielded = std::exchange(m_yielded, nullptr)) {
+    yielded(false);
+  }
+  m_ledger = {};
+  m_store_lost = false;
+  m_journal_lost = false;
+  m_search.Clear();
+  m_notes.clear();
+  m_loads.clear();
+  m_placed.clear();
+  auto waiting = std::exchange(m_waiting, {});
+  for (auto& [program, searching] : std::exchange(m_searching, {})) {
+    waiting.insert(waiting.end(), searching.begin(), searching.end());
+  }
+  for (const auto& one : waiting) {
+    one.m_answered({.m_verdict = GrantVerdict::kNotLead});
+  }
+}
+
+auto LeadService::Yield(std::string_view reason, Yielded yielded) -> void {
+  if (m_phase != Phase::kActive || m_yielded || m_store_lost) {
+    yielded(false);
+    return;
+  }
+  m_yielded = std::move(yielded);
+  m_yield_reason = reason;
+  m_yield_until = SteadyTime() + kYieldTime;
+  MaybeWrite(SteadyTime());
+}
+
+auto LeadService::FinishYield(bool done) -> void {
+  const auto yielded = std::exchange(m_yielded, nullptr);
+  if (done) {
+    LogEvent(LogEventId::kLeadYielded,
+             {{"domain", m_context.m_settings.m_domain.value()},
+              {"reason", m_yield_reason}});
+    BecomeIdle();
+    m_retry_at = SteadyTime() + kYieldPause;
+  } else {
+    DecideWaiting();
+  }
+  yielded(done);
+}
+
+}  // namespace dotterelshed
