Look for writes without answer by reading; a late record doesn't cost the lead

A lead waited 800 ms for each, while the turns that needed the record wait 550 ms; they were then answered 'no store', so the host that asked replaced a healthy lead. The claim's own answer was lost as well, and its host didn't learn that it leads: domains had no lead for seconds, one after the other. Tests (seen failing): lead_takeover_unittest, a write whose answer is lost (503 before), a claim whose answer is lost (no lead before, watches silent).

--- a/src/dotterelctl/command.h
+++ b/src/dotterelctl/command.h
@@ -37,6 +37,9 @@
   bool m_all = false;
   bool m_markdown = false;
   bool m_metrics = false;
+  /// explain: the id is a program's, or an endpoint's.
+  bool m_program = false;
+  bool m_server = false;
 };
 
 /// Where a command writes to.
@@ -51,7 +54,8 @@
 /// One command of dotterelctl.
 struct Command {
   std::string_view m_name;
-  /// Words that it needs: "FILE", "HOST" or "".
+  /// Words that it needs: "FILE", "HOST" or ""; more may follow where it ends
+  /// with "...".
   std::string_view m_words;
   /// Names of the options that it takes, "platform json".
   std::string_view m_options;
@@ -80,6 +84,8 @@
     -> ExitCode;
 auto RunResolve(const CommandOptions& options, const CommandOutput& output)
     -> ExitCode;
+auto RunExplain(const CommandOptions& options, const CommandOutput& output)
+    -> ExitCode;
 auto RunReference(const CommandOptions& options, const CommandOutput& output)
     -> ExitCode;
 auto RunEvents(const CommandOptions& options, const CommandOutput& output)
--- a/src/dotterelctl/command_line.cc
+++ b/src/dotterelctl/command_line.cc
@@ -32,6 +32,8 @@
      "list non-idempotent calls without a result", RunActions},
     {"resolve", "KEY", "platform outcome json",
      "record what became of a call whose outcome is unknown", RunResolve},
+    {"explain", "ID [FILE]...", "program server",
+     "tell from hosts' logs what became of a request", RunExplain},
     {"reference", "PAGE", "",
      "print the reference of the text or of the settings", RunReference},
     {"events", "", "metrics markdown json",
@@ -53,7 +55,8 @@
       "what became of the call: done, failed or not_run")("json", "print JSON")(
       "all", "list also calls with a result")("markdown",
                                               "print the page of the docs")(
-      "metrics", "metrics instead of log events");
+      "metrics", "metrics instead of log events")(
+      "program", "the id is a program's")("server", "the id is an endpoint's");
   return all;
 }
 
@@ -81,6 +84,8 @@
   options.m_all = values.contains("all");
   options.m_markdown = values.contains("markdown");
   options.m_metrics = values.contains("metrics");
+  options.m_program = values.contains("program");
+  options.m_server = values.contains("server");
   return options;
 }
 
@@ -117,7 +122,7 @@
     return std::string(command.m_name) + " needs " +
            std::string(command.m_words);
   }
-  if (options.m_words.size() > wanted) {
+  if (options.m_words.size() > wanted && !command.m_words.ends_with("...")) {
     return "unexpected word '" + options.m_words.back() + "'";
   }
   const auto lacks_platform = ContainsWord(command.m_options, "platform") &&
--- a/src/libgateway/lead_record.cc
+++ b/src/libgateway/lead_record.cc
@@ -97,7 +97,8 @@
       [this, write = std::move(write)](const Result<StoredObject>& stored) {
         m_writing = false;
         AfterWrite(write, stored);
-      });
+      },
+      kWriteAnswerTime);
 }
 
 auto LeadService::Confirm(const PendingWrite& write, ResourceVersion version)
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -108,7 +108,10 @@
   if (conditions.m_blind) {
     waiting.m_answered({.m_verdict = GrantVerdict::kUnavailable});
   } else if (conditions.m_partial) {
-    waiting.m_answered({.m_verdict = GrantVerdict::kNoStore});
+    // A record that is only late is no reason to replace this lead.
+    waiting.m_answered({.m_verdict = RecordLost()
+                                         ? GrantVerdict::kNoStore
+                                         : GrantVerdict::kUnavailable});
   } else {
     m_waiting.push_back(waiting);
     MaybeWrite(now);
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -56,6 +56,10 @@
   auto Tick(TimePoint now) -> void;
 
  private:
+  /// A write without answer for so long is looked for by reading; the store
+  /// answers a read on another connection though it lost this answer.
+  static constexpr Duration kWriteAnswerTime = std::chrono::milliseconds(300);
+
   enum class Phase { kIdle, kClaiming, kAdopting, kAnnouncing, kActive };
 
   /// A question that waits for a record or for other leads.
@@ -86,6 +90,7 @@
   auto IsMine(const LeadEntry& entry) const -> bool;
   auto BecomeIdle() -> void;
   auto AfterClaim(const Result<StoredObject>& stored) -> void;
+  auto ReadClaim() -> void;
   auto Adopt() -> void;
   auto AfterAdoptRead(const Result<StoredObject>& stored) -> void;
   auto AdoptJournal(const StoredLedger& stored) -> void;
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead_takeover_unittest.cc
@@ -76,6 +76,30 @@
   CHECK(LeadHost(world) == "h3");
 }
 
+TEST_CASE("a write whose answer is lost doesn't cost the turn or the lead") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+  });
+  world.Start();
+  const auto incarnation =
+      world.m_store.Find("leads", "z")["spec"]["incarnation"];
+  world.m_store.LoseAnswers("ledgers", 1);
+  CHECK(world.Finish(kTurn)->Status() == 200);
+  CHECK(world.m_host->leads());
+  CHECK(world.m_store.Find("leads", "z")["spec"]["incarnation"] == incarnation);
+}
+
+TEST_CASE("a claim whose answer is lost is found by reading") {
+  TestWorld world;
+  world.AddEndpoint([](const Request& /*request*/) {});
+  world.m_store.LoseAnswers("leads", 1);
+  // No news reaches the host by itself.
+  world.m_store.SetSilentWatches(true);
+  world.Start();
+  CHECK(LeadHost(world) == "h1");
+}
+
 TEST_CASE("a much larger host asks the lead to give way") {
   // The host under test has the share 1.
   const auto [share, leader] =
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -54,7 +54,8 @@
     return;
   }
   object.m_version = m_before->m_version;
-  m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after);
+  m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after,
+                            kWriteAnswerTime);
 }
 
 auto LeadService::AfterClaim(const Result<StoredObject>& stored) -> void {
@@ -65,10 +66,10 @@
     LogEvent(LogEventId::kLeadClaimFailed,
              {{"code", std::string(ToString(stored.error().m_code))},
               {"reason", stored.error().m_message}});
-    // If it was done all the same, the store's list of leads will say so.
     BecomeIdle();
     if (stored.error().m_code != ErrorCode::kConflict) {
       m_retry_at = SteadyTime() + kClaimRetryWait;
+      ReadClaim();
     }
     return;
   }
@@ -84,6 +85,25 @@
   Adopt();
 }
 
+/// The claim may have been done all the same.
+auto LeadService::ReadClaim() -> void {
+  const auto& domain = m_context.m_settings.m_domain;
+  m_context.m_store.Get(
+      ObjectKind::kLeads, domain.value(),
+      [this, domain](const Result<StoredObject>& stored) {
+        if (!stored) {
+          // Tried again when a turn needs a lead.
+          return;
+        }
+        m_retry_at = std::min(m_retry_at, SteadyTime() + kStoreRetryWait);
+        if (const auto entry = DecodeLeadEntry(stored->m_spec)) {
+          NoteLead({.m_domain = domain,
+                    .m_entry = *entry,
+                    .m_version = stored->m_version});
+        }
+      });
+}
+
 auto LeadService::NoteLead(const KnownLead& lead) -> bool {
   if (!m_context.TakeLead(lead)) {
     return false;
@@ -178,7 +198,8 @@
   if (m_ledger_version == ResourceVersion(0)) {
     m_context.m_store.Create(ObjectKind::kLedgers, std::move(object), after);
   } else {
-    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after);
+    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after,
+                              kWriteAnswerTime);
   }
 }
 
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -156,6 +156,10 @@
   const auto* part = status ? "status" : "spec";
   object[part] = body.value(part, Json());
   Store(kind, name, std::move(object), false);
+  if (m_lost_answers[kind] > 0) {
+    --m_lost_answers[kind];
+    return;
+  }
   Reply(connection, 200, Find(kind, name));
 }
 
@@ -172,7 +176,9 @@
 
 auto TestStore::Wake() -> void {
   for (auto it = m_waiting.begin(); it != m_waiting.end();) {
-    const auto events = ChangesSince(it->m_kind, it->m_since);
+    const auto events = m_silent_watches
+                            ? Json::array()
+                            : ChangesSince(it->m_kind, it->m_since);
     if (events.empty() && SteadyTime() < it->m_until) {
       ++it;
       continue;
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -31,6 +31,12 @@
   auto Find(const std::string& kind, const std::string& name) -> nlohmann::json;
   /// While set, every call gets 503.
   auto SetDown(bool down) -> void { m_down = down; }
+  /// The next writes to a kind are done, and their answers are lost.
+  auto LoseAnswers(const std::string& kind, int count) -> void {
+    m_lost_answers[kind] = count;
+  }
+  /// While set, watches hear nothing of changes.
+  auto SetSilentWatches(bool silent) -> void { m_silent_watches = silent; }
   auto Tick(TimePoint now) -> void;
 
  private:
@@ -71,6 +77,8 @@
   std::list<Waiting> m_waiting;
   std::int64_t m_version = 100;
   bool m_down = false;
+  bool m_silent_watches = false;
+  std::map<std::string, int> m_lost_answers;
 };
 
 }  // namespace dotterelshed
