A fault soak: real hosts as processes, disturbed from outside

Change: soak/ runs six entry hosts and a disk host of three domains as processes. A store, endpoints and callers run in the soak itself; loopback proxies before the store (one a host), the endpoints and the callers' doors delay, reset, cut one way, silence. Signals stop, freeze, kill and restart hosts; endpoints leave and come, versions change, the store is down or loses answers; faults overlap as a seed draws them.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # make bench  replay tables and plots; make bench-wall for wall-clock benches
 BUILD ?= build
 CMAKE_ARGS ?=
-SOURCES = git ls-files 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' 'bench/*.cc' 'bench/*.h' | grep -v '\.capnp\.'
+SOURCES = git ls-files 'src/*.cc' 'src/*.h' 'platform/*.cc' 'platform/*.h' 'bench/*.cc' 'bench/*.h' 'soak/*.cc' 'soak/*.h' | grep -v '\.capnp\.'
 
 .PHONY: all setup test unit suite demo lint format tidy bench bench-wall clean
 
--- /dev/null
+++ b/soak/host_process.cc
@@ -0,0 +1,57 @@
+#include "host_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <utility>
+
+#include "dotterelshed/error.h"
+
+namespace dotterelshed::soak {
+
+HostProcess::HostProcess(HostOptions options) : m_options(std::move(options)) {}
+
+HostProcess::~HostProcess() {
+  if (running()) {
+    Signal(SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+  }
+}
+
+auto HostProcess::Start() -> void {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  constexpr int kStandardOutput = 1;
+  constexpr int kLogMode = 0644;
+  posix_spawn_file_actions_addopen(&actions, kStandardOutput,
+                                   m_options.m_log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  std::string settings = "--settings";
+  std::array<char*, 4> arguments{m_options.m_program.data(), settings.data(),
+                                 m_options.m_settings_file.data(), nullptr};
+  const auto failed = posix_spawn(&m_pid, m_options.m_program.c_str(), &actions,
+                                  nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  DOTTERELSHED_CHECK(failed == 0);
+  ++m_incarnation;
+}
+
+auto HostProcess::Signal(int signal) -> void {
+  if (running()) {
+    kill(m_pid, signal);
+  }
+}
+
+auto HostProcess::Reap() -> std::optional<int> {
+  int status = 0;
+  if (!running() || waitpid(m_pid, &status, WNOHANG) != m_pid) {
+    return std::nullopt;
+  }
+  m_pid = 0;
+  return status;
+}
+
+}  // namespace dotterelshed::soak
--- /dev/null
+++ b/soak/service_standins.cc
@@ -0,0 +1,120 @@
+#include "service_standins.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace dotterelshed::soak {
+
+namespace {
+
+constexpr int kLeastEvents = 4;
+constexpr int kMoreEvents = 6;
+constexpr Duration kEventGap = std::chrono::milliseconds(30);
+constexpr Duration kPlainWork = std::chrono::milliseconds(60);
+
+auto FieldText(const HttpFields& fields, std::string_view name) -> std::string {
+  const auto* value = FindField(fields, name);
+  return value == nullptr ? "" : *value;
+}
+
+}  // namespace
+
+auto EventCount(const std::string& request) -> int {
+  return kLeastEvents +
+         static_cast<int>(std::hash<std::string>{}(request) % kMoreEvents);
+}
+
+auto EventsAfter(const std::string& request, int last) -> std::string {
+  std::string text;
+  for (int id = last + 1; id <= EventCount(request); ++id) {
+    text += "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+  }
+  return text;
+}
+
+auto PlainBody(const std::string& request) -> std::string {
+  return "done " + request;
+}
+
+Endpoint::Endpoint(EventLoop& loop,
+                   std::string id,
+                   std::string service,
+                   unsigned seed,
+                   OnRun on_run)
+    : m_loop(loop),
+      m_id(std::move(id)),
+      m_service(std::move(service)),
+      m_random(seed),
+      m_on_run(std::move(on_run)),
+      m_listener(loop,
+                 [this](const std::shared_ptr<ServerConnection>& connection,
+                        const IncomingRequest& request) {
+                   OnRequest(connection, request);
+                 }) {
+  const auto listening =
+      m_listener.Listen({boost::asio::ip::address_v4::loopback(), 0});
+  DOTTERELSHED_CHECK(listening.has_value());
+  m_link = std::make_unique<LoopbackProxy>(loop, m_listener.local_address());
+}
+
+auto Endpoint::After(Duration wait, std::function<void()> step) -> void {
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, wait);
+  timer->async_wait(
+      [timer, step = std::move(step)](
+          const boost::system::error_code& /*error*/) { step(); });
+}
+
+auto Endpoint::Loses() -> bool {
+  return m_lose_one_in > 0 && m_random() % m_lose_one_in == 0;
+}
+
+auto Endpoint::OnRequest(const std::shared_ptr<ServerConnection>& connection,
+                         const IncomingRequest& request) -> void {
+  const auto& fields = request.m_head.m_fields;
+  const auto id = FieldText(fields, "request-id");
+  const HttpFields head{{"Request-Id", id}, {"Response-Signature", m_id}};
+  if (FieldText(fields, "expect-instance") != m_id) {
+    connection->Answer(421, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
+    return;
+  }
+  m_on_run({.m_request = id,
+            .m_target = request.m_head.m_target,
+            .m_host = FieldText(fields, "soak-host"),
+            .m_service = m_service,
+            .m_endpoint = m_id});
+  if (m_service == "engine") {
+    const auto last = FieldText(fields, "last-event-id");
+    After(kEventGap, [this, connection, id, head, last] {
+      connection->BeginAnswer(200, "OK", head, std::nullopt);
+      Stream(connection, id, last.empty() ? 1 : std::stoi(last) + 1);
+    });
+    return;
+  }
+  After(kPlainWork, [this, connection, id, head] {
+    if (Loses()) {
+      connection->Abort();
+    } else {
+      connection->Answer(200, head, PlainBody(id));
+    }
+  });
+}
+
+auto Endpoint::Stream(const std::shared_ptr<ServerConnection>& connection,
+                      const std::string& request,
+                      int next) -> void {
+  if (next > EventCount(request)) {
+    connection->EndAnswer();
+    return;
+  }
+  if (Loses()) {
+    connection->Abort();
+    return;
+  }
+  connection->SendBody("id: " + std::to_string(next) + "\ndata: " + request +
+                       "\n\n");
+  After(kEventGap, [this, connection, request, next] {
+    Stream(connection, request, next + 1);
+  });
+}
+
+}  // namespace dotterelshed::soak
--- /dev/null
+++ b/soak/soak_world.h
@@ -0,0 +1,119 @@
+#ifndef SOAK_SOAK_WORLD_H_
+#define SOAK_SOAK_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "callers.h"
+#include "host_process.h"
+#include "loopback_proxy.h"
+#include "promises.h"
+#include "service_standins.h"
+#include "test_store.h"
+
+/// @file
+/// One run of the soak: real hosts as processes, a store, endpoints and callers
+/// inside this process, proxies between them, and faults that a seed draws.
+
+namespace dotterelshed::soak {
+
+struct SoakOptions {
+  unsigned m_seed = 1;
+  /// The program of a host.
+  std::string m_program;
+  /// Settings and logs go there.
+  std::string m_folder;
+  Duration m_fault_time = std::chrono::seconds(12);
+  /// Promises that have a time bound are checked too; a machine that is busy
+  /// with other things may break them.
+  bool m_timed = true;
+};
+
+class SoakWorld {
+ public:
+  explicit SoakWorld(const SoakOptions& options);
+
+  /// Runs the seed. The promises that were broken, if any.
+  auto Run() -> std::vector<std::string>;
+
+ private:
+  /// A host and what was done to it.
+  struct Host {
+    std::string m_name;
+    std::string m_domain;
+    std::unique_ptr<LoopbackProxy> m_store_link;
+    std::unique_ptr<HostProcess> m_process;
+    std::unique_ptr<LoopbackProxy> m_caller_link;
+    /// Until when the host counts as disturbed.
+    TimePoint m_disturbed_until;
+    /// Set while it is expected to end by itself.
+    bool m_stopping = false;
+    bool m_frozen = false;
+    /// Newest version of the configuration whose effect was seen.
+    int m_seen_version = 0;
+    TimePoint m_seen_at;
+    int m_seen_incarnation = 0;
+  };
+
+  auto AddHost(const std::string& name,
+               const std::string& domain,
+               const std::string& role) -> void;
+  auto AddEndpoint(const std::string& service) -> void;
+  auto PutEndpoint(const Endpoint& endpoint, bool draining) -> void;
+  auto PutConfig() -> void;
+
+  auto RunFor(Duration time) -> void;
+  auto Tick() -> void;
+  auto WatchProcesses() -> void;
+  auto Later(Duration wait, std::function<void()> step) -> void;
+
+  auto DrawFault() -> void;
+  auto DisturbHost(Host& host) -> void;
+  auto DisturbLink(LoopbackProxy& link, Duration time) -> void;
+  auto DisturbStore() -> void;
+  auto DisturbEndpoint() -> void;
+  auto DisturbAll(Duration time) -> void;
+  auto ReplaceEndpoint() -> void;
+  auto Heal() -> void;
+
+  auto OnRun(const ServedRun& run) -> void;
+  auto CheckDrain(const ServedRun& run, const Host& host) -> void;
+  auto CheckVersion(const ServedRun& run, Host& host) -> void;
+  auto OnCallEnded(const SentCall& call, const CallResult& result) -> void;
+  auto StopAll() -> void;
+  auto Note(const std::string& what) -> void;
+  auto RandomHost() -> Host&;
+  auto Draw(int below) -> int {
+    return static_cast<int>(m_random() % static_cast<unsigned>(below));
+  }
+  auto DrawTime(int least_ms, int most_ms) -> Duration {
+    return std::chrono::milliseconds(least_ms + Draw(most_ms - least_ms));
+  }
+
+  SoakOptions m_options;
+  std::mt19937 m_random;
+  EventLoop m_loop;
+  TestStore m_store;
+  Promises m_promises;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::vector<std::unique_ptr<Endpoint>> m_endpoints;
+  /// Endpoints that are leaving, and since when the store says so.
+  std::map<std::string, TimePoint> m_leaving;
+  std::vector<Door> m_doors;
+  std::vector<std::shared_ptr<Caller>> m_callers;
+  int m_version = 0;
+  TimePoint m_version_at;
+  TimePoint m_begun;
+  int m_named = 0;
+  /// Calls since the faults ended, and those that were answered.
+  bool m_recovering = false;
+  int m_asked = 0;
+  int m_answered = 0;
+};
+
+}  // namespace dotterelshed::soak
+
+#endif  // SOAK_SOAK_WORLD_H_
--- a/src/dotterelctl/log_line.cc
+++ b/src/dotterelctl/log_line.cc
@@ -11,10 +11,10 @@
 
 /// Time, level, host, number, name; fields follow.
 auto HeadPattern() -> const std::regex& {
-  static const std::regex pattern(
+  static const std::regex kPattern(
       R"((\d{4})-(\d{2})-(\d{2})T(\d{2}):(\d{2}):(\d{2})\.(\d{3}))"
       R"(([+-])(\d{2}):(\d{2}) (\w+) (\S+) (\d{3}) (\w+))");
-  return pattern;
+  return kPattern;
 }
 
 auto ToInt(const std::csub_match& match) -> int {
--- a/src/dotterelctl/log_story_unittest.cc
+++ b/src/dotterelctl/log_story_unittest.cc
@@ -57,16 +57,19 @@
 
 TEST_CASE("a request's story has its decisions and the beliefs behind them") {
   const auto text = FormatStory(TellStory(Read(), StoryOf::kRequest, "r1"));
+  const std::string leaving =
+      "    -1.100 s  h1  504 endpoint_changed endpoint=e1 state=leaving";
+  const std::string decided =
+      "    +0.000 s  h2  305 turn_decided request=r1 program=p";
+  const std::string attempt =
+      "    +0.100 s  h1  121 attempt_ended request=r1 endpoint=e1";
   const std::vector<std::string> expected{
       "    -5.100 s  h1  101 host_started domain=z  (belief)",
       "    -3.100 s  h1  601 config_in_force generation=5 routes=2  (belief)",
-      "    -1.100 s  h1  504 endpoint_changed endpoint=e1 state=leaving  "
-      "(belief)",
-      "    +0.000 s  h2  305 turn_decided request=r1 program=p "
-      "decision=granted",
+      leaving + "  (belief)",
+      decided + " decision=granted",
       "    +0.050 s  h1  701 platform_lost kind=config code=timeout  (belief)",
-      "    +0.100 s  h1  121 attempt_ended request=r1 endpoint=e1 reason=no "
-      "\"answer\" yet",
+      attempt + " reason=no \"answer\" yet",
       "    +0.200 s  h1  120 request_ended request=r1 program=p status=502",
       "h1 left lines out of its log (event 105)"};
   std::istringstream lines(text);
