Soak: hold the ports of hosts while they are down

A port that the system had chosen for the host was given to a connection of another process before the host had bound it. Change: the soak keeps a bound socket that doesn't listen on each port.

--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -29,13 +29,6 @@
 constexpr double kServedAgain = 0.95;
 constexpr int kCallersPerDomain = 4;
 
-/// A port that is free now; hosts keep theirs over restarts.
-auto FreeAddress(EventLoop& loop) -> TcpAddress {
-  return boost::asio::ip::tcp::acceptor(
-             loop, {boost::asio::ip::address_v4::loopback(), 0})
-      .local_endpoint();
-}
-
 auto ToText(const TcpAddress& address) -> std::string {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
@@ -75,6 +68,16 @@
   std::cout << ToSeconds(SteadyTime() - m_begun) << " s " << what << "\n";
 }
 
+/// A port that a host keeps over its restarts. The socket stays bound and
+/// doesn't listen, so that no connection is given the port meanwhile.
+auto SoakWorld::ReserveAddress() -> TcpAddress {
+  TcpSocket holder(m_loop, boost::asio::ip::tcp::v4());
+  holder.set_option(boost::asio::socket_base::reuse_address(true));
+  holder.bind({boost::asio::ip::address_v4::loopback(), 0});
+  m_reserved.push_back(std::move(holder));
+  return m_reserved.back().local_endpoint();
+}
+
 // What the store says.
 
 auto SoakWorld::PutConfig() -> void {
@@ -140,12 +143,12 @@
       {"role", role},
       {"host", name},
       {"domain", domain},
-      {"peer_address", ToText(FreeAddress(m_loop))},
+      {"peer_address", ToText(ReserveAddress())},
       {"platform_address", ToText(host->m_store_link->address())}};
   if (role == "entry") {
-    const auto callers = FreeAddress(m_loop);
+    const auto callers = ReserveAddress();
     settings["caller_address"] = ToText(callers);
-    settings["ready_address"] = ToText(FreeAddress(m_loop));
+    settings["ready_address"] = ToText(ReserveAddress());
     host->m_caller_link = std::make_unique<LoopbackProxy>(m_loop, callers);
     m_doors.push_back({name, domain, host->m_caller_link->address()});
   } else {
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -61,6 +61,7 @@
   auto AddHost(const std::string& name,
                const std::string& domain,
                const std::string& role) -> void;
+  auto ReserveAddress() -> TcpAddress;
   auto AddEndpoint(const std::string& service) -> void;
   auto PutEndpoint(const Endpoint& endpoint, bool draining) -> void;
   auto PutConfig() -> void;
@@ -96,6 +97,7 @@
   SoakOptions m_options;
   std::mt19937 m_random;
   EventLoop m_loop;
+  std::vector<TcpSocket> m_reserved;
   TestStore m_store;
   Promises m_promises;
   std::vector<std::unique_ptr<Host>> m_hosts;
