Soak: hosts inherit no connections

Their watches were reset by the proxy at 13.6 s and ended at 28.2 s only, when all hosts were stopped: a host restarted meanwhile had inherited the proxy's sockets, so that the closed connections stayed open. The soak's own fault; hosts would find a connection that is really silent by probes, which the kernel answered here. Change: children inherit nothing beyond their log.

--- a/soak/host_process.cc
+++ b/soak/host_process.cc
@@ -1,9 +1,9 @@
 #include "host_process.h"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <csignal>
 
 #include <array>
 #include <utility>
@@ -25,10 +25,13 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   constexpr int kStandardOutput = 1;
+  constexpr int kFirstInherited = 3;
   constexpr int kLogMode = 0644;
   posix_spawn_file_actions_addopen(&actions, kStandardOutput,
                                    m_options.m_log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  // A connection that the child inherits would stay open after its end here.
+  posix_spawn_file_actions_addclosefrom_np(&actions, kFirstInherited);
   std::string settings = "--settings";
   std::array<char*, 4> arguments{m_options.m_program.data(), settings.data(),
                                  m_options.m_settings_file.data(), nullptr};
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -1,7 +1,7 @@
 #include "soak_world.h"
 
-#include <signal.h>
 #include <sys/wait.h>
+#include <csignal>
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -258,7 +258,9 @@
 }
 
 auto SoakWorld::DisturbLink(LoopbackProxy& link, Duration time) -> void {
-  switch (Draw(6)) {
+  const auto kind = Draw(6);
+  Note("  kind " + std::to_string(kind));
+  switch (kind) {
     case 0:
       link.ResetAll();
       return;
