Remove what decides nothing; retention from the routes

Cause: fields of calls, routes and endpoints were decoded and never used; a program was remembered for 75 s whatever its routes asked for; answers to an earlier announcement could count for a later one; a listener without descriptors tried again at once.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -18,8 +18,6 @@
 /// What a chooser knows of one endpoint.
 struct EndpointLoad {
   int m_outstanding = 0;
-  /// Prompt tokens sent that it hasn't answered yet.
-  Tokens m_unread{0};
   int m_failures_in_a_row = 0;
   /// Not chosen before this time while others can be.
   TimePoint m_avoid_until;
@@ -37,7 +35,6 @@
   std::set<EndpointId> m_excluded;
   /// Endpoint that holds the program's prompt; empty if none is known.
   EndpointId m_warm;
-  Tokens m_prompt{0};
   /// Uniform in [0, 1); breaks ties.
   double m_draw = 0;
 };
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_HTTP_LISTENER_H_
 #define DOTTERELSHED_HTTP_LISTENER_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -59,7 +60,6 @@
   auto pending_bytes() const -> std::size_t;
   /// True while a request is open.
   auto busy() const -> bool { return m_busy; }
-  auto begun() const -> bool { return m_begun; }
 
  private:
   friend class HttpListener;
@@ -112,12 +112,12 @@
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
-  auto connections() const -> std::size_t { return m_connections.size(); }
 
  private:
   friend class ServerConnection;
 
   auto Accept() -> void;
+  auto AcceptLater() -> void;
 
   EventLoop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
@@ -125,6 +125,7 @@
   ListenerLimits m_limits;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
   int m_open_requests = 0;
+  boost::asio::steady_timer m_accept_timer;
   bool m_close_after_answers = false;
   bool m_stopped = false;
 };
--- a/src/include/dotterelshed/route_table.h
+++ b/src/include/dotterelshed/route_table.h
@@ -39,16 +39,10 @@
   CallKind m_kind = CallKind::kNonIdempotent;
   /// Longest time that a caller is kept waiting.
   Duration m_timeout = std::chrono::seconds(5);
-  /// Time to the first byte within which an answer is worth most.
-  Duration m_target_latency = std::chrono::milliseconds(250);
-  /// Rank among the routes; 0 is the most urgent.
-  int m_priority = 0;
   /// Where the requests go; more than one when traffic is being moved.
   std::vector<WeightedService> m_services;
   /// Endpoints that one request may be run on.
   int m_max_attempts = 1;
-  /// True when endpoints that served the same subject before are faster.
-  bool m_sticky = false;
   /// True when a broken stream may go on at another endpoint.
   bool m_resumable = false;
   /// Time for which a program's spending is remembered after its last turn.
@@ -57,15 +51,11 @@
 
 /// What is known of the model engines of a service.
 struct EngineTraits {
-  int m_slots = 1;
-  Tokens m_cache_capacity{0};
   int m_tokens_per_event = 1;
 };
 
 struct ServiceTraits {
   ServiceId m_id;
-  /// Connections that one endpoint accepts from all hosts together.
-  int m_max_connections = 100;
   /// Set for model engines only.
   std::optional<EngineTraits> m_engine;
 };
@@ -100,6 +90,9 @@
 /// The service for one request. @p draw is uniform in [0, 1).
 auto PickService(const Route& route, double draw) -> const ServiceId&;
 
+/// The longest time for which a route wants a program's spending remembered.
+auto LongestRetention(const RouteTable& table) -> Duration;
+
 /// Traits of a service; defaults when the table doesn't describe it.
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
     -> const ServiceTraits&;
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -54,9 +54,6 @@
     {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
      "The record of budgets was not confirmed by the store; turns that need it "
      "wait."},
-    {LogEventId::kLedgerReadFailed, LogLevel::kWarning, "ledger_read_failed",
-     "Another domain's lead didn't answer and its ledger couldn't be read; "
-     "programs that it may keep get one turn at most here."},
     {LogEventId::kTurnDecided, LogLevel::kInfo, "turn_decided",
      "A lead granted or refused a turn; the program's account and the state of "
      "the store are in the fields."},
@@ -66,6 +63,9 @@
     {LogEventId::kJournalFailed, LogLevel::kWarning, "journal_failed",
      "A ledger could not be kept on disk hosts, or an entry there can't be "
      "read."},
+    {LogEventId::kLedgerReadFailed, LogLevel::kWarning, "ledger_read_failed",
+     "Another domain's lead didn't answer and its ledger couldn't be read; "
+     "programs that it may keep get one turn at most here."},
     {LogEventId::kClaimWritten, LogLevel::kDebug, "claim_written",
      "A non-idempotent call was claimed in the platform."},
     {LogEventId::kActionUnknown, LogLevel::kError, "action_unknown",
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -121,7 +121,6 @@
                       .m_budget = *m_facts.m_budget,
                       .m_turn_max = m_facts.m_max_tokens};
   question.m_service = m_service;
-  question.m_prompt = m_facts.m_prompt_tokens;
   m_granted = true;
   m_grants.Ask(question,
                [self = shared_from_this()](const GrantAnswer& answer) {
@@ -172,7 +171,6 @@
                         {.m_service = m_service,
                          .m_domain = m_context.m_settings.m_domain,
                          .m_excluded = m_excluded,
-                         .m_prompt = m_facts.m_prompt_tokens,
                          .m_draw = m_context.Draw()},
                         SteadyTime());
 }
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -31,6 +31,9 @@
 /// Endpoints come and go in groups; a leaving one must be known within two
 /// seconds.
 constexpr Duration kEndpointJoinTime = std::chrono::milliseconds(800);
+/// Programs are remembered for this much longer than their routes want: turns
+/// under way at the end still count.
+constexpr Duration kRetentionMargin = std::chrono::seconds(15);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -190,6 +193,7 @@
             {"routes", std::to_string(table->m_routes.size())}});
   SetMetric(MetricId::kConfigGeneration,
             static_cast<double>(table->m_generation.value()));
+  m_lead.SetRetention(LongestRetention(*table) + kRetentionMargin);
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -105,8 +105,7 @@
               {"request", question.m_grant.m_request.value()},
               {"budget", question.m_grant.m_budget.value()},
               {"most", question.m_grant.m_turn_max.value()},
-              {"service", question.m_service.value()},
-              {"prompt", question.m_prompt.value()}}
+              {"service", question.m_service.value()}}
       .dump();
 }
 
@@ -118,7 +117,6 @@
     question.m_grant.m_budget = ToTokens(json.at("budget"));
     question.m_grant.m_turn_max = ToTokens(json.at("most"));
     question.m_service = ServiceId(json.at("service"));
-    question.m_prompt = ToTokens(json.at("prompt"));
     return question;
   });
 }
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -22,7 +22,6 @@
 struct GrantQuestion {
   GrantRequest m_grant;
   ServiceId m_service;
-  Tokens m_prompt{0};
 };
 
 /// Who leads a domain; kept in the store under the domain's name.
--- a/src/libgateway/lead_messages_unittest.cc
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -20,13 +20,12 @@
                                            .m_request = RequestId("r"),
                                            .m_budget = Tokens(400),
                                            .m_turn_max = Tokens(135)},
-                               .m_service = ServiceId("s"),
-                               .m_prompt = Tokens(3000)};
+                               .m_service = ServiceId("s")};
   const auto read = DecodeGrantQuestion(EncodeGrantQuestion(question));
   REQUIRE(read);
   CHECK(read->m_grant.m_program == ProgramId("p"));
   CHECK(read->m_grant.m_budget == Tokens(400));
-  CHECK(read->m_prompt == Tokens(3000));
+  CHECK(read->m_service == ServiceId("s"));
 
   const auto verdict =
       GENERATE(GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -147,7 +147,6 @@
                                      {.m_service = question.m_service,
                                       .m_domain = m_context.m_settings.m_domain,
                                       .m_warm = note.m_endpoint,
-                                      .m_prompt = question.m_prompt,
                                       .m_draw = m_context.Draw()},
                                      now);
   if (!chosen) {
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -53,6 +53,10 @@
   auto active() const -> bool { return m_phase == Phase::kActive; }
   /// True when it leads or is about to.
   auto leading() const -> bool { return m_phase != Phase::kIdle; }
+  /// Time for which programs are remembered after their last turn.
+  auto SetRetention(Duration retention) -> void {
+    m_ledger.m_options.m_retention = retention;
+  }
   auto Tick(TimePoint now) -> void;
 
  private:
@@ -98,7 +102,7 @@
   auto AfterAdoptWrite(const Result<StoredObject>& stored) -> void;
   auto ListLeads() -> void;
   auto Announce() -> void;
-  auto AfterAnnouncement() -> void;
+  auto AfterAnnouncement(int round) -> void;
   auto Claims(const FindQuestion& question) const -> bool;
 
   auto Decide(const Waiting& waiting) -> void;
@@ -134,6 +138,8 @@
   bool m_writing = false;
   /// Hosts that haven't confirmed yet that they know of this lead.
   int m_unannounced = 0;
+  /// Counts announcements, to tell late answers of an earlier one apart.
+  int m_announcement = 0;
   /// The lead before this one, which may not know that it was replaced.
   std::optional<KnownLead> m_before;
   TimePoint m_last_write;
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -258,20 +258,22 @@
     }
   }
   m_unannounced = static_cast<int>(addresses.size()) + 1;
+  const auto round = ++m_announcement;
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peers, address, kLeadPath,
              EncodeKnownLead(*own), kAnnounceTimeout,
-             [this](const Result<std::string>& /*reply*/) {
+             [this, round](const Result<std::string>& /*reply*/) {
                // One that can't be reached can't be asked by its callers
                // either.
-               AfterAnnouncement();
+               AfterAnnouncement(round);
              });
   }
-  AfterAnnouncement();
+  AfterAnnouncement(round);
 }
 
-auto LeadService::AfterAnnouncement() -> void {
-  if (--m_unannounced > 0 || m_phase != Phase::kAnnouncing) {
+auto LeadService::AfterAnnouncement(int round) -> void {
+  if (round != m_announcement || --m_unannounced > 0 ||
+      m_phase != Phase::kAnnouncing) {
     return;
   }
   m_phase = Phase::kActive;
@@ -292,7 +294,7 @@
   if (const auto yielded = std::exchange(m_yielded, nullptr)) {
     yielded(false);
   }
-  m_ledger = {};
+  m_ledger = {.m_options = m_ledger.m_options};
   m_store_lost = false;
   m_journal_lost = false;
   m_search.Clear();
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -13,6 +13,8 @@
 using ErrorCodeIn = boost::system::error_code;
 
 constexpr int kListenBacklog = 1024;
+/// Wait after a connection couldn't be accepted, for lack of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 /// Bytes of later requests that are read while one is open.
 constexpr std::size_t kMaxAheadBytes = 65536;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -267,7 +269,10 @@
 }
 
 HttpListener::HttpListener(EventLoop& loop, RequestHandler on_request)
-    : m_loop(loop), m_acceptor(loop), m_on_request(std::move(on_request)) {}
+    : m_loop(loop),
+      m_acceptor(loop),
+      m_on_request(std::move(on_request)),
+      m_accept_timer(loop) {}
 
 HttpListener::~HttpListener() {
   for (const auto& connection : m_connections) {
@@ -312,7 +317,21 @@
       m_connections.insert(connection);
       connection->Start();
     }
-    Accept();
+    if (error) {
+      AcceptLater();
+    } else {
+      Accept();
+    }
+  });
+}
+
+/// Without descriptors the next try would fail at once as well.
+auto HttpListener::AcceptLater() -> void {
+  m_accept_timer.expires_after(kAcceptPause);
+  m_accept_timer.async_wait([this](const ErrorCodeIn& error) {
+    if (!error && m_acceptor.is_open()) {
+      Accept();
+    }
   });
 }
 
--- a/src/librouting/route_table.cc
+++ b/src/librouting/route_table.cc
@@ -75,6 +75,14 @@
   return route.m_services.back().m_service;
 }
 
+auto LongestRetention(const RouteTable& table) -> Duration {
+  Duration longest{0};
+  for (const auto& route : table.m_routes) {
+    longest = std::max(longest, route.m_retention);
+  }
+  return longest;
+}
+
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
     -> const ServiceTraits& {
   static const ServiceTraits kUnknown;
--- a/src/librouting/route_table_unittest.cc
+++ b/src/librouting/route_table_unittest.cc
@@ -33,6 +33,13 @@
   CHECK(NameOf(FindRoute(table, "other.example", "/a/x")) == "none");
 }
 
+TEST_CASE("the longest retention of all routes counts") {
+  auto table = MakeTable();
+  table.m_routes.front().m_retention = std::chrono::seconds(120);
+  CHECK(LongestRetention(table) == std::chrono::seconds(120));
+  CHECK(LongestRetention(RouteTable()) == Duration{0});
+}
+
 TEST_CASE("services are drawn by weight") {
   Route route;
   route.m_services = {{ServiceId("a"), 90}, {ServiceId("b"), 10}};
