The advance ends with the first record; disk hosts keep as many copies as may be lost

In the second disk hosts lose their disks while the store is down: on the grown sites two may be lost at once, and an entry counted as secured with two copies; and a new lead that asked disk hosts while they restarted took no answer for no entry. Change: an account has an advance only until its first record; an entry is secured with one copy more than hosts that may be lost (tolerated_losses of the settings); a disk host says when it has none, and a new lead waits up to 2 s while so many don't answer that only they may have one. Tests: a new lead waits for disk hosts that may hold its ledger (200 for 402 before); ledger and gateway tests pass.

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -76,7 +76,8 @@
   bool m_on_record = false;
   /// Opened while another lead could only be fenced, so that it doesn't know.
   bool m_unheard = false;
-  /// True when grants may exceed the record by one turn's most.
+  /// True when grants may exceed the record by one turn's most: only before
+  /// the first record, so that little is lost with the lead.
   bool m_has_advance = false;
   /// True while another domain may keep an account of the program.
   bool m_blind = false;
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -138,8 +138,12 @@
     return;
   }
   const auto found = ReadJournal(m_journal, entry->m_domain, entry->m_claim);
-  connection->Answer(found ? kStatusOk : StatusOf(found.error()), {},
-                     found ? EncodeJournalEntry(*found) : "");
+  if (!found && found.error().m_code != ErrorCode::kNotFound) {
+    connection->Answer(StatusOf(found.error()), {}, "");
+    return;
+  }
+  // An empty answer tells this host from one that can't be reached.
+  connection->Answer(kStatusOk, {}, found ? EncodeJournalEntry(*found) : "");
 }
 
 auto DiskHost::ArmTick() -> void {
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -114,6 +114,8 @@
       reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
   settings.m_max_descriptors = static_cast<int>(reader.Number(
       "max_descriptors", kLeastDescriptors, settings.m_max_descriptors));
+  settings.m_tolerated_losses = static_cast<int>(
+      reader.Number("tolerated_losses", 0, settings.m_tolerated_losses));
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
   const auto level = reader.Text("log_level", false);
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -34,6 +34,8 @@
   Duration m_stop_grace = std::chrono::seconds(8);
   /// Sockets, files and pipes that the process may hold.
   int m_max_descriptors = 1024;
+  /// Hosts with a disk that may be lost at once.
+  int m_tolerated_losses = 1;
   /// Processor time that the host has, in cores.
   double m_processor_share = 1.0;
   std::string m_log_level = "info";
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -15,6 +15,7 @@
   "peer_address": "127.0.0.1:3",
   "platform_address": "127.0.0.1:4",
   "processor_share": 0.25,
+  "tolerated_losses": 2,
   "stop_grace_s": 8.5
 })";
 
@@ -30,6 +31,7 @@
   CHECK(settings->m_host == HostId("h1"));
   CHECK(settings->m_stop_grace == std::chrono::milliseconds(8500));
   CHECK(settings->m_processor_share == 0.25);
+  CHECK(settings->m_tolerated_losses == 2);
 }
 
 TEST_CASE("each mistake names its key") {
@@ -38,6 +40,7 @@
                std::tuple("\"h1\"", "\"\"", "host"),
                std::tuple("127.0.0.1:2", "127.0.0.1", "ready_address"),
                std::tuple("8.5", "-1", "stop_grace_s"),
+               std::tuple(": 2,", ": -2,", "tolerated_losses"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -110,5 +110,35 @@
   CHECK_FALSE(LedgerOf(world, "z").m_record.m_bounds.contains(ProgramId("p")));
 }
 
+TEST_CASE("a new lead waits for disk hosts that may hold its ledger") {
+  TestWorld world;
+  const StoredLedger stored{
+      .m_host = HostId("h0"), .m_incarnation = Incarnation(5), .m_write = 1};
+  PutLedger(world, "z", stored);
+  auto kept = stored;
+  kept.m_write = 2;
+  kept.m_record.m_bounds = {{ProgramId("p"), Tokens(40)}};
+  // Both restart: they don't answer the first question.
+  int asked = 0;
+  const auto answer = [&asked, &kept](const Request& request) {
+    if (++asked > 2) {
+      request.m_stream->Write(request.Whole(
+          EncodeJournalEntry({.m_domain = DomainId("z"), .m_ledger = kept})));
+    }
+  };
+  ScriptedEndpoint first(world.m_loop, answer);
+  ScriptedEndpoint second(world.m_loop, answer);
+  for (const auto* disk : {&first, &second}) {
+    world.m_store.Put(
+        "disk-hosts", disk == &first ? "d1" : "d2",
+        EncodeLeadEntry({.m_host = HostId("d"),
+                         .m_incarnation = Incarnation(1),
+                         .m_peer_address = ToText(disk->address())}));
+  }
+  world.AddEndpoint(AnswerTurn);
+  world.Start();
+  CHECK(world.Finish(MakeTurn("r1"))->Status() == 402);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -95,6 +95,7 @@
   auto BecomeIdle() -> void;
   auto AfterClaim(const Result<StoredObject>& stored) -> void;
   auto ReadClaim() -> void;
+  auto BeginAdopting() -> void;
   auto Adopt() -> void;
   auto AfterAdoptRead(const Result<StoredObject>& stored) -> void;
   auto AdoptJournal(const StoredLedger& stored) -> void;
@@ -142,6 +143,7 @@
   int m_announcement = 0;
   /// The lead before this one, which may not know that it was replaced.
   std::optional<KnownLead> m_before;
+  TimePoint m_adopting_since;
   TimePoint m_last_write;
   TimePoint m_retry_at;
   /// The last write failed, and none has succeeded since.
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -18,6 +18,9 @@
 constexpr Duration kYieldTime = std::chrono::milliseconds(800);
 /// One that gave way claims again after this time, if nobody else did.
 constexpr Duration kYieldPause = std::chrono::milliseconds(1500);
+/// Longest wait for disk hosts that may have kept the ledger; they restart in
+/// about a second.
+constexpr Duration kJournalPatience = std::chrono::milliseconds(2000);
 /// A host that couldn't reach the store for its claim waits this long.
 constexpr Duration kClaimRetryWait = std::chrono::milliseconds(1000);
 constexpr Duration kStoreRetryWait = std::chrono::milliseconds(200);
@@ -81,8 +84,7 @@
   m_context.TakeLead({.m_domain = m_context.m_settings.m_domain,
                       .m_entry = *entry,
                       .m_version = stored->m_version});
-  m_phase = Phase::kAdopting;
-  Adopt();
+  BeginAdopting();
 }
 
 /// The claim may have been done all the same.
@@ -117,12 +119,17 @@
       BecomeIdle();
     }
   } else if (!begun) {
-    m_phase = Phase::kAdopting;
-    Adopt();
+    BeginAdopting();
   }
   return true;
 }
 
+auto LeadService::BeginAdopting() -> void {
+  m_phase = Phase::kAdopting;
+  m_adopting_since = SteadyTime();
+  Adopt();
+}
+
 auto LeadService::Adopt() -> void {
   m_writing = true;
   m_context.m_store.Get(ObjectKind::kLedgers,
@@ -165,27 +172,32 @@
 auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
   const auto& domain = m_context.m_settings.m_domain;
   m_writing = true;
-  m_journal.Read(domain, m_context.LeadOf(domain)->m_version, stored,
-                 [this, record = stored.m_record](
-                     const std::optional<JournalEntry>& entry) mutable {
-                   m_writing = false;
-                   if (m_phase != Phase::kAdopting) {
-                     return;
-                   }
-                   if (entry) {
-                     for (const auto& [program, bound] :
-                          entry->m_ledger.m_record.m_bounds) {
-                       auto& known = record.m_bounds[program];
-                       known = std::max(known, bound);
-                     }
-                     LogEvent(
-                         LogEventId::kJournalUsed,
-                         {{"step", "taken_over"},
-                          {"write", std::to_string(entry->m_ledger.m_write)}});
-                   }
-                   AdoptRecord(m_ledger, record, SteadyTime());
-                   WriteAdopted();
-                 });
+  m_journal.Read(
+      domain, m_context.LeadOf(domain)->m_version, stored,
+      [this, record = stored.m_record](const JournalReading& reading) mutable {
+        m_writing = false;
+        if (m_phase != Phase::kAdopting) {
+          return;
+        }
+        const auto now = SteadyTime();
+        const auto patient = now - m_adopting_since < kJournalPatience;
+        if (!reading.m_complete && patient) {
+          m_retry_at = now + kStoreRetryWait;
+          return;
+        }
+        if (const auto& entry = reading.m_newest) {
+          for (const auto& [program, bound] :
+               entry->m_ledger.m_record.m_bounds) {
+            auto& known = record.m_bounds[program];
+            known = std::max(known, bound);
+          }
+          LogEvent(LogEventId::kJournalUsed,
+                   {{"step", "taken_over"},
+                    {"write", std::to_string(entry->m_ledger.m_write)}});
+        }
+        AdoptRecord(m_ledger, record, SteadyTime());
+        WriteAdopted();
+      });
 }
 
 auto LeadService::WriteAdopted() -> void {
--- a/src/libgateway/ledger_journal.cc
+++ b/src/libgateway/ledger_journal.cc
@@ -13,14 +13,13 @@
 constexpr Duration kRefreshRetryWait = std::chrono::seconds(1);
 /// Longest wait for a disk host: a sync takes 5 ms.
 constexpr Duration kDiskTimeout = std::chrono::milliseconds(150);
-/// Disk hosts that have an entry before it counts as secured.
-constexpr int kCopies = 2;
 
 /// Answers of all disk hosts to one call.
 struct Round {
   int m_open = 0;
+  /// Of a write, hosts that have it; of a reading, hosts without an answer.
   int m_done = 0;
-  std::optional<JournalEntry> m_newest;
+  JournalReading m_reading;
 };
 
 }  // namespace
@@ -63,14 +62,15 @@
   auto round = std::make_shared<Round>();
   round->m_open = static_cast<int>(m_addresses.size());
   const auto body = EncodeJournalEntry(entry);
-  const auto answered = [round, done = std::move(done)](bool stored) {
+  const auto answered = [round, copies = Copies(),
+                         done = std::move(done)](bool stored) {
     --round->m_open;
     const auto before = round->m_done;
     round->m_done += stored ? 1 : 0;
-    const auto secured = round->m_done == kCopies && before < kCopies;
+    const auto secured = round->m_done == copies && before < copies;
     if (secured) {
       done(true);
-    } else if (round->m_open == 0 && round->m_done < kCopies) {
+    } else if (round->m_open == 0 && round->m_done < copies) {
       done(round->m_done > 0);
     }
   };
@@ -86,7 +86,7 @@
 auto LedgerJournal::Read(const DomainId& domain,
                          ResourceVersion claim,
                          const StoredLedger& stored,
-                         std::function<void(std::optional<JournalEntry>)> done)
+                         std::function<void(const JournalReading&)> done)
     -> void {
   ListDiskHosts([this, domain, claim, stored, done = std::move(done)] {
     AskDiskHosts({.m_domain = domain, .m_claim = claim}, stored, done);
@@ -96,33 +96,35 @@
 auto LedgerJournal::AskDiskHosts(
     const JournalEntry& question,
     const StoredLedger& stored,
-    const std::function<void(std::optional<JournalEntry>)>& done) -> void {
+    const std::function<void(const JournalReading&)>& done) -> void {
   if (m_addresses.empty()) {
-    done(std::nullopt);
+    done({});
     return;
   }
   auto round = std::make_shared<Round>();
   round->m_open = static_cast<int>(m_addresses.size());
-  const auto answered = [round, stored,
-                         done](const Result<JournalEntry>& entry) {
+  const auto answered = [round, stored, done,
+                         copies = Copies()](const Result<std::string>& reply) {
+    round->m_done += reply ? 0 : 1;
+    const auto entry = reply.and_then(DecodeJournalEntry);
+    auto& newest = round->m_reading.m_newest;
     const auto newer = entry &&
                        entry->m_ledger.m_incarnation == stored.m_incarnation &&
                        entry->m_ledger.m_write > stored.m_write;
-    if (newer && (!round->m_newest || entry->m_ledger.m_write >
-                                          round->m_newest->m_ledger.m_write)) {
-      round->m_newest = *entry;
+    if (newer &&
+        (!newest || entry->m_ledger.m_write > newest->m_ledger.m_write)) {
+      newest = *entry;
     }
     if (--round->m_open == 0) {
-      done(round->m_newest);
+      round->m_reading.m_complete = round->m_done < copies;
+      done(round->m_reading);
     }
   };
   const auto body = EncodeJournalEntry(question);
   const auto addresses = m_addresses;
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peers, address, kJournalReadPath,
-             body, kDiskTimeout, [answered](const Result<std::string>& reply) {
-               answered(reply.and_then(DecodeJournalEntry));
-             });
+             body, kDiskTimeout, answered);
   }
 }
 
--- a/src/libgateway/ledger_journal.h
+++ b/src/libgateway/ledger_journal.h
@@ -11,11 +11,19 @@
 
 /// @file
 /// A lead's way to the disk hosts, which keep its ledger while the store can't
-/// be written. An entry is secured when two disk hosts have it, or one when no
-/// other answers.
+/// be written. An entry is secured when one disk host more has it than may be
+/// lost at once, or when all that answer have it.
 
 namespace dotterelshed {
 
+/// What the disk hosts know of a domain's ledger.
+struct JournalReading {
+  /// The newest entry that the stored ledger's writer made after it.
+  std::optional<JournalEntry> m_newest;
+  /// False when so many disk hosts don't answer that only they may have one.
+  bool m_complete = true;
+};
+
 class LedgerJournal {
  public:
   explicit LedgerJournal(EntryContext& context);
@@ -26,18 +34,22 @@
   auto ListDiskHosts(std::function<void()> done) -> void;
   /// Stores an entry; @p done gets whether it is secured.
   auto Write(const JournalEntry& entry, std::function<void(bool)> done) -> void;
-  /// The newest entry of the domain that any disk host has and that the stored
-  /// ledger's writer made after it; nothing if there is none.
+  /// Reads what was written under a claim up to @p claim; later writes of
+  /// earlier claims are refused from then on.
   auto Read(const DomainId& domain,
             ResourceVersion claim,
             const StoredLedger& stored,
-            std::function<void(std::optional<JournalEntry>)> done) -> void;
+            std::function<void(const JournalReading&)> done) -> void;
 
  private:
-  auto AskDiskHosts(
-      const JournalEntry& question,
-      const StoredLedger& stored,
-      const std::function<void(std::optional<JournalEntry>)>& done) -> void;
+  auto AskDiskHosts(const JournalEntry& question,
+                    const StoredLedger& stored,
+                    const std::function<void(const JournalReading&)>& done)
+      -> void;
+  /// Disk hosts that have an entry before it counts as secured.
+  auto Copies() const -> int {
+    return m_context.m_settings.m_tolerated_losses + 1;
+  }
 
   EntryContext& m_context;
   std::vector<std::string> m_addresses;
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -193,6 +193,7 @@
       found->second.m_recorded = bound;
       found->second.m_recording.reset();
       found->second.m_on_record = true;
+      found->second.m_has_advance = false;
     }
   }
 }
@@ -210,6 +211,7 @@
     if (account.m_on_record || !account.m_unheard) {
       account.m_recorded = bound;
       account.m_recording.reset();
+      account.m_has_advance = false;
     }
   }
 }
