One copy of statuses, of address text, of field text and of the list loop

Change: http_status.h, FormatTcpAddress beside ParseTcpAddress, CheckedAddress beside the settings, FieldText and ForEachPart beside FindField; all callers use them. Behaviour is unchanged.

--- a/soak/service_standins.cc
+++ b/soak/service_standins.cc
@@ -12,11 +12,6 @@
 constexpr Duration kEventGap = std::chrono::milliseconds(30);
 constexpr Duration kPlainWork = std::chrono::milliseconds(60);
 
-auto FieldText(const HttpFields& fields, std::string_view name) -> std::string {
-  const auto* value = FindField(fields, name);
-  return value == nullptr ? "" : *value;
-}
-
 }  // namespace
 
 auto EventCount(const std::string& request) -> int {
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -29,10 +29,6 @@
 constexpr double kServedAgain = 0.95;
 constexpr int kCallersPerDomain = 4;
 
-auto ToText(const TcpAddress& address) -> std::string {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 }  // namespace
 
 SoakWorld::SoakWorld(const SoakOptions& options)
@@ -116,7 +112,7 @@
       [&endpoint](const auto& one) { return one.get() == &endpoint; });
   m_store.Put("servers", endpoint.id(),
               {{"service", endpoint.service()},
-               {"address", ToText((*found)->link().address())},
+               {"address", FormatTcpAddress((*found)->link().address())},
                {"zone", "a"},
                {"slots", 8},
                {"state", draining ? "draining" : "ready"}});
@@ -143,12 +139,12 @@
       {"role", role},
       {"host", name},
       {"domain", domain},
-      {"peer_address", ToText(ReserveAddress())},
-      {"platform_address", ToText(host->m_store_link->address())}};
+      {"peer_address", FormatTcpAddress(ReserveAddress())},
+      {"platform_address", FormatTcpAddress(host->m_store_link->address())}};
   if (role == "entry") {
     const auto callers = ReserveAddress();
-    settings["caller_address"] = ToText(callers);
-    settings["ready_address"] = ToText(ReserveAddress());
+    settings["caller_address"] = FormatTcpAddress(callers);
+    settings["ready_address"] = FormatTcpAddress(ReserveAddress());
     host->m_caller_link = std::make_unique<LoopbackProxy>(m_loop, callers);
     m_doors.push_back({name, domain, host->m_caller_link->address()});
   } else {
--- a/src/include/dotterelshed/byte_stream.h
+++ b/src/include/dotterelshed/byte_stream.h
@@ -25,6 +25,9 @@
 /// Parses "IP:port". Errors: kInvalidArgument.
 auto ParseTcpAddress(std::string_view text) -> Result<TcpAddress>;
 
+/// "IP:port".
+auto FormatTcpAddress(const TcpAddress& address) -> std::string;
+
 /// How the other side ended a connection.
 enum class StreamEnd {
   kClosed,  ///< In order: all of its bytes have arrived.
--- a/src/include/dotterelshed/http_message.h
+++ b/src/include/dotterelshed/http_message.h
@@ -48,6 +48,22 @@
 auto FindField(const HttpFields& fields, std::string_view name)
     -> const std::string*;
 
+/// The value of the first field of that name; empty if there is none.
+auto FieldText(const HttpFields& fields, std::string_view name) -> std::string;
+
+/// Calls @p take with each part of a comma-separated value.
+template <typename Take>
+auto ForEachPart(std::string_view value, Take take) -> void {
+  while (!value.empty()) {
+    const auto comma = value.find(',');
+    take(value.substr(0, comma));
+    if (comma == std::string_view::npos) {
+      return;
+    }
+    value.remove_prefix(comma + 1);
+  }
+}
+
 /// Number of fields of that name.
 auto CountFields(const HttpFields& fields, std::string_view name) -> int;
 
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -11,14 +12,6 @@
 
 namespace {
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusBadRequest = 400;
-constexpr int kStatusTimeout = 408;
-constexpr int kStatusMisdirected = 421;
-constexpr int kStatusTooMany = 429;
-constexpr int kStatusBadGateway = 502;
-constexpr int kStatusUnavailable = 503;
-constexpr int kStatusGatewayTimeout = 504;
 constexpr int kFirstServerError = 500;
 
 /// Part of a route's timeout that is kept for the way back to the caller.
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -1,5 +1,6 @@
 #include "disk_host.h"
 
+#include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
@@ -8,28 +9,20 @@
 
 namespace {
 
-constexpr int kStatusOk = 200;
 constexpr Duration kRegisterRetryWait = std::chrono::milliseconds(500);
 constexpr Duration kTick = std::chrono::milliseconds(500);
 
-auto AddressOf(const std::string& text) -> TcpAddress {
-  // Checked when the settings were read.
-  const auto address = ParseTcpAddress(text);
-  DOTTERELSHED_CHECK(address.has_value());
-  return *address;
-}
-
 /// Status that tells a peer how a journal call ended.
 auto StatusOf(const Error& error) -> int {
   switch (error.m_code) {
     case ErrorCode::kConflict:
-      return 409;
+      return kStatusConflict;
     case ErrorCode::kNotFound:
-      return 404;
+      return kStatusNotFound;
     case ErrorCode::kInvalidArgument:
-      return 400;
+      return kStatusBadRequest;
     default:
-      return 503;
+      return kStatusUnavailable;
   }
 }
 
@@ -38,7 +31,7 @@
 DiskHost::DiskHost(EventLoop& loop, const EntrySettings& settings)
     : m_loop(loop),
       m_settings(settings),
-      m_store(loop, {.m_address = AddressOf(settings.m_platform_address)}),
+      m_store(loop, {.m_address = CheckedAddress(settings.m_platform_address)}),
       m_peers(loop,
               [this](const std::shared_ptr<ServerConnection>& connection,
                      const IncomingRequest& request) {
@@ -67,7 +60,7 @@
 }
 
 auto DiskHost::Start() -> Status {
-  auto listening = m_peers.Listen(AddressOf(m_settings.m_peer_address));
+  auto listening = m_peers.Listen(CheckedAddress(m_settings.m_peer_address));
   if (!listening) {
     return listening;
   }
@@ -83,12 +76,11 @@
 }
 
 auto DiskHost::Register() -> void {
-  const auto peer = peer_address();
-  StoredObject object{.m_name = m_settings.m_host.value(),
-                      .m_spec = EncodeLeadEntry(
-                          {.m_host = m_settings.m_host,
-                           .m_peer_address = peer.address().to_string() + ":" +
-                                             std::to_string(peer.port())})};
+  StoredObject object{
+      .m_name = m_settings.m_host.value(),
+      .m_spec = EncodeLeadEntry(
+          {.m_host = m_settings.m_host,
+           .m_peer_address = FormatTcpAddress(peer_address())})};
   m_store.Replace(ObjectKind::kDiskHosts, object,
                   [this, object](const Result<StoredObject>& stored) {
                     if (stored) {
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -16,10 +17,6 @@
 namespace {
 
 constexpr std::string_view kMetricsPath = "/metrics";
-constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusUnavailable = 503;
 
 /// Precision of all time limits that aren't timers of their own.
 constexpr Duration kTick = std::chrono::milliseconds(25);
@@ -46,13 +43,6 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
-auto AddressOrDie(const std::string& text) -> TcpAddress {
-  // Checked when the settings were read.
-  const auto address = ParseTcpAddress(text);
-  DOTTERELSHED_CHECK(address.has_value());
-  return *address;
-}
-
 }  // namespace
 
 EntryHost::EntryHost(EventLoop& loop, const EntrySettings& settings)
@@ -61,7 +51,7 @@
                 .m_incarnation = RandomIncarnation(),
                 .m_store = ObjectStore(
                     loop,
-                    {.m_address = AddressOrDie(settings.m_platform_address)}),
+                    {.m_address = CheckedAddress(settings.m_platform_address)}),
                 .m_endpoints = EndpointPool(loop, {}),
                 .m_peers = EndpointPool(loop, {}),
                 .m_random = std::mt19937_64(std::random_device()())},
@@ -151,15 +141,14 @@
        {std::pair(&m_peers, &settings.m_peer_address),
         std::pair(&m_callers, &settings.m_caller_address),
         std::pair(&m_readiness, &settings.m_ready_address)}) {
-    auto listening = listener->Listen(AddressOrDie(*address));
+    auto listening = listener->Listen(CheckedAddress(*address));
     if (!listening) {
       return listening;
     }
   }
   // The port may have been left to the system.
-  const auto peer = m_peers.local_address();
   m_context.m_settings.m_peer_address =
-      peer.address().to_string() + ":" + std::to_string(peer.port());
+      FormatTcpAddress(m_peers.local_address());
   m_config_follower->Start();
   m_endpoint_follower->Start();
   m_lead_follower->Start();
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -132,4 +132,10 @@
   return settings;
 }
 
+auto CheckedAddress(const std::string& text) -> TcpAddress {
+  const auto address = ParseTcpAddress(text);
+  DOTTERELSHED_CHECK(address.has_value());
+  return *address;
+}
+
 }  // namespace dotterelshed
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "dotterelshed/byte_stream.h"
 #include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
@@ -46,6 +47,9 @@
 auto ParseEntrySettings(std::string_view text, std::string_view file)
     -> Result<EntrySettings>;
 
+/// An address of settings that have been checked.
+auto CheckedAddress(const std::string& text) -> TcpAddress;
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_ENTRY_SETTINGS_H_
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -30,7 +30,7 @@
       "leads", "a",
       EncodeLeadEntry({.m_host = HostId("h2"),
                        .m_incarnation = Incarnation(1),
-                       .m_peer_address = ToText(lead.address())}));
+                       .m_peer_address = FormatTcpAddress(lead.address())}));
 }
 
 auto PutLedger(TestWorld& world,
@@ -133,7 +133,7 @@
         "disk-hosts", disk == &first ? "d1" : "d2",
         EncodeLeadEntry({.m_host = HostId("d"),
                          .m_incarnation = Incarnation(1),
-                         .m_peer_address = ToText(disk->address())}));
+                         .m_peer_address = FormatTcpAddress(disk->address())}));
   }
   world.AddEndpoint(AnswerTurn);
   world.Start();
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead_takeover_unittest.cc
@@ -27,11 +27,12 @@
              const std::string& host,
              const ScriptedEndpoint& lead,
              double processor_share = 1.0) -> void {
-  world.m_store.Put("leads", "z",
-                    EncodeLeadEntry({.m_host = HostId(host),
-                                     .m_incarnation = Incarnation(1),
-                                     .m_peer_address = ToText(lead.address()),
-                                     .m_processor_share = processor_share}));
+  world.m_store.Put(
+      "leads", "z",
+      EncodeLeadEntry({.m_host = HostId(host),
+                       .m_incarnation = Incarnation(1),
+                       .m_peer_address = FormatTcpAddress(lead.address()),
+                       .m_processor_share = processor_share}));
 }
 
 auto LeadHost(TestWorld& world) -> std::string {
--- a/src/libgateway/peer_call.cc
+++ b/src/libgateway/peer_call.cc
@@ -4,12 +4,12 @@
 #include <utility>
 
 #include "dotterelshed/http_message.h"
+#include "dotterelshed/http_status.h"
 
 namespace dotterelshed {
 
 namespace {
 
-constexpr int kStatusOk = 200;
 constexpr Duration kMaxPeerIdle = std::chrono::seconds(20);
 
 /// One call until its reply has been given.
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -25,10 +25,6 @@
   return {boost::asio::ip::address_v4::loopback(), 0};
 }
 
-inline auto ToText(const TcpAddress& address) -> std::string {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 /// Accepts connections and hands each request to the test.
 class ScriptedEndpoint {
  public:
@@ -40,8 +36,7 @@
     int m_number = 0;
 
     auto Field(std::string_view name) const -> std::string {
-      const auto* value = FindField(m_head.m_fields, name);
-      return value == nullptr ? "" : *value;
+      return FieldText(m_head.m_fields, name);
     }
     /// Status line and the fields that every endpoint sends.
     auto Head(int status, const std::string& more) const -> std::string {
@@ -163,7 +158,7 @@
     const auto name = "e" + std::to_string(m_endpoints.size());
     m_store.Put("servers", name,
                 {{"service", "s"},
-                 {"address", ToText(m_endpoints.back()->address())},
+                 {"address", FormatTcpAddress(m_endpoints.back()->address())},
                  {"zone", "z"},
                  {"slots", 4},
                  {"state", "ready"}});
@@ -177,7 +172,7 @@
     settings.m_domain = DomainId("z");
     settings.m_role = HostRole::kDisk;
     settings.m_peer_address = "127.0.0.1:0";
-    settings.m_platform_address = ToText(m_store.address());
+    settings.m_platform_address = FormatTcpAddress(m_store.address());
     settings.m_data_dir = folder;
     m_disk_hosts.push_back(std::make_unique<DiskHost>(m_loop, settings));
     REQUIRE(m_disk_hosts.back()->Start());
@@ -199,7 +194,7 @@
     settings.m_caller_address = "127.0.0.1:0";
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
-    settings.m_platform_address = ToText(m_store.address());
+    settings.m_platform_address = FormatTcpAddress(m_store.address());
     m_host = std::make_unique<EntryHost>(m_loop, settings);
     REQUIRE(m_host->Start());
     RunUntil([this] { return m_host->ready(); });
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -45,6 +45,10 @@
               std::string(text));
 }
 
+auto FormatTcpAddress(const TcpAddress& address) -> std::string {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 ByteStream::ByteStream(TcpSocket socket) : m_socket(std::move(socket)) {
   ErrorCodeIn error;
   m_socket.non_blocking(true, error);
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
@@ -89,13 +90,13 @@
       }
       return;
     case ParseState::kMalformed:
-      Refuse(400);
+      Refuse(kStatusBadRequest);
       return;
     case ParseState::kHeaderTooLarge:
-      Refuse(431);
+      Refuse(kStatusHeaderTooLarge);
       return;
     case ParseState::kBodyTooLarge:
-      Refuse(413);
+      Refuse(kStatusBodyTooLarge);
       return;
     case ParseState::kDone:
       break;
@@ -244,7 +245,7 @@
   const auto& limits = m_listener->m_limits;
   if (m_parser->started()) {
     if (now - m_since > limits.m_header_timeout) {
-      Refuse(408);
+      Refuse(kStatusTimeout);
     }
     return;
   }
@@ -293,9 +294,8 @@
     m_acceptor.listen(kListenBacklog, error);
   }
   if (error) {
-    return Fail(
-        ErrorCode::kUnavailable, error.message(),
-        address.address().to_string() + ":" + std::to_string(address.port()));
+    return Fail(ErrorCode::kUnavailable, error.message(),
+                FormatTcpAddress(address));
   }
   Accept();
   return {};
--- a/src/libhttp/http_message.cc
+++ b/src/libhttp/http_message.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <cctype>
 
+#include "dotterelshed/http_status.h"
+
 namespace dotterelshed {
 
 namespace {
@@ -74,6 +76,11 @@
   return nullptr;
 }
 
+auto FieldText(const HttpFields& fields, std::string_view name) -> std::string {
+  const auto* value = FindField(fields, name);
+  return value == nullptr ? std::string() : *value;
+}
+
 auto CountFields(const HttpFields& fields, std::string_view name) -> int {
   return static_cast<int>(std::count_if(
       fields.begin(), fields.end(), [name](const HttpField& field) {
@@ -82,17 +89,11 @@
 }
 
 auto HasToken(std::string_view value, std::string_view token) -> bool {
-  while (!value.empty()) {
-    const auto comma = value.find(',');
-    if (EqualsIgnoringCase(Trim(value.substr(0, comma)), token)) {
-      return true;
-    }
-    if (comma == std::string_view::npos) {
-      return false;
-    }
-    value.remove_prefix(comma + 1);
-  }
-  return false;
+  auto found = false;
+  ForEachPart(value, [&found, token](std::string_view part) {
+    found = found || EqualsIgnoringCase(Trim(part), token);
+  });
+  return found;
 }
 
 auto EndToEndFields(const HttpFields& fields) -> HttpFields {
@@ -139,25 +140,25 @@
 
 auto ReasonPhrase(int status) -> std::string_view {
   switch (status) {
-    case 200:
+    case kStatusOk:
       return "OK";
-    case 400:
+    case kStatusBadRequest:
       return "Bad Request";
     case 402:
       return "Payment Required";
-    case 404:
+    case kStatusNotFound:
       return "Not Found";
-    case 408:
+    case kStatusTimeout:
       return "Request Timeout";
-    case 413:
+    case kStatusBodyTooLarge:
       return "Content Too Large";
-    case 431:
+    case kStatusHeaderTooLarge:
       return "Request Header Fields Too Large";
-    case 502:
+    case kStatusBadGateway:
       return "Bad Gateway";
-    case 503:
+    case kStatusUnavailable:
       return "Service Unavailable";
-    case 504:
+    case kStatusGatewayTimeout:
       return "Gateway Timeout";
     default:
       return "Status";
