Followers, peer messages and leads' entries: one piece each

Found when the change was read once more: three followers unrolled the same two loops and an empty handler; five peer calls repeated 'decode or answer 400'; an entry of the store became a lead in three places, of which two dropped an unreadable one without a log line; two writes built the ledger by hand; bounds were merged in the product and again in its walk; three callers guarded DecideWaiting with the same condition. Change: TakeEachObject, TakeMessage, DecodeOrReject, LeadService::NoteLeadObject and NextLedger, RaiseBounds in the ledger; the guard stands in DecideWaiting itself. Tests: gateway and ledger pass.

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -98,6 +98,10 @@
   std::vector<RunningTurn> m_running;
 };
 
+/// Raises the bounds of @p record to those of another record of the same
+/// domain, which may have been kept elsewhere.
+auto RaiseBounds(LedgerRecord& record, const LedgerRecord& other) -> void;
+
 struct ProgramLedger {
   LedgerOptions m_options;
   std::map<ProgramId, ProgramAccount> m_accounts;
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -42,21 +42,8 @@
       m_tick_timer(loop) {
   m_follower = std::make_shared<KindFollower>(
       loop, m_store, FollowerOptions{.m_kind = ObjectKind::kRetirements},
-      FollowerHandlers{.m_on_listing =
-                           [this](const ObjectListing& listing) {
-                             for (const auto& object : listing.m_objects) {
-                               TakeRetirement(object);
-                             }
-                           },
-                       .m_on_changes =
-                           [this](const ObjectChanges& changes) {
-                             for (const auto& change : changes.m_changes) {
-                               if (!change.m_removed) {
-                                 TakeRetirement(change.m_object);
-                               }
-                             }
-                           },
-                       .m_on_reachable = [](bool /*reachable*/) {}});
+      TakeEachObject(
+          [this](const StoredObject& object) { TakeRetirement(object); }));
 }
 
 auto DiskHost::Start() -> Status {
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -43,6 +43,31 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
+/// An entry that another writer spoiled names no endpoint to use.
+auto DecodeOrReject(const StoredObject& object)
+    -> std::optional<EndpointEntry> {
+  auto entry = DecodeEndpoint(object);
+  if (!entry) {
+    LogEvent(
+        LogEventId::kEndpointRejected,
+        {{"endpoint", object.m_name}, {"reason", entry.error().m_message}});
+    return std::nullopt;
+  }
+  return std::move(*entry);
+}
+
+/// Hands a peer's message on, or answers that it can't be read.
+template <typename T, typename Take>
+auto TakeMessage(const std::shared_ptr<ServerConnection>& connection,
+                 const Result<T>& message,
+                 Take take) -> void {
+  if (message) {
+    take(*message);
+  } else {
+    connection->Answer(kStatusBadRequest, {}, message.error().m_message);
+  }
+}
+
 }  // namespace
 
 EntryHost::EntryHost(EventLoop& loop, const EntrySettings& settings)
@@ -87,19 +112,8 @@
   };
   m_config_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kConfig},
-      FollowerHandlers{.m_on_listing =
-                           [this](const ObjectListing& listing) {
-                             for (const auto& object : listing.m_objects) {
-                               TakeConfig(object);
-                             }
-                           },
-                       .m_on_changes =
-                           [this](const ObjectChanges& changes) {
-                             for (const auto& change : changes.m_changes) {
-                               TakeConfig(change.m_object);
-                             }
-                           },
-                       .m_on_reachable = [](bool /*reachable*/) {}});
+      TakeEachObject(
+          [this](const StoredObject& object) { TakeConfig(object); }));
   m_endpoint_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store,
       FollowerOptions{.m_kind = ObjectKind::kEndpoints,
@@ -116,22 +130,9 @@
           .m_on_reachable = on_reachable});
   m_lead_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kLeads},
-      FollowerHandlers{.m_on_listing =
-                           [this](const ObjectListing& listing) {
-                             for (const auto& object : listing.m_objects) {
-                               TakeLead(object);
-                             }
-                           },
-                       .m_on_changes =
-                           [this](const ObjectChanges& changes) {
-                             for (const auto& change : changes.m_changes) {
-                               // Leads are replaced, never removed.
-                               if (!change.m_removed) {
-                                 TakeLead(change.m_object);
-                               }
-                             }
-                           },
-                       .m_on_reachable = [](bool /*reachable*/) {}});
+      TakeEachObject([this](const StoredObject& object) {
+        m_lead.NoteLeadObject(object);
+      }));
 }
 
 auto EntryHost::Start() -> Status {
@@ -212,10 +213,8 @@
     RemoveEndpoint(directory, id, now);
     return;
   }
-  auto entry = DecodeEndpoint(object);
+  auto entry = DecodeOrReject(object);
   if (!entry) {
-    LogEvent(LogEventId::kEndpointRejected,
-             {{"endpoint", id.value()}, {"reason", entry.error().m_message}});
     RemoveEndpoint(directory, id, now);
     return;
   }
@@ -240,30 +239,13 @@
 auto EntryHost::TakeEndpoints(const ObjectListing& listing) -> void {
   std::vector<EndpointEntry> entries;
   for (const auto& object : listing.m_objects) {
-    if (auto entry = DecodeEndpoint(object)) {
+    if (auto entry = DecodeOrReject(object)) {
       entries.push_back(std::move(*entry));
-    } else {
-      LogEvent(
-          LogEventId::kEndpointRejected,
-          {{"endpoint", object.m_name}, {"reason", entry.error().m_message}});
     }
   }
   ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
 }
 
-auto EntryHost::TakeLead(const StoredObject& object) -> void {
-  const auto entry = DecodeLeadEntry(object.m_spec);
-  if (!entry) {
-    LogEvent(
-        LogEventId::kLeadClaimFailed,
-        {{"code", "invalid_argument"}, {"reason", entry.error().m_message}});
-    return;
-  }
-  m_lead.NoteLead({.m_domain = DomainId(object.m_name),
-                   .m_entry = *entry,
-                   .m_version = object.m_version});
-}
-
 // Requests.
 
 auto EntryHost::OnCaller(const std::shared_ptr<ServerConnection>& connection,
@@ -329,62 +311,54 @@
                        FormatMetrics());
     return;
   }
+  const auto& body = request.m_body;
   if (target == kGrantPath) {
-    const auto question = DecodeGrantQuestion(request.m_body);
-    if (!question) {
-      connection->Answer(400, {}, question.error().m_message);
-      return;
-    }
-    m_lead.Ask(*question, [connection](const GrantAnswer& answer) {
-      connection->Answer(kStatusOk, {}, EncodeGrantAnswer(answer));
-    });
-    return;
-  }
-  if (target == kSettlePath) {
-    const auto settlements = DecodeSettlements(request.m_body);
-    if (!settlements) {
-      connection->Answer(400, {}, settlements.error().m_message);
-      return;
-    }
-    const auto taken = m_lead.Settle(*settlements);
-    connection->Answer(taken ? kStatusOk : kStatusConflict, {}, "");
-    return;
-  }
-  if (target == kFindPath) {
-    const auto question = DecodeFindQuestion(request.m_body);
-    if (!question) {
-      connection->Answer(400, {}, question.error().m_message);
-      return;
-    }
-    connection->Answer(kStatusOk, {}, EncodeFindAnswer(m_lead.Find(*question)));
-    return;
-  }
-  if (target == kLeadPath) {
-    const auto lead = DecodeKnownLead(request.m_body);
-    if (!lead) {
-      connection->Answer(400, {}, lead.error().m_message);
-      return;
-    }
-    m_lead.NoteLead(*lead);
-    connection->Answer(kStatusOk, {}, "");
-    return;
+    TakeMessage(connection, DecodeGrantQuestion(body),
+                [this, &connection](const GrantQuestion& question) {
+                  m_lead.Ask(question, [connection](const GrantAnswer& answer) {
+                    connection->Answer(kStatusOk, {},
+                                       EncodeGrantAnswer(answer));
+                  });
+                });
+  } else if (target == kSettlePath) {
+    TakeMessage(connection, DecodeSettlements(body),
+                [this, &connection](const std::vector<TurnSettlement>& list) {
+                  const auto taken = m_lead.Settle(list);
+                  connection->Answer(taken ? kStatusOk : kStatusConflict, {},
+                                     "");
+                });
+  } else if (target == kFindPath) {
+    TakeMessage(connection, DecodeFindQuestion(body),
+                [this, &connection](const FindQuestion& question) {
+                  connection->Answer(kStatusOk, {},
+                                     EncodeFindAnswer(m_lead.Find(question)));
+                });
+  } else if (target == kLeadPath) {
+    TakeMessage(connection, DecodeKnownLead(body),
+                [this, &connection](const KnownLead& lead) {
+                  m_lead.NoteLead(lead);
+                  connection->Answer(kStatusOk, {}, "");
+                });
+  } else if (target == kYieldPath) {
+    TakeMessage(connection, DecodeKnownLead(body),
+                [this, &connection](const KnownLead& lead) {
+                  OnYieldQuestion(connection, lead);
+                });
+  } else {
+    connection->Answer(kStatusNotFound, {}, "");
   }
-  if (target == kYieldPath) {
-    const auto lead = DecodeKnownLead(request.m_body);
-    if (!lead) {
-      connection->Answer(400, {}, lead.error().m_message);
-      return;
-    }
-    if (!m_context.IsNewest(lead->m_domain, *lead)) {
-      connection->Answer(kStatusConflict, {}, "");
-      return;
-    }
-    m_lead.Yield("larger_host", [connection](bool done) {
-      connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
-    });
+}
+
+auto EntryHost::OnYieldQuestion(
+    const std::shared_ptr<ServerConnection>& connection,
+    const KnownLead& lead) -> void {
+  if (!m_context.IsNewest(lead.m_domain, lead)) {
+    connection->Answer(kStatusConflict, {}, "");
     return;
   }
-  connection->Answer(kStatusNotFound, {}, "");
+  m_lead.Yield("larger_host", [connection](bool done) {
+    connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
+  });
 }
 
 // Time.
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -43,6 +43,8 @@
                            const IncomingRequest& request) -> void;
   auto OnPeer(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request) -> void;
+  auto OnYieldQuestion(const std::shared_ptr<ServerConnection>& connection,
+                       const KnownLead& lead) -> void;
   auto Refuse(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request,
               int status,
@@ -51,7 +53,6 @@
   auto TakeConfig(const StoredObject& object) -> void;
   auto TakeEndpoint(const StoredObject& object, bool removed) -> void;
   auto TakeEndpoints(const ObjectListing& listing) -> void;
-  auto TakeLead(const StoredObject& object) -> void;
   auto ApplyLimits() -> void;
 
   auto Tick() -> void;
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -16,6 +16,25 @@
 
 }  // namespace
 
+auto TakeEachObject(std::function<void(const StoredObject&)> take)
+    -> FollowerHandlers {
+  return {.m_on_listing =
+              [take](const ObjectListing& listing) {
+                for (const auto& object : listing.m_objects) {
+                  take(object);
+                }
+              },
+          .m_on_changes =
+              [take](const ObjectChanges& changes) {
+                for (const auto& change : changes.m_changes) {
+                  if (!change.m_removed) {
+                    take(change.m_object);
+                  }
+                }
+              },
+          .m_on_reachable = {}};
+}
+
 KindFollower::KindFollower(EventLoop& loop,
                            ObjectStore& store,
                            const FollowerOptions& options,
@@ -131,7 +150,9 @@
     LogEvent(LogEventId::kPlatformBack,
              {{"kind", std::string(KindName(m_options.m_kind))}});
   }
-  m_handlers.m_on_reachable(reachable);
+  if (m_handlers.m_on_reachable) {
+    m_handlers.m_on_reachable(reachable);
+  }
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -24,10 +24,15 @@
   /// A complete listing; replaces what was known.
   std::function<void(const ObjectListing&)> m_on_listing;
   std::function<void(const ObjectChanges&)> m_on_changes;
-  /// The store stopped answering, or answers again.
+  /// The store stopped answering, or answers again; may be empty.
   std::function<void(bool)> m_on_reachable;
 };
 
+/// Handlers for a kind whose objects are replaced but never taken back: each
+/// one goes to @p take, whether listed or changed.
+auto TakeEachObject(std::function<void(const StoredObject&)> take)
+    -> FollowerHandlers;
+
 class KindFollower : public std::enable_shared_from_this<KindFollower> {
  public:
   KindFollower(EventLoop& loop,
--- a/src/libgateway/lead_record.cc
+++ b/src/libgateway/lead_record.cc
@@ -24,15 +24,18 @@
 
 }  // namespace
 
+auto LeadService::NextLedger(const LedgerRecord& record) -> StoredLedger {
+  return {.m_host = m_context.m_settings.m_host,
+          .m_incarnation = m_context.m_incarnation,
+          .m_write = ++m_write,
+          .m_fence = m_fence,
+          .m_record = record};
+}
+
 auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
-  return {
-      .m_name = m_context.m_settings.m_domain.value(),
-      .m_version = m_ledger_version,
-      .m_spec = EncodeStoredLedger({.m_host = m_context.m_settings.m_host,
-                                    .m_incarnation = m_context.m_incarnation,
-                                    .m_write = ++m_write,
-                                    .m_fence = m_fence,
-                                    .m_record = record})};
+  return {.m_name = m_context.m_settings.m_domain.value(),
+          .m_version = m_ledger_version,
+          .m_spec = EncodeStoredLedger(NextLedger(record))};
 }
 
 auto LeadService::WriteJournal(TimePoint now) -> void {
@@ -43,14 +46,9 @@
   m_last_write = now;
   const auto& domain = m_context.m_settings.m_domain;
   auto record = BeginRecord(m_ledger, now);
-  const JournalEntry entry{
-      .m_domain = domain,
-      .m_claim = m_context.LeadOf(domain)->m_version,
-      .m_ledger = {.m_host = m_context.m_settings.m_host,
-                   .m_incarnation = m_context.m_incarnation,
-                   .m_write = ++m_write,
-                   .m_fence = m_fence,
-                   .m_record = record}};
+  const JournalEntry entry{.m_domain = domain,
+                           .m_claim = m_context.LeadOf(domain)->m_version,
+                           .m_ledger = NextLedger(record)};
   m_journal.Write(entry, [this, record = std::move(record)](bool secured) {
     m_writing = false;
     if (m_phase != Phase::kActive) {
@@ -108,7 +106,7 @@
   NoteRecorded(m_ledger, write.m_record);
   if (write.m_last && m_yielded) {
     FinishYield(true);
-  } else if (!m_yielded) {
+  } else {
     DecideWaiting();
   }
 }
@@ -171,9 +169,7 @@
   LogEvent(LogEventId::kLedgerFenced,
            {{"domain", m_context.m_settings.m_domain.value()},
             {"fence", std::to_string(fence)}});
-  if (!m_yielded) {
-    DecideWaiting();
-  }
+  DecideWaiting();
 }
 
 auto LeadService::LoseStore() -> void {
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -199,6 +199,10 @@
 }
 
 auto LeadService::DecideWaiting() -> void {
+  if (m_yielded) {
+    // The next lead decides them, or this one when it goes on.
+    return;
+  }
   for (const auto& one : std::exchange(m_waiting, {})) {
     Decide(one);
   }
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -49,6 +49,8 @@
   /// Takes a lead that the store or another host names. Returns false when it
   /// is older than what is known.
   auto NoteLead(const KnownLead& lead) -> bool;
+  /// The same for an entry of the store; one that can't be read is logged.
+  auto NoteLeadObject(const StoredObject& object) -> void;
   /// True when this host leads and its ledger is in force.
   auto active() const -> bool { return m_phase == Phase::kActive; }
   /// True when it leads or is about to.
@@ -129,6 +131,8 @@
   auto DecideWaiting() -> void;
   auto AnswerLate(TimePoint now) -> void;
   auto ForgetOld(TimePoint now) -> void;
+  /// The ledger as the next write holds it.
+  auto NextLedger(const LedgerRecord& record) -> StoredLedger;
   auto MakeLedgerObject(const LedgerRecord& record) -> StoredObject;
 
   EntryContext& m_context;
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -89,23 +89,31 @@
 
 /// The claim may have been done all the same.
 auto LeadService::ReadClaim() -> void {
-  const auto& domain = m_context.m_settings.m_domain;
   m_context.m_store.Get(
-      ObjectKind::kLeads, domain.value(),
-      [this, domain](const Result<StoredObject>& stored) {
+      ObjectKind::kLeads, m_context.m_settings.m_domain.value(),
+      [this](const Result<StoredObject>& stored) {
         if (!stored) {
           // Tried again when a turn needs a lead.
           return;
         }
         m_retry_at = std::min(m_retry_at, SteadyTime() + kStoreRetryWait);
-        if (const auto entry = DecodeLeadEntry(stored->m_spec)) {
-          NoteLead({.m_domain = domain,
-                    .m_entry = *entry,
-                    .m_version = stored->m_version});
-        }
+        NoteLeadObject(*stored);
       });
 }
 
+auto LeadService::NoteLeadObject(const StoredObject& object) -> void {
+  const auto entry = DecodeLeadEntry(object.m_spec);
+  if (!entry) {
+    LogEvent(
+        LogEventId::kLeadClaimFailed,
+        {{"code", "invalid_argument"}, {"reason", entry.error().m_message}});
+    return;
+  }
+  NoteLead({.m_domain = DomainId(object.m_name),
+            .m_entry = *entry,
+            .m_version = object.m_version});
+}
+
 auto LeadService::NoteLead(const KnownLead& lead) -> bool {
   if (!m_context.TakeLead(lead)) {
     return false;
@@ -186,16 +194,12 @@
           return;
         }
         if (const auto& entry = reading.m_newest) {
-          for (const auto& [program, bound] :
-               entry->m_ledger.m_record.m_bounds) {
-            auto& known = record.m_bounds[program];
-            known = std::max(known, bound);
-          }
+          RaiseBounds(record, entry->m_ledger.m_record);
           LogEvent(LogEventId::kJournalUsed,
                    {{"step", "taken_over"},
                     {"write", std::to_string(entry->m_ledger.m_write)}});
         }
-        AdoptRecord(m_ledger, record, SteadyTime());
+        AdoptRecord(m_ledger, record, now);
         WriteAdopted();
       });
 }
@@ -236,20 +240,11 @@
 auto LeadService::ListLeads() -> void {
   m_context.m_store.List(ObjectKind::kLeads,
                          [this](const Result<ObjectListing>& listing) {
-                           if (m_phase != Phase::kAnnouncing) {
-                             return;
-                           }
-                           if (!listing) {
-                             // Goes on with the leads that are known.
-                             Announce();
-                             return;
-                           }
-                           for (const auto& object : listing->m_objects) {
-                             const auto entry = DecodeLeadEntry(object.m_spec);
-                             if (entry) {
-                               NoteLead({.m_domain = DomainId(object.m_name),
-                                         .m_entry = *entry,
-                                         .m_version = object.m_version});
+                           // Without a listing it goes on with the leads that
+                           // are known.
+                           if (listing && m_phase == Phase::kAnnouncing) {
+                             for (const auto& object : listing->m_objects) {
+                               NoteLeadObject(object);
                              }
                            }
                            if (m_phase == Phase::kAnnouncing) {
--- a/src/libledger/ledger_fence_walk_unittest.cc
+++ b/src/libledger/ledger_fence_walk_unittest.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -163,10 +162,7 @@
 auto LosePower(World& world) -> void {
   for (auto& domain : world.m_domains) {
     auto record = domain.m_stored.m_record;
-    for (const auto& [program, bound] : domain.m_kept.m_bounds) {
-      auto& known = record.m_bounds[program];
-      known = std::max(known, bound);
-    }
+    RaiseBounds(record, domain.m_kept);
     domain.m_ledger = {};
     AdoptRecord(domain.m_ledger, record, world.m_now);
     domain.m_fence = domain.m_stored.m_fence;
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -103,6 +103,13 @@
   return "needs_record";
 }
 
+auto RaiseBounds(LedgerRecord& record, const LedgerRecord& other) -> void {
+  for (const auto& [program, bound] : other.m_bounds) {
+    auto& known = record.m_bounds[program];
+    known = std::max(known, bound);
+  }
+}
+
 auto RequestGrant(ProgramLedger& ledger,
                   const GrantRequest& request,
                   const GrantConditions& conditions,
