Split the answers of a request from its attempts; no copy of the route

Change: call_answer.cc has what is passed on and what follows a lost answer; the exchange keeps the configuration that it began with and refers to its route there. IsSuccess stands with the statuses. Tests: gateway passes.

--- a/src/include/dotterelshed/http_status.h
+++ b/src/include/dotterelshed/http_status.h
@@ -19,6 +19,11 @@
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
+inline auto IsSuccess(int status) -> bool {
+  constexpr int kFirstRedirect = 300;
+  return status >= kStatusOk && status < kFirstRedirect;
+}
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_HTTP_STATUS_H_
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr int kFirstServerError = 500;
-
 /// Part of a route's timeout that is kept for the way back to the caller.
 constexpr Duration kTimeoutMargin = std::chrono::milliseconds(40);
 /// Less than this isn't worth an attempt.
@@ -33,20 +31,6 @@
 constexpr Duration kMaxIdleNonIdempotent = std::chrono::milliseconds(1000);
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(20);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
-/// Bytes kept for a caller that doesn't read, before the endpoint has to wait.
-constexpr std::size_t kMaxPendingBytes = 131072;
-/// A longer event is no event of an engine.
-constexpr std::size_t kMaxEventBytes = 1048576;
-
-auto IsSuccess(int status) -> bool {
-  return status >= kStatusOk && status < 300;
-}
-
-/// Statuses that promise that the request hasn't run.
-auto IsPromise(int status) -> bool {
-  return status == kStatusTimeout || status == kStatusMisdirected ||
-         status == kStatusTooMany || status == kStatusUnavailable;
-}
 
 auto ToMs(Duration duration) -> std::string {
   return std::to_string(
@@ -65,12 +49,13 @@
       m_grants(grants),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
+      m_routes(m_context.m_routes),
       m_route(route),
       m_ended(std::move(ended)),
       m_facts(ReadCallFacts(m_request.m_head)),
       m_begun(SteadyTime()) {
   m_service = PickService(m_route, m_context.Draw());
-  const auto& engine = TraitsOf(*m_context.m_routes, m_service).m_engine;
+  const auto& engine = TraitsOf(*m_routes, m_service).m_engine;
   if (engine) {
     m_tokens_per_event = engine->m_tokens_per_event;
   }
@@ -246,176 +231,6 @@
            [self](ExchangeFailure failure) { self->OnFailure(failure); }});
 }
 
-// Answers.
-
-auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
-  auto facts = ReadAnswerFacts(head);
-  if (facts.m_request.empty()) {
-    // On a used connection it could be anybody's.
-    if (m_attempt.m_connection->exchanges() > 1 && !facts.m_not_run) {
-      return HeadVerdict::kAbort;
-    }
-  } else if (facts.m_request != m_facts.m_request) {
-    return HeadVerdict::kSkip;
-  }
-  if (IsSuccess(head.m_status) && !facts.m_signed) {
-    return HeadVerdict::kAbort;
-  }
-  m_attempt.m_facts = std::move(facts);
-  m_attempt.m_head = std::move(head);
-  m_attempt.m_answered = true;
-  const auto status = m_attempt.m_head.m_status;
-  const auto not_run = m_attempt.m_facts.m_not_run;
-  const auto unclear_promise = IsPromise(status) && !not_run;
-  const auto repeatable_error =
-      status >= kFirstServerError && MayRepeat() &&
-      static_cast<int>(m_run_on.size()) < m_route.m_max_attempts;
-  m_attempt.m_discard = (not_run && status != kStatusBadRequest) ||
-                        unclear_promise || repeatable_error ||
-                        (m_passing && !IsSuccess(status));
-  if (!m_attempt.m_discard) {
-    m_first_byte = SteadyTime() - m_begun;
-    BeginPassing();
-  }
-  return HeadVerdict::kTake;
-}
-
-auto CallExchange::BeginPassing() -> void {
-  auto& head = m_attempt.m_head;
-  NoteAnswer(m_context.m_loads[m_attempt.m_endpoint],
-             SteadyTime() - m_attempt.m_sent_at);
-  if (m_passing) {
-    // A resumed stream goes on under the head of its first endpoint.
-    return;
-  }
-  m_passing = true;
-  m_is_event_stream =
-      m_route.m_kind == CallKind::kStream && IsSuccess(head.m_status);
-  m_caller->BeginAnswer(head.m_status, head.m_reason,
-                        EndToEndFields(head.m_fields),
-                        m_is_event_stream ? std::nullopt : head.m_length);
-}
-
-auto CallExchange::OnBody(std::string_view bytes) -> void {
-  if (m_over || m_attempt.m_discard) {
-    return;
-  }
-  if (m_is_event_stream) {
-    m_events.Add(bytes);
-    PassEvents();
-  } else {
-    m_caller->SendBody(bytes);
-  }
-  if (!m_over && m_caller->pending_bytes() > kMaxPendingBytes) {
-    m_attempt.m_connection->SetReading(false);
-    m_caller->SetDrainedHandler([weak = weak_from_this()] {
-      const auto self = weak.lock();
-      if (self && self->m_attempt.m_connection) {
-        self->m_attempt.m_connection->SetReading(true);
-      }
-    });
-  }
-}
-
-auto CallExchange::PassEvents() -> void {
-  while (auto event = m_events.Next()) {
-    if (event->m_id && m_last_event) {
-      if (*event->m_id <= *m_last_event) {
-        continue;
-      }
-      if (*event->m_id > *m_last_event + 1) {
-        BreakOff("event_missing");
-        return;
-      }
-    }
-    const auto used = Tokens((m_events_passed + 1) * m_tokens_per_event);
-    if (m_partial_grant && used > *m_partial_grant) {
-      BreakOff("grant_used_up");
-      return;
-    }
-    if (event->m_id) {
-      m_last_event = event->m_id;
-    }
-    ++m_events_passed;
-    m_caller->SendBody(event->m_text);
-  }
-  if (m_events.buffered_bytes() > kMaxEventBytes) {
-    BreakOff("event_too_long");
-  }
-}
-
-auto CallExchange::OnDone() -> void {
-  if (m_over) {
-    return;
-  }
-  if (m_attempt.m_discard) {
-    const auto not_run = m_attempt.m_facts.m_not_run;
-    const auto status = m_attempt.m_head.m_status;
-    const auto reason = "status_" + std::to_string(status);
-    if (not_run) {
-      if (m_attempt.m_first_here) {
-        m_run_on.erase(m_attempt.m_endpoint);
-      }
-      AfterNotRun(reason);
-    } else {
-      AfterLostAttempt(reason);
-    }
-    return;
-  }
-  if (m_is_event_stream && !m_events.empty()) {
-    m_events = {};
-    AfterLostAttempt("partial_event");
-    return;
-  }
-  const auto status = m_attempt.m_head.m_status;
-  EndAttempt();
-  m_caller->EndAnswer();
-  Finish(status, "answered");
-}
-
-auto CallExchange::OnFailure(ExchangeFailure failure) -> void {
-  if (m_over) {
-    return;
-  }
-  NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
-  AfterLostAttempt(ToString(failure));
-}
-
-/// The request may have run, and there is no whole answer.
-auto CallExchange::AfterLostAttempt(std::string_view reason) -> void {
-  LogAttempt(reason, true);
-  const auto endpoint = m_attempt.m_endpoint;
-  EndAttempt();
-  m_events = {};
-  if (m_passing && !m_is_event_stream) {
-    BreakOff(reason);
-    return;
-  }
-  if (!MayRepeat()) {
-    AnswerSelf(kStatusBadGateway, reason, false);
-    return;
-  }
-  // The route bounds how many endpoints may run it; the same one may again.
-  if (static_cast<int>(m_run_on.size()) >= m_route.m_max_attempts) {
-    m_next = endpoint;
-  } else {
-    m_excluded.insert(endpoint);
-  }
-  NextAttempt();
-}
-
-/// The request certainly hasn't run at the attempt's endpoint.
-auto CallExchange::AfterNotRun(std::string_view reason) -> void {
-  LogAttempt(reason, false);
-  m_excluded.insert(m_attempt.m_endpoint);
-  EndAttempt();
-  if (!m_run_on.empty() && !MayRepeat()) {
-    AnswerSelf(kStatusBadGateway, reason, false);
-    return;
-  }
-  NextAttempt();
-}
-
 auto CallExchange::EndAttempt() -> void {
   if (m_attempt.m_endpoint.empty()) {
     return;
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -29,6 +29,7 @@
  public:
   using Ended = std::function<void(const std::shared_ptr<CallExchange>&)>;
 
+  /// @param route  of the configuration that is in force.
   CallExchange(EntryContext& context,
                GrantClient& grants,
                std::shared_ptr<ServerConnection> caller,
@@ -87,7 +88,9 @@
   GrantClient& m_grants;
   std::shared_ptr<ServerConnection> m_caller;
   IncomingRequest m_request;
-  Route m_route;
+  /// The configuration that the request began with, and its route there.
+  std::shared_ptr<const RouteTable> m_routes;
+  const Route& m_route;
   ServiceId m_service;
   int m_tokens_per_event = 1;
   Ended m_ended;
