One way for the programs to read their settings file

Found when the change was read once more: dotterelshed_entry repeated the ten lines with which dotterelshed reads a file. ReadFileText in libbase serves both; the errors read as before.

--- a/src/dotterelshed/main.cc
+++ b/src/dotterelshed/main.cc
@@ -1,11 +1,11 @@
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <exception>
-#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <string>
 
+#include "dotterelshed/file_text.h"
 #include "dotterelshed/host.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/settings.h"
@@ -28,16 +28,6 @@
   return description;
 }
 
-auto ReadFile(const std::string& file) -> Result<std::string> {
-  std::ifstream in(file);
-  if (!in) {
-    return Fail(ErrorCode::kNotFound, "can't be read", file);
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 auto Run(const options::variables_map& given, const std::string& usage) -> int {
   if (given.count("help") > 0) {
     std::cout << usage;
@@ -48,7 +38,7 @@
     return kUsageError;
   }
   const auto file = given["settings"].as<std::string>();
-  const auto settings = ReadFile(file).and_then(
+  const auto settings = ReadFileText(file).and_then(
       [&file](const std::string& text) { return ParseSettings(text, file); });
   if (!settings) {
     std::cerr << settings.error().m_place << ": " << settings.error().m_message
--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -2,13 +2,13 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <exception>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <sstream>
 #include <string>
 
 #include "disk_host.h"
+#include "dotterelshed/file_text.h"
 #include "dotterelshed/log_events.h"
 #include "entry_host.h"
 #include "entry_settings.h"
@@ -33,13 +33,9 @@
 }
 
 auto ReadSettings(const std::string& file) -> Result<EntrySettings> {
-  std::ifstream in(file);
-  if (!in) {
-    return Fail(ErrorCode::kNotFound, "can't be read", file);
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  return ParseEntrySettings(text.str(), file);
+  return ReadFileText(file).and_then([&file](const std::string& text) {
+    return ParseEntrySettings(text, file);
+  });
 }
 
 /// Calls @p on_stop at SIGTERM and SIGINT, and @p on_reload at SIGHUP.
