--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,8 +1,8 @@
 #include "callers.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "after.h"
 #include "dotterelshed/http_message.h"
 #include "service_standins.h"
 
@@ -65,13 +65,6 @@
       m_random(seed),
       m_ended(std::move(ended)) {}
 
-auto Caller::After(Duration wait, std::function<void()> step) -> void {
-  auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, wait);
-  timer->async_wait(
-      [self = shared_from_this(), timer, step = std::move(step)](
-          const boost::system::error_code& /*error*/) { step(); });
-}
-
 auto Caller::BeginProgram() -> void {
   if (m_stopped) {
     return;
@@ -88,7 +81,8 @@
 
 auto Caller::Next() -> void {
   if (--m_steps_left < 0 || m_stopped) {
-    After(kPause, [this] { BeginProgram(); });
+    After(m_loop, kPause,
+          [self = shared_from_this()] { self->BeginProgram(); });
     return;
   }
   if (m_steps_left % 2 == 1) {
@@ -110,13 +104,11 @@
 }
 
 auto Caller::Send(CallKind kind, int tries) -> void {
-  m_busy = true;
   const auto& door = PickDoor();
   auto call = std::make_shared<Open>();
   call->m_tries = tries;
   call->m_sent = {.m_id = m_name + "-" + std::to_string(++m_calls),
                   .m_kind = kind,
-                  .m_host = door.m_host,
                   .m_program = m_program};
   HttpFields fields{
       {"Host", "desk"},           {"Request-Id", call->m_sent.m_id},
@@ -187,15 +179,14 @@
   if (std::exchange(call->m_over, true)) {
     return;
   }
-  m_busy = false;
   call->m_timer->cancel();
   auto& result = call->m_result;
   const auto& sent = call->m_sent;
   const auto turn = sent.m_kind == CallKind::kTurn;
   result.m_events = turn ? CountEvents(result.m_body) : 0;
   m_promises.OnResult(sent.m_id, result,
-                      turn ? EventsAfter(sent.m_id, 0) : PlainBody(sent.m_id));
-  m_ended(sent, result);
+                      turn ? AllEvents(sent.m_id) : PlainBody(sent.m_id));
+  m_ended(result);
   if (result.m_whole && call->m_connection->reusable()) {
     m_kept = call->m_connection;
   } else {
@@ -203,13 +194,14 @@
   }
   const auto again = result.m_status == 503 && call->m_tries + 1 < kMaxTries;
   if (again) {
-    After(kRetryPause, [this, kind = sent.m_kind, tries = call->m_tries + 1] {
-      Send(kind, tries);
-    });
+    After(m_loop, kRetryPause,
+          [self = shared_from_this(), kind = sent.m_kind,
+           tries = call->m_tries + 1] { self->Send(kind, tries); });
   } else if (result.m_status == 402) {
-    After(kPause, [this] { BeginProgram(); });
+    After(m_loop, kPause,
+          [self = shared_from_this()] { self->BeginProgram(); });
   } else {
-    After(kPause, [this] { Next(); });
+    After(m_loop, kPause, [self = shared_from_this()] { self->Next(); });
   }
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -24,8 +24,8 @@
   TcpAddress m_address;
 };
 
-/// What happened to one call, for the world's own checks.
-using OnCallEnded = std::function<void(const SentCall&, const CallResult&)>;
+/// What a caller got, for the world's own checks.
+using OnCallEnded = std::function<void(const CallResult&)>;
 
 class Caller : public std::enable_shared_from_this<Caller> {
  public:
@@ -39,7 +39,6 @@
 
   auto Start() -> void { BeginProgram(); }
   auto Stop() -> void { m_stopped = true; }
-  auto busy() const -> bool { return m_busy; }
 
  private:
   struct Open;
@@ -49,7 +48,6 @@
   auto Send(CallKind kind, int tries) -> void;
   auto Exchange(const std::shared_ptr<Open>& call) -> void;
   auto Finish(const std::shared_ptr<Open>& call) -> void;
-  auto After(Duration wait, std::function<void()> step) -> void;
   auto PickDoor() -> const Door&;
 
   EventLoop& m_loop;
@@ -66,7 +64,6 @@
   int m_steps_left = 0;
   int m_programs = 0;
   int m_calls = 0;
-  bool m_busy = false;
   bool m_stopped = false;
 };
 
--- a/soak/loopback_proxy.cc
+++ b/soak/loopback_proxy.cc
@@ -1,9 +1,10 @@
 #include "loopback_proxy.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <string>
 #include <utility>
 
+#include "after.h"
+
 namespace dotterelshed::soak {
 
 /// One direction of a connection.
@@ -91,11 +92,7 @@
     Flush(pair, up);
     return;
   }
-  auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_delay);
-  timer->async_wait(
-      [this, pair, up, timer](const boost::system::error_code& /*error*/) {
-        Flush(pair, up);
-      });
+  After(m_loop, m_delay, [this, pair, up] { Flush(pair, up); });
 }
 
 auto LoopbackProxy::Flush(const std::shared_ptr<Pair>& pair, bool up) -> void {
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -20,7 +20,6 @@
 struct SentCall {
   std::string m_id;
   CallKind m_kind = CallKind::kSafe;
-  std::string m_host;
   /// Of a turn.
   std::string m_program;
 };
--- a/soak/service_standins.cc
+++ b/soak/service_standins.cc
@@ -1,8 +1,9 @@
 #include "service_standins.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "after.h"
+
 namespace dotterelshed::soak {
 
 namespace {
@@ -12,17 +13,21 @@
 constexpr Duration kEventGap = std::chrono::milliseconds(30);
 constexpr Duration kPlainWork = std::chrono::milliseconds(60);
 
-}  // namespace
-
 auto EventCount(const std::string& request) -> int {
   return kLeastEvents +
          static_cast<int>(std::hash<std::string>{}(request) % kMoreEvents);
 }
 
-auto EventsAfter(const std::string& request, int last) -> std::string {
+auto MakeEvent(const std::string& request, int id) -> std::string {
+  return "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+}
+
+}  // namespace
+
+auto AllEvents(const std::string& request) -> std::string {
   std::string text;
-  for (int id = last + 1; id <= EventCount(request); ++id) {
-    text += "id: " + std::to_string(id) + "\ndata: " + request + "\n\n";
+  for (int id = 1; id <= EventCount(request); ++id) {
+    text += MakeEvent(request, id);
   }
   return text;
 }
@@ -52,13 +57,6 @@
   m_link = std::make_unique<LoopbackProxy>(loop, m_listener.local_address());
 }
 
-auto Endpoint::After(Duration wait, std::function<void()> step) -> void {
-  auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, wait);
-  timer->async_wait(
-      [timer, step = std::move(step)](
-          const boost::system::error_code& /*error*/) { step(); });
-}
-
 auto Endpoint::Loses() -> bool {
   return m_lose_one_in > 0 && m_random() % m_lose_one_in == 0;
 }
@@ -79,13 +77,13 @@
             .m_endpoint = m_id});
   if (m_service == "engine") {
     const auto last = FieldText(fields, "last-event-id");
-    After(kEventGap, [this, connection, id, head, last] {
+    After(m_loop, kEventGap, [this, connection, id, head, last] {
       connection->BeginAnswer(200, "OK", head, std::nullopt);
       Stream(connection, id, last.empty() ? 1 : std::stoi(last) + 1);
     });
     return;
   }
-  After(kPlainWork, [this, connection, id, head] {
+  After(m_loop, kPlainWork, [this, connection, id, head] {
     if (Loses()) {
       connection->Abort();
     } else {
@@ -105,9 +103,8 @@
     connection->Abort();
     return;
   }
-  connection->SendBody("id: " + std::to_string(next) + "\ndata: " + request +
-                       "\n\n");
-  After(kEventGap, [this, connection, request, next] {
+  connection->SendBody(MakeEvent(request, next));
+  After(m_loop, kEventGap, [this, connection, request, next] {
     Stream(connection, request, next + 1);
   });
 }
--- a/soak/service_standins.h
+++ b/soak/service_standins.h
@@ -15,9 +15,8 @@
 
 namespace dotterelshed::soak {
 
-/// Events of a turn's answer, and the whole answer.
-auto EventCount(const std::string& request) -> int;
-auto EventsAfter(const std::string& request, int last) -> std::string;
+/// A turn's answer: its events together.
+auto AllEvents(const std::string& request) -> std::string;
 auto PlainBody(const std::string& request) -> std::string;
 
 /// A request that an endpoint begins to work on.
@@ -51,7 +50,6 @@
  private:
   auto OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  const IncomingRequest& request) -> void;
-  auto After(Duration wait, std::function<void()> step) -> void;
   auto Stream(const std::shared_ptr<ServerConnection>& connection,
               const std::string& request,
               int next) -> void;
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -4,7 +4,6 @@
 #include <csignal>
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <fstream>
 #include <iostream>
 #include <utility>
@@ -17,14 +16,11 @@
 
 constexpr Duration kWarmUp = std::chrono::seconds(4);
 constexpr Duration kTick = std::chrono::milliseconds(10);
-/// A host counts as disturbed for this long after a fault has ended.
-constexpr Duration kContactTime = std::chrono::seconds(4);
 /// Bounds of the platform's pages, with a second for a busy machine.
 constexpr Duration kDrainTime = std::chrono::milliseconds(3000);
 constexpr Duration kConfigTime = std::chrono::milliseconds(3000);
 constexpr Duration kRevertTime = std::chrono::milliseconds(1250);
 constexpr Duration kRecoverTime = std::chrono::seconds(8);
-constexpr Duration kStopTime = std::chrono::seconds(9);
 /// Part of the calls after recovery that must be answered.
 constexpr double kServedAgain = 0.95;
 constexpr int kCallersPerDomain = 4;
@@ -53,9 +49,7 @@
       m_callers.push_back(std::make_shared<Caller>(
           m_loop, m_promises, m_doors, std::string(domain) + std::to_string(at),
           domain, m_random(),
-          [this](const SentCall& call, const CallResult& result) {
-            OnCallEnded(call, result);
-          }));
+          [this](const CallResult& result) { OnCallEnded(result); }));
     }
   }
 }
@@ -105,14 +99,10 @@
        {"limits", {{"headerBytes", 8000}, {"maxBodyBytes", 100000}}}});
 }
 
-auto SoakWorld::PutEndpoint(const Endpoint& endpoint, bool draining) -> void {
-  // The proxy never moves, so its address names the endpoint.
-  const auto found = std::find_if(
-      m_endpoints.begin(), m_endpoints.end(),
-      [&endpoint](const auto& one) { return one.get() == &endpoint; });
+auto SoakWorld::PutEndpoint(Endpoint& endpoint, bool draining) -> void {
   m_store.Put("servers", endpoint.id(),
               {{"service", endpoint.service()},
-               {"address", FormatTcpAddress((*found)->link().address())},
+               {"address", FormatTcpAddress(endpoint.link().address())},
                {"zone", "a"},
                {"slots", 8},
                {"state", draining ? "draining" : "ready"}});
@@ -160,13 +150,6 @@
 
 // Time.
 
-auto SoakWorld::Later(Duration wait, std::function<void()> step) -> void {
-  auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, wait);
-  timer->async_wait(
-      [timer, step = std::move(step)](
-          const boost::system::error_code& /*error*/) { step(); });
-}
-
 auto SoakWorld::RunFor(Duration time) -> void {
   const auto until = SteadyTime() + time;
   while (SteadyTime() < until) {
@@ -201,213 +184,6 @@
   }
 }
 
-// Faults.
-
-auto SoakWorld::RandomHost() -> Host& {
-  return *m_hosts[Draw(static_cast<int>(m_hosts.size()))];
-}
-
-auto SoakWorld::DisturbAll(Duration time) -> void {
-  for (const auto& host : m_hosts) {
-    host->m_disturbed_until =
-        std::max(host->m_disturbed_until, SteadyTime() + time + kContactTime);
-  }
-}
-
-auto SoakWorld::DisturbHost(Host& host) -> void {
-  if (!host.m_process->running() || host.m_stopping || host.m_frozen) {
-    return;
-  }
-  const auto time = DrawTime(200, 3500);
-  host.m_disturbed_until = SteadyTime() + time + kContactTime;
-  switch (Draw(3)) {
-    case 0:
-      Note("kill " + host.m_name);
-      host.m_process->Signal(SIGKILL);
-      Later(time, [&host] {
-        if (!host.m_process->running()) {
-          host.m_process->Start();
-        }
-      });
-      return;
-    case 1:
-      Note("freeze " + host.m_name);
-      host.m_frozen = true;
-      host.m_process->Signal(SIGSTOP);
-      Later(time, [&host] {
-        host.m_frozen = false;
-        host.m_process->Signal(SIGCONT);
-      });
-      return;
-    default:
-      Note("stop " + host.m_name);
-      host.m_stopping = true;
-      host.m_disturbed_until = SteadyTime() + kStopTime + kContactTime;
-      host.m_process->Signal(SIGTERM);
-      Later(kStopTime, [&host] {
-        if (!host.m_process->running()) {
-          host.m_process->Start();
-        }
-      });
-      return;
-  }
-}
-
-auto SoakWorld::DisturbLink(LoopbackProxy& link, Duration time) -> void {
-  const auto kind = Draw(6);
-  Note("  kind " + std::to_string(kind));
-  switch (kind) {
-    case 0:
-      link.ResetAll();
-      return;
-    case 1:
-      link.SetDelay(DrawTime(20, 250));
-      break;
-    case 2:
-      link.SetState(LinkState::kOneWayUp);
-      break;
-    case 3:
-      link.SetState(LinkState::kOneWayDown);
-      break;
-    case 4:
-      link.SetState(LinkState::kRefuse);
-      break;
-    default:
-      link.SetState(LinkState::kSilent);
-      break;
-  }
-  Later(time, [&link] {
-    link.SetDelay(Duration{0});
-    link.SetState(LinkState::kOpen);
-  });
-}
-
-auto SoakWorld::DisturbStore() -> void {
-  const auto time = DrawTime(300, 3000);
-  DisturbAll(time);
-  switch (Draw(3)) {
-    case 0:
-      Note("store down");
-      m_store.SetDown(true);
-      Later(time, [this] { m_store.SetDown(false); });
-      return;
-    case 1:
-      Note("store loses answers");
-      m_store.LoseAnswers("ledgers", 1 + Draw(4));
-      m_store.LoseAnswers("leads", Draw(3));
-      return;
-    default:
-      Note("store cut off from a domain");
-      for (const auto& host : m_hosts) {
-        if (host->m_domain == "b") {
-          host->m_store_link->SetState(LinkState::kSilent);
-          Later(time, [link = host->m_store_link.get()] {
-            link->SetState(LinkState::kOpen);
-          });
-        }
-      }
-      return;
-  }
-}
-
-auto SoakWorld::DisturbEndpoint() -> void {
-  auto& endpoint = *m_endpoints[Draw(static_cast<int>(m_endpoints.size()))];
-  Note("disturb " + endpoint.id());
-  if (Draw(3) == 0) {
-    endpoint.SetLosing(4);
-    Later(DrawTime(300, 2500), [&endpoint] { endpoint.SetLosing(0); });
-    return;
-  }
-  // A cut may hold a request back that then arrives late.
-  DisturbAll(std::chrono::milliseconds(2500));
-  DisturbLink(endpoint.link(), DrawTime(300, 2500));
-}
-
-/// A new endpoint comes, and an old one of its service leaves in order.
-auto SoakWorld::ReplaceEndpoint() -> void {
-  const auto* service = Draw(2) == 0 ? "engine" : "desk";
-  AddEndpoint(service);
-  for (const auto& endpoint : m_endpoints) {
-    const auto stays = endpoint->service() != service ||
-                       m_leaving.contains(endpoint->id()) ||
-                       endpoint == m_endpoints.back();
-    if (stays) {
-      continue;
-    }
-    Note("leave " + endpoint->id());
-    m_leaving[endpoint->id()] = SteadyTime();
-    PutEndpoint(*endpoint, true);
-    constexpr Duration kServesOn = std::chrono::seconds(5);
-    Later(kServesOn,
-          [this, id = endpoint->id()] { m_store.Remove("servers", id); });
-    return;
-  }
-}
-
-auto SoakWorld::DrawFault() -> void {
-  switch (Draw(9)) {
-    case 0:
-    case 1:
-    case 2:
-      DisturbHost(RandomHost());
-      return;
-    case 3: {
-      auto& host = RandomHost();
-      const auto time = DrawTime(300, 3000);
-      Note("disturb the store's link of " + host.m_name);
-      host.m_disturbed_until = SteadyTime() + time + kContactTime;
-      DisturbLink(*host.m_store_link, time);
-      return;
-    }
-    case 4:
-      DisturbStore();
-      return;
-    case 5:
-      DisturbEndpoint();
-      return;
-    case 6:
-      ReplaceEndpoint();
-      return;
-    case 7: {
-      auto& host = RandomHost();
-      if (host.m_caller_link) {
-        Note("disturb the callers' link of " + host.m_name);
-        DisturbLink(*host.m_caller_link, DrawTime(300, 1500));
-      }
-      return;
-    }
-    default:
-      Note("version " + std::to_string(m_version + 1));
-      PutConfig();
-      return;
-  }
-}
-
-auto SoakWorld::Heal() -> void {
-  m_store.SetDown(false);
-  m_store.LoseAnswers("ledgers", 0);
-  m_store.LoseAnswers("leads", 0);
-  for (const auto& host : m_hosts) {
-    host->m_store_link->SetState(LinkState::kOpen);
-    host->m_store_link->SetDelay(Duration{0});
-    if (host->m_caller_link) {
-      host->m_caller_link->SetState(LinkState::kOpen);
-    }
-    if (std::exchange(host->m_frozen, false)) {
-      host->m_process->Signal(SIGCONT);
-    }
-    const auto gone = !host->m_process->running() && !host->m_stopping;
-    if (gone) {
-      host->m_process->Start();
-    }
-  }
-  for (const auto& endpoint : m_endpoints) {
-    endpoint->SetLosing(0);
-    endpoint->link().SetState(LinkState::kOpen);
-    endpoint->link().SetDelay(Duration{0});
-  }
-}
-
 // Promises that need the world's state.
 
 auto SoakWorld::OnRun(const ServedRun& run) -> void {
@@ -467,8 +243,7 @@
   }
 }
 
-auto SoakWorld::OnCallEnded(const SentCall& /*call*/, const CallResult& result)
-    -> void {
+auto SoakWorld::OnCallEnded(const CallResult& result) -> void {
   if (!m_recovering) {
     return;
   }
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -40,6 +40,9 @@
   auto Run() -> std::vector<std::string>;
 
  private:
+  /// Longest time from SIGTERM to a host's end.
+  static constexpr Duration kStopTime = std::chrono::seconds(9);
+
   /// A host and what was done to it.
   struct Host {
     std::string m_name;
@@ -63,13 +66,12 @@
                const std::string& role) -> void;
   auto ReserveAddress() -> TcpAddress;
   auto AddEndpoint(const std::string& service) -> void;
-  auto PutEndpoint(const Endpoint& endpoint, bool draining) -> void;
+  auto PutEndpoint(Endpoint& endpoint, bool draining) -> void;
   auto PutConfig() -> void;
 
   auto RunFor(Duration time) -> void;
   auto Tick() -> void;
   auto WatchProcesses() -> void;
-  auto Later(Duration wait, std::function<void()> step) -> void;
 
   auto DrawFault() -> void;
   auto DisturbHost(Host& host) -> void;
@@ -83,7 +85,7 @@
   auto OnRun(const ServedRun& run) -> void;
   auto CheckDrain(const ServedRun& run, const Host& host) -> void;
   auto CheckVersion(const ServedRun& run, Host& host) -> void;
-  auto OnCallEnded(const SentCall& call, const CallResult& result) -> void;
+  auto OnCallEnded(const CallResult& result) -> void;
   auto StopAll() -> void;
   auto Note(const std::string& what) -> void;
   auto RandomHost() -> Host&;
