--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -1,6 +1,6 @@
 # dotterelshed_library(NAME DEPENDS ...): builds src/lib<NAME>/*.cc into a
-# static library dotterelshed_<NAME>; files named *_unittest.cc become one
-# Catch2 program registered with CTest.
+# static library dotterelshed_<NAME>; files named *_unittest.cc or test_*.cc
+# become one Catch2 program registered with CTest.
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
@@ -24,8 +24,9 @@
   set(folder ${PROJECT_SOURCE_DIR}/src/lib${name})
   file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc ${folder}/*.c++)
   set(tests ${sources})
-  list(FILTER sources EXCLUDE REGEX "_unittest\\.cc$")
-  list(FILTER tests INCLUDE REGEX "_unittest\\.cc$")
+  set(test_files "(_unittest|/test_[a-z_]+)\\.cc$")
+  list(FILTER sources EXCLUDE REGEX ${test_files})
+  list(FILTER tests INCLUDE REGEX ${test_files})
 
   add_library(dotterelshed_${name} STATIC ${sources})
   target_include_directories(dotterelshed_${name} PUBLIC
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -20,19 +20,6 @@
          "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
 }
 
-auto AnswerTurn(const Request& request) -> void {
-  request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-}
-
-/// Names @p lead as lead of domain "a".
-auto PutOtherLead(TestWorld& world, const ScriptedEndpoint& lead) -> void {
-  world.m_store.Put(
-      "leads", "a",
-      EncodeLeadEntry({.m_host = HostId("h2"),
-                       .m_incarnation = Incarnation(1),
-                       .m_peer_address = FormatTcpAddress(lead.address())}));
-}
-
 auto PutLedger(TestWorld& world,
                const std::string& domain,
                const StoredLedger& ledger) -> void {
@@ -49,7 +36,7 @@
 TEST_CASE("a silent lead is fenced before its absence of a record counts") {
   TestWorld world;
   ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
-  PutOtherLead(world, silent);
+  world.PutLead("a", "h2", silent);
   const StoredLedger before{.m_host = HostId("h2"),
                             .m_incarnation = Incarnation(1),
                             .m_write = 7,
@@ -69,7 +56,7 @@
 TEST_CASE("a silent lead that has the program on record keeps it") {
   TestWorld world;
   ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
-  PutOtherLead(world, silent);
+  world.PutLead("a", "h2", silent);
   PutLedger(world, "a",
             {.m_host = HostId("h2"),
              .m_incarnation = Incarnation(1),
@@ -95,7 +82,7 @@
     }
     request.m_stream->Write(request.Whole(answer));
   });
-  PutOtherLead(world, other);
+  world.PutLead("a", "h2", other);
   world.AddEndpoint(AnswerTurn);
   world.Start();
   auto fenced = LedgerOf(world, "z");
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead_takeover_unittest.cc
@@ -23,18 +23,6 @@
     "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 100\r\n"
     "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
 
-auto PutLead(TestWorld& world,
-             const std::string& host,
-             const ScriptedEndpoint& lead,
-             double processor_share = 1.0) -> void {
-  world.m_store.Put(
-      "leads", "z",
-      EncodeLeadEntry({.m_host = HostId(host),
-                       .m_incarnation = Incarnation(1),
-                       .m_peer_address = FormatTcpAddress(lead.address()),
-                       .m_processor_share = processor_share}));
-}
-
 auto LeadHost(TestWorld& world) -> std::string {
   return world.m_store.Find("leads", "z")["spec"]["host"];
 }
@@ -42,10 +30,8 @@
 TEST_CASE("a silent lead is replaced") {
   TestWorld world;
   ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
-  PutLead(world, "h2", silent);
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.PutLead("z", "h2", silent);
+  world.AddEndpoint(AnswerTurn);
   world.StartFollower();
   world.Finish(kTurn);
   CHECK(silent.requests() > 0);
@@ -63,14 +49,12 @@
             : std::string();
     request.m_stream->Write(request.Whole(answer));
   });
-  PutLead(world, "h2", silent);
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.PutLead("z", "h2", silent);
+  world.AddEndpoint(AnswerTurn);
   world.StartFollower();
   const auto caller = world.Call(kTurn);
   world.RunUntil([&silent] { return silent.requests() > 0; });
-  PutLead(world, "h3", next);
+  world.PutLead("z", "h3", next);
   world.RunUntil([&caller] { return caller->m_ended || caller->Body(); });
   CHECK(caller->Status() == 200);
   CHECK(next.requests() > 0);
@@ -79,9 +63,7 @@
 
 TEST_CASE("a write whose answer is lost doesn't cost the turn or the lead") {
   TestWorld world;
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.AddEndpoint(AnswerTurn);
   world.Start();
   const auto incarnation =
       world.m_store.Find("leads", "z")["spec"]["incarnation"];
@@ -115,10 +97,8 @@
                   {.m_verdict = GrantVerdict::kGranted, .m_tokens = Tokens(10)})
             : std::string()));
   });
-  PutLead(world, "h2", lead, share);
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.PutLead("z", "h2", lead, share);
+  world.AddEndpoint(AnswerTurn);
   world.StartFollower();
   world.Finish(kTurn);
   if (share < 0.5) {
@@ -134,10 +114,8 @@
   ScriptedEndpoint lead(world.m_loop, [](const Request& request) {
     request.m_stream->Write(request.Head(409, "Content-Length: 0\r\n"));
   });
-  PutLead(world, "h2", lead, 0.1);
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.PutLead("z", "h2", lead, 0.1);
+  world.AddEndpoint(AnswerTurn);
   world.StartFollower();
   world.RunUntil([&lead] { return lead.requests() > 0; });
   world.m_loop.run_for(std::chrono::milliseconds(100));
@@ -146,9 +124,7 @@
 
 TEST_CASE("a lead that gives way records what was granted, nothing ahead") {
   TestWorld world;
-  world.AddEndpoint([](const Request& request) {
-    request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
-  });
+  world.AddEndpoint(AnswerTurn);
   world.Start();
   CHECK(world.Finish(kTurn)->Status() == 200);
   const auto bounds = [&world] {
--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -13,6 +13,7 @@
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
 #include "entry_host.h"
+#include "lead_messages.h"
 #include "test_store.h"
 
 /// @file
@@ -135,6 +136,11 @@
   }
 };
 
+/// Answers a turn with one event.
+inline auto AnswerTurn(const ScriptedEndpoint::Request& request) -> void {
+  request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
+}
+
 class TestWorld {
  public:
   TestWorld() : m_store(m_loop) {
@@ -165,6 +171,19 @@
     return *m_endpoints.back();
   }
 
+  /// Names @p lead as lead of a domain, in the store.
+  auto PutLead(const std::string& domain,
+               const std::string& host,
+               const ScriptedEndpoint& lead,
+               double processor_share = 1.0) -> void {
+    m_store.Put(
+        "leads", domain,
+        EncodeLeadEntry({.m_host = HostId(host),
+                         .m_incarnation = Incarnation(1),
+                         .m_peer_address = FormatTcpAddress(lead.address()),
+                         .m_processor_share = processor_share}));
+  }
+
   /// Starts a disk host that keeps its journal in @p folder.
   auto AddDiskHost(const std::string& name, const std::string& folder) -> void {
     EntrySettings settings;
