--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-auto TakeEachObject(std::function<void(const StoredObject&)> take)
+auto TakeEachObject(const std::function<void(const StoredObject&)>& take)
     -> FollowerHandlers {
   return {.m_on_listing =
               [take](const ObjectListing& listing) {
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -30,7 +30,7 @@
 
 /// Handlers for a kind whose objects are replaced but never taken back: each
 /// one goes to @p take, whether listed or changed.
-auto TakeEachObject(std::function<void(const StoredObject&)> take)
+auto TakeEachObject(const std::function<void(const StoredObject&)>& take)
     -> FollowerHandlers;
 
 class KindFollower : public std::enable_shared_from_this<KindFollower> {
