Logs and a metric tell how old a host's view of the store is

Now request_ended, attempt_ended, platform_lost and endpoint_changed have view_ms, endpoint_changed its source and the states held, lapsed and restarted, and dotterelshed_view_age_seconds is served by kind.

The directory's functions return what they changed; following the endpoints moves from entry_host.cc to endpoint_view.cc. An endpoint that restarts keeps the count of its open requests: it was dropped, and went below zero when they ended.

--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dotterelshed/ids.h"
@@ -39,25 +40,48 @@
   std::optional<TimePoint> m_lapse_window_end;
 };
 
+/// What one call changed for an endpoint.
+enum class EndpointChangeKind {
+  kNone,
+  kReady,      ///< New, or takes work again.
+  kLeaving,    ///< Takes no new work from now on.
+  kRestarted,  ///< Started anew under its id; it forgot everything.
+  kRemoved,
+  kHeld,    ///< Vanished with an outage; stays in use for a moment.
+  kLapsed,  ///< Was held and didn't come back.
+};
+
+/// Stable lower-case name, for logs.
+auto ToString(EndpointChangeKind kind) -> std::string_view;
+
+struct EndpointChange {
+  EndpointId m_endpoint;
+  EndpointChangeKind m_kind = EndpointChangeKind::kNone;
+  /// Address before the change; empty for a new one.
+  std::string m_old_address;
+};
+
 /// The platform answers again after it didn't.
 auto NotePlatformBack(EndpointDirectory& directory, TimePoint now) -> void;
 
 /// Takes a new or changed entry.
-auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry) -> void;
+auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
+    -> EndpointChange;
 
 /// Takes note of a removed entry; shortly after an outage it stays in use for a
 /// moment.
 auto RemoveEndpoint(EndpointDirectory& directory,
                     const EndpointId& id,
-                    TimePoint now) -> void;
+                    TimePoint now) -> EndpointChange;
 
-/// Replaces all entries by a complete listing.
+/// Replaces all entries by a complete listing. Returns what that changed.
 auto ReplaceEndpoints(EndpointDirectory& directory,
                       std::vector<EndpointEntry> entries,
-                      TimePoint now) -> void;
+                      TimePoint now) -> std::vector<EndpointChange>;
 
-/// Drops entries whose time to come back is over.
-auto DropLapsed(EndpointDirectory& directory, TimePoint now) -> void;
+/// Drops entries whose time to come back is over, and returns them.
+auto DropLapsed(EndpointDirectory& directory, TimePoint now)
+    -> std::vector<EndpointChange>;
 
 auto FindEndpoint(const EndpointDirectory& directory, const EndpointId& id)
     -> const EndpointEntry*;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "dotterelshed/error.h"
+#include "dotterelshed/units.h"
 
 /// @file
 /// Numbers, names and meanings of all log events. docs/EVENTS.md is made from
@@ -81,6 +82,9 @@
   std::string m_value;
 };
 
+/// Whole milliseconds, as fields show durations.
+auto FormatMs(Duration duration) -> std::string;
+
 /// Whether a line tells of the usual course of things. Under load ordinary
 /// lines give way to unusual ones.
 enum class LogWeight { kUnusual, kOrdinary };
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -42,6 +42,7 @@
   kEntryFirstByteSeconds,
   kTurnDecisions,
   kEndpointConnections,
+  kViewAge,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/libbase/log.cc
+++ b/src/libbase/log.cc
@@ -197,6 +197,11 @@
   return {};
 }
 
+auto FormatMs(Duration duration) -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 auto FormatLogLine(LogEventId id, const std::vector<LogField>& fields)
     -> std::string {
   const auto& info = FindLogEvent(id);
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -74,7 +74,9 @@
     {LogEventId::kContentQuarantined, LogLevel::kError, "content_quarantined",
      "A request's content crashed two endpoints and is refused from now on."},
     {LogEventId::kEndpointChanged, LogLevel::kInfo, "endpoint_changed",
-     "The platform lists an endpoint anew, as leaving, or no more."},
+     "The platform lists an endpoint anew, as leaving, as restarted, or no "
+     "more. A held one vanished with an outage of the platform and stays in "
+     "use until it is listed again or lapses."},
     {LogEventId::kEndpointRejected, LogLevel::kWarning, "endpoint_rejected",
      "An entry in the list of endpoints can't be read and is left out."},
     {LogEventId::kConfigInForce, LogLevel::kInfo, "config_in_force",
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -32,11 +32,6 @@
 constexpr Duration kMaxIdleRepeatable = std::chrono::seconds(20);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
 
-auto ToMs(Duration duration) -> std::string {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 CallExchange::CallExchange(EntryContext& context,
@@ -326,9 +321,10 @@
                      .m_request = m_facts.m_request,
                      .m_used = used});
   }
+  const auto now = SteadyTime();
   const auto kind = ToString(m_route.m_kind);
   CountMetric(MetricId::kEntryRequests, reason);
-  ObserveMetric(MetricId::kEntrySeconds, kind, SteadyTime() - m_begun);
+  ObserveMetric(MetricId::kEntrySeconds, kind, now - m_begun);
   if (m_passing) {
     ObserveMetric(MetricId::kEntryFirstByteSeconds, kind, m_first_byte);
   }
@@ -340,21 +336,25 @@
             {"reason", std::string(reason)},
             {"attempts", std::to_string(m_attempts)},
             {"events", std::to_string(m_events_passed)},
-            {"first_ms", ToMs(m_first_byte)},
-            {"ms", ToMs(SteadyTime() - m_begun)}},
+            {"first_ms", FormatMs(m_first_byte)},
+            {"ms", FormatMs(now - m_begun)},
+            {"config", std::to_string(m_routes->m_generation.value())},
+            {"view_ms", FormatMs(m_context.m_endpoint_follower->Age(now))}},
            IsSuccess(status) ? LogWeight::kOrdinary : LogWeight::kUnusual);
   m_ended(shared_from_this());
 }
 
 auto CallExchange::LogAttempt(std::string_view reason, bool may_have_run)
     -> void {
+  const auto now = SteadyTime();
   LogEvent(LogEventId::kAttemptEnded,
            {{"request", m_facts.m_request.value()},
             {"endpoint", m_attempt.m_endpoint.value()},
             {"reason", std::string(reason)},
             {"may_have_run", may_have_run ? "yes" : "no"},
             {"attempt", std::to_string(m_attempts)},
-            {"ms", ToMs(SteadyTime() - m_begun)}});
+            {"ms", FormatMs(now - m_begun)},
+            {"view_ms", FormatMs(m_context.m_endpoint_follower->Age(now))}});
 }
 
 }  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/endpoint_view.cc
@@ -0,0 +1,120 @@
+#include "endpoint_view.h"
+
+#include <utility>
+#include <vector>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// Endpoints come and go in groups; a leaving one must be known within two
+/// seconds.
+constexpr Duration kJoinTime = std::chrono::milliseconds(800);
+
+/// An entry that another writer spoiled names no endpoint to use.
+auto DecodeOrReject(const StoredObject& object)
+    -> std::optional<EndpointEntry> {
+  auto entry = DecodeEndpoint(object);
+  if (!entry) {
+    LogEvent(
+        LogEventId::kEndpointRejected,
+        {{"endpoint", object.m_name}, {"reason", entry.error().m_message}});
+    return std::nullopt;
+  }
+  return std::move(*entry);
+}
+
+}  // namespace
+
+EndpointView::EndpointView(EntryContext& context) : m_context(context) {
+  m_context.m_endpoint_follower = std::make_shared<KindFollower>(
+      context.m_loop, context.m_store,
+      FollowerOptions{.m_kind = ObjectKind::kEndpoints,
+                      .m_join_time = kJoinTime},
+      FollowerHandlers{
+          .m_on_listing =
+              [this](const ObjectListing& listing) { TakeListing(listing); },
+          .m_on_changes =
+              [this](const ObjectChanges& changes) { TakeChanges(changes); },
+          .m_on_reachable =
+              [this](bool reachable) { NoteReachable(reachable); }});
+}
+
+auto EndpointView::Start() -> void {
+  m_context.m_endpoint_follower->Start();
+}
+
+auto EndpointView::Tick(TimePoint now) -> void {
+  for (const auto& change : DropLapsed(m_context.m_directory, now)) {
+    Apply(change, "time");
+  }
+}
+
+auto EndpointView::NoteReachable(bool reachable) -> void {
+  m_context.m_store_reached = reachable;
+  if (reachable) {
+    NotePlatformBack(m_context.m_directory, SteadyTime());
+  }
+}
+
+auto EndpointView::TakeListing(const ObjectListing& listing) -> void {
+  std::vector<EndpointEntry> entries;
+  for (const auto& object : listing.m_objects) {
+    if (auto entry = DecodeOrReject(object)) {
+      entries.push_back(std::move(*entry));
+    }
+  }
+  const auto changes =
+      ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
+  for (const auto& change : changes) {
+    Apply(change, "listing");
+  }
+}
+
+auto EndpointView::TakeChanges(const ObjectChanges& changes) -> void {
+  const auto now = SteadyTime();
+  for (const auto& change : changes.m_changes) {
+    Apply(TakeChange(change, now), "watch");
+  }
+}
+
+auto EndpointView::TakeChange(const ObjectChange& change, TimePoint now)
+    -> EndpointChange {
+  auto& directory = m_context.m_directory;
+  if (!change.m_removed) {
+    if (auto entry = DecodeOrReject(change.m_object)) {
+      return PutEndpoint(directory, std::move(*entry));
+    }
+  }
+  return RemoveEndpoint(directory, EndpointId(change.m_object.m_name), now);
+}
+
+auto EndpointView::Apply(const EndpointChange& change, std::string_view source)
+    -> void {
+  if (change.m_kind == EndpointChangeKind::kNone) {
+    return;
+  }
+  if (change.m_kind == EndpointChangeKind::kRestarted) {
+    const auto open = m_context.m_loads[change.m_endpoint].m_outstanding;
+    m_context.m_loads[change.m_endpoint] = {.m_outstanding = open};
+    m_context.m_endpoints.Forget(change.m_old_address);
+  }
+  const auto& follower = *m_context.m_endpoint_follower;
+  std::vector<LogField> fields = {
+      {"endpoint", change.m_endpoint.value()},
+      {"state", std::string(ToString(change.m_kind))},
+      {"source", std::string(source)},
+      {"view_ms", FormatMs(follower.Age(SteadyTime()))}};
+  const auto* entry = FindEndpoint(m_context.m_directory, change.m_endpoint);
+  if (entry != nullptr) {
+    fields.push_back({"service", entry->m_service.value()});
+    fields.push_back({"domain", entry->m_domain.value()});
+    fields.push_back({"version", std::to_string(entry->m_version.value())});
+  }
+  LogEvent(LogEventId::kEndpointChanged, fields);
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/endpoint_view.h
@@ -0,0 +1,38 @@
+#ifndef DOTTERELSHED_ENDPOINT_VIEW_H_
+#define DOTTERELSHED_ENDPOINT_VIEW_H_
+
+#include <string_view>
+
+#include "dotterelshed/endpoint_directory.h"
+#include "entry_context.h"
+#include "platform/object_store.h"
+
+/// @file
+/// Keeps the directory of endpoints as the platform's store lists them, and
+/// writes a line for each change, with the age of the view that it ends.
+
+namespace dotterelshed {
+
+class EndpointView {
+ public:
+  /// Sets the context's endpoint follower.
+  explicit EndpointView(EntryContext& context);
+
+  auto Start() -> void;
+  /// Drops entries whose time to come back is over; call several times a
+  /// second.
+  auto Tick(TimePoint now) -> void;
+
+ private:
+  auto TakeListing(const ObjectListing& listing) -> void;
+  auto TakeChanges(const ObjectChanges& changes) -> void;
+  auto TakeChange(const ObjectChange& change, TimePoint now) -> EndpointChange;
+  auto Apply(const EndpointChange& change, std::string_view source) -> void;
+  auto NoteReachable(bool reachable) -> void;
+
+  EntryContext& m_context;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_ENDPOINT_VIEW_H_
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -12,6 +12,7 @@
 #include "dotterelshed/route_table.h"
 #include "endpoint_pool.h"
 #include "entry_settings.h"
+#include "kind_follower.h"
 #include "lead_messages.h"
 #include "platform/object_store.h"
 
@@ -30,6 +31,8 @@
   /// Newest configuration; empty until one has arrived.
   std::shared_ptr<const RouteTable> m_routes;
   EndpointDirectory m_directory;
+  /// Keeps the directory up to date.
+  std::shared_ptr<KindFollower> m_endpoint_follower;
   /// This host's own attempts.
   EndpointLoads m_loads;
   EndpointPool m_endpoints;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -25,9 +25,6 @@
 constexpr Duration kLameDuck = std::chrono::milliseconds(2800);
 /// Part of the stop grace that is kept for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-/// Endpoints come and go in groups; a leaving one must be known within two
-/// seconds.
-constexpr Duration kEndpointJoinTime = std::chrono::milliseconds(800);
 /// Programs are remembered for this much longer than their routes want: turns
 /// under way at the end still count.
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
@@ -43,19 +40,6 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
-/// An entry that another writer spoiled names no endpoint to use.
-auto DecodeOrReject(const StoredObject& object)
-    -> std::optional<EndpointEntry> {
-  auto entry = DecodeEndpoint(object);
-  if (!entry) {
-    LogEvent(
-        LogEventId::kEndpointRejected,
-        {{"endpoint", object.m_name}, {"reason", entry.error().m_message}});
-    return std::nullopt;
-  }
-  return std::move(*entry);
-}
-
 /// Hands a peer's message on, or answers that it can't be read.
 template <typename T, typename Take>
 auto TakeMessage(const std::shared_ptr<ServerConnection>& connection,
@@ -80,6 +64,7 @@
                 .m_endpoints = EndpointPool(loop, {}),
                 .m_peers = EndpointPool(loop, {}),
                 .m_random = std::mt19937_64(std::random_device()())},
+      m_endpoints(m_context),
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
@@ -104,30 +89,10 @@
 
 auto EntryHost::MakeFollowers() -> void {
   auto& loop = m_context.m_loop;
-  const auto on_reachable = [this](bool reachable) {
-    m_context.m_store_reached = reachable;
-    if (reachable) {
-      NotePlatformBack(m_context.m_directory, SteadyTime());
-    }
-  };
   m_config_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kConfig},
       TakeEachObject(
           [this](const StoredObject& object) { TakeConfig(object); }));
-  m_endpoint_follower = std::make_shared<KindFollower>(
-      loop, m_context.m_store,
-      FollowerOptions{.m_kind = ObjectKind::kEndpoints,
-                      .m_join_time = kEndpointJoinTime},
-      FollowerHandlers{
-          .m_on_listing =
-              [this](const ObjectListing& listing) { TakeEndpoints(listing); },
-          .m_on_changes =
-              [this](const ObjectChanges& changes) {
-                for (const auto& change : changes.m_changes) {
-                  TakeEndpoint(change.m_object, change.m_removed);
-                }
-              },
-          .m_on_reachable = on_reachable});
   m_lead_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store, FollowerOptions{.m_kind = ObjectKind::kLeads},
       TakeEachObject([this](const StoredObject& object) {
@@ -151,7 +116,7 @@
   m_context.m_settings.m_peer_address =
       FormatTcpAddress(m_peers.local_address());
   m_config_follower->Start();
-  m_endpoint_follower->Start();
+  m_endpoints.Start();
   m_lead_follower->Start();
   ArmTick();
   LogEvent(LogEventId::kHostStarted,
@@ -203,49 +168,6 @@
   m_callers.SetLimits(limits);
 }
 
-auto EntryHost::TakeEndpoint(const StoredObject& object, bool removed) -> void {
-  const auto id = EndpointId(object.m_name);
-  const auto now = SteadyTime();
-  auto& directory = m_context.m_directory;
-  if (removed) {
-    LogEvent(LogEventId::kEndpointChanged,
-             {{"endpoint", id.value()}, {"state", "removed"}});
-    RemoveEndpoint(directory, id, now);
-    return;
-  }
-  auto entry = DecodeOrReject(object);
-  if (!entry) {
-    RemoveEndpoint(directory, id, now);
-    return;
-  }
-  const auto* known = FindEndpoint(directory, id);
-  const auto restarted =
-      known != nullptr && known->m_started_unix_ms != entry->m_started_unix_ms;
-  if (restarted) {
-    m_context.m_loads.erase(id);
-    m_context.m_endpoints.Forget(known->m_address);
-  }
-  if (known == nullptr || known->m_leaving != entry->m_leaving || restarted) {
-    LogEvent(LogEventId::kEndpointChanged,
-             {{"endpoint", id.value()},
-              {"service", entry->m_service.value()},
-              {"domain", entry->m_domain.value()},
-              {"state", entry->m_leaving ? "leaving" : "ready"},
-              {"version", std::to_string(entry->m_version.value())}});
-  }
-  PutEndpoint(directory, std::move(*entry));
-}
-
-auto EntryHost::TakeEndpoints(const ObjectListing& listing) -> void {
-  std::vector<EndpointEntry> entries;
-  for (const auto& object : listing.m_objects) {
-    if (auto entry = DecodeOrReject(object)) {
-      entries.push_back(std::move(*entry));
-    }
-  }
-  ReplaceEndpoints(m_context.m_directory, std::move(entries), SteadyTime());
-}
-
 // Requests.
 
 auto EntryHost::OnCaller(const std::shared_ptr<ServerConnection>& connection,
@@ -306,6 +228,7 @@
                        const IncomingRequest& request) -> void {
   const auto& target = request.m_head.m_target;
   if (target == kMetricsPath) {
+    NoteViewAges();
     connection->Answer(kStatusOk,
                        {{"Content-Type", std::string(kMetricsContentType)}},
                        FormatMetrics());
@@ -349,6 +272,15 @@
   }
 }
 
+auto EntryHost::NoteViewAges() const -> void {
+  const auto now = SteadyTime();
+  for (const auto& follower :
+       {m_config_follower, m_context.m_endpoint_follower, m_lead_follower}) {
+    SetMetric(MetricId::kViewAge, ToSeconds(follower->Age(now)),
+              KindName(follower->kind()));
+  }
+}
+
 auto EntryHost::OnYieldQuestion(
     const std::shared_ptr<ServerConnection>& connection,
     const KnownLead& lead) -> void {
@@ -379,7 +311,7 @@
   for (const auto& exchange : open) {
     exchange->Tick(now);
   }
-  DropLapsed(m_context.m_directory, now);
+  m_endpoints.Tick(now);
   m_context.m_endpoints.Tick(now);
   m_context.m_peers.Tick(now);
   m_callers.Tick(now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -7,6 +7,7 @@
 
 #include "call_exchange.h"
 #include "dotterelshed/http_listener.h"
+#include "endpoint_view.h"
 #include "entry_context.h"
 #include "grant_client.h"
 #include "kind_follower.h"
@@ -45,14 +46,14 @@
               const IncomingRequest& request) -> void;
   auto OnYieldQuestion(const std::shared_ptr<ServerConnection>& connection,
                        const KnownLead& lead) -> void;
+  /// Sets the metric that tells how old the views of the store are.
+  auto NoteViewAges() const -> void;
   auto Refuse(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request,
               int status,
               std::string_view reason) -> void;
 
   auto TakeConfig(const StoredObject& object) -> void;
-  auto TakeEndpoint(const StoredObject& object, bool removed) -> void;
-  auto TakeEndpoints(const ObjectListing& listing) -> void;
   auto ApplyLimits() -> void;
 
   auto Tick() -> void;
@@ -60,6 +61,7 @@
   auto ArmTick() -> void;
 
   EntryContext m_context;
+  EndpointView m_endpoints;
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
@@ -67,7 +69,6 @@
   HttpListener m_readiness;
   HttpListener m_peers;
   std::shared_ptr<KindFollower> m_config_follower;
-  std::shared_ptr<KindFollower> m_endpoint_follower;
   std::shared_ptr<KindFollower> m_lead_follower;
   std::unordered_set<std::shared_ptr<CallExchange>> m_exchanges;
   boost::asio::steady_timer m_tick_timer;
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
 
@@ -42,7 +43,8 @@
     : m_store(store),
       m_options(options),
       m_handlers(std::move(handlers)),
-      m_timer(loop) {}
+      m_timer(loop),
+      m_confirmed_at(SteadyTime()) {}
 
 auto KindFollower::Start() -> void {
   List();
@@ -71,6 +73,7 @@
 }
 
 auto KindFollower::List() -> void {
+  m_called_at = SteadyTime();
   m_store.List(m_options.m_kind, [weak = weak_from_this(), round = ++m_round](
                                      const Result<ObjectListing>& listing) {
     const auto self = weak.lock();
@@ -81,6 +84,7 @@
 }
 
 auto KindFollower::Watch() -> void {
+  m_called_at = SteadyTime();
   m_store.Watch(m_options.m_kind, m_version, kWatchWait,
                 [weak = weak_from_this(),
                  round = ++m_round](const Result<ObjectChanges>& changes) {
@@ -100,6 +104,7 @@
   m_listed = true;
   m_version = listing->m_store_version;
   m_handlers.m_on_listing(*listing);
+  Confirm(m_called_at);
   Watch();
 }
 
@@ -111,10 +116,12 @@
   SetReachable(true);
   m_version = std::max(m_version, changes->m_store_version);
   if (changes->m_changes.empty()) {
+    Confirm(SteadyTime());
     Watch();
     return;
   }
   m_handlers.m_on_changes(*changes);
+  Confirm(SteadyTime());
   After(m_options.m_join_time, &KindFollower::Watch);
 }
 
@@ -125,11 +132,14 @@
     List();
     return;
   }
+  const auto now = SteadyTime();
   if (m_reachable) {
     LogEvent(LogEventId::kPlatformLost,
              {{"kind", std::string(KindName(m_options.m_kind))},
               {"code", std::string(ToString(error.m_code))},
-              {"reason", error.m_message}});
+              {"reason", error.m_message},
+              {"waited_ms", FormatMs(now - m_called_at)},
+              {"view_ms", FormatMs(Age(now))}});
   }
   SetReachable(false);
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
@@ -138,6 +148,10 @@
   After(m_backoff, &KindFollower::List);
 }
 
+auto KindFollower::Confirm(TimePoint shown_at) -> void {
+  m_confirmed_at = std::max(m_confirmed_at, shown_at);
+}
+
 auto KindFollower::SetReachable(bool reachable) -> void {
   if (reachable) {
     m_backoff = Duration{0};
@@ -148,7 +162,8 @@
   m_reachable = reachable;
   if (reachable) {
     LogEvent(LogEventId::kPlatformBack,
-             {{"kind", std::string(KindName(m_options.m_kind))}});
+             {{"kind", std::string(KindName(m_options.m_kind))},
+              {"view_ms", FormatMs(Age(SteadyTime()))}});
   }
   if (m_handlers.m_on_reachable) {
     m_handlers.m_on_reachable(reachable);
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -25,7 +25,7 @@
   std::function<void(const ObjectListing&)> m_on_listing;
   std::function<void(const ObjectChanges&)> m_on_changes;
   /// The store stopped answering, or answers again; may be empty.
-  std::function<void(bool)> m_on_reachable;
+  std::function<void(bool)> m_on_reachable = {};
 };
 
 /// Handlers for a kind whose objects are replaced but never taken back: each
@@ -47,8 +47,12 @@
   auto Refresh() -> void;
   /// True once a listing has arrived.
   auto listed() const -> bool { return m_listed; }
-  /// True while the last call succeeded.
-  auto reachable() const -> bool { return m_reachable; }
+  auto kind() const -> ObjectKind { return m_options.m_kind; }
+  /// Version up to which the view is complete.
+  auto version() const -> ResourceVersion { return m_version; }
+  /// Time since an answer last showed that the view is complete; counted from
+  /// the follower's making before the first one.
+  auto Age(TimePoint now) const -> Duration { return now - m_confirmed_at; }
 
  private:
   auto List() -> void;
@@ -56,6 +60,7 @@
   auto OnListing(const Result<ObjectListing>& listing) -> void;
   auto OnChanges(const Result<ObjectChanges>& changes) -> void;
   auto OnFailure(const Error& error) -> void;
+  auto Confirm(TimePoint shown_at) -> void;
   auto SetReachable(bool reachable) -> void;
   auto After(Duration wait, void (KindFollower::*step)()) -> void;
 
@@ -64,6 +69,8 @@
   FollowerHandlers m_handlers;
   boost::asio::steady_timer m_timer;
   ResourceVersion m_version;
+  TimePoint m_confirmed_at;
+  TimePoint m_called_at;
   Duration m_backoff{0};
   /// Counts calls, so that a late answer to an abandoned one is ignored.
   int m_round = 0;
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -22,58 +22,115 @@
   }
 }
 
-auto Drop(EndpointDirectory& directory, const EndpointId& id) -> void {
+auto Drop(EndpointDirectory& directory,
+          const EndpointId& id,
+          EndpointChangeKind kind) -> EndpointChange {
   directory.m_lapsing.erase(id);
   const auto found = directory.m_entries.find(id);
   if (found == directory.m_entries.end()) {
-    return;
+    return {.m_endpoint = id};
   }
+  EndpointChange change{.m_endpoint = id,
+                        .m_kind = kind,
+                        .m_old_address = found->second.m_address};
   Unlink(directory, found->second);
   directory.m_entries.erase(found);
+  return change;
+}
+
+auto Compare(const EndpointEntry& before, const EndpointEntry& after)
+    -> EndpointChangeKind {
+  if (before.m_started_unix_ms != after.m_started_unix_ms) {
+    return EndpointChangeKind::kRestarted;
+  }
+  if (before.m_leaving == after.m_leaving) {
+    return EndpointChangeKind::kNone;
+  }
+  return after.m_leaving ? EndpointChangeKind::kLeaving
+                         : EndpointChangeKind::kReady;
+}
+
+auto AddChange(std::vector<EndpointChange>& changes, EndpointChange change)
+    -> void {
+  if (change.m_kind != EndpointChangeKind::kNone) {
+    changes.push_back(std::move(change));
+  }
 }
 
 }  // namespace
 
+auto ToString(EndpointChangeKind kind) -> std::string_view {
+  switch (kind) {
+    case EndpointChangeKind::kNone:
+      return "none";
+    case EndpointChangeKind::kReady:
+      return "ready";
+    case EndpointChangeKind::kLeaving:
+      return "leaving";
+    case EndpointChangeKind::kRestarted:
+      return "restarted";
+    case EndpointChangeKind::kRemoved:
+      return "removed";
+    case EndpointChangeKind::kHeld:
+      return "held";
+    case EndpointChangeKind::kLapsed:
+      return "lapsed";
+  }
+  return "none";
+}
+
 auto NotePlatformBack(EndpointDirectory& directory, TimePoint now) -> void {
   directory.m_lapse_window_end = now + kReturnTime;
 }
 
-auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry) -> void {
+auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
+    -> EndpointChange {
   directory.m_lapsing.erase(entry.m_id);
-  const auto found = directory.m_entries.find(entry.m_id);
+  const auto id = entry.m_id;
+  EndpointChange change{.m_endpoint = id,
+                        .m_kind = entry.m_leaving ? EndpointChangeKind::kLeaving
+                                                  : EndpointChangeKind::kReady};
+  const auto found = directory.m_entries.find(id);
   if (found != directory.m_entries.end()) {
-    if (found->second.m_version > entry.m_version) {
-      return;
+    const auto& before = found->second;
+    if (before.m_version > entry.m_version) {
+      return {.m_endpoint = id};
     }
-    Unlink(directory, found->second);
+    change.m_kind = Compare(before, entry);
+    change.m_old_address = before.m_address;
+    Unlink(directory, before);
   }
-  const auto id = entry.m_id;
   directory.m_by_service[entry.m_service].push_back(id);
   directory.m_entries[id] = std::move(entry);
+  return change;
 }
 
 auto RemoveEndpoint(EndpointDirectory& directory,
                     const EndpointId& id,
-                    TimePoint now) -> void {
+                    TimePoint now) -> EndpointChange {
   const auto found = directory.m_entries.find(id);
   if (found == directory.m_entries.end()) {
-    return;
+    return {.m_endpoint = id};
   }
   const auto window = directory.m_lapse_window_end;
   if (window && now < *window && !found->second.m_leaving) {
-    directory.m_lapsing.emplace(id, *window);
-    return;
+    const auto added = directory.m_lapsing.emplace(id, *window).second;
+    return {
+        .m_endpoint = id,
+        .m_kind = added ? EndpointChangeKind::kHeld : EndpointChangeKind::kNone,
+        .m_old_address = found->second.m_address};
   }
-  Drop(directory, id);
+  return Drop(directory, id, EndpointChangeKind::kRemoved);
 }
 
 auto ReplaceEndpoints(EndpointDirectory& directory,
                       std::vector<EndpointEntry> entries,
-                      TimePoint now) -> void {
+                      TimePoint now) -> std::vector<EndpointChange> {
+  std::vector<EndpointChange> changes;
   std::set<EndpointId> listed;
   for (auto& entry : entries) {
     listed.insert(entry.m_id);
-    PutEndpoint(directory, std::move(entry));
+    AddChange(changes, PutEndpoint(directory, std::move(entry)));
   }
   std::vector<EndpointId> missing;
   for (const auto& [id, entry] : directory.m_entries) {
@@ -82,20 +139,24 @@
     }
   }
   for (const auto& id : missing) {
-    RemoveEndpoint(directory, id, now);
+    AddChange(changes, RemoveEndpoint(directory, id, now));
   }
+  return changes;
 }
 
-auto DropLapsed(EndpointDirectory& directory, TimePoint now) -> void {
+auto DropLapsed(EndpointDirectory& directory, TimePoint now)
+    -> std::vector<EndpointChange> {
   std::vector<EndpointId> over;
   for (const auto& [id, until] : directory.m_lapsing) {
     if (until <= now) {
       over.push_back(id);
     }
   }
+  std::vector<EndpointChange> changes;
   for (const auto& id : over) {
-    Drop(directory, id);
+    AddChange(changes, Drop(directory, id, EndpointChangeKind::kLapsed));
   }
+  return changes;
 }
 
 auto FindEndpoint(const EndpointDirectory& directory, const EndpointId& id)
