A broken stream isn't resumed on an endpoint that has left

Cause, found by reading each place where a request is sent: when a route allows no further endpoint, a broken stream goes back to the one that ran it, leaving or not, at any time after it began to leave. Ruled out for other requests: Choose() checks the directory of this host also for the endpoint that the lead named.

Change: such a stream is broken off (or answered 502 if nothing was passed on), so that the caller repeats it. The test 'a broken stream is resumed on an endpoint that left meanwhile' fails before (2 requests there) and passes now.

--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -135,10 +135,14 @@
 auto CallExchange::Choose() -> std::optional<EndpointId> {
   const auto next = std::exchange(m_next, EndpointId());
   const auto* entry = FindEndpoint(m_context.m_directory, next);
-  const auto resumed = m_run_on.contains(next);
-  if (entry != nullptr && (!entry->m_leaving || resumed) &&
-      !m_excluded.contains(next)) {
-    return next;
+  if (entry != nullptr && !m_excluded.contains(next)) {
+    if (!entry->m_leaving) {
+      return next;
+    }
+    if (m_run_on.contains(next)) {
+      // The route allows no further endpoint, and this one takes no new work.
+      return std::nullopt;
+    }
   }
   return ChooseEndpoint(m_context.m_directory, m_context.m_loads,
                         {.m_service = m_service,
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/stale_view_unittest.cc
@@ -48,5 +48,33 @@
   });
 }
 
+TEST_CASE("a broken stream is resumed on an endpoint that left meanwhile") {
+  TestWorld world;
+  std::vector<ScriptedEndpoint::Request> turns;
+  auto& endpoint = world.AddEndpoint([&turns](const auto& request) {
+    if (request.m_head.m_target != "/turn/1") {
+      request.m_stream->Write(request.Whole("x"));
+      return;
+    }
+    turns.push_back(request);
+    request.m_stream->Write(
+        request.Head(200, "Transfer-Encoding: chunked\r\n") +
+        "e\r\nid: 1\ndata: t\n\n\r\n");
+  });
+  world.Start();
+  const auto caller = world.Call(
+      "POST /turn/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: "
+      "0\r\n\r\n");
+  world.RunUntil([&turns] { return !turns.empty(); });
+  world.m_store.Put("servers", "e1", LeavingSpec(endpoint));
+  world.RunUntil([&world] {
+    return world.Finish("GET /safe/1 HTTP/1.1\r\nHost: desk\r\n\r\n")
+               ->Status() == 503;
+  });
+  turns.front().m_stream->Close();
+  world.RunUntil([&caller] { return caller->m_ended; });
+  CHECK(turns.size() == 1);
+}
+
 }  // namespace
 }  // namespace dotterelshed
