Entries are held only after an outage in which they can have lapsed

What callers saw: nothing yet; found by asking where else a host may use an endpoint for longer than the two seconds that it has to leave.

Change: an outage shorter than two heartbeats lapses nothing; and an entry is held no longer than view_max_age_ms + endpoint_leave_ms after the last call that failed was sent, since an endpoint that leaves once the store is stable must be out of use by then.

--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -31,7 +31,26 @@
   ResourceVersion m_version;
 };
 
+/// What decides whether a vanished entry may be one that lapsed in an outage.
+struct LapseLimits {
+  /// Entries lapse after some missed heartbeats, so not in a shorter outage.
+  Duration m_shortest_outage = std::chrono::milliseconds(2400);
+  /// Longest time that an entry is held after the platform was away for
+  /// certain: by then one that left for good must be out of use.
+  Duration m_longest_hold = std::chrono::milliseconds(4800);
+};
+
+/// How an outage of the platform looked from this host.
+struct PlatformReturn {
+  /// Last answer before the outage.
+  TimePoint m_last_seen;
+  /// When the last call that failed was sent.
+  TimePoint m_failed_call_sent;
+  TimePoint m_back_at;
+};
+
 struct EndpointDirectory {
+  LapseLimits m_limits;
   std::map<EndpointId, EndpointEntry> m_entries;
   std::map<ServiceId, std::vector<EndpointId>> m_by_service;
   /// Entries that vanished with an outage, and until when they are still used.
@@ -62,7 +81,8 @@
 };
 
 /// The platform answers again after it didn't.
-auto NotePlatformBack(EndpointDirectory& directory, TimePoint now) -> void;
+auto NotePlatformBack(EndpointDirectory& directory,
+                      const PlatformReturn& platform) -> void;
 
 /// Takes a new or changed entry.
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -13,6 +13,10 @@
 /// Endpoints come and go in groups; a leaving one must be known within two
 /// seconds.
 constexpr Duration kJoinTime = std::chrono::milliseconds(800);
+/// An entry lapses after three missed heartbeats, the first of which may have
+/// been due as an outage began.
+constexpr int kHeartbeatsInOutage = 2;
+constexpr Duration kLeaveMargin = std::chrono::milliseconds(200);
 
 /// An entry that another writer spoiled names no endpoint to use.
 auto DecodeOrReject(const StoredObject& object)
@@ -30,6 +34,11 @@
 }  // namespace
 
 EndpointView::EndpointView(EntryContext& context) : m_context(context) {
+  const auto& settings = context.m_settings;
+  context.m_directory.m_limits = {
+      .m_shortest_outage = settings.m_endpoint_heartbeat * kHeartbeatsInOutage,
+      .m_longest_hold =
+          settings.m_view_max_age + settings.m_endpoint_leave - kLeaveMargin};
   m_context.m_endpoint_follower = std::make_shared<KindFollower>(
       context.m_loop, context.m_store,
       FollowerOptions{.m_kind = ObjectKind::kEndpoints,
@@ -56,8 +65,12 @@
 
 auto EndpointView::NoteReachable(bool reachable) -> void {
   m_context.m_store_reached = reachable;
+  const auto& follower = *m_context.m_endpoint_follower;
   if (reachable) {
-    NotePlatformBack(m_context.m_directory, SteadyTime());
+    NotePlatformBack(m_context.m_directory,
+                     {.m_last_seen = follower.confirmed_at(),
+                      .m_failed_call_sent = follower.failed_call_sent(),
+                      .m_back_at = SteadyTime()});
   }
 }
 
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -17,6 +17,9 @@
 constexpr std::int64_t kLeastDescriptors = 64;
 /// Less leaves no time to wait between two calls of the store.
 constexpr Duration kLeastViewAge = std::chrono::milliseconds(2000);
+constexpr Duration kLeastHeartbeat = std::chrono::milliseconds(1);
+/// Changes of endpoints are joined for most of a second.
+constexpr Duration kLeastEndpointLeave = std::chrono::milliseconds(1000);
 
 /// Reads members of one object and keeps the first mistake.
 struct SettingsReader {
@@ -124,6 +127,10 @@
       reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
   settings.m_view_max_age = reader.Milliseconds(
       "view_max_age_ms", kLeastViewAge, settings.m_view_max_age);
+  settings.m_endpoint_heartbeat = reader.Milliseconds(
+      "endpoint_heartbeat_ms", kLeastHeartbeat, settings.m_endpoint_heartbeat);
+  settings.m_endpoint_leave = reader.Milliseconds(
+      "endpoint_leave_ms", kLeastEndpointLeave, settings.m_endpoint_leave);
   settings.m_max_descriptors = static_cast<int>(reader.Number(
       "max_descriptors", kLeastDescriptors, settings.m_max_descriptors));
   settings.m_tolerated_losses = static_cast<int>(
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -36,6 +36,10 @@
   /// Time after trouble of the store within which this host's view of it is
   /// complete again.
   Duration m_view_max_age = std::chrono::seconds(3);
+  /// Time between two heartbeats of an endpoint to the platform.
+  Duration m_endpoint_heartbeat = std::chrono::milliseconds(1200);
+  /// Time in which an endpoint that leaves must be out of use everywhere.
+  Duration m_endpoint_leave = std::chrono::seconds(2);
   /// Sockets, files and pipes that the process may hold.
   int m_max_descriptors = 1024;
   /// Hosts with a disk that may be lost at once.
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -17,6 +17,8 @@
   "processor_share": 0.25,
   "tolerated_losses": 2,
   "view_max_age_ms": 4000,
+  "endpoint_heartbeat_ms": 1100,
+  "endpoint_leave_ms": 3000,
   "stop_grace_s": 8.5
 })";
 
@@ -32,6 +34,8 @@
   CHECK(settings->m_host == HostId("h1"));
   CHECK(settings->m_stop_grace == std::chrono::milliseconds(8500));
   CHECK(settings->m_view_max_age == std::chrono::seconds(4));
+  CHECK(settings->m_endpoint_heartbeat == std::chrono::milliseconds(1100));
+  CHECK(settings->m_endpoint_leave == std::chrono::seconds(3));
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
 }
@@ -44,6 +48,8 @@
                std::tuple("8.5", "-1", "stop_grace_s"),
                std::tuple(": 2,", ": -2,", "tolerated_losses"),
                std::tuple("4000", "1500", "view_max_age_ms"),
+               std::tuple("1100", "0", "endpoint_heartbeat_ms"),
+               std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -148,6 +148,7 @@
               {"waited_ms", FormatMs(now - m_called_at)},
               {"view_ms", FormatMs(Age(now))}});
   }
+  m_failed_call_sent = m_called_at;
   SetReachable(false);
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
   // A listing shows at once when the store is back; a watch would stay silent
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -53,6 +53,10 @@
   auto kind() const -> ObjectKind { return m_options.m_kind; }
   /// Version up to which the view is complete.
   auto version() const -> ResourceVersion { return m_version; }
+  /// When an answer last showed that the view is complete.
+  auto confirmed_at() const -> TimePoint { return m_confirmed_at; }
+  /// When the last call that failed was sent.
+  auto failed_call_sent() const -> TimePoint { return m_failed_call_sent; }
   /// Time since an answer last showed that the view is complete; counted from
   /// the follower's making before the first one.
   auto Age(TimePoint now) const -> Duration { return now - m_confirmed_at; }
@@ -75,6 +79,7 @@
   ResourceVersion m_version;
   TimePoint m_confirmed_at;
   TimePoint m_called_at;
+  TimePoint m_failed_call_sent;
   Duration m_backoff{0};
   /// Counts calls, so that a late answer to an abandoned one is ignored.
   int m_round = 0;
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -79,8 +79,15 @@
   return "none";
 }
 
-auto NotePlatformBack(EndpointDirectory& directory, TimePoint now) -> void {
-  directory.m_lapse_window_end = now + kReturnTime;
+auto NotePlatformBack(EndpointDirectory& directory,
+                      const PlatformReturn& platform) -> void {
+  const auto& limits = directory.m_limits;
+  if (platform.m_back_at - platform.m_last_seen < limits.m_shortest_outage) {
+    return;
+  }
+  directory.m_lapse_window_end =
+      std::min(platform.m_back_at + kReturnTime,
+               platform.m_failed_call_sent + limits.m_longest_hold);
 }
 
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
