What disk hosts keep counts only for accounts that are on record in the store

Cause, from those logs: at 28.6 s viborg's lead opened an account; at 28.7 s its domain was cut off. It kept the account on the disk host that it still reached, and granted 321 tokens on that. At 29.8 s herning's lead was killed; its successor knew nothing of the account, found viborg silent, read and fenced viborg's ledger in the store, found no account there and opened one: 360 tokens more. The guard before this only covered accounts that were opened while another lead could not be heard.

Ruled out: an advance that was lost (herning gave none, advance=no), a late write of viborg's (none was done).

Change: what is kept on disk hosts raises a bound only if the account is on the store's record, since only there do other domains look; and a lead that takes over raises the bounds of recorded accounts only. An account that begins in an outage gets its advance and no more until the store is back.

Two tests asked for the unsafe service: 'turns go on by the disk hosts' now has its program on record before the outage and checks besides that one that isn't gets nothing from the disk hosts; 'a new lead waits for disk hosts' has the program on record with less than what the disk hosts kept.

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -74,8 +74,6 @@
   TimePoint m_last_used;
   /// The store's record holds it, so that each other lead finds it there.
   bool m_on_record = false;
-  /// Opened while another lead could only be fenced, so that it doesn't know.
-  bool m_unheard = false;
   /// True when grants may exceed the record by one turn's most: only before
   /// the first record, so that little is lost with the lead.
   bool m_has_advance = false;
@@ -98,8 +96,9 @@
   std::vector<RunningTurn> m_running;
 };
 
-/// Raises the bounds of @p record to those of another record of the same
-/// domain, which may have been kept elsewhere.
+/// Raises the bounds of the store's @p record to those of one that was kept on
+/// disk hosts. Programs that are only in the other one had nothing granted on
+/// it.
 auto RaiseBounds(LedgerRecord& record, const LedgerRecord& other) -> void;
 
 struct ProgramLedger {
@@ -177,7 +176,8 @@
 /// @p record has been stored under this lead's term, after all earlier ones.
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void;
 
-/// @p record has been kept elsewhere, where other leads don't see it.
+/// @p record has been kept on disk hosts, where only the leads of this domain
+/// look. It counts for accounts that the store's record holds too.
 auto NoteKept(ProgramLedger& ledger, const LedgerRecord& record) -> void;
 
 /// Another domain's lead has fenced the record: it may have opened accounts of
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -251,7 +251,6 @@
   });
   world.AddDiskHost("d1", folder);
   world.Start();
-  world.m_store.SetDown(true);
   const auto status = [&world](const std::string& id) {
     auto status = 503;
     // The first answers may come before the lead has given the store up.
@@ -260,8 +259,16 @@
     }
     return status;
   };
-  for (const auto* id : {"r1", "r2", "r3"}) {
+  // Only what is on record can be found by other domains' leads.
+  CHECK(status("r1") == 200);
+  world.m_store.SetDown(true);
+  const auto other =
+      "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: q1"
+      "\r\nProgram-Id: q\r\nSession-Id: q\r\nToken-Budget: 400"
+      "\r\nToken-Counts: 100,100\r\nContent-Length: 0\r\n\r\n";
+  for (const auto* id : {"r2", "r3"}) {
     CHECK(status(id) == 200);
+    CHECK(world.Finish(other)->Status() == 503);
   }
   world.m_store.SetDown(false);
   CHECK(status("r4") == 200);
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -99,8 +99,9 @@
 
 TEST_CASE("a new lead waits for disk hosts that may hold its ledger") {
   TestWorld world;
-  const StoredLedger stored{
+  StoredLedger stored{
       .m_host = HostId("h0"), .m_incarnation = Incarnation(5), .m_write = 1};
+  stored.m_record.m_bounds = {{ProgramId("p"), Tokens(10)}};
   PutLedger(world, "z", stored);
   auto kept = stored;
   kept.m_write = 2;
--- a/src/libledger/ledger_fence_walk_unittest.cc
+++ b/src/libledger/ledger_fence_walk_unittest.cc
@@ -61,6 +61,8 @@
   bool m_journal = false;
   /// All leads lose their memory at once at times.
   bool m_power_fails = false;
+  /// One lead is replaced at times, and its memory is lost.
+  bool m_leads_fail = false;
   int m_requests = 0;
 
   auto Draw(int below) -> int {
@@ -158,18 +160,25 @@
   }
 }
 
+auto ReplaceLead(Domain& domain, TimePoint now) -> void {
+  auto record = domain.m_stored.m_record;
+  RaiseBounds(record, domain.m_kept);
+  domain.m_ledger = {};
+  AdoptRecord(domain.m_ledger, record, now);
+  // A lead that couldn't write what it adopts doesn't begin.
+  domain.m_stored.m_record = record;
+  ++domain.m_stored.m_version;
+  domain.m_fence = domain.m_stored.m_fence;
+  domain.m_version = domain.m_stored.m_version;
+  domain.m_write.reset();
+  domain.m_fenced_other = false;
+  domain.m_notes.clear();
+}
+
 /// All leads lose their memory at once.
 auto LosePower(World& world) -> void {
   for (auto& domain : world.m_domains) {
-    auto record = domain.m_stored.m_record;
-    RaiseBounds(record, domain.m_kept);
-    domain.m_ledger = {};
-    AdoptRecord(domain.m_ledger, record, world.m_now);
-    domain.m_fence = domain.m_stored.m_fence;
-    domain.m_version = domain.m_stored.m_version;
-    domain.m_write.reset();
-    domain.m_fenced_other = false;
-    domain.m_notes.clear();
+    ReplaceLead(domain, world.m_now);
   }
 }
 
@@ -182,6 +191,9 @@
       if (world.m_power_fails && world.Draw(20) == 0) {
         LosePower(world);
       }
+      if (world.m_leads_fail && world.Draw(5) == 0) {
+        ReplaceLead(own, world.m_now);
+      }
       return;
     case 0:
     case 1:
@@ -203,6 +215,7 @@
   bool m_store_fails = false;
   bool m_journal = false;
   bool m_power_fails = false;
+  bool m_leads_fail = false;
 };
 
 auto Walk(const WalkOptions& options) -> void {
@@ -213,7 +226,8 @@
     World world{.m_random = std::mt19937(seed),
                 .m_store_fails = options.m_store_fails,
                 .m_journal = options.m_journal,
-                .m_power_fails = options.m_power_fails};
+                .m_power_fails = options.m_power_fails,
+                .m_leads_fail = options.m_leads_fail};
     for (auto& domain : world.m_domains) {
       domain.m_ledger.m_confirmed = world.m_now;
     }
@@ -235,15 +249,19 @@
   Walk({.m_power_fails = true});
 }
 
+TEST_CASE("a replaced lead opens an account that a cut-off one keeps on disk") {
+  Walk({.m_journal = true, .m_leads_fail = true});
+}
+
+TEST_CASE("leads with a journal that lose power keep each budget") {
+  Walk({.m_journal = true, .m_power_fails = true});
+}
+
 // Not in the default run: KNOWN-RED.txt.
 
 TEST_CASE("a blind lead and another that lose power keep each budget", "[.]") {
   Walk({.m_store_fails = true, .m_power_fails = true});
 }
 
-TEST_CASE("leads with a journal that lose power keep each budget", "[.]") {
-  Walk({.m_journal = true, .m_power_fails = true});
-}
-
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -56,7 +56,6 @@
   auto& account = ledger.m_accounts[request.m_program];
   // The lead that wasn't heard may have given one.
   account.m_has_advance = MayAdvance(ledger, now) && !conditions.m_unheard;
-  account.m_unheard = conditions.m_unheard;
   account.m_blind = conditions.m_blind;
   return account;
 }
@@ -104,9 +103,11 @@
 }
 
 auto RaiseBounds(LedgerRecord& record, const LedgerRecord& other) -> void {
-  for (const auto& [program, bound] : other.m_bounds) {
-    auto& known = record.m_bounds[program];
-    known = std::max(known, bound);
+  for (auto& [program, bound] : record.m_bounds) {
+    const auto kept = other.m_bounds.find(program);
+    if (kept != other.m_bounds.end()) {
+      bound = std::max(bound, kept->second);
+    }
   }
 }
 
@@ -123,7 +124,6 @@
   account.m_turn_max = std::max(account.m_turn_max, request.m_turn_max);
   if (account.m_blind) {
     account.m_blind = conditions.m_blind;
-    account.m_unheard = conditions.m_unheard;
     account.m_has_advance = account.m_has_advance && !conditions.m_unheard;
   }
   const auto running = account.m_running.find(request.m_request);
@@ -213,9 +213,9 @@
       continue;
     }
     auto& account = found->second;
-    // The lead that wasn't heard may have opened one too, and would not learn
-    // of this one.
-    if (account.m_on_record || !account.m_unheard) {
+    // Another domain's lead looks in the store only: it would open an account
+    // of its own beside one that isn't on record there.
+    if (account.m_on_record) {
       account.m_recorded = bound;
       account.m_recording.reset();
       account.m_has_advance = false;
