The lead reads endpoints and configuration for the hosts of its domain

A host asks the lead of its domain instead (/peer/view). The lead says how old its own view is, so a lead that is cut off from the store can't pass for fresh; it answers within 700 ms, news or none, so that one that freezes is left in time for an endpoint that leaves. A host whose reader fails or is too old reads the store itself for 2 s.

--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -84,6 +84,12 @@
 auto NotePlatformBack(EndpointDirectory& directory,
                       const PlatformReturn& platform) -> void;
 
+/// Time for which vanished entries are still held; zero for none.
+auto HoldLeft(const EndpointDirectory& directory, TimePoint now) -> Duration;
+
+/// Another host holds vanished entries until @p until; so does this one.
+auto NoteHold(EndpointDirectory& directory, TimePoint until) -> void;
+
 /// Takes a new or changed entry.
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
     -> EndpointChange;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -53,6 +53,7 @@
   kPlatformLost = 701,
   kPlatformBack = 702,
   kRetirementAnswered = 703,
+  kReaderLeft = 704,
 };
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -90,6 +90,9 @@
      "The platform answers again."},
     {LogEventId::kRetirementAnswered, LogLevel::kInfo, "retirement_answered",
      "A disk host that is to be emptied was reported as empty."},
+    {LogEventId::kReaderLeft, LogLevel::kInfo, "reader_left",
+     "The host that reads the platform for this one doesn't answer or is "
+     "behind; this host reads the platform itself for a while."},
 });
 
 }  // namespace
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kRegisterRetryWait = std::chrono::milliseconds(500);
+/// Retirements give some seconds, and only this host can answer its own.
+constexpr Duration kRetirementViewAge = std::chrono::seconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(500);
 
 /// Status that tells a peer how a journal call ended.
@@ -43,7 +45,7 @@
   m_follower = std::make_shared<KindFollower>(
       loop, m_store,
       FollowerOptions{.m_kind = ObjectKind::kRetirements,
-                      .m_max_age = settings.m_view_max_age},
+                      .m_max_age = kRetirementViewAge},
       TakeEachObject(
           [this](const StoredObject& object) { TakeRetirement(object); }));
 }
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -50,7 +50,14 @@
           .m_on_changes =
               [this](const ObjectChanges& changes) { TakeChanges(changes); },
           .m_on_reachable =
-              [this](bool reachable) { NoteReachable(reachable); }});
+              [this](bool reachable) { NoteReachable(reachable); },
+          .m_hold_left =
+              [this] { return HoldLeft(m_context.m_directory, SteadyTime()); },
+          .m_on_hold =
+              [this](Duration hold) {
+                NoteHold(m_context.m_directory, SteadyTime() + hold);
+              }},
+      context.Reader());
 }
 
 auto EndpointView::Start() -> void {
@@ -58,6 +65,7 @@
 }
 
 auto EndpointView::Tick(TimePoint now) -> void {
+  m_context.m_endpoint_follower->Tick(now);
   for (const auto& change : DropLapsed(m_context.m_directory, now)) {
     Apply(change, "time");
   }
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -67,6 +67,16 @@
     return true;
   }
 
+  /// The lead of this host's domain reads the store for the other hosts there.
+  auto Reader() -> ViewReader {
+    return {.m_peers = m_peers, .m_address = [this]() -> std::string {
+              const auto lead = LeadOf(m_settings.m_domain);
+              const auto other =
+                  lead && lead->m_entry.m_host != m_settings.m_host;
+              return other ? lead->m_entry.m_peer_address : std::string();
+            }};
+  }
+
   /// Uniform in [0, 1).
   auto Draw() -> double {
     return std::uniform_real_distribution<double>()(m_random);
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -28,6 +28,8 @@
 /// Programs are remembered for this much longer than their routes want: turns
 /// under way at the end still count.
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
+/// A host that asks a lead in vain reads the lead's entry anew anyway.
+constexpr Duration kLeadViewAge = std::chrono::seconds(10);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -94,10 +96,12 @@
       loop, m_context.m_store,
       FollowerOptions{.m_kind = ObjectKind::kConfig, .m_max_age = max_age},
       TakeEachObject(
-          [this](const StoredObject& object) { TakeConfig(object); }));
+          [this](const StoredObject& object) { TakeConfig(object); }),
+      m_context.Reader());
+  // Not through the lead, since this is how a silent lead's successor is found.
   m_lead_follower = std::make_shared<KindFollower>(
       loop, m_context.m_store,
-      FollowerOptions{.m_kind = ObjectKind::kLeads, .m_max_age = max_age},
+      FollowerOptions{.m_kind = ObjectKind::kLeads, .m_max_age = kLeadViewAge},
       TakeEachObject([this](const StoredObject& object) {
         m_lead.NoteLeadObject(object);
       }));
@@ -265,6 +269,11 @@
                   m_lead.NoteLead(lead);
                   connection->Answer(kStatusOk, {}, "");
                 });
+  } else if (target == kViewPath) {
+    TakeMessage(connection, DecodeViewQuestion(body),
+                [this, &connection](const ViewQuestion& question) {
+                  OnViewQuestion(connection, question);
+                });
   } else if (target == kYieldPath) {
     TakeMessage(connection, DecodeKnownLead(body),
                 [this, &connection](const KnownLead& lead) {
@@ -275,6 +284,27 @@
   }
 }
 
+auto EntryHost::FollowerOf(ObjectKind kind) -> KindFollower& {
+  switch (kind) {
+    case ObjectKind::kEndpoints:
+      return *m_context.m_endpoint_follower;
+    case ObjectKind::kLeads:
+      return *m_lead_follower;
+    default:
+      return *m_config_follower;
+  }
+}
+
+auto EntryHost::OnViewQuestion(
+    const std::shared_ptr<ServerConnection>& connection,
+    const ViewQuestion& question) -> void {
+  FollowerOf(question.m_kind)
+      .Answer(question, [connection](const Result<std::string>& answer) {
+        connection->Answer(answer ? kStatusOk : kStatusConflict, {},
+                           answer.value_or(std::string()));
+      });
+}
+
 auto EntryHost::NoteViewAges() const -> void {
   const auto now = SteadyTime();
   for (const auto& follower :
@@ -315,6 +345,7 @@
     exchange->Tick(now);
   }
   m_endpoints.Tick(now);
+  m_config_follower->Tick(now);
   m_context.m_endpoints.Tick(now);
   m_context.m_peers.Tick(now);
   m_callers.Tick(now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -44,6 +44,9 @@
                            const IncomingRequest& request) -> void;
   auto OnPeer(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request) -> void;
+  auto FollowerOf(ObjectKind kind) -> KindFollower&;
+  auto OnViewQuestion(const std::shared_ptr<ServerConnection>& connection,
+                      const ViewQuestion& question) -> void;
   auto OnYieldQuestion(const std::shared_ptr<ServerConnection>& connection,
                        const KnownLead& lead) -> void;
   /// Sets the metric that tells how old the views of the store are.
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -5,6 +5,7 @@
 
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
+#include "peer_call.h"
 
 namespace dotterelshed {
 
@@ -12,6 +13,14 @@
 
 /// Part of the greatest age that is left for a listing after a lost watch.
 constexpr Duration kListingTime = std::chrono::milliseconds(400);
+/// A reader answers within this time, news or none. An endpoint that leaves
+/// must be out of use within two seconds also if the reader freezes meanwhile.
+constexpr Duration kReaderAnswerTime = std::chrono::milliseconds(700);
+constexpr Duration kReaderTimeout = std::chrono::milliseconds(1000);
+/// A watch that ends at once would cost a call each round trip.
+constexpr Duration kLeastWatchWait = std::chrono::milliseconds(200);
+/// A reader that failed isn't asked again for this time.
+constexpr Duration kDirectTime = std::chrono::milliseconds(2000);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
 
@@ -39,10 +48,13 @@
 KindFollower::KindFollower(EventLoop& loop,
                            ObjectStore& store,
                            const FollowerOptions& options,
-                           FollowerHandlers handlers)
-    : m_store(store),
+                           FollowerHandlers handlers,
+                           std::optional<ViewReader> reader)
+    : m_loop(loop),
+      m_store(store),
       m_options(options),
       m_handlers(std::move(handlers)),
+      m_reader(std::move(reader)),
       m_timer(loop),
       m_confirmed_at(SteadyTime()) {}
 
@@ -72,6 +84,17 @@
   });
 }
 
+auto KindFollower::Next() -> void {
+  const auto address = m_reader ? m_reader->m_address() : std::string();
+  if (!address.empty() && SteadyTime() >= m_direct_until) {
+    AskReader(address);
+  } else if (m_from_store) {
+    Watch();
+  } else {
+    List();
+  }
+}
+
 auto KindFollower::List() -> void {
   m_called_at = SteadyTime();
   m_store.List(m_options.m_kind, [weak = weak_from_this(), round = ++m_round](
@@ -87,7 +110,9 @@
 /// both look as if nothing changed. So a watch ends early enough for a new
 /// listing within the greatest age.
 auto KindFollower::WatchWait() const -> Duration {
-  return m_options.m_max_age - m_store.options().m_call_timeout - kListingTime;
+  const auto longest =
+      m_options.m_max_age - m_store.options().m_call_timeout - kListingTime;
+  return std::max(longest - Age(SteadyTime()), kLeastWatchWait);
 }
 
 auto KindFollower::Watch() -> void {
@@ -109,10 +134,13 @@
   }
   SetReachable(true);
   m_listed = true;
+  m_from_store = true;
   m_version = listing->m_store_version;
   m_handlers.m_on_listing(*listing);
   Confirm(m_called_at);
-  Watch();
+  m_relay.Replace(listing->m_objects, m_version);
+  m_relay.Tell(State());
+  Next();
 }
 
 auto KindFollower::OnChanges(const Result<ObjectChanges>& changes) -> void {
@@ -124,12 +152,15 @@
   m_version = std::max(m_version, changes->m_store_version);
   if (changes->m_changes.empty()) {
     Confirm(SteadyTime());
-    Watch();
+    m_relay.Tell(State());
+    Next();
     return;
   }
   m_handlers.m_on_changes(*changes);
   Confirm(SteadyTime());
-  After(m_options.m_join_time, &KindFollower::Watch);
+  m_relay.Apply(*changes);
+  m_relay.Tell(State());
+  After(m_options.m_join_time, &KindFollower::Next);
 }
 
 auto KindFollower::OnFailure(const Error& error) -> void {
@@ -149,6 +180,7 @@
               {"view_ms", FormatMs(Age(now))}});
   }
   m_failed_call_sent = m_called_at;
+  m_relay.Drop(error);
   SetReachable(false);
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
   // A listing shows at once when the store is back; a watch would stay silent
@@ -156,6 +188,81 @@
   After(m_backoff, &KindFollower::List);
 }
 
+// The reader.
+
+auto KindFollower::AskReader(const std::string& address) -> void {
+  m_called_at = SteadyTime();
+  if (std::exchange(m_from_store, false)) {
+    m_relay.Drop({ErrorCode::kUnavailable, "this host asks a reader", ""});
+  }
+  CallPeer(
+      m_loop, m_reader->m_peers, address, kViewPath,
+      EncodeViewQuestion({.m_kind = m_options.m_kind, .m_version = m_version}),
+      kReaderTimeout,
+      [weak = weak_from_this(),
+       round = ++m_round](const Result<std::string>& reply) {
+        const auto self = weak.lock();
+        if (self && round == self->m_round) {
+          self->OnReaderAnswer(reply.and_then(DecodeViewAnswer));
+        }
+      });
+}
+
+auto KindFollower::OnReaderAnswer(const Result<ViewAnswer>& answer) -> void {
+  if (answer && answer->m_version >= m_version) {
+    TakeAnswer(*answer);
+  }
+  const auto now = SteadyTime();
+  const auto young = Age(now) <= m_options.m_max_age - kListingTime;
+  if (answer && young) {
+    Next();
+    return;
+  }
+  LogEvent(LogEventId::kReaderLeft,
+           {{"kind", std::string(KindName(m_options.m_kind))},
+            {"reason", answer ? "stale" : answer.error().m_message},
+            {"view_ms", FormatMs(Age(now))}});
+  m_direct_until = now + kDirectTime;
+  List();
+}
+
+auto KindFollower::TakeAnswer(const ViewAnswer& answer) -> void {
+  SetReachable(true);
+  m_version = answer.m_version;
+  m_listed = true;
+  if (m_handlers.m_on_hold) {
+    m_handlers.m_on_hold(answer.m_hold);
+  }
+  if (answer.m_objects) {
+    m_handlers.m_on_listing(
+        {.m_objects = *answer.m_objects, .m_store_version = m_version});
+    m_relay.Replace(*answer.m_objects, m_version);
+  }
+  Confirm(SteadyTime() - answer.m_age);
+}
+
+auto KindFollower::Answer(const ViewQuestion& question,
+                          ViewRelay::Answered answered) -> void {
+  if (!m_from_store || !m_reachable) {
+    answered(Fail(ErrorCode::kUnavailable, "this host doesn't read the store",
+                  std::string(KindName(m_options.m_kind))));
+    return;
+  }
+  m_relay.Ask(question, State(), SteadyTime() + kReaderAnswerTime,
+              std::move(answered));
+}
+
+auto KindFollower::Tick(TimePoint now) -> void {
+  m_relay.TellDue(State(), now);
+}
+
+auto KindFollower::State() const -> ViewAnswer {
+  return {.m_version = m_version,
+          .m_age = Age(SteadyTime()),
+          .m_hold =
+              m_handlers.m_hold_left ? m_handlers.m_hold_left() : Duration{0}};
+}
+
 auto KindFollower::Confirm(TimePoint shown_at) -> void {
   m_confirmed_at = std::max(m_confirmed_at, shown_at);
 }
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -3,14 +3,21 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/units.h"
+#include "endpoint_pool.h"
 #include "platform/object_store.h"
+#include "view_relay.h"
 
 /// @file
 /// Keeps up with one kind of objects in the platform's store: lists it once,
-/// then watches, and lists again when the history it needs is gone.
+/// then watches, and lists again when the history it needs is gone. A host that
+/// knows of a reader asks that one instead: one host of a failure domain then
+/// reads for all. It goes back to the store when the reader doesn't answer or
+/// can't show that its view is young enough.
 
 namespace dotterelshed {
 
@@ -29,6 +36,17 @@
   std::function<void(const ObjectChanges&)> m_on_changes;
   /// The store stopped answering, or answers again; may be empty.
   std::function<void(bool)> m_on_reachable = {};
+  /// Time for which missing entries may still come back; may be empty.
+  std::function<Duration()> m_hold_left = {};
+  /// The same, as the reader says; may be empty.
+  std::function<void(Duration)> m_on_hold = {};
+};
+
+/// The host that reads the store for this one.
+struct ViewReader {
+  EndpointPool& m_peers;
+  /// Its peer address; empty to read the store directly.
+  std::function<std::string()> m_address;
 };
 
 /// Handlers for a kind whose objects are replaced but never taken back: each
@@ -41,13 +59,20 @@
   KindFollower(EventLoop& loop,
                ObjectStore& store,
                const FollowerOptions& options,
-               FollowerHandlers handlers);
+               FollowerHandlers handlers,
+               std::optional<ViewReader> reader = std::nullopt);
 
   auto Start() -> void;
   /// Ends the following; no handler runs any more.
   auto Stop() -> void;
   /// Lists at once instead of waiting for a change.
   auto Refresh() -> void;
+  /// Answers another host's question, now or when there is news. Errors:
+  /// kUnavailable while this host doesn't read the store itself.
+  auto Answer(const ViewQuestion& question, ViewRelay::Answered answered)
+      -> void;
+  /// Answers the questions whose time is over; call several times a second.
+  auto Tick(TimePoint now) -> void;
   /// True once a listing has arrived.
   auto listed() const -> bool { return m_listed; }
   auto kind() const -> ObjectKind { return m_options.m_kind; }
@@ -62,9 +87,14 @@
   auto Age(TimePoint now) const -> Duration { return now - m_confirmed_at; }
 
  private:
+  auto Next() -> void;
   auto List() -> void;
   auto Watch() -> void;
   auto WatchWait() const -> Duration;
+  auto AskReader(const std::string& address) -> void;
+  auto OnReaderAnswer(const Result<ViewAnswer>& answer) -> void;
+  auto TakeAnswer(const ViewAnswer& answer) -> void;
+  auto State() const -> ViewAnswer;
   auto OnListing(const Result<ObjectListing>& listing) -> void;
   auto OnChanges(const Result<ObjectChanges>& changes) -> void;
   auto OnFailure(const Error& error) -> void;
@@ -72,18 +102,25 @@
   auto SetReachable(bool reachable) -> void;
   auto After(Duration wait, void (KindFollower::*step)()) -> void;
 
+  EventLoop& m_loop;
   ObjectStore& m_store;
   FollowerOptions m_options;
   FollowerHandlers m_handlers;
+  std::optional<ViewReader> m_reader;
+  ViewRelay m_relay;
   boost::asio::steady_timer m_timer;
   ResourceVersion m_version;
   TimePoint m_confirmed_at;
   TimePoint m_called_at;
   TimePoint m_failed_call_sent;
+  /// Until when the store is read directly, since the reader failed.
+  TimePoint m_direct_until;
   Duration m_backoff{0};
   /// Counts calls, so that a late answer to an abandoned one is ignored.
   int m_round = 0;
   bool m_listed = false;
+  /// The last answer came from the store, not from a reader.
+  bool m_from_store = false;
   bool m_reachable = true;
   bool m_stopped = false;
 };
--- a/src/libgateway/peer_call.h
+++ b/src/libgateway/peer_call.h
@@ -19,6 +19,7 @@
 inline constexpr std::string_view kFindPath = "/peer/find";
 inline constexpr std::string_view kLeadPath = "/peer/lead";
 inline constexpr std::string_view kYieldPath = "/peer/yield";
+inline constexpr std::string_view kViewPath = "/peer/view";
 inline constexpr std::string_view kJournalWritePath = "/peer/journal-write";
 inline constexpr std::string_view kJournalReadPath = "/peer/journal-read";
 
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/stale_view_unittest.cc
@@ -48,6 +48,69 @@
   });
 }
 
+constexpr auto kSafeCall = "GET /safe/1 HTTP/1.1\r\nHost: desk\r\n\r\n";
+
+auto AnswerPlain(const ScriptedEndpoint::Request& request) -> void {
+  request.m_stream->Write(request.Whole("x"));
+}
+
+TEST_CASE("a host believes what its domain's lead reads") {
+  TestWorld world;
+  world.AddEndpoint(AnswerPlain);
+  // The store doesn't list this one: only the lead names it.
+  ScriptedEndpoint named(world.m_loop, AnswerPlain);
+  const StoredObject object{
+      .m_name = "e9",
+      .m_version = ResourceVersion(1 << 20),
+      .m_spec = {{"service", "s"},
+                 {"address", FormatTcpAddress(named.address())},
+                 {"zone", "z"},
+                 {"slots", 4},
+                 {"state", "ready"}}};
+  ScriptedEndpoint lead(world.m_loop, [&object](const auto& request) {
+    const auto question = DecodeViewQuestion(request.m_body);
+    if (question && question->m_kind == ObjectKind::kEndpoints &&
+        question->m_version < object.m_version) {
+      request.m_stream->Write(request.Whole(EncodeViewAnswer(
+          {.m_version = object.m_version}, EncodeViewObjects({&object}))));
+    }
+  });
+  world.PutLead("z", "h2", lead);
+  world.StartFollower();
+  world.RunUntil([&world, &named] {
+    world.Finish(kSafeCall);
+    return named.requests() > 0;
+  });
+}
+
+TEST_CASE("a host goes on believing a lead whose own view grows old") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(AnswerPlain);
+  // Cut off from the store, and says so by the age of its view.
+  ScriptedEndpoint lead(world.m_loop, [](const auto& request) {
+    const auto question = DecodeViewQuestion(request.m_body);
+    if (question) {
+      request.m_stream->Write(request.Whole(EncodeViewAnswer(
+          {.m_version = question->m_version, .m_age = std::chrono::seconds(20)},
+          "")));
+    }
+  });
+  world.PutLead("z", "h2", lead);
+  world.StartFollower();
+  world.m_store.Put("servers", "e1", LeavingSpec(endpoint));
+  world.RunUntil([&world] { return world.Finish(kSafeCall)->Status() == 503; });
+}
+
+TEST_CASE("a host goes on waiting for a lead that is frozen") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(AnswerPlain);
+  ScriptedEndpoint lead(world.m_loop, [](const auto& /*request*/) {});
+  world.PutLead("z", "h2", lead);
+  world.StartFollower();
+  world.m_store.Put("servers", "e1", LeavingSpec(endpoint));
+  world.RunUntil([&world] { return world.Finish(kSafeCall)->Status() == 503; });
+}
+
 TEST_CASE("a broken stream is resumed on an endpoint that left meanwhile") {
   TestWorld world;
   std::vector<ScriptedEndpoint::Request> turns;
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -90,6 +90,16 @@
                platform.m_failed_call_sent + limits.m_longest_hold);
 }
 
+auto HoldLeft(const EndpointDirectory& directory, TimePoint now) -> Duration {
+  const auto end = directory.m_lapse_window_end.value_or(now);
+  return std::max(end - now, Duration{0});
+}
+
+auto NoteHold(EndpointDirectory& directory, TimePoint until) -> void {
+  auto& end = directory.m_lapse_window_end;
+  end = std::max(end.value_or(until), until);
+}
+
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
     -> EndpointChange {
   directory.m_lapsing.erase(entry.m_id);
