Answers without end: interim ones are bounded, turns are cut at their grant

Seen by tests that send so:

- Interim answers (1xx) without end kept a call waiting until its deadline (504): each is small, and only one head was bounded.
Now all of them together are bounded by the limit of a head, and the call ends at once (502, or sent again if it may be).
- A turn whose events didn't end was passed on until its deadline, past its grant and its program's budget: only partial grants were cut.
Now every grant is.

Heads, chunk extensions, trailers and single events without end were bounded already, and a plain body without end never looks complete; tests say so now. The tests of the first two fail without the change ('504 == 502', an eleventh event).

--- a/src/libgateway/call_answer.cc
+++ b/src/libgateway/call_answer.cc
@@ -108,7 +108,7 @@
       }
     }
     const auto used = Tokens((m_events_passed + 1) * m_tokens_per_event);
-    if (m_partial_grant && used > *m_partial_grant) {
+    if (m_grant_tokens && used > *m_grant_tokens) {
       BreakOff("grant_used_up");
       return;
     }
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -116,9 +116,7 @@
   switch (answer.m_verdict) {
     case GrantVerdict::kGranted:
       m_next = answer.m_endpoint;
-      if (answer.m_tokens < m_facts.m_max_tokens) {
-        m_partial_grant = answer.m_tokens;
-      }
+      m_grant_tokens = answer.m_tokens;
       NextAttempt();
       return;
     case GrantVerdict::kBudgetSpent:
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -109,8 +109,8 @@
   EventSplitter m_events;
   std::optional<std::int64_t> m_last_event;
   std::int64_t m_events_passed = 0;
-  /// Set when the lead granted less than the turn's most.
-  std::optional<Tokens> m_partial_grant;
+  /// What the lead granted, of a turn: an endpoint may generate more.
+  std::optional<Tokens> m_grant_tokens;
   Duration m_first_byte{0};
   bool m_repeated_in_silence = false;
   bool m_granted = false;
--- /dev/null
+++ b/src/libgateway/endless_answer_unittest.cc
@@ -0,0 +1,165 @@
+#include "test_world.h"
+
+/// @file
+/// Endpoints that send without end, until the host closes the connection.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+constexpr std::size_t kPieceBytes = 16384;
+
+/// Sends a beginning, and then the same piece again and again.
+struct Flood {
+  std::string m_begin;
+  std::string m_piece;
+  std::vector<Request> m_requests;
+
+  auto Script() -> ScriptedEndpoint::Script {
+    return [this](const Request& request) {
+      m_requests.push_back(request);
+      request.m_stream->Write(m_begin);
+    };
+  }
+
+  auto Go() -> void {
+    for (const auto& request : m_requests) {
+      if (!request.m_stream->closed() &&
+          request.m_stream->pending_bytes() < kPieceBytes) {
+        request.m_stream->Write(m_piece);
+      }
+    }
+  }
+
+  /// Runs the world until the caller's answer is over and the endpoint has been
+  /// left.
+  auto Run(TestWorld& world,
+           const TestCaller& caller,
+           const ScriptedEndpoint& endpoint) -> void {
+    world.RunUntil([&] {
+      Go();
+      const auto over = caller.m_ended || caller.Body();
+      return over && endpoint.ended() == endpoint.requests();
+    });
+  }
+};
+
+auto Repeat(const std::string& text) -> std::string {
+  std::string piece;
+  while (piece.size() < kPieceBytes) {
+    piece += text;
+  }
+  return piece;
+}
+
+constexpr auto kSignedHead =
+    "HTTP/1.1 200 X\r\nRequest-Id: r\r\nResponse-Signature: sig\r\n";
+
+auto MakeCall(const std::string& path, const std::string& more = "")
+    -> std::string {
+  return "POST " + path + " HTTP/1.1\r\nHost: desk\r\nRequest-Id: r\r\n" +
+         more + "Content-Length: 0\r\n\r\n";
+}
+
+TEST_CASE("a head without end is left, and the request sent once more") {
+  const auto head = GENERATE(std::string("HTTP/1.1 200 "),
+                             std::string("HTTP/1.1 200 X\r\nA: "),
+                             std::string("HTTP/1.1 200 X\r\n"));
+  Flood flood{head, Repeat(head.ends_with("X\r\n") ? "A: b\r\n" : "a"), {}};
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(
+      [first = flood.Script()](const Request& request) {
+        if (request.m_number == 1) {
+          first(request);
+        } else {
+          request.m_stream->Write(request.Whole("x"));
+        }
+      });
+  world.Start();
+  auto caller = world.Call(MakeCall("/safe/1"));
+  world.RunUntil([&] {
+    flood.Go();
+    return caller->m_ended || caller->Body();
+  });
+  CHECK(caller->Status() == 200);
+  CHECK(caller->Body() == "x");
+  CHECK(endpoint.requests() == 2);
+  CHECK(endpoint.ended() == 1);
+}
+
+TEST_CASE("interim answers without end are left before the deadline") {
+  Flood flood{"", Repeat("HTTP/1.1 102 Processing\r\n\r\n"), {}};
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(flood.Script());
+  world.Start();
+  auto caller = world.Call(MakeCall("/unsafe/1"));
+  flood.Run(world, *caller, endpoint);
+  // 504 would say that it waited for the deadline.
+  CHECK(caller->Status() == 502);
+}
+
+TEST_CASE("a body without end never looks complete") {
+  const auto chunked = GENERATE(true, false);
+  Flood flood{
+      std::string(kSignedHead) +
+          (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"),
+      chunked ? FormatChunk(std::string(kPieceBytes, 'a')) : Repeat("a"),
+      {}};
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(flood.Script());
+  world.Start();
+  auto caller = world.Call(MakeCall("/unsafe/1"));
+  flood.Run(world, *caller, endpoint);
+  CHECK(caller->Status() == 200);
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("the framing of a body without end is left") {
+  const auto framing = GENERATE(std::string("5;a="), std::string("0\r\nA: "),
+                                std::string("0\r\nA: b\r\n"));
+  Flood flood{
+      std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n" + framing,
+      Repeat(framing.ends_with("\r\n") ? "A: b\r\n" : "a"),
+      {}};
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(flood.Script());
+  world.Start();
+  auto caller = world.Call(MakeCall("/unsafe/1"));
+  flood.Run(world, *caller, endpoint);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("a turn without end is cut at what it was granted") {
+  Flood flood{
+      std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n", "", {}};
+  for (int id = 1; id <= 500; ++id) {
+    flood.m_begin += FormatChunk("id: " + std::to_string(id) + "\ndata: t\n\n");
+  }
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(flood.Script());
+  world.Start();
+  auto caller = world.Call(
+      MakeCall("/turn/1",
+               "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 400\r\n"
+               "Token-Counts: 100,30\r\n"));
+  flood.Run(world, *caller, endpoint);
+  CHECK_FALSE(caller->Body());
+  // 30 tokens are ten events.
+  CHECK(caller->m_got.find("id: 10\n") != std::string::npos);
+  CHECK(caller->m_got.find("id: 11\n") == std::string::npos);
+}
+
+TEST_CASE("an event without end is left") {
+  Flood flood{std::string(kSignedHead) + "\r\nid: 1\ndata: ", Repeat("a"), {}};
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint(flood.Script());
+  world.Start();
+  auto caller = world.Call(MakeCall("/turn/1"));
+  flood.Run(world, *caller, endpoint);
+  CHECK_FALSE(caller->Body());
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libhttp/http_parser.cc
+++ b/src/libhttp/http_parser.cc
@@ -275,6 +275,19 @@
     };
   }
 
+  /// Begins anew after an interim answer, unless too many of them came.
+  auto NextAnswer(std::size_t interim_bytes) -> bool {
+    m_interim = false;
+    m_interim_bytes += interim_bytes;
+    if (m_interim_bytes > m_limits.m_max_header_bytes) {
+      m_feeder.m_state = ParseState::kHeaderTooLarge;
+      return false;
+    }
+    m_feeder.Reset(m_limits);
+    Prepare();
+    return true;
+  }
+
   auto OnHeader(std::optional<std::uint64_t> length) -> void {
     auto& parser = *m_feeder.m_parser;
     m_interim = parser.m_status < kFirstFinalStatus &&
@@ -296,6 +309,8 @@
   ResponseSink m_sink;
   Feeder<false> m_feeder;
   bool m_interim = false;
+  /// Bytes of interim answers so far.
+  std::size_t m_interim_bytes = 0;
 };
 
 ResponseParser::ResponseParser(const ParserLimits& limits,
@@ -309,16 +324,13 @@
 
 auto ResponseParser::Feed(std::string_view bytes) -> std::size_t {
   std::size_t used = 0;
-  do {
-    used += m_impl->m_feeder.Feed(bytes.substr(used));
+  auto more = true;
+  while (more) {
+    const auto taken = m_impl->m_feeder.Feed(bytes.substr(used));
+    used += taken;
     const auto interim_over = m_impl->m_interim && state() == ParseState::kDone;
-    if (!interim_over) {
-      break;
-    }
-    m_impl->m_interim = false;
-    m_impl->m_feeder.Reset(m_impl->m_limits);
-    m_impl->Prepare();
-  } while (used < bytes.size());
+    more = interim_over && m_impl->NextAnswer(taken) && used < bytes.size();
+  }
   return used;
 }
 
