--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -33,12 +33,20 @@
   kAbort,  ///< It can't be used; the exchange fails as malformed.
 };
 
+/// Largest body of an answer that is passed on as it comes.
+inline constexpr std::uint64_t kMaxAnswerBytes = 1ULL << 28;
+/// Largest body of an answer that is kept whole: a page of the store's lists is
+/// about a megabyte.
+inline constexpr std::uint64_t kMaxKeptAnswerBytes = 1ULL << 23;
+
 struct ExchangeHandlers {
   std::function<HeadVerdict(ResponseHead&)> m_on_head;
   std::function<void(std::string_view)> m_on_body;
   /// The answer is whole.
   std::function<void()> m_on_done;
   std::function<void(ExchangeFailure)> m_on_failure;
+  /// A longer body makes the answer malformed.
+  std::uint64_t m_max_body_bytes = kMaxAnswerBytes;
 };
 
 struct ConnectOptions {
--- a/src/libgateway/endless_answer_unittest.cc
+++ b/src/libgateway/endless_answer_unittest.cc
@@ -1,3 +1,4 @@
+#include "peer_call.h"
 #include "test_world.h"
 
 /// @file
@@ -68,8 +69,8 @@
                              std::string("HTTP/1.1 200 X\r\n"));
   Flood flood{head, Repeat(head.ends_with("X\r\n") ? "A: b\r\n" : "a"), {}};
   TestWorld world;
-  auto& endpoint = world.AddEndpoint(
-      [first = flood.Script()](const Request& request) {
+  auto& endpoint =
+      world.AddEndpoint([first = flood.Script()](const Request& request) {
         if (request.m_number == 1) {
           first(request);
         } else {
@@ -161,5 +162,22 @@
   CHECK_FALSE(caller->Body());
 }
 
+TEST_CASE("a peer's body without end is left") {
+  Flood flood{"HTTP/1.1 200 X\r\n\r\n", Repeat("a"), {}};
+  TestWorld world;
+  ScriptedEndpoint peer(world.m_loop, flood.Script());
+  EndpointPool pool(world.m_loop, {});
+  std::optional<Result<std::string>> reply;
+  CallPeer(world.m_loop, pool, FormatTcpAddress(peer.address()), kGrantPath, "",
+           std::chrono::seconds(20),
+           [&reply](const Result<std::string>& got) { reply = got; });
+  world.RunUntil([&] {
+    flood.Go();
+    return reply.has_value();
+  });
+  REQUIRE_FALSE(*reply);
+  CHECK(reply->error().m_code == ErrorCode::kUnavailable);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libgateway/peer_call.cc
+++ b/src/libgateway/peer_call.cc
@@ -70,7 +70,8 @@
          .m_on_body = [self](std::string_view bytes) { self->m_body += bytes; },
          .m_on_done = [self] { self->OnDone(); },
          .m_on_failure =
-             [self](ExchangeFailure failure) { self->OnFailure(failure); }});
+             [self](ExchangeFailure failure) { self->OnFailure(failure); },
+         .m_max_body_bytes = kMaxKeptAnswerBytes});
   }
 
   auto OnDone() -> void {
--- a/src/libhttp/http_client.cc
+++ b/src/libhttp/http_client.cc
@@ -24,9 +24,8 @@
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kProbes = 2;
 
-/// Answers of endpoints may be larger than what callers may send.
-constexpr ParserLimits kAnswerLimits{.m_max_header_bytes = 65536,
-                                     .m_max_body_bytes = 1ULL << 32};
+/// Heads of answers may be larger than what callers may send.
+constexpr std::uint32_t kMaxAnswerHeadBytes = 65536;
 
 auto SetTimeouts(TcpSocket& socket, const ConnectOptions& options) -> void {
   const auto peer_timeout =
@@ -131,7 +130,9 @@
 auto ClientConnection::NewParser() -> void {
   m_verdict = HeadVerdict::kTake;
   m_parser = std::make_unique<ResponseParser>(
-      kAnswerLimits, m_bodyless,
+      ParserLimits{.m_max_header_bytes = kMaxAnswerHeadBytes,
+                   .m_max_body_bytes = m_handlers.m_max_body_bytes},
+      m_bodyless,
       ResponseSink{.m_on_head =
                        [this](ResponseHead& head) {
                          m_verdict = m_handlers.m_on_head(head);
