Revert "A turn whose account only a silent lead keeps is refused at once"

A lead's silence of a second is no knowledge that the turn can't be served: part of those who waited 1.5 s were, while callers that come back after 150 ms use up their tries. What it needs is a Retry-After that outlasts the silence; not tried. The test goes with the mechanism.

--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -22,8 +22,6 @@
 constexpr int kMaxSentOn = 2;
 /// Questions without answer, before another domain's lead is asked.
 constexpr int kMaxUnanswered = 2;
-/// A lead that didn't answer isn't waited for again for this time.
-constexpr Duration kSilentTime = std::chrono::milliseconds(1000);
 constexpr Duration kAskAgainWait = std::chrono::milliseconds(60);
 /// Settlements are sent together after this time; budgets may count a turn at
 /// its most until then.
@@ -79,10 +77,6 @@
     OnNoAnswer(asking);
     return;
   }
-  if (IsHopeless(*asking)) {
-    GiveUp(*asking);
-    return;
-  }
   const auto& entry = asking->m_asked->m_entry;
   if (own && entry.m_host == m_context.m_settings.m_host) {
     m_own_lead.Ask(asking->m_question,
@@ -98,26 +92,11 @@
              if (answer) {
                OnAnswer(asking, *answer);
              } else {
-               NoteSilence(*asking);
                OnNoAnswer(asking);
              }
            });
 }
 
-auto GrantClient::IsHopeless(const Asking& asking) const -> bool {
-  const auto silent = m_silent.find(asking.m_domain);
-  return asking.m_domain != m_context.m_settings.m_domain &&
-         asking.m_domain == HomeOf(asking.m_question.m_grant.m_program) &&
-         silent != m_silent.end() &&
-         silent->second.m_version == asking.m_asked->m_version &&
-         SteadyTime() < silent->second.m_until;
-}
-
-auto GrantClient::NoteSilence(const Asking& asking) -> void {
-  m_silent[asking.m_domain] = {asking.m_asked->m_version,
-                               SteadyTime() + kSilentTime};
-}
-
 auto GrantClient::OnAnswer(const std::shared_ptr<Asking>& asking,
                            const GrantAnswer& answer) -> void {
   if (answer.m_verdict == GrantVerdict::kNotLead) {
--- a/src/libgateway/grant_client.h
+++ b/src/libgateway/grant_client.h
@@ -36,16 +36,7 @@
     TimePoint m_last_used;
   };
 
-  /// A lead that didn't answer.
-  struct SilentLead {
-    ResourceVersion m_version;
-    TimePoint m_until;
-  };
-
   auto AskLead(const std::shared_ptr<Asking>& asking) -> void;
-  /// True when only a lead that is known to be silent keeps the account.
-  auto IsHopeless(const Asking& asking) const -> bool;
-  auto NoteSilence(const Asking& asking) -> void;
   auto OnAnswer(const std::shared_ptr<Asking>& asking,
                 const GrantAnswer& answer) -> void;
   auto OnNoAnswer(const std::shared_ptr<Asking>& asking) -> void;
@@ -62,7 +53,6 @@
   LeadService& m_own_lead;
   /// Programs whose account another domain's lead keeps.
   std::map<ProgramId, Home> m_homes;
-  std::map<DomainId, SilentLead> m_silent;
   std::map<DomainId, std::vector<TurnSettlement>> m_settlements;
   TimePoint m_last_settled;
   TimePoint m_last_sweep;
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -97,25 +97,6 @@
   CHECK_FALSE(LedgerOf(world, "z").m_record.m_bounds.contains(ProgramId("p")));
 }
 
-TEST_CASE("turns wait for a lead that is known to be silent") {
-  TestWorld world;
-  int turns_asked = 0;
-  ScriptedEndpoint silent(world.m_loop, [&turns_asked](const Request& request) {
-    turns_asked += request.m_head.m_target == kGrantPath ? 1 : 0;
-  });
-  world.PutLead("a", "h2", silent);
-  StoredLedger ledger{
-      .m_host = HostId("h2"), .m_incarnation = Incarnation(1), .m_write = 1};
-  ledger.m_record.m_bounds = {{ProgramId("p"), Tokens(10)}};
-  PutLedger(world, "a", ledger);
-  world.AddEndpoint(AnswerTurn);
-  world.Start();
-  CHECK(world.Finish(MakeTurn("r1"))->Status() == 503);
-  CHECK(turns_asked == 1);
-  CHECK(world.Finish(MakeTurn("r2"))->Status() == 503);
-  CHECK(turns_asked == 1);
-}
-
 TEST_CASE("a new lead waits for disk hosts that may hold its ledger") {
   TestWorld world;
   StoredLedger stored{
