--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -104,6 +104,7 @@
     case 0:
       Note("store down");
       m_store.SetDown(true);
+      m_store.LoseWatches();
       After(m_loop, time, [this] { m_store.SetDown(false); });
       return;
     case 1:
