--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -35,8 +35,8 @@
 
 /// Largest body of an answer that is passed on as it comes.
 inline constexpr std::uint64_t kMaxAnswerBytes = 1ULL << 28;
-/// Largest body of an answer that is kept whole: a page of the store's lists is
-/// about a megabyte.
+/// Largest body of an answer that is kept whole, as pages of the store's lists
+/// are, of about a megabyte.
 inline constexpr std::uint64_t kMaxKeptAnswerBytes = 1ULL << 23;
 
 struct ExchangeHandlers {
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -76,14 +76,12 @@
   /// True once a listing has arrived.
   auto listed() const -> bool { return m_listed; }
   auto kind() const -> ObjectKind { return m_options.m_kind; }
-  /// Version up to which the view is complete.
-  auto version() const -> ResourceVersion { return m_version; }
   /// When an answer last showed that the view is complete.
   auto confirmed_at() const -> TimePoint { return m_confirmed_at; }
   /// When the last call that failed was sent.
   auto failed_call_sent() const -> TimePoint { return m_failed_call_sent; }
-  /// Time since an answer last showed that the view is complete; counted from
-  /// the follower's making before the first one.
+  /// Time since an answer last showed that the view is complete; before the
+  /// first one, since construction.
   auto Age(TimePoint now) const -> Duration { return now - m_confirmed_at; }
 
  private:
@@ -109,8 +107,10 @@
   std::optional<ViewReader> m_reader;
   ViewRelay m_relay;
   boost::asio::steady_timer m_timer;
+  /// Version up to which the view is complete.
   ResourceVersion m_version;
   TimePoint m_confirmed_at;
+  /// When the call under way was sent.
   TimePoint m_called_at;
   TimePoint m_failed_call_sent;
   /// Until when the store is read directly, since the reader failed.
