Hosts that ask a reader keep no copy of what it answers

Found at the last read of the change: each host copied every object it got from its reader into its own relay, which answers only after a listing of the store has filled it anew. Also out: the kind leads in questions about views, which no host asks since leads' entries are followed directly, and a flag of the follower that nothing reads.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -285,14 +285,8 @@
 }
 
 auto EntryHost::FollowerOf(ObjectKind kind) -> KindFollower& {
-  switch (kind) {
-    case ObjectKind::kEndpoints:
-      return *m_context.m_endpoint_follower;
-    case ObjectKind::kLeads:
-      return *m_lead_follower;
-    default:
-      return *m_config_follower;
-  }
+  return kind == ObjectKind::kEndpoints ? *m_context.m_endpoint_follower
+                                        : *m_config_follower;
 }
 
 auto EntryHost::OnViewQuestion(
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -44,6 +44,7 @@
                            const IncomingRequest& request) -> void;
   auto OnPeer(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request) -> void;
+  /// The follower of a kind that hosts may ask each other for.
   auto FollowerOf(ObjectKind kind) -> KindFollower&;
   auto OnViewQuestion(const std::shared_ptr<ServerConnection>& connection,
                       const ViewQuestion& question) -> void;
--- a/src/libgateway/kind_follower.cc
+++ b/src/libgateway/kind_follower.cc
@@ -63,7 +63,6 @@
 }
 
 auto KindFollower::Stop() -> void {
-  m_stopped = true;
   ++m_round;
   m_timer.cancel();
 }
@@ -236,7 +235,6 @@
   if (answer.m_objects) {
     m_handlers.m_on_listing(
         {.m_objects = *answer.m_objects, .m_store_version = m_version});
-    m_relay.Replace(*answer.m_objects, m_version);
   }
   Confirm(SteadyTime() - answer.m_age);
 }
--- a/src/libgateway/kind_follower.h
+++ b/src/libgateway/kind_follower.h
@@ -122,7 +122,6 @@
   /// The last answer came from the store, not from a reader.
   bool m_from_store = false;
   bool m_reachable = true;
-  bool m_stopped = false;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/view_messages.cc
+++ b/src/libgateway/view_messages.cc
@@ -13,8 +13,7 @@
 constexpr std::string_view kPlace = "view message";
 
 auto ReadKind(const std::string& name) -> Result<ObjectKind> {
-  for (const auto kind :
-       {ObjectKind::kEndpoints, ObjectKind::kConfig, ObjectKind::kLeads}) {
+  for (const auto kind : {ObjectKind::kEndpoints, ObjectKind::kConfig}) {
     if (KindName(kind) == name) {
       return kind;
     }
