--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -30,7 +30,8 @@
      "that decided it are in the fields."},
     {LogEventId::kAttemptEnded, LogLevel::kInfo, "attempt_ended",
      "An attempt at an endpoint ended without a usable answer; whether the "
-     "request may have run is in the fields."},
+     "request may have run is in the fields. Attempts with the same content "
+     "and caller are the same request, also under other request ids."},
     {LogEventId::kLeadChanged, LogLevel::kInfo, "lead_changed",
      "The failure domain has a new lead."},
     {LogEventId::kPoolChanged, LogLevel::kInfo, "pool_changed",
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -240,6 +240,16 @@
   m_attempt.m_endpoint = EndpointId();
 }
 
+auto CallExchange::Fingerprint() -> const CallFingerprint& {
+  if (!m_fingerprint) {
+    m_fingerprint = MakeFingerprint({.m_method = m_request.m_head.m_method,
+                                     .m_target = m_request.m_head.m_target,
+                                     .m_caller = m_facts.m_caller,
+                                     .m_body = m_request.m_body});
+  }
+  return *m_fingerprint;
+}
+
 // Ends.
 
 auto CallExchange::AnswerSelf(int status, std::string_view reason, bool retry)
@@ -354,6 +364,8 @@
             {"endpoint", m_attempt.m_endpoint.value()},
             {"reason", std::string(reason)},
             {"may_have_run", may_have_run ? "yes" : "no"},
+            {"content", ToString(Fingerprint().m_content)},
+            {"caller", m_facts.m_caller},
             {"attempt", std::to_string(m_attempts)},
             {"ms", FormatMs(now - m_begun)},
             {"view_ms", FormatMs(m_context.m_endpoint_follower->Age(now))}});
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "dotterelshed/call_fingerprint.h"
 #include "dotterelshed/http_client.h"
 #include "dotterelshed/http_listener.h"
 #include "dotterelshed/route_table.h"
@@ -78,6 +79,7 @@
   auto SilenceLimit() const -> Duration;
   auto RepeatIfSilent(TimePoint now) -> void;
   auto EndAttempt() -> void;
+  auto Fingerprint() -> const CallFingerprint&;
   auto LogAttempt(std::string_view reason, bool may_have_run) -> void;
   auto AnswerSelf(int status, std::string_view reason, bool retry) -> void;
   auto BreakOff(std::string_view reason) -> void;
@@ -95,6 +97,8 @@
   int m_tokens_per_event = 1;
   Ended m_ended;
   CallFacts m_facts;
+  /// Made when first asked for.
+  std::optional<CallFingerprint> m_fingerprint;
   TimePoint m_begun;
   TimePoint m_deadline;
 
