--- a/src/libgateway/test_world.h
+++ b/src/libgateway/test_world.h
@@ -54,11 +54,29 @@
   using Script = std::function<void(const Request&)>;
 
   ScriptedEndpoint(EventLoop& loop, Script script)
-      : m_acceptor(loop, Loopback()), m_script(std::move(script)) {
+      : m_acceptor(loop, Loopback()),
+        m_address(m_acceptor.local_endpoint()),
+        m_script(std::move(script)) {
     Accept();
   }
 
-  auto address() const -> TcpAddress { return m_acceptor.local_endpoint(); }
+  auto address() const -> TcpAddress { return m_address; }
+  /// Ends as a process does: nothing listens, and all connections are closed.
+  auto Crash() -> void {
+    m_acceptor.close();
+    for (const auto& connection : m_connections) {
+      connection->m_stream->Close();
+    }
+  }
+  /// Starts anew at its old address.
+  auto Restart() -> void {
+    m_acceptor.open(m_address.protocol());
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    m_acceptor.bind(m_address);
+    m_acceptor.listen();
+    Accept();
+  }
+  auto running() const -> bool { return m_acceptor.is_open(); }
   auto requests() const -> int { return m_requests; }
   /// Connections that the other side has ended.
   auto ended() const -> int { return m_ended; }
@@ -101,6 +119,7 @@
   }
 
   boost::asio::ip::tcp::acceptor m_acceptor;
+  TcpAddress m_address;
   Script m_script;
   std::vector<std::shared_ptr<Connection>> m_connections;
   int m_requests = 0;
@@ -161,14 +180,25 @@
   auto AddEndpoint(ScriptedEndpoint::Script script) -> ScriptedEndpoint& {
     m_endpoints.push_back(
         std::make_unique<ScriptedEndpoint>(m_loop, std::move(script)));
-    const auto name = "e" + std::to_string(m_endpoints.size());
-    m_store.Put("servers", name,
+    PutEndpoint(m_endpoints.size() - 1);
+    return *m_endpoints.back();
+  }
+
+  /// Lists an endpoint in the store, by its place in m_endpoints.
+  /// @param started_unix_ms  when it started, as it says itself.
+  auto PutEndpoint(std::size_t index, std::int64_t started_unix_ms = 0)
+      -> void {
+    m_store.Put("servers", EndpointName(index),
                 {{"service", "s"},
-                 {"address", FormatTcpAddress(m_endpoints.back()->address())},
+                 {"address", FormatTcpAddress(m_endpoints[index]->address())},
                  {"zone", "z"},
                  {"slots", 4},
-                 {"state", "ready"}});
-    return *m_endpoints.back();
+                 {"state", "ready"},
+                 {"born", started_unix_ms}});
+  }
+
+  static auto EndpointName(std::size_t index) -> std::string {
+    return "e" + std::to_string(index + 1);
   }
 
   /// Names @p lead as lead of a domain, in the store.
@@ -207,22 +237,42 @@
 
   /// Starts the host and waits until it is ready.
   auto StartFollower() -> void {
+    m_host = MakeHost("h1", "z");
+    RunUntil([this] { return m_host->ready(); });
+  }
+
+  /// Starts one more host and waits until it is ready.
+  auto AddHost(const std::string& name, const std::string& domain)
+      -> EntryHost& {
+    m_more_hosts.push_back(MakeHost(name, domain));
+    auto& host = *m_more_hosts.back();
+    RunUntil([&host] { return host.ready(); });
+    return host;
+  }
+
+  auto MakeHost(const std::string& name, const std::string& domain)
+      -> std::unique_ptr<EntryHost> {
     EntrySettings settings;
-    settings.m_host = HostId("h1");
-    settings.m_domain = DomainId("z");
+    settings.m_host = HostId(name);
+    settings.m_domain = DomainId(domain);
     settings.m_caller_address = "127.0.0.1:0";
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
     settings.m_platform_address = FormatTcpAddress(m_store.address());
-    m_host = std::make_unique<EntryHost>(m_loop, settings);
-    REQUIRE(m_host->Start());
-    RunUntil([this] { return m_host->ready(); });
+    auto host = std::make_unique<EntryHost>(m_loop, settings);
+    REQUIRE(host->Start());
+    return host;
   }
 
   auto Call(const std::string& request) -> std::shared_ptr<TestCaller> {
+    return CallAt(*m_host, request);
+  }
+
+  auto CallAt(EntryHost& host, const std::string& request)
+      -> std::shared_ptr<TestCaller> {
     auto caller = std::make_shared<TestCaller>();
     TcpSocket socket(m_loop);
-    socket.connect(m_host->caller_address());
+    socket.connect(host.caller_address());
     caller->m_stream = std::make_shared<ByteStream>(std::move(socket));
     caller->m_stream->Start(
         {.m_on_bytes =
@@ -235,11 +285,21 @@
 
   /// A call that has ended, one way or the other.
   auto Finish(const std::string& request) -> std::shared_ptr<TestCaller> {
-    auto caller = Call(request);
+    return FinishAt(*m_host, request);
+  }
+
+  auto FinishAt(EntryHost& host, const std::string& request)
+      -> std::shared_ptr<TestCaller> {
+    auto caller = CallAt(host, request);
     RunUntil([&caller] { return caller->m_ended || caller->Body(); });
     return caller;
   }
 
+  auto RunFor(Duration time) -> void {
+    const auto end = SteadyTime() + time;
+    RunUntil([end] { return SteadyTime() >= end; });
+  }
+
   auto RunUntil(const std::function<bool()>& done) -> void {
     constexpr auto kLimit = std::chrono::seconds(20);
     const auto begun = std::chrono::steady_clock::now();
@@ -255,6 +315,7 @@
   std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
+  std::vector<std::unique_ptr<EntryHost>> m_more_hosts;
 };
 
 }  // namespace dotterelshed
