--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -33,6 +33,8 @@
   DomainId m_domain;
   /// Endpoints that must not be chosen (again).
   std::set<EndpointId> m_excluded;
+  /// Endpoints that are chosen only if there are no others.
+  std::set<EndpointId> m_avoided;
   /// Endpoint that holds the program's prompt; empty if none is known.
   EndpointId m_warm;
   /// Uniform in [0, 1); breaks ties.
--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -78,6 +78,8 @@
   EndpointChangeKind m_kind = EndpointChangeKind::kNone;
   /// Address before the change; empty for a new one.
   std::string m_old_address;
+  /// It took no new work before the change.
+  bool m_was_leaving = false;
 };
 
 /// The platform answers again after it didn't.
--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -78,6 +78,8 @@
   auto reusable() const -> bool;
   /// Exchanges begun so far.
   auto exchanges() const -> int { return m_exchanges; }
+  /// When it was established; not before Connect is done.
+  auto connected_at() const -> TimePoint { return m_connected_at; }
   /// Ends the connection and the exchange; no handler runs any more.
   auto Close() -> void;
   /// Slows the sender of the answer down, or lets it go on.
@@ -102,6 +104,7 @@
   bool m_busy = false;
   bool m_reusable = false;
   int m_exchanges = 0;
+  TimePoint m_connected_at;
 };
 
 }  // namespace dotterelshed
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -73,7 +73,8 @@
      "A claimed call has no result; a person has to look: dotterelctl "
      "actions."},
     {LogEventId::kContentQuarantined, LogLevel::kError, "content_quarantined",
-     "A request's content crashed two endpoints and is refused from now on."},
+     "Several endpoints ended under a request; it is refused from now on, for "
+     "a time. Its callers are told when to come back."},
     {LogEventId::kEndpointChanged, LogLevel::kInfo, "endpoint_changed",
      "The platform lists an endpoint anew, as leaving, as restarted, or no "
      "more. A held one vanished with an outage of the platform and stays in "
--- a/src/libgateway/call_answer.cc
+++ b/src/libgateway/call_answer.cc
@@ -43,6 +43,8 @@
   m_attempt.m_facts = std::move(facts);
   m_attempt.m_head = std::move(head);
   m_attempt.m_answered = true;
+  NoteEndpointAlive(m_context.m_crashes, m_attempt.m_endpoint,
+                    m_attempt.m_connection->connected_at(), SteadyTime());
   const auto status = m_attempt.m_head.m_status;
   const auto not_run = m_attempt.m_facts.m_not_run;
   const auto unclear_promise = IsPromise(status) && !not_run;
@@ -127,6 +129,9 @@
   if (m_over) {
     return;
   }
+  if (!m_attempt.m_facts.m_not_run) {
+    m_suspicion.OnServed(SteadyTime());
+  }
   if (m_attempt.m_discard) {
     const auto not_run = m_attempt.m_facts.m_not_run;
     const auto status = m_attempt.m_head.m_status;
@@ -135,6 +140,7 @@
       if (m_attempt.m_first_here) {
         m_run_on.erase(m_attempt.m_endpoint);
       }
+      m_may_have_run = m_attempt.m_may_have_run_before;
       AfterNotRun(reason);
     } else {
       AfterLostAttempt(reason);
@@ -157,6 +163,10 @@
     return;
   }
   NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
+  if (failure != ExchangeFailure::kMalformed) {
+    NoteLost(m_attempt.m_answered ? CrashEvidence::kUnproved
+                                  : CrashEvidence::kConnectionLost);
+  }
   AfterLostAttempt(ToString(failure));
 }
 
@@ -171,7 +181,7 @@
     return;
   }
   if (!MayRepeat()) {
-    AnswerSelf(kStatusBadGateway, reason, false);
+    AnswerSelf(kStatusBadGateway, reason);
     return;
   }
   // The route bounds how many endpoints may run it; the same one may again.
@@ -189,7 +199,7 @@
   m_excluded.insert(m_attempt.m_endpoint);
   EndAttempt();
   if (!m_run_on.empty() && !MayRepeat()) {
-    AnswerSelf(kStatusBadGateway, reason, false);
+    AnswerSelf(kStatusBadGateway, reason);
     return;
   }
   NextAttempt();
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -48,6 +48,7 @@
       m_route(route),
       m_ended(std::move(ended)),
       m_facts(ReadCallFacts(m_request.m_head)),
+      m_suspicion(m_context, m_request, m_facts.m_caller),
       m_begun(SteadyTime()) {
   m_service = PickService(m_route, m_context.Draw());
   const auto& engine = TraitsOf(*m_routes, m_service).m_engine;
@@ -78,6 +79,9 @@
       self->OnCallerGone();
     }
   });
+  if (!CheckQuarantine()) {
+    return;
+  }
   if (IsTurn()) {
     AskGrant();
   } else {
@@ -120,10 +124,10 @@
       NextAttempt();
       return;
     case GrantVerdict::kBudgetSpent:
-      AnswerSelf(kStatusBudgetSpent, "budget_spent", false);
+      AnswerSelf(kStatusBudgetSpent, "budget_spent");
       return;
     default:
-      AnswerSelf(kStatusUnavailable, "no_grant", true);
+      AnswerSelf(kStatusUnavailable, "no_grant", kRetryAfter);
       return;
   }
 }
@@ -132,8 +136,11 @@
 
 auto CallExchange::Choose() -> std::optional<EndpointId> {
   const auto next = std::exchange(m_next, EndpointId());
+  const auto avoided = m_suspicion.Avoided();
   const auto* entry = FindEndpoint(m_context.m_directory, next);
-  if (entry != nullptr && !m_excluded.contains(next)) {
+  const auto usable =
+      entry != nullptr && !m_excluded.contains(next) && !avoided.contains(next);
+  if (usable) {
     if (!entry->m_leaving) {
       return next;
     }
@@ -146,23 +153,21 @@
                         {.m_service = m_service,
                          .m_domain = m_context.m_settings.m_domain,
                          .m_excluded = m_excluded,
+                         .m_avoided = avoided,
                          .m_draw = m_context.Draw()},
                         SteadyTime());
 }
 
 auto CallExchange::NextAttempt() -> void {
+  if (!CheckQuarantine()) {
+    return;
+  }
   const auto now = SteadyTime();
   const auto endpoint = Choose();
   if (!endpoint || m_attempts >= kMaxAttempts ||
       m_deadline - now < kLeastAttemptTime) {
     const auto reason = endpoint ? "attempts_used_up" : "no_endpoint";
-    if (m_passing) {
-      BreakOff(reason);
-    } else if (m_run_on.empty()) {
-      AnswerSelf(kStatusUnavailable, reason, true);
-    } else {
-      AnswerSelf(kStatusBadGateway, reason, false);
-    }
+    AnswerUnserved(reason, kRetryAfter);
     return;
   }
   const auto* entry = FindEndpoint(m_context.m_directory, *endpoint);
@@ -216,6 +221,8 @@
                              m_request.m_body);
   m_attempt.m_sent = true;
   m_attempt.m_sent_at = now;
+  m_attempt.m_may_have_run_before = std::exchange(m_may_have_run, true);
+  m_suspicion.OnSent(m_attempt.m_endpoint, now);
   m_attempt.m_first_here = m_run_on.insert(m_attempt.m_endpoint).second;
   const auto self = shared_from_this();
   m_attempt.m_connection->Exchange(
@@ -233,6 +240,7 @@
     return;
   }
   --m_context.m_loads[m_attempt.m_endpoint].m_outstanding;
+  m_suspicion.OnAttemptOver();
   if (const auto connection = std::exchange(m_attempt.m_connection, nullptr)) {
     m_context.m_endpoints.Return(m_attempt.m_address, connection,
                                  m_attempt.m_facts.m_keep_alive);
@@ -240,33 +248,46 @@
   m_attempt.m_endpoint = EndpointId();
 }
 
-auto CallExchange::Fingerprint() -> const CallFingerprint& {
-  if (!m_fingerprint) {
-    m_fingerprint = MakeFingerprint({.m_method = m_request.m_head.m_method,
-                                     .m_target = m_request.m_head.m_target,
-                                     .m_caller = m_facts.m_caller,
-                                     .m_body = m_request.m_body});
+auto CallExchange::CheckQuarantine() -> bool {
+  const auto now = SteadyTime();
+  if (m_suspicion.MayRun(now)) {
+    return true;
   }
-  return *m_fingerprint;
+  AnswerUnserved("quarantined", m_suspicion.QuarantineLeft(now));
+  return false;
+}
+
+auto CallExchange::NoteLost(CrashEvidence evidence) -> void {
+  m_suspicion.OnLost(evidence, SteadyTime());
 }
 
 // Ends.
 
-auto CallExchange::AnswerSelf(int status, std::string_view reason, bool retry)
-    -> void {
+auto CallExchange::AnswerSelf(int status,
+                              std::string_view reason,
+                              std::optional<Duration> retry_after) -> void {
   if (m_passing) {
     BreakOff(reason);
     return;
   }
   HttpFields fields;
-  if (retry) {
-    fields.push_back(MakeRetryAfterField(kRetryAfter));
+  if (retry_after) {
+    fields.push_back(MakeRetryAfterField(*retry_after));
   }
   EndAttempt();
   m_caller->Answer(status, std::move(fields), "");
   Finish(status, reason);
 }
 
+auto CallExchange::AnswerUnserved(std::string_view reason, Duration retry_after)
+    -> void {
+  if (m_may_have_run) {
+    AnswerSelf(kStatusBadGateway, reason);
+  } else {
+    AnswerSelf(kStatusUnavailable, reason, retry_after);
+  }
+}
+
 auto CallExchange::BreakOff(std::string_view reason) -> void {
   EndAttempt();
   m_caller->Abort();
@@ -280,6 +301,7 @@
   if (m_attempt.m_connection) {
     // Closing the connection stops the endpoint's work.
     m_attempt.m_connection->Close();
+    NoteLost(CrashEvidence::kUnproved);
   }
   EndAttempt();
   Finish(0, "caller_gone");
@@ -307,6 +329,7 @@
   }
   m_repeated_in_silence = true;
   m_attempt.m_connection->Close();
+  NoteLost(CrashEvidence::kUnproved);
   AfterLostAttempt("silent");
 }
 
@@ -319,10 +342,13 @@
   }
   if (m_attempt.m_connection) {
     m_attempt.m_connection->Close();
+    NoteLost(CrashEvidence::kUnproved);
+  }
+  if (m_may_have_run) {
+    AnswerSelf(kStatusGatewayTimeout, "deadline");
+  } else {
+    AnswerSelf(kStatusUnavailable, "deadline", kRetryAfter);
   }
-  const auto may_run = m_attempt.m_sent || !m_run_on.empty();
-  AnswerSelf(may_run ? kStatusGatewayTimeout : kStatusUnavailable, "deadline",
-             !may_run);
 }
 
 auto CallExchange::Finish(int status, std::string_view reason) -> void {
@@ -364,7 +390,7 @@
             {"endpoint", m_attempt.m_endpoint.value()},
             {"reason", std::string(reason)},
             {"may_have_run", may_have_run ? "yes" : "no"},
-            {"content", ToString(Fingerprint().m_content)},
+            {"content", ToString(m_suspicion.fingerprint().m_content)},
             {"caller", m_facts.m_caller},
             {"attempt", std::to_string(m_attempts)},
             {"ms", FormatMs(now - m_begun)},
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "dotterelshed/call_fingerprint.h"
+#include "call_suspicion.h"
 #include "dotterelshed/http_client.h"
 #include "dotterelshed/http_listener.h"
 #include "dotterelshed/route_table.h"
@@ -55,6 +55,8 @@
     bool m_answered = false;
     /// No earlier attempt may have run at this endpoint.
     bool m_first_here = false;
+    /// An earlier attempt may have run, anywhere.
+    bool m_may_have_run_before = false;
     /// The answer isn't passed on; the request is sent elsewhere.
     bool m_discard = false;
   };
@@ -79,9 +81,18 @@
   auto SilenceLimit() const -> Duration;
   auto RepeatIfSilent(TimePoint now) -> void;
   auto EndAttempt() -> void;
-  auto Fingerprint() -> const CallFingerprint&;
+  /// Refuses a quarantined call. Returns false if it did.
+  auto CheckQuarantine() -> bool;
+  /// Tells the ledger that the attempt under way got no whole answer.
+  auto NoteLost(CrashEvidence evidence) -> void;
   auto LogAttempt(std::string_view reason, bool may_have_run) -> void;
-  auto AnswerSelf(int status, std::string_view reason, bool retry) -> void;
+  /// @param retry_after  tells the caller when to come back.
+  auto AnswerSelf(int status,
+                  std::string_view reason,
+                  std::optional<Duration> retry_after = std::nullopt) -> void;
+  /// Answers that no endpoint gets the call, as what is known of its attempts
+  /// allows.
+  auto AnswerUnserved(std::string_view reason, Duration retry_after) -> void;
   auto BreakOff(std::string_view reason) -> void;
   auto OnCallerGone() -> void;
   auto Finish(int status, std::string_view reason) -> void;
@@ -97,8 +108,7 @@
   int m_tokens_per_event = 1;
   Ended m_ended;
   CallFacts m_facts;
-  /// Made when first asked for.
-  std::optional<CallFingerprint> m_fingerprint;
+  CallSuspicion m_suspicion;
   TimePoint m_begun;
   TimePoint m_deadline;
 
@@ -118,6 +128,8 @@
   Duration m_first_byte{0};
   bool m_repeated_in_silence = false;
   bool m_granted = false;
+  /// An endpoint may have run it.
+  bool m_may_have_run = false;
   bool m_passing = false;
   bool m_is_event_stream = false;
   bool m_over = false;
--- /dev/null
+++ b/src/libgateway/call_suspicion.cc
@@ -0,0 +1,115 @@
+#include "call_suspicion.h"
+
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// Ends under a call from which on other calls keep off the endpoint it is at.
+constexpr int kEndsToKeepOff = 2;
+
+}  // namespace
+
+CallSuspicion::CallSuspicion(EntryContext& context,
+                             const IncomingRequest& request,
+                             std::string caller)
+    : m_context(context), m_request(request), m_caller(std::move(caller)) {}
+
+auto CallSuspicion::fingerprint() -> const CallFingerprint& {
+  if (!m_fingerprint) {
+    m_fingerprint = MakeFingerprint({.m_method = m_request.m_head.m_method,
+                                     .m_target = m_request.m_head.m_target,
+                                     .m_caller = m_caller,
+                                     .m_body = m_request.m_body});
+  }
+  return *m_fingerprint;
+}
+
+auto CallSuspicion::MayRun(TimePoint now) -> bool {
+  if (m_context.m_crashes.m_contents.empty()) {
+    return true;
+  }
+  if (!m_admission) {
+    m_admission = Admit(m_context.m_crashes, fingerprint(), now);
+  }
+  return *m_admission != Admission::kRefused;
+}
+
+auto CallSuspicion::QuarantineLeft(TimePoint now) -> Duration {
+  return dotterelshed::QuarantineLeft(m_context.m_crashes, fingerprint(), now);
+}
+
+auto CallSuspicion::Avoided() -> std::set<EndpointId> {
+  const auto suspect = m_admission && *m_admission != Admission::kFree;
+  const auto least = suspect ? 1 : kEndsToKeepOff;
+  std::set<EndpointId> avoided;
+  for (const auto& one : m_context.m_suspect_attempts) {
+    if (one.m_ends >= least) {
+      avoided.insert(one.m_endpoint);
+    }
+  }
+  return avoided;
+}
+
+auto CallSuspicion::OnSent(const EndpointId& endpoint, TimePoint now) -> void {
+  const auto* entry = FindEndpoint(m_context.m_directory, endpoint);
+  m_endpoint = endpoint;
+  m_started_unix_ms = entry == nullptr ? 0 : entry->m_started_unix_ms;
+  m_sent_at = now;
+  const auto admission = std::exchange(m_admission, std::nullopt);
+  if (admission && *admission != Admission::kFree) {
+    const auto ends = EndsUnder(m_context.m_crashes, fingerprint(), now);
+    m_listed = SuspectAttempt{.m_endpoint = endpoint, .m_ends = ends};
+    m_context.m_suspect_attempts.insert(*m_listed);
+  }
+}
+
+auto CallSuspicion::OnAttemptOver() -> void {
+  m_endpoint = EndpointId();
+  if (const auto listed = std::exchange(m_listed, std::nullopt)) {
+    auto& attempts = m_context.m_suspect_attempts;
+    attempts.erase(attempts.find(*listed));
+  }
+}
+
+auto CallSuspicion::EndedMeanwhile() const -> bool {
+  const auto* entry = FindEndpoint(m_context.m_directory, m_endpoint);
+  return entry == nullptr || entry->m_started_unix_ms != m_started_unix_ms;
+}
+
+auto CallSuspicion::OnLost(CrashEvidence evidence, TimePoint now) -> void {
+  if (m_endpoint.empty()) {
+    return;
+  }
+  const auto proved =
+      EndedMeanwhile() ? CrashEvidence::kEndpointEnded : evidence;
+  const auto quarantined =
+      NoteAttemptLost(m_context.m_crashes, fingerprint(),
+                      {.m_id = {m_context.m_random()},
+                       .m_endpoint = MakeEndpointDigest(m_endpoint),
+                       .m_at = now,
+                       .m_running = now - m_sent_at,
+                       .m_evidence = proved});
+  if (quarantined) {
+    LogEvent(LogEventId::kContentQuarantined,
+             {{"content", ToString(fingerprint().m_content)},
+              {"caller", m_caller},
+              {"target", m_request.m_head.m_target},
+              {"ends", std::to_string(
+                           EndsUnder(m_context.m_crashes, fingerprint(), now))},
+              {"evidence", std::string(ToString(proved))},
+              {"left_ms", FormatMs(QuarantineLeft(now))},
+              {"source", "attempt"}});
+  }
+}
+
+auto CallSuspicion::OnServed(TimePoint now) -> void {
+  if (!m_context.m_crashes.m_contents.empty()) {
+    NoteServed(m_context.m_crashes, fingerprint(), now);
+  }
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/crash_request_unittest.cc
+++ b/src/libgateway/crash_request_unittest.cc
@@ -52,7 +52,9 @@
   auto OnRequest(std::size_t index, const Request& request) -> void {
     if (request.m_body == "poison") {
       Crash(index);
-    } else if (request.m_body != "slow") {
+    } else if (request.m_body == "slow" && !m_answer_slow) {
+      ++m_slow;
+    } else {
       request.m_stream->Write(request.Whole("id: 1\ndata: t\n\n"));
     }
   }
@@ -67,11 +69,13 @@
   }
 
   int m_ends = 0;
+  int m_slow = 0;
+  bool m_answer_slow = false;
   bool m_listed_when_ended = false;
 };
 
-TEST_CASE("a request under which three endpoints ended reaches no further one",
-          "[.]") {
+TEST_CASE(
+    "a request under which three endpoints ended reaches no further one") {
   CrashWorld world;
   const auto path = GENERATE("/safe/x", "/unsafe/x", "/turn/x");
   const auto store_down = GENERATE(false, true);
@@ -90,7 +94,7 @@
   CHECK(world.Finish(other)->Status() == 200);
 }
 
-TEST_CASE("three ends at one host count at all hosts of all domains", "[.]") {
+TEST_CASE("three ends at one host count at all hosts of all domains") {
   CrashWorld world;
   const auto store_down = GENERATE(false, true);
   world.Start();
@@ -111,5 +115,108 @@
   CHECK(world.m_ends == kMostEnds);
 }
 
+TEST_CASE("calls that were on the endpoints that ended are served") {
+  CrashWorld world;
+  const auto same_call = GENERATE(true, false);
+  world.Start();
+  // A slow call is at every endpoint when it ends.
+  std::vector<std::shared_ptr<TestCaller>> slow;
+  for (int i = 0; i < 2 * kEndpoints; ++i) {
+    const auto* program = same_call ? "q" : nullptr;
+    const auto name = program ? program : "q" + std::to_string(i);
+    slow.push_back(world.Call(MakeCall(
+        {.m_path = "/unsafe/x", .m_body = "slow", .m_program = name})));
+  }
+  world.RunUntil([&world] { return world.m_slow == 2 * kEndpoints; });
+  world.RunFor(std::chrono::milliseconds(50));
+  while (world.m_ends < kMostEnds) {
+    world.Finish(MakeCall({.m_path = "/unsafe/x"}));
+  }
+  CHECK(world.Finish(MakeCall({.m_path = "/unsafe/x"}))->Status() == 503);
+  CHECK(world.m_ends == kMostEnds);
+  world.m_answer_slow = true;
+  for (const auto* program : {"q", "q0", "q1", "q2"}) {
+    const auto again = MakeCall(
+        {.m_path = "/unsafe/x", .m_body = "slow", .m_program = program});
+    CHECK(world.Finish(again)->Status() == 200);
+  }
+}
+
+TEST_CASE("callers of the same path are served beside a quarantined request") {
+  CrashWorld world;
+  world.Start();
+  while (world.m_ends < kMostEnds) {
+    world.Finish(MakeCall({}));
+  }
+  CHECK(world.Finish(MakeCall({}))->Status() == 503);
+  for (const auto* body : {"", "well", "poison "}) {
+    for (const auto* program : {"p", "q"}) {
+      const auto call = MakeCall({.m_body = body, .m_program = program});
+      CHECK(world.Finish(call)->Status() == 200);
+    }
+  }
+  CHECK(world.m_ends == kMostEnds);
+}
+
+TEST_CASE("endpoints that start anew under old ids don't clear a request") {
+  CrashWorld world;
+  world.m_listed_when_ended = true;
+  const auto store_down = GENERATE(false, true);
+  // The others leave: one endpoint ends again and again.
+  for (std::size_t i = 1; i < kEndpoints; ++i) {
+    world.m_store.Remove("servers", TestWorld::EndpointName(i));
+  }
+  world.Start();
+  world.m_store.SetDown(store_down);
+  std::int64_t started = 1;
+  const auto call = [] { return MakeCall({.m_path = "/unsafe/x"}); };
+  const auto well =
+      MakeCall({.m_path = "/unsafe/x", .m_body = "well", .m_program = "q"});
+  while (world.m_ends < kMostEnds) {
+    world.Finish(call());
+    world.RunFor(std::chrono::milliseconds(1500));
+    world.m_endpoints[0]->Restart();
+    world.PutEndpoint(0, ++started);
+    world.RunUntil(
+        [&world, &well] { return world.Finish(well)->Status() == 200; });
+  }
+  for (int i = 0; i < 6; ++i) {
+    CHECK(world.Finish(call())->Status() == 503);
+  }
+  CHECK(world.m_ends == kMostEnds);
+  CHECK(world.Finish(well)->Status() == 200);
+}
+
+TEST_CASE("a host that starts later knows of a quarantined request") {
+  CrashWorld world;
+  world.Start();
+  while (world.m_ends < kMostEnds) {
+    world.Finish(MakeCall({.m_path = "/unsafe/x"}));
+  }
+  auto& later = world.AddHost("h2", "z");
+  auto& in_other_domain = world.AddHost("h3", "y");
+  world.RunFor(kContactTime);
+  for (auto* host : {&later, &in_other_domain}) {
+    const auto call = MakeCall({.m_path = "/unsafe/x"});
+    CHECK(world.FinishAt(*host, call)->Status() == 503);
+  }
+  CHECK(world.m_ends == kMostEnds);
+}
+
+TEST_CASE("ends are told while the lead of the own domain is silent") {
+  CrashWorld world;
+  ScriptedEndpoint silent(world.m_loop, [](const Request& /*request*/) {});
+  world.PutLead("z", "h9", silent);
+  world.StartFollower();
+  auto& other = world.AddHost("h3", "y");
+  world.RunUntil([&other] { return other.leads(); });
+  while (world.m_ends < kMostEnds) {
+    world.FinishAt(other, MakeCall({.m_path = "/unsafe/x"}));
+  }
+  world.RunFor(kContactTime);
+  CHECK(world.Finish(MakeCall({.m_path = "/unsafe/x"}))->Status() == 503);
+  CHECK(world.m_ends == kMostEnds);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -31,6 +31,19 @@
   return std::move(*entry);
 }
 
+/// An endpoint that leaves in order doesn't end under a request.
+auto TellsOfAnEnd(const EndpointChange& change) -> bool {
+  switch (change.m_kind) {
+    case EndpointChangeKind::kRestarted:
+    case EndpointChangeKind::kLapsed:
+      return true;
+    case EndpointChangeKind::kRemoved:
+      return !change.m_was_leaving;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 EndpointView::EndpointView(EntryContext& context) : m_context(context) {
@@ -124,6 +137,9 @@
     m_context.m_loads[change.m_endpoint] = {.m_outstanding = open};
     m_context.m_endpoints.Forget(change.m_old_address);
   }
+  if (TellsOfAnEnd(change)) {
+    NoteEndpointEnded(m_context.m_crashes, change.m_endpoint, SteadyTime());
+  }
   const auto& follower = *m_context.m_endpoint_follower;
   std::vector<LogField> fields = {
       {"endpoint", change.m_endpoint.value()},
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 
 #include "dotterelshed/byte_stream.h"
+#include "dotterelshed/crash_ledger.h"
 #include "dotterelshed/endpoint_choice.h"
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/route_table.h"
@@ -22,6 +24,14 @@
 
 namespace dotterelshed {
 
+/// An attempt of a request under which endpoints have ended before.
+struct SuspectAttempt {
+  EndpointId m_endpoint;
+  int m_ends = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
+  auto operator<=>(const SuspectAttempt&) const = default;
+};
+
 struct EntryContext {
   EventLoop& m_loop;
   EntrySettings m_settings;
@@ -35,6 +45,9 @@
   std::shared_ptr<KindFollower> m_endpoint_follower;
   /// This host's own attempts.
   EndpointLoads m_loads;
+  /// Requests under which endpoints ended, as all hosts have seen.
+  CrashLedger m_crashes;
+  std::multiset<SuspectAttempt> m_suspect_attempts;
   EndpointPool m_endpoints;
   EndpointPool m_peers;
   std::map<DomainId, KnownLead> m_leads;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -30,6 +30,8 @@
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
 /// A host that asks a lead in vain reads the lead's entry anew anyway.
 constexpr Duration kLeadViewAge = std::chrono::seconds(10);
+/// Hosts let a quarantined request try again within this time of each other.
+constexpr Duration kMaxTrialDelay = std::chrono::seconds(10);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -70,6 +72,7 @@
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
+      m_crash_relay(m_context),
       m_callers(loop,
                 [this](const std::shared_ptr<ServerConnection>& connection,
                        IncomingRequest request) {
@@ -86,6 +89,8 @@
                 OnPeer(connection, request);
               }),
       m_tick_timer(loop) {
+  m_context.m_crashes.m_options.m_trial_delay =
+      FromSeconds(m_context.Draw() * ToSeconds(kMaxTrialDelay));
   MakeFollowers();
 }
 
@@ -274,6 +279,20 @@
                 [this, &connection](const ViewQuestion& question) {
                   OnViewQuestion(connection, question);
                 });
+  } else if (target == kCrashNewsPath) {
+    TakeMessage(connection, DecodeCrashNews(body, SteadyTime()),
+                [this, &connection](const CrashNews& news) {
+                  m_crash_relay.Take(news);
+                  connection->Answer(kStatusOk, {}, "");
+                });
+  } else if (target == kCrashQuestionPath) {
+    TakeMessage(connection, DecodeCrashQuestion(body),
+                [this, &connection](const CrashQuestion& question) {
+                  m_crash_relay.Answer(
+                      question, [connection](const std::string& news) {
+                        connection->Answer(kStatusOk, {}, news);
+                      });
+                });
   } else if (target == kYieldPath) {
     TakeMessage(connection, DecodeKnownLead(body),
                 [this, &connection](const KnownLead& lead) {
@@ -345,6 +364,8 @@
   m_callers.Tick(now);
   m_lead.Tick(now);
   m_grants.Tick(now);
+  m_crash_relay.Tick(now);
+  ForgetOldContents(m_context.m_crashes, now);
   if (m_stopping) {
     ContinueStop(now);
   } else if (m_lead_follower->listed()) {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -6,6 +6,7 @@
 #include <unordered_set>
 
 #include "call_exchange.h"
+#include "crash_relay.h"
 #include "dotterelshed/http_listener.h"
 #include "endpoint_view.h"
 #include "entry_context.h"
@@ -69,6 +70,7 @@
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
+  CrashRelay m_crash_relay;
   HttpListener m_callers;
   HttpListener m_readiness;
   HttpListener m_peers;
--- a/src/libhttp/http_client.cc
+++ b/src/libhttp/http_client.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "dotterelshed/steady_time.h"
+
 namespace dotterelshed {
 
 namespace {
@@ -94,6 +96,7 @@
 auto ClientConnection::OnConnected() -> void {
   m_stream = std::make_shared<ByteStream>(std::move(*m_connecting));
   m_connecting.reset();
+  m_connected_at = SteadyTime();
   m_reusable = true;
   const std::weak_ptr<ClientConnection> weak = weak_from_this();
   m_stream->Start({.m_on_bytes =
--- /dev/null
+++ b/src/libquarantine/crash_ledger.cc
@@ -0,0 +1,535 @@
+#include "dotterelshed/crash_ledger.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace dotterelshed {
+
+namespace {
+
+/// Attempts lost at one endpoint within this time are lost by the same end: an
+/// endpoint takes longer to start anew.
+constexpr Duration kSameEnd = std::chrono::seconds(1);
+/// Two requests that were lost together each time: the one that began later by
+/// this time ended the endpoint.
+constexpr Duration kClearlyLater = std::chrono::milliseconds(10);
+/// The platform lists an endpoint for this long after it ended, at most.
+constexpr Duration kEndKnownWithin = std::chrono::seconds(10);
+/// Bytes that an endpoint sent before its end have been read by then.
+constexpr Duration kBytesUnderWay = std::chrono::milliseconds(200);
+/// What was lost at the same end is known at all hosts after this time. Until
+/// then a quarantine is judged anew with each attempt that turns out to be
+/// lost.
+constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+/// Times that another host tells are exact to this time.
+constexpr Duration kTimeError = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxLostOfContent = 8;
+constexpr std::size_t kMaxServedCallers = 4;
+constexpr int kMaxDoublings = 4;
+
+/// A request of one caller and what was lost of it.
+struct Lost {
+  const SuspectContent* m_content;
+  CallerDigest m_caller;
+};
+
+auto Counts(const SuspectContent& content, const LostAttempt& lost) -> bool {
+  const auto served = content.m_served.find(lost.m_caller);
+  return (lost.m_evidence == CrashEvidence::kConnectionLost ||
+          lost.m_evidence == CrashEvidence::kEndpointEnded) &&
+         (served == content.m_served.end() || served->second < lost.m_at);
+}
+
+auto IsSameEnd(const LostAttempt& a, const LostAttempt& b) -> bool {
+  const auto apart = a.m_at < b.m_at ? b.m_at - a.m_at : a.m_at - b.m_at;
+  return a.m_endpoint == b.m_endpoint && apart < kSameEnd;
+}
+
+/// The different ends among lost attempts, which are in order of time.
+auto DifferentEnds(const std::vector<const LostAttempt*>& lost)
+    -> std::vector<const LostAttempt*> {
+  std::vector<const LostAttempt*> ends;
+  for (const auto* one : lost) {
+    const auto known = std::any_of(
+        ends.begin(), ends.end(),
+        [one](const LostAttempt* end) { return IsSameEnd(*end, *one); });
+    if (!known) {
+      ends.push_back(one);
+    }
+  }
+  return ends;
+}
+
+/// All ends that a request of one caller was lost at, whoever caused them.
+auto CountLost(const Lost& lost) -> int {
+  std::vector<const LostAttempt*> counted;
+  for (const auto& one : lost.m_content->m_lost) {
+    if (one.m_caller == lost.m_caller && Counts(*lost.m_content, one)) {
+      counted.push_back(&one);
+    }
+  }
+  return static_cast<int>(DifferentEnds(counted).size());
+}
+
+auto IsQuarantined(const SuspectContent& content, CallerDigest caller) -> bool {
+  const auto& quarantine = content.m_quarantine;
+  return quarantine &&
+         (!quarantine->m_caller || *quarantine->m_caller == caller);
+}
+
+auto HasSettled(const Lost& lost, TimePoint now) -> bool {
+  return IsQuarantined(*lost.m_content, lost.m_caller) &&
+         IsSettled(*lost.m_content->m_quarantine, now);
+}
+
+/// True when @p other, lost at the same end, is the likelier cause of it.
+auto IsLikelier(const Lost& lost,
+                const LostAttempt& attempt,
+                const Lost& other,
+                const LostAttempt& other_attempt,
+                TimePoint now) -> bool {
+  const auto quarantined = HasSettled(lost, now);
+  if (HasSettled(other, now) != quarantined) {
+    return !quarantined;
+  }
+  const auto count = CountLost(lost);
+  const auto other_count = CountLost(other);
+  if (count != other_count) {
+    return other_count > count;
+  }
+  return count > 1 &&
+         other_attempt.m_running + kClearlyLater < attempt.m_running;
+}
+
+/// True when another request that was lost at the same end explains it better.
+auto IsExplained(const CrashLedger& ledger,
+                 const SuspectContent& content,
+                 const LostAttempt& attempt,
+                 TimePoint now) -> bool {
+  const Lost lost{&content, attempt.m_caller};
+  for (const auto& [digest, other] : ledger.m_contents) {
+    for (const auto& one : other.m_lost) {
+      const auto same = &other == &content && one.m_caller == attempt.m_caller;
+      const auto together =
+          !same && IsSameEnd(one, attempt) && Counts(other, one);
+      if (together &&
+          IsLikelier(lost, attempt, {&other, one.m_caller}, one, now)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/// The ends that are put down to a content: of one caller, or of all callers
+/// since it was last served to any of them.
+auto EndsOf(const CrashLedger& ledger,
+            const SuspectContent& content,
+            std::optional<CallerDigest> caller,
+            TimePoint now) -> std::vector<const LostAttempt*> {
+  TimePoint last_served{};
+  for (const auto& [served, at] : content.m_served) {
+    last_served = std::max(last_served, at);
+  }
+  std::vector<const LostAttempt*> ends;
+  for (const auto& one : content.m_lost) {
+    const auto meant =
+        caller ? one.m_caller == *caller : one.m_at > last_served;
+    if (meant && Counts(content, one) &&
+        !IsExplained(ledger, content, one, now)) {
+      ends.push_back(&one);
+    }
+  }
+  return DifferentEnds(ends);
+}
+
+/// Ends that are known, each of an attempt that began after the one before.
+auto CountKnownInTurn(const std::vector<const LostAttempt*>& ends) -> int {
+  int count = 0;
+  TimePoint last{};
+  for (const auto* one : ends) {
+    const auto begun = one->m_at - one->m_running;
+    if (one->m_evidence == CrashEvidence::kEndpointEnded && begun >= last) {
+      ++count;
+      last = one->m_at;
+    }
+  }
+  return count;
+}
+
+auto QuarantineTerm(const CrashLedgerOptions& options,
+                    const std::vector<const LostAttempt*>& ends) -> Duration {
+  if (CountKnownInTurn(ends) >= options.m_most_ends) {
+    return options.m_long_quarantine;
+  }
+  const auto further = static_cast<int>(ends.size()) - options.m_most_ends;
+  const auto term =
+      options.m_short_quarantine * (1 << std::min(further, kMaxDoublings));
+  return std::min<Duration>(term, options.m_long_quarantine);
+}
+
+/// Puts a quarantine beside the one that may be there. Returns true when there
+/// was none.
+auto AddQuarantine(SuspectContent& content, const Quarantine& quarantine)
+    -> bool {
+  auto& known = content.m_quarantine;
+  if (!known) {
+    known = quarantine;
+    return true;
+  }
+  if (known->m_caller != quarantine.m_caller) {
+    known->m_caller = std::nullopt;
+  }
+  known->m_since = std::max(known->m_since, quarantine.m_since);
+  known->m_until = std::max(known->m_until, quarantine.m_until);
+  return false;
+}
+
+auto QuarantineFor(CrashLedger& ledger,
+                   SuspectContent& content,
+                   std::optional<CallerDigest> caller,
+                   TimePoint now) -> bool {
+  const auto ends = EndsOf(ledger, content, caller, now);
+  if (static_cast<int>(ends.size()) < ledger.m_options.m_most_ends) {
+    return false;
+  }
+  const auto since = ends.back()->m_at;
+  return AddQuarantine(
+      content, {.m_caller = caller,
+                .m_since = since,
+                .m_until = since + QuarantineTerm(ledger.m_options, ends)});
+}
+
+/// Quarantines a content for each caller with enough ends, and for all callers
+/// when several have them together. Returns true when it wasn't quarantined.
+auto Judge(CrashLedger& ledger, SuspectContent& content, TimePoint now)
+    -> bool {
+  if (content.m_quarantine && !IsSettled(*content.m_quarantine, now)) {
+    content.m_quarantine.reset();
+  }
+  if (static_cast<int>(content.m_lost.size()) < ledger.m_options.m_most_ends) {
+    return false;
+  }
+  std::set<CallerDigest> callers;
+  for (const auto& one : content.m_lost) {
+    callers.insert(one.m_caller);
+  }
+  auto quarantined = false;
+  for (const auto& caller : callers) {
+    quarantined |= QuarantineFor(ledger, content, caller, now);
+  }
+  if (callers.size() > 1) {
+    quarantined |= QuarantineFor(ledger, content, std::nullopt, now);
+  }
+  return quarantined;
+}
+
+/// Judges @p changed, and again what was judged without it.
+auto JudgeAfter(CrashLedger& ledger, SuspectContent& changed, TimePoint now)
+    -> bool {
+  const auto before = changed.m_quarantine.has_value();
+  Judge(ledger, changed, now);
+  for (auto& [digest, content] : ledger.m_contents) {
+    const auto& quarantine = content.m_quarantine;
+    if (&content != &changed && quarantine && !IsSettled(*quarantine, now)) {
+      Judge(ledger, content, now);
+    }
+  }
+  return !before && changed.m_quarantine;
+}
+
+auto MarkChanged(CrashLedger& ledger, SuspectContent& content, bool own)
+    -> void {
+  content.m_changed = ++ledger.m_changes;
+  if (own) {
+    content.m_touched = content.m_changed;
+  }
+}
+
+/// True when a content is forgotten before another one.
+auto IsLessWorth(const SuspectContent& a, const SuspectContent& b) -> bool {
+  const auto rank = [](const SuspectContent& content) {
+    return std::tuple(content.m_quarantine.has_value(), content.m_lost.size(),
+                      content.m_last_seen);
+  };
+  return rank(a) < rank(b);
+}
+
+/// The entry of a content, new if needed; another one may be forgotten for it.
+auto EntryOf(CrashLedger& ledger, const ContentDigest& digest)
+    -> SuspectContent& {
+  auto& contents = ledger.m_contents;
+  const auto found = contents.find(digest);
+  if (found != contents.end()) {
+    return found->second;
+  }
+  if (contents.size() >= ledger.m_options.m_max_contents) {
+    contents.erase(std::min_element(contents.begin(), contents.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return IsLessWorth(a.second, b.second);
+                                    }));
+  }
+  return contents[digest];
+}
+
+auto IsEarlier(const LostAttempt& a, const LostAttempt& b) -> bool {
+  return std::tie(a.m_at, a.m_id) < std::tie(b.m_at, b.m_id);
+}
+
+/// Keeps the latest ones. Returns false when this one is older than these.
+auto AddLost(SuspectContent& content, const LostAttempt& lost) -> bool {
+  auto& kept = content.m_lost;
+  content.m_last_seen = std::max(content.m_last_seen, lost.m_at);
+  kept.insert(std::upper_bound(kept.begin(), kept.end(), lost, IsEarlier),
+              lost);
+  if (kept.size() <= kMaxLostOfContent) {
+    return true;
+  }
+  const auto newest = kept.front().m_id != lost.m_id;
+  kept.erase(kept.begin());
+  return newest;
+}
+
+/// Notes that a content was served, and drops what that clears.
+auto TakeServed(SuspectContent& content, CallerDigest caller, TimePoint at)
+    -> void {
+  auto& served = content.m_served;
+  served[caller] = std::max(served[caller], at);
+  if (served.size() > kMaxServedCallers) {
+    served.erase(std::min_element(
+        served.begin(), served.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; }));
+  }
+  std::erase_if(content.m_lost, [caller, at](const LostAttempt& one) {
+    return one.m_caller == caller && one.m_at <= at;
+  });
+  const auto& quarantine = content.m_quarantine;
+  if (IsQuarantined(content, caller) && quarantine->m_since <= at) {
+    content.m_quarantine.reset();
+  }
+}
+
+/// Adds what another host knows of lost attempts; returns what is new.
+auto MergeLost(SuspectContent& content, const LostAttempt& lost) -> bool {
+  const auto known = std::find_if(
+      content.m_lost.begin(), content.m_lost.end(),
+      [&lost](const LostAttempt& one) { return one.m_id == lost.m_id; });
+  if (known != content.m_lost.end()) {
+    const auto more = lost.m_evidence > known->m_evidence;
+    known->m_evidence = std::max(known->m_evidence, lost.m_evidence);
+    return more;
+  }
+  const auto served = content.m_served.find(lost.m_caller);
+  const auto cleared =
+      served != content.m_served.end() && lost.m_at <= served->second;
+  auto others = lost;
+  others.m_own = false;
+  return !cleared && AddLost(content, others);
+}
+
+auto MergeQuarantine(SuspectContent& content, const Quarantine& quarantine)
+    -> bool {
+  const auto cleared =
+      std::any_of(content.m_served.begin(), content.m_served.end(),
+                  [&quarantine](const auto& served) {
+                    const auto meant = !quarantine.m_caller ||
+                                       *quarantine.m_caller == served.first;
+                    return meant && quarantine.m_since <= served.second;
+                  });
+  const auto& known = content.m_quarantine;
+  const auto news = !known || (known->m_caller && !quarantine.m_caller) ||
+                    quarantine.m_until > known->m_until + kTimeError;
+  if (cleared || !news) {
+    return false;
+  }
+  AddQuarantine(content, quarantine);
+  return true;
+}
+
+}  // namespace
+
+auto ToString(CrashEvidence evidence) -> std::string_view {
+  switch (evidence) {
+    case CrashEvidence::kUnproved:
+      return "unproved";
+    case CrashEvidence::kConnectionLost:
+      return "connection_lost";
+    case CrashEvidence::kEndpointEnded:
+      return "endpoint_ended";
+    case CrashEvidence::kWithdrawn:
+      return "withdrawn";
+  }
+  return "unproved";
+}
+
+auto ToString(Admission admission) -> std::string_view {
+  switch (admission) {
+    case Admission::kFree:
+      return "free";
+    case Admission::kSuspect:
+      return "suspect";
+    case Admission::kTrial:
+      return "trial";
+    case Admission::kRefused:
+      return "refused";
+  }
+  return "free";
+}
+
+auto Admit(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
+    -> Admission {
+  const auto found = ledger.m_contents.find(call.m_content);
+  if (found == ledger.m_contents.end()) {
+    return Admission::kFree;
+  }
+  auto& content = found->second;
+  if (!IsQuarantined(content, call.m_caller)) {
+    const auto lost = CountLost({&content, call.m_caller});
+    return lost > 0 ? Admission::kSuspect : Admission::kFree;
+  }
+  content.m_last_seen = now;
+  if (QuarantineLeft(ledger, call, now) > Duration{0}) {
+    return Admission::kRefused;
+  }
+  content.m_quarantine->m_until = now + ledger.m_options.m_trial_time;
+  MarkChanged(ledger, content, true);
+  return Admission::kTrial;
+}
+
+auto QuarantineLeft(const CrashLedger& ledger,
+                    const CallFingerprint& call,
+                    TimePoint now) -> Duration {
+  const auto found = ledger.m_contents.find(call.m_content);
+  if (found == ledger.m_contents.end() ||
+      !IsQuarantined(found->second, call.m_caller)) {
+    return Duration{0};
+  }
+  const auto end =
+      found->second.m_quarantine->m_until + ledger.m_options.m_trial_delay;
+  return std::max(end - now, Duration{0});
+}
+
+auto IsSettled(const Quarantine& quarantine, TimePoint now) -> bool {
+  return now - quarantine.m_since >= kSettleTime;
+}
+
+auto EndsUnder(const CrashLedger& ledger,
+               const CallFingerprint& call,
+               TimePoint now) -> int {
+  const auto found = ledger.m_contents.find(call.m_content);
+  return found == ledger.m_contents.end()
+             ? 0
+             : static_cast<int>(
+                   EndsOf(ledger, found->second, call.m_caller, now).size());
+}
+
+auto NoteAttemptLost(CrashLedger& ledger,
+                     const CallFingerprint& call,
+                     const LostAttempt& lost) -> bool {
+  auto& content = EntryOf(ledger, call.m_content);
+  auto own = lost;
+  own.m_caller = call.m_caller;
+  own.m_own = true;
+  AddLost(content, own);
+  MarkChanged(ledger, content, lost.m_evidence != CrashEvidence::kUnproved);
+  return JudgeAfter(ledger, content, lost.m_at);
+}
+
+auto NoteEndpointEnded(CrashLedger& ledger,
+                       const EndpointId& endpoint,
+                       TimePoint now) -> void {
+  const auto digest = MakeEndpointDigest(endpoint);
+  for (auto& [key, content] : ledger.m_contents) {
+    auto proved = false;
+    auto own = false;
+    for (auto& one : content.m_lost) {
+      if (one.m_endpoint == digest &&
+          one.m_evidence < CrashEvidence::kEndpointEnded &&
+          now - one.m_at <= kEndKnownWithin) {
+        one.m_evidence = CrashEvidence::kEndpointEnded;
+        proved = true;
+        own |= one.m_own;
+      }
+    }
+    if (proved) {
+      MarkChanged(ledger, content, own);
+      JudgeAfter(ledger, content, now);
+    }
+  }
+}
+
+auto NoteEndpointAlive(CrashLedger& ledger,
+                       const EndpointId& endpoint,
+                       TimePoint connected_at,
+                       TimePoint now) -> void {
+  const auto digest = MakeEndpointDigest(endpoint);
+  for (auto& [key, content] : ledger.m_contents) {
+    for (auto& one : content.m_lost) {
+      const auto disproved = one.m_own && one.m_endpoint == digest &&
+                             one.m_evidence < CrashEvidence::kEndpointEnded &&
+                             connected_at < one.m_at &&
+                             one.m_at + kBytesUnderWay < now;
+      if (disproved) {
+        one.m_evidence = CrashEvidence::kWithdrawn;
+        MarkChanged(ledger, content, true);
+      }
+    }
+  }
+}
+
+auto NoteServed(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
+    -> void {
+  const auto found = ledger.m_contents.find(call.m_content);
+  if (found == ledger.m_contents.end()) {
+    return;
+  }
+  auto& content = found->second;
+  const auto suspected =
+      IsQuarantined(content, call.m_caller) ||
+      std::any_of(content.m_lost.begin(), content.m_lost.end(),
+                  [&call](const LostAttempt& one) {
+                    return one.m_caller == call.m_caller;
+                  });
+  if (suspected) {
+    TakeServed(content, call.m_caller, now);
+    MarkChanged(ledger, content, true);
+  }
+}
+
+auto MergeContent(CrashLedger& ledger,
+                  const ContentDigest& digest,
+                  const SuspectContent& other,
+                  TimePoint now) -> bool {
+  auto& content = EntryOf(ledger, digest);
+  auto changed = false;
+  for (const auto& [caller, at] : other.m_served) {
+    const auto known = content.m_served.find(caller);
+    if (known == content.m_served.end() || known->second + kTimeError < at) {
+      TakeServed(content, caller, at);
+      changed = true;
+    }
+  }
+  for (const auto& one : other.m_lost) {
+    changed |= MergeLost(content, one);
+  }
+  const auto before = content.m_quarantine.has_value();
+  if (other.m_quarantine) {
+    changed |= MergeQuarantine(content, *other.m_quarantine);
+  }
+  content.m_last_seen = std::max(content.m_last_seen, other.m_last_seen);
+  if (changed) {
+    MarkChanged(ledger, content, false);
+    JudgeAfter(ledger, content, now);
+  }
+  return !before && content.m_quarantine.has_value();
+}
+
+auto ForgetOldContents(CrashLedger& ledger, TimePoint now) -> void {
+  const auto retention = ledger.m_options.m_retention;
+  std::erase_if(ledger.m_contents, [now, retention](const auto& item) {
+    return now - item.second.m_last_seen > retention;
+  });
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libquarantine/crash_ledger_unittest.cc
@@ -0,0 +1,294 @@
+#include "dotterelshed/crash_ledger.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace dotterelshed {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A ledger at a host, with a clock that the test moves.
+struct Host {
+  CrashLedger m_ledger;
+  TimePoint m_now{seconds(1000)};
+  std::uint64_t m_lost = 0;
+
+  /// @p call is lost at @p endpoint after it was there for @p running.
+  auto Lose(const CallFingerprint& call,
+            const std::string& endpoint,
+            Duration running = milliseconds(5),
+            CrashEvidence evidence = CrashEvidence::kConnectionLost) -> void {
+    NoteAttemptLost(m_ledger, call,
+                    {.m_id = {++m_lost},
+                     .m_endpoint = MakeEndpointDigest(EndpointId(endpoint)),
+                     .m_at = m_now,
+                     .m_running = running,
+                     .m_evidence = evidence});
+  }
+  auto Wait(Duration time) -> void { m_now += time; }
+  auto Refuses(const CallFingerprint& call) const -> bool {
+    return QuarantineLeft(m_ledger, call, m_now) > Duration{0};
+  }
+  /// Takes all that another host knows.
+  auto Take(const Host& other) -> void {
+    for (const auto& [digest, content] : other.m_ledger.m_contents) {
+      MergeContent(m_ledger, digest, content, m_now);
+    }
+  }
+};
+
+auto MakeCall(const std::string& body, const std::string& caller = "p")
+    -> CallFingerprint {
+  return MakeFingerprint({.m_method = "POST",
+                          .m_target = "/x",
+                          .m_caller = caller,
+                          .m_body = body});
+}
+
+const auto kPoison = MakeCall("poison");
+const auto kOther = MakeCall("other");
+
+TEST_CASE("three ends in a row quarantine a request") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    CHECK_FALSE(host.Refuses(kPoison));
+    host.Lose(kPoison, endpoint);
+    host.Wait(milliseconds(50));
+  }
+  CHECK(host.Refuses(kPoison));
+  CHECK(Admit(host.m_ledger, kPoison, host.m_now) == Admission::kRefused);
+  CHECK(Admit(host.m_ledger, kOther, host.m_now) == Admission::kFree);
+}
+
+TEST_CASE("an endpoint that starts anew under its id ends again") {
+  Host host;
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(host.Refuses(kPoison));
+    host.Lose(kPoison, "e1");
+    host.Wait(seconds(2));
+  }
+  CHECK(host.Refuses(kPoison));
+}
+
+TEST_CASE("one end is one end, however many attempts it takes") {
+  Host host;
+  for (int i = 0; i < 5; ++i) {
+    host.Lose(kPoison, "e1");
+    host.Wait(milliseconds(50));
+  }
+  CHECK_FALSE(host.Refuses(kPoison));
+  CHECK(EndsUnder(host.m_ledger, kPoison, host.m_now) == 1);
+}
+
+TEST_CASE("a request that is served is cleared of all before") {
+  Host host;
+  host.Lose(kPoison, "e1");
+  host.Lose(kPoison, "e2");
+  NoteServed(host.m_ledger, kPoison, host.m_now);
+  host.Wait(milliseconds(50));
+  host.Lose(kPoison, "e3");
+  CHECK_FALSE(host.Refuses(kPoison));
+  CHECK(EndsUnder(host.m_ledger, kPoison, host.m_now) == 1);
+}
+
+TEST_CASE("a quarantine holds for its caller only") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint);
+  }
+  CHECK(host.Refuses(kPoison));
+  CHECK_FALSE(host.Refuses(MakeCall("poison", "q")));
+}
+
+TEST_CASE("a content that ends endpoints for several callers holds for all") {
+  Host host;
+  for (const auto* name : {"1", "2", "3"}) {
+    CHECK_FALSE(host.Refuses(MakeCall("poison", "q")));
+    host.Lose(MakeCall("poison", std::string("p") + name),
+              std::string("e") + name);
+  }
+  CHECK(host.Refuses(MakeCall("poison", "q")));
+}
+
+TEST_CASE("calls beside a request that ends endpoints are not blamed for it") {
+  Host host;
+  const auto slow = milliseconds(800);
+  for (const auto* endpoint : {"e1", "e2", "e3", "e4"}) {
+    host.Lose(kOther, endpoint, slow);
+    host.Lose(kPoison, endpoint);
+    host.Wait(milliseconds(900));
+  }
+  CHECK(host.Refuses(kPoison));
+  CHECK_FALSE(host.Refuses(kOther));
+}
+
+TEST_CASE("calls beside a quarantined request are not blamed for more ends") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint);
+    host.Lose(kOther, endpoint, milliseconds(800));
+    host.Wait(milliseconds(900));
+  }
+  host.Lose(kOther, "e4");
+  CHECK_FALSE(host.Refuses(kOther));
+  CHECK(host.Refuses(kPoison));
+}
+
+TEST_CASE("calls at other hosts beside it are not blamed either") {
+  Host one;
+  Host other;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    one.Lose(kPoison, endpoint);
+    other.m_lost = one.m_lost + 100;
+    other.Lose(kOther, endpoint, milliseconds(700));
+    one.Take(other);
+    other.Take(one);
+    one.Wait(milliseconds(900));
+    other.Wait(milliseconds(900));
+  }
+  for (const auto* host : {&one, &other}) {
+    CHECK(host->Refuses(kPoison));
+    CHECK_FALSE(host->Refuses(kOther));
+  }
+}
+
+TEST_CASE("silence counts only at an endpoint that is known to have ended") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint, seconds(1), CrashEvidence::kUnproved);
+    host.Wait(seconds(2));
+  }
+  CHECK_FALSE(host.Refuses(kPoison));
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    NoteEndpointEnded(host.m_ledger, EndpointId(endpoint), host.m_now);
+  }
+  CHECK(host.Refuses(kPoison));
+}
+
+TEST_CASE("a connection that goes on shows that its endpoint didn't end") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    const auto connected_at = host.m_now;
+    host.Wait(milliseconds(10));
+    host.Lose(kPoison, endpoint);
+    host.Wait(milliseconds(300));
+    NoteEndpointAlive(host.m_ledger, EndpointId(endpoint), connected_at,
+                      host.m_now);
+  }
+  CHECK_FALSE(host.Refuses(kPoison));
+}
+
+TEST_CASE("a connection that was made later shows nothing") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint);
+    host.Wait(milliseconds(500));
+    NoteEndpointAlive(host.m_ledger, EndpointId(endpoint), host.m_now,
+                      host.m_now);
+  }
+  CHECK(host.Refuses(kPoison));
+}
+
+TEST_CASE("a short quarantine ends with a single trial") {
+  Host host;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint);
+  }
+  host.Wait(host.m_ledger.m_options.m_short_quarantine);
+  CHECK(Admit(host.m_ledger, kPoison, host.m_now) == Admission::kTrial);
+  CHECK(Admit(host.m_ledger, kPoison, host.m_now) == Admission::kRefused);
+  SECTION("that is lost: the next one is longer") {
+    host.Lose(kPoison, "e4");
+    host.Wait(host.m_ledger.m_options.m_short_quarantine + seconds(5));
+    CHECK(host.Refuses(kPoison));
+  }
+  SECTION("that is served: there is none") {
+    NoteServed(host.m_ledger, kPoison, host.m_now);
+    CHECK(Admit(host.m_ledger, kPoison, host.m_now) == Admission::kFree);
+  }
+}
+
+TEST_CASE("ends that are known and came in turn make a long quarantine") {
+  Host host;
+  const auto in_turn = GENERATE(true, false);
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint, milliseconds(20));
+    NoteEndpointEnded(host.m_ledger, EndpointId(endpoint), host.m_now);
+    host.Wait(in_turn ? milliseconds(50) : milliseconds(1));
+  }
+  host.Wait(host.m_ledger.m_options.m_short_quarantine);
+  CHECK(host.Refuses(kPoison) == in_turn);
+}
+
+TEST_CASE("ledgers merge to the same in any order, and only once") {
+  Host one;
+  Host other;
+  one.Lose(kPoison, "e1");
+  other.m_lost = 100;
+  other.Wait(seconds(2));
+  other.Lose(kPoison, "e2");
+  other.Lose(kPoison, "e3");
+  Host third;
+  third.Take(other);
+  third.Take(one);
+  one.Take(other);
+  other.Take(one);
+  for (const auto* host : {&one, &other, &third}) {
+    CHECK(host->Refuses(kPoison));
+    CHECK(EndsUnder(host->m_ledger, kPoison, host->m_now) == 3);
+  }
+  const auto changes = one.m_ledger.m_changes;
+  one.Take(other);
+  one.Take(third);
+  CHECK(one.m_ledger.m_changes == changes);
+}
+
+TEST_CASE("what was cleared at one host isn't quarantined by another") {
+  Host one;
+  Host other;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    one.Lose(kPoison, endpoint);
+  }
+  other.Take(one);
+  CHECK(other.Refuses(kPoison));
+  other.Wait(seconds(1));
+  NoteServed(other.m_ledger, kPoison, other.m_now);
+  one.Take(other);
+  other.Take(one);
+  CHECK_FALSE(one.Refuses(kPoison));
+  CHECK_FALSE(other.Refuses(kPoison));
+}
+
+TEST_CASE("a flood of lost requests neither grows the ledger nor clears it") {
+  Host host;
+  host.m_ledger.m_options.m_max_contents = 50;
+  for (const auto* endpoint : {"e1", "e2", "e3"}) {
+    host.Lose(kPoison, endpoint);
+  }
+  const auto twice = MakeCall("twice");
+  host.Lose(twice, "e4");
+  host.Lose(twice, "e5");
+  for (int i = 0; i < 2000; ++i) {
+    host.Lose(MakeCall("flood" + std::to_string(i)), "e" + std::to_string(i));
+    host.Wait(milliseconds(1));
+  }
+  CHECK(host.m_ledger.m_contents.size() <= 50);
+  CHECK(host.Refuses(kPoison));
+  CHECK(EndsUnder(host.m_ledger, twice, host.m_now) == 2);
+  for (const auto& [digest, content] : host.m_ledger.m_contents) {
+    CHECK(content.m_lost.size() <= 8);
+  }
+}
+
+TEST_CASE("a request that doesn't come again is forgotten") {
+  Host host;
+  host.Lose(kPoison, "e1");
+  host.Wait(host.m_ledger.m_options.m_retention + seconds(1));
+  ForgetOldContents(host.m_ledger, host.m_now);
+  CHECK(host.m_ledger.m_contents.empty());
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -12,7 +12,7 @@
 constexpr double kForeignPenalty = 0.5;
 /// Reading a whole prompt again costs as much as this share of a full engine.
 constexpr double kColdPenalty = 0.25;
-/// A failing or slow endpoint is chosen only when all others are full.
+/// An endpoint to avoid is chosen only when all others are full.
 constexpr double kAvoidedPenalty = 100;
 /// Difference below which two endpoints are as good.
 constexpr double kTieWidth = 0.01;
@@ -34,6 +34,9 @@
   if (!query.m_warm.empty() && query.m_warm != entry.m_id) {
     score += kColdPenalty;
   }
+  if (query.m_avoided.contains(entry.m_id)) {
+    score += kAvoidedPenalty;
+  }
   const auto found = loads.find(entry.m_id);
   if (found == loads.end()) {
     return score;
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -32,7 +32,8 @@
   }
   EndpointChange change{.m_endpoint = id,
                         .m_kind = kind,
-                        .m_old_address = found->second.m_address};
+                        .m_old_address = found->second.m_address,
+                        .m_was_leaving = found->second.m_leaving};
   Unlink(directory, found->second);
   directory.m_entries.erase(found);
   return change;
