--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -54,6 +54,7 @@
   kPlatformBack = 702,
   kRetirementAnswered = 703,
   kReaderLeft = 704,
+  kObjectRejected = 705,
 };
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -95,6 +95,9 @@
     {LogEventId::kReaderLeft, LogLevel::kInfo, "reader_left",
      "The host that reads the platform for this one doesn't answer or is "
      "behind; this host reads the platform itself for a while."},
+    {LogEventId::kObjectRejected, LogLevel::kWarning, "object_rejected",
+     "An object in an answer of the platform's store can't be read and is "
+     "passed over; the others hold."},
 });
 
 }  // namespace
--- /dev/null
+++ b/src/libgateway/odd_entry_unittest.cc
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "test_world.h"
+
+/// @file
+/// Entries of other writers among those of the endpoints.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+const std::string kSafe =
+    "GET /safe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n\r\n";
+
+auto MakeOddSpec(int kind) -> std::string {
+  constexpr int kDeep = 400000;
+  switch (kind) {
+    case 0:
+      return R"({"service":"s","address":"127.0.0.1:1","state":"ready",
+                 "slots":1e400})";
+    case 1:
+      return R"({"service":"s","address":"127.0.0.1:1","state":"ready",
+                 "coldLeftMs":-1e999})";
+    case 2:
+      return std::string(kDeep, '[') + std::string(kDeep, ']');
+    case 3: {
+      std::string text;
+      for (int i = 0; i < kDeep; ++i) {
+        text += "{\"a\":";
+      }
+      return text + "1" + std::string(kDeep, '}');
+    }
+    case 4:
+      return R"({"service":"s","address":"127.0.0.1:70000","state":"ready"})";
+    case 5:
+      return "{\"service\":\"\xff\xfe\"}";
+    case 6:
+      return R"({"service":"s","address":"127.0.0.1:1","state":"ready",
+                 "slots":123456789012345678901234567890})";
+    default:
+      return R"({"service":"s","address":"[::1]:99999999999","state":"ready"})";
+  }
+}
+
+TEST_CASE("an odd entry among the endpoints hides no other and ends no host") {
+  TestWorld world;
+  const auto kind = GENERATE(range(0, 8));
+  const auto listed_at_start = GENERATE(true, false);
+  const auto put = [&world, kind] {
+    // One name before and one behind the good entry's.
+    world.m_store.PutRaw("servers", "a", MakeOddSpec(kind));
+    world.m_store.PutRaw("servers", "z", MakeOddSpec(kind));
+  };
+  world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("ok"));
+  });
+  if (listed_at_start) {
+    put();
+  }
+  world.Start();
+  auto& follower = world.AddHost("h2", "z");
+  if (!listed_at_start) {
+    put();
+  }
+  // The endpoint that comes after the odd entry is seen by both hosts.
+  auto& later = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("later"));
+  });
+  world.RunUntil([&world, &later] {
+    world.Finish(kSafe);
+    return later.requests() > 0;
+  });
+  world.m_endpoints[0]->Crash();
+  world.m_store.Remove("servers", "e1");
+  world.RunUntil([&world, &follower] {
+    return world.FinishAt(follower, kSafe)->Body() == "later";
+  });
+}
+
+TEST_CASE("an entry that another writer spoils names no endpoint any more") {
+  TestWorld world;
+  auto& first = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Whole("ok"));
+  });
+  world.Start();
+  CHECK(world.Finish(kSafe)->Status() == 200);
+  world.m_store.PutRaw("servers", "e1", MakeOddSpec(0));
+  world.RunUntil([&world] { return world.Finish(kSafe)->Status() == 503; });
+  CHECK(first.requests() >= 1);
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -21,13 +21,6 @@
              : std::atoll(query.c_str() + begin + name.size() + 1);
 }
 
-auto Reply(const std::shared_ptr<ServerConnection>& connection,
-           int status,
-           const Json& body) -> void {
-  connection->Answer(status, {{"Content-Type", "application/json"}},
-                     body.dump());
-}
-
 }  // namespace
 
 TestStore::TestStore(EventLoop& loop)
@@ -41,6 +34,28 @@
   return m_listener.Listen(address);
 }
 
+auto TestStore::Reply(const std::shared_ptr<ServerConnection>& connection,
+                      int status,
+                      const Json& body) const -> void {
+  auto text = body.dump();
+  for (const auto& [placeholder, raw] : m_raw_specs) {
+    const auto quoted = '"' + placeholder + '"';
+    const auto at = text.find(quoted);
+    if (at != std::string::npos) {
+      text.replace(at, quoted.size(), raw);
+    }
+  }
+  connection->Answer(status, {{"Content-Type", "application/json"}}, text);
+}
+
+auto TestStore::PutRaw(const std::string& kind,
+                       const std::string& name,
+                       const std::string& spec) -> void {
+  const auto placeholder = "raw " + kind + " " + name;
+  m_raw_specs[placeholder] = spec;
+  Put(kind, name, placeholder);
+}
+
 auto TestStore::Store(const std::string& kind,
                       const std::string& name,
                       Json object,
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -26,6 +26,10 @@
   auto Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec) -> void;
+  /// The same with a content that may be no JSON at all.
+  auto PutRaw(const std::string& kind,
+              const std::string& name,
+              const std::string& spec) -> void;
   auto Remove(const std::string& kind, const std::string& name) -> void;
   /// The object as stored; null if there is none.
   auto Find(const std::string& kind, const std::string& name) -> nlohmann::json;
@@ -55,6 +59,9 @@
     TimePoint m_until;
   };
 
+  auto Reply(const std::shared_ptr<ServerConnection>& connection,
+             int status,
+             const nlohmann::json& body) const -> void;
   auto OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  const IncomingRequest& request) -> void;
   auto OnRead(const std::shared_ptr<ServerConnection>& connection,
@@ -76,6 +83,8 @@
 
   HttpListener m_listener;
   std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+  /// Contents that aren't JSON, by the text that stands for them.
+  std::map<std::string, std::string> m_raw_specs;
   std::vector<Change> m_history;
   std::list<Waiting> m_waiting;
   /// Connections whose watch was lost.
