A refusal without request id on a used connection is no answer

What callers saw: an endpoint wrote an earlier refusal once more on a kept connection, without Request-Id, before the answer to the next request. The caller of a non-idempotent request was told 503, not run, while the endpoint ran it; with a second endpoint the request ran twice.

Cause: an answer without id was taken for the current request's if it was a refusal.

Change: on a connection that was used before it is passed over; the request's own answer has its id. If none follows the caller gets 504, no promise. On a new connection nothing earlier can come, so a refusal there still needs no id.

Before: the test got 503 (400 for status 400) where the endpoint had answered 200, and two runs. Calls that stand in several tests are now in test_calls.h.

--- a/src/libgateway/call_answer.cc
+++ b/src/libgateway/call_answer.cc
@@ -30,9 +30,10 @@
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
   auto facts = ReadAnswerFacts(head);
   if (facts.m_request.empty()) {
-    // On a used connection it could be anybody's.
-    if (m_attempt.m_connection->exchanges() > 1 && !facts.m_not_run) {
-      return HeadVerdict::kAbort;
+    if (m_attempt.m_connection->exchanges() > 1) {
+      // It could be anybody's. A refusal promises nothing about this request,
+      // whose own answer may follow.
+      return facts.m_not_run ? HeadVerdict::kSkip : HeadVerdict::kAbort;
     }
   } else if (facts.m_request != m_facts.m_request) {
     return HeadVerdict::kSkip;
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -3,7 +3,7 @@
 #include <filesystem>
 #include <string>
 
-#include "test_world.h"
+#include "test_calls.h"
 
 /// @file
 /// Requests through one host, with endpoints that answer, fail and misbehave.
@@ -13,37 +13,10 @@
 
 using Request = ScriptedEndpoint::Request;
 
-const std::string kSafe =
-    "GET /safe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
-    "Deadline-Ms: 3000\r\n\r\n";
 const std::string kUnsafe =
     "POST /unsafe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
     "Deadline-Ms: 3000\r\nHold: 7\r\nContent-Length: 4\r\n\r\nbody";
 
-auto MakeTurn(const std::string& id, int budget, int most) -> std::string {
-  return "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
-         "\r\nProgram-Id: p\r\nSession-Id: p\r\nToken-Budget: " +
-         std::to_string(budget) + "\r\nToken-Counts: 100," +
-         std::to_string(most) + "\r\nContent-Length: 0\r\n\r\n";
-}
-
-auto MakeEvent(int id) -> std::string {
-  return "id: " + std::to_string(id) + "\ndata: t\n\n";
-}
-
-auto ChunkedHead(const Request& request) -> std::string {
-  return request.Head(200, "Transfer-Encoding: chunked\r\n");
-}
-
-/// Events from @p first to @p last as chunks.
-auto Chunks(int first, int last) -> std::string {
-  std::string text;
-  for (int id = first; id <= last; ++id) {
-    text += FormatChunk(MakeEvent(id));
-  }
-  return text;
-}
-
 TEST_CASE("an answer is passed on unchanged") {
   TestWorld world;
   Request seen;
@@ -73,7 +46,7 @@
         request.Whole("right"));
   });
   world.Start();
-  CHECK(world.Finish(kSafe)->Body() == "right");
+  CHECK(world.Finish(kSafeCall)->Body() == "right");
 }
 
 TEST_CASE("a success without signature is no answer") {
@@ -133,7 +106,7 @@
   auto& first = world.AddEndpoint(once);
   auto& second = world.AddEndpoint(once);
   world.Start();
-  CHECK(world.Finish(kSafe)->Body() == "late");
+  CHECK(world.Finish(kSafeCall)->Body() == "late");
   CHECK(first.requests() * second.requests() == 0);
 }
 
@@ -145,7 +118,7 @@
     }
   });
   world.Start();
-  CHECK(world.Finish(kSafe)->Body() == "again");
+  CHECK(world.Finish(kSafeCall)->Body() == "again");
   CHECK(endpoint.requests() == 2);
 }
 
@@ -155,7 +128,7 @@
     request.m_stream->Write(request.Head(500, "Content-Length: 3\r\n") + "bad");
   });
   world.Start();
-  const auto caller = world.Finish(kSafe);
+  const auto caller = world.Finish(kSafeCall);
   CHECK(caller->Status() == 500);
   CHECK(caller->Body() == "bad");
 }
@@ -306,11 +279,11 @@
   };
   auto& first = world.AddEndpoint(script);
   world.Start();
-  CHECK(world.Finish(kSafe)->Status() == 200);
+  CHECK(world.Finish(kSafeCall)->Status() == 200);
   auto entry = world.m_store.Find("servers", "e1")["spec"];
   entry["state"] = "draining";
   world.m_store.Put("servers", "e1", entry);
-  world.RunUntil([&world] { return world.Finish(kSafe)->Status() == 503; });
+  world.RunUntil([&world] { return world.Finish(kSafeCall)->Status() == 503; });
   CHECK(first.requests() >= 1);
 }
 
@@ -319,7 +292,7 @@
   std::optional<Request> open;
   world.AddEndpoint([&open](const Request& request) { open = request; });
   world.Start();
-  const auto caller = world.Call(kSafe);
+  const auto caller = world.Call(kSafeCall);
   world.RunUntil([&open] { return open.has_value(); });
   world.m_host->Stop();
   CHECK_FALSE(world.m_host->ready());
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead_search_unittest.cc
@@ -4,7 +4,7 @@
 
 #include "lead_messages.h"
 #include "peer_call.h"
-#include "test_world.h"
+#include "test_calls.h"
 
 /// @file
 /// How a lead finds out whether another domain keeps a program's account.
@@ -14,12 +14,6 @@
 
 using Request = ScriptedEndpoint::Request;
 
-auto MakeTurn(const std::string& id) -> std::string {
-  return "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
-         "\r\nProgram-Id: p\r\nSession-Id: p\r\nToken-Budget: 40\r\n"
-         "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
-}
-
 auto PutLedger(TestWorld& world,
                const std::string& domain,
                const StoredLedger& ledger) -> void {
@@ -45,7 +39,7 @@
   PutLedger(world, "a", before);
   world.AddEndpoint(AnswerTurn);
   world.Start();
-  CHECK(world.Finish(MakeTurn("r1"))->Status() == 200);
+  CHECK(world.Finish(MakeTurn("r1", 40, 10))->Status() == 200);
   const auto after = LedgerOf(world, "a");
   CHECK(after.m_fence == 4);
   CHECK(after.m_write == 7);
@@ -63,7 +57,7 @@
              .m_record = {{{ProgramId("p"), Tokens(5)}}}});
   world.AddEndpoint(AnswerTurn);
   world.Start();
-  CHECK(world.Finish(MakeTurn("r1"))->Status() == 503);
+  CHECK(world.Finish(MakeTurn("r1", 40, 10))->Status() == 503);
   CHECK(LedgerOf(world, "z").m_record.m_bounds.empty());
 }
 
@@ -87,7 +81,7 @@
   world.Start();
   auto fenced = LedgerOf(world, "z");
   ++fenced.m_fence;
-  const auto first = world.Call(MakeTurn("r1"));
+  const auto first = world.Call(MakeTurn("r1", 40, 10));
   world.RunUntil([&asked] { return asked == 1; });
   claimed = true;
   PutLedger(world, "z", fenced);
@@ -125,7 +119,7 @@
   }
   world.AddEndpoint(AnswerTurn);
   world.Start();
-  CHECK(world.Finish(MakeTurn("r1"))->Status() == 402);
+  CHECK(world.Finish(MakeTurn("r1", 40, 10))->Status() == 402);
 }
 
 }  // namespace
--- a/src/libgateway/odd_entry_unittest.cc
+++ b/src/libgateway/odd_entry_unittest.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "test_world.h"
+#include "test_calls.h"
 
 /// @file
 /// Entries of other writers among those of the endpoints.
@@ -11,9 +11,6 @@
 
 using Request = ScriptedEndpoint::Request;
 
-const std::string kSafe =
-    "GET /safe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n\r\n";
-
 auto MakeOddSpec(int kind) -> std::string {
   constexpr int kDeep = 400000;
   switch (kind) {
@@ -69,13 +66,13 @@
     request.m_stream->Write(request.Whole("later"));
   });
   world.RunUntil([&world, &later] {
-    world.Finish(kSafe);
+    world.Finish(kSafeCall);
     return later.requests() > 0;
   });
   world.m_endpoints[0]->Crash();
   world.m_store.Remove("servers", "e1");
   world.RunUntil([&world, &follower] {
-    return world.FinishAt(follower, kSafe)->Body() == "later";
+    return world.FinishAt(follower, kSafeCall)->Body() == "later";
   });
 }
 
@@ -85,9 +82,9 @@
     request.m_stream->Write(request.Whole("ok"));
   });
   world.Start();
-  CHECK(world.Finish(kSafe)->Status() == 200);
+  CHECK(world.Finish(kSafeCall)->Status() == 200);
   world.m_store.PutRaw("servers", "e1", MakeOddSpec(0));
-  world.RunUntil([&world] { return world.Finish(kSafe)->Status() == 503; });
+  world.RunUntil([&world] { return world.Finish(kSafeCall)->Status() == 503; });
   CHECK(first.requests() >= 1);
 }
 
--- /dev/null
+++ b/src/libgateway/repeated_refusal_unittest.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "test_calls.h"
+
+/// @file
+/// Endpoints that write an earlier refusal once more on a kept connection.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+auto MakeUnsafe(const std::string& id) -> std::string {
+  return "POST /unsafe/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
+         "\r\nDeadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// A refusal as an endpoint may write it without saying of which request.
+auto MakeRefusal(int status, const std::string& more) -> std::string {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + more +
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// Two calls at a time, which leave a kept connection to each of two endpoints.
+auto CallBoth(TestWorld& world) -> void {
+  const auto one = world.Call(MakeUnsafe("r0"));
+  const auto other = world.Call(MakeUnsafe("r1"));
+  world.RunUntil([&] { return one->Body() && other->Body(); });
+}
+
+TEST_CASE("an earlier refusal once more is no answer to the next request") {
+  TestWorld world;
+  const auto status = GENERATE(503, 429, 421, 400);
+  const auto* more = GENERATE("Not-Executed: 1\r\n",
+                              "Not-Executed: 1\r\nRequest-Id: earlier\r\n");
+  int runs = 0;
+  const auto script = [&](const Request& request) {
+    const auto id = request.Field("request-id");
+    runs += id == "r2" ? 1 : 0;
+    const auto refusal = id == "r2" ? MakeRefusal(status, more) : "";
+    request.m_stream->Write(refusal + request.Whole("done"));
+  };
+  const auto& first = world.AddEndpoint(script);
+  const auto& second = world.AddEndpoint(script);
+  world.Start();
+  while (first.requests() * second.requests() == 0) {
+    CallBoth(world);
+  }
+  const auto caller = world.Finish(MakeUnsafe("r2"));
+  CHECK(caller->Status() == 200);
+  CHECK(caller->Body() == "done");
+  CHECK(runs == 1);
+}
+
+TEST_CASE("a refusal alone on a kept connection is no promise") {
+  TestWorld world;
+  const auto* more = GENERATE("Not-Executed: 1\r\n",
+                              "Not-Executed: 1\r\nConnection: close\r\n");
+  int runs = 0;
+  const auto script = [&](const Request& request) {
+    const auto id = request.Field("request-id");
+    runs += id == "r2" ? 1 : 0;
+    request.m_stream->Write(id == "r2" ? MakeRefusal(503, more)
+                                       : request.Whole("done"));
+  };
+  const auto& first = world.AddEndpoint(script);
+  const auto& second = world.AddEndpoint(script);
+  world.Start();
+  while (first.requests() * second.requests() == 0) {
+    CallBoth(world);
+  }
+  const auto status = world.Finish(MakeUnsafe("r2"))->Status();
+  CHECK((status == 502 || status == 504));
+  CHECK(runs == 1);
+}
+
+TEST_CASE("a refusal that nobody asked for spoils its connection only") {
+  TestWorld world;
+  std::optional<Request> first;
+  auto& endpoint = world.AddEndpoint([&first](const Request& request) {
+    first = request;
+    request.m_stream->Write(request.Whole("done"));
+  });
+  world.Start();
+  CHECK(world.Finish(MakeUnsafe("r1"))->Status() == 200);
+  first->m_stream->Write(MakeRefusal(503, "Not-Executed: 1\r\n"));
+  world.RunUntil([&endpoint] { return endpoint.ended() == 1; });
+  CHECK(world.Finish(MakeUnsafe("r2"))->Status() == 200);
+}
+
+TEST_CASE("a refusal on a new connection needs no request id") {
+  TestWorld world;
+  auto& endpoint = world.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(MakeRefusal(503, "Not-Executed: 1\r\n"));
+  });
+  world.Start();
+  CHECK(world.Finish(MakeUnsafe("r1"))->Status() == 503);
+  CHECK(endpoint.requests() == 1);
+}
+
+}  // namespace
+}  // namespace dotterelshed
