Only what goes on with a broken stream gets into it

What callers could see: a stream broke off, and the next endpoint answered 200 with another text: a paragraph of it ("wrong" and an empty line, a comment, an event without number) came in the middle of the stream. An answer of another content type without any event ended the stream as if it were complete. Errors (400, 404, 408, 421, 429, 500, 503, 504, with and without Not-Executed) were tried too: nothing of them is passed on, before and after.

Cause: events without an id were passed on wherever they came, since a first answer may have such ones.

Change: an answer that goes on with a broken stream must have its content type, and each of its events a number; else it counts as lost.

--- a/src/libgateway/call_answer.cc
+++ b/src/libgateway/call_answer.cc
@@ -41,6 +41,11 @@
   if (IsSuccess(head.m_status) && !facts.m_signed) {
     return HeadVerdict::kAbort;
   }
+  const auto type = FieldText(head.m_fields, "content-type");
+  m_attempt.m_resumes = m_passing;
+  if (m_passing && IsSuccess(head.m_status) && type != m_passed_type) {
+    return HeadVerdict::kAbort;
+  }
   m_attempt.m_facts = std::move(facts);
   m_attempt.m_head = std::move(head);
   m_attempt.m_answered = true;
@@ -71,6 +76,7 @@
     return;
   }
   m_passing = true;
+  m_passed_type = FieldText(head.m_fields, "content-type");
   m_is_event_stream =
       m_route.m_kind == CallKind::kStream && IsSuccess(head.m_status);
   m_caller->BeginAnswer(head.m_status, head.m_reason,
@@ -88,7 +94,8 @@
   } else {
     m_caller->SendBody(bytes);
   }
-  if (!m_over && m_caller->pending_bytes() > kMaxPendingBytes) {
+  const auto goes_on = !m_over && m_attempt.m_connection != nullptr;
+  if (goes_on && m_caller->pending_bytes() > kMaxPendingBytes) {
     m_attempt.m_connection->SetReading(false);
     m_caller->SetDrainedHandler([weak = weak_from_this()] {
       const auto self = weak.lock();
@@ -101,6 +108,11 @@
 
 auto CallExchange::PassEvents() -> void {
   while (auto event = m_events.Next()) {
+    if (m_attempt.m_resumes && !event->m_id) {
+      // Only numbered events are known to go on where the stream broke off.
+      AfterLostAttempt("event_without_id");
+      return;
+    }
     if (event->m_id && m_last_event) {
       if (*event->m_id <= *m_last_event) {
         continue;
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -59,6 +59,8 @@
     bool m_may_have_run_before = false;
     /// The answer isn't passed on; the request is sent elsewhere.
     bool m_discard = false;
+    /// The answer goes on with one that broke off.
+    bool m_resumes = false;
   };
 
   auto IsTurn() const -> bool;
@@ -121,6 +123,8 @@
   /// Where the next attempt goes, if that is decided already.
   EndpointId m_next;
   EventSplitter m_events;
+  /// Content type of the answer that is passed on.
+  std::string m_passed_type;
   std::optional<std::int64_t> m_last_event;
   std::int64_t m_events_passed = 0;
   /// What the lead granted, of a turn: an endpoint may generate more.
--- /dev/null
+++ b/src/libgateway/resumed_stream_unittest.cc
@@ -0,0 +1,134 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "test_calls.h"
+
+/// @file
+/// Streams that broke off and what the next endpoint answers.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+/// Answers a turn's first attempt with two events and closes the connection.
+auto BreakOff(const Request& request) -> void {
+  request.m_stream->Write(ChunkedHead(request) + Chunks(1, 2));
+  request.m_stream->CloseAfterWrites();
+}
+
+auto PlainAnswer(const Request& request,
+                 int status,
+                 const std::string& more,
+                 const std::string& body) -> std::string {
+  return request.Head(status, more + "Content-Length: " +
+                                  std::to_string(body.size()) + "\r\n") +
+         body;
+}
+
+/// How many answers begin in what a caller got.
+auto CountHeads(const std::string& text) -> int {
+  int heads = 0;
+  for (auto at = text.find("HTTP/1.1"); at != std::string::npos;
+       at = text.find("HTTP/1.1", at + 1)) {
+    ++heads;
+  }
+  return heads;
+}
+
+TEST_CASE("nothing of an error gets into a stream that had broken off") {
+  TestWorld world;
+  const auto status = GENERATE(400, 404, 408, 421, 429, 500, 503, 504);
+  const auto* more = GENERATE("", "Not-Executed: 1\r\n");
+  const auto* text =
+      GENERATE("", "wrong", "wrong\n\n", "id: 3\ndata: wrong\n\n");
+  int attempts = 0;
+  const auto script = [&](const Request& request) {
+    if (++attempts == 1) {
+      BreakOff(request);
+    } else {
+      request.m_stream->Write(PlainAnswer(request, status, more, text));
+    }
+  };
+  world.AddEndpoint(script);
+  world.AddEndpoint(script);
+  world.Start();
+  const auto caller = world.Finish(MakeTurn("r1", 400, 100));
+  CHECK(attempts > 1);
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+  CHECK(CountHeads(caller->m_got) == 1);
+  CHECK(caller->m_got.find("wrong") == std::string::npos);
+  CHECK(caller->m_got.find("data: t") != std::string::npos);
+}
+
+TEST_CASE("nothing of another text gets into a stream that had broken off") {
+  TestWorld world;
+  const auto* text =
+      GENERATE("wrong", "wrong\n\n", "wrong\n\nid: 3\ndata: t\n\n",
+               ": wrong\n\n", "data: wrong\n\n", "id: x\ndata: wrong\n\n");
+  int attempts = 0;
+  const auto script = [&](const Request& request) {
+    if (++attempts == 1) {
+      BreakOff(request);
+    } else {
+      request.m_stream->Write(PlainAnswer(request, 200, "", text));
+    }
+  };
+  world.AddEndpoint(script);
+  world.AddEndpoint(script);
+  world.Start();
+  const auto caller = world.Finish(MakeTurn("r1", 400, 100));
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+  CHECK(caller->m_got.find("wrong") == std::string::npos);
+}
+
+TEST_CASE(
+    "an answer of another type doesn't end a stream that had broken off") {
+  TestWorld world;
+  int attempts = 0;
+  const auto script = [&](const Request& request) {
+    if (++attempts == 1) {
+      request.m_stream->Write(request.Head(200,
+                                           "Content-Type: text/event-stream\r\n"
+                                           "Transfer-Encoding: chunked\r\n") +
+                              Chunks(1, 2));
+      request.m_stream->CloseAfterWrites();
+    } else {
+      request.m_stream->Write(
+          PlainAnswer(request, 200, "Content-Type: text/plain\r\n", ""));
+    }
+  };
+  world.AddEndpoint(script);
+  world.AddEndpoint(script);
+  world.Start();
+  const auto caller = world.Finish(MakeTurn("r1", 400, 100));
+  CHECK(caller->m_ended);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("a stream that had broken off goes on behind an error") {
+  TestWorld world;
+  const auto status = GENERATE(500, 503, 504);
+  int attempts = 0;
+  const auto script = [&](const Request& request) {
+    ++attempts;
+    if (attempts == 1) {
+      BreakOff(request);
+    } else if (attempts == 2) {
+      request.m_stream->Write(PlainAnswer(request, status, "", "wrong"));
+    } else {
+      request.m_stream->Write(ChunkedHead(request) + Chunks(3, 4) +
+                              std::string(kLastChunk));
+    }
+  };
+  world.AddEndpoint(script);
+  world.AddEndpoint(script);
+  world.Start();
+  CHECK(world.Finish(MakeTurn("r1", 400, 100))->Body() ==
+        MakeEvent(1) + MakeEvent(2) + MakeEvent(3) + MakeEvent(4));
+}
+
+}  // namespace
+}  // namespace dotterelshed
