Soak: a request that ends each endpoint that runs it; suspects cost nothing when idle

A caller sends the same request through any host under new ids, while all other faults go on; the endpoint that runs it ends with all its connections and is back after 1.5 s under its id and address. Broken when more than three further runs come from undisturbed hosts later than 4 s after the third end (3 s of the platform's pages and one for a busy machine).

The metric dotterelshed_suspect_contents tells how many requests are suspected and quarantined.

--- a/soak/service_standins.cc
+++ b/soak/service_standins.cc
@@ -57,6 +57,15 @@
   m_link = std::make_unique<LoopbackProxy>(loop, m_listener.local_address());
 }
 
+auto Endpoint::Crash(Duration down, std::function<void()> back) -> void {
+  m_link->SetState(LinkState::kRefuse);
+  m_link->ResetAll();
+  After(m_loop, down, [this, back = std::move(back)] {
+    m_link->SetState(LinkState::kOpen);
+    back();
+  });
+}
+
 auto Endpoint::Loses() -> bool {
   return m_lose_one_in > 0 && m_random() % m_lose_one_in == 0;
 }
@@ -70,11 +79,16 @@
     connection->Answer(421, {{"Request-Id", id}, {"Not-Executed", "1"}}, "");
     return;
   }
+  const auto poison = request.m_body == kPoisonBody;
   m_on_run({.m_request = id,
             .m_target = request.m_head.m_target,
             .m_host = FieldText(fields, "soak-host"),
             .m_service = m_service,
-            .m_endpoint = m_id});
+            .m_endpoint = m_id,
+            .m_poison = poison});
+  if (poison) {
+    return;
+  }
   if (m_service == "engine") {
     const auto last = FieldText(fields, "last-event-id");
     After(m_loop, kEventGap, [this, connection, id, head, last] {
--- a/soak/service_standins.h
+++ b/soak/service_standins.h
@@ -19,6 +19,9 @@
 auto AllEvents(const std::string& request) -> std::string;
 auto PlainBody(const std::string& request) -> std::string;
 
+/// Body of a request that ends each endpoint that begins to run it.
+inline constexpr std::string_view kPoisonBody = "poison";
+
 /// A request that an endpoint begins to work on.
 struct ServedRun {
   std::string m_request;
@@ -27,6 +30,8 @@
   std::string m_host;
   std::string m_service;
   std::string m_endpoint;
+  /// The endpoint ends under it.
+  bool m_poison = false;
 };
 
 class Endpoint {
@@ -45,6 +50,8 @@
   auto link() -> LoopbackProxy& { return *m_link; }
   /// One in so many answers is lost after the work; 0 for none.
   auto SetLosing(int one_in) -> void { m_lose_one_in = one_in; }
+  /// Ends as a process does, and starts anew under its id and address.
+  auto Crash(Duration down, std::function<void()> back) -> void;
   auto Tick(TimePoint now) -> void { m_listener.Tick(now); }
 
  private:
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -24,6 +24,10 @@
 /// Part of the calls after recovery that must be answered.
 constexpr double kServedAgain = 0.95;
 constexpr int kCallersPerDomain = 4;
+constexpr Duration kPoisonKnown = std::chrono::milliseconds(4000);
+constexpr int kMostEnds = 3;
+constexpr int kMostLatePoison = 3;
+constexpr Duration kEndpointDown = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -105,7 +109,8 @@
                {"address", FormatTcpAddress(endpoint.link().address())},
                {"zone", "a"},
                {"slots", 8},
-               {"state", draining ? "draining" : "ready"}});
+               {"state", draining ? "draining" : "ready"},
+               {"born", ++m_starts}});
 }
 
 auto SoakWorld::AddEndpoint(const std::string& service) -> void {
@@ -199,6 +204,32 @@
     CheckDrain(run, **host);
   }
   CheckVersion(run, **host);
+  if (run.m_poison) {
+    OnPoison(run, **host);
+  }
+}
+
+auto SoakWorld::OnPoison(const ServedRun& run, const Host& host) -> void {
+  const auto now = SteadyTime();
+  Note(run.m_endpoint + " ends under the poison");
+  const auto late = m_poison_ends >= kMostEnds &&
+                    now - m_third_end_at > kPoisonKnown &&
+                    now > host.m_disturbed_until;
+  if (++m_poison_ends == kMostEnds) {
+    m_third_end_at = now;
+  }
+  m_late_poison += late ? 1 : 0;
+  if (m_options.m_timed && m_late_poison > kMostLatePoison) {
+    m_promises.Break("poison still reaches endpoints, by " + run.m_host + ": " +
+                     run.m_request + " at " + run.m_endpoint);
+  }
+  for (const auto& endpoint : m_endpoints) {
+    if (endpoint->id() == run.m_endpoint) {
+      endpoint->Crash(kEndpointDown, [this, raw = endpoint.get()] {
+        PutEndpoint(*raw, m_leaving.contains(raw->id()));
+      });
+    }
+  }
 }
 
 auto SoakWorld::CheckDrain(const ServedRun& run, const Host& host) -> void {
@@ -257,6 +288,9 @@
   for (const auto& caller : m_callers) {
     caller->Stop();
   }
+  m_poison->Stop();
+  Note(std::to_string(m_poison_ends) + " endpoints ended under the poison, " +
+       std::to_string(m_late_poison) + " of them late");
   for (const auto& host : m_hosts) {
     host->m_stopping = true;
     host->m_process->Signal(SIGTERM);
@@ -283,6 +317,9 @@
   for (const auto& caller : m_callers) {
     caller->Start();
   }
+  m_poison = std::make_shared<PoisonCaller>(m_loop, m_promises, m_doors,
+                                            m_options.m_seed);
+  m_poison->Start();
   const auto until = SteadyTime() + m_options.m_fault_time;
   while (SteadyTime() < until) {
     DrawFault();
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -10,6 +10,7 @@
 #include "callers.h"
 #include "host_process.h"
 #include "loopback_proxy.h"
+#include "poison_caller.h"
 #include "promises.h"
 #include "service_standins.h"
 #include "test_store.h"
@@ -85,6 +86,7 @@
   auto OnRun(const ServedRun& run) -> void;
   auto CheckDrain(const ServedRun& run, const Host& host) -> void;
   auto CheckVersion(const ServedRun& run, Host& host) -> void;
+  auto OnPoison(const ServedRun& run, const Host& host) -> void;
   auto OnCallEnded(const CallResult& result) -> void;
   auto StopAll() -> void;
   auto Note(const std::string& what) -> void;
@@ -108,10 +110,18 @@
   std::map<std::string, TimePoint> m_leaving;
   std::vector<Door> m_doors;
   std::vector<std::shared_ptr<Caller>> m_callers;
+  std::shared_ptr<PoisonCaller> m_poison;
+  /// Endpoints that ended under the poison, and when the third did.
+  int m_poison_ends = 0;
+  TimePoint m_third_end_at;
+  /// Runs of it that came later than hosts in touch may make.
+  int m_late_poison = 0;
   int m_version = 0;
   TimePoint m_version_at;
   TimePoint m_begun;
   int m_named = 0;
+  /// Counts entries of endpoints: each is of a start of its own.
+  std::int64_t m_starts = 0;
   /// Calls since the faults ended, and those that were answered.
   bool m_recovering = false;
   int m_asked = 0;
--- a/src/include/dotterelshed/crash_ledger.h
+++ b/src/include/dotterelshed/crash_ledger.h
@@ -109,6 +109,8 @@
 struct CrashLedger {
   CrashLedgerOptions m_options;
   std::map<ContentDigest, SuspectContent> m_contents;
+  /// Endpoints that this host lost an attempt at, and when it lost the last.
+  std::map<EndpointDigest, TimePoint> m_doubtful;
   std::uint64_t m_changes = 0;
 };
 
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -43,6 +43,7 @@
   kTurnDecisions,
   kEndpointConnections,
   kViewAge,
+  kSuspectContents,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -64,6 +64,10 @@
      "kind",
      "Time since the platform last showed that this host's view of a kind of "
      "objects is complete."},
+    {MetricId::kSuspectContents, MetricKind::kGauge,
+     "dotterelshed_suspect_contents", "state",
+     "Requests under which endpoints may have ended, as all hosts have seen: "
+     "those that are known, and those that are quarantined."},
 });
 
 }  // namespace
--- a/src/libgateway/call_suspicion.h
+++ b/src/libgateway/call_suspicion.h
@@ -21,9 +21,6 @@
   CallSuspicion(EntryContext& context,
                 const IncomingRequest& request,
                 std::string caller);
-  ~CallSuspicion() { OnAttemptOver(); }
-  CallSuspicion(const CallSuspicion&) = delete;
-  auto operator=(const CallSuspicion&) -> CallSuspicion& = delete;
 
   /// Whether the next attempt may be made. The answer holds until OnSent.
   auto MayRun(TimePoint now) -> bool;
@@ -38,7 +35,7 @@
   auto OnLost(CrashEvidence evidence, TimePoint now) -> void;
   /// The endpoint ran the call and answered it whole.
   auto OnServed(TimePoint now) -> void;
-  /// Ends what OnSent began; may be called again.
+  /// Ends what OnSent began; call after each attempt, once or more.
   auto OnAttemptOver() -> void;
 
   auto fingerprint() -> const CallFingerprint&;
--- a/src/libgateway/crash_messages.cc
+++ b/src/libgateway/crash_messages.cc
@@ -119,9 +119,9 @@
   if (!json.at("quarantine").is_null()) {
     content.m_quarantine = ReadQuarantine(json.at("quarantine"), clock);
   }
-  return {{.m_high = json.at("high").get<std::uint64_t>(),
-           .m_low = json.at("low").get<std::uint64_t>()},
-          std::move(content)};
+  const ContentDigest digest{.m_high = json.at("high").get<std::uint64_t>(),
+                             .m_low = json.at("low").get<std::uint64_t>()};
+  return {digest, std::move(content)};
 }
 
 /// Runs @p read on a message; a missing or mistyped member becomes an error.
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -240,7 +240,7 @@
                        const IncomingRequest& request) -> void {
   const auto& target = request.m_head.m_target;
   if (target == kMetricsPath) {
-    NoteViewAges();
+    NoteState();
     connection->Answer(kStatusOk,
                        {{"Content-Type", std::string(kMetricsContentType)}},
                        FormatMetrics());
@@ -318,13 +318,21 @@
       });
 }
 
-auto EntryHost::NoteViewAges() const -> void {
+auto EntryHost::NoteState() const -> void {
   const auto now = SteadyTime();
   for (const auto& follower :
        {m_config_follower, m_context.m_endpoint_follower, m_lead_follower}) {
     SetMetric(MetricId::kViewAge, ToSeconds(follower->Age(now)),
               KindName(follower->kind()));
   }
+  const auto& contents = m_context.m_crashes.m_contents;
+  const auto quarantined = std::count_if(
+      contents.begin(), contents.end(),
+      [](const auto& item) { return item.second.m_quarantine.has_value(); });
+  SetMetric(MetricId::kSuspectContents, static_cast<double>(contents.size()),
+            "known");
+  SetMetric(MetricId::kSuspectContents, static_cast<double>(quarantined),
+            "quarantined");
 }
 
 auto EntryHost::OnYieldQuestion(
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -51,8 +51,9 @@
                       const ViewQuestion& question) -> void;
   auto OnYieldQuestion(const std::shared_ptr<ServerConnection>& connection,
                        const KnownLead& lead) -> void;
-  /// Sets the metric that tells how old the views of the store are.
-  auto NoteViewAges() const -> void;
+  /// Sets the metrics that are read off the host's state: how old its views of
+  /// the store are, and how many requests it suspects.
+  auto NoteState() const -> void;
   auto Refuse(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request,
               int status,
--- a/src/libquarantine/crash_ledger.cc
+++ b/src/libquarantine/crash_ledger.cc
@@ -432,6 +432,7 @@
   own.m_caller = call.m_caller;
   own.m_own = true;
   AddLost(content, own);
+  ledger.m_doubtful[own.m_endpoint] = own.m_at;
   MarkChanged(ledger, content, lost.m_evidence != CrashEvidence::kUnproved);
   return JudgeAfter(ledger, content, lost.m_at);
 }
@@ -464,6 +465,10 @@
                        TimePoint connected_at,
                        TimePoint now) -> void {
   const auto digest = MakeEndpointDigest(endpoint);
+  const auto doubtful = ledger.m_doubtful.find(digest);
+  if (doubtful == ledger.m_doubtful.end() || doubtful->second < connected_at) {
+    return;
+  }
   for (auto& [key, content] : ledger.m_contents) {
     for (auto& one : content.m_lost) {
       const auto disproved = one.m_own && one.m_endpoint == digest &&
@@ -530,6 +535,9 @@
   std::erase_if(ledger.m_contents, [now, retention](const auto& item) {
     return now - item.second.m_last_seen > retention;
   });
+  std::erase_if(ledger.m_doubtful, [now](const auto& item) {
+    return now - item.second > kEndKnownWithin;
+  });
 }
 
 }  // namespace dotterelshed
