Whom an end is put down to is a file of its own

What decides which of the lost requests ended an endpoint is in crash_blame.cc; the ledger keeps what changes. Return values that nobody read are gone. Behaviour stays; ledger's and gateway's cases pass.

--- /dev/null
+++ b/src/libquarantine/crash_blame.cc
@@ -0,0 +1,137 @@
+#include "crash_blame.h"
+
+#include <algorithm>
+
+namespace dotterelshed {
+
+namespace {
+
+/// Attempts lost at one endpoint within this time are lost by the same end: an
+/// endpoint takes longer to start anew.
+constexpr Duration kSameEnd = std::chrono::seconds(1);
+/// Two requests that were lost together each time: the one that began later by
+/// this time ended the endpoint.
+constexpr Duration kClearlyLater = std::chrono::milliseconds(10);
+/// What was lost at the same end is known at all hosts after this time. Until
+/// then a quarantine is judged anew with each attempt that turns out to be
+/// lost.
+constexpr Duration kSettleTime = std::chrono::milliseconds(500);
+
+auto Counts(const SuspectContent& content, const LostAttempt& lost) -> bool {
+  const auto served = content.m_served.find(lost.m_caller);
+  return (lost.m_evidence == CrashEvidence::kConnectionLost ||
+          lost.m_evidence == CrashEvidence::kEndpointEnded) &&
+         (served == content.m_served.end() || served->second < lost.m_at);
+}
+
+auto IsSameEnd(const LostAttempt& a, const LostAttempt& b) -> bool {
+  const auto apart = a.m_at < b.m_at ? b.m_at - a.m_at : a.m_at - b.m_at;
+  return a.m_endpoint == b.m_endpoint && apart < kSameEnd;
+}
+
+/// The different ends among lost attempts, which are in order of time.
+auto DifferentEnds(const std::vector<const LostAttempt*>& lost)
+    -> std::vector<const LostAttempt*> {
+  std::vector<const LostAttempt*> ends;
+  for (const auto* one : lost) {
+    const auto known = std::any_of(
+        ends.begin(), ends.end(),
+        [one](const LostAttempt* end) { return IsSameEnd(*end, *one); });
+    if (!known) {
+      ends.push_back(one);
+    }
+  }
+  return ends;
+}
+
+}  // namespace
+
+auto CountLost(const Lost& lost) -> int {
+  std::vector<const LostAttempt*> counted;
+  for (const auto& one : lost.m_content->m_lost) {
+    if (one.m_caller == lost.m_caller && Counts(*lost.m_content, one)) {
+      counted.push_back(&one);
+    }
+  }
+  return static_cast<int>(DifferentEnds(counted).size());
+}
+
+auto IsQuarantined(const SuspectContent& content, CallerDigest caller) -> bool {
+  const auto& quarantine = content.m_quarantine;
+  return quarantine &&
+         (!quarantine->m_caller || *quarantine->m_caller == caller);
+}
+
+auto IsSettled(const Quarantine& quarantine, TimePoint now) -> bool {
+  return now - quarantine.m_since >= kSettleTime;
+}
+
+namespace {
+
+auto HasSettled(const Lost& lost, TimePoint now) -> bool {
+  return IsQuarantined(*lost.m_content, lost.m_caller) &&
+         IsSettled(*lost.m_content->m_quarantine, now);
+}
+
+/// True when @p other, lost at the same end, is the likelier cause of it.
+auto IsLikelier(const Lost& lost,
+                const LostAttempt& attempt,
+                const Lost& other,
+                const LostAttempt& other_attempt,
+                TimePoint now) -> bool {
+  const auto quarantined = HasSettled(lost, now);
+  if (HasSettled(other, now) != quarantined) {
+    return !quarantined;
+  }
+  const auto count = CountLost(lost);
+  const auto other_count = CountLost(other);
+  if (count != other_count) {
+    return other_count > count;
+  }
+  return count > 1 &&
+         other_attempt.m_running + kClearlyLater < attempt.m_running;
+}
+
+/// True when another request that was lost at the same end explains it better.
+auto IsExplained(const CrashLedger& ledger,
+                 const SuspectContent& content,
+                 const LostAttempt& attempt,
+                 TimePoint now) -> bool {
+  const Lost lost{&content, attempt.m_caller};
+  for (const auto& [digest, other] : ledger.m_contents) {
+    for (const auto& one : other.m_lost) {
+      const auto same = &other == &content && one.m_caller == attempt.m_caller;
+      const auto together =
+          !same && IsSameEnd(one, attempt) && Counts(other, one);
+      if (together &&
+          IsLikelier(lost, attempt, {&other, one.m_caller}, one, now)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+auto EndsOf(const CrashLedger& ledger,
+            const SuspectContent& content,
+            std::optional<CallerDigest> caller,
+            TimePoint now) -> std::vector<const LostAttempt*> {
+  TimePoint last_served{};
+  for (const auto& [served, at] : content.m_served) {
+    last_served = std::max(last_served, at);
+  }
+  std::vector<const LostAttempt*> ends;
+  for (const auto& one : content.m_lost) {
+    const auto meant =
+        caller ? one.m_caller == *caller : one.m_at > last_served;
+    if (meant && Counts(content, one) &&
+        !IsExplained(ledger, content, one, now)) {
+      ends.push_back(&one);
+    }
+  }
+  return DifferentEnds(ends);
+}
+
+}  // namespace dotterelshed
--- a/src/libquarantine/crash_ledger.cc
+++ b/src/libquarantine/crash_ledger.cc
@@ -4,146 +4,22 @@
 #include <set>
 #include <tuple>
 
+#include "crash_blame.h"
+
 namespace dotterelshed {
 
 namespace {
 
-/// Attempts lost at one endpoint within this time are lost by the same end: an
-/// endpoint takes longer to start anew.
-constexpr Duration kSameEnd = std::chrono::seconds(1);
-/// Two requests that were lost together each time: the one that began later by
-/// this time ended the endpoint.
-constexpr Duration kClearlyLater = std::chrono::milliseconds(10);
 /// The platform lists an endpoint for this long after it ended, at most.
 constexpr Duration kEndKnownWithin = std::chrono::seconds(10);
 /// Bytes that an endpoint sent before its end have been read by then.
 constexpr Duration kBytesUnderWay = std::chrono::milliseconds(200);
-/// What was lost at the same end is known at all hosts after this time. Until
-/// then a quarantine is judged anew with each attempt that turns out to be
-/// lost.
-constexpr Duration kSettleTime = std::chrono::milliseconds(500);
 /// Times that another host tells are exact to this time.
 constexpr Duration kTimeError = std::chrono::milliseconds(100);
 constexpr std::size_t kMaxLostOfContent = 8;
 constexpr std::size_t kMaxServedCallers = 4;
 constexpr int kMaxDoublings = 4;
 
-/// A request of one caller and what was lost of it.
-struct Lost {
-  const SuspectContent* m_content;
-  CallerDigest m_caller;
-};
-
-auto Counts(const SuspectContent& content, const LostAttempt& lost) -> bool {
-  const auto served = content.m_served.find(lost.m_caller);
-  return (lost.m_evidence == CrashEvidence::kConnectionLost ||
-          lost.m_evidence == CrashEvidence::kEndpointEnded) &&
-         (served == content.m_served.end() || served->second < lost.m_at);
-}
-
-auto IsSameEnd(const LostAttempt& a, const LostAttempt& b) -> bool {
-  const auto apart = a.m_at < b.m_at ? b.m_at - a.m_at : a.m_at - b.m_at;
-  return a.m_endpoint == b.m_endpoint && apart < kSameEnd;
-}
-
-/// The different ends among lost attempts, which are in order of time.
-auto DifferentEnds(const std::vector<const LostAttempt*>& lost)
-    -> std::vector<const LostAttempt*> {
-  std::vector<const LostAttempt*> ends;
-  for (const auto* one : lost) {
-    const auto known = std::any_of(
-        ends.begin(), ends.end(),
-        [one](const LostAttempt* end) { return IsSameEnd(*end, *one); });
-    if (!known) {
-      ends.push_back(one);
-    }
-  }
-  return ends;
-}
-
-/// All ends that a request of one caller was lost at, whoever caused them.
-auto CountLost(const Lost& lost) -> int {
-  std::vector<const LostAttempt*> counted;
-  for (const auto& one : lost.m_content->m_lost) {
-    if (one.m_caller == lost.m_caller && Counts(*lost.m_content, one)) {
-      counted.push_back(&one);
-    }
-  }
-  return static_cast<int>(DifferentEnds(counted).size());
-}
-
-auto IsQuarantined(const SuspectContent& content, CallerDigest caller) -> bool {
-  const auto& quarantine = content.m_quarantine;
-  return quarantine &&
-         (!quarantine->m_caller || *quarantine->m_caller == caller);
-}
-
-auto HasSettled(const Lost& lost, TimePoint now) -> bool {
-  return IsQuarantined(*lost.m_content, lost.m_caller) &&
-         IsSettled(*lost.m_content->m_quarantine, now);
-}
-
-/// True when @p other, lost at the same end, is the likelier cause of it.
-auto IsLikelier(const Lost& lost,
-                const LostAttempt& attempt,
-                const Lost& other,
-                const LostAttempt& other_attempt,
-                TimePoint now) -> bool {
-  const auto quarantined = HasSettled(lost, now);
-  if (HasSettled(other, now) != quarantined) {
-    return !quarantined;
-  }
-  const auto count = CountLost(lost);
-  const auto other_count = CountLost(other);
-  if (count != other_count) {
-    return other_count > count;
-  }
-  return count > 1 &&
-         other_attempt.m_running + kClearlyLater < attempt.m_running;
-}
-
-/// True when another request that was lost at the same end explains it better.
-auto IsExplained(const CrashLedger& ledger,
-                 const SuspectContent& content,
-                 const LostAttempt& attempt,
-                 TimePoint now) -> bool {
-  const Lost lost{&content, attempt.m_caller};
-  for (const auto& [digest, other] : ledger.m_contents) {
-    for (const auto& one : other.m_lost) {
-      const auto same = &other == &content && one.m_caller == attempt.m_caller;
-      const auto together =
-          !same && IsSameEnd(one, attempt) && Counts(other, one);
-      if (together &&
-          IsLikelier(lost, attempt, {&other, one.m_caller}, one, now)) {
-        return true;
-      }
-    }
-  }
-  return false;
-}
-
-/// The ends that are put down to a content: of one caller, or of all callers
-/// since it was last served to any of them.
-auto EndsOf(const CrashLedger& ledger,
-            const SuspectContent& content,
-            std::optional<CallerDigest> caller,
-            TimePoint now) -> std::vector<const LostAttempt*> {
-  TimePoint last_served{};
-  for (const auto& [served, at] : content.m_served) {
-    last_served = std::max(last_served, at);
-  }
-  std::vector<const LostAttempt*> ends;
-  for (const auto& one : content.m_lost) {
-    const auto meant =
-        caller ? one.m_caller == *caller : one.m_at > last_served;
-    if (meant && Counts(content, one) &&
-        !IsExplained(ledger, content, one, now)) {
-      ends.push_back(&one);
-    }
-  }
-  return DifferentEnds(ends);
-}
-
 /// Ends that are known, each of an attempt that began after the one before.
 auto CountKnownInTurn(const std::vector<const LostAttempt*>& ends) -> int {
   int count = 0;
@@ -169,63 +45,61 @@
   return std::min<Duration>(term, options.m_long_quarantine);
 }
 
-/// Puts a quarantine beside the one that may be there. Returns true when there
-/// was none.
+/// Joins a quarantine with the one that may be there.
 auto AddQuarantine(SuspectContent& content, const Quarantine& quarantine)
-    -> bool {
+    -> void {
   auto& known = content.m_quarantine;
   if (!known) {
     known = quarantine;
-    return true;
+    return;
   }
   if (known->m_caller != quarantine.m_caller) {
     known->m_caller = std::nullopt;
   }
   known->m_since = std::max(known->m_since, quarantine.m_since);
   known->m_until = std::max(known->m_until, quarantine.m_until);
-  return false;
 }
 
-auto QuarantineFor(CrashLedger& ledger,
+/// Quarantines a content for a caller, or for all, if it has enough ends.
+auto QuarantineFor(const CrashLedger& ledger,
                    SuspectContent& content,
                    std::optional<CallerDigest> caller,
-                   TimePoint now) -> bool {
+                   TimePoint now) -> void {
   const auto ends = EndsOf(ledger, content, caller, now);
   if (static_cast<int>(ends.size()) < ledger.m_options.m_most_ends) {
-    return false;
+    return;
   }
   const auto since = ends.back()->m_at;
-  return AddQuarantine(
-      content, {.m_caller = caller,
-                .m_since = since,
-                .m_until = since + QuarantineTerm(ledger.m_options, ends)});
+  AddQuarantine(content,
+                {.m_caller = caller,
+                 .m_since = since,
+                 .m_until = since + QuarantineTerm(ledger.m_options, ends)});
 }
 
 /// Quarantines a content for each caller with enough ends, and for all callers
-/// when several have them together. Returns true when it wasn't quarantined.
-auto Judge(CrashLedger& ledger, SuspectContent& content, TimePoint now)
-    -> bool {
+/// when several have them together. What hasn't settled is judged anew.
+auto Judge(const CrashLedger& ledger, SuspectContent& content, TimePoint now)
+    -> void {
   if (content.m_quarantine && !IsSettled(*content.m_quarantine, now)) {
     content.m_quarantine.reset();
   }
   if (static_cast<int>(content.m_lost.size()) < ledger.m_options.m_most_ends) {
-    return false;
+    return;
   }
   std::set<CallerDigest> callers;
   for (const auto& one : content.m_lost) {
     callers.insert(one.m_caller);
   }
-  auto quarantined = false;
   for (const auto& caller : callers) {
-    quarantined |= QuarantineFor(ledger, content, caller, now);
+    QuarantineFor(ledger, content, caller, now);
   }
   if (callers.size() > 1) {
-    quarantined |= QuarantineFor(ledger, content, std::nullopt, now);
+    QuarantineFor(ledger, content, std::nullopt, now);
   }
-  return quarantined;
 }
 
-/// Judges @p changed, and again what was judged without it.
+/// Judges @p changed, and again what was judged without it. Returns true when
+/// that quarantines @p changed.
 auto JudgeAfter(CrashLedger& ledger, SuspectContent& changed, TimePoint now)
     -> bool {
   const auto before = changed.m_quarantine.has_value();
@@ -410,10 +284,6 @@
   return std::max(end - now, Duration{0});
 }
 
-auto IsSettled(const Quarantine& quarantine, TimePoint now) -> bool {
-  return now - quarantine.m_since >= kSettleTime;
-}
-
 auto EndsUnder(const CrashLedger& ledger,
                const CallFingerprint& call,
                TimePoint now) -> int {
