Broken connections don't close a path that many call

Cause: calls without a body on one path are the same content for all their callers. Three connections lost by several callers counted against the content, and answers to callers that hadn't lost any weren't seen as clearing it.

Change: a content is quarantined for all callers only by ends that are known and came in turn, one of each of three callers, with nobody served since. An end that the platform doesn't confirm is withdrawn once the endpoint is listed as the same start for longer than an entry takes to lapse. Quarantines that aren't proved last 10 s and aren't told: each host judges by the lost attempts.

--- a/src/include/dotterelshed/crash_ledger.h
+++ b/src/include/dotterelshed/crash_ledger.h
@@ -25,8 +25,12 @@
 /// - an attempt that had begun to answer, or was merely silent, counts only
 ///   once its endpoint is known to have ended, and none counts when the
 ///   endpoint turns out to be alive;
-/// - the quarantine is long only when the ends are known and came one after the
-///   other. When it is over, a single attempt shows whether it is right.
+/// - a quarantine is proved, and long, only when the ends are known and came
+/// one
+///   after the other; any other is short. When it is over, a single attempt
+///   shows whether it is right;
+/// - a content that many callers send is quarantined for all of them only if
+///   that is proved.
 ///
 /// Ledgers of several hosts merge to the same content in any order.
 ///
@@ -43,7 +47,9 @@
   /// Quarantine after ends that are known and came one after the other.
   Duration m_long_quarantine = std::chrono::minutes(10);
   /// Any other quarantine; doubles with each further end.
-  Duration m_short_quarantine = std::chrono::seconds(30);
+  Duration m_short_quarantine = std::chrono::seconds(10);
+  /// The platform lists an endpoint for no longer than this after its end.
+  Duration m_lapse_time = std::chrono::seconds(4);
   /// Added to each quarantine at this host, so that not all hosts let the same
   /// request try at once.
   Duration m_trial_delay{0};
@@ -90,14 +96,19 @@
   /// The last end that counted.
   TimePoint m_since;
   TimePoint m_until;
+  /// Its ends are known and came one after the other. Other hosts are told of
+  /// such ones; they judge any other from the lost attempts.
+  bool m_proved = false;
 };
 
 /// What is known of one content.
 struct SuspectContent {
   /// In order of time.
   std::vector<LostAttempt> m_lost;
-  /// When it was last served to a caller.
+  /// When it was last served to a caller that had lost it.
   std::map<CallerDigest, TimePoint> m_served;
+  /// When it was last served to any caller, if it was lost before.
+  TimePoint m_served_to_any;
   std::optional<Quarantine> m_quarantine;
   TimePoint m_last_seen;
   /// Value of the ledger's change counter at the last change.
@@ -110,7 +121,7 @@
   CrashLedgerOptions m_options;
   std::map<ContentDigest, SuspectContent> m_contents;
   /// Endpoints that this host lost an attempt at, and when it lost the last.
-  std::map<EndpointDigest, TimePoint> m_doubtful;
+  std::map<EndpointId, TimePoint> m_doubtful;
   std::uint64_t m_changes = 0;
 };
 
@@ -147,6 +158,7 @@
 /// quarantines the request.
 auto NoteAttemptLost(CrashLedger& ledger,
                      const CallFingerprint& call,
+                     const EndpointId& endpoint,
                      const LostAttempt& lost) -> bool;
 
 /// An endpoint is known to have ended, or to have started anew, before @p now.
@@ -161,6 +173,13 @@
                        TimePoint connected_at,
                        TimePoint now) -> void;
 
+/// At @p shown_at the platform still listed an endpoint, and as the same start
+/// of it: one that had ended a while before would have vanished.
+auto NoteEndpointListed(CrashLedger& ledger,
+                        const EndpointId& endpoint,
+                        TimePoint shown_at,
+                        TimePoint now) -> void;
+
 /// An endpoint ran the request and answered it whole.
 auto NoteServed(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
     -> void;
--- a/src/libgateway/call_suspicion.cc
+++ b/src/libgateway/call_suspicion.cc
@@ -87,9 +87,8 @@
   const auto proved =
       EndedMeanwhile() ? CrashEvidence::kEndpointEnded : evidence;
   const auto quarantined =
-      NoteAttemptLost(m_context.m_crashes, fingerprint(),
+      NoteAttemptLost(m_context.m_crashes, fingerprint(), m_endpoint,
                       {.m_id = {m_context.m_random()},
-                       .m_endpoint = MakeEndpointDigest(m_endpoint),
                        .m_at = now,
                        .m_running = now - m_sent_at,
                        .m_evidence = proved});
--- a/src/libgateway/crash_messages.cc
+++ b/src/libgateway/crash_messages.cc
@@ -77,6 +77,7 @@
   }
   quarantine.m_since = clock.FromAge(json.at("age_ms"));
   quarantine.m_until = clock.m_now + ReadMs(json.at("left_ms"));
+  quarantine.m_proved = true;
   return quarantine;
 }
 
@@ -93,22 +94,24 @@
   for (const auto& [caller, at] : content.m_served) {
     served.push_back({{"caller", caller.m_bits}, {"age_ms", clock.ToAge(at)}});
   }
-  // Another host judges what isn't settled by itself.
   const auto& quarantine = content.m_quarantine;
-  const auto settled = quarantine && IsSettled(*quarantine, clock.m_now);
+  const auto proved =
+      quarantine && quarantine->m_proved && IsSettled(*quarantine, clock.m_now);
   return {
       {"high", digest.m_high},
       {"low", digest.m_low},
       {"seen_ms", clock.ToAge(content.m_last_seen)},
+      {"served_ms", clock.ToAge(content.m_served_to_any)},
       {"lost", std::move(lost)},
       {"served", std::move(served)},
-      {"quarantine", settled ? WriteQuarantine(*quarantine, clock) : Json()}};
+      {"quarantine", proved ? WriteQuarantine(*quarantine, clock) : Json()}};
 }
 
 auto ReadContent(const Json& json, const MessageClock& clock)
     -> DigestedContent {
   SuspectContent content;
   content.m_last_seen = clock.FromAge(json.at("seen_ms"));
+  content.m_served_to_any = clock.FromAge(json.at("served_ms"));
   for (const auto& one : json.at("lost")) {
     content.m_lost.push_back(ReadLost(one, clock));
   }
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -84,6 +84,20 @@
   }
 }
 
+auto EndpointView::ClearListed(TimePoint now) -> void {
+  const auto& directory = m_context.m_directory;
+  const auto shown_at = m_context.m_endpoint_follower->confirmed_at();
+  for (const auto& [id, lost_at] : m_context.m_crashes.m_doubtful) {
+    const auto* entry = FindEndpoint(directory, id);
+    // An entry without a start may be of any.
+    const auto listed = entry != nullptr && entry->m_started_unix_ms != 0 &&
+                        !directory.m_lapsing.contains(id);
+    if (listed) {
+      NoteEndpointListed(m_context.m_crashes, id, shown_at, now);
+    }
+  }
+}
+
 auto EndpointView::NoteReachable(bool reachable) -> void {
   m_context.m_store_reached = reachable;
   const auto& follower = *m_context.m_endpoint_follower;
--- a/src/libgateway/endpoint_view.h
+++ b/src/libgateway/endpoint_view.h
@@ -22,6 +22,9 @@
   /// Drops entries whose time to come back is over; call several times a
   /// second.
   auto Tick(TimePoint now) -> void;
+  /// Clears endpoints of having ended that the platform goes on to list as the
+  /// same start.
+  auto ClearListed(TimePoint now) -> void;
 
  private:
   auto TakeListing(const ObjectListing& listing) -> void;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -31,7 +31,10 @@
 /// A host that asks a lead in vain reads the lead's entry anew anyway.
 constexpr Duration kLeadViewAge = std::chrono::seconds(10);
 /// Hosts let a quarantined request try again within this time of each other.
-constexpr Duration kMaxTrialDelay = std::chrono::seconds(10);
+constexpr Duration kMaxTrialDelay = std::chrono::seconds(5);
+/// The platform drops an endpoint's entry after so many silent heartbeats.
+constexpr int kHeartbeatsToLapse = 3;
+constexpr Duration kLapseMargin = std::chrono::milliseconds(400);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -91,6 +94,8 @@
       m_tick_timer(loop) {
   m_context.m_crashes.m_options.m_trial_delay =
       FromSeconds(m_context.Draw() * ToSeconds(kMaxTrialDelay));
+  m_context.m_crashes.m_options.m_lapse_time =
+      settings.m_endpoint_heartbeat * kHeartbeatsToLapse + kLapseMargin;
   MakeFollowers();
 }
 
@@ -373,6 +378,7 @@
   m_lead.Tick(now);
   m_grants.Tick(now);
   m_crash_relay.Tick(now);
+  m_endpoints.ClearListed(now);
   ForgetOldContents(m_context.m_crashes, now);
   if (m_stopping) {
     ContinueStop(now);
--- a/src/libquarantine/crash_blame.cc
+++ b/src/libquarantine/crash_blame.cc
@@ -118,14 +118,10 @@
             const SuspectContent& content,
             std::optional<CallerDigest> caller,
             TimePoint now) -> std::vector<const LostAttempt*> {
-  TimePoint last_served{};
-  for (const auto& [served, at] : content.m_served) {
-    last_served = std::max(last_served, at);
-  }
   std::vector<const LostAttempt*> ends;
   for (const auto& one : content.m_lost) {
     const auto meant =
-        caller ? one.m_caller == *caller : one.m_at > last_served;
+        caller ? one.m_caller == *caller : one.m_at > content.m_served_to_any;
     if (meant && Counts(content, one) &&
         !IsExplained(ledger, content, one, now)) {
       ends.push_back(&one);
--- a/src/libquarantine/crash_ledger.cc
+++ b/src/libquarantine/crash_ledger.cc
@@ -21,25 +21,27 @@
 constexpr int kMaxDoublings = 4;
 
 /// Ends that are known, each of an attempt that began after the one before.
-auto CountKnownInTurn(const std::vector<const LostAttempt*>& ends) -> int {
-  int count = 0;
-  TimePoint last{};
+auto KnownInTurn(const std::vector<const LostAttempt*>& ends)
+    -> std::vector<const LostAttempt*> {
+  std::vector<const LostAttempt*> known;
   for (const auto* one : ends) {
     const auto begun = one->m_at - one->m_running;
-    if (one->m_evidence == CrashEvidence::kEndpointEnded && begun >= last) {
-      ++count;
-      last = one->m_at;
+    const auto in_turn = known.empty() || begun >= known.back()->m_at;
+    if (one->m_evidence == CrashEvidence::kEndpointEnded && in_turn) {
+      known.push_back(one);
     }
   }
-  return count;
+  return known;
 }
 
-auto QuarantineTerm(const CrashLedgerOptions& options,
-                    const std::vector<const LostAttempt*>& ends) -> Duration {
-  if (CountKnownInTurn(ends) >= options.m_most_ends) {
-    return options.m_long_quarantine;
-  }
-  const auto further = static_cast<int>(ends.size()) - options.m_most_ends;
+auto Enough(const CrashLedger& ledger, std::size_t ends) -> bool {
+  return static_cast<int>(ends) >= ledger.m_options.m_most_ends;
+}
+
+/// Term of a quarantine that isn't proved.
+auto ShortTerm(const CrashLedgerOptions& options, std::size_t ends)
+    -> Duration {
+  const auto further = static_cast<int>(ends) - options.m_most_ends;
   const auto term =
       options.m_short_quarantine * (1 << std::min(further, kMaxDoublings));
   return std::min<Duration>(term, options.m_long_quarantine);
@@ -58,22 +60,45 @@
   }
   known->m_since = std::max(known->m_since, quarantine.m_since);
   known->m_until = std::max(known->m_until, quarantine.m_until);
+  known->m_proved = known->m_proved || quarantine.m_proved;
 }
 
-/// Quarantines a content for a caller, or for all, if it has enough ends.
+/// Quarantines a content for a caller if it has enough ends.
 auto QuarantineFor(const CrashLedger& ledger,
                    SuspectContent& content,
-                   std::optional<CallerDigest> caller,
+                   CallerDigest caller,
                    TimePoint now) -> void {
   const auto ends = EndsOf(ledger, content, caller, now);
-  if (static_cast<int>(ends.size()) < ledger.m_options.m_most_ends) {
+  if (!Enough(ledger, ends.size())) {
     return;
   }
+  const auto& options = ledger.m_options;
   const auto since = ends.back()->m_at;
-  AddQuarantine(content,
-                {.m_caller = caller,
-                 .m_since = since,
-                 .m_until = since + QuarantineTerm(ledger.m_options, ends)});
+  const auto proved = Enough(ledger, KnownInTurn(ends).size());
+  const auto term =
+      proved ? options.m_long_quarantine : ShortTerm(options, ends.size());
+  AddQuarantine(content, {.m_caller = caller,
+                          .m_since = since,
+                          .m_until = since + term,
+                          .m_proved = proved});
+}
+
+/// Quarantines a content for all callers if it is proved, by as many of them.
+auto QuarantineForAll(const CrashLedger& ledger,
+                      SuspectContent& content,
+                      TimePoint now) -> void {
+  const auto ends = KnownInTurn(EndsOf(ledger, content, std::nullopt, now));
+  std::set<CallerDigest> callers;
+  for (const auto* one : ends) {
+    callers.insert(one->m_caller);
+  }
+  if (Enough(ledger, callers.size())) {
+    const auto since = ends.back()->m_at;
+    AddQuarantine(content,
+                  {.m_since = since,
+                   .m_until = since + ledger.m_options.m_long_quarantine,
+                   .m_proved = true});
+  }
 }
 
 /// Quarantines a content for each caller with enough ends, and for all callers
@@ -83,7 +108,7 @@
   if (content.m_quarantine && !IsSettled(*content.m_quarantine, now)) {
     content.m_quarantine.reset();
   }
-  if (static_cast<int>(content.m_lost.size()) < ledger.m_options.m_most_ends) {
+  if (!Enough(ledger, content.m_lost.size())) {
     return;
   }
   std::set<CallerDigest> callers;
@@ -93,9 +118,24 @@
   for (const auto& caller : callers) {
     QuarantineFor(ledger, content, caller, now);
   }
-  if (callers.size() > 1) {
-    QuarantineFor(ledger, content, std::nullopt, now);
+  QuarantineForAll(ledger, content, now);
+}
+
+auto CountWithdrawn(const SuspectContent& content) -> std::ptrdiff_t {
+  return std::count_if(content.m_lost.begin(), content.m_lost.end(),
+                       [](const LostAttempt& one) {
+                         return one.m_evidence == CrashEvidence::kWithdrawn;
+                       });
+}
+
+/// Judges a content anew after one of its ends turned out to be none.
+auto JudgeAgain(const CrashLedger& ledger,
+                SuspectContent& content,
+                TimePoint now) -> void {
+  if (content.m_quarantine && !content.m_quarantine->m_proved) {
+    content.m_quarantine.reset();
   }
+  Judge(ledger, content, now);
 }
 
 /// Judges @p changed, and again what was judged without it. Returns true when
@@ -169,6 +209,7 @@
 auto TakeServed(SuspectContent& content, CallerDigest caller, TimePoint at)
     -> void {
   auto& served = content.m_served;
+  content.m_served_to_any = std::max(content.m_served_to_any, at);
   served[caller] = std::max(served[caller], at);
   if (served.size() > kMaxServedCallers) {
     served.erase(std::min_element(
@@ -221,6 +262,33 @@
   return true;
 }
 
+/// Withdraws what this host lost at an endpoint, where @p disproved says that
+/// the endpoint didn't end then.
+template <typename Disproved>
+auto Withdraw(CrashLedger& ledger,
+              const EndpointId& endpoint,
+              TimePoint now,
+              Disproved disproved) -> void {
+  if (!ledger.m_doubtful.contains(endpoint)) {
+    return;
+  }
+  const auto digest = MakeEndpointDigest(endpoint);
+  for (auto& [key, content] : ledger.m_contents) {
+    auto withdrawn = false;
+    for (auto& one : content.m_lost) {
+      if (one.m_own && one.m_endpoint == digest &&
+          one.m_evidence < CrashEvidence::kEndpointEnded && disproved(one)) {
+        one.m_evidence = CrashEvidence::kWithdrawn;
+        withdrawn = true;
+      }
+    }
+    if (withdrawn) {
+      MarkChanged(ledger, content, true);
+      JudgeAgain(ledger, content, now);
+    }
+  }
+}
+
 }  // namespace
 
 auto ToString(CrashEvidence evidence) -> std::string_view {
@@ -296,13 +364,15 @@
 
 auto NoteAttemptLost(CrashLedger& ledger,
                      const CallFingerprint& call,
+                     const EndpointId& endpoint,
                      const LostAttempt& lost) -> bool {
   auto& content = EntryOf(ledger, call.m_content);
   auto own = lost;
   own.m_caller = call.m_caller;
+  own.m_endpoint = MakeEndpointDigest(endpoint);
   own.m_own = true;
   AddLost(content, own);
-  ledger.m_doubtful[own.m_endpoint] = own.m_at;
+  ledger.m_doubtful[endpoint] = own.m_at;
   MarkChanged(ledger, content, lost.m_evidence != CrashEvidence::kUnproved);
   return JudgeAfter(ledger, content, lost.m_at);
 }
@@ -334,23 +404,20 @@
                        const EndpointId& endpoint,
                        TimePoint connected_at,
                        TimePoint now) -> void {
-  const auto digest = MakeEndpointDigest(endpoint);
-  const auto doubtful = ledger.m_doubtful.find(digest);
-  if (doubtful == ledger.m_doubtful.end() || doubtful->second < connected_at) {
-    return;
-  }
-  for (auto& [key, content] : ledger.m_contents) {
-    for (auto& one : content.m_lost) {
-      const auto disproved = one.m_own && one.m_endpoint == digest &&
-                             one.m_evidence < CrashEvidence::kEndpointEnded &&
-                             connected_at < one.m_at &&
-                             one.m_at + kBytesUnderWay < now;
-      if (disproved) {
-        one.m_evidence = CrashEvidence::kWithdrawn;
-        MarkChanged(ledger, content, true);
-      }
-    }
-  }
+  Withdraw(ledger, endpoint, now, [connected_at, now](const LostAttempt& one) {
+    return connected_at < one.m_at && one.m_at + kBytesUnderWay < now;
+  });
+}
+
+auto NoteEndpointListed(CrashLedger& ledger,
+                        const EndpointId& endpoint,
+                        TimePoint shown_at,
+                        TimePoint now) -> void {
+  const auto lapse_time = ledger.m_options.m_lapse_time;
+  Withdraw(ledger, endpoint, now,
+           [shown_at, lapse_time](const LostAttempt& one) {
+             return one.m_at + lapse_time < shown_at;
+           });
 }
 
 auto NoteServed(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
@@ -360,13 +427,13 @@
     return;
   }
   auto& content = found->second;
-  const auto suspected =
-      IsQuarantined(content, call.m_caller) ||
-      std::any_of(content.m_lost.begin(), content.m_lost.end(),
-                  [&call](const LostAttempt& one) {
-                    return one.m_caller == call.m_caller;
-                  });
-  if (suspected) {
+  const auto own = std::any_of(content.m_lost.begin(), content.m_lost.end(),
+                               [&call](const LostAttempt& one) {
+                                 return one.m_caller == call.m_caller;
+                               });
+  const auto first_since = !content.m_lost.empty() &&
+                           content.m_lost.back().m_at > content.m_served_to_any;
+  if (own || first_since || IsQuarantined(content, call.m_caller)) {
     TakeServed(content, call.m_caller, now);
     MarkChanged(ledger, content, true);
   }
@@ -377,7 +444,12 @@
                   const SuspectContent& other,
                   TimePoint now) -> bool {
   auto& content = EntryOf(ledger, digest);
+  const auto withdrawn = CountWithdrawn(content);
   auto changed = false;
+  if (content.m_served_to_any + kTimeError < other.m_served_to_any) {
+    content.m_served_to_any = other.m_served_to_any;
+    changed = true;
+  }
   for (const auto& [caller, at] : other.m_served) {
     const auto known = content.m_served.find(caller);
     if (known == content.m_served.end() || known->second + kTimeError < at) {
@@ -397,6 +469,9 @@
     MarkChanged(ledger, content, false);
     JudgeAfter(ledger, content, now);
   }
+  if (CountWithdrawn(content) > withdrawn) {
+    JudgeAgain(ledger, content, now);
+  }
   return !before && content.m_quarantine.has_value();
 }
 
