--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -138,9 +138,9 @@
   const auto next = std::exchange(m_next, EndpointId());
   const auto avoided = m_suspicion.Avoided();
   const auto* entry = FindEndpoint(m_context.m_directory, next);
-  const auto usable =
-      entry != nullptr && !m_excluded.contains(next) && !avoided.contains(next);
-  if (usable) {
+  // The route may allow no other endpoint than one that had it before.
+  const auto apart = m_run_on.contains(next) || !avoided.contains(next);
+  if (entry != nullptr && !m_excluded.contains(next) && apart) {
     if (!entry->m_leaving) {
       return next;
     }
