An entry counts as lapsed for certain a heartbeat later than the platform drops it

Heartbeats come approximately on time; a loss that is withdrawn too early is never put down to the end that the platform reports after it. Found by reading, not seen.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -34,7 +34,7 @@
 constexpr Duration kMaxTrialDelay = std::chrono::seconds(5);
 /// The platform drops an endpoint's entry after so many silent heartbeats.
 constexpr int kHeartbeatsToLapse = 3;
-constexpr Duration kLapseMargin = std::chrono::milliseconds(400);
+constexpr Duration kLapseMargin = std::chrono::milliseconds(1200);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
