--- a/src/include/dotterelshed/crash_ledger.h
+++ b/src/include/dotterelshed/crash_ledger.h
@@ -26,9 +26,8 @@
 ///   once its endpoint is known to have ended, and none counts when the
 ///   endpoint turns out to be alive;
 /// - a quarantine is proved, and long, only when the ends are known and came
-/// one
-///   after the other; any other is short. When it is over, a single attempt
-///   shows whether it is right;
+///   one after the other; any other is short. When it is over, a single
+///   attempt shows whether it is right;
 /// - a content that many callers send is quarantined for all of them only if
 ///   that is proved.
 ///
@@ -36,7 +35,7 @@
 ///
 /// @code
 ///   if (Admit(ledger, fingerprint, now) == Admission::kRefused) { ... }
-///   NoteAttemptLost(ledger, {.m_fingerprint = fingerprint, ...}, now);
+///   NoteAttemptLost(ledger, fingerprint, endpoint, {.m_id = id, ...});
 /// @endcode
 
 namespace dotterelshed {
@@ -103,7 +102,7 @@
 
 /// What is known of one content.
 struct SuspectContent {
-  /// In order of time.
+  /// In order of time; bounded.
   std::vector<LostAttempt> m_lost;
   /// When it was last served to a caller that had lost it.
   std::map<CallerDigest, TimePoint> m_served;
@@ -132,9 +131,6 @@
   kRefused,
 };
 
-/// Stable lower-case name, for logs.
-auto ToString(Admission admission) -> std::string_view;
-
 /// Says whether an attempt may be made. Hashing a request is needless while
 /// the ledger is empty.
 auto Admit(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
--- a/src/libquarantine/crash_ledger.cc
+++ b/src/libquarantine/crash_ledger.cc
@@ -305,20 +305,6 @@
   return "unproved";
 }
 
-auto ToString(Admission admission) -> std::string_view {
-  switch (admission) {
-    case Admission::kFree:
-      return "free";
-    case Admission::kSuspect:
-      return "suspect";
-    case Admission::kTrial:
-      return "trial";
-    case Admission::kRefused:
-      return "refused";
-  }
-  return "free";
-}
-
 auto Admit(CrashLedger& ledger, const CallFingerprint& call, TimePoint now)
     -> Admission {
   const auto found = ledger.m_contents.find(call.m_content);
