Lost attempts are walked over twice a second, not at each tick

Found at the last read of the change: each tick of 25 ms asked of every endpoint in doubt whether the platform still lists it, and each question walks over all lost attempts; under a flood that is most of a small host's processor. An end is withdrawn, and an old content forgotten, up to half a second later than before. Adapter's cases and the gateway's of requests that end endpoints pass; the linter was run over the two files.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -35,6 +35,8 @@
 /// The platform drops an endpoint's entry after so many silent heartbeats.
 constexpr int kHeartbeatsToLapse = 3;
 constexpr Duration kLapseMargin = std::chrono::milliseconds(1200);
+/// Each sweep walks over all lost attempts.
+constexpr Duration kCrashSweepInterval = std::chrono::milliseconds(500);
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 /// Descriptors kept for everything but callers' connections.
@@ -378,8 +380,11 @@
   m_lead.Tick(now);
   m_grants.Tick(now);
   m_crash_relay.Tick(now);
-  m_endpoints.ClearListed(now);
-  ForgetOldContents(m_context.m_crashes, now);
+  if (now - m_last_crash_sweep >= kCrashSweepInterval) {
+    m_last_crash_sweep = now;
+    m_endpoints.ClearListed(now);
+    ForgetOldContents(m_context.m_crashes, now);
+  }
   if (m_stopping) {
     ContinueStop(now);
   } else if (m_lead_follower->listed()) {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -81,6 +81,7 @@
   boost::asio::steady_timer m_tick_timer;
   TimePoint m_stop_begun;
   TimePoint m_last_flush;
+  TimePoint m_last_crash_sweep;
   bool m_stopping = false;
 };
 
