--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -118,8 +118,8 @@
   EventLoop loop(1);
   if (settings.m_role == HostRole::kDisk) {
     DiskHost host(loop, settings);
-    const auto stop = [&loop] {
-      LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
+    const auto stop = [&loop, &host] {
+      host.Stop();
       loop.stop();
     };
     return RunHost(loop, host, stop, file);
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -44,6 +44,11 @@
   kEndpointConnections,
   kViewAge,
   kSuspectContents,
+  kHistoryReads,
+  kHistoryStores,
+  kReplicaTurns,
+  kReplicaWrites,
+  kReplicaCopies,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/include/dotterelshed/route_table.h
+++ b/src/include/dotterelshed/route_table.h
@@ -46,7 +46,11 @@
   int m_max_attempts = 1;
   /// True when a broken stream may be resumed on another endpoint.
   bool m_resumable = false;
-  /// Time for which a program's token usage is remembered after its last turn.
+  /// True when a turn brings only its new input and the system puts the
+  /// conversation's history before it.
+  bool m_keeps_history = false;
+  /// Time for which a program's token usage is remembered after its last turn,
+  /// and its history if the system keeps it.
   Duration m_retention = std::chrono::seconds(60);
 };
 
@@ -95,6 +99,9 @@
 /// The longest retention of all routes; zero if there is none.
 auto LongestRetention(const RouteTable& table) -> Duration;
 
+/// True if the system keeps the history of any route's conversations.
+auto KeepsHistory(const RouteTable& table) -> bool;
+
 /// Traits of a service; default values if the table doesn't have it.
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
     -> const ServiceTraits&;
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -67,6 +67,25 @@
     {LogEventId::kLedgerReadFailed, LogLevel::kWarning, "ledger_read_failed",
      "Another domain's lead didn't answer and its ledger couldn't be read; "
      "programs that it may keep get one turn at most here."},
+    {LogEventId::kHistoryNotFound, LogLevel::kWarning, "history_not_found",
+     "A turn that is to be continued was not found: it is absent for certain, "
+     "or a disk host that may have it did not answer."},
+    {LogEventId::kHistoryDegraded, LogLevel::kWarning, "history_degraded",
+     "A turn was stored in fewer failure domains than may be lost; it is sent "
+     "to the others until they have it."},
+    {LogEventId::kTurnWithdrawn, LogLevel::kInfo, "turn_withdrawn",
+     "A stored turn's response did not reach its caller; it is removed."},
+    {LogEventId::kReplicaOpened, LogLevel::kInfo, "replica_opened",
+     "A disk host read the turns on its disk."},
+    {LogEventId::kReplicaCaughtUp, LogLevel::kInfo, "replica_caught_up",
+     "A disk host has all turns that it should have and another one has."},
+    {LogEventId::kReplicaBehind, LogLevel::kWarning, "replica_behind",
+     "A disk host could not compare its turns with those of another one."},
+    {LogEventId::kReplicaEmptied, LogLevel::kInfo, "replica_emptied",
+     "The other disk hosts have all turns of one that is to be emptied."},
+    {LogEventId::kReplicaDiskFailed, LogLevel::kError, "replica_disk_failed",
+     "The disk refused turns or its database was damaged, or it takes turns "
+     "again; the outcome is in the fields."},
     {LogEventId::kClaimWritten, LogLevel::kDebug, "claim_written",
      "A non-idempotent call was claimed in the platform."},
     {LogEventId::kActionUnknown, LogLevel::kError, "action_unknown",
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -68,6 +68,23 @@
      "dotterelshed_suspect_contents", "state",
      "Requests under which endpoints may have ended, as all hosts have seen: "
      "those that are known, and those that are quarantined."},
+    {MetricId::kHistoryReads, MetricKind::kCounter,
+     "dotterelshed_history_reads_total", "outcome",
+     "Histories that turns continue from, by where or whether they were "
+     "found."},
+    {MetricId::kHistoryStores, MetricKind::kCounter,
+     "dotterelshed_history_stores_total", "outcome",
+     "Completed turns, by whether enough failure domains stored them in "
+     "time."},
+    {MetricId::kReplicaTurns, MetricKind::kGauge, "dotterelshed_replica_turns",
+     "unit", "Turns that this disk host stores, and their bytes."},
+    {MetricId::kReplicaWrites, MetricKind::kCounter,
+     "dotterelshed_replica_writes_total", "outcome",
+     "Turns that this disk host was to write, by outcome."},
+    {MetricId::kReplicaCopies, MetricKind::kCounter,
+     "dotterelshed_replica_copies_total", "domain",
+     "Turns that this disk host lacked and copied, by the failure domain that "
+     "had them."},
 });
 
 }  // namespace
--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -32,17 +32,22 @@
 constexpr Duration kMaxIdleNonRetryable = std::chrono::milliseconds(1000);
 constexpr Duration kMaxIdleRetryable = std::chrono::seconds(20);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+/// Turns are kept somewhat longer than the route says, so that one that is
+/// continued at the last moment is still there.
+constexpr Duration kLifetimeMargin = std::chrono::seconds(10);
 
 }  // namespace
 
 CallExchange::CallExchange(EntryContext& context,
                            GrantClient& grants,
+                           HistoryClient& history,
                            std::shared_ptr<ServerConnection> caller,
                            IncomingRequest request,
                            const Route& route,
                            Completed completed)
     : m_context(context),
       m_grants(grants),
+      m_history(history),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
       m_routes(m_context.m_routes),
@@ -74,6 +79,11 @@
          (m_route.m_kind == CallKind::kStream && m_route.m_resumable);
 }
 
+auto CallExchange::KeepsHistory() const -> bool {
+  return m_route.m_keeps_history && m_route.m_kind == CallKind::kStream &&
+         !m_headers.m_request.empty();
+}
+
 auto CallExchange::Start() -> void {
   m_caller->SetGoneHandler([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -83,6 +93,17 @@
   if (!CheckQuarantine()) {
     return;
   }
+  if (KeepsHistory() && m_headers.m_previous_turn) {
+    ReadHistory();
+  } else {
+    BeginAttempts();
+  }
+}
+
+auto CallExchange::BeginAttempts() -> void {
+  if (KeepsHistory()) {
+    m_turn_text = m_request.m_body;
+  }
   if (IsTurn()) {
     RequestTurnGrant();
   } else {
@@ -90,6 +111,61 @@
   }
 }
 
+// History of the conversation.
+
+auto CallExchange::ReadHistory() -> void {
+  m_history.Read({.m_turn = *m_headers.m_previous_turn,
+                  .m_program = m_headers.m_program,
+                  .m_retention = m_route.m_retention},
+                 [self = shared_from_this()](const HistoryReadResult& result) {
+                   self->OnHistory(result);
+                 });
+}
+
+auto CallExchange::OnHistory(const HistoryReadResult& result) -> void {
+  if (m_finished) {
+    return;
+  }
+  switch (result.m_outcome) {
+    case HistoryOutcome::kFound:
+      break;
+    case HistoryOutcome::kAbsent:
+      RespondLocally(kStatusNotFound, "no_such_turn");
+      return;
+    case HistoryOutcome::kUnknown:
+      RespondLocally(kStatusUnavailable, "history_unavailable", kRetryAfter);
+      return;
+  }
+  m_previous_text = result.m_text;
+  BeginAttempts();
+}
+
+auto CallExchange::StoreTurn() -> void {
+  m_storing = true;
+  m_history.Store(
+      {.m_turn = m_headers.m_request,
+       .m_previous = m_headers.m_previous_turn.value_or(RequestId()),
+       .m_program = m_headers.m_program,
+       .m_text = m_turn_text,
+       .m_lifetime = m_route.m_retention + kLifetimeMargin},
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnTurnStored();
+        }
+      });
+}
+
+auto CallExchange::OnTurnStored() -> void {
+  if (m_finished) {
+    return;
+  }
+  const auto before = m_previous_text ? *m_previous_text : std::string();
+  m_history.Remember(m_headers.m_request,
+                     std::make_shared<const std::string>(before + m_turn_text));
+  m_storing = false;
+  EndResponse();
+}
+
 // Token budget.
 
 auto CallExchange::RequestTurnGrant() -> void {
@@ -219,9 +295,9 @@
     attempt.m_resume_after = m_last_event_id;
   }
   const auto& head = m_request.m_head;
-  auto bytes = FormatRequest(head.m_method, head.m_target,
-                             MakeEndpointFields(head.m_fields, attempt),
-                             m_request.m_body);
+  auto bytes = FormatRequest(
+      head.m_method, head.m_target, MakeEndpointFields(head.m_fields, attempt),
+      m_previous_text ? *m_previous_text + m_request.m_body : m_request.m_body);
   m_attempt.m_sent = true;
   m_attempt.m_sent_at = now;
   m_attempt.m_may_have_run_before = std::exchange(m_may_have_run, true);
@@ -358,6 +434,11 @@
 
 auto CallExchange::Finish(int status, std::string_view reason) -> void {
   m_finished = true;
+  if (std::exchange(m_storing, false)) {
+    // The response was not completed, so that the turn must not be continued.
+    m_history.Withdraw({.m_turn = m_headers.m_request,
+                        .m_lifetime = m_route.m_retention + kLifetimeMargin});
+  }
   if (m_must_settle) {
     const auto used = Tokens(m_events_forwarded * m_tokens_per_event);
     m_grants.Settle({.m_program = m_headers.m_program,
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -14,6 +14,7 @@
 #include "entry_context.h"
 #include "event_splitter.h"
 #include "grant_client.h"
+#include "history_client.h"
 #include "platform/call_headers.h"
 
 /// @file
@@ -34,6 +35,7 @@
   /// @param route  Route in the active configuration.
   CallExchange(EntryContext& context,
                GrantClient& grants,
+               HistoryClient& history,
                std::shared_ptr<ServerConnection> caller,
                IncomingRequest request,
                const Route& route,
@@ -67,6 +69,16 @@
 
   auto IsTurn() const -> bool;
   auto IsRetryable() const -> bool;
+  /// Returns true if the system keeps the conversation's history.
+  auto KeepsHistory() const -> bool;
+  auto ReadHistory() -> void;
+  auto OnHistory(const HistoryReadResult& result) -> void;
+  /// Obtains what the first attempt needs beside the history, and starts it.
+  auto BeginAttempts() -> void;
+  /// Stores the completed turn; the response ends when that is done.
+  auto StoreTurn() -> void;
+  auto OnTurnStored() -> void;
+  auto EndResponse() -> void;
   auto RequestTurnGrant() -> void;
   auto OnTurnGrant(const TurnGrantResponse& response) -> void;
   auto StartNextAttempt() -> void;
@@ -106,6 +118,7 @@
 
   EntryContext& m_context;
   GrantClient& m_grants;
+  HistoryClient& m_history;
   std::shared_ptr<ServerConnection> m_caller;
   IncomingRequest m_request;
   /// Configuration at the arrival of the request; keeps m_route alive.
@@ -128,6 +141,12 @@
   /// Endpoint of the next attempt, if already chosen.
   EndpointId m_next_endpoint;
   EventSplitter m_events;
+  /// Turns that this one continues from, which precede its input.
+  HistoryText m_previous_text;
+  /// What this turn adds to the history: its input and the data of its events.
+  std::string m_turn_text;
+  /// The turn was sent to the replicas, and its response has not ended yet.
+  bool m_storing = false;
   /// Content type of the forwarded response.
   std::string m_forwarded_content_type;
   std::optional<std::int64_t> m_last_event_id;
@@ -135,6 +154,7 @@
   /// Tokens granted by the lead for a turn. An endpoint may generate more, so
   /// the stream is cut at this limit.
   std::optional<Tokens> m_granted_tokens;
+  int m_response_status = 0;
   Duration m_time_to_first_byte{0};
   bool m_retried_without_response = false;
   bool m_must_settle = false;
--- a/src/libgateway/call_response.cc
+++ b/src/libgateway/call_response.cc
@@ -4,6 +4,7 @@
 
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
+#include "dotterelshed/turn_record.h"
 
 /// @file
 /// Handles the responses of attempts: what is forwarded to the client, and what
@@ -136,6 +137,10 @@
       m_last_event_id = event->m_id;
     }
     ++m_events_forwarded;
+    if (KeepsHistory()) {
+      m_turn_text += EventData(event->m_text);
+      m_turn_text += '\n';
+    }
     m_caller->SendBody(event->m_text);
   }
   if (m_events.buffered_bytes() > kMaxEventBytes) {
@@ -171,9 +176,20 @@
     return;
   }
   const auto status = m_attempt.m_head.m_status;
+  m_response_status = status;
   EndAttempt();
+  // A stream that the caller resumed lacks the events that it already had.
+  const auto whole_turn = m_is_event_stream && !m_headers.m_resume_after;
+  if (KeepsHistory() && whole_turn) {
+    StoreTurn();
+  } else {
+    EndResponse();
+  }
+}
+
+auto CallExchange::EndResponse() -> void {
   m_caller->EndAnswer();
-  Finish(status, "answered");
+  Finish(m_response_status, "answered");
 }
 
 auto CallExchange::OnFailure(ExchangeFailure failure) -> void {
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -4,6 +4,7 @@
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
+#include "replica_messages.h"
 
 namespace dotterelshed {
 
@@ -12,7 +13,7 @@
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(500);
 /// A retirement allows some seconds, and only this host can confirm its own.
 constexpr Duration kRetirementViewAge = std::chrono::seconds(5);
-constexpr Duration kTick = std::chrono::milliseconds(500);
+constexpr Duration kTick = std::chrono::milliseconds(250);
 
 /// Returns the HTTP status that reports a journal error to a peer.
 auto StatusOf(const Error& error) -> int {
@@ -40,6 +41,8 @@
                 OnPeerRequest(connection, request);
               }),
       m_journal(OpenJournal(settings.m_data_dir)),
+      m_replica(loop, settings, m_store),
+      m_entry{.m_host = settings.m_host, .m_domain = settings.m_domain},
       m_register_timer(loop),
       m_tick_timer(loop) {
   m_watcher = std::make_shared<ObjectWatcher>(
@@ -55,6 +58,8 @@
   if (!listening) {
     return listening;
   }
+  m_entry.m_address = FormatTcpAddress(peer_address());
+  m_replica.Start();
   m_watcher->Start();
   Register();
   ArmTick();
@@ -66,12 +71,18 @@
   return {};
 }
 
+auto DiskHost::Stop() -> void {
+  m_watcher->Stop();
+  m_register_timer.cancel();
+  m_tick_timer.cancel();
+  m_peers.StopListening();
+  m_replica.Stop();
+  LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
+}
+
 auto DiskHost::Register() -> void {
-  StoredObject object{
-      .m_name = m_settings.m_host.value(),
-      .m_spec = EncodeLeadEntry(
-          {.m_host = m_settings.m_host,
-           .m_peer_address = FormatTcpAddress(peer_address())})};
+  StoredObject object{.m_name = m_settings.m_host.value(),
+                      .m_spec = EncodeReplicaHost(m_entry)};
   m_store.Replace(ObjectKind::kDiskHosts, object,
                   [this, object](const Result<StoredObject>& stored) {
                     if (stored) {
@@ -106,6 +117,14 @@
 auto DiskHost::OnPeerRequest(
     const std::shared_ptr<ServerConnection>& connection,
     const IncomingRequest& request) -> void {
+  if (!m_replica.Handle(connection, request)) {
+    OnJournalRequest(connection, request);
+  }
+}
+
+auto DiskHost::OnJournalRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    const IncomingRequest& request) -> void {
   const auto entry = DecodeJournalEntry(request.m_body);
   if (!entry) {
     connection->Answer(StatusOf(entry.error()), {}, entry.error().m_message);
@@ -135,7 +154,9 @@
   m_tick_timer.expires_after(kTick);
   m_tick_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      m_peers.Tick(SteadyTime());
+      const auto now = SteadyTime();
+      m_peers.Tick(now);
+      m_replica.Tick(now);
       FlushLog();
       ArmTick();
     }
@@ -148,8 +169,23 @@
     return;
   }
   m_answered_version = object.m_version;
+  if (m_replica.turns() == 0) {
+    AnswerRetirement(object.m_name);
+    return;
+  }
+  m_entry.m_leaving = true;
+  Register();
+  m_store.SetRetirementStatus(object.m_name, false,
+                              [](const Result<StoredObject>& /*stored*/) {});
+  m_replica.Empty([this, name = object.m_name] { AnswerRetirement(name); });
+}
+
+auto DiskHost::AnswerRetirement(const std::string& name) -> void {
+  m_entry.m_leaving = true;
+  m_entry.m_emptied = true;
+  Register();
   m_store.SetRetirementStatus(
-      object.m_name, true, [this](const Result<StoredObject>& stored) {
+      name, true, [this](const Result<StoredObject>& stored) {
         LogEvent(LogEventId::kRetirementAnswered,
                  {{"outcome",
                    stored ? "stored"
--- a/src/libgateway/disk_host.h
+++ b/src/libgateway/disk_host.h
@@ -8,11 +8,13 @@
 #include "journal_files.h"
 #include "object_watcher.h"
 #include "platform/object_store.h"
+#include "turn_replica.h"
 
 /// @file
-/// Process on a host with a disk. It stores the ledgers of the leads while the
-/// platform's store is not writable. The entries are obsolete once the store is
-/// back, so the process confirms a retirement of its host at once.
+/// Process on a host with a disk. It stores the histories of conversations, and
+/// the ledgers of the leads while the platform's store is not writable. The
+/// ledgers are obsolete once the store is back, so the process confirms a
+/// retirement of its host as soon as the other replicas have its histories.
 
 namespace dotterelshed {
 
@@ -22,6 +24,8 @@
 
   /// Errors: kUnavailable if the address cannot be bound.
   auto Start() -> Status;
+  /// Stops answering and closes the disk's files.
+  auto Stop() -> void;
   auto peer_address() const -> TcpAddress { return m_peers.local_address(); }
 
  private:
@@ -29,7 +33,10 @@
   auto ScheduleRegister(const Error& error) -> void;
   auto OnPeerRequest(const std::shared_ptr<ServerConnection>& connection,
                      const IncomingRequest& request) -> void;
+  auto OnJournalRequest(const std::shared_ptr<ServerConnection>& connection,
+                        const IncomingRequest& request) -> void;
   auto OnRetirement(const StoredObject& object) -> void;
+  auto AnswerRetirement(const std::string& name) -> void;
   auto ArmTick() -> void;
 
   EventLoop& m_loop;
@@ -37,6 +44,9 @@
   ObjectStore m_store;
   HttpListener m_peers;
   JournalFiles m_journal;
+  TurnReplica m_replica;
+  /// What other hosts are told of this one.
+  ReplicaHost m_entry;
   std::shared_ptr<ObjectWatcher> m_watcher;
   boost::asio::steady_timer m_register_timer;
   boost::asio::steady_timer m_tick_timer;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -79,6 +79,7 @@
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
+      m_history(m_context),
       m_crash_ledger_sync(m_context),
       m_callers(loop,
                 [this](const std::shared_ptr<ServerConnection>& connection,
@@ -170,6 +171,9 @@
   SetMetric(MetricId::kConfigGeneration,
             static_cast<double>(table->m_generation.value()));
   m_lead.SetRetention(LongestRetention(*table) + kRetentionMargin);
+  if (KeepsHistory(*table)) {
+    m_history.Start();
+  }
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
@@ -207,7 +211,7 @@
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
-      m_context, m_grants, connection, std::move(request), *route,
+      m_context, m_grants, m_history, connection, std::move(request), *route,
       [this](const std::shared_ptr<CallExchange>& ended) {
         m_exchanges.erase(ended);
       });
@@ -318,8 +322,14 @@
 }
 
 auto EntryHost::WatcherFor(ObjectKind kind) -> ObjectWatcher& {
-  return kind == ObjectKind::kEndpoints ? *m_context.m_endpoint_watcher
-                                        : *m_config_watcher;
+  switch (kind) {
+    case ObjectKind::kEndpoints:
+      return *m_context.m_endpoint_watcher;
+    case ObjectKind::kDiskHosts:
+      return m_history.watcher();
+    default:
+      return *m_config_watcher;
+  }
 }
 
 auto EntryHost::OnViewRequest(
@@ -387,6 +397,7 @@
   m_callers.Tick(now);
   m_lead.Tick(now);
   m_grants.Tick(now);
+  m_history.Tick(now);
   m_crash_ledger_sync.Tick(now);
   if (now - m_last_crash_sweep >= kCrashSweepInterval) {
     m_last_crash_sweep = now;
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -11,6 +11,7 @@
 #include "endpoint_view.h"
 #include "entry_context.h"
 #include "grant_client.h"
+#include "history_client.h"
 #include "lead_election.h"
 #include "lead_service.h"
 #include "object_watcher.h"
@@ -72,6 +73,7 @@
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
+  HistoryClient m_history;
   CrashLedgerSync m_crash_ledger_sync;
   HttpListener m_callers;
   HttpListener m_readiness;
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -78,6 +78,18 @@
     return value->get<double>();
   }
 
+  auto Flag(const std::string& key, bool default_value) -> bool {
+    const auto* value = Find(key);
+    if (value == nullptr) {
+      return default_value;
+    }
+    if (!value->is_boolean()) {
+      AddError(key, "must be true or false");
+      return default_value;
+    }
+    return value->get<bool>();
+  }
+
   auto Milliseconds(const std::string& key,
                     Duration minimum,
                     Duration default_value) -> Duration {
@@ -125,6 +137,7 @@
   settings.m_peer_address = reader.Address("peer_address", true);
   settings.m_platform_address = reader.Address("platform_address", true);
   settings.m_data_dir = reader.Text("data_dir", !entry);
+  settings.m_first_start = reader.Flag("first_start", settings.m_first_start);
   settings.m_stop_grace = FromSeconds(
       reader.Number("stop_grace_s", 0, ToSeconds(settings.m_stop_grace)));
   settings.m_view_max_age = reader.Milliseconds("view_max_age_ms", kMinViewAge,
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -31,6 +31,9 @@
   std::string m_platform_address;
   /// Data directory of a disk host.
   std::string m_data_dir;
+  /// The whole system starts for the first time, so that an empty disk has lost
+  /// nothing.
+  bool m_first_start = false;
   /// Time between SIGTERM and SIGKILL.
   Duration m_stop_grace = std::chrono::seconds(8);
   /// After a failure of the store, this host's view of it is complete again
--- /dev/null
+++ b/src/libgateway/history_client.cc
@@ -0,0 +1,313 @@
+#include "history_client.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
+#include "dotterelshed/steady_time.h"
+#include "dotterelshed/turn_index.h"
+#include "peer_call.h"
+
+namespace dotterelshed {
+
+namespace {
+
+constexpr std::size_t kCacheBytes = std::size_t{8} << 20;
+/// A replica that hasn't responded after this time isn't waited for alone.
+constexpr Duration kHedgeDelay = std::chrono::milliseconds(40);
+constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(500);
+constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
+/// After this time one disk is enough for a turn to count as stored.
+constexpr Duration kMaxStoreWait = std::chrono::milliseconds(800);
+/// After this time the replicas that lack the turn copy it from the others.
+constexpr Duration kMaxStoreTime = std::chrono::seconds(10);
+constexpr std::size_t kMaxPendingStores = 500;
+/// A replica that lost turns earlier than this before their retention ended
+/// can't have lost one that may still be continued.
+constexpr Duration kCoverMargin = std::chrono::seconds(15);
+
+}  // namespace
+
+struct HistoryClient::PendingRead {
+  explicit PendingRead(EventLoop& loop) : m_hedge_timer(loop) {}
+
+  HistoryReadRequest m_request;
+  ReadCallback m_respond;
+  std::vector<ReplicaHost> m_order;
+  std::size_t m_next = 0;
+  int m_in_flight = 0;
+  /// Turns that replicas responded with.
+  std::map<RequestId, TurnRecord> m_turns;
+  /// All replicas so far have responded and have lost nothing.
+  bool m_certain = true;
+  TimePoint m_started_at;
+  boost::asio::steady_timer m_hedge_timer;
+
+  /// Returns the chain, newest first, if all of it is there.
+  auto Chain() const -> std::vector<const TurnRecord*> {
+    std::vector<const TurnRecord*> chain;
+    auto next = m_request.m_turn;
+    while (!next.empty()) {
+      const auto found = m_turns.find(next);
+      if (found == m_turns.end() || chain.size() > m_turns.size()) {
+        return {};
+      }
+      chain.push_back(&found->second);
+      next = found->second.m_previous;
+    }
+    return chain;
+  }
+};
+
+struct HistoryClient::PendingStore {
+  TurnRecord m_record;
+  std::string m_body;
+  StoredCallback m_stored;
+  std::set<DomainId> m_stored_in;
+  std::set<HostId> m_in_flight;
+  /// Number of failure domains that are to have the turn.
+  std::size_t m_wanted = kMaxReplicas;
+  TimePoint m_started_at;
+  TimePoint m_sent_at;
+  bool m_over = false;
+};
+
+HistoryClient::HistoryClient(EntryContext& context)
+    : m_context(context),
+      m_directory(context.m_loop, context.m_store, context.MakeViewReader()),
+      m_cache(kCacheBytes) {}
+
+// Reading.
+
+auto HistoryClient::Read(const HistoryReadRequest& request,
+                         ReadCallback respond) -> void {
+  if (const auto text = m_cache.Find(request.m_turn)) {
+    CountMetric(MetricId::kHistoryReads, "cached");
+    respond({.m_outcome = HistoryOutcome::kFound, .m_text = text});
+    return;
+  }
+  auto read = std::make_shared<PendingRead>(m_context.m_loop);
+  const auto now = SteadyTime();
+  read->m_request = request;
+  read->m_respond = std::move(respond);
+  read->m_started_at = now;
+  read->m_order =
+      OrderForReading(m_directory.hosts(), request.m_program,
+                      m_context.m_settings.m_domain, m_directory.Avoided(now));
+  if (read->m_order.empty()) {
+    FinishRead(read, HistoryOutcome::kUnknown);
+    return;
+  }
+  AskNext(read);
+  ArmHedge(read);
+}
+
+auto HistoryClient::ArmHedge(const std::shared_ptr<PendingRead>& read) -> void {
+  read->m_hedge_timer.expires_after(kHedgeDelay);
+  read->m_hedge_timer.async_wait(
+      [this, read](const boost::system::error_code& error) {
+        if (!error && read->m_respond && read->m_next < read->m_order.size()) {
+          AskNext(read);
+          ArmHedge(read);
+        }
+      });
+}
+
+auto HistoryClient::AskAll(const std::shared_ptr<PendingRead>& read) -> void {
+  while (read->m_respond && read->m_next < read->m_order.size()) {
+    AskNext(read);
+  }
+}
+
+auto HistoryClient::AskNext(const std::shared_ptr<PendingRead>& read) -> void {
+  const auto& host = read->m_order[read->m_next++];
+  ++read->m_in_flight;
+  CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
+           kTurnReadPath,
+           EncodeTurnReadRequest({.m_turn = read->m_request.m_turn}),
+           kReadTimeout,
+           [this, read, host = host.m_host](const Result<std::string>& reply) {
+             OnReadReply(read, host, reply.and_then(DecodeTurnReadResponse));
+           });
+}
+
+auto HistoryClient::OnReadReply(const std::shared_ptr<PendingRead>& read,
+                                const HostId& host,
+                                const Result<TurnReadResponse>& reply) -> void {
+  --read->m_in_flight;
+  m_directory.NoteCall(host, reply.has_value(), SteadyTime());
+  if (!read->m_respond) {
+    return;
+  }
+  const auto needed = read->m_request.m_retention + kCoverMargin;
+  if (!reply || reply->m_covered < needed) {
+    read->m_certain = false;
+  }
+  if (reply) {
+    for (const auto& record : reply->m_turns) {
+      read->m_turns.emplace(record.m_turn, record);
+    }
+    if (!read->Chain().empty()) {
+      FinishRead(read, HistoryOutcome::kFound);
+      return;
+    }
+  }
+  AskAll(read);
+  if (read->m_in_flight == 0) {
+    const auto absent = read->m_certain && read->m_turns.empty();
+    FinishRead(read,
+               absent ? HistoryOutcome::kAbsent : HistoryOutcome::kUnknown);
+  }
+}
+
+auto HistoryClient::FinishRead(const std::shared_ptr<PendingRead>& read,
+                               HistoryOutcome outcome) -> void {
+  read->m_hedge_timer.cancel();
+  HistoryReadResult result{.m_outcome = outcome};
+  if (outcome == HistoryOutcome::kFound) {
+    result.m_text =
+        std::make_shared<const std::string>(JoinTexts(read->Chain()));
+    CountMetric(MetricId::kHistoryReads, "read");
+  } else {
+    CountMetric(MetricId::kHistoryReads,
+                outcome == HistoryOutcome::kAbsent ? "absent" : "unknown");
+    LogEvent(
+        LogEventId::kHistoryNotFound,
+        {{"turn", read->m_request.m_turn.value()},
+         {"program", read->m_request.m_program.value()},
+         {"outcome", outcome == HistoryOutcome::kAbsent ? "absent" : "unknown"},
+         {"replicas", std::to_string(read->m_order.size())},
+         {"turns_found", std::to_string(read->m_turns.size())},
+         {"ms", FormatMs(SteadyTime() - read->m_started_at)}});
+  }
+  std::exchange(read->m_respond, nullptr)(result);
+}
+
+// Storing.
+
+auto HistoryClient::RequiredDomains() const -> std::size_t {
+  std::set<DomainId> domains;
+  for (const auto& host : m_directory.hosts()) {
+    if (!host.m_leaving && !host.m_emptied) {
+      domains.insert(host.m_domain);
+    }
+  }
+  const auto wanted =
+      static_cast<std::size_t>(m_context.m_settings.m_tolerated_losses) + 1;
+  return std::clamp(domains.size(), std::size_t{1}, wanted);
+}
+
+auto HistoryClient::Store(TurnRecord record, StoredCallback stored) -> void {
+  auto store = std::make_shared<PendingStore>();
+  store->m_body = EncodeTurnRecords({&record});
+  store->m_record = std::move(record);
+  store->m_record.m_text.clear();
+  store->m_stored = std::move(stored);
+  store->m_started_at = SteadyTime();
+  m_stores.push_back(store);
+  if (m_stores.size() > kMaxPendingStores) {
+    m_stores.front()->m_over = true;
+    m_stores.pop_front();
+  }
+  SendToReplicas(store);
+}
+
+auto HistoryClient::SendToReplicas(const std::shared_ptr<PendingStore>& store)
+    -> void {
+  const auto now = SteadyTime();
+  store->m_sent_at = now;
+  const auto replicas = ChooseReplicas(
+      m_directory.hosts(), store->m_record.m_program, m_directory.Avoided(now));
+  store->m_wanted = std::max(replicas.size(), std::size_t{1});
+  for (const auto& host : replicas) {
+    const auto unneeded = store->m_stored_in.contains(host.m_domain) ||
+                          store->m_in_flight.contains(host.m_host);
+    if (unneeded) {
+      continue;
+    }
+    store->m_in_flight.insert(host.m_host);
+    CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
+             kTurnWritePath, store->m_body, kStoreTimeout,
+             [this, store, host](const Result<std::string>& reply) {
+               OnStoreReply(store, host, reply.has_value());
+             });
+  }
+}
+
+auto HistoryClient::OnStoreReply(const std::shared_ptr<PendingStore>& store,
+                                 const ReplicaHost& host,
+                                 bool stored) -> void {
+  const auto now = SteadyTime();
+  store->m_in_flight.erase(host.m_host);
+  m_directory.NoteCall(host.m_host, stored, now);
+  if (stored) {
+    store->m_stored_in.insert(host.m_domain);
+  }
+  CheckStored(store, now);
+}
+
+auto HistoryClient::CheckStored(const std::shared_ptr<PendingStore>& store,
+                                TimePoint now) -> void {
+  if (!store->m_stored || store->m_over || store->m_stored_in.empty()) {
+    return;
+  }
+  const auto enough = store->m_stored_in.size() >= RequiredDomains();
+  const auto waited = now - store->m_started_at;
+  if (!enough && waited < kMaxStoreWait) {
+    return;
+  }
+  CountMetric(MetricId::kHistoryStores, enough ? "stored" : "degraded");
+  if (!enough) {
+    LogEvent(LogEventId::kHistoryDegraded,
+             {{"turn", store->m_record.m_turn.value()},
+              {"domains", std::to_string(store->m_stored_in.size())},
+              {"required", std::to_string(RequiredDomains())},
+              {"ms", FormatMs(waited)}});
+  }
+  std::exchange(store->m_stored, nullptr)();
+}
+
+auto HistoryClient::Withdraw(const TurnRecord& record) -> void {
+  for (const auto& store : m_stores) {
+    if (store->m_record.m_turn == record.m_turn) {
+      store->m_over = true;
+    }
+  }
+  LogEvent(LogEventId::kTurnWithdrawn, {{"turn", record.m_turn.value()}});
+  const auto body = EncodeTurnWithdrawal(
+      {.m_turn = record.m_turn, .m_lifetime = record.m_lifetime});
+  for (const auto& host : m_directory.hosts()) {
+    if (!host.m_emptied) {
+      CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
+               kTurnWithdrawPath, body, kStoreTimeout,
+               [](const Result<std::string>& /*reply*/) {});
+    }
+  }
+}
+
+auto HistoryClient::Tick(TimePoint now) -> void {
+  if (!m_directory.started()) {
+    return;
+  }
+  m_directory.Tick(now);
+  const auto is_over = [now](const std::shared_ptr<PendingStore>& store) {
+    const auto finished =
+        store->m_stored_in.size() >= store->m_wanted && !store->m_stored;
+    return store->m_over || finished ||
+           now - store->m_started_at > kMaxStoreTime;
+  };
+  m_stores.remove_if(is_over);
+  const auto stores = m_stores;
+  for (const auto& store : stores) {
+    CheckStored(store, now);
+    if (now - store->m_sent_at >= kStoreRetryDelay) {
+      SendToReplicas(store);
+    }
+  }
+}
+
+}  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/history_client.h
@@ -0,0 +1,97 @@
+#ifndef DOTTERELSHED_HISTORY_CLIENT_H_
+#define DOTTERELSHED_HISTORY_CLIENT_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "entry_context.h"
+#include "history_cache.h"
+#include "replica_directory.h"
+#include "replica_messages.h"
+
+/// @file
+/// Histories of conversations as an entry host uses them: reads the turns that
+/// a new one continues from, and stores a completed one on the disk hosts.
+///
+/// A turn counts as stored once it is on the disks of more failure domains than
+/// may be lost at the same time. While fewer can be reached, one disk is enough
+/// after a while, and the turn is sent to the others until they have it.
+
+namespace dotterelshed {
+
+enum class HistoryOutcome {
+  kFound,
+  kAbsent,   ///< No such turn exists.
+  kUnknown,  ///< The turn may exist, but cannot be read now.
+};
+
+struct HistoryReadResult {
+  HistoryOutcome m_outcome = HistoryOutcome::kUnknown;
+  /// With kFound: texts of the turns, oldest first.
+  HistoryText m_text;
+};
+
+struct HistoryReadRequest {
+  RequestId m_turn;
+  ProgramId m_program;
+  /// Time for which turns are kept.
+  Duration m_retention{0};
+};
+
+class HistoryClient {
+ public:
+  using ReadCallback = std::function<void(const HistoryReadResult&)>;
+  using StoredCallback = std::function<void()>;
+
+  explicit HistoryClient(EntryContext& context);
+
+  /// Begins to follow the list of disk hosts; later calls do nothing.
+  auto Start() -> void { m_directory.Start(); }
+  auto watcher() -> ObjectWatcher& { return m_directory.watcher(); }
+
+  /// Reads a turn and all that it continues from; responds within about a
+  /// second.
+  auto Read(const HistoryReadRequest& request, ReadCallback respond) -> void;
+  /// Stores a turn. @p stored is called once the turn counts as stored, which
+  /// may be never.
+  auto Store(TurnRecord record, StoredCallback stored) -> void;
+  /// Removes a turn whose response did not reach its caller.
+  auto Withdraw(const TurnRecord& record) -> void;
+  /// Remembers the history up to a turn that was stored and answered.
+  auto Remember(const RequestId& turn, HistoryText text) -> void {
+    m_cache.Put(turn, std::move(text));
+  }
+  auto Tick(TimePoint now) -> void;
+
+ private:
+  struct PendingRead;
+  struct PendingStore;
+
+  auto AskNext(const std::shared_ptr<PendingRead>& read) -> void;
+  auto AskAll(const std::shared_ptr<PendingRead>& read) -> void;
+  auto ArmHedge(const std::shared_ptr<PendingRead>& read) -> void;
+  auto OnReadReply(const std::shared_ptr<PendingRead>& read,
+                   const HostId& host,
+                   const Result<TurnReadResponse>& reply) -> void;
+  auto FinishRead(const std::shared_ptr<PendingRead>& read,
+                  HistoryOutcome outcome) -> void;
+  auto SendToReplicas(const std::shared_ptr<PendingStore>& store) -> void;
+  auto OnStoreReply(const std::shared_ptr<PendingStore>& store,
+                    const ReplicaHost& host,
+                    bool stored) -> void;
+  auto CheckStored(const std::shared_ptr<PendingStore>& store, TimePoint now)
+      -> void;
+  /// Number of failure domains that must have a turn.
+  auto RequiredDomains() const -> std::size_t;
+
+  EntryContext& m_context;
+  ReplicaDirectory m_directory;
+  HistoryCache m_cache;
+  std::list<std::shared_ptr<PendingStore>> m_stores;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_HISTORY_CLIENT_H_
--- /dev/null
+++ b/src/libgateway/history_unittest.cc
@@ -0,0 +1,247 @@
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <set>
+#include <string>
+
+#include "test_calls.h"
+
+/// @file
+/// Turns whose history the system keeps: what endpoints are sent, and what is
+/// found after hosts and disks were lost.
+
+namespace dotterelshed {
+namespace {
+
+namespace fs = std::filesystem;
+
+using Request = ScriptedEndpoint::Request;
+
+constexpr auto kEvents = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
+/// A system with a route that keeps histories, and folders for disk hosts.
+struct HistoryEnvironment : public TestEnvironment {
+  HistoryEnvironment() {
+    std::string name = (fs::temp_directory_path() / "history.XXXXXX").string();
+    m_folder = mkdtemp(name.data());
+    m_store.Put("config", "main", nlohmann::json::parse(R"({"version":2,
+      "routes":[
+       {"name":"kept","host":"desk","pathPrefix":"/kept/","kind":"stream",
+        "service":"s","timeoutMs":2500,"retain":true,"retentionS":60}],
+      "services":[{"name":"s","engine":{"slots":4,"tokensPerEvent":3}}],
+      "limits":{"headerBytes":4000,"maxBodyBytes":10000}})"));
+  }
+  ~HistoryEnvironment() { fs::remove_all(m_folder); }
+  HistoryEnvironment(const HistoryEnvironment&) = delete;
+  auto operator=(const HistoryEnvironment&) -> HistoryEnvironment& = delete;
+
+  auto AddDisk(const std::string& name,
+               const std::string& domain,
+               bool first_start = true) -> void {
+    AddDiskHost(name, m_folder + "/" + name, domain, first_start);
+  }
+
+  /// Adds an endpoint that records the bodies of its requests.
+  auto AddRecorder() -> void {
+    AddEndpoint([this](const Request& request) {
+      m_bodies.push_back(request.m_body);
+      request.m_stream->Write(request.Complete(kEvents));
+    });
+  }
+
+  /// Runs a turn through a host that has no history in memory.
+  auto RunElsewhere(const std::string& id,
+                    const std::string& previous,
+                    const std::string& input) -> int {
+    if (m_more_hosts.empty()) {
+      AddHost("h2", "y");
+    }
+    return FinishAt(*m_more_hosts.front(), MakeKeptTurn(id, previous, input))
+        ->Status();
+  }
+
+  auto Run(const std::string& id,
+           const std::string& previous,
+           const std::string& input) -> int {
+    return Finish(MakeKeptTurn(id, previous, input))->Status();
+  }
+
+  static auto MakeKeptTurn(const std::string& id,
+                           const std::string& previous,
+                           const std::string& input) -> std::string {
+    const auto field =
+        previous.empty() ? "" : "Previous-Turn: " + previous + "\r\n";
+    return "POST /kept/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
+           "\r\nProgram-Id: p\r\nToken-Budget: 10000\r\nToken-Counts: "
+           "9,30\r\n" +
+           field + "Content-Length: " + std::to_string(input.size()) +
+           "\r\n\r\n" + input;
+  }
+
+  std::string m_folder;
+  std::vector<std::string> m_bodies;
+};
+
+TEST_CASE("a turn is sent with the inputs and outputs of those before it") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  CHECK(environment.Run("t1", "", "first,") == 200);
+  CHECK(environment.Run("t2", "t1", "second,") == 200);
+  CHECK(environment.Run("t3", "t2", "third") == 200);
+  CHECK(environment.Run("b3", "t2", "branch") == 200);
+  REQUIRE(environment.m_bodies.size() == 4);
+  CHECK(environment.m_bodies[0] == "first,");
+  CHECK(environment.m_bodies[1] == "first,one\ntwo\nsecond,");
+  CHECK(environment.m_bodies[2] == "first,one\ntwo\nsecond,one\ntwo\nthird");
+  CHECK(environment.m_bodies[3] == "first,one\ntwo\nsecond,one\ntwo\nbranch");
+}
+
+TEST_CASE("a turn continues through a host of another domain") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  auto& other = environment.AddHost("h2", "y");
+  environment.Run("t1", "", "first,");
+  const auto caller = environment.FinishAt(
+      other, HistoryEnvironment::MakeKeptTurn("t2", "t1", "second"));
+  CHECK(caller->Status() == 200);
+  CHECK(environment.m_bodies.back() == "first,one\ntwo\nsecond");
+}
+
+TEST_CASE("a turn is found after all disk hosts have restarted") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  environment.m_disk_hosts[0]->Stop();
+  environment.m_disk_hosts[1]->Stop();
+  environment.AddDisk("d1", "z", false);
+  environment.AddDisk("d2", "y", false);
+  environment.RunUntil([&environment] {
+    return environment.RunElsewhere("t2", "t1", "second") == 200;
+  });
+  CHECK(environment.m_bodies.back() == "first,one\ntwo\nsecond");
+}
+
+TEST_CASE("a disk host that lost its disk copies all turns from another one") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  environment.Run("t2", "t1", "second,");
+  environment.RunFor(std::chrono::milliseconds(300));
+  environment.m_disk_hosts.front()->Stop();
+  fs::remove_all(environment.m_folder + "/d1");
+  environment.AddDisk("d1", "z", false);
+  // Its peers or the entry hosts tell it that turns are kept at all.
+  environment.RunFor(std::chrono::seconds(4));
+  environment.m_disk_hosts[1]->Stop();
+  environment.RunUntil([&environment] {
+    return environment.RunElsewhere("t3", "t2", "third") == 200;
+  });
+  CHECK(environment.m_bodies.back() ==
+        "first,one\ntwo\nsecond,one\ntwo\nthird");
+}
+
+TEST_CASE("a turn that was never run is answered 404 only if none was lost") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  const auto first_start = GENERATE(true, false);
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y", first_start);
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  const auto caller = environment.Finish(
+      HistoryEnvironment::MakeKeptTurn("t2", "unknown", "second"));
+  CHECK(caller->Status() == (first_start ? 404 : 503));
+  CHECK(environment.m_bodies.size() == 1);
+}
+
+TEST_CASE(
+    "a turn is refused at once while a replica that may have it is away") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  environment.m_disk_hosts.back()->Stop();
+  const auto caller = environment.Finish(
+      HistoryEnvironment::MakeKeptTurn("t2", "unknown", "second"));
+  CHECK(caller->Status() == 503);
+  CHECK(caller->m_got.find("Retry-After") != std::string::npos);
+}
+
+TEST_CASE("a turn that broke off can't be continued") {
+  HistoryEnvironment environment;
+  environment.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(ChunkedHead(request) + Chunks(1, 1));
+    request.m_stream->CloseAfterWrites();
+  });
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  environment.Finish(HistoryEnvironment::MakeKeptTurn("t1", "", "first"));
+  CHECK(environment.Run("t2", "t1", "second") == 404);
+}
+
+TEST_CASE("a response ends only when its turn is on enough disks") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.Start();
+  const auto caller =
+      environment.Finish(HistoryEnvironment::MakeKeptTurn("t1", "", "first"));
+  // All events arrive, but nothing says that the response is complete.
+  CHECK(caller->m_got.find("two") != std::string::npos);
+  CHECK_FALSE(caller->Body());
+}
+
+TEST_CASE("one disk is enough after a while, and the other gets it later") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  environment.m_disk_hosts[0]->Stop();
+  CHECK(environment.Run("t2", "t1", "second,") == 200);
+  environment.AddDisk("d1", "z", false);
+  environment.RunFor(std::chrono::seconds(2));
+  environment.m_disk_hosts[1]->Stop();
+  environment.RunUntil([&environment] {
+    return environment.RunElsewhere("t3", "t2", "third") == 200;
+  });
+  CHECK(environment.m_bodies.back() ==
+        "first,one\ntwo\nsecond,one\ntwo\nthird");
+}
+
+TEST_CASE("a disk host is emptied only when the others have its turns") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.Start();
+  environment.Run("t1", "", "first,");
+  environment.AddDisk("d2", "y", false);
+  environment.m_store.Put("retirements", "d1", {{"withinS", 8}});
+  environment.RunUntil([&environment] {
+    const auto entry = environment.m_store.Find("disk-hosts", "d1");
+    return entry.at("spec").at("emptied").get<bool>();
+  });
+  environment.m_disk_hosts[0]->Stop();
+  environment.RunUntil([&environment] {
+    return environment.RunElsewhere("t2", "t1", "second") == 200;
+  });
+  CHECK(environment.m_bodies.back() == "first,one\ntwo\nsecond");
+}
+
+}  // namespace
+}  // namespace dotterelshed
--- a/src/libgateway/ledger_journal.cc
+++ b/src/libgateway/ledger_journal.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peer_call.h"
+#include "replica_messages.h"
 
 namespace dotterelshed {
 
@@ -41,8 +42,9 @@
         if (listing) {
           m_addresses.clear();
           for (const auto& object : listing->m_objects) {
-            if (const auto entry = DecodeLeadEntry(object.m_spec)) {
-              m_addresses.push_back(entry->m_peer_address);
+            const auto host = DecodeReplicaHost(object.m_spec);
+            if (host && !host->m_emptied) {
+              m_addresses.push_back(host->m_address);
             }
           }
         }
--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -13,11 +13,9 @@
 
 /// Part of the maximum age reserved for a listing after a lost watch.
 constexpr Duration kListTime = std::chrono::milliseconds(400);
-/// A reader responds within this time, with or without a change. A leaving
-/// endpoint must be out of use within two seconds even if the reader hangs
-/// meanwhile.
-constexpr Duration kReaderResponseTime = std::chrono::milliseconds(700);
-constexpr Duration kReaderTimeout = std::chrono::milliseconds(1000);
+/// Added to the time that a reader may wait for a change. A leaving endpoint
+/// must be out of use within two seconds even if the reader hangs meanwhile.
+constexpr Duration kReaderMargin = std::chrono::milliseconds(300);
 /// Minimum duration of a watch; one that ends at once would cause a call per
 /// round trip.
 constexpr Duration kMinWatchTime = std::chrono::milliseconds(200);
@@ -204,7 +202,7 @@
   CallPeer(
       m_loop, m_reader->m_peers, address, kViewPath,
       EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = m_version}),
-      kReaderTimeout,
+      m_options.m_reader_wait + kReaderMargin,
       [weak = weak_from_this(),
        call_number = ++m_call_number](const Result<std::string>& reply) {
         const auto self = weak.lock();
@@ -256,7 +254,8 @@
     return;
   }
   m_server.AddRequest(request, CurrentState(),
-                      SteadyTime() + kReaderResponseTime, std::move(respond));
+                      SteadyTime() + m_options.m_reader_wait,
+                      std::move(respond));
 }
 
 auto ObjectWatcher::Tick(TimePoint now) -> void {
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/object_watcher.h
@@ -30,6 +30,8 @@
   /// Pause after a change, so that the following changes are fetched in one
   /// call.
   Duration m_batch_delay = std::chrono::milliseconds(250);
+  /// A reader responds within this time, with or without a change.
+  Duration m_reader_wait = std::chrono::milliseconds(700);
 };
 
 struct WatcherHandlers {
--- a/src/libgateway/peer_call.h
+++ b/src/libgateway/peer_call.h
@@ -10,7 +10,8 @@
 #include "dotterelshed/units.h"
 
 /// @file
-/// Calls between hosts: HTTP POST with JSON bodies in both directions.
+/// Calls between hosts: HTTP POST with JSON bodies in both directions, or
+/// MessagePack for the turns of conversations.
 
 namespace dotterelshed {
 
@@ -25,6 +26,12 @@
 inline constexpr std::string_view kViewPath = "/peer/view";
 inline constexpr std::string_view kJournalWritePath = "/peer/journal-write";
 inline constexpr std::string_view kJournalReadPath = "/peer/journal-read";
+inline constexpr std::string_view kTurnWritePath = "/peer/turn-write";
+inline constexpr std::string_view kTurnReadPath = "/peer/turn-read";
+inline constexpr std::string_view kTurnListPath = "/peer/turn-list";
+inline constexpr std::string_view kTurnFetchPath = "/peer/turn-fetch";
+inline constexpr std::string_view kTurnWithdrawPath = "/peer/turn-withdraw";
+inline constexpr std::string_view kTurnCopyPath = "/peer/turn-copy";
 
 /// Sends a POST to another host. If a reused connection fails, the call is
 /// repeated once on a new one, so calls must be idempotent.
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -217,12 +217,17 @@
                          .m_processor_share = processor_share}));
   }
 
-  /// Starts a disk host that keeps its journal in @p folder.
-  auto AddDiskHost(const std::string& name, const std::string& folder) -> void {
+  /// Starts a disk host that keeps its data in @p folder.
+  /// @param first_start  its disk has not been replaced by an empty one.
+  auto AddDiskHost(const std::string& name,
+                   const std::string& folder,
+                   const std::string& domain = "z",
+                   bool first_start = true) -> void {
     EntrySettings settings;
     settings.m_host = HostId(name);
-    settings.m_domain = DomainId("z");
+    settings.m_domain = DomainId(domain);
     settings.m_role = HostRole::kDisk;
+    settings.m_first_start = first_start;
     settings.m_peer_address = "127.0.0.1:0";
     settings.m_platform_address = FormatTcpAddress(m_store.address());
     settings.m_data_dir = folder;
--- /dev/null
+++ b/src/libgateway/turn_log.cc
@@ -0,0 +1,303 @@
+#include "turn_log.h"
+
+#include <fcntl.h>
+#include <sqlite3.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <filesystem>
+#include <system_error>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+
+namespace dotterelshed {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char* kFileName = "turns.db";
+/// The write-ahead log is flushed on each commit, and its index is kept in the
+/// process, since no other process opens the database.
+constexpr const char* kSetUp =
+    "PRAGMA locking_mode = EXCLUSIVE;"
+    "PRAGMA journal_mode = WAL;"
+    "PRAGMA synchronous = FULL;"
+    "PRAGMA temp_store = MEMORY;"
+    "PRAGMA cache_size = -2000;"
+    "CREATE TABLE IF NOT EXISTS turns (sequence INTEGER PRIMARY KEY,"
+    " turn TEXT, previous TEXT, program TEXT, text BLOB, expires_ms INTEGER);"
+    "CREATE TABLE IF NOT EXISTS origin (covered_since_ms INTEGER);";
+constexpr const char* kInsert =
+    "INSERT OR REPLACE INTO turns VALUES (?, ?, ?, ?, ?, ?)";
+constexpr const char* kDelete = "DELETE FROM turns WHERE sequence = ?";
+constexpr const char* kSelect =
+    "SELECT sequence, turn, previous, program, text, expires_ms FROM turns"
+    " ORDER BY sequence";
+
+struct StatementCloser {
+  auto operator()(sqlite3_stmt* statement) const -> void {
+    sqlite3_finalize(statement);
+  }
+};
+using Statement = std::unique_ptr<sqlite3_stmt, StatementCloser>;
+
+auto UnixMs() -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+auto DatabaseError(sqlite3* database) -> tl::unexpected<Error> {
+  return Fail(
+      ErrorCode::kUnavailable,
+      database == nullptr ? "cannot be opened" : sqlite3_errmsg(database),
+      kFileName);
+}
+
+auto Execute(sqlite3* database, const char* sql) -> Status {
+  if (sqlite3_exec(database, sql, nullptr, nullptr, nullptr) != SQLITE_OK) {
+    return DatabaseError(database);
+  }
+  return {};
+}
+
+auto Prepare(sqlite3* database, const char* sql) -> Result<Statement> {
+  sqlite3_stmt* statement = nullptr;
+  if (sqlite3_prepare_v2(database, sql, -1, &statement, nullptr) != SQLITE_OK) {
+    return DatabaseError(database);
+  }
+  return Statement(statement);
+}
+
+/// Runs a statement that returns no rows, and resets it.
+auto Run(sqlite3* database, sqlite3_stmt* statement) -> Status {
+  const auto code = sqlite3_step(statement);
+  sqlite3_reset(statement);
+  if (code != SQLITE_DONE) {
+    return DatabaseError(database);
+  }
+  return {};
+}
+
+auto BindText(sqlite3_stmt* statement, int column, const std::string& text)
+    -> void {
+  sqlite3_bind_text(statement, column, text.data(),
+                    static_cast<int>(text.size()), SQLITE_STATIC);
+}
+
+auto ColumnBytes(sqlite3_stmt* statement, int column) -> std::string {
+  const auto* bytes = sqlite3_column_blob(statement, column);
+  const auto size = sqlite3_column_bytes(statement, column);
+  return {static_cast<const char*>(bytes), static_cast<std::size_t>(size)};
+}
+
+auto Insert(sqlite3* database, sqlite3_stmt* statement, const StoredTurn& turn)
+    -> Status {
+  const auto& record = turn.m_record;
+  const auto lifetime_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(record.m_lifetime)
+          .count();
+  sqlite3_bind_int64(statement, 1, static_cast<sqlite3_int64>(turn.m_sequence));
+  BindText(statement, 2, record.m_turn.value());
+  BindText(statement, 3, record.m_previous.value());
+  BindText(statement, 4, record.m_program.value());
+  sqlite3_bind_blob(statement, 5, record.m_text.data(),
+                    static_cast<int>(record.m_text.size()), SQLITE_STATIC);
+  sqlite3_bind_int64(statement, 6, UnixMs() + lifetime_ms);
+  return Run(database, statement);
+}
+
+auto ReadTurn(sqlite3_stmt* statement, std::int64_t now_ms) -> StoredTurn {
+  const auto expires_ms = sqlite3_column_int64(statement, 5);
+  const auto left_ms = std::max<std::int64_t>(expires_ms - now_ms, 0);
+  return {.m_sequence =
+              static_cast<std::uint64_t>(sqlite3_column_int64(statement, 0)),
+          .m_record = {.m_turn = RequestId(ColumnBytes(statement, 1)),
+                       .m_previous = RequestId(ColumnBytes(statement, 2)),
+                       .m_program = ProgramId(ColumnBytes(statement, 3)),
+                       .m_text = ColumnBytes(statement, 4),
+                       .m_lifetime = std::chrono::milliseconds(left_ms)}};
+}
+
+/// A new file is only found after a power failure if its folder was flushed.
+auto FlushFolder(const std::string& folder) -> void {
+  const auto descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY);
+  if (descriptor >= 0) {
+    fsync(descriptor);
+    close(descriptor);
+  }
+}
+
+}  // namespace
+
+auto TurnLog::DatabaseCloser::operator()(sqlite3* database) const -> void {
+  sqlite3_close(database);
+}
+
+TurnLog::TurnLog(EventLoop& loop, TurnLogOptions options)
+    : m_loop(loop), m_options(std::move(options)), m_disk_thread(1) {}
+
+TurnLog::~TurnLog() {
+  Close();
+}
+
+auto TurnLog::Close() -> void {
+  m_disk_thread.join();
+  m_writing = true;
+  if (m_database && !m_waiting.empty()) {
+    static_cast<void>(WriteBatch(m_waiting));
+  }
+  m_waiting = {};
+  m_database.reset();
+}
+
+auto TurnLog::Open() -> Result<TurnLogContents> {
+  std::error_code error;
+  fs::create_directories(m_options.m_folder, error);
+  auto contents = OpenDatabase().and_then([this] { return ReadContents(); });
+  if (contents || !m_database) {
+    return contents;
+  }
+  const auto code = sqlite3_errcode(m_database.get());
+  const auto damaged = code == SQLITE_CORRUPT || code == SQLITE_NOTADB;
+  m_database.reset();
+  if (!damaged) {
+    return contents;
+  }
+  LogEvent(LogEventId::kReplicaDiskFailed,
+           {{"reason", contents.error().m_message}, {"outcome", "replaced"}});
+  RemoveFiles();
+  m_options.m_first_start = false;
+  return OpenDatabase().and_then([this] { return ReadContents(); });
+}
+
+auto TurnLog::OpenDatabase() -> Status {
+  const auto file = m_options.m_folder + "/" + kFileName;
+  sqlite3* database = nullptr;
+  const auto code = sqlite3_open_v2(
+      file.c_str(), &database,
+      SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_FULLMUTEX,
+      nullptr);
+  m_database.reset(database);
+  if (code != SQLITE_OK) {
+    return DatabaseError(database);
+  }
+  auto status = Execute(database, kSetUp);
+  FlushFolder(m_options.m_folder);
+  return status;
+}
+
+auto TurnLog::RemoveFiles() const -> void {
+  for (const auto* suffix : {"", "-wal", "-shm", "-journal"}) {
+    std::error_code error;
+    fs::remove(m_options.m_folder + "/" + kFileName + suffix, error);
+  }
+}
+
+auto TurnLog::ReadContents() -> Result<TurnLogContents> {
+  auto* database = m_database.get();
+  const auto now_ms = UnixMs();
+  auto origin = Prepare(database, "SELECT covered_since_ms FROM origin");
+  if (!origin) {
+    return tl::unexpected(origin.error());
+  }
+  auto code = sqlite3_step(origin->get());
+  auto covered_since_ms =
+      code == SQLITE_ROW ? sqlite3_column_int64(origin->get(), 0) : 0;
+  origin->reset();
+  if (code == SQLITE_DONE) {
+    covered_since_ms = m_options.m_first_start ? 0 : now_ms;
+    const auto sql =
+        "INSERT INTO origin VALUES (" + std::to_string(covered_since_ms) + ")";
+    if (auto stored = Execute(database, sql.c_str()); !stored) {
+      return tl::unexpected(stored.error());
+    }
+  } else if (code != SQLITE_ROW) {
+    return DatabaseError(database);
+  }
+  TurnLogContents contents;
+  contents.m_covered = std::chrono::milliseconds(
+      std::max<std::int64_t>(now_ms - covered_since_ms, 0));
+  const auto select = Prepare(database, kSelect);
+  if (!select) {
+    return tl::unexpected(select.error());
+  }
+  while ((code = sqlite3_step(select->get())) == SQLITE_ROW) {
+    contents.m_turns.push_back(ReadTurn(select->get(), now_ms));
+  }
+  if (code != SQLITE_DONE) {
+    return DatabaseError(database);
+  }
+  return contents;
+}
+
+auto TurnLog::Store(StoredTurn turn, StoredCallback done) -> void {
+  m_waiting.m_added.push_back(std::move(turn));
+  m_waiting.m_done.push_back(std::move(done));
+  WriteNextBatch();
+}
+
+auto TurnLog::Remove(std::vector<std::uint64_t> sequences) -> void {
+  auto& removed = m_waiting.m_removed;
+  removed.insert(removed.end(), sequences.begin(), sequences.end());
+  WriteNextBatch();
+}
+
+auto TurnLog::WriteNextBatch() -> void {
+  if (m_writing || m_waiting.empty()) {
+    return;
+  }
+  m_writing = true;
+  auto batch = std::make_shared<const Batch>(std::exchange(m_waiting, {}));
+  boost::asio::post(m_disk_thread, [this, batch] {
+    const auto status = WriteBatch(*batch);
+    boost::asio::post(m_loop, [this, batch, status] {
+      m_writing = false;
+      for (const auto& done : batch->m_done) {
+        done(status);
+      }
+      WriteNextBatch();
+    });
+  });
+}
+
+auto TurnLog::WriteBatch(const Batch& batch) -> Status {
+  auto* database = m_database.get();
+  if (database == nullptr) {
+    return DatabaseError(database);
+  }
+  const auto write = [&]() -> Status {
+    const auto insert = Prepare(database, kInsert);
+    const auto remove = Prepare(database, kDelete);
+    if (!insert || !remove) {
+      return DatabaseError(database);
+    }
+    for (const auto& turn : batch.m_added) {
+      if (auto stored = Insert(database, insert->get(), turn); !stored) {
+        return stored;
+      }
+    }
+    for (const auto sequence : batch.m_removed) {
+      sqlite3_bind_int64(remove->get(), 1,
+                         static_cast<sqlite3_int64>(sequence));
+      if (auto removed = Run(database, remove->get()); !removed) {
+        return removed;
+      }
+    }
+    return {};
+  };
+  auto status = Execute(database, "BEGIN IMMEDIATE").and_then(write);
+  if (status) {
+    status = Execute(database, "COMMIT");
+  }
+  if (!status && sqlite3_get_autocommit(database) == 0) {
+    // The failure that counts is the first one.
+    static_cast<void>(Execute(database, "ROLLBACK"));
+  }
+  return status;
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/view_messages.cc
+++ b/src/libgateway/view_messages.cc
@@ -13,7 +13,8 @@
 constexpr std::string_view kPlace = "view message";
 
 auto ReadKind(const std::string& name) -> Result<ObjectKind> {
-  for (const auto kind : {ObjectKind::kEndpoints, ObjectKind::kConfig}) {
+  for (const auto kind :
+       {ObjectKind::kEndpoints, ObjectKind::kConfig, ObjectKind::kDiskHosts}) {
     if (KindName(kind) == name) {
       return kind;
     }
--- a/src/librouting/route_table.cc
+++ b/src/librouting/route_table.cc
@@ -83,6 +83,11 @@
   return longest;
 }
 
+auto KeepsHistory(const RouteTable& table) -> bool {
+  return std::any_of(table.m_routes.begin(), table.m_routes.end(),
+                     [](const Route& route) { return route.m_keeps_history; });
+}
+
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
     -> const ServiceTraits& {
   static const ServiceTraits kUnknown;
