Send nothing more to an endpoint that says in an answer that it leaves

Cause: hosts learned of a leave from the list alone, which may be late for a host whose view is old.

Change: the directory keeps the announcement beside the list, for the start of the endpoint that made it; refusals, failures and answers to other requests count as well. Tests for it fail without the change. Two more tests show that an answer cut in its head is never a success, and that one without length ends with its connection; both held already.

--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -13,7 +13,8 @@
 /// @file
 /// The endpoints that the platform lists, as known to one host. Entries that
 /// expired because endpoints couldn't reach the platform during an outage stay
-/// in use for a grace period.
+/// in use for a grace period. An endpoint that said itself that it is leaving
+/// takes no new work, whatever the list says, until it has restarted.
 
 namespace dotterelshed {
 
@@ -53,12 +54,20 @@
   TimePoint m_recovered_at;
 };
 
+/// An endpoint's own statement that it is leaving.
+struct LeaveAnnouncement {
+  /// Start of the endpoint to which the statement applies.
+  std::int64_t m_started_unix_ms = 0;
+  TimePoint m_announced_at;
+};
+
 struct EndpointDirectory {
   ExpiryLimits m_limits;
   std::map<EndpointId, EndpointEntry> m_entries;
   std::map<ServiceId, std::vector<EndpointId>> m_by_service;
   /// Entries that were removed after an outage, and the end of their use.
   std::map<EndpointId, TimePoint> m_expiring;
+  std::map<EndpointId, LeaveAnnouncement> m_announced;
   /// Until this time a removed entry may have expired during an outage.
   std::optional<TimePoint> m_grace_period_end;
 };
@@ -103,6 +112,11 @@
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
     -> EndpointChange;
 
+/// An endpoint said in an answer that it is leaving.
+auto AnnounceLeaving(EndpointDirectory& directory,
+                     const EndpointId& id,
+                     TimePoint now) -> EndpointChange;
+
 /// Removes an entry, or holds it until the end of the grace period if it may
 /// have expired during an outage. Entries that were leaving are removed at
 /// once.
@@ -115,7 +129,8 @@
                       std::vector<EndpointEntry> entries,
                       TimePoint now) -> std::vector<EndpointChange>;
 
-/// Removes held entries whose grace period is over. Returns the changes.
+/// Removes held entries whose grace period is over, and announcements that are
+/// too old to matter. Returns the changes.
 auto DropExpiredEndpoints(EndpointDirectory& directory, TimePoint now)
     -> std::vector<EndpointChange>;
 
--- a/src/libgateway/call_response.cc
+++ b/src/libgateway/call_response.cc
@@ -32,6 +32,10 @@
 
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
   auto headers = ParseEndpointAnswerHeaders(head);
+  if (headers.m_leaving) {
+    // An answer to an earlier request says so just as well.
+    m_context.m_on_leave_announced(m_attempt.m_endpoint);
+  }
   if (headers.m_request.empty()) {
     if (m_attempt.m_connection->exchanges() > 1) {
       // A response without a request id on a reused connection may belong to an
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -76,6 +76,10 @@
                 ExtendGracePeriod(m_context.m_directory, SteadyTime() + hold);
               }},
       context.MakeViewReader());
+  context.m_on_leave_announced = [this](const EndpointId& endpoint) {
+    ReportChange(AnnounceLeaving(m_context.m_directory, endpoint, SteadyTime()),
+                 "answer");
+  };
 }
 
 auto EndpointView::Start() -> void {
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_ENTRY_CONTEXT_H_
 #define DOTTERELSHED_ENTRY_CONTEXT_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -43,6 +44,8 @@
   EndpointDirectory m_directory;
   /// Watches the store for changes of m_directory.
   std::shared_ptr<ObjectWatcher> m_endpoint_watcher;
+  /// Called when an endpoint says in an answer that it is leaving.
+  std::function<void(const EndpointId&)> m_on_leave_announced;
   /// Load of the endpoints as seen by this host's own attempts.
   EndpointLoads m_loads;
   /// Requests under which endpoints crashed, as observed by all hosts.
--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -307,5 +307,50 @@
   environment.RunUntil([&environment] { return environment.m_loop.stopped(); });
 }
 
+TEST_CASE("an endpoint that says in an answer that it leaves is out of use") {
+  TestEnvironment environment;
+  const auto status = GENERATE(200, 500, 503);
+  const ScriptedEndpoint::Handler leaving = [status](const Request& request) {
+    const auto* refusal = status == 503 ? "Not-Executed: 1\r\n" : "";
+    request.m_stream->Write(
+        request.Head(status, std::string("Server-Leaving: 1\r\n") + refusal +
+                                 "Content-Length: 0\r\n"));
+  };
+  auto& endpoint = environment.AddEndpoint(leaving);
+  environment.Start();
+  environment.Finish(kUnsafe);
+  const auto before = endpoint.requests();
+  // The list still calls it ready.
+  environment.PutEndpoint(0);
+  environment.RunFor(std::chrono::milliseconds(50));
+  CHECK(environment.Finish(kUnsafe)->Status() == 503);
+  CHECK(endpoint.requests() == before);
+}
+
+TEST_CASE("an answer that was cut in its head never becomes a success") {
+  TestEnvironment environment;
+  const auto cut =
+      GENERATE("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n",
+               "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n",
+               "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n"
+               "Content-Le");
+  environment.AddEndpoint([&cut](const Request& request) {
+    request.m_stream->Write(cut);
+    request.m_stream->CloseAfterWrites();
+  });
+  environment.Start();
+  CHECK(environment.Finish(kUnsafe)->Status() == 502);
+}
+
+TEST_CASE("an answer without length ends with its connection") {
+  TestEnvironment environment;
+  environment.AddEndpoint([](const Request& request) {
+    request.m_stream->Write(request.Head(200, "") + "all of it");
+    request.m_stream->CloseAfterWrites();
+  });
+  environment.Start();
+  CHECK(environment.Finish(kUnsafe)->Body() == "all of it");
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -10,6 +10,8 @@
 
 /// Endpoints register again within this time after the platform recovers.
 constexpr Duration kReregistrationTime = std::chrono::milliseconds(2200);
+/// An endpoint that is leaving has ended long before.
+constexpr Duration kAnnouncementLifetime = std::chrono::minutes(10);
 
 auto RemoveFromServiceIndex(EndpointDirectory& directory,
                             const EndpointEntry& entry) -> void {
@@ -52,6 +54,20 @@
                          : EndpointChangeKind::kReady;
 }
 
+/// Applies what an endpoint said of itself to an entry of the list.
+auto ApplyAnnouncement(EndpointDirectory& directory, EndpointEntry& entry)
+    -> void {
+  const auto found = directory.m_announced.find(entry.m_id);
+  if (found == directory.m_announced.end()) {
+    return;
+  }
+  if (found->second.m_started_unix_ms == entry.m_started_unix_ms) {
+    entry.m_leaving = true;
+  } else {
+    directory.m_announced.erase(found);
+  }
+}
+
 auto AddChange(std::vector<EndpointChange>& changes, EndpointChange change)
     -> void {
   if (change.m_kind != EndpointChangeKind::kNone) {
@@ -106,6 +122,7 @@
 auto PutEndpoint(EndpointDirectory& directory, EndpointEntry entry)
     -> EndpointChange {
   directory.m_expiring.erase(entry.m_id);
+  ApplyAnnouncement(directory, entry);
   const auto id = entry.m_id;
   EndpointChange change{.m_endpoint = id,
                         .m_kind = entry.m_leaving ? EndpointChangeKind::kLeaving
@@ -125,6 +142,24 @@
   return change;
 }
 
+auto AnnounceLeaving(EndpointDirectory& directory,
+                     const EndpointId& id,
+                     TimePoint now) -> EndpointChange {
+  const auto found = directory.m_entries.find(id);
+  if (found == directory.m_entries.end()) {
+    return {.m_endpoint = id};
+  }
+  auto& entry = found->second;
+  directory.m_announced[id] = {.m_started_unix_ms = entry.m_started_unix_ms,
+                               .m_announced_at = now};
+  if (std::exchange(entry.m_leaving, true)) {
+    return {.m_endpoint = id};
+  }
+  return {.m_endpoint = id,
+          .m_kind = EndpointChangeKind::kLeaving,
+          .m_old_address = entry.m_address};
+}
+
 auto RemoveEndpoint(EndpointDirectory& directory,
                     const EndpointId& id,
                     TimePoint now) -> EndpointChange {
@@ -166,6 +201,9 @@
 
 auto DropExpiredEndpoints(EndpointDirectory& directory, TimePoint now)
     -> std::vector<EndpointChange> {
+  std::erase_if(directory.m_announced, [now](const auto& item) {
+    return now - item.second.m_announced_at > kAnnouncementLifetime;
+  });
   std::vector<EndpointId> over;
   for (const auto& [id, until] : directory.m_expiring) {
     if (until <= now) {
--- a/src/librouting/endpoint_directory_unittest.cc
+++ b/src/librouting/endpoint_directory_unittest.cc
@@ -94,5 +94,34 @@
   CHECK(FindEndpoint(directory, kId) == nullptr);
 }
 
+TEST_CASE("an endpoint that says that it leaves is out of use, listed or not") {
+  EndpointDirectory directory;
+  PutEndpoint(directory, MakeEntry(1));
+  CHECK(AnnounceLeaving(directory, kId, kNow).m_kind ==
+        EndpointChangeKind::kLeaving);
+  CHECK(AnnounceLeaving(directory, kId, kNow).m_kind ==
+        EndpointChangeKind::kNone);
+  CHECK(FindEndpoint(directory, kId)->m_leaving);
+
+  SECTION("a listing that calls it ready changes nothing") {
+    CHECK(PutEndpoint(directory, MakeEntry(2)).m_kind ==
+          EndpointChangeKind::kNone);
+    CHECK(FindEndpoint(directory, kId)->m_leaving);
+  }
+  SECTION("nor does an entry that vanished and came back") {
+    RemoveEndpoint(directory, kId, kNow);
+    PutEndpoint(directory, MakeEntry(3));
+    CHECK(FindEndpoint(directory, kId)->m_leaving);
+  }
+  SECTION("once it has restarted it is in use again") {
+    auto entry = MakeEntry(2);
+    entry.m_started_unix_ms = 7;
+    CHECK(PutEndpoint(directory, entry).m_kind ==
+          EndpointChangeKind::kRestarted);
+    CHECK_FALSE(FindEndpoint(directory, kId)->m_leaving);
+    CHECK(directory.m_announced.empty());
+  }
+}
+
 }  // namespace
 }  // namespace dotterelshed
