Refuse at once the turns of a host that reaches no disk host

Change: a disk host that failed is left out until a probe in the background is answered. A host without any refuses turns at once and says that it is not ready.

--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -93,7 +93,10 @@
   if (!CheckQuarantine()) {
     return;
   }
-  if (KeepsHistory() && m_headers.m_previous_turn) {
+  if (KeepsHistory() && !m_history.available()) {
+    // Without a disk host a turn can be neither continued nor completed.
+    RespondLocally(kStatusUnavailable, "history_unavailable", kRetryAfter);
+  } else if (KeepsHistory() && m_headers.m_previous_turn) {
     ReadHistory();
   } else {
     BeginAttempts();
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -237,7 +237,8 @@
 
 auto EntryHost::ready() const -> bool {
   return !m_stopping && m_context.m_routes &&
-         !m_context.m_directory.m_entries.empty() && m_lead_watcher->listed();
+         !m_context.m_directory.m_entries.empty() && m_lead_watcher->listed() &&
+         (!KeepsHistory(*m_context.m_routes) || m_history.available());
 }
 
 auto EntryHost::OnReadinessRequest(
--- a/src/libgateway/replica_directory.cc
+++ b/src/libgateway/replica_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
 #include "replica_messages.h"
 
 namespace dotterelshed {
@@ -12,15 +14,21 @@
 /// Disk hosts come and go seldom, and a missing one costs a call at most.
 constexpr Duration kMaxAge = std::chrono::seconds(10);
 constexpr Duration kReaderWait = std::chrono::seconds(5);
-constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+/// Delay before the first probe of a failing host; doubles with each further
+/// failure.
+constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(200);
 constexpr int kMaxDoublings = 3;
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 
 }  // namespace
 
 ReplicaDirectory::ReplicaDirectory(EventLoop& loop,
                                    ObjectStore& store,
+                                   ConnectionPool& peers,
                                    std::optional<ViewReader> reader)
-    : m_watcher(std::make_shared<ObjectWatcher>(
+    : m_loop(loop),
+      m_peers(peers),
+      m_watcher(std::make_shared<ObjectWatcher>(
           loop,
           store,
           WatcherOptions{.m_kind = ObjectKind::kDiskHosts,
@@ -39,6 +47,15 @@
 
 auto ReplicaDirectory::Tick(TimePoint now) -> void {
   m_watcher->Tick(now);
+  for (const auto& host : m_hosts) {
+    const auto found = m_failures.find(host.m_host);
+    const auto due = found != m_failures.end() && !host.m_emptied &&
+                     found->second.m_next_probe <= now;
+    if (due) {
+      found->second.m_next_probe = now + kProbeTimeout * 2;
+      Probe(host);
+    }
+  }
 }
 
 auto ReplicaDirectory::Apply(const StoredObject& object) -> void {
@@ -54,14 +71,24 @@
   m_hosts.push_back(*host);
 }
 
-auto ReplicaDirectory::Avoided(TimePoint now) const -> std::set<HostId> {
-  std::set<HostId> avoided;
+auto ReplicaDirectory::Failing() const -> std::set<HostId> {
+  std::set<HostId> failing;
   for (const auto& [host, failures] : m_failures) {
-    if (failures.m_avoid_until > now) {
-      avoided.insert(host);
+    failing.insert(host);
+  }
+  return failing;
+}
+
+auto ReplicaDirectory::UsableDomains() const -> std::size_t {
+  std::set<DomainId> domains;
+  for (const auto& host : m_hosts) {
+    const auto usable =
+        !host.m_leaving && !host.m_emptied && !m_failures.contains(host.m_host);
+    if (usable) {
+      domains.insert(host.m_domain);
     }
   }
-  return avoided;
+  return domains.size();
 }
 
 auto ReplicaDirectory::NoteCall(const HostId& host,
@@ -73,10 +100,18 @@
   }
   auto& failures = m_failures[host];
   const auto doublings = std::min(failures.m_in_a_row, kMaxDoublings);
-  failures.m_avoid_until = now + kFirstAvoidance * (1 << doublings);
+  failures.m_next_probe = now + kFirstProbeDelay * (1 << doublings);
   ++failures.m_in_a_row;
 }
 
+auto ReplicaDirectory::Probe(const ReplicaHost& host) -> void {
+  CallPeer(m_loop, m_peers, host.m_address, kTurnReadPath,
+           EncodeTurnReadRequest({}), kProbeTimeout,
+           [this, host = host.m_host](const Result<std::string>& reply) {
+             NoteCall(host, reply.has_value(), SteadyTime());
+           });
+}
+
 auto ReplicaDirectory::MarkLeaving(const HostId& host) -> void {
   for (auto& one : m_hosts) {
     if (one.m_host == host) {
--- a/src/libgateway/replica_directory.h
+++ b/src/libgateway/replica_directory.h
@@ -13,7 +13,8 @@
 
 /// @file
 /// The disk hosts that store turns, as the platform's store lists them, and
-/// which of them have failed this host's calls lately.
+/// which of them fail this host's calls. One that failed is probed in the
+/// background until it answers, so that no request waits for it meanwhile.
 
 namespace dotterelshed {
 
@@ -22,6 +23,7 @@
   /// @param reader  Host that reads the store for this one, if any.
   ReplicaDirectory(EventLoop& loop,
                    ObjectStore& store,
+                   ConnectionPool& peers,
                    std::optional<ViewReader> reader);
 
   /// Begins to follow the store; later calls do nothing.
@@ -33,8 +35,10 @@
   auto listed() const -> bool { return m_watcher->listed(); }
   auto watcher() -> ObjectWatcher& { return *m_watcher; }
   auto hosts() const -> const std::vector<ReplicaHost>& { return m_hosts; }
-  /// Hosts that failed lately.
-  auto Avoided(TimePoint now) const -> std::set<HostId>;
+  /// Hosts that failed the last call to them.
+  auto Failing() const -> std::set<HostId>;
+  /// Failure domains with a host that takes turns and does not fail.
+  auto UsableDomains() const -> std::size_t;
   /// Records the outcome of a call.
   auto NoteCall(const HostId& host, bool answered, TimePoint now) -> void;
   /// Records that a host is being emptied, before the store lists it so.
@@ -43,11 +47,14 @@
  private:
   struct Failures {
     int m_in_a_row = 0;
-    TimePoint m_avoid_until;
+    TimePoint m_next_probe;
   };
 
   auto Apply(const StoredObject& object) -> void;
+  auto Probe(const ReplicaHost& host) -> void;
 
+  EventLoop& m_loop;
+  ConnectionPool& m_peers;
   std::vector<ReplicaHost> m_hosts;
   std::map<HostId, Failures> m_failures;
   std::shared_ptr<ObjectWatcher> m_watcher;
