Complete a turn only when it is on as many disks as must not be lost

Change: the end of a response waits for all the domains that must have the turn, or the response is cut off. A host that can't reach them refuses turns at once and says that it is not ready.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -44,7 +44,6 @@
   kJournalFailed = 307,
   kLedgerReadFailed = 308,
   kHistoryNotFound = 310,
-  kHistoryDegraded = 311,
   kTurnWithdrawn = 312,
   kReplicaOpened = 313,
   kReplicaCaughtUp = 314,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -45,7 +45,7 @@
   kViewAge,
   kSuspectContents,
   kHistoryReads,
-  kHistoryStores,
+  kHistoryStoreSeconds,
   kReplicaTurns,
   kReplicaWrites,
   kReplicaCopies,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -70,9 +70,6 @@
     {LogEventId::kHistoryNotFound, LogLevel::kWarning, "history_not_found",
      "A turn that is to be continued was not found: it is absent for certain, "
      "or a disk host that may have it did not answer."},
-    {LogEventId::kHistoryDegraded, LogLevel::kWarning, "history_degraded",
-     "A turn was stored in fewer failure domains than may be lost; it is sent "
-     "to the others until they have it."},
     {LogEventId::kTurnWithdrawn, LogLevel::kInfo, "turn_withdrawn",
      "A stored turn's response did not reach its caller; it is removed."},
     {LogEventId::kReplicaOpened, LogLevel::kInfo, "replica_opened",
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -72,10 +72,9 @@
      "dotterelshed_history_reads_total", "outcome",
      "Histories that turns continue from, by where or whether they were "
      "found."},
-    {MetricId::kHistoryStores, MetricKind::kCounter,
-     "dotterelshed_history_stores_total", "outcome",
-     "Completed turns, by whether enough failure domains stored them in "
-     "time."},
+    {MetricId::kHistoryStoreSeconds, MetricKind::kHistogram,
+     "dotterelshed_history_store_seconds", "",
+     "Time from the end of a turn until it is on enough disks."},
     {MetricId::kReplicaTurns, MetricKind::kGauge, "dotterelshed_replica_turns",
      "unit", "Turns that this disk host stores, and their bytes."},
     {MetricId::kReplicaWrites, MetricKind::kCounter,
--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history_client.cc
@@ -21,8 +21,6 @@
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(500);
 constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
-/// After this time one disk is enough for a turn to count as stored.
-constexpr Duration kMaxStoreWait = std::chrono::milliseconds(800);
 /// After this time the replicas that lack the turn copy it from the others.
 constexpr Duration kMaxStoreTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxPendingStores = 500;
@@ -199,7 +197,13 @@
 // Storing.
 
 auto HistoryClient::RequiredDomains() const -> std::size_t {
-  return static_cast<std::size_t>(m_context.m_settings.m_tolerated_losses) + 1;
+  const auto wanted =
+      static_cast<std::size_t>(m_context.m_settings.m_tolerated_losses) + 1;
+  return std::clamp(m_directory.MemberDomains(), std::size_t{1}, wanted);
+}
+
+auto HistoryClient::available() const -> bool {
+  return m_directory.UsableDomains() >= RequiredDomains();
 }
 
 auto HistoryClient::Store(TurnRecord record, StoredCallback stored) -> void {
@@ -253,24 +257,12 @@
 
 auto HistoryClient::CheckStored(const std::shared_ptr<PendingStore>& store,
                                 TimePoint now) -> void {
-  if (!store->m_stored || store->m_over || store->m_stored_in.empty()) {
+  const auto enough = store->m_stored_in.size() >= RequiredDomains();
+  if (!store->m_stored || store->m_over || !enough) {
     return;
   }
-  const auto stored_in = store->m_stored_in.size();
   const auto waited = now - store->m_started_at;
-  if (stored_in < std::max(m_directory.UsableDomains(), std::size_t{1}) &&
-      stored_in < RequiredDomains() && waited < kMaxStoreWait) {
-    return;
-  }
-  const auto enough = stored_in >= RequiredDomains();
-  CountMetric(MetricId::kHistoryStores, enough ? "stored" : "degraded");
-  if (!enough) {
-    LogEvent(LogEventId::kHistoryDegraded,
-             {{"turn", store->m_record.m_turn.value()},
-              {"domains", std::to_string(stored_in)},
-              {"required", std::to_string(RequiredDomains())},
-              {"ms", FormatMs(waited)}});
-  }
+  ObserveMetric(MetricId::kHistoryStoreSeconds, "", waited);
   std::exchange(store->m_stored, nullptr)();
 }
 
--- a/src/libgateway/history_client.h
+++ b/src/libgateway/history_client.h
@@ -16,8 +16,8 @@
 /// a new one continues from, and stores a completed one on the disk hosts.
 ///
 /// A turn counts as stored once it is on the disks of more failure domains than
-/// may be lost at the same time. While fewer can be reached, those that can are
-/// enough, and the turn is sent to the others until they have it.
+/// may be lost at the same time. It is sent to the other replicas as well,
+/// until they have it.
 
 namespace dotterelshed {
 
@@ -50,9 +50,9 @@
   /// Begins to follow the list of disk hosts; later calls do nothing.
   auto Start() -> void { m_directory.Start(); }
   auto watcher() -> ObjectWatcher& { return m_directory.watcher(); }
-  /// Returns true if some disk host can be reached; otherwise no turn can be
-  /// continued or stored.
-  auto available() const -> bool { return m_directory.UsableDomains() > 0; }
+  /// Returns true if enough disk hosts can be reached for a turn to count as
+  /// stored.
+  auto available() const -> bool;
 
   /// Reads a turn and all that it continues from; responds within about a
   /// second.
@@ -86,7 +86,7 @@
                     bool stored) -> void;
   auto CheckStored(const std::shared_ptr<PendingStore>& store, TimePoint now)
       -> void;
-  /// Number of failure domains that must have a turn.
+  /// Number of failure domains that must have a turn for it to be stored.
   auto RequiredDomains() const -> std::size_t;
 
   EntryContext& m_context;
--- a/src/libgateway/history_unittest.cc
+++ b/src/libgateway/history_unittest.cc
@@ -232,11 +232,13 @@
   CHECK(environment.m_bodies.size() == 1);
 
   environment.AddDisk("d1", "z", false);
+  environment.AddDisk("d2", "y", false);
   environment.RunUntil([&host] { return host.ready(); });
   CHECK(environment.Run("t2", "t1", "second") == 200);
 }
 
-TEST_CASE("one disk is enough while no other is there, which gets it later") {
+TEST_CASE(
+    "a host that reaches fewer domains than must have a turn is not ready") {
   HistoryEnvironment environment;
   environment.AddRecorder();
   environment.AddDisk("d1", "z");
@@ -244,15 +246,20 @@
   environment.Start();
   environment.Run("t1", "", "first,");
   environment.m_disk_hosts[0]->Stop();
-  CHECK(environment.Run("t2", "t1", "second,") == 200);
+  const auto& host = *environment.m_host;
+  // Only a call shows that it is gone.
+  const auto caller = environment.Finish(
+      HistoryEnvironment::MakeKeptTurn("t2", "t1", "second,"));
+  CHECK_FALSE(caller->Body());
+  CHECK_FALSE(host.ready());
+  CHECK(environment.Run("t3", "t1", "second,") == 503);
+  CHECK(environment.m_bodies.size() == 2);
+
   environment.AddDisk("d1", "z", false);
-  environment.RunFor(std::chrono::seconds(2));
-  environment.m_disk_hosts[1]->Stop();
-  environment.RunUntil([&environment] {
-    return environment.RunElsewhere("t3", "t2", "third") == 200;
-  });
-  CHECK(environment.m_bodies.back() ==
-        "first,one\ntwo\nsecond,one\ntwo\nthird");
+  environment.RunUntil([&host] { return host.ready(); });
+  CHECK(environment.Run("t4", "t1", "second,") == 200);
+  // What was not completed was withdrawn.
+  CHECK(environment.Run("t5", "t2", "third") == 404);
 }
 
 TEST_CASE("a disk host is emptied only when the others have its turns") {
--- a/src/libgateway/replica_directory.cc
+++ b/src/libgateway/replica_directory.cc
@@ -79,18 +79,27 @@
   return failing;
 }
 
-auto ReplicaDirectory::UsableDomains() const -> std::size_t {
+auto ReplicaDirectory::CountDomains(const std::set<HostId>& left_out) const
+    -> std::size_t {
   std::set<DomainId> domains;
   for (const auto& host : m_hosts) {
-    const auto usable =
-        !host.m_leaving && !host.m_emptied && !m_failures.contains(host.m_host);
-    if (usable) {
+    const auto counts =
+        !host.m_leaving && !host.m_emptied && !left_out.contains(host.m_host);
+    if (counts) {
       domains.insert(host.m_domain);
     }
   }
   return domains.size();
 }
 
+auto ReplicaDirectory::MemberDomains() const -> std::size_t {
+  return CountDomains({});
+}
+
+auto ReplicaDirectory::UsableDomains() const -> std::size_t {
+  return CountDomains(Failing());
+}
+
 auto ReplicaDirectory::NoteCall(const HostId& host,
                                 bool answered,
                                 TimePoint now) -> void {
--- a/src/libgateway/replica_directory.h
+++ b/src/libgateway/replica_directory.h
@@ -37,7 +37,9 @@
   auto hosts() const -> const std::vector<ReplicaHost>& { return m_hosts; }
   /// Hosts that failed the last call to them.
   auto Failing() const -> std::set<HostId>;
-  /// Failure domains with a host that takes turns and does not fail.
+  /// Number of failure domains with a host that takes turns.
+  auto MemberDomains() const -> std::size_t;
+  /// Number of failure domains with a host that takes turns and does not fail.
   auto UsableDomains() const -> std::size_t;
   /// Records the outcome of a call.
   auto NoteCall(const HostId& host, bool answered, TimePoint now) -> void;
@@ -51,6 +53,7 @@
   };
 
   auto Apply(const StoredObject& object) -> void;
+  auto CountDomains(const std::set<HostId>& left_out) const -> std::size_t;
   auto Probe(const ReplicaHost& host) -> void;
 
   EventLoop& m_loop;
--- a/src/libhistory/replica_placement.cc
+++ b/src/libhistory/replica_placement.cc
@@ -52,6 +52,7 @@
     }
   }
   std::vector<ReplicaHost> replicas;
+  replicas.reserve(best.size());
   for (const auto& [domain, host] : best) {
     replicas.push_back(*host);
   }
