--- a/src/libgateway/forwarding_unittest.cc
+++ b/src/libgateway/forwarding_unittest.cc
@@ -307,6 +307,30 @@
   environment.RunUntil([&environment] { return environment.m_loop.stopped(); });
 }
 
+TEST_CASE("a planned stop passes no request on that comes late in its grace") {
+  TestEnvironment environment;
+  std::optional<Request> open;
+  auto& endpoint = environment.AddEndpoint(
+      [&open](const Request& request) { open = request; });
+  environment.Start();
+  const auto idle = environment.Finish(
+      "GET /none/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r0\r\n\r\n");
+  const auto busy = environment.Call(kUnsafe);
+  environment.RunUntil([&open] { return open.has_value(); });
+  environment.m_host->Stop();
+  environment.RunFor(std::chrono::milliseconds(2900));
+  // Late requests on a connection that is still busy, on one that was idle, and
+  // on a new one.
+  busy->m_stream->Write(kUnsafe);
+  idle->m_stream->Write(kUnsafe);
+  CHECK(idle->m_ended);
+  CHECK_THROWS(environment.Call(kUnsafe));
+  open->m_stream->Write(open->Complete("in time"));
+  environment.RunUntil([&busy] { return busy->m_ended; });
+  CHECK(busy->Body() == "in time");
+  CHECK(endpoint.requests() == 1);
+}
+
 TEST_CASE("an endpoint that says in an answer that it leaves is out of use") {
   TestEnvironment environment;
   const auto status = GENERATE(200, 500, 503);
--- a/src/libgateway/turn_replica.cc
+++ b/src/libgateway/turn_replica.cc
@@ -251,6 +251,7 @@
     }
   }
   std::vector<const TurnRecord*> pointers;
+  pointers.reserve(records.size());
   for (const auto& record : records) {
     pointers.push_back(&record);
   }
@@ -451,13 +452,13 @@
 
 // Leaving.
 
-auto TurnReplica::Empty(std::function<void()> done) -> void {
+auto TurnReplica::Empty(const std::function<void()>& done) -> void {
   m_leaving = true;
   if (m_index.m_turns.empty()) {
     done();
     return;
   }
-  RequestCopies(std::move(done));
+  RequestCopies(done);
 }
 
 auto TurnReplica::RequestCopies(const std::function<void()>& done) -> void {
--- a/src/libgateway/turn_replica.h
+++ b/src/libgateway/turn_replica.h
@@ -38,7 +38,7 @@
   auto Tick(TimePoint now) -> void;
   /// Stops taking turns and has the other replicas copy those that are here.
   /// @p done is called once enough of them have.
-  auto Empty(std::function<void()> done) -> void;
+  auto Empty(const std::function<void()>& done) -> void;
   auto turns() const -> std::size_t { return m_index.m_turns.size(); }
 
  private:
