Know a change in time though the store is silent to the lead alone

Cause: a relayed view was believed for view_max_age_ms, which is rendered from the time out of touch that excuses a host (4 s on grown sites).

Change: each kind of view has the time within which a change must be known (new setting config_change_ms; endpoint_leave_ms). From it follow the age up to which a relayed view is used, the time that a lead may hold an answer, its own watch, and the time-out of a question to a lead that hangs, so that the host has read the store itself before the change is due.

--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/endpoint_view.cc
@@ -59,6 +59,7 @@
       context.m_loop, context.m_store,
       WatcherOptions{.m_kind = ObjectKind::kEndpoints,
                      .m_max_age = context.m_settings.m_view_max_age,
+                     .m_max_change_delay = settings.m_endpoint_leave,
                      .m_batch_delay = kBatchDelay},
       WatcherHandlers{
           .m_on_listing =
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -109,7 +109,10 @@
   const auto max_age = m_context.m_settings.m_view_max_age;
   m_config_watcher = std::make_shared<ObjectWatcher>(
       loop, m_context.m_store,
-      WatcherOptions{.m_kind = ObjectKind::kConfig, .m_max_age = max_age},
+      WatcherOptions{
+          .m_kind = ObjectKind::kConfig,
+          .m_max_age = max_age,
+          .m_max_change_delay = m_context.m_settings.m_config_change},
       HandleEachObject(
           [this](const StoredObject& object) { ApplyConfig(object); }),
       m_context.MakeViewReader());
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -20,6 +20,8 @@
 constexpr Duration kMinHeartbeat = std::chrono::milliseconds(1);
 /// Endpoint changes are batched for up to 800 ms.
 constexpr Duration kMinEndpointLeave = std::chrono::milliseconds(1000);
+/// A host whose reader is silent needs this time to read the store itself.
+constexpr Duration kMinConfigChange = std::chrono::milliseconds(1000);
 
 /// Reads members of a JSON object and keeps the first error.
 struct SettingsReader {
@@ -146,6 +148,8 @@
       "endpoint_heartbeat_ms", kMinHeartbeat, settings.m_endpoint_heartbeat);
   settings.m_endpoint_leave = reader.Milliseconds(
       "endpoint_leave_ms", kMinEndpointLeave, settings.m_endpoint_leave);
+  settings.m_config_change = reader.Milliseconds(
+      "config_change_ms", kMinConfigChange, settings.m_config_change);
   settings.m_max_descriptors = static_cast<int>(reader.Number(
       "max_descriptors", kMinDescriptors, settings.m_max_descriptors));
   settings.m_tolerated_losses = static_cast<int>(
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -43,6 +43,8 @@
   Duration m_endpoint_heartbeat = std::chrono::milliseconds(1200);
   /// A leaving endpoint must be out of use on all hosts within this time.
   Duration m_endpoint_leave = std::chrono::seconds(2);
+  /// A new configuration must be in force on all hosts within this time.
+  Duration m_config_change = std::chrono::seconds(2);
   /// Limit of open file descriptors of the process.
   int m_max_descriptors = 1024;
   /// Number of disk hosts that may fail at the same time.
--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -13,9 +13,15 @@
 
 /// Part of the maximum age reserved for a listing after a lost watch.
 constexpr Duration kListTime = std::chrono::milliseconds(400);
-/// Added to the time that a reader may wait for a change. A leaving endpoint
-/// must be out of use within two seconds even if the reader hangs meanwhile.
+/// Added to the time that a reader may wait for a change.
 constexpr Duration kReaderMargin = std::chrono::milliseconds(300);
+/// Time from a decision on the last view that may be used to the arrival of the
+/// request that it was made for.
+constexpr Duration kUseTime = std::chrono::milliseconds(200);
+/// Time that a reader's response takes at most.
+constexpr Duration kResponseTime = std::chrono::milliseconds(200);
+/// A reader's own watch ends this much before its view is too old for others.
+constexpr Duration kWatchMargin = std::chrono::milliseconds(100);
 /// Minimum duration of a watch; one that ends at once would cause a call per
 /// round trip.
 constexpr Duration kMinWatchTime = std::chrono::milliseconds(200);
@@ -112,11 +118,21 @@
 /// like the absence of changes. Therefore a watch ends early enough for a new
 /// listing within the maximum age.
 auto ObjectWatcher::WatchTimeout() const -> Duration {
-  const auto longest =
-      m_options.m_max_age - m_store.options().m_call_timeout - kListTime;
+  const auto longest = std::min(
+      m_options.m_max_age - m_store.options().m_call_timeout - kListTime,
+      MaxReaderAge() - kWatchMargin);
   return std::max(longest - Age(SteadyTime()), kMinWatchTime);
 }
 
+/// The store may be silent to the reader alone, which notices only at the end
+/// of its watch. A host that uses the reader's view must then have read the
+/// store itself before a change is due.
+auto ObjectWatcher::MaxReaderAge() const -> Duration {
+  const auto oldest =
+      m_options.m_max_change_delay - kListTime - kUseTime - kResponseTime;
+  return std::min(m_options.m_max_age - kListTime, oldest);
+}
+
 auto ObjectWatcher::Watch() -> void {
   m_call_sent_at = SteadyTime();
   m_store.Watch(m_options.m_kind, m_version, WatchTimeout(),
@@ -195,6 +211,10 @@
 
 auto ObjectWatcher::RequestFromReader(const std::string& address) -> void {
   m_call_sent_at = SteadyTime();
+  const auto until_too_old =
+      MaxReaderAge() + kResponseTime - Age(m_call_sent_at);
+  const auto timeout = std::clamp(until_too_old, kResponseTime,
+                                  m_options.m_reader_wait + kReaderMargin);
   if (std::exchange(m_from_store, false)) {
     m_server.FailAll({ErrorCode::kUnavailable,
                       "this host now reads through another host", ""});
@@ -202,7 +222,7 @@
   CallPeer(
       m_loop, m_reader->m_peers, address, kViewPath,
       EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = m_version}),
-      m_options.m_reader_wait + kReaderMargin,
+      timeout,
       [weak = weak_from_this(),
        call_number = ++m_call_number](const Result<std::string>& reply) {
         const auto self = weak.lock();
@@ -218,7 +238,7 @@
     ApplyResponse(*response);
   }
   const auto now = SteadyTime();
-  const auto young = Age(now) <= m_options.m_max_age - kListTime;
+  const auto young = Age(now) < MaxReaderAge();
   if (response && young) {
     StartNextCall();
     return;
@@ -253,9 +273,10 @@
                  std::string(KindName(m_options.m_kind))));
     return;
   }
-  m_server.AddRequest(request, CurrentState(),
-                      SteadyTime() + m_options.m_reader_wait,
-                      std::move(respond));
+  // Other hosts must learn in time that this view gets too old for them.
+  const auto respond_by = std::min(SteadyTime() + m_options.m_reader_wait,
+                                   m_confirmed_at + MaxReaderAge());
+  m_server.AddRequest(request, CurrentState(), respond_by, std::move(respond));
 }
 
 auto ObjectWatcher::Tick(TimePoint now) -> void {
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/object_watcher.h
@@ -27,6 +27,9 @@
   /// The view is complete again within this time after any failure of the store
   /// or of the connection to it.
   Duration m_max_age = std::chrono::seconds(3);
+  /// While the store serves this host, a change is known within this time, even
+  /// if the store is silent to the reader alone.
+  Duration m_max_change_delay = std::chrono::hours(1);
   /// Pause after a change, so that the following changes are fetched in one
   /// call.
   Duration m_batch_delay = std::chrono::milliseconds(250);
@@ -94,6 +97,8 @@
   auto List() -> void;
   auto Watch() -> void;
   auto WatchTimeout() const -> Duration;
+  /// Age up to which a view that comes through a reader is used.
+  auto MaxReaderAge() const -> Duration;
   auto RequestFromReader(const std::string& address) -> void;
   auto OnReaderResponse(const Result<ViewResponse>& response) -> void;
   auto ApplyResponse(const ViewResponse& response) -> void;
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/stale_view_unittest.cc
@@ -108,8 +108,7 @@
 }
 
 TEST_CASE(
-    "a host stops using its lead's view in time if only the lead is cut off",
-    "[.]") {
+    "a host stops using its lead's view in time if only the lead is cut off") {
   TestEnvironment environment;
   auto& endpoint = environment.AddEndpoint(AnswerPlain);
   // Only the lead gets no answers from the store; it reports the age of its
@@ -135,6 +134,41 @@
   CHECK(SteadyTime() - silent_since <= EntrySettings().m_endpoint_leave);
 }
 
+TEST_CASE("a configuration is in force in time if only the lead is cut off") {
+  TestEnvironment environment;
+  environment.AddEndpoint(AnswerPlain);
+  auto silent_since = SteadyTime() + std::chrono::hours(1);
+  // It responds with the age of its view, or not at all.
+  const auto hangs = GENERATE(false, true);
+  ScriptedEndpoint lead(
+      environment.m_loop, [&silent_since, hangs](const auto& request) {
+        const auto view_request = DecodeViewRequest(request.m_body);
+        const auto silent = SteadyTime() >= silent_since;
+        if (!view_request || (silent && hangs)) {
+          return;
+        }
+        const auto age = std::max(SteadyTime() - silent_since, Duration{0});
+        request.m_stream->Write(request.Complete(EncodeViewResponse(
+            {.m_version = view_request->m_version, .m_age = age}, "")));
+      });
+  environment.PutLead("z", "h2", lead);
+  environment.StartFollower();
+  environment.RunFor(std::chrono::seconds(3));
+  silent_since = SteadyTime();
+  environment.m_store.Put("config", "main",
+                          nlohmann::json::parse(R"({"version":2,
+      "routes":[
+       {"name":"new","host":"desk","pathPrefix":"/new/","kind":"safe",
+        "service":"s","timeoutMs":4000}],
+      "services":[{"name":"s"}],
+      "limits":{"headerBytes":4000,"maxBodyBytes":10000}})"));
+  environment.RunUntil([&environment] {
+    return environment.Finish("GET /new/1 HTTP/1.1\r\nHost: desk\r\n\r\n")
+               ->Status() == 200;
+  });
+  CHECK(SteadyTime() - silent_since <= EntrySettings().m_config_change);
+}
+
 TEST_CASE("a host doesn't wait for a lead that never answers") {
   TestEnvironment environment;
   auto& endpoint = environment.AddEndpoint(AnswerPlain);
