Call a failing disk host with probes only

Cause: each turn that was complete but not yet on all replicas was sent again to the one that fails, five times a second for 10 s.

Change: such turns wait for a probe that is answered.

--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history_client.cc
@@ -225,13 +225,17 @@
     -> void {
   const auto now = SteadyTime();
   store->m_sent_at = now;
-  const auto replicas = ChooseReplicas(
-      m_directory.hosts(), store->m_record.m_program, m_directory.Failing());
+  const auto failing = m_directory.Failing();
+  const auto replicas =
+      ChooseReplicas(m_directory.hosts(), store->m_record.m_program, failing);
   store->m_wanted = std::max(replicas.size(), std::size_t{1});
   for (const auto& host : replicas) {
-    const auto unneeded = store->m_stored_in.contains(host.m_domain) ||
-                          store->m_in_flight.contains(host.m_host);
-    if (unneeded) {
+    // A failing host gets the turn once a probe of it has been answered; many
+    // turns may be waiting for it.
+    const auto skipped = store->m_stored_in.contains(host.m_domain) ||
+                         store->m_in_flight.contains(host.m_host) ||
+                         failing.contains(host.m_host);
+    if (skipped) {
       continue;
     }
     store->m_in_flight.insert(host.m_host);
--- a/src/libgateway/history_unittest.cc
+++ b/src/libgateway/history_unittest.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "replica_messages.h"
 #include "test_calls.h"
 
 /// @file
@@ -262,6 +263,39 @@
   CHECK(environment.Run("t5", "t2", "third") == 404);
 }
 
+TEST_CASE("turns that wait for a failing disk host don't call it") {
+  HistoryEnvironment environment;
+  environment.AddRecorder();
+  environment.AddDisk("d1", "z");
+  environment.AddDisk("d2", "y");
+  environment.AddDisk("d3", "x");
+  environment.Start();
+  int calls = 0;
+  // It accepts calls and answers none.
+  ScriptedEndpoint silent(environment.m_loop,
+                          [&calls](const Request& /*request*/) { ++calls; });
+  environment.m_store.Put(
+      "disk-hosts", "d4",
+      EncodeReplicaHost({.m_host = HostId("d4"),
+                         .m_domain = DomainId("w"),
+                         .m_address = FormatTcpAddress(silent.address())}));
+  environment.RunUntil([&environment, &calls] {
+    environment.Run("t" + std::to_string(environment.m_bodies.size()), "", "x");
+    return calls > 0;
+  });
+  environment.RunFor(std::chrono::milliseconds(600));
+  calls = 0;
+  const auto counted_from = SteadyTime();
+  for (int turn = 0; turn < 20; ++turn) {
+    CHECK(environment.Run("u" + std::to_string(turn), "", "x") == 200);
+  }
+  environment.RunFor(std::chrono::seconds(2));
+  // One probe each 200 ms at most, and no call for any of the turns.
+  const auto probes =
+      (SteadyTime() - counted_from) / std::chrono::milliseconds(200) + 1;
+  CHECK(calls <= probes);
+}
+
 TEST_CASE("a disk host is emptied only when the others have its turns") {
   HistoryEnvironment environment;
   environment.AddRecorder();
