--- a/src/libgateway/call_exchange.cc
+++ b/src/libgateway/call_exchange.cc
@@ -94,7 +94,7 @@
     return;
   }
   if (KeepsHistory() && !m_history.available()) {
-    // Without a disk host a turn can be neither continued nor completed.
+    // A turn that can't be stored in the end must not run.
     RespondLocally(kStatusUnavailable, "history_unavailable", kRetryAfter);
   } else if (KeepsHistory() && m_headers.m_previous_turn) {
     ReadHistory();
--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history_client.cc
@@ -15,6 +15,7 @@
 
 namespace {
 
+/// Small beside the memory of the smallest hosts.
 constexpr std::size_t kCacheBytes = std::size_t{8} << 20;
 /// A replica that hasn't responded after this time isn't waited for alone.
 constexpr Duration kHedgeDelay = std::chrono::milliseconds(40);
@@ -24,8 +25,8 @@
 /// After this time the replicas that lack the turn copy it from the others.
 constexpr Duration kMaxStoreTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxPendingStores = 500;
-/// A replica that lost turns earlier than this before their retention ended
-/// can't have lost one that may still be continued.
+/// A replica that has lost nothing for a route's retention and this time has
+/// every turn that may still be continued.
 constexpr Duration kCoverMargin = std::chrono::seconds(15);
 
 }  // namespace
--- a/src/libgateway/history_client.h
+++ b/src/libgateway/history_client.h
@@ -57,8 +57,8 @@
   /// Reads a turn and all that it continues from; responds within about a
   /// second.
   auto Read(const HistoryReadRequest& request, ReadCallback respond) -> void;
-  /// Stores a turn. @p stored is called once the turn counts as stored, which
-  /// may be never.
+  /// Stores a turn. @p stored is called once the turn counts as stored; it may
+  /// never be, so that the caller has to enforce a deadline.
   auto Store(TurnRecord record, StoredCallback stored) -> void;
   /// Removes a turn whose response did not reach its caller.
   auto Withdraw(const TurnRecord& record) -> void;
--- a/src/libgateway/history_unittest.cc
+++ b/src/libgateway/history_unittest.cc
@@ -61,6 +61,14 @@
         ->Status();
   }
 
+  /// Starts a host, with disk hosts d1 and d2 in two domains.
+  auto StartWithTwoDisks() -> void {
+    AddRecorder();
+    AddDisk("d1", "z");
+    AddDisk("d2", "y");
+    Start();
+  }
+
   auto Run(const std::string& id,
            const std::string& previous,
            const std::string& input) -> int {
@@ -85,10 +93,7 @@
 
 TEST_CASE("a turn is sent with the inputs and outputs of those before it") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   CHECK(environment.Run("t1", "", "first,") == 200);
   CHECK(environment.Run("t2", "t1", "second,") == 200);
   CHECK(environment.Run("t3", "t2", "third") == 200);
@@ -102,10 +107,7 @@
 
 TEST_CASE("a turn continues through a host of another domain") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   auto& other = environment.AddHost("h2", "y");
   environment.Run("t1", "", "first,");
   const auto caller = environment.FinishAt(
@@ -116,10 +118,7 @@
 
 TEST_CASE("a turn is found after all disk hosts have restarted") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   environment.Run("t1", "", "first,");
   environment.m_disk_hosts[0]->Stop();
   environment.m_disk_hosts[1]->Stop();
@@ -133,10 +132,7 @@
 
 TEST_CASE("a disk host that lost its disk copies all turns from another one") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   environment.Run("t1", "", "first,");
   environment.Run("t2", "t1", "second,");
   environment.RunFor(std::chrono::milliseconds(300));
@@ -170,10 +166,7 @@
 TEST_CASE(
     "a turn is refused at once while a replica that may have it is away") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   environment.Run("t1", "", "first,");
   environment.m_disk_hosts.back()->Stop();
   const auto caller = environment.Finish(
@@ -214,10 +207,7 @@
 
 TEST_CASE("without disk hosts turns are refused at once, until one is back") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   environment.Run("t1", "", "first,");
   environment.m_disk_hosts[0]->Stop();
   environment.m_disk_hosts[1]->Stop();
@@ -241,10 +231,7 @@
 TEST_CASE(
     "a host that reaches fewer domains than must have a turn is not ready") {
   HistoryEnvironment environment;
-  environment.AddRecorder();
-  environment.AddDisk("d1", "z");
-  environment.AddDisk("d2", "y");
-  environment.Start();
+  environment.StartWithTwoDisks();
   environment.Run("t1", "", "first,");
   environment.m_disk_hosts[0]->Stop();
   const auto& host = *environment.m_host;
