Split the sync of replicas from their requests, and name parts by usual terms

Cause found in reading: a drain was confirmed by a sync that was under way when the request came. That one leaves out turns younger than 1.5 s and turns that this replica was not responsible for before the host left.

Failures to flush the folder, to roll back and to remove turns are reported.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -48,7 +48,7 @@
   kReplicaOpened = 313,
   kReplicaCaughtUp = 314,
   kReplicaBehind = 315,
-  kReplicaEmptied = 316,
+  kReplicaDrained = 316,
   kReplicaDiskFailed = 317,
   kClaimWritten = 401,
   kActionUnknown = 402,
--- a/src/include/dotterelshed/replica_placement.h
+++ b/src/include/dotterelshed/replica_placement.h
@@ -22,7 +22,7 @@
   /// It is being emptied: it still answers reads but takes no new turns.
   bool m_leaving = false;
   /// It has been emptied and holds nothing any more.
-  bool m_emptied = false;
+  bool m_drained = false;
 };
 
 /// Number of failure domains that store a program's turns.
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -177,12 +177,12 @@
   Register();
   m_store.SetRetirementStatus(object.m_name, false,
                               [](const Result<StoredObject>& /*stored*/) {});
-  m_replica.Empty([this, name = object.m_name] { AnswerRetirement(name); });
+  m_replica.Drain([this, name = object.m_name] { AnswerRetirement(name); });
 }
 
 auto DiskHost::AnswerRetirement(const std::string& name) -> void {
   m_entry.m_leaving = true;
-  m_entry.m_emptied = true;
+  m_entry.m_drained = true;
   Register();
   m_store.SetRetirementStatus(
       name, true, [this](const Result<StoredObject>& stored) {
--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history_client.cc
@@ -20,14 +20,14 @@
 /// A replica that hasn't responded after this time isn't waited for alone.
 constexpr Duration kHedgeDelay = std::chrono::milliseconds(40);
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
-constexpr Duration kStoreTimeout = std::chrono::milliseconds(500);
-constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration kWriteTimeout = std::chrono::milliseconds(500);
+constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(200);
 /// After this time the replicas that lack the turn copy it from the others.
-constexpr Duration kMaxStoreTime = std::chrono::seconds(10);
-constexpr std::size_t kMaxPendingStores = 500;
+constexpr Duration kMaxWriteTime = std::chrono::seconds(10);
+constexpr std::size_t kMaxPendingWrites = 500;
 /// A replica that has lost nothing for a route's retention and this time has
 /// every turn that may still be continued.
-constexpr Duration kCoverMargin = std::chrono::seconds(15);
+constexpr Duration kIntactMargin = std::chrono::seconds(15);
 
 }  // namespace
 
@@ -62,7 +62,7 @@
   }
 };
 
-struct HistoryClient::PendingStore {
+struct HistoryClient::PendingWrite {
   TurnRecord m_record;
   std::string m_body;
   StoredCallback m_stored;
@@ -151,8 +151,8 @@
   if (!read->m_respond) {
     return;
   }
-  const auto needed = read->m_request.m_retention + kCoverMargin;
-  if (!reply || reply->m_covered < needed) {
+  const auto needed = read->m_request.m_retention + kIntactMargin;
+  if (!reply || reply->m_intact_for < needed) {
     read->m_certain = false;
   }
   if (reply) {
@@ -208,82 +208,82 @@
 }
 
 auto HistoryClient::Store(TurnRecord record, StoredCallback stored) -> void {
-  auto store = std::make_shared<PendingStore>();
-  store->m_body = EncodeTurnRecords({&record});
-  store->m_record = std::move(record);
-  store->m_record.m_text.clear();
-  store->m_stored = std::move(stored);
-  store->m_started_at = SteadyTime();
-  m_stores.push_back(store);
-  if (m_stores.size() > kMaxPendingStores) {
-    m_stores.front()->m_over = true;
-    m_stores.pop_front();
+  auto write = std::make_shared<PendingWrite>();
+  write->m_body = EncodeTurnRecords({&record});
+  write->m_record = std::move(record);
+  write->m_record.m_text.clear();
+  write->m_stored = std::move(stored);
+  write->m_started_at = SteadyTime();
+  m_writes.push_back(write);
+  if (m_writes.size() > kMaxPendingWrites) {
+    m_writes.front()->m_over = true;
+    m_writes.pop_front();
   }
-  SendToReplicas(store);
+  SendToReplicas(write);
 }
 
-auto HistoryClient::SendToReplicas(const std::shared_ptr<PendingStore>& store)
+auto HistoryClient::SendToReplicas(const std::shared_ptr<PendingWrite>& write)
     -> void {
   const auto now = SteadyTime();
-  store->m_sent_at = now;
+  write->m_sent_at = now;
   const auto failing = m_directory.Failing();
   const auto replicas =
-      ChooseReplicas(m_directory.hosts(), store->m_record.m_program, failing);
-  store->m_wanted = std::max(replicas.size(), std::size_t{1});
+      ChooseReplicas(m_directory.hosts(), write->m_record.m_program, failing);
+  write->m_wanted = std::max(replicas.size(), std::size_t{1});
   for (const auto& host : replicas) {
     // A failing host gets the turn once a probe of it has been answered; many
     // turns may be waiting for it.
-    const auto skipped = store->m_stored_in.contains(host.m_domain) ||
-                         store->m_in_flight.contains(host.m_host) ||
+    const auto skipped = write->m_stored_in.contains(host.m_domain) ||
+                         write->m_in_flight.contains(host.m_host) ||
                          failing.contains(host.m_host);
     if (skipped) {
       continue;
     }
-    store->m_in_flight.insert(host.m_host);
+    write->m_in_flight.insert(host.m_host);
     CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
-             kTurnWritePath, store->m_body, kStoreTimeout,
-             [this, store, host](const Result<std::string>& reply) {
-               OnStoreReply(store, host, reply.has_value());
+             kTurnWritePath, write->m_body, kWriteTimeout,
+             [this, write, host](const Result<std::string>& reply) {
+               OnWriteReply(write, host, reply.has_value());
              });
   }
 }
 
-auto HistoryClient::OnStoreReply(const std::shared_ptr<PendingStore>& store,
+auto HistoryClient::OnWriteReply(const std::shared_ptr<PendingWrite>& write,
                                  const ReplicaHost& host,
                                  bool stored) -> void {
   const auto now = SteadyTime();
-  store->m_in_flight.erase(host.m_host);
+  write->m_in_flight.erase(host.m_host);
   m_directory.NoteCall(host.m_host, stored, now);
   if (stored) {
-    store->m_stored_in.insert(host.m_domain);
+    write->m_stored_in.insert(host.m_domain);
   }
-  CheckStored(store, now);
+  CheckWritten(write, now);
 }
 
-auto HistoryClient::CheckStored(const std::shared_ptr<PendingStore>& store,
-                                TimePoint now) -> void {
-  const auto enough = store->m_stored_in.size() >= RequiredDomains();
-  if (!store->m_stored || store->m_over || !enough) {
+auto HistoryClient::CheckWritten(const std::shared_ptr<PendingWrite>& write,
+                                 TimePoint now) -> void {
+  const auto enough = write->m_stored_in.size() >= RequiredDomains();
+  if (!write->m_stored || write->m_over || !enough) {
     return;
   }
-  const auto waited = now - store->m_started_at;
+  const auto waited = now - write->m_started_at;
   ObserveMetric(MetricId::kHistoryStoreSeconds, "", waited);
-  std::exchange(store->m_stored, nullptr)();
+  std::exchange(write->m_stored, nullptr)();
 }
 
 auto HistoryClient::Withdraw(const TurnRecord& record) -> void {
-  for (const auto& store : m_stores) {
-    if (store->m_record.m_turn == record.m_turn) {
-      store->m_over = true;
+  for (const auto& write : m_writes) {
+    if (write->m_record.m_turn == record.m_turn) {
+      write->m_over = true;
     }
   }
   LogEvent(LogEventId::kTurnWithdrawn, {{"turn", record.m_turn.value()}});
   const auto body = EncodeTurnWithdrawal(
       {.m_turn = record.m_turn, .m_lifetime = record.m_lifetime});
   for (const auto& host : m_directory.hosts()) {
-    if (!host.m_emptied) {
+    if (!host.m_drained) {
       CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
-               kTurnWithdrawPath, body, kStoreTimeout,
+               kTurnWithdrawPath, body, kWriteTimeout,
                [](const Result<std::string>& /*reply*/) {});
     }
   }
@@ -294,18 +294,18 @@
     return;
   }
   m_directory.Tick(now);
-  const auto is_over = [now](const std::shared_ptr<PendingStore>& store) {
+  const auto is_over = [now](const std::shared_ptr<PendingWrite>& write) {
     const auto finished =
-        store->m_stored_in.size() >= store->m_wanted && !store->m_stored;
-    return store->m_over || finished ||
-           now - store->m_started_at > kMaxStoreTime;
+        write->m_stored_in.size() >= write->m_wanted && !write->m_stored;
+    return write->m_over || finished ||
+           now - write->m_started_at > kMaxWriteTime;
   };
-  m_stores.remove_if(is_over);
-  const auto stores = m_stores;
-  for (const auto& store : stores) {
-    CheckStored(store, now);
-    if (now - store->m_sent_at >= kStoreRetryDelay) {
-      SendToReplicas(store);
+  m_writes.remove_if(is_over);
+  const auto writes = m_writes;
+  for (const auto& write : writes) {
+    CheckWritten(write, now);
+    if (now - write->m_sent_at >= kWriteRetryDelay) {
+      SendToReplicas(write);
     }
   }
 }
--- a/src/libgateway/history_client.h
+++ b/src/libgateway/history_client.h
@@ -13,7 +13,7 @@
 
 /// @file
 /// Histories of conversations as an entry host uses them: reads the turns that
-/// a new one continues from, and stores a completed one on the disk hosts.
+/// a new one continues from, and writes a completed one on the disk hosts.
 ///
 /// A turn counts as stored once it is on the disks of more failure domains than
 /// may be lost at the same time. It is sent to the other replicas as well,
@@ -70,7 +70,7 @@
 
  private:
   struct PendingRead;
-  struct PendingStore;
+  struct PendingWrite;
 
   auto AskNext(const std::shared_ptr<PendingRead>& read) -> void;
   auto AskAll(const std::shared_ptr<PendingRead>& read) -> void;
@@ -80,11 +80,11 @@
                    const Result<TurnReadResponse>& reply) -> void;
   auto FinishRead(const std::shared_ptr<PendingRead>& read,
                   HistoryOutcome outcome) -> void;
-  auto SendToReplicas(const std::shared_ptr<PendingStore>& store) -> void;
-  auto OnStoreReply(const std::shared_ptr<PendingStore>& store,
+  auto SendToReplicas(const std::shared_ptr<PendingWrite>& write) -> void;
+  auto OnWriteReply(const std::shared_ptr<PendingWrite>& write,
                     const ReplicaHost& host,
                     bool stored) -> void;
-  auto CheckStored(const std::shared_ptr<PendingStore>& store, TimePoint now)
+  auto CheckWritten(const std::shared_ptr<PendingWrite>& write, TimePoint now)
       -> void;
   /// Number of failure domains that must have a turn for it to be stored.
   auto RequiredDomains() const -> std::size_t;
@@ -92,7 +92,7 @@
   EntryContext& m_context;
   ReplicaDirectory m_directory;
   HistoryCache m_cache;
-  std::list<std::shared_ptr<PendingStore>> m_stores;
+  std::list<std::shared_ptr<PendingWrite>> m_writes;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/history_unittest.cc
+++ b/src/libgateway/history_unittest.cc
@@ -293,7 +293,7 @@
   environment.m_store.Put("retirements", "d1", {{"withinS", 8}});
   environment.RunUntil([&environment] {
     const auto entry = environment.m_store.Find("disk-hosts", "d1");
-    return entry.at("spec").at("emptied").get<bool>();
+    return entry.at("spec").at("drained").get<bool>();
   });
   environment.m_disk_hosts[0]->Stop();
   environment.RunUntil([&environment] {
--- a/src/libgateway/ledger_journal.cc
+++ b/src/libgateway/ledger_journal.cc
@@ -43,7 +43,7 @@
           m_addresses.clear();
           for (const auto& object : listing->m_objects) {
             const auto host = DecodeReplicaHost(object.m_spec);
-            if (host && !host->m_emptied) {
+            if (host && !host->m_drained) {
               m_addresses.push_back(host->m_address);
             }
           }
--- a/src/libgateway/replica_directory.cc
+++ b/src/libgateway/replica_directory.cc
@@ -49,7 +49,7 @@
   m_watcher->Tick(now);
   for (const auto& host : m_hosts) {
     const auto found = m_failures.find(host.m_host);
-    const auto due = found != m_failures.end() && !host.m_emptied &&
+    const auto due = found != m_failures.end() && !host.m_drained &&
                      found->second.m_next_probe <= now;
     if (due) {
       found->second.m_next_probe = now + kProbeTimeout * 2;
@@ -84,7 +84,7 @@
   std::set<DomainId> domains;
   for (const auto& host : m_hosts) {
     const auto counts =
-        !host.m_leaving && !host.m_emptied && !left_out.contains(host.m_host);
+        !host.m_leaving && !host.m_drained && !left_out.contains(host.m_host);
     if (counts) {
       domains.insert(host.m_domain);
     }
--- a/src/libgateway/replica_messages.cc
+++ b/src/libgateway/replica_messages.cc
@@ -88,15 +88,15 @@
 }
 
 auto EncodeTurnReadResponse(const std::vector<const TurnRecord*>& newest_first,
-                            Duration covered) -> std::string {
+                            Duration intact_for) -> std::string {
   return Pack(
-      {{"turns", WriteRecords(newest_first)}, {"covered_ms", ToMs(covered)}});
+      {{"turns", WriteRecords(newest_first)}, {"intact_ms", ToMs(intact_for)}});
 }
 
 auto DecodeTurnReadResponse(std::string_view text) -> Result<TurnReadResponse> {
   return Unpack<TurnReadResponse>(text, [](const Json& json) {
     return TurnReadResponse{.m_turns = ReadRecords(json.at("turns")),
-                            .m_covered = ReadMs(json.at("covered_ms"))};
+                            .m_intact_for = ReadMs(json.at("intact_ms"))};
   });
 }
 
@@ -158,6 +158,15 @@
   });
 }
 
+auto EncodeCopyRequest(const HostId& leaving) -> std::string {
+  return Pack({{"leaving", leaving.value()}});
+}
+
+auto DecodeCopyRequest(std::string_view text) -> Result<HostId> {
+  return Unpack<HostId>(
+      text, [](const Json& json) { return HostId(json.at("leaving")); });
+}
+
 auto EncodeTurnWithdrawal(const TurnWithdrawal& withdrawal) -> std::string {
   return Pack({{"turn", withdrawal.m_turn.value()},
                {"lifetime_ms", ToMs(withdrawal.m_lifetime)}});
@@ -175,7 +184,7 @@
               {"domain", host.m_domain.value()},
               {"peer_address", host.m_address},
               {"leaving", host.m_leaving},
-              {"emptied", host.m_emptied}};
+              {"drained", host.m_drained}};
 }
 
 auto DecodeReplicaHost(const Json& json) -> Result<ReplicaHost> {
@@ -184,7 +193,7 @@
                        .m_domain = DomainId(json.value("domain", "")),
                        .m_address = json.at("peer_address"),
                        .m_leaving = json.value("leaving", false),
-                       .m_emptied = json.value("emptied", false)};
+                       .m_drained = json.value("drained", false)};
   } catch (const Json::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), std::string(kPlace));
   }
--- a/src/libgateway/replica_messages.h
+++ b/src/libgateway/replica_messages.h
@@ -26,7 +26,7 @@
   /// Newest first; empty if the turn is not there.
   std::vector<TurnRecord> m_turns;
   /// Time for which the replica has not lost any turn, so far as it can know.
-  Duration m_covered{0};
+  Duration m_intact_for{0};
 };
 
 /// Lists a replica's turns for another replica.
@@ -62,10 +62,12 @@
     -> std::string;
 auto EncodeTurnReadRequest(const TurnReadRequest& request) -> std::string;
 auto EncodeTurnReadResponse(const std::vector<const TurnRecord*>& newest_first,
-                            Duration covered) -> std::string;
+                            Duration intact_for) -> std::string;
 auto EncodeTurnListRequest(const TurnListRequest& request) -> std::string;
 auto EncodeTurnListResponse(const TurnListResponse& response) -> std::string;
 auto EncodeTurnIds(const std::vector<RequestId>& turns) -> std::string;
+/// Asks a replica to copy all turns of @p leaving, which is being drained.
+auto EncodeCopyRequest(const HostId& leaving) -> std::string;
 auto EncodeTurnWithdrawal(const TurnWithdrawal& withdrawal) -> std::string;
 
 // Errors of all: kInvalidArgument for text that is no message of the kind.
@@ -77,6 +79,7 @@
 auto DecodeTurnListRequest(std::string_view text) -> Result<TurnListRequest>;
 auto DecodeTurnListResponse(std::string_view text) -> Result<TurnListResponse>;
 auto DecodeTurnIds(std::string_view text) -> Result<std::vector<RequestId>>;
+auto DecodeCopyRequest(std::string_view text) -> Result<HostId>;
 auto DecodeTurnWithdrawal(std::string_view text) -> Result<TurnWithdrawal>;
 
 /// Entry of a disk host in the platform's store, by which others find it.
--- a/src/libgateway/turn_log.cc
+++ b/src/libgateway/turn_database.cc
@@ -1,4 +1,4 @@
-#include "turn_log.h"
+#include "turn_database.h"
 
 #include <fcntl.h>
 #include <sqlite3.h>
@@ -29,7 +29,7 @@
     "PRAGMA cache_size = -2000;"
     "CREATE TABLE IF NOT EXISTS turns (sequence INTEGER PRIMARY KEY,"
     " turn TEXT, previous TEXT, program TEXT, text BLOB, expires_ms INTEGER);"
-    "CREATE TABLE IF NOT EXISTS origin (covered_since_ms INTEGER);";
+    "CREATE TABLE IF NOT EXISTS origin (intact_since_ms INTEGER);";
 constexpr const char* kInsert =
     "INSERT OR REPLACE INTO turns VALUES (?, ?, ?, ?, ?, ?)";
 constexpr const char* kDelete = "DELETE FROM turns WHERE sequence = ?";
@@ -123,38 +123,50 @@
 }
 
 /// A new file is only found after a power failure if its folder was flushed.
-auto FlushFolder(const std::string& folder) -> void {
+auto FlushFolder(const std::string& folder) -> Status {
   const auto descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY);
+  const auto flushed = descriptor >= 0 && fsync(descriptor) == 0;
   if (descriptor >= 0) {
-    fsync(descriptor);
     close(descriptor);
   }
+  if (!flushed) {
+    return Fail(ErrorCode::kUnavailable, "cannot be flushed", folder);
+  }
+  return {};
+}
+
+auto LogDiskFailure(const Error& error) -> void {
+  LogEvent(LogEventId::kReplicaDiskFailed,
+           {{"reason", error.m_message}, {"outcome", "refused"}});
 }
 
 }  // namespace
 
-auto TurnLog::DatabaseCloser::operator()(sqlite3* database) const -> void {
+auto TurnDatabase::DatabaseCloser::operator()(sqlite3* database) const -> void {
   sqlite3_close(database);
 }
 
-TurnLog::TurnLog(EventLoop& loop, TurnLogOptions options)
+TurnDatabase::TurnDatabase(EventLoop& loop, TurnDatabaseOptions options)
     : m_loop(loop), m_options(std::move(options)), m_disk_thread(1) {}
 
-TurnLog::~TurnLog() {
+TurnDatabase::~TurnDatabase() {
   Close();
 }
 
-auto TurnLog::Close() -> void {
+auto TurnDatabase::Close() -> void {
   m_disk_thread.join();
   m_writing = true;
   if (m_database && !m_waiting.empty()) {
-    static_cast<void>(WriteBatch(m_waiting));
+    const auto status = WriteBatch(m_waiting);
+    if (!status) {
+      LogDiskFailure(status.error());
+    }
   }
   m_waiting = {};
   m_database.reset();
 }
 
-auto TurnLog::Open() -> Result<TurnLogContents> {
+auto TurnDatabase::Open() -> Result<TurnDatabaseContents> {
   std::error_code error;
   fs::create_directories(m_options.m_folder, error);
   auto contents = OpenDatabase().and_then([this] { return ReadContents(); });
@@ -174,7 +186,7 @@
   return OpenDatabase().and_then([this] { return ReadContents(); });
 }
 
-auto TurnLog::OpenDatabase() -> Status {
+auto TurnDatabase::OpenDatabase() -> Status {
   const auto file = m_options.m_folder + "/" + kFileName;
   sqlite3* database = nullptr;
   const auto code = sqlite3_open_v2(
@@ -185,46 +197,56 @@
   if (code != SQLITE_OK) {
     return DatabaseError(database);
   }
-  auto status = Execute(database, kSetUp);
-  FlushFolder(m_options.m_folder);
-  return status;
+  return Execute(database, kSetUp).and_then([this] {
+    return FlushFolder(m_options.m_folder);
+  });
 }
 
-auto TurnLog::RemoveFiles() const -> void {
+auto TurnDatabase::RemoveFiles() const -> void {
   for (const auto* suffix : {"", "-wal", "-shm", "-journal"}) {
     std::error_code error;
     fs::remove(m_options.m_folder + "/" + kFileName + suffix, error);
   }
 }
 
-auto TurnLog::ReadContents() -> Result<TurnLogContents> {
+auto TurnDatabase::ReadOrigin(std::int64_t now_ms) -> Result<std::int64_t> {
   auto* database = m_database.get();
-  const auto now_ms = UnixMs();
-  auto origin = Prepare(database, "SELECT covered_since_ms FROM origin");
+  const auto origin = Prepare(database, "SELECT intact_since_ms FROM origin");
   if (!origin) {
     return tl::unexpected(origin.error());
   }
-  auto code = sqlite3_step(origin->get());
-  auto covered_since_ms =
-      code == SQLITE_ROW ? sqlite3_column_int64(origin->get(), 0) : 0;
-  origin->reset();
-  if (code == SQLITE_DONE) {
-    covered_since_ms = m_options.m_first_start ? 0 : now_ms;
-    const auto sql =
-        "INSERT INTO origin VALUES (" + std::to_string(covered_since_ms) + ")";
-    if (auto stored = Execute(database, sql.c_str()); !stored) {
-      return tl::unexpected(stored.error());
-    }
-  } else if (code != SQLITE_ROW) {
+  const auto code = sqlite3_step(origin->get());
+  if (code == SQLITE_ROW) {
+    return sqlite3_column_int64(origin->get(), 0);
+  }
+  if (code != SQLITE_DONE) {
     return DatabaseError(database);
   }
-  TurnLogContents contents;
-  contents.m_covered = std::chrono::milliseconds(
-      std::max<std::int64_t>(now_ms - covered_since_ms, 0));
+  const auto intact_since_ms = m_options.m_first_start ? 0 : now_ms;
+  const auto sql =
+      "INSERT INTO origin VALUES (" + std::to_string(intact_since_ms) + ")";
+  const auto stored = Execute(database, sql.c_str());
+  if (!stored) {
+    return tl::unexpected(stored.error());
+  }
+  return intact_since_ms;
+}
+
+auto TurnDatabase::ReadContents() -> Result<TurnDatabaseContents> {
+  auto* database = m_database.get();
+  const auto now_ms = UnixMs();
+  const auto intact_since_ms = ReadOrigin(now_ms);
+  if (!intact_since_ms) {
+    return tl::unexpected(intact_since_ms.error());
+  }
+  TurnDatabaseContents contents;
+  contents.m_intact_for = std::chrono::milliseconds(
+      std::max<std::int64_t>(now_ms - *intact_since_ms, 0));
   const auto select = Prepare(database, kSelect);
   if (!select) {
     return tl::unexpected(select.error());
   }
+  auto code = SQLITE_ROW;
   while ((code = sqlite3_step(select->get())) == SQLITE_ROW) {
     contents.m_turns.push_back(ReadTurn(select->get(), now_ms));
   }
@@ -234,19 +256,19 @@
   return contents;
 }
 
-auto TurnLog::Store(StoredTurn turn, StoredCallback done) -> void {
+auto TurnDatabase::Store(StoredTurn turn, StoredCallback done) -> void {
   m_waiting.m_added.push_back(std::move(turn));
   m_waiting.m_done.push_back(std::move(done));
   WriteNextBatch();
 }
 
-auto TurnLog::Remove(std::vector<std::uint64_t> sequences) -> void {
+auto TurnDatabase::Remove(std::vector<std::uint64_t> sequences) -> void {
   auto& removed = m_waiting.m_removed;
   removed.insert(removed.end(), sequences.begin(), sequences.end());
   WriteNextBatch();
 }
 
-auto TurnLog::WriteNextBatch() -> void {
+auto TurnDatabase::WriteNextBatch() -> void {
   if (m_writing || m_waiting.empty()) {
     return;
   }
@@ -256,6 +278,9 @@
     const auto status = WriteBatch(*batch);
     boost::asio::post(m_loop, [this, batch, status] {
       m_writing = false;
+      if (!status && batch->m_done.empty()) {
+        LogDiskFailure(status.error());
+      }
       for (const auto& done : batch->m_done) {
         done(status);
       }
@@ -264,40 +289,45 @@
   });
 }
 
-auto TurnLog::WriteBatch(const Batch& batch) -> Status {
+auto TurnDatabase::WriteBatch(const Batch& batch) -> Status {
   auto* database = m_database.get();
   if (database == nullptr) {
     return DatabaseError(database);
   }
-  const auto write = [&]() -> Status {
-    const auto insert = Prepare(database, kInsert);
-    const auto remove = Prepare(database, kDelete);
-    if (!insert || !remove) {
-      return DatabaseError(database);
-    }
-    for (const auto& turn : batch.m_added) {
-      if (auto stored = Insert(database, insert->get(), turn); !stored) {
-        return stored;
-      }
+  auto status =
+      Execute(database, "BEGIN IMMEDIATE")
+          .and_then([&] { return WriteChanges(database, batch); })
+          .and_then([database] { return Execute(database, "COMMIT"); });
+  if (!status && sqlite3_get_autocommit(database) == 0) {
+    const auto undone = Execute(database, "ROLLBACK");
+    if (!undone) {
+      LogDiskFailure(undone.error());
     }
-    for (const auto sequence : batch.m_removed) {
-      sqlite3_bind_int64(remove->get(), 1,
-                         static_cast<sqlite3_int64>(sequence));
-      if (auto removed = Run(database, remove->get()); !removed) {
-        return removed;
-      }
+  }
+  return status;
+}
+
+auto TurnDatabase::WriteChanges(sqlite3* database, const Batch& batch)
+    -> Status {
+  const auto insert = Prepare(database, kInsert);
+  const auto remove = Prepare(database, kDelete);
+  if (!insert || !remove) {
+    return DatabaseError(database);
+  }
+  for (const auto& turn : batch.m_added) {
+    auto stored = Insert(database, insert->get(), turn);
+    if (!stored) {
+      return stored;
     }
-    return {};
-  };
-  auto status = Execute(database, "BEGIN IMMEDIATE").and_then(write);
-  if (status) {
-    status = Execute(database, "COMMIT");
   }
-  if (!status && sqlite3_get_autocommit(database) == 0) {
-    // The failure that counts is the first one.
-    static_cast<void>(Execute(database, "ROLLBACK"));
+  for (const auto sequence : batch.m_removed) {
+    sqlite3_bind_int64(remove->get(), 1, static_cast<sqlite3_int64>(sequence));
+    auto removed = Run(database, remove->get());
+    if (!removed) {
+      return removed;
+    }
   }
-  return status;
+  return {};
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/turn_log.h
+++ b/src/libgateway/turn_database.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_TURN_LOG_H_
-#define DOTTERELSHED_TURN_LOG_H_
+#ifndef DOTTERELSHED_TURN_DATABASE_H_
+#define DOTTERELSHED_TURN_DATABASE_H_
 
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
@@ -27,32 +27,32 @@
   TurnRecord m_record;
 };
 
-struct TurnLogContents {
+struct TurnDatabaseContents {
   /// In the order of their sequence numbers, with the lifetimes that are left.
   std::vector<StoredTurn> m_turns;
   /// Time for which this disk has not lost any turn.
-  Duration m_covered{0};
+  Duration m_intact_for{0};
 };
 
-struct TurnLogOptions {
+struct TurnDatabaseOptions {
   std::string m_folder;
   /// An absent database means that nothing has been stored yet, and not that
   /// the disk was replaced.
   bool m_first_start = false;
 };
 
-class TurnLog {
+class TurnDatabase {
  public:
   using StoredCallback = std::function<void(const Status&)>;
 
-  TurnLog(EventLoop& loop, TurnLogOptions options);
-  ~TurnLog();
-  TurnLog(const TurnLog&) = delete;
-  auto operator=(const TurnLog&) -> TurnLog& = delete;
+  TurnDatabase(EventLoop& loop, TurnDatabaseOptions options);
+  ~TurnDatabase();
+  TurnDatabase(const TurnDatabase&) = delete;
+  auto operator=(const TurnDatabase&) -> TurnDatabase& = delete;
 
   /// Opens the database and reads it; a damaged one is replaced by an empty
   /// one. Waits for the disk. Errors: kUnavailable if the disk refuses.
-  auto Open() -> Result<TurnLogContents>;
+  auto Open() -> Result<TurnDatabaseContents>;
   /// Writes what is waiting and closes the files.
   auto Close() -> void;
   /// Stores a turn; @p done runs on the event loop when it is on the disk.
@@ -73,13 +73,17 @@
 
   auto OpenDatabase() -> Status;
   auto RemoveFiles() const -> void;
-  auto ReadContents() -> Result<TurnLogContents>;
+  /// Returns the Unix time in milliseconds since when no turn was lost, and
+  /// records it in a new database.
+  auto ReadOrigin(std::int64_t now_ms) -> Result<std::int64_t>;
+  auto ReadContents() -> Result<TurnDatabaseContents>;
   auto WriteNextBatch() -> void;
   /// Runs on the disk's thread.
   auto WriteBatch(const Batch& batch) -> Status;
+  static auto WriteChanges(sqlite3* database, const Batch& batch) -> Status;
 
   EventLoop& m_loop;
-  TurnLogOptions m_options;
+  TurnDatabaseOptions m_options;
   std::unique_ptr<sqlite3, DatabaseCloser> m_database;
   Batch m_waiting;
   bool m_writing = false;
@@ -89,4 +93,4 @@
 
 }  // namespace dotterelshed
 
-#endif  // DOTTERELSHED_TURN_LOG_H_
+#endif  // DOTTERELSHED_TURN_DATABASE_H_
--- a/src/libgateway/turn_log_unittest.cc
+++ b/src/libgateway/turn_database_unittest.cc
@@ -1,4 +1,4 @@
-#include "turn_log.h"
+#include "turn_database.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -38,7 +38,7 @@
 }
 
 /// Stores turns and runs until they are on the disk.
-auto StoreAll(EventLoop& loop, TurnLog& log, std::vector<StoredTurn> turns)
+auto StoreAll(EventLoop& loop, TurnDatabase& log, std::vector<StoredTurn> turns)
     -> void {
   std::size_t stored = 0;
   for (auto& turn : turns) {
@@ -57,16 +57,16 @@
   const TestFolder folder;
   EventLoop loop;
   {
-    TurnLog log(loop, {.m_folder = folder.m_path, .m_first_start = true});
+    TurnDatabase log(loop, {.m_folder = folder.m_path, .m_first_start = true});
     const auto contents = log.Open();
     REQUIRE(contents);
     CHECK(contents->m_turns.empty());
-    CHECK(contents->m_covered > std::chrono::hours(1));
+    CHECK(contents->m_intact_for > std::chrono::hours(1));
     StoreAll(loop, log, {MakeTurn(1, "a"), MakeTurn(2, "b")});
     log.Remove({1});
     StoreAll(loop, log, {MakeTurn(3, "c")});
   }
-  TurnLog log(loop, {.m_folder = folder.m_path});
+  TurnDatabase log(loop, {.m_folder = folder.m_path});
   const auto contents = log.Open();
   REQUIRE(contents);
   REQUIRE(contents->m_turns.size() == 2);
@@ -78,34 +78,34 @@
   CHECK(b.m_record.m_text == std::string("bytes \0 of b", 12));
   CHECK(b.m_record.m_lifetime > std::chrono::seconds(50));
   CHECK(b.m_record.m_lifetime <= std::chrono::seconds(60));
-  CHECK(contents->m_covered > std::chrono::hours(1));
+  CHECK(contents->m_intact_for > std::chrono::hours(1));
 }
 
 TEST_CASE("an empty disk in a running system may have lost turns") {
   const TestFolder folder;
   EventLoop loop;
-  TurnLog log(loop, {.m_folder = folder.m_path});
+  TurnDatabase log(loop, {.m_folder = folder.m_path});
   const auto contents = log.Open();
   REQUIRE(contents);
-  CHECK(contents->m_covered < std::chrono::seconds(5));
+  CHECK(contents->m_intact_for < std::chrono::seconds(5));
 }
 
 TEST_CASE("a damaged database is replaced, and what it had counts as lost") {
   const TestFolder folder;
   EventLoop loop;
   std::ofstream(folder.m_path + "/turns.db") << std::string(10000, 'x');
-  TurnLog log(loop, {.m_folder = folder.m_path, .m_first_start = true});
+  TurnDatabase log(loop, {.m_folder = folder.m_path, .m_first_start = true});
   const auto contents = log.Open();
   REQUIRE(contents);
   CHECK(contents->m_turns.empty());
-  CHECK(contents->m_covered < std::chrono::seconds(5));
+  CHECK(contents->m_intact_for < std::chrono::seconds(5));
   StoreAll(loop, log, {MakeTurn(1, "a")});
 }
 
 TEST_CASE("a disk that refuses to open is reported") {
   EventLoop loop;
   REQUIRE(StartLogging({.m_level = LogLevel::kError}));
-  TurnLog log(loop, {.m_folder = "/proc/no-such-folder"});
+  TurnDatabase log(loop, {.m_folder = "/proc/no-such-folder"});
   const auto contents = log.Open();
   REQUIRE_FALSE(contents);
   CHECK(contents.error().m_code == ErrorCode::kUnavailable);
--- a/src/libgateway/turn_replica.cc
+++ b/src/libgateway/turn_replica.cc
@@ -15,20 +15,11 @@
 namespace {
 
 constexpr Duration kOpenRetryDelay = std::chrono::seconds(1);
-constexpr Duration kListTimeout = std::chrono::seconds(1);
-constexpr Duration kCopyTimeout = std::chrono::seconds(2);
-constexpr Duration kEmptyTimeout = std::chrono::seconds(5);
-constexpr Duration kEmptyRetryDelay = std::chrono::milliseconds(300);
-/// Interval between comparisons with one other replica.
-constexpr Duration kCompareInterval = std::chrono::seconds(1);
-/// With many replicas the interval grows, so that calls an interval stay few.
-constexpr Duration kComparePeerShare = std::chrono::milliseconds(200);
-/// A writer sends a turn to all replicas at once; younger turns are not missing
-/// yet.
-constexpr Duration kSettledAge = std::chrono::milliseconds(1500);
+constexpr Duration kDrainTimeout = std::chrono::seconds(5);
+constexpr Duration kDrainRetryDelay = std::chrono::milliseconds(300);
 constexpr Duration kSweepInterval = std::chrono::seconds(2);
+/// Turns in one page of the list.
 constexpr std::size_t kListPageTurns = 1000;
-constexpr std::size_t kCopyTurns = 64;
 
 auto RandomStart() -> Incarnation {
   std::random_device device;
@@ -55,18 +46,28 @@
       m_settings(settings),
       m_peer_connections(loop, {}),
       m_directory(loop, store, m_peer_connections, std::nullopt),
-      m_log(loop,
-            {.m_folder = settings.m_data_dir,
-             .m_first_start = settings.m_first_start}),
+      m_database(loop,
+                 {.m_folder = settings.m_data_dir,
+                  .m_first_start = settings.m_first_start}),
+      m_sync(loop,
+             m_peer_connections,
+             m_directory,
+             m_index,
+             {.m_host = settings.m_host,
+              .m_store_turns =
+                  [this](std::vector<TurnRecord> records,
+                         const TurnDatabase::StoredCallback& done) {
+                    StoreTurns(std::move(records), done);
+                  }}),
       m_incarnation(RandomStart()),
-      m_open_timer(loop) {}
+      m_retry_timer(loop) {}
 
 auto TurnReplica::Start() -> void {
-  auto contents = m_log.Open();
+  auto contents = m_database.Open();
   if (!contents) {
     OnDiskResult(tl::unexpected(contents.error()));
-    m_open_timer.expires_after(kOpenRetryDelay);
-    m_open_timer.async_wait([this](const boost::system::error_code& error) {
+    m_retry_timer.expires_after(kOpenRetryDelay);
+    m_retry_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         Start();
       }
@@ -74,7 +75,7 @@
     return;
   }
   const auto now = SteadyTime();
-  m_covered_since = now - contents->m_covered;
+  m_intact_since = now - contents->m_intact_for;
   for (auto& turn : contents->m_turns) {
     m_index.m_last_sequence = turn.m_sequence - 1;
     AddTurn(m_index, std::move(turn.m_record), now);
@@ -86,18 +87,18 @@
   LogEvent(LogEventId::kReplicaOpened,
            {{"turns", std::to_string(m_index.m_turns.size())},
             {"bytes", std::to_string(m_index.m_bytes)},
-            {"covered_ms", FormatMs(contents->m_covered)}});
+            {"intact_ms", FormatMs(contents->m_intact_for)}});
 }
 
 auto TurnReplica::Stop() -> void {
   m_opened = false;
-  m_open_timer.cancel();
+  m_retry_timer.cancel();
   m_directory.Stop();
-  m_log.Close();
+  m_database.Close();
 }
 
-auto TurnReplica::Covered(TimePoint now) const -> Duration {
-  return m_opened ? now - m_covered_since : Duration{0};
+auto TurnReplica::IntactFor(TimePoint now) const -> Duration {
+  return m_opened ? now - m_intact_since : Duration{0};
 }
 
 auto TurnReplica::Handle(const Connection& connection,
@@ -119,7 +120,7 @@
   } else {
     return false;
   }
-  // Nothing is compared with other replicas before turns are kept at all.
+  // The other replicas matter only once turns are kept at all.
   m_directory.Start();
   return true;
 }
@@ -142,11 +143,14 @@
 }
 
 auto TurnReplica::StoreTurns(std::vector<TurnRecord> records,
-                             const TurnLog::StoredCallback& done) -> void {
-  const auto now = SteadyTime();
+                             const TurnDatabase::StoredCallback& done) -> void {
+  if (records.empty()) {
+    done({});
+    return;
+  }
   auto pending = std::make_shared<std::size_t>(records.size());
   auto result = std::make_shared<Status>();
-  const auto on_stored = [this, pending, result, done](const Status& status) {
+  const auto on_stored = [pending, result, done](const Status& status) {
     if (!status) {
       *result = status;
     }
@@ -154,33 +158,37 @@
       done(*result);
     }
   };
-  if (records.empty()) {
-    done({});
-    return;
-  }
   for (auto& record : records) {
-    const auto turn = record.m_turn;
-    const auto outcome = AddTurn(m_index, std::move(record), now);
-    if (outcome == AddOutcome::kFull) {
-      OnDiskResult(Fail(ErrorCode::kLimit, "too many bytes of turns"));
-      on_stored(Fail(ErrorCode::kLimit, "too many bytes of turns"));
-      continue;
-    }
-    if (outcome == AddOutcome::kWithdrawn) {
-      on_stored({});
-      continue;
-    }
-    // A known turn may still be on its way to the disk, so it is stored again.
-    const auto& indexed = m_index.m_turns.at(turn);
-    m_log.Store({.m_sequence = indexed.m_sequence,
-                 .m_record = CopyWithLifetimeLeft(indexed, now)},
-                [this, turn, on_stored](const Status& status) {
-                  OnDiskResult(status);
-                  on_stored(status);
-                });
+    StoreTurn(std::move(record), on_stored);
   }
 }
 
+auto TurnReplica::StoreTurn(TurnRecord record,
+                            const TurnDatabase::StoredCallback& done) -> void {
+  const auto now = SteadyTime();
+  const auto turn = record.m_turn;
+  const auto on_disk = [this, done](const Status& status) {
+    OnDiskResult(status);
+    done(status);
+  };
+  switch (AddTurn(m_index, std::move(record), now)) {
+    case AddOutcome::kFull:
+      on_disk(Fail(ErrorCode::kLimit, "too many bytes of turns"));
+      return;
+    case AddOutcome::kWithdrawn:
+      done({});
+      return;
+    case AddOutcome::kAdded:
+    case AddOutcome::kKnown:
+      // A known turn may still be on its way to the disk.
+      break;
+  }
+  const auto& indexed = m_index.m_turns.at(turn);
+  m_database.Store({.m_sequence = indexed.m_sequence,
+                    .m_record = CopyWithLifetimeLeft(indexed, now)},
+                   on_disk);
+}
+
 auto TurnReplica::OnDiskResult(const Status& status) -> void {
   CountMetric(MetricId::kReplicaWrites, status ? "stored" : "failed");
   if (m_disk_failed == !status) {
@@ -209,7 +217,7 @@
     records.push_back(&turn->m_record);
   }
   connection->Answer(kStatusOk, {},
-                     EncodeTurnReadResponse(records, Covered(SteadyTime())));
+                     EncodeTurnReadResponse(records, IntactFor(SteadyTime())));
 }
 
 auto TurnReplica::OnList(const Connection& connection, const std::string& body)
@@ -267,162 +275,20 @@
   const auto sequence = WithdrawTurn(m_index, withdrawal->m_turn,
                                      SteadyTime() + withdrawal->m_lifetime);
   if (sequence != 0) {
-    m_log.Remove({sequence});
+    m_database.Remove({sequence});
   }
   connection->Answer(kStatusOk, {}, "");
 }
 
 auto TurnReplica::OnCopyRequest(const Connection& connection,
                                 const std::string& body) -> void {
-  const auto host = DecodeTurnIds(body);
+  const auto host = DecodeCopyRequest(body);
   if (RejectMalformed(connection, host)) {
     return;
   }
-  const auto leaving = HostId(host->empty() ? "" : host->front().value());
-  m_directory.MarkLeaving(leaving);
-  for (const auto& peer : m_directory.hosts()) {
-    if (peer.m_host == leaving) {
-      auto& state = m_peers[leaving];
-      state.m_caught_up = false;
-      state.m_after = 0;
-      state.m_waiting.push_back([connection](bool copied) {
-        connection->Answer(copied ? kStatusOk : kStatusUnavailable, {}, "");
-      });
-      if (!state.m_busy) {
-        CompareWith(peer);
-      }
-      return;
-    }
-  }
-  connection->Answer(kStatusUnavailable, {}, "");
-}
-
-// Comparison with other replicas.
-
-auto TurnReplica::Others() const -> std::vector<ReplicaHost> {
-  auto others = m_directory.hosts();
-  std::erase_if(others, [this](const ReplicaHost& host) {
-    return host.m_host == m_settings.m_host || host.m_emptied;
+  m_sync.SyncBeforeLeave(*host, [connection](bool copied) {
+    connection->Answer(copied ? kStatusOk : kStatusUnavailable, {}, "");
   });
-  return others;
-}
-
-auto TurnReplica::IsResponsible(const ProgramId& program) const -> bool {
-  const auto replicas = ChooseReplicas(m_directory.hosts(), program, {});
-  return std::any_of(replicas.begin(), replicas.end(),
-                     [this](const ReplicaHost& host) {
-                       return host.m_host == m_settings.m_host;
-                     });
-}
-
-auto TurnReplica::Call(const ReplicaHost& peer,
-                       std::string_view path,
-                       const std::string& body,
-                       Duration timeout,
-                       std::function<void(const Result<std::string>&)> reply)
-    -> void {
-  CallPeer(m_loop, m_peer_connections, peer.m_address, path, body, timeout,
-           std::move(reply));
-}
-
-auto TurnReplica::CompareWith(const ReplicaHost& peer) -> void {
-  auto& state = m_peers[peer.m_host];
-  state.m_busy = true;
-  const auto min_age = state.m_caught_up ? kSettledAge : Duration{0};
-  Call(peer, kTurnListPath,
-       EncodeTurnListRequest({.m_incarnation = state.m_incarnation,
-                              .m_after = state.m_after,
-                              .m_min_age = min_age}),
-       kListTimeout, [this, peer](const Result<std::string>& reply) {
-         const auto list = reply.and_then(DecodeTurnListResponse);
-         if (list) {
-           OnPeerList(peer, *list);
-         } else {
-           OnCompareFailed(peer, list.error().m_message);
-         }
-       });
-}
-
-auto TurnReplica::OnPeerList(const ReplicaHost& peer,
-                             const TurnListResponse& list) -> void {
-  std::vector<RequestId> wanted;
-  for (const auto& listed : list.m_turns) {
-    const auto lacking = !m_index.m_turns.contains(listed.m_turn) &&
-                         !m_index.m_withdrawn.contains(listed.m_turn);
-    if (lacking && !m_leaving && IsResponsible(listed.m_program)) {
-      wanted.push_back(listed.m_turn);
-    }
-  }
-  CopyTurns(peer, std::move(wanted), list);
-}
-
-auto TurnReplica::CopyTurns(const ReplicaHost& peer,
-                            std::vector<RequestId> wanted,
-                            const TurnListResponse& list) -> void {
-  if (wanted.empty()) {
-    OnCompared(peer, list);
-    return;
-  }
-  const auto count = std::min(wanted.size(), kCopyTurns);
-  const auto split = wanted.begin() + static_cast<std::ptrdiff_t>(count);
-  const std::vector<RequestId> now(wanted.begin(), split);
-  std::vector<RequestId> later(split, wanted.end());
-  Call(peer, kTurnFetchPath, EncodeTurnIds(now), kCopyTimeout,
-       [this, peer, list,
-        later = std::move(later)](const Result<std::string>& reply) {
-         auto records = reply.and_then(DecodeTurnRecords);
-         if (!records) {
-           OnCompareFailed(peer, records.error().m_message);
-           return;
-         }
-         CountMetric(MetricId::kReplicaCopies, peer.m_domain.value(),
-                     static_cast<std::int64_t>(records->size()));
-         StoreTurns(std::move(*records),
-                    [this, peer, list, later](const Status& status) {
-                      if (status) {
-                        CopyTurns(peer, later, list);
-                      } else {
-                        OnCompareFailed(peer, status.error().m_message);
-                      }
-                    });
-       });
-}
-
-auto TurnReplica::OnCompared(const ReplicaHost& peer,
-                             const TurnListResponse& list) -> void {
-  auto& state = m_peers[peer.m_host];
-  state.m_incarnation = list.m_incarnation;
-  state.m_after = list.m_last_sequence;
-  if (list.m_has_more) {
-    CompareWith(peer);
-    return;
-  }
-  if (!std::exchange(state.m_caught_up, true)) {
-    LogEvent(LogEventId::kReplicaCaughtUp,
-             {{"with", peer.m_host.value()},
-              {"turns", std::to_string(m_index.m_turns.size())}});
-  }
-  state.m_busy = false;
-  const auto share =
-      kComparePeerShare * static_cast<std::int64_t>(m_directory.hosts().size());
-  state.m_next_at = SteadyTime() + std::max(kCompareInterval, share);
-  for (const auto& waiting : std::exchange(state.m_waiting, {})) {
-    waiting(true);
-  }
-}
-
-auto TurnReplica::OnCompareFailed(const ReplicaHost& peer,
-                                  const std::string& reason) -> void {
-  auto& state = m_peers[peer.m_host];
-  if (std::exchange(state.m_caught_up, false)) {
-    LogEvent(LogEventId::kReplicaBehind,
-             {{"with", peer.m_host.value()}, {"reason", reason}});
-  }
-  state.m_busy = false;
-  state.m_next_at = SteadyTime() + kCompareInterval;
-  for (const auto& waiting : std::exchange(state.m_waiting, {})) {
-    waiting(false);
-  }
 }
 
 auto TurnReplica::Tick(TimePoint now) -> void {
@@ -433,77 +299,79 @@
   }
   if (now - m_last_sweep >= kSweepInterval) {
     m_last_sweep = now;
-    m_log.Remove(DropExpiredTurns(m_index, now));
+    m_database.Remove(DropExpiredTurns(m_index, now));
     SetMetric(MetricId::kReplicaTurns,
               static_cast<double>(m_index.m_turns.size()), "turns");
     SetMetric(MetricId::kReplicaTurns, static_cast<double>(m_index.m_bytes),
               "bytes");
   }
-  if (!m_directory.listed()) {
-    return;
-  }
-  for (const auto& peer : Others()) {
-    const auto& state = m_peers[peer.m_host];
-    if (!state.m_busy && state.m_next_at <= now) {
-      CompareWith(peer);
-    }
+  if (!m_leaving) {
+    m_sync.Tick(now);
   }
 }
 
 // Leaving.
 
-auto TurnReplica::Empty(const std::function<void()>& done) -> void {
+auto TurnReplica::Drain(const std::function<void()>& done) -> void {
   m_leaving = true;
   if (m_index.m_turns.empty()) {
     done();
-    return;
+  } else {
+    RequestCopies(done);
   }
-  RequestCopies(done);
 }
 
-auto TurnReplica::RequestCopies(const std::function<void()>& done) -> void {
-  const auto peers = Others();
-  auto domains = std::make_shared<std::set<DomainId>>();
-  auto pending = std::make_shared<std::size_t>(peers.size());
-  std::set<DomainId> reachable;
-  for (const auto& peer : peers) {
-    reachable.insert(peer.m_domain);
+auto TurnReplica::RequiredDomains() const -> std::size_t {
+  std::set<DomainId> domains;
+  for (const auto& peer : m_sync.Others()) {
+    domains.insert(peer.m_domain);
   }
-  const auto required =
-      std::min(static_cast<std::size_t>(m_settings.m_tolerated_losses) + 1,
-               std::max(reachable.size(), std::size_t{1}));
-  const auto finish = [this, done, domains, required] {
-    if (domains->size() >= required) {
-      LogEvent(LogEventId::kReplicaEmptied,
-               {{"turns", std::to_string(m_index.m_turns.size())},
-                {"domains", std::to_string(domains->size())}});
-      done();
-      return;
-    }
-    m_open_timer.expires_after(kEmptyRetryDelay);
-    m_open_timer.async_wait(
-        [this, done](const boost::system::error_code& error) {
-          if (!error) {
-            RequestCopies(done);
-          }
-        });
-  };
+  const auto wanted =
+      static_cast<std::size_t>(m_settings.m_tolerated_losses) + 1;
+  return std::clamp(domains.size(), std::size_t{1}, wanted);
+}
+
+auto TurnReplica::RequestCopies(const std::function<void()>& done) -> void {
+  const auto peers = m_sync.Others();
+  auto request = std::make_shared<CopyRequest>();
+  request->m_pending = peers.size();
   if (peers.empty()) {
-    finish();
+    OnCopiesRequested(*request, done);
     return;
   }
-  const auto body = EncodeTurnIds({RequestId(m_settings.m_host.value())});
+  const auto body = EncodeCopyRequest(m_settings.m_host);
   for (const auto& peer : peers) {
-    Call(peer, kTurnCopyPath, body, kEmptyTimeout,
-         [peer, domains, pending, finish](const Result<std::string>& reply) {
-           if (reply) {
-             domains->insert(peer.m_domain);
-           }
-           if (--*pending == 0) {
-             finish();
-           }
-         });
+    CallPeer(m_loop, m_peer_connections, peer.m_address, kTurnCopyPath, body,
+             kDrainTimeout,
+             [this, request, done,
+              domain = peer.m_domain](const Result<std::string>& reply) {
+               if (reply) {
+                 request->m_copied_in.insert(domain);
+               }
+               if (--request->m_pending == 0) {
+                 OnCopiesRequested(*request, done);
+               }
+             });
+  }
+}
+
+auto TurnReplica::OnCopiesRequested(const CopyRequest& request,
+                                    const std::function<void()>& done) -> void {
+  const auto domains = request.m_copied_in.size();
+  if (domains >= RequiredDomains()) {
+    LogEvent(LogEventId::kReplicaDrained,
+             {{"turns", std::to_string(m_index.m_turns.size())},
+              {"domains", std::to_string(domains)}});
+    done();
+    return;
   }
+  m_retry_timer.expires_after(kDrainRetryDelay);
+  m_retry_timer.async_wait(
+      [this, done](const boost::system::error_code& error) {
+        if (!error) {
+          RequestCopies(done);
+        }
+      });
 }
 
 }  // namespace dotterelshed
--- a/src/libhistory/replica_placement.cc
+++ b/src/libhistory/replica_placement.cc
@@ -42,7 +42,7 @@
     -> std::vector<ReplicaHost> {
   std::map<DomainId, const ReplicaHost*> best;
   for (const auto& host : hosts) {
-    if (host.m_leaving || host.m_emptied) {
+    if (host.m_leaving || host.m_drained) {
       continue;
     }
     auto& chosen = best[host.m_domain];
@@ -75,7 +75,7 @@
       order.begin(), order.end(),
       [&domain](const ReplicaHost& host) { return host.m_domain == domain; });
   for (const auto& host : hosts) {
-    if (!host.m_emptied && !Contains(order, host.m_host)) {
+    if (!host.m_drained && !Contains(order, host.m_host)) {
       order.push_back(host);
     }
   }
--- a/src/libhistory/replica_placement_unittest.cc
+++ b/src/libhistory/replica_placement_unittest.cc
@@ -88,7 +88,7 @@
 TEST_CASE("all hosts that may have turns are read, the nearest first") {
   auto hosts = MakeHosts();
   hosts[2].m_leaving = true;
-  hosts[3].m_emptied = true;
+  hosts[3].m_drained = true;
   const auto order = OrderForReading(hosts, ProgramId("p"), DomainId("a"), {});
   CHECK(order.size() == hosts.size() - 1);
   CHECK(order.front().m_domain == DomainId("a"));
