--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -67,6 +67,7 @@
   std::map<ServiceId, std::vector<EndpointId>> m_by_service;
   /// Entries that were removed after an outage, and the end of their use.
   std::map<EndpointId, TimePoint> m_expiring;
+  /// Endpoints that said that they are leaving.
   std::map<EndpointId, LeaveAnnouncement> m_announced;
   /// Until this time a removed entry may have expired during an outage.
   std::optional<TimePoint> m_grace_period_end;
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -75,7 +75,8 @@
     {LogEventId::kReplicaOpened, LogLevel::kInfo, "replica_opened",
      "A disk host read the turns on its disk."},
     {LogEventId::kReplicaCaughtUp, LogLevel::kInfo, "replica_caught_up",
-     "A disk host has copied all turns that another one has and it should have."},
+     "A disk host has copied all turns that another one has and it should "
+     "have."},
     {LogEventId::kReplicaBehind, LogLevel::kWarning, "replica_behind",
      "A disk host could not read the turns of another one, and may lack some."},
     {LogEventId::kReplicaDrained, LogLevel::kInfo, "replica_drained",
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -19,6 +19,8 @@
   "view_max_age_ms": 4000,
   "endpoint_heartbeat_ms": 1100,
   "endpoint_leave_ms": 3000,
+  "config_change_ms": 2500,
+  "first_start": true,
   "stop_grace_s": 8.5
 })";
 
@@ -36,6 +38,8 @@
   CHECK(settings->m_view_max_age == std::chrono::seconds(4));
   CHECK(settings->m_endpoint_heartbeat == std::chrono::milliseconds(1100));
   CHECK(settings->m_endpoint_leave == std::chrono::seconds(3));
+  CHECK(settings->m_config_change == std::chrono::milliseconds(2500));
+  CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
 }
@@ -50,6 +54,8 @@
                std::tuple("4000", "1500", "view_max_age_ms"),
                std::tuple("1100", "0", "endpoint_heartbeat_ms"),
                std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
+               std::tuple("2500", "900", "config_change_ms"),
+               std::tuple("true", "1", "first_start"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
--- a/src/libgateway/history_client.h
+++ b/src/libgateway/history_client.h
@@ -49,6 +49,8 @@
 
   /// Begins to follow the list of disk hosts; later calls do nothing.
   auto Start() -> void { m_directory.Start(); }
+  /// Watcher of the list of disk hosts, which other hosts may read through this
+  /// one.
   auto watcher() -> ObjectWatcher& { return m_directory.watcher(); }
   /// Returns true if enough disk hosts can be reached for a turn to count as
   /// stored.
@@ -66,6 +68,7 @@
   auto Remember(const RequestId& turn, HistoryText text) -> void {
     m_cache.Put(turn, std::move(text));
   }
+  /// Sends turns to replicas that lack them; call several times per second.
   auto Tick(TimePoint now) -> void;
 
  private:
--- a/src/libgateway/replica_directory.h
+++ b/src/libgateway/replica_directory.h
@@ -29,10 +29,13 @@
   /// Begins to follow the store; later calls do nothing.
   auto Start() -> void;
   auto Stop() -> void { m_watcher->Stop(); }
+  /// Answers hosts that wait for a change of the list, and probes failing disk
+  /// hosts; call several times per second.
   auto Tick(TimePoint now) -> void;
   auto started() const -> bool { return m_started; }
   /// Returns true once the hosts are known.
   auto listed() const -> bool { return m_watcher->listed(); }
+  /// Watcher of the list, which other hosts may read through this one.
   auto watcher() -> ObjectWatcher& { return *m_watcher; }
   auto hosts() const -> const std::vector<ReplicaHost>& { return m_hosts; }
   /// Hosts that failed the last call to them.
@@ -43,7 +46,7 @@
   auto UsableDomains() const -> std::size_t;
   /// Records the outcome of a call.
   auto NoteCall(const HostId& host, bool answered, TimePoint now) -> void;
-  /// Records that a host is being emptied, before the store lists it so.
+  /// Records that a host is being drained, before the store lists it so.
   auto MarkLeaving(const HostId& host) -> void;
 
  private:
