--- a/src/libgateway/replica_messages_unittest.cc
+++ b/src/libgateway/replica_messages_unittest.cc
@@ -7,7 +7,8 @@
 #include <string>
 
 /// @file
-/// Messages about kept turns: what is sent arrives, and other bytes are refused.
+/// Messages about kept turns: what is sent arrives, and other bytes are
+/// refused.
 
 namespace dotterelshed {
 namespace {
@@ -36,11 +37,11 @@
 }
 
 TEST_CASE("lists and withdrawals arrive as they were sent") {
-  const auto list = DecodeTurnListResponse(EncodeTurnListResponse(
-      {.m_incarnation = Incarnation(3),
-       .m_turns = {{RequestId("t1"), ProgramId("p")}},
-       .m_last_sequence = 9,
-       .m_has_more = true}));
+  const auto list = DecodeTurnListResponse(
+      EncodeTurnListResponse({.m_incarnation = Incarnation(3),
+                              .m_turns = {{RequestId("t1"), ProgramId("p")}},
+                              .m_last_sequence = 9,
+                              .m_has_more = true}));
   REQUIRE(list);
   CHECK(list->m_incarnation == Incarnation(3));
   CHECK(list->m_turns.front().m_turn == RequestId("t1"));
