Read the leads' entries through the lead, and follow a new lead at once

Cause: each host watched the leads' entries itself and read configuration and endpoints itself when it started; when a lead gave way, the hosts that asked its successor before that had listed were refused and read the store for 2 s. So the calls of the store grew with the number of hosts.

Change: the entries of leads are a view like the others, known within 3 s though the store is silent to the lead alone. A host starts with them and gets the rest from its lead. A successor lists at once, and requests during its listing wait. A host whose claim conflicts reads the claim.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -28,9 +28,13 @@
 /// Added to the longest retention of the routes, so that turns still running at
 /// its end are counted.
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
-/// Lead entries may be this old, since a host whose request to a lead fails
-/// reads the entry again anyway.
+/// Lead entries may be this old, since a host whose claim fails reads the entry
+/// again anyway.
 constexpr Duration kLeadViewAge = std::chrono::seconds(10);
+/// A new lead of another domain is known within this time if the store is
+/// silent to the own domain's lead alone. Until then, turns of that domain's
+/// accounts are refused.
+constexpr Duration kLeadChangeDelay = std::chrono::seconds(3);
 /// Upper bound of the random delay that spreads the hosts' retries of a
 /// quarantined request.
 constexpr Duration kMaxTrialDelay = std::chrono::seconds(5);
@@ -116,13 +120,21 @@
       HandleEachObject(
           [this](const StoredObject& object) { ApplyConfig(object); }),
       m_context.MakeViewReader());
-  // Reads the store directly rather than through the lead, since this finds the
-  // successor of a failed lead.
+  auto handlers = HandleEachObject(
+      [this](const StoredObject& object) { m_lead.OnLeadObject(object); });
+  // The other views can be read through the lead once it is known.
+  handlers.m_on_listing =
+      [this, take = handlers.m_on_listing](const ObjectListing& listing) {
+        take(listing);
+        StartViews();
+      };
+  handlers.m_on_reachable = [this](bool /*reachable*/) { StartViews(); };
   m_lead_watcher = std::make_shared<ObjectWatcher>(
       loop, m_context.m_store,
-      WatcherOptions{.m_kind = ObjectKind::kLeads, .m_max_age = kLeadViewAge},
-      HandleEachObject(
-          [this](const StoredObject& object) { m_lead.OnLeadObject(object); }));
+      WatcherOptions{.m_kind = ObjectKind::kLeads,
+                     .m_max_age = kLeadViewAge,
+                     .m_max_change_delay = kLeadChangeDelay},
+      std::move(handlers), m_context.MakeViewReader());
 }
 
 auto EntryHost::Start() -> Status {
@@ -140,8 +152,6 @@
   // The system may have chosen the port.
   m_context.m_settings.m_peer_address =
       FormatTcpAddress(m_peers.local_address());
-  m_config_watcher->Start();
-  m_endpoint_view.Start();
   m_lead_watcher->Start();
   ArmTick();
   LogEvent(LogEventId::kHostStarted,
@@ -151,6 +161,13 @@
   return {};
 }
 
+auto EntryHost::StartViews() -> void {
+  if (!std::exchange(m_views_started, true)) {
+    m_config_watcher->Start();
+    m_endpoint_view.Start();
+  }
+}
+
 // Configuration.
 
 auto EntryHost::ApplyConfig(const StoredObject& object) -> void {
@@ -331,6 +348,8 @@
       return *m_context.m_endpoint_watcher;
     case ObjectKind::kDiskHosts:
       return m_history.watcher();
+    case ObjectKind::kLeads:
+      return *m_lead_watcher;
     default:
       return *m_config_watcher;
   }
@@ -396,6 +415,7 @@
   }
   m_endpoint_view.Tick(now);
   m_config_watcher->Tick(now);
+  m_lead_watcher->Tick(now);
   m_context.m_endpoint_connections.Tick(now);
   m_context.m_peer_connections.Tick(now);
   m_callers.Tick(now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -61,6 +61,8 @@
               int status,
               std::string_view reason) -> void;
 
+  /// Starts to read configuration and endpoints, unless started before.
+  auto StartViews() -> void;
   auto ApplyConfig(const StoredObject& object) -> void;
   auto ApplyLimits() -> void;
 
@@ -85,6 +87,7 @@
   TimePoint m_stop_started_at;
   TimePoint m_last_flush;
   TimePoint m_last_crash_sweep;
+  bool m_views_started = false;
   bool m_stopping = false;
 };
 
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -73,8 +73,8 @@
     BecomeIdle();
     if (stored.error().m_code != ErrorCode::kConflict) {
       m_retry_at = SteadyTime() + kClaimRetryDelay;
-      ReadClaim();
     }
+    ReadClaim();
     return;
   }
   const auto entry = DecodeLeadEntry(stored->m_spec);
@@ -88,7 +88,8 @@
   BeginAdopting();
 }
 
-/// Checks whether a failed claim was applied nevertheless.
+/// Checks whether a failed claim was applied nevertheless, or which host
+/// claimed the lead before.
 auto LeadService::ReadClaim() -> void {
   m_context.m_store.Get(
       ObjectKind::kLeads, m_context.m_settings.m_domain.value(),
--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -25,11 +25,22 @@
 /// Minimum duration of a watch; one that ends at once would cause a call per
 /// round trip.
 constexpr Duration kMinWatchTime = std::chrono::milliseconds(200);
+/// Timeout of a reader for a host that has no view yet. The reader need not
+/// wait for a change, and the store can be read instead.
+constexpr Duration kFirstViewTimeout = std::chrono::milliseconds(300);
 /// After a failure of the reader, the store is read directly for this time.
 constexpr Duration kDirectReadTime = std::chrono::milliseconds(2000);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
 
+auto ReasonToLeave(const Result<ViewResponse>& response, bool complete)
+    -> std::string {
+  if (!response) {
+    return response.error().m_message;
+  }
+  return complete ? "stale" : "no objects";
+}
+
 }  // namespace
 
 auto HandleEachObject(const std::function<void(const StoredObject&)>& take)
@@ -65,7 +76,7 @@
       m_confirmed_at(SteadyTime()) {}
 
 auto ObjectWatcher::Start() -> void {
-  List();
+  StartNextCall();
 }
 
 auto ObjectWatcher::Stop() -> void {
@@ -91,9 +102,15 @@
       });
 }
 
+auto ObjectWatcher::ReaderAddress() const -> std::string {
+  return m_reader ? m_reader->m_address() : std::string();
+}
+
 auto ObjectWatcher::StartNextCall() -> void {
-  const auto address = m_reader ? m_reader->m_address() : std::string();
-  if (!address.empty() && SteadyTime() >= m_direct_until) {
+  const auto address = ReaderAddress();
+  const auto failing =
+      address == m_failed_reader && SteadyTime() < m_direct_until;
+  if (!address.empty() && !failing) {
     RequestFromReader(address);
   } else if (m_from_store) {
     Watch();
@@ -104,6 +121,8 @@
 
 auto ObjectWatcher::List() -> void {
   m_call_sent_at = SteadyTime();
+  m_called_reader.clear();
+  m_listing = true;
   m_store.List(m_options.m_kind,
                [weak = weak_from_this(), call_number = ++m_call_number](
                    const Result<ObjectListing>& listing) {
@@ -135,6 +154,7 @@
 
 auto ObjectWatcher::Watch() -> void {
   m_call_sent_at = SteadyTime();
+  m_called_reader.clear();
   m_store.Watch(m_options.m_kind, m_version, WatchTimeout(),
                 [weak = weak_from_this(), call_number = ++m_call_number](
                     const Result<ObjectChanges>& changes) {
@@ -146,6 +166,7 @@
 }
 
 auto ObjectWatcher::OnListing(const Result<ObjectListing>& listing) -> void {
+  m_listing = false;
   if (!listing) {
     OnFailure(listing.error());
     return;
@@ -209,16 +230,22 @@
 
 // Reading through another host.
 
+auto ObjectWatcher::LeaveStore() -> void {
+  m_from_store = false;
+  m_listing = false;
+  m_server.Reset({ErrorCode::kUnavailable,
+                  "this host now reads through another host", ""});
+}
+
 auto ObjectWatcher::RequestFromReader(const std::string& address) -> void {
   m_call_sent_at = SteadyTime();
+  m_called_reader = address;
   const auto until_too_old =
       MaxReaderAge() + kResponseTime - Age(m_call_sent_at);
-  const auto timeout = std::clamp(until_too_old, kResponseTime,
-                                  m_options.m_reader_wait + kReaderMargin);
-  if (std::exchange(m_from_store, false)) {
-    m_server.FailAll({ErrorCode::kUnavailable,
-                      "this host now reads through another host", ""});
-  }
+  const auto longest =
+      m_listed ? m_options.m_reader_wait + kReaderMargin : kFirstViewTimeout;
+  const auto timeout = std::clamp(until_too_old, kResponseTime, longest);
+  LeaveStore();
   CallPeer(
       m_loop, m_reader->m_peers, address, kViewPath,
       EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = m_version}),
@@ -234,21 +261,30 @@
 
 auto ObjectWatcher::OnReaderResponse(const Result<ViewResponse>& response)
     -> void {
-  if (response && response->m_version >= m_version) {
+  // A host without a view needs all objects.
+  const auto complete = response && (m_listed || response->m_objects);
+  if (complete && response->m_version >= m_version) {
     ApplyResponse(*response);
   }
   const auto now = SteadyTime();
   const auto young = Age(now) < MaxReaderAge();
-  if (response && young) {
+  if (complete && young) {
     StartNextCall();
     return;
   }
-  LogEvent(LogEventId::kReaderLeft,
-           {{"kind", std::string(KindName(m_options.m_kind))},
-            {"reason", response ? "stale" : response.error().m_message},
-            {"view_ms", FormatMs(Age(now))}});
+  LogEvent(
+      LogEventId::kReaderLeft,
+      {{"kind", std::string(KindName(m_options.m_kind))},
+       {"reason", ReasonToLeave(response, complete)},
+       {"view_ms", FormatMs(Age(now))}});
+  m_failed_reader = m_called_reader;
   m_direct_until = now + kDirectReadTime;
-  List();
+  if (young) {
+    // Another host may be the reader by now.
+    StartNextCall();
+  } else {
+    List();
+  }
 }
 
 auto ObjectWatcher::ApplyResponse(const ViewResponse& response) -> void {
@@ -268,7 +304,7 @@
 auto ObjectWatcher::HandleRequest(const ViewRequest& request,
                                   ViewServer::ResponseCallback respond)
     -> void {
-  if (!m_from_store || !m_reachable) {
+  if (!(m_from_store || m_listing) || !m_reachable) {
     respond(Fail(ErrorCode::kUnavailable, "this host does not read the store",
                  std::string(KindName(m_options.m_kind))));
     return;
@@ -280,7 +316,13 @@
 }
 
 auto ObjectWatcher::Tick(TimePoint now) -> void {
-  m_server.RespondToDue(CurrentState(), now);
+  if (!m_called_reader.empty() && m_called_reader != ReaderAddress()) {
+    StartNextCall();
+  }
+  // Before the first listing there are no objects to respond with.
+  if (m_from_store) {
+    m_server.RespondToDue(CurrentState(), now);
+  }
 }
 
 auto ObjectWatcher::CurrentState() const -> ViewResponse {
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/object_watcher.h
@@ -18,7 +18,7 @@
 /// history for the watch. If a reader is set, the host requests the view from
 /// that host instead, so that one host of a failure domain reads the store for
 /// all. It returns to the store if the reader does not respond or its view is
-/// too old.
+/// too old, and moves on as soon as another host becomes the reader.
 
 namespace dotterelshed {
 
@@ -75,11 +75,13 @@
   auto Stop() -> void;
   /// Lists immediately instead of waiting for a change.
   auto Refresh() -> void;
-  /// Responds to another host's request at once or when the objects change.
+  /// Responds to another host's request at once, when the objects change or
+  /// when a listing in progress arrives.
   /// Errors: kUnavailable while this host does not read the store itself.
   auto HandleRequest(const ViewRequest& request,
                      ViewServer::ResponseCallback respond) -> void;
-  /// Responds to requests whose wait is over; call several times per second.
+  /// Responds to requests whose wait is over, and follows a change of the
+  /// reader; call several times per second.
   auto Tick(TimePoint now) -> void;
   /// Returns true once a listing was received.
   auto listed() const -> bool { return m_listed; }
@@ -99,6 +101,10 @@
   auto WatchTimeout() const -> Duration;
   /// Age up to which a view that comes through a reader is used.
   auto MaxReaderAge() const -> Duration;
+  /// Returns the peer address of the reader; empty if this host reads itself.
+  auto ReaderAddress() const -> std::string;
+  /// Stops serving the view, which no longer comes from the store.
+  auto LeaveStore() -> void;
   auto RequestFromReader(const std::string& address) -> void;
   auto OnReaderResponse(const Result<ViewResponse>& response) -> void;
   auto ApplyResponse(const ViewResponse& response) -> void;
@@ -123,12 +129,18 @@
   /// Time at which the current call was sent.
   TimePoint m_call_sent_at;
   TimePoint m_failed_call_sent;
-  /// The store is read directly until this time, since the reader failed.
+  /// Reader that the current call was sent to; empty for a call of the store.
+  std::string m_called_reader;
+  /// Reader that failed last. Until m_direct_until the store is read directly
+  /// instead.
+  std::string m_failed_reader;
   TimePoint m_direct_until;
   Duration m_backoff{0};
   /// Number of the current call; responses to earlier calls are ignored.
   int m_call_number = 0;
   bool m_listed = false;
+  /// The current call is a listing of the store.
+  bool m_listing = false;
   /// The current view comes from the store and not from a reader.
   bool m_from_store = false;
   bool m_reachable = true;
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/stale_view_unittest.cc
@@ -1,3 +1,9 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "lead_messages.h"
+#include "peer_call.h"
 #include "test_environment.h"
 
 /// @file
@@ -51,6 +57,10 @@
   });
 }
 
+constexpr auto kTurn =
+    "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
+    "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 100\r\n"
+    "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
 constexpr auto kSafeCall = "GET /safe/1 HTTP/1.1\r\nHost: desk\r\n\r\n";
 
 auto AnswerPlain(const ScriptedEndpoint::Request& request) -> void {
@@ -169,6 +179,40 @@
   CHECK(SteadyTime() - silent_since <= EntrySettings().m_config_change);
 }
 
+TEST_CASE(
+    "another domain's new lead is known in time if only the lead is cut off") {
+  TestEnvironment environment;
+  environment.AddEndpoint(AnswerTurn);
+  auto silent_since = SteadyTime() + std::chrono::hours(1);
+  // The turn's account is kept by the other domain.
+  ScriptedEndpoint lead(environment.m_loop, [&silent_since](
+                                                const auto& request) {
+    if (const auto view = DecodeViewRequest(request.m_body)) {
+      const auto age = std::max(SteadyTime() - silent_since, Duration{0});
+      request.m_stream->Write(request.Complete(EncodeViewResponse(
+          {.m_version = view->m_version, .m_age = age}, "")));
+    } else if (request.m_head.m_target == kGrantPath) {
+      request.m_stream->Write(request.Complete(EncodeTurnGrantResponse(
+          {.m_verdict = GrantVerdict::kElsewhere, .m_domain = DomainId("y")})));
+    }
+  });
+  ScriptedEndpoint other(environment.m_loop, [](const auto& request) {
+    request.m_stream->Write(request.Complete(EncodeTurnGrantResponse(
+        {.m_verdict = GrantVerdict::kGranted, .m_tokens = Tokens(10)})));
+  });
+  environment.PutLead("z", "h2", lead);
+  environment.StartFollower();
+  environment.RunFor(std::chrono::seconds(3));
+  silent_since = SteadyTime();
+  environment.PutLead("y", "h9", other);
+  environment.RunUntil([&environment, &other] {
+    environment.Finish(kTurn);
+    return other.requests() > 0;
+  });
+  // A turn waits for a grant for 1.5 s at most.
+  CHECK(SteadyTime() - silent_since <= std::chrono::milliseconds(4500));
+}
+
 TEST_CASE("a host doesn't wait for a lead that never answers") {
   TestEnvironment environment;
   auto& endpoint = environment.AddEndpoint(AnswerPlain);
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -250,19 +250,22 @@
   }
 
   /// Starts one more host and waits until it is ready.
-  auto AddHost(const std::string& name, const std::string& domain)
-      -> EntryHost& {
-    m_more_hosts.push_back(MakeHost(name, domain));
+  auto AddHost(const std::string& name,
+               const std::string& domain,
+               double processor_share = 1.0) -> EntryHost& {
+    m_more_hosts.push_back(MakeHost(name, domain, processor_share));
     auto& host = *m_more_hosts.back();
     RunUntil([&host] { return host.ready(); });
     return host;
   }
 
-  auto MakeHost(const std::string& name, const std::string& domain)
-      -> std::unique_ptr<EntryHost> {
+  auto MakeHost(const std::string& name,
+                const std::string& domain,
+                double processor_share = 1.0) -> std::unique_ptr<EntryHost> {
     EntrySettings settings;
     settings.m_host = HostId(name);
     settings.m_domain = DomainId(domain);
+    settings.m_processor_share = processor_share;
     settings.m_caller_address = "127.0.0.1:0";
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -109,6 +109,7 @@
   const auto kind = path.substr(0, slash);
   const auto name =
       slash == std::string::npos ? std::string() : path.substr(slash + 1);
+  ++m_calls[kind];
   if (request.m_head.m_method == "GET") {
     OnRead(connection, kind, name, query);
   } else {
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -40,6 +40,11 @@
   auto DropAnswers(const std::string& kind, int count) -> void {
     m_dropped_answers[kind] = count;
   }
+  /// Number of reads and writes of objects of a kind so far.
+  auto calls(const std::string& kind) const -> int {
+    const auto found = m_calls.find(kind);
+    return found == m_calls.end() ? 0 : found->second;
+  }
   /// While set, watches report no changes.
   auto SetSilentWatches(bool silent) -> void { m_silent_watches = silent; }
   /// Drops all pending watches without an answer; their connections stay open.
@@ -93,6 +98,7 @@
   bool m_down = false;
   bool m_silent_watches = false;
   std::map<std::string, int> m_dropped_answers;
+  std::map<std::string, int> m_calls;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/view_messages.cc
+++ b/src/libgateway/view_messages.cc
@@ -13,8 +13,8 @@
 constexpr std::string_view kPlace = "view message";
 
 auto ReadKind(const std::string& name) -> Result<ObjectKind> {
-  for (const auto kind :
-       {ObjectKind::kEndpoints, ObjectKind::kConfig, ObjectKind::kDiskHosts}) {
+  for (const auto kind : {ObjectKind::kEndpoints, ObjectKind::kConfig,
+                          ObjectKind::kDiskHosts, ObjectKind::kLeads}) {
     if (KindName(kind) == name) {
       return kind;
     }
--- a/src/libgateway/view_server.cc
+++ b/src/libgateway/view_server.cc
@@ -66,6 +66,13 @@
   }
 }
 
+auto ViewServer::Reset(const Error& error) -> void {
+  m_objects.clear();
+  m_encoded.clear();
+  m_changed_at = ResourceVersion(0);
+  FailAll(error);
+}
+
 auto ViewServer::Respond(const PendingRequest& pending,
                          const ViewResponse& state) -> void {
   if (pending.m_version >= m_changed_at) {
--- a/src/libgateway/view_server.h
+++ b/src/libgateway/view_server.h
@@ -41,6 +41,8 @@
   /// Responds to all waiting requests with an error, since the view may be
   /// outdated.
   auto FailAll(const Error& error) -> void;
+  /// Forgets all objects and fails all waiting requests.
+  auto Reset(const Error& error) -> void;
 
  private:
   struct PendingRequest {
--- a/src/libgateway/view_server_unittest.cc
+++ b/src/libgateway/view_server_unittest.cc
@@ -100,6 +100,21 @@
   CHECK(pending->m_reply->error().m_code == ErrorCode::kTimeout);
 }
 
+TEST_CASE("a view that was reset doesn't answer until it is listed again") {
+  ViewServer server;
+  server.Replace({MakeObject("a", 3)}, ResourceVersion(5));
+  server.Reset({ErrorCode::kUnavailable, "", ""});
+  // Objects may have changed between these versions.
+  const auto pending = SendRequest(server, 4, 9);
+  CHECK_FALSE(pending->m_reply);
+  server.Replace({MakeObject("b", 7)}, ResourceVersion(9));
+  server.RespondToAll(State(9));
+  const auto answer = pending->Answer();
+  REQUIRE(answer.m_objects);
+  REQUIRE(answer.m_objects->size() == 1);
+  CHECK(answer.m_objects->front().m_name == "b");
+}
+
 TEST_CASE("malformed view messages are rejected") {
   CHECK_FALSE(DecodeViewRequest(R"({"kind":"ledgers","version":1})"));
   CHECK_FALSE(DecodeViewRequest("{"));
