Let a turn wait once more for its record before it gets a partial grant

Cause: a lead answered a turn 550 ms after its request, whatever it waited for. With the store reached but slow, or just after a takeover, the turn got part of its tokens and its answer was cut where that ended, or was refused, though the record came within the time that the host still had.

Change: hosts say whether they have time for one more request; the lead then answers "retry" instead. Hosts of earlier versions read that as unavailable, but never get it, since they don't say so.

--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -23,6 +23,9 @@
 /// Number of unanswered requests before another domain's lead is asked.
 constexpr int kMaxUnansweredRequests = 2;
 constexpr Duration kRetryDelay = std::chrono::milliseconds(60);
+/// Time left from which a lead may answer that it hasn't decided yet: enough
+/// for that answer and one more request.
+constexpr Duration kMinRetryTime = std::chrono::milliseconds(1200);
 /// Interval between batches of settlements; until then a budget may count a
 /// turn at its maximum.
 constexpr Duration kSettleInterval = std::chrono::milliseconds(100);
@@ -78,6 +81,8 @@
     OnNoResponse(pending);
     return;
   }
+  const auto left = pending->m_deadline - SteadyTime();
+  pending->m_request.m_may_retry = left >= kMinRetryTime;
   const auto& entry = pending->m_asked_lead->m_entry;
   if (own && entry.m_host == m_context.m_settings.m_host) {
     m_own_lead.RequestTurn(pending->m_request,
@@ -113,6 +118,10 @@
     }
     return;
   }
+  if (response.m_verdict == GrantVerdict::kRetry) {
+    RetryLater(pending);
+    return;
+  }
   if (response.m_verdict == GrantVerdict::kNoStore) {
     // A host that can reach the store may replace the lead.
     const auto replaceable =
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead_messages.cc
@@ -12,7 +12,7 @@
 constexpr auto kVerdicts = std::to_array<GrantVerdict>(
     {GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
      GrantVerdict::kElsewhere, GrantVerdict::kNotLead, GrantVerdict::kNoStore,
-     GrantVerdict::kUnavailable});
+     GrantVerdict::kRetry, GrantVerdict::kUnavailable});
 
 /// Runs @p decode; a missing or mistyped member is returned as
 /// kInvalidArgument.
@@ -95,6 +95,8 @@
       return "not_lead";
     case GrantVerdict::kNoStore:
       return "no_store";
+    case GrantVerdict::kRetry:
+      return "retry";
     case GrantVerdict::kUnavailable:
       return "unavailable";
   }
@@ -106,7 +108,8 @@
               {"request", request.m_grant.m_request.value()},
               {"budget", request.m_grant.m_budget.value()},
               {"most", request.m_grant.m_turn_max.value()},
-              {"service", request.m_service.value()}}
+              {"service", request.m_service.value()},
+              {"may_retry", request.m_may_retry}}
       .dump();
 }
 
@@ -118,6 +121,8 @@
     request.m_grant.m_budget = ToTokens(json.at("budget"));
     request.m_grant.m_turn_max = ToTokens(json.at("most"));
     request.m_service = ServiceId(json.at("service"));
+    // Hosts of earlier versions don't send it.
+    request.m_may_retry = json.value("may_retry", false);
     return request;
   });
 }
--- a/src/libgateway/lead_messages.h
+++ b/src/libgateway/lead_messages.h
@@ -23,6 +23,9 @@
 struct TurnGrantRequest {
   GrantRequest m_grant;
   ServiceId m_service;
+  /// The sender has time for one more request, so the lead may answer kRetry
+  /// instead of a partial grant or a refusal.
+  bool m_may_retry = false;
 };
 
 /// Names the lead of a domain; stored under the domain's name.
@@ -50,6 +53,7 @@
   kElsewhere,    ///< Another domain's lead holds the account.
   kNotLead,      ///< The receiver is not the lead.
   kNoStore,      ///< The lead cannot write its record; another host might.
+  kRetry,        ///< Not decided yet; the sender may ask again at once.
   kUnavailable,  ///< Cannot be decided now; the turn must not run.
 };
 
--- a/src/libgateway/lead_messages_unittest.cc
+++ b/src/libgateway/lead_messages_unittest.cc
@@ -20,17 +20,19 @@
                                              .m_request = RequestId("r"),
                                              .m_budget = Tokens(400),
                                              .m_turn_max = Tokens(135)},
-                                 .m_service = ServiceId("s")};
+                                 .m_service = ServiceId("s"),
+                                 .m_may_retry = true};
   const auto read = DecodeTurnGrantRequest(EncodeTurnGrantRequest(request));
   REQUIRE(read);
   CHECK(read->m_grant.m_program == ProgramId("p"));
   CHECK(read->m_grant.m_budget == Tokens(400));
   CHECK(read->m_service == ServiceId("s"));
+  CHECK(read->m_may_retry);
 
-  const auto verdict =
-      GENERATE(GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
-               GrantVerdict::kElsewhere, GrantVerdict::kNotLead,
-               GrantVerdict::kNoStore, GrantVerdict::kUnavailable);
+  const auto verdict = GENERATE(
+      GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
+      GrantVerdict::kElsewhere, GrantVerdict::kNotLead, GrantVerdict::kNoStore,
+      GrantVerdict::kRetry, GrantVerdict::kUnavailable);
   const auto answer = DecodeTurnGrantResponse(EncodeTurnGrantResponse(
       {.m_verdict = verdict, .m_tokens = Tokens(9), .m_lead = MakeLead()}));
   REQUIRE(answer);
--- a/src/libgateway/lead_service.cc
+++ b/src/libgateway/lead_service.cc
@@ -222,19 +222,29 @@
     return late;
   };
   for (const auto& one : take_late(m_waiting)) {
-    if (m_phase == Phase::kActive && !m_yield_callback) {
-      Grant(one, {.m_allow_partial = true});
-    } else {
-      one.m_respond({.m_verdict = GrantVerdict::kUnavailable});
-    }
+    AnswerLate(one, m_phase == Phase::kActive && !m_yield_callback);
   }
   for (auto& [program, searching] : m_waiting_for_search) {
     for (const auto& one : take_late(searching)) {
-      one.m_respond({.m_verdict = GrantVerdict::kUnavailable});
+      AnswerLate(one, false);
     }
   }
 }
 
+/// A partial grant cuts the answer of a turn that needs more. It is the last
+/// resort while the record can be written, which usually takes less time than a
+/// second request may wait.
+auto LeadService::AnswerLate(const WaitingTurn& waiting, bool decidable)
+    -> void {
+  if (waiting.m_request.m_may_retry && !m_store_lost) {
+    waiting.m_respond({.m_verdict = GrantVerdict::kRetry});
+  } else if (decidable) {
+    Grant(waiting, {.m_allow_partial = true});
+  } else {
+    waiting.m_respond({.m_verdict = GrantVerdict::kUnavailable});
+  }
+}
+
 auto LeadService::RemoveExpired(TimePoint now) -> void {
   if (now - m_last_sweep < kSweepInterval) {
     return;
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -139,6 +139,9 @@
   }
   auto DecideWaiting() -> void;
   auto AnswerExpired(TimePoint now) -> void;
+  /// Answers a turn that has waited for its full time. @p decidable is true if
+  /// this lead may decide it now.
+  auto AnswerLate(const WaitingTurn& waiting, bool decidable) -> void;
   auto RemoveExpired(TimePoint now) -> void;
   /// Returns the ledger for the next write.
   auto NextLedger(const LedgerRecord& record) -> StoredLedger;
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -93,6 +93,27 @@
 auto TestStore::OnRequest(const std::shared_ptr<ServerConnection>& connection,
                           const IncomingRequest& request) -> void {
   const auto& target = request.m_head.m_target;
+  for (const auto& [kind, delay] : m_delays) {
+    const auto prefix = std::string(kRoot) + kind;
+    if (target.starts_with(prefix)) {
+      m_delayed.push_back({connection, request, SteadyTime() + delay});
+      return;
+    }
+  }
+  Handle(connection, request);
+}
+
+auto TestStore::HandleDelayed(TimePoint now) -> void {
+  while (!m_delayed.empty() && m_delayed.front().m_due <= now) {
+    const auto delayed = std::move(m_delayed.front());
+    m_delayed.pop_front();
+    Handle(delayed.m_connection, delayed.m_request);
+  }
+}
+
+auto TestStore::Handle(const std::shared_ptr<ServerConnection>& connection,
+                       const IncomingRequest& request) -> void {
+  const auto& target = request.m_head.m_target;
   if (m_down || !target.starts_with(kRoot)) {
     Reply(connection, m_down ? 503 : 404, {{"error", "refused"}});
     return;
@@ -213,6 +234,7 @@
 }
 
 auto TestStore::Tick(TimePoint now) -> void {
+  HandleDelayed(now);
   m_listener.Tick(now);
   NotifyWatches();
 }
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -45,6 +45,10 @@
     const auto found = m_calls.find(kind);
     return found == m_calls.end() ? 0 : found->second;
   }
+  /// Handles requests for objects of a kind only after @p delay.
+  auto SetDelay(const std::string& kind, Duration delay) -> void {
+    m_delays[kind] = delay;
+  }
   /// While set, watches report no changes.
   auto SetSilentWatches(bool silent) -> void { m_silent_watches = silent; }
   /// Drops all pending watches without an answer; their connections stay open.
@@ -57,6 +61,11 @@
     std::int64_t m_version = 0;
     nlohmann::json m_event;
   };
+  struct Delayed {
+    std::shared_ptr<ServerConnection> m_connection;
+    IncomingRequest m_request;
+    TimePoint m_due;
+  };
   struct Waiting {
     std::shared_ptr<ServerConnection> m_connection;
     std::string m_kind;
@@ -69,6 +78,9 @@
              const nlohmann::json& body) const -> void;
   auto OnRequest(const std::shared_ptr<ServerConnection>& connection,
                  const IncomingRequest& request) -> void;
+  auto Handle(const std::shared_ptr<ServerConnection>& connection,
+              const IncomingRequest& request) -> void;
+  auto HandleDelayed(TimePoint now) -> void;
   auto OnRead(const std::shared_ptr<ServerConnection>& connection,
               const std::string& kind,
               const std::string& name,
@@ -99,6 +111,8 @@
   bool m_silent_watches = false;
   std::map<std::string, int> m_dropped_answers;
   std::map<std::string, int> m_calls;
+  std::map<std::string, Duration> m_delays;
+  std::list<Delayed> m_delayed;
 };
 
 }  // namespace dotterelshed
