Replace a lead that can't reach the store while its hosts can

Cause: a lead to which the store was silent kept the lead as long as disk hosts took its ledger.

Change: a host whose lead has served no view for 1.5 to 3.5 s, and that reads the store, asks it to step down. The lead does so at once if it can't write to the store, else it refuses. Smaller hosts ask last.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -332,6 +332,11 @@
                           connection->Answer(kStatusOk, {}, update);
                         });
                   });
+  } else if (target == kStepDownPath) {
+    HandleMessage(connection, DecodeKnownLead(body),
+                  [this, &connection](const KnownLead& lead) {
+                    OnStepDownRequest(connection, lead);
+                  });
   } else if (target == kYieldPath) {
     HandleMessage(connection, DecodeKnownLead(body),
                   [this, &connection](const KnownLead& lead) {
@@ -395,6 +400,14 @@
   });
 }
 
+auto EntryHost::OnStepDownRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    const KnownLead& lead) -> void {
+  const auto done =
+      m_context.IsCurrentLead(lead.m_domain, lead) && m_lead.StepDown();
+  connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
+}
+
 // Periodic work and shutdown.
 
 auto EntryHost::ArmTick() -> void {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -53,6 +53,8 @@
                      const ViewRequest& request) -> void;
   auto OnYieldRequest(const std::shared_ptr<ServerConnection>& connection,
                       const KnownLead& lead) -> void;
+  auto OnStepDownRequest(const std::shared_ptr<ServerConnection>& connection,
+                         const KnownLead& lead) -> void;
   /// Updates the metrics of the age of the store views and of the number of
   /// suspect requests.
   auto UpdateStateMetrics() const -> void;
--- a/src/libgateway/lead_election.cc
+++ b/src/libgateway/lead_election.cc
@@ -13,10 +13,18 @@
 /// Minimum ratio of processor shares for a handover, which stops the domain's
 /// turns for about 100 ms.
 constexpr double kMinCapacityRatio = 2.0;
-/// Timeout of a yield request, which includes the lead's last write.
-constexpr Duration kYieldTimeout = std::chrono::milliseconds(1200);
-/// Minimum interval between yield requests to a lead that did not yield.
-constexpr Duration kYieldRequestInterval = std::chrono::milliseconds(2000);
+/// Timeout of a request to stop leading, which includes the lead's last write.
+constexpr Duration kRequestTimeout = std::chrono::milliseconds(1200);
+/// Minimum interval between requests to a lead that did not stop.
+constexpr Duration kRequestInterval = std::chrono::milliseconds(2000);
+/// A lead that serves no views is replaced after this time at the earliest, so
+/// that short outages of the store change no lead.
+constexpr Duration kMinReaderOutage = std::chrono::milliseconds(1500);
+/// Upper bound of the random delay that makes it likely that only one host
+/// replaces a lead.
+constexpr Duration kMaxReplacementDelay = std::chrono::milliseconds(1000);
+/// A host that is smaller than the lead waits this much longer for the others.
+constexpr Duration kSmallHostDelay = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -25,7 +33,10 @@
       m_lead(lead),
       m_started_at(SteadyTime()),
       m_election_delay(FromSeconds(ToSeconds(kMaxElectionDelay) *
-                                   m_context.RandomFraction())) {}
+                                   m_context.RandomFraction())),
+      m_replacement_delay(kMinReaderOutage +
+                          FromSeconds(ToSeconds(kMaxReplacementDelay) *
+                                      m_context.RandomFraction())) {}
 
 auto LeadElection::Tick(TimePoint now) -> void {
   if (m_lead.leading()) {
@@ -38,25 +49,40 @@
     m_lead.TakeOver(lead);
     return;
   }
-  if (lead && IsMuchSmaller(*lead) && now >= m_next_yield_request) {
-    m_next_yield_request = now + kYieldRequestInterval +
-                           FromSeconds(ToSeconds(kYieldRequestInterval) *
-                                       m_context.RandomFraction());
-    RequestYield(*lead);
+  if (!lead || !m_context.m_store_reachable || now < m_next_request) {
+    return;
+  }
+  if (IsMuchSmaller(*lead)) {
+    RequestLead(*lead, kYieldPath);
+  } else if (HasLostStore(*lead, now)) {
+    RequestLead(*lead, kStepDownPath);
   }
 }
 
 auto LeadElection::IsMuchSmaller(const KnownLead& lead) const -> bool {
-  return m_context.m_store_reachable &&
-         lead.m_entry.m_processor_share * kMinCapacityRatio <=
-             m_context.m_settings.m_processor_share;
+  return lead.m_entry.m_processor_share * kMinCapacityRatio <=
+         m_context.m_settings.m_processor_share;
+}
+
+auto LeadElection::HasLostStore(const KnownLead& lead, TimePoint now) const
+    -> bool {
+  const auto since = m_context.m_endpoint_watcher->reader_failed_since();
+  const auto smaller =
+      m_context.m_settings.m_processor_share < lead.m_entry.m_processor_share;
+  const auto delay =
+      m_replacement_delay + (smaller ? kSmallHostDelay : Duration{0});
+  return since && now - *since >= delay;
 }
 
-auto LeadElection::RequestYield(const KnownLead& lead) -> void {
+auto LeadElection::RequestLead(const KnownLead& lead, std::string_view path)
+    -> void {
+  m_next_request =
+      SteadyTime() + kRequestInterval +
+      FromSeconds(ToSeconds(kRequestInterval) * m_context.RandomFraction());
   CallPeer(m_context.m_loop, m_context.m_peer_connections,
-           lead.m_entry.m_peer_address, kYieldPath, EncodeKnownLead(lead),
-           kYieldTimeout, [this, lead](const Result<std::string>& reply) {
-             // Without a response, the next yield request retries.
+           lead.m_entry.m_peer_address, path, EncodeKnownLead(lead),
+           kRequestTimeout, [this, lead](const Result<std::string>& reply) {
+             // Without a response, the next request retries.
              if (reply) {
                m_lead.TakeOver(lead);
              }
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead_service.h
@@ -49,6 +49,9 @@
   /// Records the granted tokens and stops leading, so that the next lead starts
   /// from exact values. @p callback receives whether this succeeded.
   auto Yield(std::string_view reason, YieldCallback callback) -> void;
+  /// Stops leading at once if this lead can't write to the store, so that a
+  /// host that can may take over. Returns false if it goes on leading.
+  auto StepDown() -> bool;
   /// Handles a lead reported by the store or by another host. Returns false if
   /// a lead of the same or a higher version is known.
   auto OnLeadUpdate(const KnownLead& lead) -> bool;
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead_term.cc
@@ -334,6 +334,17 @@
   WriteIfDue(SteadyTime());
 }
 
+auto LeadService::StepDown() -> bool {
+  if (m_phase == Phase::kActive && m_store_lost) {
+    LogEvent(LogEventId::kLeadYielded,
+             {{"domain", m_context.m_settings.m_domain.value()},
+              {"reason", "store_lost"}});
+    BecomeIdle();
+    m_retry_at = SteadyTime() + kReclaimDelay;
+  }
+  return m_phase == Phase::kIdle;
+}
+
 auto LeadService::FinishYield(bool done) -> void {
   const auto callback = std::exchange(m_yield_callback, nullptr);
   if (done) {
--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -269,14 +269,17 @@
   const auto now = SteadyTime();
   const auto young = Age(now) < MaxReaderAge();
   if (complete && young) {
+    m_reader_failed_since.reset();
     StartNextCall();
     return;
   }
-  LogEvent(
-      LogEventId::kReaderLeft,
-      {{"kind", std::string(KindName(m_options.m_kind))},
-       {"reason", ReasonToLeave(response, complete)},
-       {"view_ms", FormatMs(Age(now))}});
+  LogEvent(LogEventId::kReaderLeft,
+           {{"kind", std::string(KindName(m_options.m_kind))},
+            {"reason", ReasonToLeave(response, complete)},
+            {"view_ms", FormatMs(Age(now))}});
+  if (m_called_reader != m_failed_reader || !m_reader_failed_since) {
+    m_reader_failed_since = now;
+  }
   m_failed_reader = m_called_reader;
   m_direct_until = now + kDirectReadTime;
   if (young) {
@@ -339,6 +342,8 @@
 auto ObjectWatcher::SetReachable(bool reachable) -> void {
   if (reachable) {
     m_backoff = Duration{0};
+  } else {
+    m_reader_failed_since.reset();
   }
   if (m_reachable == reachable) {
     return;
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/object_watcher.h
@@ -90,6 +90,11 @@
   auto confirmed_at() const -> TimePoint { return m_confirmed_at; }
   /// Time at which the last failed call was sent.
   auto failed_call_sent() const -> TimePoint { return m_failed_call_sent; }
+  /// Time since which the reader has failed while the store can be read; empty
+  /// while either is not the case.
+  auto reader_failed_since() const -> std::optional<TimePoint> {
+    return m_reader_failed_since;
+  }
   /// Time since a response last confirmed that the view is complete; before the
   /// first one, since construction.
   auto Age(TimePoint now) const -> Duration { return now - m_confirmed_at; }
@@ -135,6 +140,7 @@
   /// instead.
   std::string m_failed_reader;
   TimePoint m_direct_until;
+  std::optional<TimePoint> m_reader_failed_since;
   Duration m_backoff{0};
   /// Number of the current call; responses to earlier calls are ignored.
   int m_call_number = 0;
--- a/src/libgateway/peer_call.h
+++ b/src/libgateway/peer_call.h
@@ -20,6 +20,7 @@
 inline constexpr std::string_view kFindPath = "/peer/find";
 inline constexpr std::string_view kLeadPath = "/peer/lead";
 inline constexpr std::string_view kYieldPath = "/peer/yield";
+inline constexpr std::string_view kStepDownPath = "/peer/step-down";
 inline constexpr std::string_view kCrashUpdatePath = "/peer/crash-news";
 inline constexpr std::string_view kCrashUpdateRequestPath =
     "/peer/crash-question";
