In an outage, look for the store's return mainly through the lead

A host that was cut off from the store alone never asked its lead while its own calls failed.

It takes only a young view as proof that the outage is over.

--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -30,6 +30,9 @@
 constexpr Duration kFirstViewTimeout = std::chrono::milliseconds(300);
 /// After a failure of the reader, the store is read directly for this time.
 constexpr Duration kDirectReadTime = std::chrono::milliseconds(2000);
+/// While the store fails, a host with a reader calls the store at this interval
+/// at most; its reader calls it more often.
+constexpr Duration kMaxOutageListInterval = std::chrono::milliseconds(2000);
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
 
@@ -222,10 +225,31 @@
   m_failed_call_sent = m_call_sent_at;
   m_server.FailAll(error);
   SetReachable(false);
+  ScheduleRetry();
+}
+
+auto ObjectWatcher::ScheduleRetry() -> void {
   m_backoff = std::clamp(m_backoff * 2, kFirstBackoff, kMaxBackoff);
+  Schedule(m_backoff, &ObjectWatcher::RetryAfterFailure);
+}
+
+auto ObjectWatcher::OutageListInterval() const -> Duration {
+  return std::min(
+      m_options.m_max_age - m_store.options().m_call_timeout - kListTime,
+      kMaxOutageListInterval);
+}
+
+auto ObjectWatcher::RetryAfterFailure() -> void {
+  const auto address = ReaderAddress();
+  const auto list_due =
+      SteadyTime() - m_failed_call_sent >= OutageListInterval();
+  if (!address.empty() && !list_due) {
+    RequestFromReader(address);
+    return;
+  }
   // A listing returns as soon as the store is back, while a watch would not
   // return until the next change.
-  Schedule(m_backoff, &ObjectWatcher::List);
+  List();
 }
 
 // Reading through another host.
@@ -245,25 +269,32 @@
   const auto longest =
       m_listed ? m_options.m_reader_wait + kReaderMargin : kFirstViewTimeout;
   const auto timeout = std::clamp(until_too_old, kResponseTime, longest);
+  // In an outage, all objects are requested so that the reader doesn't wait for
+  // a change.
+  const auto known = m_reachable ? m_version : ResourceVersion(0);
   LeaveStore();
-  CallPeer(
-      m_loop, m_reader->m_peers, address, kViewPath,
-      EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = m_version}),
-      timeout,
-      [weak = weak_from_this(),
-       call_number = ++m_call_number](const Result<std::string>& reply) {
-        const auto self = weak.lock();
-        if (self && call_number == self->m_call_number) {
-          self->OnReaderResponse(reply.and_then(DecodeViewResponse));
-        }
-      });
+  CallPeer(m_loop, m_reader->m_peers, address, kViewPath,
+           EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = known}),
+           timeout,
+           [weak = weak_from_this(),
+            call_number = ++m_call_number](const Result<std::string>& reply) {
+             const auto self = weak.lock();
+             if (self && call_number == self->m_call_number) {
+               self->OnReaderResponse(reply.and_then(DecodeViewResponse));
+             }
+           });
 }
 
 auto ObjectWatcher::OnReaderResponse(const Result<ViewResponse>& response)
     -> void {
   // A host without a view needs all objects.
   const auto complete = response && (m_listed || response->m_objects);
-  if (complete && response->m_version >= m_version) {
+  const auto newest = complete && response->m_version >= m_version;
+  if (!m_reachable && !(newest && response->m_age < MaxReaderAge())) {
+    ScheduleRetry();
+    return;
+  }
+  if (newest) {
     ApplyResponse(*response);
   }
   const auto now = SteadyTime();
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/object_watcher.h
@@ -117,6 +117,11 @@
   auto OnListing(const Result<ObjectListing>& listing) -> void;
   auto OnChanges(const Result<ObjectChanges>& changes) -> void;
   auto OnFailure(const Error& error) -> void;
+  auto ScheduleRetry() -> void;
+  /// Tries the store or the reader again after the store has failed.
+  auto RetryAfterFailure() -> void;
+  /// Interval between calls of a failing store by a host with a reader.
+  auto OutageListInterval() const -> Duration;
   auto Confirm(TimePoint shown_at) -> void;
   auto SetReachable(bool reachable) -> void;
   auto Schedule(Duration wait, void (ObjectWatcher::*step)()) -> void;
--- a/src/libgateway/shared_view_unittest.cc
+++ b/src/libgateway/shared_view_unittest.cc
@@ -118,5 +118,52 @@
   CHECK(calls() - before < kFollowers);
 }
 
+TEST_CASE("in an outage the lead looks for the store's return for all") {
+  Domain domain;
+  auto& environment = domain.m_environment;
+  constexpr auto kOutage = std::chrono::seconds(6);
+  environment.m_store.SetDown(true);
+  const auto before = environment.m_store.refused();
+  environment.RunFor(kOutage);
+  // The lead calls about once a second for each of three kinds, the others less
+  // than half as often; some calls more at the beginning.
+  const auto lead_calls = 3 * (kOutage / std::chrono::seconds(1) + 4);
+  const auto calls = environment.m_store.refused() - before;
+  CHECK(calls < lead_calls + kFollowers * lead_calls / 2);
+  environment.m_store.SetDown(false);
+  const auto up_at = SteadyTime();
+  domain.ChangeRoutes(2, "next");
+  CHECK(SteadyTime() - up_at < EntrySettings().m_view_max_age);
+}
+
+TEST_CASE(
+    "a host that is cut off from the store alone reads through its lead") {
+  TestEnvironment environment;
+  environment.AddEndpoint(AnswerPlain);
+  // What the host reaches instead of the store; the lead reaches the store.
+  TestStore own_way(environment.m_loop);
+  REQUIRE(own_way.Listen(Loopback()));
+  environment.Start();
+  own_way.SetDown(true);
+  ObjectStore store(environment.m_loop, {.m_address = own_way.address()});
+  const auto lead = environment.m_store.Find("leads", "z")["spec"];
+  ConnectionPool peers(environment.m_loop, {});
+  int listings = 0;
+  const auto watcher = std::make_shared<ObjectWatcher>(
+      environment.m_loop, store,
+      WatcherOptions{.m_kind = ObjectKind::kEndpoints},
+      HandleEachObject(
+          [&listings](const StoredObject& /*object*/) { ++listings; }),
+      ViewReader{peers, [&lead, &own_way]() -> std::string {
+                   // Known only after the store has failed.
+                   return own_way.refused() > 0
+                              ? lead["peer_address"].get<std::string>()
+                              : std::string();
+                 }});
+  watcher->Start();
+  environment.RunUntil([&listings] { return listings > 0; });
+  CHECK(own_way.refused() < 5);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libgateway/test_store.cc
+++ b/src/libgateway/test_store.cc
@@ -115,6 +115,7 @@
                        const IncomingRequest& request) -> void {
   const auto& target = request.m_head.m_target;
   if (m_down || !target.starts_with(kRoot)) {
+    ++m_refused;
     Reply(connection, m_down ? 503 : 404, {{"error", "refused"}});
     return;
   }
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -45,6 +45,8 @@
     const auto found = m_calls.find(kind);
     return found == m_calls.end() ? 0 : found->second;
   }
+  /// Number of requests that were refused since the store is down.
+  auto refused() const -> int { return m_refused; }
   /// Handles requests for objects of a kind only after @p delay.
   auto SetDelay(const std::string& kind, Duration delay) -> void {
     m_delays[kind] = delay;
@@ -108,6 +110,7 @@
   std::vector<std::shared_ptr<ServerConnection>> m_silent;
   std::int64_t m_version = 100;
   bool m_down = false;
+  int m_refused = 0;
   bool m_silent_watches = false;
   std::map<std::string, int> m_dropped_answers;
   std::map<std::string, int> m_calls;
