--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -45,8 +45,8 @@
     {LogEventId::kLeadLost, LogLevel::kInfo, "lead_lost",
      "This host is no longer lead; another one has written the ledger."},
     {LogEventId::kLeadYielded, LogLevel::kInfo, "lead_yielded",
-     "This lead wrote down what it had granted and gave way, for a larger host "
-     "or its own planned stop."},
+     "This lead gave way. For a larger host or its own planned stop it wrote "
+     "down what it had granted; with reason store_lost it couldn't."},
     {LogEventId::kLedgerFenced, LogLevel::kInfo, "ledger_fenced",
      "Another domain's lead couldn't ask this one and fenced its ledger; "
      "programs that aren't on record are looked for again."},
