Send hosts what changed in a view, not the whole view

Change: the lead knows at which version each object changed last since its own listing, and sends hosts that say so only what changed after their version and the names of what was removed. A host without a view, or with one from before the listing, gets all, as do hosts of earlier versions.

--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/object_watcher.cc
@@ -36,6 +36,21 @@
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr Duration kMaxBackoff = std::chrono::milliseconds(1000);
 
+/// Returns the changes that a partial response reports.
+auto ToChanges(const ViewResponse& response) -> ObjectChanges {
+  const auto objects = response.m_objects.value_or(std::vector<StoredObject>());
+  ObjectChanges changes{.m_store_version = response.m_version};
+  changes.m_changes.reserve(objects.size() + response.m_removed.size());
+  for (const auto& object : objects) {
+    changes.m_changes.push_back({.m_object = object});
+  }
+  for (const auto& name : response.m_removed) {
+    changes.m_changes.push_back(
+        {.m_object = {.m_name = name}, .m_removed = true});
+  }
+  return changes;
+}
+
 auto ReasonToLeave(const Result<ViewResponse>& response, bool complete)
     -> std::string {
   if (!response) {
@@ -274,7 +289,9 @@
   const auto known = m_reachable ? m_version : ResourceVersion(0);
   LeaveStore();
   CallPeer(m_loop, m_reader->m_peers, address, kViewPath,
-           EncodeViewRequest({.m_kind = m_options.m_kind, .m_version = known}),
+           EncodeViewRequest({.m_kind = m_options.m_kind,
+                              .m_version = known,
+                              .m_accepts_partial = m_listed && m_reachable}),
            timeout,
            [weak = weak_from_this(),
             call_number = ++m_call_number](const Result<std::string>& reply) {
@@ -288,7 +305,8 @@
 auto ObjectWatcher::OnReaderResponse(const Result<ViewResponse>& response)
     -> void {
   // A host without a view needs all objects.
-  const auto complete = response && (m_listed || response->m_objects);
+  const auto whole = response && response->m_objects && !response->m_partial;
+  const auto complete = response && (m_listed || whole);
   const auto newest = complete && response->m_version >= m_version;
   if (!m_reachable && !(newest && response->m_age < MaxReaderAge())) {
     ScheduleRetry();
@@ -328,7 +346,9 @@
   if (m_handlers.m_on_hold) {
     m_handlers.m_on_hold(response.m_hold);
   }
-  if (response.m_objects) {
+  if (response.m_partial) {
+    m_handlers.m_on_changes(ToChanges(response));
+  } else if (response.m_objects) {
     m_handlers.m_on_listing(
         {.m_objects = *response.m_objects, .m_store_version = m_version});
   }
--- a/src/libgateway/view_messages.cc
+++ b/src/libgateway/view_messages.cc
@@ -52,7 +52,8 @@
 
 auto EncodeViewRequest(const ViewRequest& request) -> std::string {
   return Json{{"kind", KindName(request.m_kind)},
-              {"version", request.m_version.value()}}
+              {"version", request.m_version.value()},
+              {"accepts_partial", request.m_accepts_partial}}
       .dump();
 }
 
@@ -60,8 +61,10 @@
   try {
     const auto json = Json::parse(text);
     return ReadKind(json.at("kind").get<std::string>()).map([&](auto kind) {
-      return ViewRequest{.m_kind = kind,
-                         .m_version = ReadVersion(json.at("version"))};
+      return ViewRequest{
+          .m_kind = kind,
+          .m_version = ReadVersion(json.at("version")),
+          .m_accepts_partial = json.value("accepts_partial", false)};
     });
   } catch (const Json::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), std::string(kPlace));
@@ -80,8 +83,10 @@
 auto EncodeViewResponse(const ViewResponse& response, std::string_view objects)
     -> std::string {
   return fmt::format(
-      R"({{"version":{},"age_ms":{},"hold_ms":{},"objects":{}}})",
+      R"({{"version":{},"age_ms":{},"hold_ms":{},"partial":{},"removed":{},)"
+      R"("objects":{}}})",
       response.m_version.value(), ToMs(response.m_age), ToMs(response.m_hold),
+      response.m_partial, Json(response.m_removed).dump(),
       objects.empty() ? "null" : objects);
 }
 
@@ -91,6 +96,8 @@
     ViewResponse response{.m_version = ReadVersion(json.at("version")),
                           .m_age = ReadMs(json.at("age_ms")),
                           .m_hold = ReadMs(json.at("hold_ms"))};
+    response.m_partial = json.value("partial", false);
+    response.m_removed = json.value("removed", std::vector<std::string>());
     if (const auto& objects = json.at("objects"); !objects.is_null()) {
       auto read = ReadObjects(objects);
       if (!read) {
--- a/src/libgateway/view_messages.h
+++ b/src/libgateway/view_messages.h
@@ -22,6 +22,8 @@
 struct ViewRequest {
   ObjectKind m_kind = ObjectKind::kConfig;
   ResourceVersion m_version;
+  /// The response may be partial. Hosts of earlier versions don't send this.
+  bool m_accepts_partial = false;
 };
 
 struct ViewResponse {
@@ -35,6 +37,10 @@
   /// All objects of the kind; empty if they are the same as at the requested
   /// version.
   std::optional<std::vector<StoredObject>> m_objects;
+  /// m_objects has only those that changed since the requested version.
+  bool m_partial = false;
+  /// If partial: names of the objects that were removed since then.
+  std::vector<std::string> m_removed;
 };
 
 auto EncodeViewRequest(const ViewRequest& request) -> std::string;
--- a/src/libgateway/view_server.h
+++ b/src/libgateway/view_server.h
@@ -11,7 +11,8 @@
 
 /// @file
 /// Serves a host's view of one kind of objects to other hosts. A request waits
-/// (long poll) until the objects change or its time is over.
+/// (long poll) until the objects change or its time is over. The response has
+/// only what changed since the requested version, if that is still known.
 
 namespace dotterelshed {
 
@@ -46,18 +47,27 @@
 
  private:
   struct PendingRequest {
-    ResourceVersion m_version;
+    ViewRequest m_request;
     TimePoint m_until;
     ResponseCallback m_respond;
   };
 
   auto Respond(const PendingRequest& pending, const ViewResponse& state)
       -> void;
+  /// Responds with the objects that changed since the requested version.
+  auto RespondPartially(const PendingRequest& pending,
+                        const ViewResponse& state) -> void;
+  /// Forgets which objects changed up to @p version.
+  auto ForgetChanges(ResourceVersion version) -> void;
   auto OnChanged(ResourceVersion version) -> void;
 
   std::map<std::string, StoredObject> m_objects;
   /// Version at which the objects last changed.
   ResourceVersion m_changed_at;
+  /// Version at which each object last changed or was removed, for all changes
+  /// after m_changes_known_since.
+  std::map<std::string, ResourceVersion> m_changes;
+  ResourceVersion m_changes_known_since;
   /// Encoded objects, cached on first use; empty after a change.
   std::string m_encoded;
   std::deque<PendingRequest> m_pending;
--- a/src/libgateway/view_server_unittest.cc
+++ b/src/libgateway/view_server_unittest.cc
@@ -1,6 +1,11 @@
 #include "view_server.h"
 
 #include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
 
 namespace dotterelshed {
 namespace {
@@ -32,14 +37,19 @@
   }
 };
 
-auto SendRequest(ViewServer& server, std::int64_t version, std::int64_t present)
+auto SendRequest(ViewServer& server,
+                 std::int64_t version,
+                 std::int64_t present,
+                 bool accepts_partial = false)
     -> std::shared_ptr<PendingAnswer> {
   auto pending = std::make_shared<PendingAnswer>();
-  server.AddRequest(
-      {.m_kind = ObjectKind::kEndpoints, .m_version = ResourceVersion(version)},
-      State(present), kUntil, [pending](const Result<std::string>& reply) {
-        pending->m_reply = reply;
-      });
+  server.AddRequest({.m_kind = ObjectKind::kEndpoints,
+                     .m_version = ResourceVersion(version),
+                     .m_accepts_partial = accepts_partial},
+                    State(present), kUntil,
+                    [pending](const Result<std::string>& reply) {
+                      pending->m_reply = reply;
+                    });
   return pending;
 }
 
@@ -115,6 +125,100 @@
   CHECK(answer.m_objects->front().m_name == "b");
 }
 
+TEST_CASE("a change of one object is sent without the others") {
+  constexpr int kObjects = 1000;
+  constexpr std::size_t kMaxResponseBytes = 1000;
+  std::vector<StoredObject> objects;
+  objects.reserve(kObjects);
+  for (int i = 0; i < kObjects; ++i) {
+    objects.push_back(MakeObject("e" + std::to_string(i), 3));
+  }
+  ViewServer server;
+  server.Replace(objects, ResourceVersion(5));
+  const auto pending = SendRequest(server, 5, 5, true);
+  server.Apply({.m_changes = {{.m_object = MakeObject("e7", 6)}},
+                .m_store_version = ResourceVersion(6)});
+  server.RespondToAll(State(6));
+  REQUIRE(pending->m_reply);
+  REQUIRE(*pending->m_reply);
+  CHECK((*pending->m_reply)->size() < kMaxResponseBytes);
+  const auto answer = pending->Answer();
+  CHECK(answer.m_partial);
+  REQUIRE(answer.m_objects);
+  REQUIRE(answer.m_objects->size() == 1);
+  CHECK(answer.m_objects->front().m_version == ResourceVersion(6));
+  // A version from before the listing, whose changes aren't known.
+  CHECK_FALSE(SendRequest(server, 4, 6, true)->Answer().m_partial);
+}
+
+TEST_CASE("hosts that don't accept partial responses get all objects") {
+  ViewServer server;
+  server.Replace({MakeObject("a", 3), MakeObject("b", 4)}, ResourceVersion(5));
+  server.Apply({.m_changes = {{.m_object = MakeObject("b", 6)}},
+                .m_store_version = ResourceVersion(6)});
+  const auto answer = SendRequest(server, 5, 6)->Answer();
+  CHECK_FALSE(answer.m_partial);
+  REQUIRE(answer.m_objects);
+  CHECK(answer.m_objects->size() == 2);
+}
+
+/// Content of a view that is kept up to date by responses.
+auto ApplyTo(std::map<std::string, std::int64_t>& view,
+             const ViewResponse& response) -> void {
+  if (!response.m_partial && response.m_objects) {
+    view.clear();
+  }
+  for (const auto& object :
+       response.m_objects.value_or(std::vector<StoredObject>())) {
+    view[object.m_name] = object.m_version.value();
+  }
+  for (const auto& name : response.m_removed) {
+    view.erase(name);
+  }
+}
+
+TEST_CASE("views kept by partial responses equal the server's, any changes") {
+  constexpr int kSteps = 3000;
+  constexpr int kNames = 40;
+  const auto seed = std::random_device()();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  ViewServer server;
+  std::map<std::string, std::int64_t> truth;
+  std::map<std::string, std::int64_t> view;
+  std::int64_t version = 1;
+  std::int64_t known = 0;
+  server.Replace({}, ResourceVersion(version));
+  for (int i = 0; i < kSteps; ++i) {
+    const auto name = std::to_string(random() % kNames);
+    const auto action = random() % 100;
+    ++version;
+    if (action == 0) {
+      std::vector<StoredObject> objects;
+      objects.reserve(truth.size());
+      for (const auto& [one, at] : truth) {
+        objects.push_back(MakeObject(one, at));
+      }
+      server.Reset({ErrorCode::kUnavailable, "", ""});
+      server.Replace(objects, ResourceVersion(version));
+    } else {
+      const auto removed = action < 30;
+      server.Apply({.m_changes = {{.m_object = MakeObject(name, version),
+                                   .m_removed = removed}},
+                    .m_store_version = ResourceVersion(version)});
+      truth[name] = version;
+      if (removed) {
+        truth.erase(name);
+      }
+    }
+    if (random() % 5 == 0) {
+      ApplyTo(view, SendRequest(server, known, version, true)->Answer());
+      known = version;
+      REQUIRE(view == truth);
+    }
+  }
+}
+
 TEST_CASE("malformed view messages are rejected") {
   CHECK_FALSE(DecodeViewRequest(R"({"kind":"ledgers","version":1})"));
   CHECK_FALSE(DecodeViewRequest("{"));
