Split long handlers, log what was ignored, and say things once

No behaviour differs but for the log: turn_withdrawn names a disk host that failed (failed_on), retirement_answered has its state.

--- a/src/include/dotterelshed/replica_placement.h
+++ b/src/include/dotterelshed/replica_placement.h
@@ -19,9 +19,9 @@
   HostId m_host;
   DomainId m_domain;
   std::string m_address;
-  /// It is being emptied: it still answers reads but takes no new turns.
+  /// It is being drained: it still answers reads but takes no new turns.
   bool m_leaving = false;
-  /// It has been emptied and holds nothing any more.
+  /// It has been drained: other hosts have all its turns.
   bool m_drained = false;
 };
 
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -71,7 +71,8 @@
      "A turn that is to be continued was not found: it is absent for certain, "
      "or a disk host that may have it did not answer."},
     {LogEventId::kTurnWithdrawn, LogLevel::kInfo, "turn_withdrawn",
-     "A stored turn's response did not reach its caller; it is removed."},
+     "A stored turn's response did not reach its caller; it is removed. A disk "
+     "host that failed to do so is named in the fields and may still have it."},
     {LogEventId::kReplicaOpened, LogLevel::kInfo, "replica_opened",
      "A disk host read the turns on its disk."},
     {LogEventId::kReplicaCaughtUp, LogLevel::kInfo, "replica_caught_up",
@@ -108,7 +109,8 @@
     {LogEventId::kPlatformBack, LogLevel::kInfo, "platform_back",
      "The platform answers again."},
     {LogEventId::kRetirementAnswered, LogLevel::kInfo, "retirement_answered",
-     "A disk host that is to be emptied was reported as empty."},
+     "The state of a disk host's retirement (draining, then drained) was "
+     "reported to the store."},
     {LogEventId::kReaderLeft, LogLevel::kInfo, "reader_left",
      "The host that reads the platform for this one doesn't answer or is "
      "behind; this host reads the platform itself for a while."},
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call_exchange.h
@@ -87,6 +87,9 @@
       -> void;
   auto SendAttempt() -> void;
   auto OnHead(ResponseHead& head) -> HeadVerdict;
+  /// Returns true if the current response must not reach the caller, since
+  /// another attempt follows or since it can't continue a stream.
+  auto MustDiscardResponse() const -> bool;
   auto BeginForwarding() -> void;
   auto OnBody(std::string_view bytes) -> void;
   auto ForwardEvents() -> void;
--- a/src/libgateway/call_response.cc
+++ b/src/libgateway/call_response.cc
@@ -33,7 +33,7 @@
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
   auto headers = ParseEndpointAnswerHeaders(head);
   if (headers.m_leaving) {
-    // An answer to an earlier request says so just as well.
+    // Valid also in a late response to an earlier request.
     m_context.m_on_leave_announced(m_attempt.m_endpoint);
   }
   if (headers.m_request.empty()) {
@@ -60,20 +60,23 @@
   m_attempt.m_response_started = true;
   NoteEndpointAlive(m_context.m_crash_ledger, m_attempt.m_endpoint,
                     m_attempt.m_connection->connected_at(), SteadyTime());
+  m_attempt.m_discard_response = MustDiscardResponse();
+  if (!m_attempt.m_discard_response) {
+    m_time_to_first_byte = SteadyTime() - m_started_at;
+    BeginForwarding();
+  }
+  return HeadVerdict::kTake;
+}
+
+auto CallExchange::MustDiscardResponse() const -> bool {
   const auto status = m_attempt.m_head.m_status;
   const auto not_run = m_attempt.m_headers.m_not_run;
   const auto unconfirmed_claim = ClaimsNotExecuted(status) && !not_run;
   const auto retryable_error =
       status >= kFirstServerError && IsRetryable() &&
       static_cast<int>(m_may_have_run_on.size()) < m_route.m_max_attempts;
-  m_attempt.m_discard_response = (not_run && status != kStatusBadRequest) ||
-                                 unconfirmed_claim || retryable_error ||
-                                 (m_forwarding && !IsSuccess(status));
-  if (!m_attempt.m_discard_response) {
-    m_time_to_first_byte = SteadyTime() - m_started_at;
-    BeginForwarding();
-  }
-  return HeadVerdict::kTake;
+  return (not_run && status != kStatusBadRequest) || unconfirmed_claim ||
+         retryable_error || (m_forwarding && !IsSuccess(status));
 }
 
 auto CallExchange::BeginForwarding() -> void {
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/disk_host.cc
@@ -29,6 +29,15 @@
   }
 }
 
+auto LogRetirementStatus(std::string_view state,
+                         const Result<StoredObject>& stored) -> void {
+  LogEvent(
+      LogEventId::kRetirementAnswered,
+      {{"state", std::string(state)},
+       {"outcome",
+        stored ? "stored" : std::string(ToString(stored.error().m_code))}});
+}
+
 }  // namespace
 
 DiskHost::DiskHost(EventLoop& loop, const EntrySettings& settings)
@@ -176,7 +185,9 @@
   m_entry.m_leaving = true;
   Register();
   m_store.SetRetirementStatus(object.m_name, false,
-                              [](const Result<StoredObject>& /*stored*/) {});
+                              [](const Result<StoredObject>& stored) {
+                                LogRetirementStatus("draining", stored);
+                              });
   m_replica.Drain([this, name = object.m_name] { AnswerRetirement(name); });
 }
 
@@ -184,17 +195,14 @@
   m_entry.m_leaving = true;
   m_entry.m_drained = true;
   Register();
-  m_store.SetRetirementStatus(
-      name, true, [this](const Result<StoredObject>& stored) {
-        LogEvent(LogEventId::kRetirementAnswered,
-                 {{"outcome",
-                   stored ? "stored"
-                          : std::string(ToString(stored.error().m_code))}});
-        if (!stored) {
-          m_answered_version = ResourceVersion(0);
-          m_watcher->Refresh();
-        }
-      });
+  m_store.SetRetirementStatus(name, true,
+                              [this](const Result<StoredObject>& stored) {
+                                LogRetirementStatus("drained", stored);
+                                if (!stored) {
+                                  m_answered_version = ResourceVersion(0);
+                                  m_watcher->Refresh();
+                                }
+                              });
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -282,7 +282,19 @@
                        FormatMetrics());
     return;
   }
-  const auto& body = request.m_body;
+  const auto handled =
+      HandleAccountRequest(connection, target, request.m_body) ||
+      HandleLeadRequest(connection, target, request.m_body) ||
+      HandleViewRequest(connection, target, request.m_body);
+  if (!handled) {
+    connection->Answer(kStatusNotFound, {}, "");
+  }
+}
+
+auto EntryHost::HandleAccountRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    std::string_view target,
+    const std::string& body) -> bool {
   if (target == kGrantPath) {
     HandleMessage(connection, DecodeTurnGrantRequest(body),
                   [this, &connection](const TurnGrantRequest& message) {
@@ -307,13 +319,43 @@
                         kStatusOk, {},
                         EncodeFindAccountResponse(m_lead.FindAccount(message)));
                   });
-  } else if (target == kLeadPath) {
+  } else {
+    return false;
+  }
+  return true;
+}
+
+auto EntryHost::HandleLeadRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    std::string_view target,
+    const std::string& body) -> bool {
+  if (target == kLeadPath) {
     HandleMessage(connection, DecodeKnownLead(body),
                   [this, &connection](const KnownLead& lead) {
                     m_lead.OnLeadUpdate(lead);
                     connection->Answer(kStatusOk, {}, "");
                   });
-  } else if (target == kViewPath) {
+  } else if (target == kStepDownPath) {
+    HandleMessage(connection, DecodeKnownLead(body),
+                  [this, &connection](const KnownLead& lead) {
+                    OnStepDownRequest(connection, lead);
+                  });
+  } else if (target == kYieldPath) {
+    HandleMessage(connection, DecodeKnownLead(body),
+                  [this, &connection](const KnownLead& lead) {
+                    OnYieldRequest(connection, lead);
+                  });
+  } else {
+    return false;
+  }
+  return true;
+}
+
+auto EntryHost::HandleViewRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    std::string_view target,
+    const std::string& body) -> bool {
+  if (target == kViewPath) {
     HandleMessage(connection, DecodeViewRequest(body),
                   [this, &connection](const ViewRequest& message) {
                     OnViewRequest(connection, message);
@@ -332,19 +374,10 @@
                           connection->Answer(kStatusOk, {}, update);
                         });
                   });
-  } else if (target == kStepDownPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnStepDownRequest(connection, lead);
-                  });
-  } else if (target == kYieldPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnYieldRequest(connection, lead);
-                  });
   } else {
-    connection->Answer(kStatusNotFound, {}, "");
+    return false;
   }
+  return true;
 }
 
 auto EntryHost::WatcherFor(ObjectKind kind) -> ObjectWatcher& {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 #include "call_exchange.h"
@@ -47,6 +48,20 @@
                           const IncomingRequest& request) -> void;
   auto OnPeerRequest(const std::shared_ptr<ServerConnection>& connection,
                      const IncomingRequest& request) -> void;
+  // Handlers by topic; they return false if the target is another one.
+
+  /// Grants, settlements and searches of programs' accounts.
+  auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
+                            std::string_view target,
+                            const std::string& body) -> bool;
+  /// Changes of a domain's lead.
+  auto HandleLeadRequest(const std::shared_ptr<ServerConnection>& connection,
+                         std::string_view target,
+                         const std::string& body) -> bool;
+  /// Views of the store, and the crash ledger.
+  auto HandleViewRequest(const std::shared_ptr<ServerConnection>& connection,
+                         std::string_view target,
+                         const std::string& body) -> bool;
   /// Returns the watcher of a kind that hosts may request from each other.
   auto WatcherFor(ObjectKind kind) -> ObjectWatcher&;
   auto OnViewRequest(const std::shared_ptr<ServerConnection>& connection,
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/grant_client.cc
@@ -105,47 +105,61 @@
 
 auto GrantClient::OnResponse(const std::shared_ptr<PendingRequest>& pending,
                              const TurnGrantResponse& response) -> void {
-  if (response.m_verdict == GrantVerdict::kNotLead) {
-    // The host is alive but has restarted or was replaced as lead.
-    if (response.m_lead && m_own_lead.OnLeadUpdate(*response.m_lead)) {
-      SendToLead(pending);
+  switch (response.m_verdict) {
+    case GrantVerdict::kNotLead:
+      OnNotLead(pending, response.m_lead);
       return;
-    }
-    if (++pending->m_not_lead_responses > kMaxNotLeadResponses) {
-      OnNoResponse(pending);
-    } else {
+    case GrantVerdict::kRetry:
       RetryLater(pending);
-    }
-    return;
+      return;
+    case GrantVerdict::kNoStore:
+      OnNoStore(pending);
+      return;
+    case GrantVerdict::kElsewhere:
+      Redirect(pending, response.m_domain);
+      return;
+    case GrantVerdict::kGranted:
+    case GrantVerdict::kBudgetSpent:
+    case GrantVerdict::kUnavailable:
+      break;
   }
-  if (response.m_verdict == GrantVerdict::kRetry) {
+  pending->m_respond(response);
+}
+
+/// The host is alive but has restarted or was replaced as lead.
+auto GrantClient::OnNotLead(const std::shared_ptr<PendingRequest>& pending,
+                            const std::optional<KnownLead>& lead) -> void {
+  if (lead && m_own_lead.OnLeadUpdate(*lead)) {
+    SendToLead(pending);
+  } else if (++pending->m_not_lead_responses > kMaxNotLeadResponses) {
+    OnNoResponse(pending);
+  } else {
     RetryLater(pending);
-    return;
   }
-  if (response.m_verdict == GrantVerdict::kNoStore) {
-    // A host that can reach the store may replace the lead.
-    const auto replaceable =
-        pending->m_domain == m_context.m_settings.m_domain &&
-        !m_own_lead.leading() && m_context.m_store_reachable;
-    if (replaceable) {
-      OnNoResponse(pending);
-    } else {
-      GiveUp(*pending);
-    }
-    return;
+}
+
+/// A host that can reach the store may replace the lead.
+auto GrantClient::OnNoStore(const std::shared_ptr<PendingRequest>& pending)
+    -> void {
+  const auto replaceable = pending->m_domain == m_context.m_settings.m_domain &&
+                           !m_own_lead.leading() && m_context.m_store_reachable;
+  if (replaceable) {
+    OnNoResponse(pending);
+  } else {
+    GiveUp(*pending);
   }
-  if (response.m_verdict == GrantVerdict::kElsewhere) {
-    if (++pending->m_redirects > kMaxRedirects) {
-      GiveUp(*pending);
-      return;
-    }
-    m_account_domains[pending->m_request.m_grant.m_program] = {
-        response.m_domain, SteadyTime()};
-    pending->m_domain = response.m_domain;
-    SendToLead(pending);
+}
+
+auto GrantClient::Redirect(const std::shared_ptr<PendingRequest>& pending,
+                           const DomainId& domain) -> void {
+  if (++pending->m_redirects > kMaxRedirects) {
+    GiveUp(*pending);
     return;
   }
-  pending->m_respond(response);
+  m_account_domains[pending->m_request.m_grant.m_program] = {domain,
+                                                             SteadyTime()};
+  pending->m_domain = domain;
+  SendToLead(pending);
 }
 
 auto GrantClient::OnNoResponse(const std::shared_ptr<PendingRequest>& pending)
--- a/src/libgateway/grant_client.h
+++ b/src/libgateway/grant_client.h
@@ -40,6 +40,12 @@
   auto SendToLead(const std::shared_ptr<PendingRequest>& pending) -> void;
   auto OnResponse(const std::shared_ptr<PendingRequest>& pending,
                   const TurnGrantResponse& response) -> void;
+  auto OnNotLead(const std::shared_ptr<PendingRequest>& pending,
+                 const std::optional<KnownLead>& lead) -> void;
+  auto OnNoStore(const std::shared_ptr<PendingRequest>& pending) -> void;
+  /// Sends the request to the lead of the domain that holds the account.
+  auto Redirect(const std::shared_ptr<PendingRequest>& pending,
+                const DomainId& domain) -> void;
   auto OnNoResponse(const std::shared_ptr<PendingRequest>& pending) -> void;
   auto RetryLater(const std::shared_ptr<PendingRequest>& pending) -> void;
   auto FallbackDomain(const ProgramId& program) const -> DomainId;
--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history_client.cc
@@ -284,7 +284,15 @@
     if (!host.m_drained) {
       CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
                kTurnWithdrawPath, body, kWriteTimeout,
-               [](const Result<std::string>& /*reply*/) {});
+               [turn = record.m_turn,
+                host = host.m_host](const Result<std::string>& reply) {
+                 if (!reply) {
+                   LogEvent(LogEventId::kTurnWithdrawn,
+                            {{"turn", turn.value()},
+                             {"failed_on", host.value()},
+                             {"reason", reply.error().m_message}});
+                 }
+               });
     }
   }
 }
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead_takeover_unittest.cc
@@ -18,15 +18,6 @@
 
 using Request = ScriptedEndpoint::Request;
 
-const std::string kTurn =
-    "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
-    "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 100\r\n"
-    "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
-
-auto LeadHost(TestEnvironment& environment) -> std::string {
-  return environment.m_store.Find("leads", "z")["spec"]["host"];
-}
-
 TEST_CASE("a lead that doesn't answer is replaced") {
   TestEnvironment environment;
   ScriptedEndpoint silent(environment.m_loop,
@@ -34,9 +25,9 @@
   environment.PutLead("z", "h2", silent);
   environment.AddEndpoint(AnswerTurn);
   environment.StartFollower();
-  environment.Finish(kTurn);
+  environment.Finish(kTurnRequest);
   CHECK(silent.requests() > 0);
-  CHECK(LeadHost(environment) == "h1");
+  CHECK(environment.LeadHost() == "h1");
 }
 
 TEST_CASE("a new lead isn't replaced for its predecessor's missing answer") {
@@ -54,13 +45,13 @@
   environment.PutLead("z", "h2", silent);
   environment.AddEndpoint(AnswerTurn);
   environment.StartFollower();
-  const auto caller = environment.Call(kTurn);
+  const auto caller = environment.Call(kTurnRequest);
   environment.RunUntil([&silent] { return silent.requests() > 0; });
   environment.PutLead("z", "h3", next);
   environment.RunUntil([&caller] { return caller->m_ended || caller->Body(); });
   CHECK(caller->Status() == 200);
   CHECK(next.requests() > 0);
-  CHECK(LeadHost(environment) == "h3");
+  CHECK(environment.LeadHost() == "h3");
 }
 
 TEST_CASE(
@@ -71,7 +62,7 @@
   const auto incarnation =
       environment.m_store.Find("leads", "z")["spec"]["incarnation"];
   environment.m_store.DropAnswers("ledgers", 1);
-  CHECK(environment.Finish(kTurn)->Status() == 200);
+  CHECK(environment.Finish(kTurnRequest)->Status() == 200);
   CHECK(environment.m_host->leads());
   CHECK(environment.m_store.Find("leads", "z")["spec"]["incarnation"] ==
         incarnation);
@@ -84,7 +75,7 @@
   // Watches report no changes, so the host has to read the object.
   environment.m_store.SetSilentWatches(true);
   environment.Start();
-  CHECK(LeadHost(environment) == "h1");
+  CHECK(environment.LeadHost() == "h1");
 }
 
 TEST_CASE("a host with a much larger share asks the lead to yield") {
@@ -104,12 +95,12 @@
   environment.PutLead("z", "h2", lead, share);
   environment.AddEndpoint(AnswerTurn);
   environment.StartFollower();
-  environment.Finish(kTurn);
+  environment.Finish(kTurnRequest);
   if (share < 0.5) {
     environment.RunUntil(
         [&environment] { return environment.m_host->leads(); });
   }
-  CHECK(LeadHost(environment) == leader);
+  CHECK(environment.LeadHost() == leader);
   const auto yield_request =
       std::find(targets.begin(), targets.end(), kYieldPath);
   CHECK((yield_request != targets.end()) == (share < 0.5));
@@ -125,14 +116,14 @@
   environment.StartFollower();
   environment.RunUntil([&lead] { return lead.requests() > 0; });
   environment.m_loop.run_for(std::chrono::milliseconds(100));
-  CHECK(LeadHost(environment) == "h2");
+  CHECK(environment.LeadHost() == "h2");
 }
 
 TEST_CASE("a lead that yields records only the tokens granted") {
   TestEnvironment environment;
   environment.AddEndpoint(AnswerTurn);
   environment.Start();
-  CHECK(environment.Finish(kTurn)->Status() == 200);
+  CHECK(environment.Finish(kTurnRequest)->Status() == 200);
   const auto bounds = [&environment] {
     return environment.m_store.Find("ledgers", "z")["spec"]["bounds"];
   };
--- a/src/libgateway/lost_store_unittest.cc
+++ b/src/libgateway/lost_store_unittest.cc
@@ -17,10 +17,6 @@
 
 using Request = ScriptedEndpoint::Request;
 
-auto LeadHost(TestEnvironment& environment) -> std::string {
-  return environment.m_store.Find("leads", "z")["spec"]["host"];
-}
-
 /// A lead that serves no views and answers step-down requests with @p status.
 auto AnswerWithoutStore(int status, std::vector<std::string>& targets)
     -> ScriptedEndpoint::Handler {
@@ -42,7 +38,7 @@
   environment.StartFollower();
   // No turn needs the lead.
   environment.RunUntil([&environment] { return environment.m_host->leads(); });
-  CHECK(LeadHost(environment) == "h1");
+  CHECK(environment.LeadHost() == "h1");
 }
 
 TEST_CASE("a lead that goes on leading without views isn't replaced") {
@@ -53,7 +49,7 @@
   environment.AddEndpoint(AnswerTurn);
   environment.StartFollower();
   environment.RunFor(std::chrono::seconds(8));
-  CHECK(LeadHost(environment) == "h2");
+  CHECK(environment.LeadHost() == "h2");
   const auto requests =
       std::count(targets.begin(), targets.end(), kStepDownPath);
   CHECK(requests >= 1);
--- a/src/libgateway/replica_messages.h
+++ b/src/libgateway/replica_messages.h
@@ -12,7 +12,7 @@
 #include "dotterelshed/turn_record.h"
 
 /// @file
-/// Messages that write, read and copy the kept turns of conversations. Bodies
+/// Messages that write, read and copy the stored turns of conversations. Bodies
 /// are MessagePack, since texts of turns may hold any bytes.
 
 namespace dotterelshed {
--- a/src/libgateway/replica_messages_unittest.cc
+++ b/src/libgateway/replica_messages_unittest.cc
@@ -7,7 +7,7 @@
 #include <string>
 
 /// @file
-/// Messages about kept turns: what is sent arrives, and other bytes are
+/// Messages about stored turns: what is sent arrives, and other bytes are
 /// refused.
 
 namespace dotterelshed {
--- a/src/libgateway/replica_sync.h
+++ b/src/libgateway/replica_sync.h
@@ -14,7 +14,8 @@
 /// @file
 /// Anti-entropy between replicas of turns. Each replica reads the list of each
 /// other one, from where it stopped, and copies the turns that it should have
-/// and lacks. This makes good a restart, an emptied disk and a lost write.
+/// and lacks. This repairs what a restart, a replaced disk or a lost write left
+/// out.
 
 namespace dotterelshed {
 
@@ -54,9 +55,9 @@
     TimePoint m_next_at;
     bool m_busy = false;
     bool m_caught_up = false;
-    /// Wait for a pass over the whole list that begins after they came.
+    /// Callbacks for which a pass over the whole list has to begin.
     std::vector<SyncedCallback> m_waiting;
-    /// Are called at the end of the current pass, which is such a one.
+    /// Callbacks that the current pass serves when it ends.
     std::vector<SyncedCallback> m_served;
   };
 
--- a/src/libgateway/shared_view_unittest.cc
+++ b/src/libgateway/shared_view_unittest.cc
@@ -15,10 +15,6 @@
 
 constexpr int kFollowers = 6;
 
-auto AnswerPlain(const ScriptedEndpoint::Request& request) -> void {
-  request.m_stream->Write(request.Complete("x"));
-}
-
 /// One domain with a lead and its followers, all of them ready.
 struct Domain {
   TestEnvironment m_environment;
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/stale_view_unittest.cc
@@ -57,16 +57,8 @@
   });
 }
 
-constexpr auto kTurn =
-    "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
-    "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 100\r\n"
-    "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
 constexpr auto kSafeCall = "GET /safe/1 HTTP/1.1\r\nHost: desk\r\n\r\n";
 
-auto AnswerPlain(const ScriptedEndpoint::Request& request) -> void {
-  request.m_stream->Write(request.Complete("x"));
-}
-
 TEST_CASE("a host uses the view that its domain's lead has read") {
   TestEnvironment environment;
   environment.AddEndpoint(AnswerPlain);
@@ -206,7 +198,7 @@
   silent_since = SteadyTime();
   environment.PutLead("y", "h9", other);
   environment.RunUntil([&environment, &other] {
-    environment.Finish(kTurn);
+    environment.Finish(kTurnRequest);
     return other.requests() > 0;
   });
   // A turn waits for a grant for 1.5 s at most.
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -157,6 +157,17 @@
   }
 };
 
+/// First turn of a program that may generate 100 tokens in all.
+inline const std::string kTurnRequest =
+    "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: r1\r\n"
+    "Program-Id: p\r\nSession-Id: p\r\nToken-Budget: 100\r\n"
+    "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
+
+/// Answers a request with a short body.
+inline auto AnswerPlain(const ScriptedEndpoint::Request& request) -> void {
+  request.m_stream->Write(request.Complete("x"));
+}
+
 /// Answers a turn with one event.
 inline auto AnswerTurn(const ScriptedEndpoint::Request& request) -> void {
   request.m_stream->Write(request.Complete("id: 1\ndata: t\n\n"));
@@ -217,6 +228,11 @@
                          .m_processor_share = processor_share}));
   }
 
+  /// Returns the host that the store names as lead of the domain "z".
+  auto LeadHost() -> std::string {
+    return m_store.Find("leads", "z")["spec"]["host"];
+  }
+
   /// Starts a disk host that keeps its data in @p folder.
   /// @param first_start  its disk has not been replaced by an empty one.
   auto AddDiskHost(const std::string& name,
--- a/src/libgateway/test_store.h
+++ b/src/libgateway/test_store.h
@@ -45,12 +45,12 @@
     const auto found = m_calls.find(kind);
     return found == m_calls.end() ? 0 : found->second;
   }
-  /// Number of those reads that listed all objects of the kind.
+  /// Number of listings of a kind so far.
   auto listings(const std::string& kind) const -> int {
     const auto found = m_listings.find(kind);
     return found == m_listings.end() ? 0 : found->second;
   }
-  /// Number of requests that were refused since the store is down.
+  /// Number of requests that were refused so far.
   auto refused() const -> int { return m_refused; }
   /// Handles requests for objects of a kind only after @p delay.
   auto SetDelay(const std::string& kind, Duration delay) -> void {
--- a/src/libgateway/turn_replica.h
+++ b/src/libgateway/turn_replica.h
@@ -17,9 +17,9 @@
 #include "turn_database.h"
 
 /// @file
-/// Replica of kept turns on a disk host. It stores what entry hosts write,
-/// answers their reads from memory, and copies what it lacks from the other
-/// replicas.
+/// Replica of the turns of conversations on a disk host. It stores what entry
+/// hosts write, answers their reads from memory, and copies what it lacks from
+/// the other replicas.
 
 namespace dotterelshed {
 
--- a/src/libgateway/view_server_unittest.cc
+++ b/src/libgateway/view_server_unittest.cc
@@ -177,44 +177,57 @@
   }
 }
 
+/// A server and the versions of the objects that it should have.
+struct ChangingView {
+  ViewServer m_server;
+  std::map<std::string, std::int64_t> m_objects;
+  std::int64_t m_version = 1;
+
+  auto List() -> void {
+    std::vector<StoredObject> objects;
+    objects.reserve(m_objects.size());
+    for (const auto& [name, version] : m_objects) {
+      objects.push_back(MakeObject(name, version));
+    }
+    m_server.Reset({ErrorCode::kUnavailable, "", ""});
+    m_server.Replace(objects, ResourceVersion(m_version));
+  }
+
+  auto Change(const std::string& name, bool removed) -> void {
+    m_server.Apply({.m_changes = {{.m_object = MakeObject(name, m_version),
+                                   .m_removed = removed}},
+                    .m_store_version = ResourceVersion(m_version)});
+    m_objects[name] = m_version;
+    if (removed) {
+      m_objects.erase(name);
+    }
+  }
+};
+
 TEST_CASE("views kept by partial responses equal the server's, any changes") {
   constexpr int kSteps = 3000;
   constexpr int kNames = 40;
   const auto seed = std::random_device()();
   INFO("seed " << seed);
   std::mt19937 random(seed);
-  ViewServer server;
-  std::map<std::string, std::int64_t> truth;
+  ChangingView source;
   std::map<std::string, std::int64_t> view;
-  std::int64_t version = 1;
   std::int64_t known = 0;
-  server.Replace({}, ResourceVersion(version));
+  source.List();
   for (int i = 0; i < kSteps; ++i) {
-    const auto name = std::to_string(random() % kNames);
+    ++source.m_version;
     const auto action = random() % 100;
-    ++version;
     if (action == 0) {
-      std::vector<StoredObject> objects;
-      objects.reserve(truth.size());
-      for (const auto& [one, at] : truth) {
-        objects.push_back(MakeObject(one, at));
-      }
-      server.Reset({ErrorCode::kUnavailable, "", ""});
-      server.Replace(objects, ResourceVersion(version));
+      source.List();
     } else {
-      const auto removed = action < 30;
-      server.Apply({.m_changes = {{.m_object = MakeObject(name, version),
-                                   .m_removed = removed}},
-                    .m_store_version = ResourceVersion(version)});
-      truth[name] = version;
-      if (removed) {
-        truth.erase(name);
-      }
+      source.Change(std::to_string(random() % kNames), action < 30);
     }
     if (random() % 5 == 0) {
-      ApplyTo(view, SendRequest(server, known, version, true)->Answer());
+      const auto version = source.m_version;
+      ApplyTo(view,
+              SendRequest(source.m_server, known, version, true)->Answer());
       known = version;
-      REQUIRE(view == truth);
+      REQUIRE(view == source.m_objects);
     }
   }
 }
