Cut no last answer that its caller has still to take

Cause: an answer counted as done when it was handed to the stream. A planned stop then ended the process, with what the system hadn't taken yet; it closed kept connections at once though an answer was still on its way; and any last answer was cut when its caller took it over a second later.

Change: the process waits, within its grace, until connections with a last answer are closed; a stop lets a kept connection send what is left; a caller has 10 s to take the end of an answer, and 1 s to close after that.

--- a/src/include/dotterelshed/byte_stream.h
+++ b/src/include/dotterelshed/byte_stream.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "dotterelshed/error.h"
+#include "dotterelshed/units.h"
 
 /// @file
 /// A TCP connection on the event loop: bytes are handed on as they arrive, and
@@ -55,7 +56,8 @@
   /// Ends the connection at once; no handler runs any more.
   auto Close() -> void;
   /// Ends the connection once what was written is gone, and reads on for a
-  /// moment so that the other side gets it all. No handler runs any more.
+  /// second so that the other side gets it all. What isn't gone after ten
+  /// seconds is dropped. No handler runs any more.
   auto CloseAfterWrites() -> void;
   auto closed() const -> bool { return m_closed; }
 
@@ -66,11 +68,13 @@
   auto FlushPending() -> void;
   auto End(StreamEnd end) -> void;
   auto BeginLinger() -> void;
+  /// Closes the connection after @p time at the latest.
+  auto CloseAfter(Duration time) -> void;
 
   TcpSocket m_socket;
   ByteStreamHandlers m_handlers;
   std::string m_pending;
-  std::unique_ptr<boost::asio::steady_timer> m_linger_timer;
+  std::unique_ptr<boost::asio::steady_timer> m_close_timer;
   bool m_reading = true;
   bool m_read_armed = false;
   bool m_write_armed = false;
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/http_parser.h"
@@ -72,6 +73,8 @@
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
   auto CloseIfIdle() -> void;
+  /// Ends the connection once its last answer is out.
+  auto CloseAfterWrites() -> void;
   auto Forget() -> void;
 
   HttpListener* m_listener;
@@ -112,6 +115,9 @@
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
+  /// Connections whose last answer the other side may still be taking. The
+  /// process must not exit before they are closed, or the answer is cut.
+  auto closing_connections() const -> std::size_t;
 
  private:
   friend class ServerConnection;
@@ -124,6 +130,9 @@
   RequestHandler m_on_request;
   ListenerLimits m_limits;
   std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
+  /// Streams that end once their last answer is out; they are no connections of
+  /// this listener any more.
+  std::vector<std::weak_ptr<ByteStream>> m_closing;
   int m_open_requests = 0;
   boost::asio::steady_timer m_accept_timer;
   bool m_close_after_answers = false;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -506,10 +506,12 @@
     return;
   }
   m_callers.StopListening();
-  const auto over = m_callers.open_requests() == 0;
+  const auto over =
+      m_callers.open_requests() == 0 && m_callers.closing_connections() == 0;
   if (over || since > grace - kExitMargin) {
     LogEvent(LogEventId::kHostStopped,
              {{"open", std::to_string(m_callers.open_requests())},
+              {"closing", std::to_string(m_callers.closing_connections())},
               {"exit_code", "0"}});
     m_context.m_loop.stop();
   }
--- a/src/libgateway/shared_view_unittest.cc
+++ b/src/libgateway/shared_view_unittest.cc
@@ -139,12 +139,12 @@
     "a host that is cut off from the store alone reads through its lead") {
   TestEnvironment environment;
   environment.AddEndpoint(AnswerPlain);
-  // What the host reaches instead of the store; the lead reaches the store.
-  TestStore own_way(environment.m_loop);
-  REQUIRE(own_way.Listen(Loopback()));
+  // What the host reaches in place of the store that its lead reads.
+  TestStore dead_store(environment.m_loop);
+  REQUIRE(dead_store.Listen(Loopback()));
   environment.Start();
-  own_way.SetDown(true);
-  ObjectStore store(environment.m_loop, {.m_address = own_way.address()});
+  dead_store.SetDown(true);
+  ObjectStore store(environment.m_loop, {.m_address = dead_store.address()});
   const auto lead = environment.m_store.Find("leads", "z")["spec"];
   ConnectionPool peers(environment.m_loop, {});
   int listings = 0;
@@ -153,15 +153,15 @@
       WatcherOptions{.m_kind = ObjectKind::kEndpoints},
       HandleEachObject(
           [&listings](const StoredObject& /*object*/) { ++listings; }),
-      ViewReader{peers, [&lead, &own_way]() -> std::string {
+      ViewReader{peers, [&lead, &dead_store]() -> std::string {
                    // Known only after the store has failed.
-                   return own_way.refused() > 0
+                   return dead_store.refused() > 0
                               ? lead["peer_address"].get<std::string>()
                               : std::string();
                  }});
   watcher->Start();
   environment.RunUntil([&listings] { return listings > 0; });
-  CHECK(own_way.refused() < 5);
+  CHECK(dead_store.refused() < 5);
 }
 
 }  // namespace
--- a/src/libgateway/slow_record_unittest.cc
+++ b/src/libgateway/slow_record_unittest.cc
@@ -8,7 +8,8 @@
 
 constexpr int kEventsOfFirstTurn = 10;
 constexpr int kEventsOfSecondTurn = 30;
-/// Slower than the lead waits for the answer to one grant request.
+/// A write is then confirmed after 800 ms (its timeout, and a read of it),
+/// later than the lead waits before it answers a grant request.
 constexpr auto kStoreDelay = std::chrono::milliseconds(500);
 
 auto Turn(const std::string& name) -> std::string {
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -17,7 +17,11 @@
 constexpr std::size_t kReadBufferBytes = 32768;
 /// Reads of one connection before others get their turn.
 constexpr int kMaxReadsInARow = 4;
-/// Time in which the other side may take what was written last.
+/// Time in which the other side may take what was written last, before the end
+/// of the connection is sent.
+constexpr auto kFlushTime = std::chrono::seconds(10);
+/// Time in which the other side may close the connection after its end was
+/// sent.
 constexpr auto kLingerTime = std::chrono::milliseconds(1000);
 
 auto ReadBuffer() -> std::array<char, kReadBufferBytes>& {
@@ -174,7 +178,7 @@
     return;
   }
   m_closed = true;
-  m_linger_timer.reset();
+  m_close_timer.reset();
   ErrorCodeIn error;
   m_socket.close(error);
   // A handler may be running: what it holds is released after it.
@@ -189,17 +193,22 @@
   m_closing = true;
   asio::post(m_socket.get_executor(),
              [self = shared_from_this()] { self->m_handlers = {}; });
-  m_linger_timer = std::make_unique<asio::steady_timer>(m_socket.get_executor(),
-                                                        kLingerTime);
-  m_linger_timer->async_wait(
+  if (m_pending.empty()) {
+    BeginLinger();
+  } else {
+    CloseAfter(kFlushTime);
+  }
+}
+
+auto ByteStream::CloseAfter(Duration time) -> void {
+  m_close_timer =
+      std::make_unique<asio::steady_timer>(m_socket.get_executor(), time);
+  m_close_timer->async_wait(
       [self = shared_from_this()](const ErrorCodeIn& error) {
         if (!error) {
           self->Close();
         }
       });
-  if (m_pending.empty()) {
-    BeginLinger();
-  }
 }
 
 auto ByteStream::BeginLinger() -> void {
@@ -209,6 +218,7 @@
     Close();
     return;
   }
+  CloseAfter(kLingerTime);
   WaitReadable();
 }
 
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -1,5 +1,6 @@
 #include "dotterelshed/http_listener.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,11 @@
   return status == kNoContent || status == kNotModified;
 }
 
+auto IsClosed(const std::weak_ptr<ByteStream>& weak) -> bool {
+  const auto stream = weak.lock();
+  return !stream || stream->closed();
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(HttpListener& listener, TcpSocket socket)
@@ -186,8 +192,7 @@
   --m_listener->m_open_requests;
   m_since = SteadyTime();
   if (!m_keep_alive || m_listener->m_stopped) {
-    m_stream->CloseAfterWrites();
-    Forget();
+    CloseAfterWrites();
     return;
   }
   m_stream->SetReading(true);
@@ -258,10 +263,22 @@
   if (m_busy || m_parser->started() || !m_ahead.empty()) {
     return;
   }
+  if (pending_bytes() > 0) {
+    CloseAfterWrites();
+    return;
+  }
   m_stream->Close();
   Forget();
 }
 
+auto ServerConnection::CloseAfterWrites() -> void {
+  auto& closing = m_listener->m_closing;
+  std::erase_if(closing, IsClosed);
+  closing.push_back(m_stream);
+  m_stream->CloseAfterWrites();
+  Forget();
+}
+
 auto ServerConnection::Forget() -> void {
   auto* listener = std::exchange(m_listener, nullptr);
   if (listener != nullptr) {
@@ -343,6 +360,12 @@
   }
 }
 
+auto HttpListener::closing_connections() const -> std::size_t {
+  const auto closed =
+      std::count_if(m_closing.begin(), m_closing.end(), IsClosed);
+  return m_closing.size() - static_cast<std::size_t>(closed);
+}
+
 auto HttpListener::StopListening() -> void {
   if (std::exchange(m_stopped, true)) {
     return;
