--- a/review/common/world.py
+++ b/review/common/world.py
@@ -290,15 +290,18 @@
     Subclasses give `run`, which answers a request that the server works on.
     """
 
-    def __init__(self, world, name, service, zone, slots):
+    def __init__(self, world, name, service, zone, slots, queue=192):
         self.world = world
         self.id = name
         self.service = service
         self.zone = zone
         self.slots = slots
+        self.queue = queue
+        self.places = asyncio.Semaphore(slots)
         self.port = free_port()
         self.born = int(time.time() * 1000)
-        self.running = 0
+        # Requests that run or wait.
+        self.taken = 0
         self.seq = 0
 
     async def start(self):
@@ -348,21 +351,20 @@
         if request.fields.get("expect-instance", self.id) != self.id:
             writer.write(answer_bytes(421, own))
             return
-        if self.full():
+        if self.taken >= self.slots + self.queue:
             self.world.record("server_full", server=self.id,
                               request=own["Request-Id"])
             writer.write(answer_bytes(503, {**own, "Not-Executed": "1"}))
             return
-        self.running += 1
-        self.world.record("run", server=self.id, request=own["Request-Id"])
-        self.world.runs.append((own["Request-Id"], self.id))
+        self.taken += 1
         try:
-            await self.run(request, writer, own)
+            async with self.places:
+                self.world.record("run", server=self.id,
+                                  request=own["Request-Id"])
+                self.world.runs.append((own["Request-Id"], self.id))
+                await self.run(request, writer, own)
         finally:
-            self.running -= 1
-
-    def full(self):
-        return False
+            self.taken -= 1
 
     async def run(self, request, writer, own):
         raise NotImplementedError
