--- a/review/1/case.py
+++ b/review/1/case.py
@@ -110,7 +110,7 @@
                 for n in (2, 3)]
     await world.wait_ready(entries)
     await world.wait_until(
-        lambda: all(world.store.find("ledgers", zone) for zone in ZONES), 20,
+        lambda: all(world.find_ledger(zone) for zone in ZONES), 20,
         "each zone has a lead")
     await asyncio.sleep(SETTLE_S)
     lead = world.lead_of("zone-a")
@@ -122,11 +122,12 @@
     await program.turn(hosts)
     await world.wait_until(
         lambda: program.name in
-        world.store.find("ledgers", "zone-a")["spec"]["bounds"], 5,
+        world.find_ledger("zone-a")["spec"]["bounds"], 5,
         "the program is on record")
     await asyncio.sleep(1.5)
-    world.record("on_record", bound=world.store.find(
-        "ledgers", "zone-a")["spec"]["bounds"][program.name])
+    world.record("on_record",
+                 bound=world.find_ledger("zone-a")["spec"]["bounds"]
+                 [program.name])
 
     async def trouble():
         port = world.store.ports[lead]
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -550,6 +550,9 @@
         entry = self.store.find("leads", zone)
         return entry["spec"]["host"] if entry else None
 
+    def find_ledger(self, zone):
+        return self.store.find("ledgers", zone)
+
     def request_id(self):
         self.sent += 1
         return f"{os.getpid():06x}{self.sent:06x}"
