--- a/review/common/world.py
+++ b/review/common/world.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shlex
 import shutil
@@ -48,18 +49,28 @@
         self._file.flush()
 
 
+# Below the range from which Linux takes the ports of outgoing connections, so
+# that a host that starts again finds its ports free.
+PORTS = (12000, 32000)
 # Ports that were handed out, so that none is handed out twice.
 _taken_ports = set()
+# Not the seeded generator of a case: several may run at once.
+_port_draw = random.SystemRandom()
 
 
 def free_port():
-    while True:
+    for _ in range(1000):
+        port = _port_draw.randrange(*PORTS)
+        if port in _taken_ports:
+            continue
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in _taken_ports:
-            _taken_ports.add(port)
-            return port
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _taken_ports.add(port)
+        return port
+    raise CannotRun("no free port")
 
 
 # HTTP.
