--- a/review/common/world.py
+++ b/review/common/world.py
@@ -320,23 +320,22 @@
         await self._register()
         self.world.spawn(self._beat())
 
+    def entry(self):
+        return {
+            "service": self.service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": self.seq,
+            "born": self.born,
+        }
+
     async def _register(self):
         self.seq += 1
-        await self.world.store.put(
-            "servers",
-            self.id,
-            {
-                "service": self.service,
-                "address": f"127.0.0.1:{self.port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "seq": self.seq,
-                "born": self.born,
-            },
-        )
+        await self.world.store.put("servers", self.id, self.entry())
 
     async def _beat(self):
         while True:
