--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,10 @@
-"""Servers that one client attempt is run on, against its route's maxAttempts.
+"""A program's token budget where one storage machine is all there is.
 
-Some servers lose answers of streams that they run, while clients keep all
-servers nearly full.
+The store turns the lead away. The lead records what it grants on the only disk
+host. That one ends and starts again, and the zone gets a new lead meanwhile.
 """
 
 import asyncio
-import collections
-import random
 import sys
 from pathlib import Path
 
@@ -14,21 +12,20 @@
 sys.path.insert(0, str(HERE.parent))
 from common import world as w  # noqa: E402
 
-MAX_ATTEMPTS = 1
-ALLOWED_EXCESSES = 3
-SERVERS = 6
-SLOTS = 6
-QUEUE = 3
-CLIENTS = 54
-EVENTS = 8
-EVENT_GAP_S = (0.008, 0.025)
-# As the site's answer_lost, how "reset".
-LOSING_SERVERS = SERVERS // 2
-LOST_SHARE = 0.05
-CALM_S = 3.0
-LOSING_S = 6.0
-WINDOWS = 7
-SEED = 1
+BUDGET = 1080
+TURN_MOST = 135
+TOKENS_PER_EVENT = 3
+EVENTS = TURN_MOST // TOKENS_PER_EVENT
+EVENT_GAP_S = 0.005
+SUB_AGENTS = 3
+ZONES = ["zone-a"]
+# Leads give no advance on unknown programs before this time.
+SETTLE_S = 9
+# From the start of the store's silence.
+DISKS_DARK_AT_S = 1.8
+DISKS_DARK_S = 2.8
+STORE_SILENT_S = 7.0
+PROGRAM_S = 16.0
 
 CONFIG = {
     "version": 7,
@@ -36,7 +33,7 @@
         {
             "name": "r-turns", "host": "desk.example", "pathPrefix": "/turns/",
             "kind": "stream", "timeoutMs": 5000, "targetLatencyMs": 200,
-            "priority": 0, "service": "engine", "maxAttempts": MAX_ATTEMPTS,
+            "priority": 0, "service": "engine", "maxAttempts": 1,
             "retain": False, "retentionS": 60.0, "sticky": True,
             "resumable": True, "targetGapMs": 300,
         }
@@ -45,8 +42,8 @@
         {
             "name": "engine", "healthPath": "/health", "maxConns": 720,
             "protocol": "h1", "tls": False,
-            "engine": {"slots": SLOTS, "kvCapacity": 356136,
-                       "tokensPerEvent": 3},
+            "engine": {"slots": 64, "kvCapacity": 356136,
+                       "tokensPerEvent": TOKENS_PER_EVENT},
         }
     ],
     "limits": {"headerBytes": 16384, "maxBodyBytes": 4194304,
@@ -55,82 +52,108 @@
 
 
 class Engine(w.Server):
-    losing = False
-
     async def run(self, request, writer, own):
-        gap = random.uniform(*EVENT_GAP_S)
-        if self.losing and random.random() < LOST_SHARE:
-            self.world.record("answer_lost", server=self.id,
-                              request=own["Request-Id"])
-            # The connection is reset; the work goes on to its end.
-            writer.transport.abort()
-            await asyncio.sleep(EVENTS * gap)
-            return
-        await w.send_events(writer, own, request, EVENTS, gap)
-
-
-async def client(world, host, number, end):
-    while asyncio.get_running_loop().time() < end:
-        answer = await w.send(
-            world, host, "POST", "/turns/1",
-            {
-                "Host": "desk.example",
-                "Request-Id": world.request_id(),
-                "Model": "m",
-                "Token-Counts": f"1840,{3 * EVENTS}",
-                "Prompt-Prefix": f"5c1e07a2:800,{number:08x}:410",
-                "Deadline-Ms": 5000,
-            }, b"p" * 2000)
-        if answer.status == 503:
-            await asyncio.sleep(float(answer.fields.get("retry-after", 0.15)))
+        await w.send_events(writer, own, request, EVENTS, EVENT_GAP_S)
+
+
+class Program:
+    """A program that loops without end; counts the tokens that it got."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.tokens = 0
+        self.refused = 0
+
+    async def turn(self, hosts):
+        for host in hosts:
+            answer = await w.send(
+                self.world, host, "POST", "/turns/1",
+                {
+                    "Host": "desk.example",
+                    "Request-Id": self.world.request_id(),
+                    "Program-Id": self.name,
+                    "Session-Id": self.name + "1",
+                    "Finish-Ms": 30000,
+                    "Model": "m",
+                    "Token-Budget": BUDGET,
+                    "Token-Counts": f"1840,{TURN_MOST}",
+                    "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410",
+                    "Deadline-Ms": 5000,
+                }, b"p" * 5000)
+            self.tokens += answer.events * TOKENS_PER_EVENT
+            if answer.status == 402:
+                self.refused += 1
+            if answer.status not in (0, 503):
+                return
+
+    async def loop(self, hosts, seconds):
+        """Sub-agents that run turns side by side until the time is over."""
+        async def agent():
+            end = asyncio.get_running_loop().time() + seconds
+            while asyncio.get_running_loop().time() < end:
+                before = self.refused
+                await self.turn(hosts)
+                await asyncio.sleep(0.3 if self.refused > before else 0.02)
+        await asyncio.gather(*(agent() for _ in range(SUB_AGENTS)))
 
 
 async def case(world):
-    random.seed(SEED)
     await world.store.put("config", "main", CONFIG)
-    engines = [Engine(world, f"i-{number}", "engine", "zone-a", SLOTS, QUEUE)
-               for number in range(SERVERS)]
-    for engine in engines:
-        await engine.start()
-    await world.add_host("storage-zone-a", "zone-a", disk=True)
-    entries = [await world.add_host(f"edge-zone-a-{n}", "zone-a")
-               for n in (1, 2)]
+    for number, zone in enumerate(ZONES):
+        await Engine(world, f"i-{number}", "engine", zone, 64).start()
+    disks = [await world.add_host(f"storage-{zone}", zone, disk=True)
+             for zone in ZONES]
+    await asyncio.sleep(0.5)
+    entries = [await world.add_host(f"edge-{zone}-1", zone) for zone in ZONES]
+    entries += [await world.add_host(f"edge-zone-a-{n}", "zone-a")
+                for n in (2, 3)]
     await world.wait_ready(entries)
-    await world.wait_until(lambda: world.lead_of("zone-a"), 10,
-                           "the zone has a lead")
+    await world.wait_until(
+        lambda: all(world.find_ledger(zone) for zone in ZONES), 20,
+        "each zone has a lead")
+    await asyncio.sleep(SETTLE_S)
+    lead = world.lead_of("zone-a")
+    hosts = [host for host in entries
+             if host.zone == "zone-a" and host.name != lead]
+    world.record("lead", zone="zone-a", host=lead)
+
+    program = Program(world, "3fa81c")
+    await program.turn(hosts)
+    await world.wait_until(
+        lambda: program.name in
+        world.find_ledger("zone-a")["spec"]["bounds"], 5,
+        "the program is on record")
+    await asyncio.sleep(1.5)
+    world.record("on_record",
+                 bound=world.find_ledger("zone-a")["spec"]["bounds"]
+                 [program.name])
 
     async def trouble():
-        for _ in range(WINDOWS):
-            await asyncio.sleep(CALM_S)
-            losing = random.sample(engines, LOSING_SERVERS)
-            for engine in losing:
-                engine.losing = True
-            world.record("losing", servers=",".join(e.id for e in losing),
-                         share=LOST_SHARE)
-            await asyncio.sleep(LOSING_S)
-            for engine in engines:
-                engine.losing = False
-            world.record("losing_over")
+        port = world.store.ports[lead]
+        port.silent = True
+        world.record("store_silent", host=lead)
+        await asyncio.sleep(DISKS_DARK_AT_S)
+        for disk in disks:
+            disk.kill()
+        await asyncio.sleep(DISKS_DARK_S)
+        for disk in disks:
+            await disk.start()
+        await asyncio.sleep(STORE_SILENT_S - DISKS_DARK_AT_S - DISKS_DARK_S)
+        port.silent = False
+        world.record("store_back", host=lead)
 
     if w.TROUBLE:
         world.spawn(trouble())
-    end = asyncio.get_running_loop().time() + WINDOWS * (CALM_S + LOSING_S) + 2
-    await asyncio.gather(*(client(world, entries[number % 2], number, end)
-                           for number in range(CLIENTS)))
-
-    servers = collections.defaultdict(set)
-    for request, server in world.runs:
-        servers[request].add(server)
-    over = {request: names for request, names in servers.items()
-            if len(names) > MAX_ATTEMPTS}
-    for request, names in over.items():
-        world.record("over", request=request, servers=",".join(sorted(names)))
-    world.record("runs", requests=len(servers), over=len(over))
-    if len(servers) < 500:
-        raise w.CannotRun(f"only {len(servers)} requests ran")
-    if len(over) > ALLOWED_EXCESSES:
-        return (f"BUDGET: {len(over)} client attempts ran on more than "
-                f"{MAX_ATTEMPTS} server, at most {ALLOWED_EXCESSES} may")
+    await program.loop(hosts, PROGRAM_S)
+    world.record("tokens", handed=program.tokens, budget=BUDGET,
+                 turn_most=TURN_MOST, refused=program.refused,
+                 lead_then=world.lead_of("zone-a"))
+    if program.tokens < BUDGET // 2:
+        raise w.CannotRun(f"the program got {program.tokens} tokens only")
+    if program.tokens > BUDGET + TURN_MOST:
+        return (f"BUDGET: {program.tokens} tokens were handed out, "
+                f"at most {BUDGET} + {TURN_MOST} may be")
     return None
 
 
