--- a/bench/capacity_config.cc
+++ b/bench/capacity_config.cc
@@ -7,7 +7,7 @@
 #include "dotterelshed/config_text.h"
 #include "dotterelshed/core.h"
 #include "dotterelshed/error.h"
-#include "rollout_diff.h"
+#include "rollout/rollout_diff.h"
 
 namespace dotterelshed::bench {
 namespace {
--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -1,6 +1,6 @@
-# dotterelshed_library(NAME DEPENDS ...): builds src/lib<NAME>/*.cc into a
-# static library dotterelshed_<NAME>; files named *_unittest.cc or test_*.cc
-# become one Catch2 program registered with CTest.
+# dotterelshed_library(NAME DEPENDS ...): builds all sources below src/lib<NAME>
+# into a static library dotterelshed_<NAME>; files named *_unittest.cc or
+# test_*.cc become one Catch2 program registered with CTest.
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
@@ -22,7 +22,7 @@
 function(dotterelshed_library name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   set(folder ${PROJECT_SOURCE_DIR}/src/lib${name})
-  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc ${folder}/*.c++)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${folder}/*.cc ${folder}/*.c++)
   set(tests ${sources})
   set(test_files "(_unittest|/test_[a-z_]+)\\.cc$")
   list(FILTER sources EXCLUDE REGEX ${test_files})
--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -7,11 +7,11 @@
 #include <sstream>
 #include <string>
 
-#include "disk_host.h"
 #include "dotterelshed/file_text.h"
 #include "dotterelshed/log_events.h"
 #include "entry_host.h"
 #include "entry_settings.h"
+#include "history/disk_host.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/include/dotterelshed/policy.h
+++ b/src/include/dotterelshed/policy.h
@@ -66,7 +66,7 @@
   Duration m_expected_pause{0};
 };
 
-/// Scheduler state of one pool; defined in src/libcore/policy_state.h.
+/// Scheduler state of one pool; defined in src/libcore/policy/policy_state.h.
 struct PoolPolicy;
 
 struct Refusal {
--- a/src/libcore/call_attempts.cc
+++ b/src/libcore/call_attempts.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
-#include "call_claims.h"
-#include "change_replication.h"
+#include "claims/call_claims.h"
 #include "core_route.h"
-#include "hold_reclaim.h"
-#include "turn_primary.h"
+#include "program/hold_reclaim.h"
+#include "replication/change_replication.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/call_check.cc
+++ b/src/libcore/call_check.cc
@@ -1,10 +1,10 @@
 #include "call_check.h"
 
-#include "change_replication.h"
-#include "hold_reclaim.h"
-#include "pool_budget.h"
-#include "program_limits.h"
-#include "turn_primary.h"
+#include "program/hold_reclaim.h"
+#include "program/pool_budget.h"
+#include "program/program_limits.h"
+#include "replication/change_replication.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/call_claims.cc
+++ b/src/libcore/claims/call_claims.cc
@@ -1,7 +1,7 @@
-#include "call_claims.h"
+#include "claims/call_claims.h"
 
 #include "call_attempts.h"
-#include "turn_primary.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/call_claims.h
+++ b/src/libcore/claims/call_claims.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
-#define DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
+#ifndef DOTTERELSHED_LIBCORE_CLAIMS_CALL_CLAIMS_H_
+#define DOTTERELSHED_LIBCORE_CLAIMS_CALL_CLAIMS_H_
 
 #include "core_state.h"
 
@@ -23,4 +23,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_CALL_CLAIMS_H_
+#endif  // DOTTERELSHED_LIBCORE_CLAIMS_CALL_CLAIMS_H_
--- a/src/libcore/claims.cc
+++ b/src/libcore/claims/claims.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/claims_build.cc
+++ b/src/libcore/claims/claims_build.cc
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 
 /// @file
 /// Builds the object written to a claim shard and keeps it below its size limit
--- a/src/libcore/claims_randomized_unittest.cc
+++ b/src/libcore/claims/claims_randomized_unittest.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 #include "fake_platform.h"
 
 namespace dotterelshed {
--- a/src/libcore/claims_resolve.cc
+++ b/src/libcore/claims/claims_resolve.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 
 /// @file
 /// Compares this host's pending claims with the records in the platform.
--- a/src/libcore/claims_shard.cc
+++ b/src/libcore/claims/claims_shard.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 
 /// @file
 /// Platform requests of one claim shard, one at a time.
--- a/src/libcore/claims_state.h
+++ b/src/libcore/claims/claims_state.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_CLAIMS_STATE_H_
-#define DOTTERELSHED_LIBCORE_CLAIMS_STATE_H_
+#ifndef DOTTERELSHED_LIBCORE_CLAIMS_CLAIMS_STATE_H_
+#define DOTTERELSHED_LIBCORE_CLAIMS_CLAIMS_STATE_H_
 
 #include <cstdint>
 #include <map>
@@ -199,4 +199,4 @@
 
 }  // namespace dotterelshed
 
-#endif  // DOTTERELSHED_LIBCORE_CLAIMS_STATE_H_
+#endif  // DOTTERELSHED_LIBCORE_CLAIMS_CLAIMS_STATE_H_
--- a/src/libcore/claims_state_machine.cc
+++ b/src/libcore/claims/claims_state_machine.cc
@@ -1,6 +1,6 @@
 #include <array>
 
-#include "claims_state.h"
+#include "claims/claims_state.h"
 #include "dotterelshed/load_chart.h"
 
 namespace dotterelshed::pvt {
--- a/src/libcore/core.cc
+++ b/src/libcore/core.cc
@@ -3,17 +3,17 @@
 #include <algorithm>
 
 #include "call_attempts.h"
-#include "call_claims.h"
-#include "change_replication.h"
-#include "copy_holder.h"
-#include "copy_target.h"
+#include "claims/call_claims.h"
 #include "core_route.h"
 #include "core_state.h"
 #include "core_state_machines.h"
-#include "hold_reclaim.h"
-#include "pool_takeover.h"
-#include "program_limits.h"
-#include "turn_primary.h"
+#include "program/hold_reclaim.h"
+#include "program/program_limits.h"
+#include "replication/change_replication.h"
+#include "replication/copy_holder.h"
+#include "replication/copy_target.h"
+#include "replication/pool_takeover.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/core_dump.cc
+++ b/src/libcore/core_dump.cc
@@ -1,8 +1,8 @@
 #include <nlohmann/json.hpp>
 
-#include "budget_ledger.h"
 #include "core_state.h"
 #include "core_state_machines.h"
+#include "program/budget_ledger.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/core_randomized_callers_unittest.cc
+++ b/src/libcore/core_randomized_callers_unittest.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "budget_ledger.h"
 #include "core_randomized.h"
+#include "program/budget_ledger.h"
 
 // Callers of the randomized test and the checks of their answers; see
 // core_randomized.h.
--- a/src/libcore/core_state.h
+++ b/src/libcore/core_state.h
@@ -10,7 +10,7 @@
 #include "dotterelshed/core.h"
 #include "dotterelshed/ownership.h"
 #include "dotterelshed/rollout.h"
-#include "pool_state.h"
+#include "replication/pool_state.h"
 
 /// @file
 /// State behind dotterelshed/core.h.
--- a/src/libcore/core_state_machines.h
+++ b/src/libcore/core_state_machines.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "dotterelshed/error.h"
-#include "pool_state.h"
+#include "replication/pool_state.h"
 
 /// @file
 /// The state machines of calls and of a host's role in a pool, bound to their
--- a/src/libcore/fake_domain.h
+++ b/src/libcore/ownership/fake_domain.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_FAKE_DOMAIN_H_
-#define DOTTERELSHED_LIBCORE_FAKE_DOMAIN_H_
+#ifndef DOTTERELSHED_LIBCORE_OWNERSHIP_FAKE_DOMAIN_H_
+#define DOTTERELSHED_LIBCORE_OWNERSHIP_FAKE_DOMAIN_H_
 
 #include <functional>
 #include <set>
@@ -284,4 +284,4 @@
 
 }  // namespace dotterelshed::testing
 
-#endif  // DOTTERELSHED_LIBCORE_FAKE_DOMAIN_H_
+#endif  // DOTTERELSHED_LIBCORE_OWNERSHIP_FAKE_DOMAIN_H_
--- a/src/libcore/ownership.cc
+++ b/src/libcore/ownership/ownership.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/ownership_balance.cc
+++ b/src/libcore/ownership/ownership_balance.cc
@@ -1,6 +1,6 @@
 #include <optional>
 
-#include "ownership_plan.h"
+#include "ownership/ownership_plan.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/ownership_lead.cc
+++ b/src/libcore/ownership/ownership_lead.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 /// @file
 /// The lead's part of ownership: failure detection of the other hosts and the
--- a/src/libcore/ownership_messages.cc
+++ b/src/libcore/ownership/ownership_messages.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 /// @file
 /// Heartbeats and digests. The lead numbers its changes in sequence and sends
--- a/src/libcore/ownership_partition.cc
+++ b/src/libcore/ownership/ownership_partition.cc
@@ -1,8 +1,8 @@
-#include "ownership_partition.h"
+#include "ownership/ownership_partition.h"
 
 #include <algorithm>
 
-#include "ownership_plan.h"
+#include "ownership/ownership_plan.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/ownership_plan.cc
+++ b/src/libcore/ownership/ownership_plan.cc
@@ -1,4 +1,4 @@
-#include "ownership_plan.h"
+#include "ownership/ownership_plan.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/libcore/ownership_plan.h
+++ b/src/libcore/ownership/ownership_plan.h
@@ -1,11 +1,11 @@
-#ifndef DOTTERELSHED_LIBCORE_OWNERSHIP_PLAN_H_
-#define DOTTERELSHED_LIBCORE_OWNERSHIP_PLAN_H_
+#ifndef DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_PLAN_H_
+#define DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_PLAN_H_
 
 #include <map>
 #include <set>
 
 #include "dotterelshed/membership_messages.h"
-#include "ownership_state_machines.h"
+#include "ownership/ownership_state_machines.h"
 
 /// @file
 /// Planning of pool assignments by the lead: computes the domain table that
@@ -82,4 +82,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_OWNERSHIP_PLAN_H_
+#endif  // DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_PLAN_H_
--- a/src/libcore/ownership_quarantine_unittest.cc
+++ b/src/libcore/ownership/ownership_quarantine_unittest.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "dotterelshed/ownership.h"
-#include "fake_domain.h"
+#include "ownership/fake_domain.h"
 
 /// @file
 /// How quarantined content is told from host to host, and when it is forgotten.
--- a/src/libcore/ownership_query.cc
+++ b/src/libcore/ownership/ownership_query.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 /// @file
 /// Read-only queries and the JSON dump of ownership.
--- a/src/libcore/ownership_state.h
+++ b/src/libcore/ownership/ownership_state.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_OWNERSHIP_STATE_H_
-#define DOTTERELSHED_LIBCORE_OWNERSHIP_STATE_H_
+#ifndef DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_STATE_H_
+#define DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_STATE_H_
 
 #include <deque>
 #include <map>
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "dotterelshed/ownership.h"
-#include "ownership_partition.h"
-#include "ownership_plan.h"
-#include "ownership_state_machines.h"
+#include "ownership/ownership_partition.h"
+#include "ownership/ownership_plan.h"
+#include "ownership/ownership_state_machines.h"
 
 /// @file
 /// State behind dotterelshed/ownership.h and functions shared by its sources.
@@ -214,4 +214,4 @@
 
 }  // namespace dotterelshed
 
-#endif  // DOTTERELSHED_LIBCORE_OWNERSHIP_STATE_H_
+#endif  // DOTTERELSHED_LIBCORE_OWNERSHIP_OWNERSHIP_STATE_H_
--- a/src/libcore/ownership_state_machines.cc
+++ b/src/libcore/ownership/ownership_state_machines.cc
@@ -1,4 +1,4 @@
-#include "ownership_state_machines.h"
+#include "ownership/ownership_state_machines.h"
 
 #include <array>
 
--- a/src/libcore/ownership_table.cc
+++ b/src/libcore/ownership/ownership_table.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 /// @file
 /// Reads and conditional updates of the domain table, and its adoption.
--- a/src/libcore/ownership_takeover.cc
+++ b/src/libcore/ownership/ownership_takeover.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "ownership_state.h"
+#include "ownership/ownership_state.h"
 
 /// @file
 /// Failure detection and replacement of the lead by the other hosts.
--- a/src/libcore/ownership_unittest.cc
+++ b/src/libcore/ownership/ownership_unittest.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "fake_domain.h"
+#include "ownership/fake_domain.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/libcore/policy.cc
+++ b/src/libcore/policy/policy.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "policy_admission.h"
-#include "policy_ejection.h"
-#include "policy_endpoint.h"
-#include "policy_hedging.h"
-#include "policy_order.h"
-#include "policy_quarantine.h"
-#include "policy_retention.h"
+#include "policy/policy_admission.h"
+#include "policy/policy_ejection.h"
+#include "policy/policy_endpoint.h"
+#include "policy/policy_hedging.h"
+#include "policy/policy_order.h"
+#include "policy/policy_quarantine.h"
+#include "policy/policy_retention.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/policy_admission.cc
+++ b/src/libcore/policy/policy_admission.cc
@@ -1,11 +1,11 @@
-#include "policy_admission.h"
+#include "policy/policy_admission.h"
 
 #include <algorithm>
 
-#include "policy_endpoint.h"
-#include "policy_hedging.h"
-#include "policy_order.h"
-#include "policy_quarantine.h"
+#include "policy/policy_endpoint.h"
+#include "policy/policy_hedging.h"
+#include "policy/policy_order.h"
+#include "policy/policy_quarantine.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/policy_admission.h
+++ b/src/libcore/policy/policy_admission.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_ADMISSION_H_
-#define DOTTERELSHED_LIBCORE_POLICY_ADMISSION_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_ADMISSION_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_ADMISSION_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Admission control and overflow headroom. No part of a call that is refused
@@ -28,4 +28,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_ADMISSION_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_ADMISSION_H_
--- a/src/libcore/policy_ejection.cc
+++ b/src/libcore/policy/policy_ejection.cc
@@ -1,9 +1,9 @@
-#include "policy_ejection.h"
+#include "policy/policy_ejection.h"
 
 #include <algorithm>
 
-#include "policy_endpoint.h"
-#include "policy_order.h"
+#include "policy/policy_endpoint.h"
+#include "policy/policy_order.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/policy_ejection.h
+++ b/src/libcore/policy/policy_ejection.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_EJECTION_H_
-#define DOTTERELSHED_LIBCORE_POLICY_EJECTION_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_EJECTION_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_EJECTION_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Measured rates of endpoints, and ejection, probing and readmission of slow
@@ -43,4 +43,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_EJECTION_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_EJECTION_H_
--- a/src/libcore/policy_endpoint.cc
+++ b/src/libcore/policy/policy_endpoint.cc
@@ -1,6 +1,6 @@
-#include "policy_endpoint.h"
+#include "policy/policy_endpoint.h"
 
-#include "policy_retention.h"
+#include "policy/policy_retention.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/libcore/policy_endpoint.h
+++ b/src/libcore/policy/policy_endpoint.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
-#define DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_ENDPOINT_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_ENDPOINT_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Endpoint selection by expected completion time, based on the attempts of
@@ -59,4 +59,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_ENDPOINT_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_ENDPOINT_H_
--- a/src/libcore/policy_hedging.cc
+++ b/src/libcore/policy/policy_hedging.cc
@@ -1,10 +1,10 @@
-#include "policy_hedging.h"
+#include "policy/policy_hedging.h"
 
 #include <algorithm>
 
-#include "policy_ejection.h"
-#include "policy_endpoint.h"
-#include "policy_order.h"
+#include "policy/policy_ejection.h"
+#include "policy/policy_endpoint.h"
+#include "policy/policy_order.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/policy_hedging.h
+++ b/src/libcore/policy/policy_hedging.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_HEDGING_H_
-#define DOTTERELSHED_LIBCORE_POLICY_HEDGING_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_HEDGING_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_HEDGING_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Retry budget and hedging. Retries and hedges draw on one budget, a share of
@@ -35,4 +35,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_HEDGING_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_HEDGING_H_
--- a/src/libcore/policy_hedging_unittest.cc
+++ b/src/libcore/policy/policy_hedging_unittest.cc
@@ -1,8 +1,8 @@
-#include "policy_hedging.h"
+#include "policy/policy_hedging.h"
 
 #include <catch2/catch.hpp>
 
-#include "policy_test_pool.h"
+#include "policy/policy_test_pool.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/libcore/policy_order.cc
+++ b/src/libcore/policy/policy_order.cc
@@ -1,9 +1,9 @@
-#include "policy_order.h"
+#include "policy/policy_order.h"
 
 #include <algorithm>
 #include <array>
 
-#include "policy_endpoint.h"
+#include "policy/policy_endpoint.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/policy_order.h
+++ b/src/libcore/policy/policy_order.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_ORDER_H_
-#define DOTTERELSHED_LIBCORE_POLICY_ORDER_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_ORDER_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_ORDER_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Queue order: least attained service first, in levels. The rank of a call is
@@ -34,4 +34,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_ORDER_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_ORDER_H_
--- a/src/libcore/policy_quarantine.cc
+++ b/src/libcore/policy/policy_quarantine.cc
@@ -1,8 +1,8 @@
-#include "policy_quarantine.h"
+#include "policy/policy_quarantine.h"
 
 #include <algorithm>
 
-#include "policy_endpoint.h"
+#include "policy/policy_endpoint.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/policy_quarantine.h
+++ b/src/libcore/policy/policy_quarantine.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_QUARANTINE_H_
-#define DOTTERELSHED_LIBCORE_POLICY_QUARANTINE_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_QUARANTINE_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_QUARANTINE_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Quarantine of requests that crash endpoints. Content that ran on a crashed
@@ -40,4 +40,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_QUARANTINE_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_QUARANTINE_H_
--- a/src/libcore/policy_randomized_unittest.cc
+++ b/src/libcore/policy/policy_randomized_unittest.cc
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
 
-#include "policy_test_pool.h"
+#include "policy/policy_test_pool.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/libcore/policy_retention.cc
+++ b/src/libcore/policy/policy_retention.cc
@@ -1,8 +1,8 @@
-#include "policy_retention.h"
+#include "policy/policy_retention.h"
 
 #include <algorithm>
 
-#include "policy_endpoint.h"
+#include "policy/policy_endpoint.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/policy_retention.h
+++ b/src/libcore/policy/policy_retention.h
@@ -1,7 +1,7 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_RETENTION_H_
-#define DOTTERELSHED_LIBCORE_POLICY_RETENTION_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_RETENTION_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_RETENTION_H_
 
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Retention of prefixes in the KV cache of endpoints between the calls of a
@@ -54,4 +54,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_RETENTION_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_RETENTION_H_
--- a/src/libcore/policy_retention_unittest.cc
+++ b/src/libcore/policy/policy_retention_unittest.cc
@@ -1,8 +1,8 @@
-#include "policy_retention.h"
+#include "policy/policy_retention.h"
 
 #include <catch2/catch.hpp>
 
-#include "policy_test_pool.h"
+#include "policy/policy_test_pool.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/libcore/policy_test_pool.h
+++ b/src/libcore/policy/policy_test_pool.h
@@ -1,11 +1,11 @@
-#ifndef DOTTERELSHED_LIBCORE_POLICY_TEST_POOL_H_
-#define DOTTERELSHED_LIBCORE_POLICY_TEST_POOL_H_
+#ifndef DOTTERELSHED_LIBCORE_POLICY_POLICY_TEST_POOL_H_
+#define DOTTERELSHED_LIBCORE_POLICY_POLICY_TEST_POOL_H_
 
 #include <string>
 #include <vector>
 
 #include "dotterelshed/policy.h"
-#include "policy_state.h"
+#include "policy/policy_state.h"
 
 /// @file
 /// Test fixture for the scheduler: a pool with endpoints e0, e1, ... and a
@@ -87,4 +87,4 @@
 
 }  // namespace dotterelshed
 
-#endif  // DOTTERELSHED_LIBCORE_POLICY_TEST_POOL_H_
+#endif  // DOTTERELSHED_LIBCORE_POLICY_POLICY_TEST_POOL_H_
--- a/src/libcore/budget_ledger.cc
+++ b/src/libcore/program/budget_ledger.cc
@@ -1,4 +1,4 @@
-#include "budget_ledger.h"
+#include "program/budget_ledger.h"
 
 #include <algorithm>
 
--- a/src/libcore/budget_ledger.h
+++ b/src/libcore/program/budget_ledger.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_BUDGET_LEDGER_H_
-#define DOTTERELSHED_LIBCORE_BUDGET_LEDGER_H_
+#ifndef DOTTERELSHED_LIBCORE_PROGRAM_BUDGET_LEDGER_H_
+#define DOTTERELSHED_LIBCORE_PROGRAM_BUDGET_LEDGER_H_
 
 #include "dotterelshed/turn_messages.h"
 
@@ -52,4 +52,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_BUDGET_LEDGER_H_
+#endif  // DOTTERELSHED_LIBCORE_PROGRAM_BUDGET_LEDGER_H_
--- a/src/libcore/hold_reclaim.cc
+++ b/src/libcore/program/hold_reclaim.cc
@@ -1,4 +1,4 @@
-#include "hold_reclaim.h"
+#include "program/hold_reclaim.h"
 
 #include <algorithm>
 
--- a/src/libcore/hold_reclaim.h
+++ b/src/libcore/program/hold_reclaim.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_HOLD_RECLAIM_H_
-#define DOTTERELSHED_LIBCORE_HOLD_RECLAIM_H_
+#ifndef DOTTERELSHED_LIBCORE_PROGRAM_HOLD_RECLAIM_H_
+#define DOTTERELSHED_LIBCORE_PROGRAM_HOLD_RECLAIM_H_
 
 #include "core_state.h"
 
@@ -23,4 +23,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_HOLD_RECLAIM_H_
+#endif  // DOTTERELSHED_LIBCORE_PROGRAM_HOLD_RECLAIM_H_
--- a/src/libcore/pool_budget.cc
+++ b/src/libcore/program/pool_budget.cc
@@ -1,8 +1,8 @@
-#include "pool_budget.h"
+#include "program/pool_budget.h"
 
 #include <algorithm>
 
-#include "budget_ledger.h"
+#include "program/budget_ledger.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/pool_budget.h
+++ b/src/libcore/program/pool_budget.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_POOL_BUDGET_H_
-#define DOTTERELSHED_LIBCORE_POOL_BUDGET_H_
+#ifndef DOTTERELSHED_LIBCORE_PROGRAM_POOL_BUDGET_H_
+#define DOTTERELSHED_LIBCORE_PROGRAM_POOL_BUDGET_H_
 
 #include "core_state.h"
 
@@ -51,4 +51,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POOL_BUDGET_H_
+#endif  // DOTTERELSHED_LIBCORE_PROGRAM_POOL_BUDGET_H_
--- a/src/libcore/program_limits.cc
+++ b/src/libcore/program/program_limits.cc
@@ -1,9 +1,9 @@
-#include "program_limits.h"
+#include "program/program_limits.h"
 
 #include "call_attempts.h"
-#include "change_replication.h"
-#include "hold_reclaim.h"
-#include "turn_primary.h"
+#include "program/hold_reclaim.h"
+#include "replication/change_replication.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/program_limits.h
+++ b/src/libcore/program/program_limits.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_PROGRAM_LIMITS_H_
-#define DOTTERELSHED_LIBCORE_PROGRAM_LIMITS_H_
+#ifndef DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_LIMITS_H_
+#define DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_LIMITS_H_
 
 #include "core_state.h"
 
@@ -20,4 +20,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_PROGRAM_LIMITS_H_
+#endif  // DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_LIMITS_H_
--- a/src/libcore/program_store.cc
+++ b/src/libcore/program/program_store.cc
@@ -1,9 +1,9 @@
-#include "program_store.h"
+#include "program/program_store.h"
 
 #include <algorithm>
 #include <tuple>
 
-#include "budget_ledger.h"
+#include "program/budget_ledger.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/program_store.h
+++ b/src/libcore/program/program_store.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_PROGRAM_STORE_H_
-#define DOTTERELSHED_LIBCORE_PROGRAM_STORE_H_
+#ifndef DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_STORE_H_
+#define DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_STORE_H_
 
 #include <map>
 #include <optional>
@@ -82,4 +82,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_PROGRAM_STORE_H_
+#endif  // DOTTERELSHED_LIBCORE_PROGRAM_PROGRAM_STORE_H_
--- a/src/libcore/program_store_unittest.cc
+++ b/src/libcore/program/program_store_unittest.cc
@@ -1,8 +1,8 @@
-#include "program_store.h"
+#include "program/program_store.h"
 
 #include <catch2/catch.hpp>
 
-#include "budget_ledger.h"
+#include "program/budget_ledger.h"
 
 namespace dotterelshed::pvt {
 namespace {
--- a/src/libcore/change_replication.cc
+++ b/src/libcore/replication/change_replication.cc
@@ -1,14 +1,14 @@
-#include "change_replication.h"
+#include "replication/change_replication.h"
 
 #include <algorithm>
 
-#include "budget_ledger.h"
 #include "core_route.h"
 #include "digests.h"
-#include "hold_reclaim.h"
-#include "pool_budget.h"
-#include "pool_takeover.h"
-#include "turn_primary.h"
+#include "program/budget_ledger.h"
+#include "program/hold_reclaim.h"
+#include "program/pool_budget.h"
+#include "replication/pool_takeover.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/copy_holder.cc
+++ b/src/libcore/replication/copy_holder.cc
@@ -1,10 +1,10 @@
-#include "copy_holder.h"
+#include "replication/copy_holder.h"
 
 #include <algorithm>
 
-#include "budget_ledger.h"
-#include "pool_takeover.h"
-#include "program_limits.h"
+#include "program/budget_ledger.h"
+#include "program/program_limits.h"
+#include "replication/pool_takeover.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/copy_holder.h
+++ b/src/libcore/replication/copy_holder.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
-#define DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
+#ifndef DOTTERELSHED_LIBCORE_REPLICATION_COPY_HOLDER_H_
+#define DOTTERELSHED_LIBCORE_REPLICATION_COPY_HOLDER_H_
 
 #include "core_state.h"
 
@@ -16,4 +16,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_COPY_HOLDER_H_
+#endif  // DOTTERELSHED_LIBCORE_REPLICATION_COPY_HOLDER_H_
--- a/src/libcore/copy_target.cc
+++ b/src/libcore/replication/copy_target.cc
@@ -1,9 +1,9 @@
-#include "copy_target.h"
+#include "replication/copy_target.h"
 
-#include "change_replication.h"
 #include "core_route.h"
-#include "pool_takeover.h"
-#include "turn_primary.h"
+#include "replication/change_replication.h"
+#include "replication/pool_takeover.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/copy_target.h
+++ b/src/libcore/replication/copy_target.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_COPY_TARGET_H_
-#define DOTTERELSHED_LIBCORE_COPY_TARGET_H_
+#ifndef DOTTERELSHED_LIBCORE_REPLICATION_COPY_TARGET_H_
+#define DOTTERELSHED_LIBCORE_REPLICATION_COPY_TARGET_H_
 
 #include "core_state.h"
 
@@ -16,4 +16,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_COPY_TARGET_H_
+#endif  // DOTTERELSHED_LIBCORE_REPLICATION_COPY_TARGET_H_
--- a/src/libcore/pool_state.h
+++ b/src/libcore/replication/pool_state.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_POOL_STATE_H_
-#define DOTTERELSHED_LIBCORE_POOL_STATE_H_
+#ifndef DOTTERELSHED_LIBCORE_REPLICATION_POOL_STATE_H_
+#define DOTTERELSHED_LIBCORE_REPLICATION_POOL_STATE_H_
 
 #include <deque>
 #include <map>
@@ -12,7 +12,7 @@
 #include "dotterelshed/chart.h"
 #include "dotterelshed/membership_messages.h"
 #include "dotterelshed/policy.h"
-#include "program_store.h"
+#include "program/program_store.h"
 
 /// @file
 /// State of one pool on one host, which is its primary or its copy holder, the
@@ -165,4 +165,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POOL_STATE_H_
+#endif  // DOTTERELSHED_LIBCORE_REPLICATION_POOL_STATE_H_
--- a/src/libcore/pool_takeover.cc
+++ b/src/libcore/replication/pool_takeover.cc
@@ -1,15 +1,15 @@
-#include "pool_takeover.h"
+#include "replication/pool_takeover.h"
 
 #include <algorithm>
 
-#include "budget_ledger.h"
 #include "call_attempts.h"
-#include "change_replication.h"
-#include "copy_target.h"
 #include "core_route.h"
-#include "hold_reclaim.h"
-#include "pool_budget.h"
-#include "turn_primary.h"
+#include "program/budget_ledger.h"
+#include "program/hold_reclaim.h"
+#include "program/pool_budget.h"
+#include "replication/change_replication.h"
+#include "replication/copy_target.h"
+#include "replication/turn_primary.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/pool_takeover.h
+++ b/src/libcore/replication/pool_takeover.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_POOL_TAKEOVER_H_
-#define DOTTERELSHED_LIBCORE_POOL_TAKEOVER_H_
+#ifndef DOTTERELSHED_LIBCORE_REPLICATION_POOL_TAKEOVER_H_
+#define DOTTERELSHED_LIBCORE_REPLICATION_POOL_TAKEOVER_H_
 
 #include "core_state.h"
 
@@ -40,4 +40,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_POOL_TAKEOVER_H_
+#endif  // DOTTERELSHED_LIBCORE_REPLICATION_POOL_TAKEOVER_H_
--- a/src/libcore/pool_takeover_unittest.cc
+++ b/src/libcore/replication/pool_takeover_unittest.cc
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "budget_ledger.h"
-#include "copy_target.h"
 #include "core_test_harness.h"
+#include "program/budget_ledger.h"
+#include "replication/copy_target.h"
 
 namespace dotterelshed::core_test {
 namespace {
--- a/src/libcore/turn_primary.cc
+++ b/src/libcore/replication/turn_primary.cc
@@ -1,17 +1,17 @@
-#include "turn_primary.h"
+#include "replication/turn_primary.h"
 
 #include <algorithm>
 
-#include "budget_ledger.h"
 #include "call_attempts.h"
 #include "call_check.h"
-#include "call_claims.h"
-#include "change_replication.h"
+#include "claims/call_claims.h"
 #include "core_route.h"
-#include "hold_reclaim.h"
-#include "pool_budget.h"
-#include "pool_takeover.h"
-#include "program_limits.h"
+#include "program/budget_ledger.h"
+#include "program/hold_reclaim.h"
+#include "program/pool_budget.h"
+#include "program/program_limits.h"
+#include "replication/change_replication.h"
+#include "replication/pool_takeover.h"
 
 namespace dotterelshed::pvt {
 
--- a/src/libcore/turn_primary.h
+++ b/src/libcore/replication/turn_primary.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_TURN_PRIMARY_H_
-#define DOTTERELSHED_LIBCORE_TURN_PRIMARY_H_
+#ifndef DOTTERELSHED_LIBCORE_REPLICATION_TURN_PRIMARY_H_
+#define DOTTERELSHED_LIBCORE_REPLICATION_TURN_PRIMARY_H_
 
 #include "core_state.h"
 
@@ -78,4 +78,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_TURN_PRIMARY_H_
+#endif  // DOTTERELSHED_LIBCORE_REPLICATION_TURN_PRIMARY_H_
--- a/src/libcore/rollout.cc
+++ b/src/libcore/rollout/rollout.cc
@@ -10,7 +10,7 @@
 #include "dotterelshed/chart.h"
 #include "dotterelshed/config_text.h"
 #include "dotterelshed/load_chart.h"
-#include "rollout_diff.h"
+#include "rollout/rollout_diff.h"
 
 namespace dotterelshed {
 
--- a/src/libcore/rollout_diff.cc
+++ b/src/libcore/rollout/rollout_diff.cc
@@ -1,4 +1,4 @@
-#include "rollout_diff.h"
+#include "rollout/rollout_diff.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/libcore/rollout_diff.h
+++ b/src/libcore/rollout/rollout_diff.h
@@ -1,5 +1,5 @@
-#ifndef DOTTERELSHED_LIBCORE_ROLLOUT_DIFF_H_
-#define DOTTERELSHED_LIBCORE_ROLLOUT_DIFF_H_
+#ifndef DOTTERELSHED_LIBCORE_ROLLOUT_ROLLOUT_DIFF_H_
+#define DOTTERELSHED_LIBCORE_ROLLOUT_ROLLOUT_DIFF_H_
 
 #include <string>
 #include <string_view>
@@ -28,4 +28,4 @@
 
 }  // namespace dotterelshed::pvt
 
-#endif  // DOTTERELSHED_LIBCORE_ROLLOUT_DIFF_H_
+#endif  // DOTTERELSHED_LIBCORE_ROLLOUT_ROLLOUT_DIFF_H_
--- a/src/libcore/rollout_unittest.cc
+++ b/src/libcore/rollout/rollout_unittest.cc
@@ -4,7 +4,7 @@
 
 #include "dotterelshed/config_text.h"
 #include "fake_platform.h"
-#include "rollout_diff.h"
+#include "rollout/rollout_diff.h"
 
 namespace dotterelshed {
 namespace {
--- a/src/libgateway/call_crash_tracker.cc
+++ b/src/libgateway/call/call_crash_tracker.cc
@@ -1,4 +1,4 @@
-#include "call_crash_tracker.h"
+#include "call/call_crash_tracker.h"
 
 #include <utility>
 
--- a/src/libgateway/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -7,14 +7,14 @@
 #include <set>
 #include <string>
 
-#include "call_crash_tracker.h"
+#include "call/call_crash_tracker.h"
+#include "call/event_splitter.h"
 #include "dotterelshed/http_client.h"
 #include "dotterelshed/http_listener.h"
 #include "dotterelshed/route_table.h"
 #include "entry_context.h"
-#include "event_splitter.h"
-#include "grant_client.h"
-#include "history_client.h"
+#include "history/history_client.h"
+#include "lead/grant_client.h"
 #include "platform/call_headers.h"
 
 /// @file
--- a/src/libgateway/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -1,4 +1,4 @@
-#include "call_exchange.h"
+#include "call/call_exchange.h"
 
 #include <utility>
 
--- a/src/libgateway/event_splitter.cc
+++ b/src/libgateway/call/event_splitter.cc
@@ -1,4 +1,4 @@
-#include "event_splitter.h"
+#include "call/event_splitter.h"
 
 #include <charconv>
 
--- a/src/libgateway/crash_ledger_sync.cc
+++ b/src/libgateway/crash/crash_ledger_sync.cc
@@ -1,4 +1,4 @@
-#include "crash_ledger_sync.h"
+#include "crash/crash_ledger_sync.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/libgateway/crash_ledger_sync.h
+++ b/src/libgateway/crash/crash_ledger_sync.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "crash_messages.h"
+#include "crash/crash_messages.h"
 #include "entry_context.h"
 
 /// @file
--- a/src/libgateway/crash_messages.cc
+++ b/src/libgateway/crash/crash_messages.cc
@@ -1,4 +1,4 @@
-#include "crash_messages.h"
+#include "crash/crash_messages.h"
 
 #include <algorithm>
 #include <array>
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -15,9 +15,9 @@
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/route_table.h"
 #include "entry_settings.h"
-#include "lead_messages.h"
-#include "object_watcher.h"
+#include "lead/lead_messages.h"
 #include "platform/object_store.h"
+#include "view/object_watcher.h"
 
 /// @file
 /// State shared by the components of one host. Only the event loop's single
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -6,16 +6,16 @@
 #include <string_view>
 #include <unordered_set>
 
-#include "call_exchange.h"
-#include "crash_ledger_sync.h"
+#include "call/call_exchange.h"
+#include "crash/crash_ledger_sync.h"
 #include "dotterelshed/http_listener.h"
-#include "endpoint_view.h"
 #include "entry_context.h"
-#include "grant_client.h"
-#include "history_client.h"
-#include "lead_election.h"
-#include "lead_service.h"
-#include "object_watcher.h"
+#include "history/history_client.h"
+#include "lead/grant_client.h"
+#include "lead/lead_election.h"
+#include "lead/lead_service.h"
+#include "view/endpoint_view.h"
+#include "view/object_watcher.h"
 
 /// @file
 /// Entry host: accepts client requests, the load balancer's readiness probes
--- a/src/libgateway/disk_host.cc
+++ b/src/libgateway/history/disk_host.cc
@@ -1,10 +1,10 @@
-#include "disk_host.h"
+#include "history/disk_host.h"
 
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
+#include "history/replica_messages.h"
 #include "peer_call.h"
-#include "replica_messages.h"
 
 namespace dotterelshed {
 
--- a/src/libgateway/disk_host.h
+++ b/src/libgateway/history/disk_host.h
@@ -5,10 +5,10 @@
 
 #include "dotterelshed/http_listener.h"
 #include "entry_settings.h"
-#include "journal_files.h"
-#include "object_watcher.h"
+#include "history/turn_replica.h"
+#include "lead/journal_files.h"
 #include "platform/object_store.h"
-#include "turn_replica.h"
+#include "view/object_watcher.h"
 
 /// @file
 /// Process on a host with a disk. It stores the histories of conversations, and
--- a/src/libgateway/history_cache.cc
+++ b/src/libgateway/history/history_cache.cc
@@ -1,4 +1,4 @@
-#include "history_cache.h"
+#include "history/history_cache.h"
 
 #include <utility>
 
--- a/src/libgateway/history_client.cc
+++ b/src/libgateway/history/history_client.cc
@@ -1,4 +1,4 @@
-#include "history_client.h"
+#include "history/history_client.h"
 
 #include <algorithm>
 #include <map>
--- a/src/libgateway/history_client.h
+++ b/src/libgateway/history/history_client.h
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "entry_context.h"
-#include "history_cache.h"
-#include "replica_directory.h"
-#include "replica_messages.h"
+#include "history/history_cache.h"
+#include "history/replica_directory.h"
+#include "history/replica_messages.h"
 
 /// @file
 /// Histories of conversations as an entry host uses them: reads the turns that
--- a/src/libgateway/history_unittest.cc
+++ b/src/libgateway/history/history_unittest.cc
@@ -4,7 +4,7 @@
 #include <set>
 #include <string>
 
-#include "replica_messages.h"
+#include "history/replica_messages.h"
 #include "test_calls.h"
 
 /// @file
--- a/src/libgateway/replica_directory.cc
+++ b/src/libgateway/history/replica_directory.cc
@@ -1,11 +1,11 @@
-#include "replica_directory.h"
+#include "history/replica_directory.h"
 
 #include <algorithm>
 
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
+#include "history/replica_messages.h"
 #include "peer_call.h"
-#include "replica_messages.h"
 
 namespace dotterelshed {
 
--- a/src/libgateway/replica_directory.h
+++ b/src/libgateway/history/replica_directory.h
@@ -9,7 +9,7 @@
 
 #include "dotterelshed/replica_placement.h"
 #include "dotterelshed/units.h"
-#include "object_watcher.h"
+#include "view/object_watcher.h"
 
 /// @file
 /// The disk hosts that store turns, as the platform's store lists them, and
--- a/src/libgateway/replica_messages_unittest.cc
+++ b/src/libgateway/history/replica_messages_unittest.cc
@@ -1,4 +1,4 @@
-#include "replica_messages.h"
+#include "history/replica_messages.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
--- a/src/libgateway/replica_sync.cc
+++ b/src/libgateway/history/replica_sync.cc
@@ -1,4 +1,4 @@
-#include "replica_sync.h"
+#include "history/replica_sync.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libgateway/replica_sync.h
+++ b/src/libgateway/history/replica_sync.h
@@ -8,8 +8,8 @@
 
 #include "connection_pool.h"
 #include "dotterelshed/turn_index.h"
-#include "replica_directory.h"
-#include "replica_messages.h"
+#include "history/replica_directory.h"
+#include "history/replica_messages.h"
 
 /// @file
 /// Anti-entropy between replicas of turns. Each replica reads the list of each
--- a/src/libgateway/turn_database.cc
+++ b/src/libgateway/history/turn_database.cc
@@ -1,4 +1,4 @@
-#include "turn_database.h"
+#include "history/turn_database.h"
 
 #include <fcntl.h>
 #include <sqlite3.h>
--- a/src/libgateway/turn_database_unittest.cc
+++ b/src/libgateway/history/turn_database_unittest.cc
@@ -1,4 +1,4 @@
-#include "turn_database.h"
+#include "history/turn_database.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
--- a/src/libgateway/turn_replica.cc
+++ b/src/libgateway/history/turn_replica.cc
@@ -1,4 +1,4 @@
-#include "turn_replica.h"
+#include "history/turn_replica.h"
 
 #include <algorithm>
 #include <random>
--- a/src/libgateway/turn_replica.h
+++ b/src/libgateway/history/turn_replica.h
@@ -11,10 +11,10 @@
 #include "dotterelshed/http_listener.h"
 #include "dotterelshed/turn_index.h"
 #include "entry_settings.h"
-#include "replica_directory.h"
-#include "replica_messages.h"
-#include "replica_sync.h"
-#include "turn_database.h"
+#include "history/replica_directory.h"
+#include "history/replica_messages.h"
+#include "history/replica_sync.h"
+#include "history/turn_database.h"
 
 /// @file
 /// Replica of the turns of conversations on a disk host. It stores what entry
--- a/src/libgateway/account_search.cc
+++ b/src/libgateway/lead/account_search.cc
@@ -1,4 +1,4 @@
-#include "account_search.h"
+#include "lead/account_search.h"
 
 #include <utility>
 
--- a/src/libgateway/account_search.h
+++ b/src/libgateway/lead/account_search.h
@@ -9,7 +9,7 @@
 
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 
 /// @file
 /// Searches the other failure domains for the account of a program that this
--- a/src/libgateway/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -1,4 +1,4 @@
-#include "grant_client.h"
+#include "lead/grant_client.h"
 
 #include <memory>
 #include <utility>
--- a/src/libgateway/grant_client.h
+++ b/src/libgateway/lead/grant_client.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "entry_context.h"
-#include "lead_messages.h"
-#include "lead_service.h"
+#include "lead/lead_messages.h"
+#include "lead/lead_service.h"
 
 /// @file
 /// Client side of token grants: requests grants from the lead, reports finished
--- a/src/libgateway/journal_files.cc
+++ b/src/libgateway/lead/journal_files.cc
@@ -1,4 +1,4 @@
-#include "journal_files.h"
+#include "lead/journal_files.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/src/libgateway/journal_files.h
+++ b/src/libgateway/lead/journal_files.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "dotterelshed/error.h"
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 
 /// @file
 /// Journal of a disk host: the newest entry of each failure domain, each in a
--- a/src/libgateway/journal_files_unittest.cc
+++ b/src/libgateway/lead/journal_files_unittest.cc
@@ -1,4 +1,4 @@
-#include "journal_files.h"
+#include "lead/journal_files.h"
 
 #include <catch2/catch.hpp>
 #include <cstdlib>
--- a/src/libgateway/lead_election.cc
+++ b/src/libgateway/lead/lead_election.cc
@@ -1,4 +1,4 @@
-#include "lead_election.h"
+#include "lead/lead_election.h"
 
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
--- a/src/libgateway/lead_election.h
+++ b/src/libgateway/lead/lead_election.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "entry_context.h"
-#include "lead_service.h"
+#include "lead/lead_service.h"
 
 /// @file
 /// Decides when a host becomes lead without being triggered by a client
--- a/src/libgateway/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -1,4 +1,4 @@
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/src/libgateway/lead_search_unittest.cc
+++ b/src/libgateway/lead/lead_search_unittest.cc
@@ -2,7 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 #include "peer_call.h"
 #include "test_calls.h"
 
--- a/src/libgateway/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
-#include "account_search.h"
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
-#include "lead_messages.h"
-#include "ledger_journal.h"
+#include "lead/account_search.h"
+#include "lead/lead_messages.h"
+#include "lead/ledger_journal.h"
 
 /// @file
 /// Lead of a failure domain: the host that keeps the token accounts of the
--- a/src/libgateway/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 #include "peer_call.h"
 #include "test_environment.h"
 
--- a/src/libgateway/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -1,4 +1,4 @@
-#include "lead_service.h"
+#include "lead/lead_service.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libgateway/ledger_journal.cc
+++ b/src/libgateway/lead/ledger_journal.cc
@@ -1,10 +1,10 @@
-#include "ledger_journal.h"
+#include "lead/ledger_journal.h"
 
 #include <memory>
 #include <utility>
 
+#include "history/replica_messages.h"
 #include "peer_call.h"
-#include "replica_messages.h"
 
 namespace dotterelshed {
 
--- a/src/libgateway/ledger_journal.h
+++ b/src/libgateway/lead/ledger_journal.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "entry_context.h"
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 
 /// @file
 /// A lead's access to the disk hosts, which store its ledger while the
--- a/src/libgateway/lost_store_unittest.cc
+++ b/src/libgateway/lead/lost_store_unittest.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 #include "peer_call.h"
 #include "test_environment.h"
 
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -7,13 +7,13 @@
 #include <string>
 #include <vector>
 
-#include "disk_host.h"
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/http_parser.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
 #include "entry_host.h"
-#include "lead_messages.h"
+#include "history/disk_host.h"
+#include "lead/lead_messages.h"
 #include "test_store.h"
 
 /// @file
--- a/src/libgateway/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -1,4 +1,4 @@
-#include "endpoint_view.h"
+#include "view/endpoint_view.h"
 
 #include <utility>
 #include <vector>
--- a/src/libgateway/object_watcher.cc
+++ b/src/libgateway/view/object_watcher.cc
@@ -1,4 +1,4 @@
-#include "object_watcher.h"
+#include "view/object_watcher.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libgateway/object_watcher.h
+++ b/src/libgateway/view/object_watcher.h
@@ -10,7 +10,7 @@
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/units.h"
 #include "platform/object_store.h"
-#include "view_server.h"
+#include "view/view_server.h"
 
 /// @file
 /// Follows one kind of objects in the platform's store: lists them once, then
--- a/src/libgateway/stale_view_unittest.cc
+++ b/src/libgateway/view/stale_view_unittest.cc
@@ -2,7 +2,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "lead_messages.h"
+#include "lead/lead_messages.h"
 #include "peer_call.h"
 #include "test_environment.h"
 
--- a/src/libgateway/view_messages.cc
+++ b/src/libgateway/view/view_messages.cc
@@ -1,4 +1,4 @@
-#include "view_messages.h"
+#include "view/view_messages.h"
 
 #include <fmt/format.h>
 
--- a/src/libgateway/view_server.cc
+++ b/src/libgateway/view/view_server.cc
@@ -1,4 +1,4 @@
-#include "view_server.h"
+#include "view/view_server.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libgateway/view_server.h
+++ b/src/libgateway/view/view_server.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "view_messages.h"
+#include "view/view_messages.h"
 
 /// @file
 /// Serves a host's view of one kind of objects to other hosts. A request waits
--- a/src/libgateway/view_server_unittest.cc
+++ b/src/libgateway/view/view_server_unittest.cc
@@ -1,4 +1,4 @@
-#include "view_server.h"
+#include "view/view_server.h"
 
 #include <catch2/catch.hpp>
 #include <map>
