Add the types of client accounts

Keys, priority and quota of an account, as one immutable table of a configuration; routes get a priority and say whether they need an account.

--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -4,8 +4,8 @@
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
-set(DOTTERELSHED_PACKAGES base http routing ledger quarantine history gateway config
-  core platform peer backend host)
+set(DOTTERELSHED_PACKAGES base http account routing ledger quarantine history gateway
+  config core platform peer backend host)
 
 function(dotterelshed_link target)
   foreach(dep IN LISTS ARGN)
--- a/src/include/dotterelshed/route_table.h
+++ b/src/include/dotterelshed/route_table.h
@@ -2,11 +2,13 @@
 #define DOTTERELSHED_ROUTE_TABLE_H_
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "dotterelshed/account.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
 
@@ -52,6 +54,10 @@
   /// Time for which a program's token usage is remembered after its last turn,
   /// and its history if the system keeps it.
   Duration m_retention = std::chrono::seconds(60);
+  /// Rank of its requests, unless their account has one.
+  std::optional<Priority> m_priority;
+  /// True when its requests need no account.
+  bool m_anonymous = false;
 };
 
 /// Properties of the model engines of a service.
@@ -78,6 +84,9 @@
   std::vector<Route> m_routes;
   std::map<ServiceId, ServiceTraits> m_services;
   CallerLimits m_limits;
+  /// Client accounts; nullptr if the configuration has none, so that requests
+  /// need no key.
+  std::shared_ptr<const AccountTable> m_accounts;
   /// Indexes into m_routes for each lower-case host name, longest prefix first;
   /// filled by IndexRoutes.
   std::map<std::string, std::vector<std::size_t>, std::less<>> m_by_host;
