Let requests in by the keys of client accounts

Where a configuration names client accounts, a request's key went on to the endpoint as the caller sent it, any key was let in and nobody told the endpoint whose request it runs. Now libaccount decides: 401 for an unknown or missing key, 503 where the host's configuration is too old to say so, nothing on anonymous routes and nothing where there are no accounts. The key is dropped from what endpoints get and the account's name is set by the host. The key is looked up again in the newest configuration before each send. Turns, programs' budgets and crash counts are stored under ids that begin with the account.

Entries that can't be used are logged without the key and left out; a key of two accounts is nobody's. Credentials are no longer logged as a caller's name.

--- a/src/include/dotterelshed/call_fingerprint.h
+++ b/src/include/dotterelshed/call_fingerprint.h
@@ -41,6 +41,8 @@
 
 /// The parts of a request that its fingerprint covers.
 struct FingerprintParts {
+  /// Set where requests of different accounts are counted apart.
+  std::string_view m_scope;
   std::string_view m_method;
   /// Path and query.
   std::string_view m_target;
--- a/src/include/dotterelshed/http_status.h
+++ b/src/include/dotterelshed/http_status.h
@@ -8,6 +8,7 @@
 
 inline constexpr int kStatusOk = 200;
 inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusNotFound = 404;
 inline constexpr int kStatusTimeout = 408;
 inline constexpr int kStatusConflict = 409;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -57,6 +57,7 @@
   kEndpointRejected = 505,
   kConfigInForce = 601,
   kConfigRejected = 602,
+  kAccountRejected = 603,
   kPlatformLost = 701,
   kPlatformBack = 702,
   kRetirementAnswered = 703,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -103,6 +103,9 @@
      "A configuration generation is in force on this host."},
     {LogEventId::kConfigRejected, LogLevel::kError, "config_rejected",
      "A configuration could not be used; the last one stays in force."},
+    {LogEventId::kAccountRejected, LogLevel::kError, "account_rejected",
+     "A client account or one of its keys can't be used and is left out; the "
+     "other accounts and keys hold."},
     {LogEventId::kPlatformLost, LogLevel::kWarning, "platform_lost",
      "The platform does not answer; tables and configuration stay as they "
      "are."},
--- /dev/null
+++ b/src/libgateway/call/call_access.h
@@ -0,0 +1,36 @@
+#ifndef DOTTERELSHED_CALL_ACCESS_H_
+#define DOTTERELSHED_CALL_ACCESS_H_
+
+#include <optional>
+#include <string>
+
+#include "dotterelshed/account_access.h"
+#include "dotterelshed/ids.h"
+#include "entry_context.h"
+#include "platform/call_headers.h"
+
+/// @file
+/// Applies the decision on a request's key to one request, and keeps what
+/// different accounts store apart.
+
+namespace dotterelshed {
+
+/// Decides by the newest configuration of this host.
+auto DecideCallAccess(const EntryContext& context,
+                      const Route& route,
+                      const CallHeaders& headers) -> AccessDecision;
+
+/// Ids under which a request's turn, program and caller are stored, looked up
+/// and sent to other hosts. Callers and endpoints know them without scope.
+struct StoredIds {
+  RequestId m_request;
+  std::optional<RequestId> m_previous_turn;
+  ProgramId m_program;
+};
+
+auto MakeStoredIds(const CallHeaders& headers, const AccountScope& scope)
+    -> StoredIds;
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_CALL_ACCESS_H_
--- a/src/libgateway/call/call_crash_tracker.cc
+++ b/src/libgateway/call/call_crash_tracker.cc
@@ -16,12 +16,18 @@
 
 CallCrashTracker::CallCrashTracker(EntryContext& context,
                                    const IncomingRequest& request,
-                                   std::string caller)
-    : m_context(context), m_request(request), m_caller(std::move(caller)) {}
+                                   const CallHeaders& headers,
+                                   const AccountScope& scope)
+    : m_context(context),
+      m_request(request),
+      m_caller(headers.m_caller),
+      m_caller_to_log(headers.m_caller_to_log),
+      m_scope(ScopedText(scope, "")) {}
 
 auto CallCrashTracker::fingerprint() -> const CallFingerprint& {
   if (!m_fingerprint) {
-    m_fingerprint = MakeFingerprint({.m_method = m_request.m_head.m_method,
+    m_fingerprint = MakeFingerprint({.m_scope = m_scope,
+                                     .m_method = m_request.m_head.m_method,
                                      .m_target = m_request.m_head.m_target,
                                      .m_caller = m_caller,
                                      .m_body = m_request.m_body});
@@ -101,7 +107,7 @@
   if (quarantined) {
     LogEvent(LogEventId::kContentQuarantined,
              {{"content", ToString(fingerprint().m_content)},
-              {"caller", m_caller},
+              {"caller", m_caller_to_log},
               {"target", m_request.m_head.m_target},
               {"ends", std::to_string(CountAttributedCrashes(
                            m_context.m_crash_ledger, fingerprint(), now))},
--- a/src/libgateway/call/call_crash_tracker.h
+++ b/src/libgateway/call/call_crash_tracker.h
@@ -5,9 +5,11 @@
 #include <set>
 #include <string>
 
+#include "dotterelshed/account_access.h"
 #include "dotterelshed/crash_ledger.h"
 #include "dotterelshed/http_listener.h"
 #include "entry_context.h"
+#include "platform/call_headers.h"
 
 /// @file
 /// Connects one request with the crash ledger: whether it may be sent, which
@@ -21,7 +23,8 @@
   /// @param request  Must outlive this object.
   CallCrashTracker(EntryContext& context,
                    const IncomingRequest& request,
-                   std::string caller);
+                   const CallHeaders& headers,
+                   const AccountScope& scope);
 
   /// Returns whether the next attempt may be made. The result holds until
   /// OnAttemptSent().
@@ -51,6 +54,9 @@
   EntryContext& m_context;
   const IncomingRequest& m_request;
   std::string m_caller;
+  std::string m_caller_to_log;
+  /// Text that keeps the counts of different accounts apart.
+  std::string m_scope;
   /// Computed on first use.
   std::optional<CallFingerprint> m_fingerprint;
   std::optional<Admission> m_admission;
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -54,7 +54,10 @@
       m_route(route),
       m_completed(std::move(completed)),
       m_headers(ParseCallHeaders(m_request.m_head)),
-      m_crash_tracker(m_context, m_request, m_headers.m_caller),
+      m_access(DecideCallAccess(m_context, m_route, m_headers)),
+      m_account(m_access.m_account),
+      m_ids(MakeStoredIds(m_headers, ScopeOf(m_access))),
+      m_crash_tracker(m_context, m_request, m_headers, ScopeOf(m_access)),
       m_started_at(SteadyTime()) {
   m_service = PickService(m_route, m_context.RandomFraction());
   const auto& engine = TraitsOf(*m_routes, m_service).m_engine;
@@ -90,6 +93,11 @@
       self->OnCallerDisconnected();
     }
   });
+  if (!CheckAccess()) {
+    return;
+  }
+  // The account is known, and nothing has been read or queued yet: a check of
+  // its quota belongs here.
   if (!CheckQuarantine()) {
     return;
   }
@@ -114,11 +122,48 @@
   }
 }
 
+// Account of the caller.
+
+auto CallExchange::CheckAccess() -> bool {
+  if (IsLetIn(m_access)) {
+    return true;
+  }
+  if (m_access.m_outcome == AccessOutcome::kUnconfirmed) {
+    RespondUnserved(ToString(m_access.m_outcome), kRetryAfter);
+  } else {
+    RespondKeyRequired(m_access.m_outcome);
+  }
+  return false;
+}
+
+auto CallExchange::CheckAccessAgain() -> bool {
+  const auto access = DecideCallAccess(m_context, m_route, m_headers);
+  if (IsLetIn(access) && ScopeOf(access) == ScopeOf(m_access)) {
+    return true;
+  }
+  const auto waits = IsLetIn(access) ||
+                     access.m_outcome == AccessOutcome::kUnconfirmed ||
+                     m_may_have_run;
+  if (waits) {
+    // The key may belong to another account by now, whose turns, budget and
+    // quota were not looked at.
+    RespondUnserved("key_changed", kRetryAfter);
+  } else {
+    RespondKeyRequired(access.m_outcome);
+  }
+  return false;
+}
+
+auto CallExchange::RespondKeyRequired(AccessOutcome outcome) -> void {
+  RespondWith(kStatusUnauthorized, ToString(outcome), MakeKeyRequiredFields(),
+              KeyRequiredText(outcome == AccessOutcome::kMissingKey));
+}
+
 // History of the conversation.
 
 auto CallExchange::ReadHistory() -> void {
-  m_history.Read({.m_turn = *m_headers.m_previous_turn,
-                  .m_program = m_headers.m_program,
+  m_history.Read({.m_turn = *m_ids.m_previous_turn,
+                  .m_program = m_ids.m_program,
                   .m_retention = m_route.m_retention},
                  [self = shared_from_this()](const HistoryReadResult& result) {
                    self->OnHistory(result);
@@ -145,17 +190,16 @@
 
 auto CallExchange::StoreTurn() -> void {
   m_storing = true;
-  m_history.Store(
-      {.m_turn = m_headers.m_request,
-       .m_previous = m_headers.m_previous_turn.value_or(RequestId()),
-       .m_program = m_headers.m_program,
-       .m_text = m_turn_text,
-       .m_lifetime = m_route.m_retention + kLifetimeMargin},
-      [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->OnTurnStored();
-        }
-      });
+  m_history.Store({.m_turn = m_ids.m_request,
+                   .m_previous = m_ids.m_previous_turn.value_or(RequestId()),
+                   .m_program = m_ids.m_program,
+                   .m_text = m_turn_text,
+                   .m_lifetime = m_route.m_retention + kLifetimeMargin},
+                  [weak = weak_from_this()] {
+                    if (const auto self = weak.lock()) {
+                      self->OnTurnStored();
+                    }
+                  });
 }
 
 auto CallExchange::OnTurnStored() -> void {
@@ -163,7 +207,7 @@
     return;
   }
   const auto before = m_previous_text ? *m_previous_text : std::string();
-  m_history.Remember(m_headers.m_request,
+  m_history.Remember(m_ids.m_request,
                      std::make_shared<const std::string>(before + m_turn_text));
   m_storing = false;
   EndResponse();
@@ -173,8 +217,8 @@
 
 auto CallExchange::RequestTurnGrant() -> void {
   TurnGrantRequest request;
-  request.m_grant = {.m_program = m_headers.m_program,
-                     .m_request = m_headers.m_request,
+  request.m_grant = {.m_program = m_ids.m_program,
+                     .m_request = m_ids.m_request,
                      .m_budget = *m_headers.m_budget,
                      .m_turn_max = m_headers.m_max_tokens};
   request.m_service = m_service;
@@ -193,7 +237,7 @@
     // The client has disconnected, so the turn does not run.
     if (m_must_settle) {
       m_grants.Settle(
-          {.m_program = m_headers.m_program, .m_request = m_headers.m_request});
+          {.m_program = m_ids.m_program, .m_request = m_ids.m_request});
     }
     return;
   }
@@ -290,6 +334,9 @@
 }
 
 auto CallExchange::SendAttempt() -> void {
+  if (!CheckAccessAgain()) {
+    return;
+  }
   const auto now = SteadyTime();
   AttemptHeaders attempt;
   attempt.m_endpoint = m_attempt.m_endpoint;
@@ -297,6 +344,8 @@
   if (m_last_event_id) {
     attempt.m_resume_after = m_last_event_id;
   }
+  attempt.m_accounts_in_force = m_access.m_outcome != AccessOutcome::kNotNeeded;
+  attempt.m_account = m_account;
   const auto& head = m_request.m_head;
   auto bytes = FormatRequest(
       head.m_method, head.m_target, MakeEndpointFields(head.m_fields, attempt),
@@ -349,16 +398,23 @@
 auto CallExchange::RespondLocally(int status,
                                   std::string_view reason,
                                   std::optional<Duration> retry_after) -> void {
-  if (m_forwarding) {
-    AbortResponse(reason);
-    return;
-  }
   HttpFields fields;
   if (retry_after) {
     fields.push_back(MakeRetryAfterField(*retry_after));
   }
+  RespondWith(status, reason, std::move(fields), "");
+}
+
+auto CallExchange::RespondWith(int status,
+                               std::string_view reason,
+                               HttpFields fields,
+                               std::string_view body) -> void {
+  if (m_forwarding) {
+    AbortResponse(reason);
+    return;
+  }
   EndAttempt();
-  m_caller->Answer(status, std::move(fields), "");
+  m_caller->Answer(status, std::move(fields), body);
   Finish(status, reason);
 }
 
@@ -439,13 +495,13 @@
   m_finished = true;
   if (std::exchange(m_storing, false)) {
     // The response was not completed, so that the turn must not be continued.
-    m_history.Withdraw({.m_turn = m_headers.m_request,
+    m_history.Withdraw({.m_turn = m_ids.m_request,
                         .m_lifetime = m_route.m_retention + kLifetimeMargin});
   }
   if (m_must_settle) {
     const auto used = Tokens(m_events_forwarded * m_tokens_per_event);
-    m_grants.Settle({.m_program = m_headers.m_program,
-                     .m_request = m_headers.m_request,
+    m_grants.Settle({.m_program = m_ids.m_program,
+                     .m_request = m_ids.m_request,
                      .m_used = used});
   }
   const auto now = SteadyTime();
@@ -458,6 +514,7 @@
   LogEvent(LogEventId::kRequestEnded,
            {{"request", m_headers.m_request.value()},
             {"program", m_headers.m_program.value()},
+            {"account", m_account.value_or(AccountId()).value()},
             {"route", m_route.m_name},
             {"status", std::to_string(status)},
             {"reason", std::string(reason)},
@@ -480,7 +537,7 @@
             {"reason", std::string(reason)},
             {"may_have_run", may_have_run ? "yes" : "no"},
             {"content", ToString(m_crash_tracker.fingerprint().m_content)},
-            {"caller", m_headers.m_caller},
+            {"caller", m_headers.m_caller_to_log},
             {"attempt", std::to_string(m_attempts)},
             {"ms", FormatMs(now - m_started_at)},
             {"view_ms", FormatMs(m_context.m_endpoint_watcher->Age(now))}});
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "call/call_access.h"
 #include "call/call_crash_tracker.h"
 #include "call/event_splitter.h"
 #include "dotterelshed/http_client.h"
@@ -71,6 +72,13 @@
   auto IsRetryable() const -> bool;
   /// Returns true if the system keeps the conversation's history.
   auto KeepsHistory() const -> bool;
+  /// Refuses a request whose key doesn't let it in. Returns false if it was
+  /// refused.
+  auto CheckAccess() -> bool;
+  /// Refuses a request whose key was withdrawn while it waited. Returns false
+  /// if it was refused.
+  auto CheckAccessAgain() -> bool;
+  auto RespondKeyRequired(AccessOutcome outcome) -> void;
   auto ReadHistory() -> void;
   auto OnHistory(const HistoryReadResult& result) -> void;
   /// Obtains what the first attempt needs beside the history, and starts it.
@@ -112,6 +120,11 @@
                       std::string_view reason,
                       std::optional<Duration> retry_after = std::nullopt)
       -> void;
+  /// @param fields  fields of the response.
+  auto RespondWith(int status,
+                   std::string_view reason,
+                   HttpFields fields,
+                   std::string_view body) -> void;
   /// Responds with an error when no further attempt is made: 502 if an earlier
   /// attempt may have been executed, else 503 with Retry-After.
   auto RespondUnserved(std::string_view reason, Duration retry_after) -> void;
@@ -131,6 +144,12 @@
   int m_tokens_per_event = 1;
   Completed m_completed;
   CallHeaders m_headers;
+  /// Decision on the request's key at its arrival.
+  AccessDecision m_access;
+  /// Account that the request runs for; nothing without accounts or for an
+  /// anonymous request.
+  std::optional<AccountId> m_account;
+  StoredIds m_ids;
   CallCrashTracker m_crash_tracker;
   TimePoint m_started_at;
   TimePoint m_deadline;
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -41,6 +41,8 @@
   ObjectStore m_store;
   /// Newest configuration; empty until one has been received.
   std::shared_ptr<const RouteTable> m_routes;
+  /// Watches the store for a newer configuration.
+  std::shared_ptr<ObjectWatcher> m_config_watcher;
   EndpointDirectory m_directory;
   /// Watches the store for changes of m_directory.
   std::shared_ptr<ObjectWatcher> m_endpoint_watcher;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -111,12 +111,12 @@
 auto EntryHost::MakeWatchers() -> void {
   auto& loop = m_context.m_loop;
   const auto max_age = m_context.m_settings.m_view_max_age;
-  m_config_watcher = std::make_shared<ObjectWatcher>(
+  m_context.m_config_watcher = std::make_shared<ObjectWatcher>(
       loop, m_context.m_store,
       WatcherOptions{
           .m_kind = ObjectKind::kConfig,
           .m_max_age = max_age,
-          .m_max_change_delay = m_context.m_settings.m_config_change},
+          .m_max_change_delay = ConfigChangeTime(m_context.m_settings)},
       HandleEachObject(
           [this](const StoredObject& object) { ApplyConfig(object); }),
       m_context.MakeViewReader());
@@ -163,7 +163,7 @@
 
 auto EntryHost::StartViews() -> void {
   if (!std::exchange(m_views_started, true)) {
-    m_config_watcher->Start();
+    m_context.m_config_watcher->Start();
     m_endpoint_view.Start();
   }
 }
@@ -174,6 +174,11 @@
   if (object.m_name != kMainConfig) {
     return;
   }
+  const auto& current = m_context.m_routes;
+  const auto generation = DecodeGeneration(object);
+  if (current && generation && *generation <= current->m_generation) {
+    return;
+  }
   auto table = DecodeRoutes(object);
   if (!table) {
     LogEvent(LogEventId::kConfigRejected,
@@ -181,10 +186,6 @@
               {"reason", table.error().m_message}});
     return;
   }
-  const auto& current = m_context.m_routes;
-  if (current && table->m_generation <= current->m_generation) {
-    return;
-  }
   LogEvent(LogEventId::kConfigInForce,
            {{"generation", std::to_string(table->m_generation.value())},
             {"routes", std::to_string(table->m_routes.size())}});
@@ -389,7 +390,7 @@
     case ObjectKind::kLeads:
       return *m_lead_watcher;
     default:
-      return *m_config_watcher;
+      return *m_context.m_config_watcher;
   }
 }
 
@@ -406,8 +407,8 @@
 
 auto EntryHost::UpdateStateMetrics() const -> void {
   const auto now = SteadyTime();
-  for (const auto& follower :
-       {m_config_watcher, m_context.m_endpoint_watcher, m_lead_watcher}) {
+  for (const auto& follower : {m_context.m_config_watcher,
+                               m_context.m_endpoint_watcher, m_lead_watcher}) {
     SetMetric(MetricId::kViewAge, ToSeconds(follower->Age(now)),
               KindName(follower->kind()));
   }
@@ -460,7 +461,7 @@
     exchange->Tick(now);
   }
   m_endpoint_view.Tick(now);
-  m_config_watcher->Tick(now);
+  m_context.m_config_watcher->Tick(now);
   m_lead_watcher->Tick(now);
   m_context.m_endpoint_connections.Tick(now);
   m_context.m_peer_connections.Tick(now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -97,7 +97,6 @@
   HttpListener m_callers;
   HttpListener m_readiness;
   HttpListener m_peers;
-  std::shared_ptr<ObjectWatcher> m_config_watcher;
   std::shared_ptr<ObjectWatcher> m_lead_watcher;
   std::unordered_set<std::shared_ptr<CallExchange>> m_exchanges;
   boost::asio::steady_timer m_tick_timer;
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -150,6 +151,10 @@
       "endpoint_leave_ms", kMinEndpointLeave, settings.m_endpoint_leave);
   settings.m_config_change = reader.Milliseconds(
       "config_change_ms", kMinConfigChange, settings.m_config_change);
+  settings.m_key_withdrawal = reader.Milliseconds(
+      "key_withdrawal_ms", Duration{0}, settings.m_key_withdrawal);
+  settings.m_strict_key_withdrawal =
+      reader.Flag("strict_key_withdrawal", settings.m_strict_key_withdrawal);
   settings.m_max_descriptors = static_cast<int>(reader.Number(
       "max_descriptors", kMinDescriptors, settings.m_max_descriptors));
   settings.m_tolerated_losses = static_cast<int>(
@@ -170,6 +175,16 @@
   return settings;
 }
 
+auto KeyWithdrawalTime(const EntrySettings& settings) -> Duration {
+  return settings.m_key_withdrawal == Duration{0}
+             ? settings.m_config_change
+             : std::max(settings.m_key_withdrawal, kMinConfigChange);
+}
+
+auto ConfigChangeTime(const EntrySettings& settings) -> Duration {
+  return std::min(settings.m_config_change, KeyWithdrawalTime(settings));
+}
+
 auto CheckedAddress(const std::string& text) -> TcpAddress {
   const auto address = ParseTcpAddress(text);
   DOTTERELSHED_CHECK(address.has_value());
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -45,6 +45,13 @@
   Duration m_endpoint_leave = std::chrono::seconds(2);
   /// A new configuration must be in force on all hosts within this time.
   Duration m_config_change = std::chrono::seconds(2);
+  /// A withdrawn key must be out of use on all hosts within this time, or one
+  /// second if that is longer; zero if the bound of a new configuration is
+  /// enough.
+  Duration m_key_withdrawal{0};
+  /// The bound for withdrawn keys also holds for a host that is out of touch
+  /// with the store: it lets no key in that it can't vouch for.
+  bool m_strict_key_withdrawal = false;
   /// Limit of open file descriptors of the process.
   int m_max_descriptors = 1024;
   /// Number of disk hosts that may fail at the same time.
@@ -59,6 +66,13 @@
 auto ParseEntrySettings(std::string_view text, std::string_view file)
     -> Result<EntrySettings>;
 
+/// Time within which a withdrawn key is out of use on hosts in touch with the
+/// store.
+auto KeyWithdrawalTime(const EntrySettings& settings) -> Duration;
+
+/// Time within which a host must know a new configuration.
+auto ConfigChangeTime(const EntrySettings& settings) -> Duration;
+
 /// Parses an address from validated settings; an invalid one is a programming
 /// error.
 auto CheckedAddress(const std::string& text) -> TcpAddress;
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -20,6 +20,8 @@
   "endpoint_heartbeat_ms": 1100,
   "endpoint_leave_ms": 3000,
   "config_change_ms": 2500,
+  "key_withdrawal_ms": 5500,
+  "strict_key_withdrawal": true,
   "first_start": true,
   "stop_grace_s": 8.5
 })";
@@ -39,6 +41,8 @@
   CHECK(settings->m_endpoint_heartbeat == std::chrono::milliseconds(1100));
   CHECK(settings->m_endpoint_leave == std::chrono::seconds(3));
   CHECK(settings->m_config_change == std::chrono::milliseconds(2500));
+  CHECK(settings->m_key_withdrawal == std::chrono::milliseconds(5500));
+  CHECK(settings->m_strict_key_withdrawal);
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
@@ -55,7 +59,10 @@
                std::tuple("1100", "0", "endpoint_heartbeat_ms"),
                std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
                std::tuple("2500", "900", "config_change_ms"),
-               std::tuple("true", "1", "first_start"),
+               std::tuple("5500", "-1", "key_withdrawal_ms"),
+               std::tuple("withdrawal\": true", "withdrawal\": 1",
+                          "strict_key_withdrawal"),
+               std::tuple("start\": true", "start\": 1", "first_start"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
@@ -63,6 +70,20 @@
   CHECK(settings.error().m_place == "f: " + std::string(key));
 }
 
+TEST_CASE("the stricter bound of keys and configuration is followed") {
+  EntrySettings settings;
+  settings.m_config_change = std::chrono::seconds(3);
+  CHECK(KeyWithdrawalTime(settings) == settings.m_config_change);
+  CHECK(ConfigChangeTime(settings) == settings.m_config_change);
+  settings.m_key_withdrawal = std::chrono::seconds(5);
+  CHECK(KeyWithdrawalTime(settings) == std::chrono::seconds(5));
+  CHECK(ConfigChangeTime(settings) == std::chrono::seconds(3));
+  settings.m_key_withdrawal = std::chrono::seconds(2);
+  CHECK(ConfigChangeTime(settings) == std::chrono::seconds(2));
+  settings.m_key_withdrawal = std::chrono::milliseconds(1);
+  CHECK(ConfigChangeTime(settings) == std::chrono::seconds(1));
+}
+
 TEST_CASE("a disk host needs no caller address") {
   const auto text = R"({"role": "disk", "host": "h", "domain": "z",
     "caller_address": "", "ready_address": "", "peer_address": "127.0.0.1:3",
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -278,7 +278,7 @@
   auto MakeHost(const std::string& name,
                 const std::string& domain,
                 double processor_share = 1.0) -> std::unique_ptr<EntryHost> {
-    EntrySettings settings;
+    auto settings = m_host_settings;
     settings.m_host = HostId(name);
     settings.m_domain = DomainId(domain);
     settings.m_processor_share = processor_share;
@@ -339,6 +339,8 @@
 
   EventLoop m_loop;
   TestStore m_store;
+  /// Settings of the hosts that are started from now on.
+  EntrySettings m_host_settings;
   std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
--- a/src/libhttp/http_message.cc
+++ b/src/libhttp/http_message.cc
@@ -144,6 +144,8 @@
       return "OK";
     case kStatusBadRequest:
       return "Bad Request";
+    case kStatusUnauthorized:
+      return "Unauthorized";
     case 402:
       return "Payment Required";
     case kStatusNotFound:
--- a/src/libquarantine/call_fingerprint.cc
+++ b/src/libquarantine/call_fingerprint.cc
@@ -8,7 +8,8 @@
 
 auto MakeFingerprint(const FingerprintParts& parts) -> CallFingerprint {
   // Methods and targets have no spaces, so the joined text is unambiguous.
-  const auto line = fmt::format("{} {} ", parts.m_method, parts.m_target);
+  const auto line =
+      fmt::format("{}{} {} ", parts.m_scope, parts.m_method, parts.m_target);
   const auto seed = XXH3_64bits(line.data(), line.size());
   const auto content =
       XXH3_128bits_withSeed(parts.m_body.data(), parts.m_body.size(), seed);
