--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -15,9 +15,9 @@
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/route_table.h"
 #include "entry_settings.h"
-#include "lead_messages.h"
-#include "object_watcher.h"
+#include "lead/lead_messages.h"
 #include "platform/object_store.h"
+#include "view/object_watcher.h"
 
 /// @file
 /// State shared by the components of one host. Only the event loop's single
@@ -41,6 +41,8 @@
   ObjectStore m_store;
   /// Newest configuration; empty until one has been received.
   std::shared_ptr<const RouteTable> m_routes;
+  /// Watches the store for a newer configuration.
+  std::shared_ptr<ObjectWatcher> m_config_watcher;
   EndpointDirectory m_directory;
   /// Watches the store for changes of m_directory.
   std::shared_ptr<ObjectWatcher> m_endpoint_watcher;
