--- a/src/include/dotterelshed/endpoint_judgement.h
+++ b/src/include/dotterelshed/endpoint_judgement.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -84,6 +85,11 @@
   /// Minimum time and served requests in each step of the return.
   Duration m_step_time = std::chrono::seconds(1);
   std::uint32_t m_step_served = 5;
+  /// A step ends after this time even if less was served.
+  Duration m_max_step_time = std::chrono::seconds(4);
+  /// A probe that found no request which may be repeated is done with any
+  /// request after this time.
+  Duration m_any_probe_wait = std::chrono::seconds(5);
   /// An endpoint in use for this time starts again with m_first_probe.
   Duration m_forget_after = std::chrono::seconds(60);
 };
@@ -106,14 +112,17 @@
   /// A probe was given out and its outcome is not known.
   bool m_probe_pending = false;
   int m_times_out = 0;
-  /// Step of the return, from zero, and what was served in it.
+  /// Step of the return, from zero, and the outcomes in it.
   int m_step = 0;
   std::uint32_t m_step_served = 0;
+  std::uint32_t m_step_failures = 0;
 };
 
 struct EndpointJudgement {
   JudgementOptions m_options;
   std::map<EndpointId, JudgedEndpoint> m_endpoints;
+  /// Those in a state other than kInUse, and those that are spared.
+  std::set<EndpointId> m_unusual;
   TimePoint m_window_started;
 };
 
@@ -157,12 +166,20 @@
 auto SharesOf(const EndpointJudgement& judgement,
               const EndpointDirectory& directory) -> EndpointShares;
 
-/// Returns an endpoint of the service whose probe is due, and counts the probe
-/// as given out. Nothing if none is due.
+/// An endpoint to which one request is to be sent as a probe.
+struct ProbeOrder {
+  EndpointId m_endpoint;
+  /// Any request may be the probe; otherwise only one that may be repeated.
+  bool m_any = false;
+};
+
+/// Returns an endpoint whose probe is due, and counts the probe as given out.
+/// Nothing if none is due.
+/// @param service  service of the endpoint; any service if empty.
 auto TakeProbe(EndpointJudgement& judgement,
                const EndpointDirectory& directory,
                const ServiceId& service,
-               TimePoint now) -> std::optional<EndpointId>;
+               TimePoint now) -> std::optional<ProbeOrder>;
 
 }  // namespace dotterelshed
 
