Let hosts of a domain judge endpoints together

Hosts now report outcomes to their domain's lead with the settlements that pass anyway; the lead judges, places turns by it and answers with what is out of use and who probes it. Only where the settings list the obligation.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "dotterelshed/endpoint_directory.h"
+#include "dotterelshed/endpoint_judgement.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
 
@@ -38,6 +39,11 @@
   std::set<EndpointId> m_avoided;
   /// Endpoint that has the program's prompt cached; empty if none is known.
   EndpointId m_warm;
+  /// Shares of requests by the judgement of endpoints; may be null. Endpoints
+  /// that are out are chosen only if there are no others.
+  const EndpointShares* m_shares = nullptr;
+  /// Uniform in [0, 1); an endpoint with a smaller share is left out.
+  double m_share_draw = 0;
   /// Uniform in [0, 1); breaks ties.
   double m_draw = 0;
 };
--- a/src/include/dotterelshed/endpoint_judgement.h
+++ b/src/include/dotterelshed/endpoint_judgement.h
@@ -49,9 +49,9 @@
 
 /// Adds an outcome. A report is bounded: returns false if the endpoint is not
 /// in it and it is full.
-auto AddOutcome(OutcomeReport& report,
-                const EndpointId& endpoint,
-                EndpointOutcome outcome) -> bool;
+auto CountOutcome(OutcomeReport& report,
+                  const EndpointId& endpoint,
+                  EndpointOutcome outcome) -> bool;
 
 enum class JudgementState {
   kInUse,
@@ -173,12 +173,22 @@
   bool m_any = false;
 };
 
+/// What a probe may be made with.
+struct ProbeQuery {
+  /// Service of the endpoint; any service if empty.
+  ServiceId m_service;
+  /// The request may be repeated. If it may not, or no request is at hand, only
+  /// endpoints that have waited for m_any_probe_wait are probed.
+  bool m_repeatable = true;
+  /// Endpoints that others probe; may be null.
+  const EndpointShares* m_skipped = nullptr;
+};
+
 /// Returns an endpoint whose probe is due, and counts the probe as given out.
 /// Nothing if none is due.
-/// @param service  service of the endpoint; any service if empty.
 auto TakeProbe(EndpointJudgement& judgement,
                const EndpointDirectory& directory,
-               const ServiceId& service,
+               const ProbeQuery& query,
                TimePoint now) -> std::optional<ProbeOrder>;
 
 }  // namespace dotterelshed
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -55,6 +55,8 @@
   kContentQuarantined = 503,
   kEndpointChanged = 504,
   kEndpointRejected = 505,
+  kEndpointJudged = 506,
+  kJudgementRejected = 507,
   kConfigInForce = 601,
   kConfigRejected = 602,
   kPlatformLost = 701,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -42,6 +42,7 @@
   kEntryFirstByteSeconds,
   kTurnDecisions,
   kEndpointConnections,
+  kEndpointJudgements,
   kViewAge,
   kSuspectContents,
   kHistoryReads,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -99,6 +99,14 @@
      "use until it is listed again or lapses."},
     {LogEventId::kEndpointRejected, LogLevel::kWarning, "endpoint_rejected",
      "An entry in the list of endpoints can't be read and is left out."},
+    {LogEventId::kEndpointJudged, LogLevel::kWarning, "endpoint_judged",
+     "A host, or a lead for all hosts of its domain, changed its judgement of "
+     "an endpoint: out of use, being probed, returning, in use again, or "
+     "spared since too many others are out. The outcomes that it judged by are "
+     "in the fields."},
+    {LogEventId::kJudgementRejected, LogLevel::kWarning, "judgement_rejected",
+     "The lead's judgement of endpoints can't be read; this host judges by its "
+     "own outcomes alone."},
     {LogEventId::kConfigInForce, LogLevel::kInfo, "config_in_force",
      "A configuration generation is in force on this host."},
     {LogEventId::kConfigRejected, LogLevel::kError, "config_rejected",
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -60,6 +60,9 @@
     {MetricId::kEndpointConnections, MetricKind::kCounter,
      "dotterelshed_endpoint_connections_total", "outcome",
      "Connections that an entry host asked for, by whether one was kept."},
+    {MetricId::kEndpointJudgements, MetricKind::kCounter,
+     "dotterelshed_endpoint_judgements_total", "state",
+     "Changes of this host's judgements of endpoints, by the new state."},
     {MetricId::kViewAge, MetricKind::kGauge, "dotterelshed_view_age_seconds",
      "kind",
      "Time since the platform last showed that this host's view of a kind of "
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -200,6 +200,7 @@
   switch (response.m_verdict) {
     case GrantVerdict::kGranted:
       m_next_endpoint = response.m_endpoint;
+      m_is_probe = response.m_probe;
       m_granted_tokens = response.m_tokens;
       StartNextAttempt();
       return;
@@ -218,11 +219,7 @@
   const auto next = std::exchange(m_next_endpoint, EndpointId());
   const auto avoided = m_crash_tracker.AvoidedEndpoints();
   const auto* entry = FindEndpoint(m_context.m_directory, next);
-  // An endpoint that already had the request is allowed, since the route may
-  // permit no other.
-  const auto allowed =
-      m_may_have_run_on.contains(next) || !avoided.contains(next);
-  if (entry != nullptr && !m_excluded.contains(next) && allowed) {
+  if (entry != nullptr && MayUse(next, avoided)) {
     if (!entry->m_leaving) {
       return next;
     }
@@ -231,13 +228,38 @@
       return std::nullopt;
     }
   }
+  auto& judgement = m_context.m_judgement;
+  const auto now = SteadyTime();
+  if (judgement.m_enabled && m_attempts == 0) {
+    const auto probe = ProbeFor(judgement, m_context.m_directory, m_service,
+                                IsRetryable(), now);
+    if (probe && !avoided.contains(*probe)) {
+      return probe;
+    }
+  }
   return ChooseEndpoint(m_context.m_directory, m_context.m_loads,
                         {.m_service = m_service,
                          .m_domain = m_context.m_settings.m_domain,
                          .m_excluded = m_excluded,
                          .m_avoided = avoided,
+                         .m_shares = &judgement.m_shares,
+                         .m_share_draw = m_context.RandomFraction(),
                          .m_draw = m_context.RandomFraction()},
-                        SteadyTime());
+                        now);
+}
+
+auto CallExchange::MayUse(const EndpointId& next,
+                          const std::set<EndpointId>& avoided) const -> bool {
+  if (m_excluded.contains(next)) {
+    return false;
+  }
+  // An endpoint that already had the request is allowed, since the route may
+  // permit no other.
+  if (m_may_have_run_on.contains(next)) {
+    return true;
+  }
+  const auto out = !m_is_probe && IsOutForHost(m_context.m_judgement, next);
+  return !avoided.contains(next) && !out;
 }
 
 auto CallExchange::StartNextAttempt() -> void {
@@ -280,6 +302,7 @@
   }
   if (!connection) {
     NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
+    JudgeAttempt(EndpointOutcome::kUnreachable);
     // An unreachable endpoint has terminated or is partitioned.
     m_may_have_run_on.erase(m_attempt.m_endpoint);
     HandleNotExecuted("not_connected");
@@ -412,6 +435,7 @@
     return;
   }
   m_retried_without_response = true;
+  JudgeAttempt(EndpointOutcome::kSilent);
   m_attempt.m_connection->Close();
   ReportLostAttempt(CrashEvidence::kUnproved);
   HandleLostAttempt("silent");
@@ -425,6 +449,11 @@
     return;
   }
   if (m_attempt.m_connection) {
+    const auto silent = m_attempt.m_sent && !m_attempt.m_response_started &&
+                        now - m_attempt.m_sent_at >= kStreamResponseTimeout;
+    if (silent) {
+      JudgeAttempt(EndpointOutcome::kSilent);
+    }
     m_attempt.m_connection->Close();
     ReportLostAttempt(CrashEvidence::kUnproved);
   }
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -83,6 +83,12 @@
   auto OnTurnGrant(const TurnGrantResponse& response) -> void;
   auto StartNextAttempt() -> void;
   auto PickEndpoint() -> std::optional<EndpointId>;
+  /// Returns true if the endpoint that the lead or an earlier attempt named may
+  /// be used.
+  auto MayUse(const EndpointId& next, const std::set<EndpointId>& avoided) const
+      -> bool;
+  /// Adds the outcome of the current attempt to the judgement of its endpoint.
+  auto JudgeAttempt(EndpointOutcome outcome) -> void;
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
       -> void;
   auto SendAttempt() -> void;
@@ -143,6 +149,8 @@
   std::set<EndpointId> m_may_have_run_on;
   /// Endpoint of the next attempt, if already chosen.
   EndpointId m_next_endpoint;
+  /// The lead made this turn the probe of an endpoint that is out of use.
+  bool m_is_probe = false;
   EventSplitter m_events;
   /// Turns that this one continues from, which precede its input.
   HistoryText m_previous_text;
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -5,6 +5,7 @@
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
 #include "dotterelshed/turn_record.h"
+#include "judgement/judgement_log.h"
 
 /// @file
 /// Handles the responses of attempts: what is forwarded to the client, and what
@@ -30,6 +31,12 @@
 
 }  // namespace
 
+auto CallExchange::JudgeAttempt(EndpointOutcome outcome) -> void {
+  ReportJudgement(NoteOutcome(m_context.m_judgement, m_context.m_directory,
+                              m_attempt.m_endpoint, outcome, SteadyTime()),
+                  "host");
+}
+
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
   auto headers = ParseEndpointAnswerHeaders(head);
   if (headers.m_leaving) {
@@ -161,6 +168,11 @@
   }
   if (!m_attempt.m_headers.m_not_run) {
     m_crash_tracker.OnServed(SteadyTime());
+    const auto failed = m_attempt.m_head.m_status >= kFirstServerError;
+    const auto partial = m_is_event_stream && !m_events.empty();
+    JudgeAttempt(failed    ? EndpointOutcome::kFailed
+                 : partial ? EndpointOutcome::kGarbled
+                           : EndpointOutcome::kServed);
   }
   if (m_attempt.m_discard_response) {
     const auto not_run = m_attempt.m_headers.m_not_run;
@@ -204,6 +216,9 @@
     return;
   }
   NoteFailure(m_context.m_loads[m_attempt.m_endpoint], SteadyTime());
+  JudgeAttempt(failure == ExchangeFailure::kMalformed
+                   ? EndpointOutcome::kGarbled
+                   : EndpointOutcome::kLost);
   if (failure != ExchangeFailure::kMalformed) {
     ReportLostAttempt(m_attempt.m_response_started
                           ? CrashEvidence::kUnproved
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -13,6 +13,7 @@
 #include "dotterelshed/crash_ledger.h"
 #include "dotterelshed/endpoint_choice.h"
 #include "dotterelshed/endpoint_directory.h"
+#include "dotterelshed/host_judgement.h"
 #include "dotterelshed/route_table.h"
 #include "entry_settings.h"
 #include "lead/lead_messages.h"
@@ -48,6 +49,8 @@
   std::function<void(const EndpointId&)> m_on_leave_announced;
   /// Load of the endpoints as seen by this host's own attempts.
   EndpointLoads m_loads;
+  /// Which endpoints are out of use.
+  HostJudgement m_judgement;
   /// Requests under which endpoints crashed, as observed by all hosts.
   CrashLedger m_crash_ledger;
   std::multiset<SuspectAttempt> m_suspect_attempts;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -9,6 +9,7 @@
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
+#include "judgement/judgement_log.h"
 #include "peer_call.h"
 #include "platform/call_headers.h"
 
@@ -105,6 +106,7 @@
       FromSeconds(m_context.RandomFraction() * ToSeconds(kMaxTrialDelay));
   m_context.m_crash_ledger.m_options.m_listing_expiry =
       settings.m_endpoint_heartbeat * kMissedHeartbeatsToLapse + kLapseMargin;
+  m_context.m_judgement.m_enabled = settings.m_obligations.m_judge_endpoints;
   MakeWatchers();
 }
 
@@ -307,10 +309,8 @@
                   });
   } else if (target == kSettlePath) {
     HandleMessage(connection, DecodeSettlements(body),
-                  [this, &connection](const std::vector<TurnSettlement>& list) {
-                    const auto taken = m_lead.Settle(list);
-                    connection->Answer(taken ? kStatusOk : kStatusConflict, {},
-                                       "");
+                  [this, &connection](const SettlementBatch& batch) {
+                    OnSettlements(connection, batch);
                   });
   } else if (target == kFindPath) {
     HandleMessage(connection, DecodeFindAccountRequest(body),
@@ -325,6 +325,20 @@
   return true;
 }
 
+auto EntryHost::OnSettlements(
+    const std::shared_ptr<ServerConnection>& connection,
+    const SettlementBatch& batch) -> void {
+  if (!m_lead.Settle(batch.m_settlements)) {
+    connection->Answer(kStatusConflict, {}, "");
+    return;
+  }
+  const auto judgement = batch.m_report
+                             ? m_lead.TakeEndpointReport(*batch.m_report)
+                             : std::nullopt;
+  connection->Answer(kStatusOk, {},
+                     judgement ? EncodeDomainJudgement(*judgement) : "");
+}
+
 auto EntryHost::HandleLeadRequest(
     const std::shared_ptr<ServerConnection>& connection,
     std::string_view target,
@@ -465,6 +479,9 @@
   m_context.m_endpoint_connections.Tick(now);
   m_context.m_peer_connections.Tick(now);
   m_callers.Tick(now);
+  ReportJudgement(
+      AdvanceHostJudgement(m_context.m_judgement, m_context.m_directory, now),
+      "host");
   m_lead.Tick(now);
   m_grants.Tick(now);
   m_history.Tick(now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -54,6 +54,8 @@
   auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
                             std::string_view target,
                             const std::string& body) -> bool;
+  auto OnSettlements(const std::shared_ptr<ServerConnection>& connection,
+                     const SettlementBatch& batch) -> void;
   /// Changes of a domain's lead.
   auto HandleLeadRequest(const std::shared_ptr<ServerConnection>& connection,
                          std::string_view target,
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -2,8 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <vector>
 
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/log_events.h"
@@ -92,6 +94,23 @@
     return value->get<bool>();
   }
 
+  auto Names(const std::string& key) -> std::vector<std::string> {
+    const auto* value = Find(key);
+    std::vector<std::string> names;
+    if (value == nullptr) {
+      return names;
+    }
+    const auto valid =
+        value->is_array() &&
+        std::all_of(value->begin(), value->end(),
+                    [](const Json& one) { return one.is_string(); });
+    if (!valid) {
+      AddError(key, "must be a list of names");
+      return names;
+    }
+    return value->get<std::vector<std::string>>();
+  }
+
   auto Milliseconds(const std::string& key,
                     Duration minimum,
                     Duration default_value) -> Duration {
@@ -156,6 +175,7 @@
       reader.Number("tolerated_losses", 0, settings.m_tolerated_losses));
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
+  settings.m_obligations = ReadObligations(reader.Names("obligations"));
   const auto level = reader.Text("log_level", false);
   if (!level.empty()) {
     settings.m_log_level = level;
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -8,6 +8,7 @@
 #include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
+#include "platform/obligations.h"
 
 /// @file
 /// Settings of a dotterelshed_entry process: JSON with comments, rendered by
@@ -51,6 +52,8 @@
   int m_tolerated_losses = 1;
   /// Processor capacity of the host, in cores.
   double m_processor_share = 1.0;
+  /// What the deployment asks for; see obligations.h.
+  Obligations m_obligations;
   std::string m_log_level = "info";
 };
 
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -21,6 +21,7 @@
   "endpoint_leave_ms": 3000,
   "config_change_ms": 2500,
   "first_start": true,
+  "obligations": ["base", "health"],
   "stop_grace_s": 8.5
 })";
 
@@ -42,6 +43,8 @@
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
+  CHECK(settings->m_obligations.m_judge_endpoints);
+  CHECK_FALSE(settings->m_obligations.m_spare_connections);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -57,6 +60,7 @@
                std::tuple("2500", "900", "config_change_ms"),
                std::tuple("true", "1", "first_start"),
                std::tuple("0.25", "true", "processor_share"),
+               std::tuple("\"base\"", "7", "obligations"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
   REQUIRE_FALSE(settings);
--- a/src/libgateway/lead/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -228,25 +228,73 @@
   if (lead == m_context.m_leads.end()) {
     return;
   }
-  auto list = std::exchange(m_settlements[domain], {});
+  SettlementBatch batch{.m_settlements =
+                            std::exchange(m_settlements[domain], {})};
+  AddReport(domain, batch);
   const auto& entry = lead->second.m_entry;
   if (entry.m_host == m_context.m_settings.m_host) {
-    if (!m_own_lead.Settle(list)) {
-      RequeueSettlements(domain, std::move(list));
-    }
+    SettleHere(domain, std::move(batch));
     return;
   }
-  const auto body = EncodeSettlements(list);
+  const auto body = EncodeSettlements(batch);
   CallPeer(m_context.m_loop, m_context.m_peer_connections, entry.m_peer_address,
            kSettlePath, body, kSettleTimeout,
-           [this, domain,
-            list = std::move(list)](const Result<std::string>& reply) mutable {
+           [this, domain, batch = std::move(batch)](
+               const Result<std::string>& reply) mutable {
              if (!reply) {
-               RequeueSettlements(domain, std::move(list));
+               RequeueSettlements(domain, std::move(batch.m_settlements));
              }
+             OnSettleReply(reply, batch.m_report.has_value());
            });
 }
 
+auto GrantClient::SettleHere(const DomainId& domain, SettlementBatch batch)
+    -> void {
+  if (batch.m_report) {
+    if (auto judgement = m_own_lead.TakeEndpointReport(*batch.m_report)) {
+      TakeDomainJudgement(m_context.m_judgement, std::move(*judgement),
+                          SteadyTime());
+    }
+  }
+  if (!m_own_lead.Settle(batch.m_settlements)) {
+    RequeueSettlements(domain, std::move(batch.m_settlements));
+  }
+}
+
+/// A report that isn't answered is not repeated: it is old by then, and this
+/// host judges by its own outcomes.
+auto GrantClient::OnSettleReply(const Result<std::string>& reply, bool reported)
+    -> void {
+  if (!reported || !reply || reply->empty()) {
+    return;
+  }
+  if (auto judgement = DecodeDomainJudgement(*reply)) {
+    TakeDomainJudgement(m_context.m_judgement, std::move(*judgement),
+                        SteadyTime());
+  } else {
+    LogEvent(LogEventId::kJudgementRejected,
+             {{"reason", judgement.error().m_message}});
+  }
+}
+
+auto GrantClient::AddReport(const DomainId& domain, SettlementBatch& batch)
+    -> void {
+  auto& judgement = m_context.m_judgement;
+  if (judgement.m_enabled && domain == m_context.m_settings.m_domain) {
+    batch.m_report =
+        EndpointReport{.m_host = m_context.m_settings.m_host,
+                       .m_outcomes = TakeUnreported(judgement, SteadyTime())};
+  }
+}
+
+auto GrantClient::IsSettlementDue(const DomainId& domain, TimePoint now) const
+    -> bool {
+  const auto found = m_settlements.find(domain);
+  return (found != m_settlements.end() && !found->second.empty()) ||
+         (domain == m_context.m_settings.m_domain &&
+          IsReportDue(m_context.m_judgement, now));
+}
+
 auto GrantClient::RequeueSettlements(const DomainId& domain,
                                      std::vector<TurnSettlement> list) -> void {
   auto& kept = m_settlements[domain];
@@ -260,8 +308,9 @@
 auto GrantClient::Tick(TimePoint now) -> void {
   if (now - m_last_settlement >= kSettleInterval) {
     m_last_settlement = now;
+    m_settlements.try_emplace(m_context.m_settings.m_domain);
     for (const auto& [domain, list] : m_settlements) {
-      if (!list.empty()) {
+      if (IsSettlementDue(domain, now)) {
         SendSettlements(domain);
       }
     }
--- a/src/libgateway/lead/grant_client.h
+++ b/src/libgateway/lead/grant_client.h
@@ -55,6 +55,13 @@
   auto RequeueSettlements(const DomainId& domain,
                           std::vector<TurnSettlement> list) -> void;
   auto SendSettlements(const DomainId& domain) -> void;
+  /// Passes a batch to this host, which is the lead.
+  auto SettleHere(const DomainId& domain, SettlementBatch batch) -> void;
+  auto OnSettleReply(const Result<std::string>& reply, bool reported) -> void;
+  /// Adds what this host saw of endpoints, if the batch goes to its own lead.
+  auto AddReport(const DomainId& domain, SettlementBatch& batch) -> void;
+  /// Returns true if there is something to send to the domain's lead.
+  auto IsSettlementDue(const DomainId& domain, TimePoint now) const -> bool;
 
   EntryContext& m_context;
   LeadService& m_own_lead;
--- /dev/null
+++ b/src/libgateway/lead/lead_judgement.cc
@@ -0,0 +1,55 @@
+#include "lead/lead_judgement.h"
+
+#include "judgement/judgement_log.h"
+
+namespace dotterelshed {
+
+auto LeadJudgement::TakeReport(const EndpointReport& report, TimePoint now)
+    -> DomainJudgement {
+  const auto changes =
+      dotterelshed::TakeReport(m_judgement, m_context.m_directory,
+                               report.m_host, report.m_outcomes, now);
+  if (!changes.empty()) {
+    ReportJudgement(changes, "lead");
+    m_shares = SharesOf(m_judgement, m_context.m_directory);
+  }
+  return {.m_shares = m_shares, .m_probe = HostProbe(now)};
+}
+
+/// Endpoints of services that turns run on are probed with turns, which this
+/// lead places, unless none come.
+auto LeadJudgement::HostProbe(TimePoint now) -> std::optional<ProbeOrder> {
+  EndpointShares with_turns;
+  for (const auto& id : m_judgement.m_unusual) {
+    const auto* entry = FindEndpoint(m_context.m_directory, id);
+    const auto since = now - m_judgement.m_endpoints.at(id).m_state_since;
+    const auto engine =
+        entry != nullptr && m_context.m_routes &&
+        TraitsOf(*m_context.m_routes, entry->m_service).m_engine;
+    if (engine && since < m_judgement.m_options.m_any_probe_wait) {
+      with_turns.emplace(id, 0);
+    }
+  }
+  return TakeProbe(m_judgement, m_context.m_directory,
+                   {.m_skipped = &with_turns}, now);
+}
+
+auto LeadJudgement::TakeTurnProbe(const ServiceId& service, TimePoint now)
+    -> std::optional<EndpointId> {
+  const auto probe = TakeProbe(m_judgement, m_context.m_directory,
+                               {.m_service = service}, now);
+  return probe ? std::optional(probe->m_endpoint) : std::nullopt;
+}
+
+auto LeadJudgement::Tick(TimePoint now) -> void {
+  ReportJudgement(AdvanceJudgement(m_judgement, m_context.m_directory, now),
+                  "lead");
+  m_shares = SharesOf(m_judgement, m_context.m_directory);
+}
+
+auto LeadJudgement::Clear() -> void {
+  m_judgement = {};
+  m_shares.clear();
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -128,12 +128,15 @@
 }
 
 auto EncodeTurnGrantResponse(const TurnGrantResponse& response) -> std::string {
-  return Json{{"verdict", ToString(response.m_verdict)},
-              {"domain", response.m_domain.value()},
-              {"endpoint", response.m_endpoint.value()},
-              {"tokens", response.m_tokens.value()},
-              {"lead", WriteOptionalLead(response.m_lead)}}
-      .dump();
+  Json json{{"verdict", ToString(response.m_verdict)},
+            {"domain", response.m_domain.value()},
+            {"endpoint", response.m_endpoint.value()},
+            {"tokens", response.m_tokens.value()},
+            {"lead", WriteOptionalLead(response.m_lead)}};
+  if (response.m_probe) {
+    json["probe"] = true;
+  }
+  return json.dump();
 }
 
 auto DecodeTurnGrantResponse(std::string_view text)
@@ -149,6 +152,7 @@
     response.m_domain = DomainId(json.at("domain"));
     response.m_endpoint = EndpointId(json.at("endpoint"));
     response.m_tokens = ToTokens(json.at("tokens"));
+    response.m_probe = json.value("probe", false);
     response.m_lead = ReadOptionalLead(json.at("lead"));
     return response;
   });
@@ -188,30 +192,6 @@
   });
 }
 
-auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
-    -> std::string {
-  auto list = Json::array();
-  for (const auto& one : settlements) {
-    list.push_back({{"program", one.m_program.value()},
-                    {"request", one.m_request.value()},
-                    {"used", one.m_used.value()}});
-  }
-  return list.dump();
-}
-
-auto DecodeSettlements(std::string_view text)
-    -> Result<std::vector<TurnSettlement>> {
-  return Parse<std::vector<TurnSettlement>>(text, [](const Json& json) {
-    std::vector<TurnSettlement> settlements;
-    for (const auto& one : json) {
-      settlements.push_back({ProgramId(one.at("program")),
-                             RequestId(one.at("request")),
-                             ToTokens(one.at("used"))});
-    }
-    return settlements;
-  });
-}
-
 auto EncodeLeadEntry(const LeadEntry& entry) -> Json {
   return Json{{"host", entry.m_host.value()},
               {"incarnation", entry.m_incarnation.value()},
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "dotterelshed/error.h"
+#include "dotterelshed/host_judgement.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/program_ledger.h"
 #include "dotterelshed/units.h"
@@ -66,6 +67,8 @@
   DomainId m_domain;
   /// With kGranted: endpoint that the turn should use; may be empty.
   EndpointId m_endpoint;
+  /// With kGranted: the turn is the probe of an endpoint that is out of use.
+  bool m_probe = false;
   /// With kGranted: tokens that the turn may generate.
   Tokens m_tokens{0};
   /// With kNotLead: lead that the receiver knows of, if any.
@@ -96,6 +99,20 @@
   Tokens m_used{0};
 };
 
+/// What a host saw of endpoints since its last report.
+struct EndpointReport {
+  HostId m_host;
+  OutcomeReport m_outcomes;
+};
+
+/// Message of a host to a lead, sent at intervals.
+struct SettlementBatch {
+  std::vector<TurnSettlement> m_settlements;
+  /// Only for the lead of the host's own domain, which answers with its
+  /// judgement. Leads of earlier versions ignore it and answer nothing.
+  std::optional<EndpointReport> m_report;
+};
+
 /// Stored ledger of a domain.
 struct StoredLedger {
   HostId m_host;
@@ -131,10 +148,10 @@
     -> Result<FindAccountResponse>;
 auto EncodeKnownLead(const KnownLead& lead) -> std::string;
 auto DecodeKnownLead(std::string_view text) -> Result<KnownLead>;
-auto EncodeSettlements(const std::vector<TurnSettlement>& settlements)
-    -> std::string;
-auto DecodeSettlements(std::string_view text)
-    -> Result<std::vector<TurnSettlement>>;
+auto EncodeSettlements(const SettlementBatch& batch) -> std::string;
+auto DecodeSettlements(std::string_view text) -> Result<SettlementBatch>;
+auto EncodeDomainJudgement(const DomainJudgement& judgement) -> std::string;
+auto DecodeDomainJudgement(std::string_view text) -> Result<DomainJudgement>;
 auto EncodeLeadEntry(const LeadEntry& entry) -> nlohmann::json;
 auto DecodeLeadEntry(const nlohmann::json& json) -> Result<LeadEntry>;
 auto EncodeStoredLedger(const StoredLedger& ledger) -> nlohmann::json;
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -62,6 +62,51 @@
   CHECK(read->m_record.m_running[0].m_tokens == Tokens(135));
 }
 
+auto MakeBatch() -> SettlementBatch {
+  SettlementBatch batch{.m_settlements = {{.m_program = ProgramId("p"),
+                                           .m_request = RequestId("r"),
+                                           .m_used = Tokens(7)}}};
+  batch.m_report = EndpointReport{.m_host = HostId("h")};
+  CountOutcome(batch.m_report->m_outcomes, EndpointId("e"),
+               EndpointOutcome::kLost);
+  return batch;
+}
+
+TEST_CASE("a batch is unchanged by encoding and decoding") {
+  const auto read = DecodeSettlements(EncodeSettlements(MakeBatch()));
+  REQUIRE(read);
+  REQUIRE(read->m_settlements.size() == 1);
+  CHECK(read->m_settlements[0].m_used == Tokens(7));
+  REQUIRE(read->m_report);
+  CHECK(read->m_report->m_host == HostId("h"));
+  CHECK(CountOf(read->m_report->m_outcomes.at(EndpointId("e")),
+                EndpointOutcome::kLost) == 1);
+}
+
+TEST_CASE("earlier versions read a batch with a report as settlements") {
+  const auto json = nlohmann::json::parse(EncodeSettlements(MakeBatch()));
+  REQUIRE(json.size() == 2);
+  for (const auto& one : json) {
+    CHECK(one.at("program").is_string());
+    CHECK(one.at("request").is_string());
+    CHECK(one.at("used").is_number());
+  }
+  CHECK(DecodeSettlements(R"([{"program":"p","request":"r","used":1}])"));
+}
+
+TEST_CASE("a lead's judgement is unchanged by encoding and decoding") {
+  const DomainJudgement judgement{
+      .m_shares = {{EndpointId("e"), 0.25}},
+      .m_probe = ProbeOrder{.m_endpoint = EndpointId("f"), .m_any = true}};
+  const auto read = DecodeDomainJudgement(EncodeDomainJudgement(judgement));
+  REQUIRE(read);
+  CHECK(read->m_shares == judgement.m_shares);
+  REQUIRE(read->m_probe);
+  CHECK(read->m_probe->m_endpoint == EndpointId("f"));
+  CHECK(read->m_probe->m_any);
+  CHECK_FALSE(DecodeDomainJudgement(""));
+}
+
 TEST_CASE("a malformed message is an error, not a default") {
   const auto* text = GENERATE("", "{}", "[]", "7", R"({"program":7})");
   CHECK_FALSE(DecodeTurnGrantRequest(text));
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -26,7 +26,8 @@
       m_search(context,
                [this](const ProgramId& program, const SearchOutcome& outcome) {
                  OnSearchCompleted(program, outcome);
-               }) {}
+               }),
+      m_judgement(context) {}
 
 auto LeadService::FindAccount(const FindAccountRequest& request)
     -> FindAccountResponse {
@@ -97,11 +98,13 @@
       RequestGrant(m_ledger, waiting.m_request.m_grant, conditions, now);
   LogDecision(waiting.m_request.m_grant, conditions, grant);
   switch (grant.m_decision) {
-    case GrantDecision::kGranted:
-      waiting.m_respond({.m_verdict = GrantVerdict::kGranted,
-                         .m_endpoint = PlaceTurn(waiting.m_request, now),
-                         .m_tokens = grant.m_tokens});
+    case GrantDecision::kGranted: {
+      TurnGrantResponse response{.m_verdict = GrantVerdict::kGranted,
+                                 .m_tokens = grant.m_tokens};
+      PlaceTurn(waiting.m_request, response, now);
+      waiting.m_respond(response);
       return;
+    }
     case GrantDecision::kBudgetSpent:
       waiting.m_respond({.m_verdict = GrantVerdict::kBudgetSpent});
       return;
@@ -142,23 +145,38 @@
                                                        : LogWeight::kUnusual);
 }
 
-auto LeadService::PlaceTurn(const TurnGrantRequest& request, TimePoint now)
-    -> EndpointId {
+auto LeadService::PlaceTurn(const TurnGrantRequest& request,
+                            TurnGrantResponse& response,
+                            TimePoint now) -> void {
   auto& hint = m_program_hints[request.m_grant.m_program];
   hint.m_last_used = now;
-  const auto chosen = ChooseEndpoint(m_context.m_directory, m_loads,
-                                     {.m_service = request.m_service,
-                                      .m_domain = m_context.m_settings.m_domain,
-                                      .m_warm = hint.m_endpoint,
-                                      .m_draw = m_context.RandomFraction()},
-                                     now);
+  auto chosen = m_judgement.TakeTurnProbe(request.m_service, now);
+  response.m_probe = chosen.has_value();
+  if (!chosen) {
+    chosen = ChooseEndpoint(m_context.m_directory, m_loads,
+                            {.m_service = request.m_service,
+                             .m_domain = m_context.m_settings.m_domain,
+                             .m_warm = hint.m_endpoint,
+                             .m_shares = &m_judgement.shares(),
+                             .m_share_draw = m_context.RandomFraction(),
+                             .m_draw = m_context.RandomFraction()},
+                            now);
+  }
   if (!chosen) {
-    return {};
+    return;
   }
+  response.m_endpoint = *chosen;
   hint.m_endpoint = *chosen;
   ++m_loads[*chosen].m_outstanding;
   m_placed_turns[request.m_grant.m_request] = {*chosen, now};
-  return *chosen;
+}
+
+auto LeadService::TakeEndpointReport(const EndpointReport& report)
+    -> std::optional<DomainJudgement> {
+  if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
+    return std::nullopt;
+  }
+  return m_judgement.TakeReport(report, SteadyTime());
 }
 
 auto LeadService::Settle(const std::vector<TurnSettlement>& settlements)
@@ -274,6 +292,7 @@
   WriteIfDue(now);
   if (leading()) {
     m_journal.Refresh(now);
+    m_judgement.Tick(now);
   }
   RemoveExpired(now);
 }
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -11,6 +11,7 @@
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
 #include "lead/account_search.h"
+#include "lead/lead_judgement.h"
 #include "lead/lead_messages.h"
 #include "lead/ledger_journal.h"
 
@@ -36,6 +37,10 @@
   /// Returns false if this host does not lead or is yielding; the settlements
   /// must then be sent to the next lead.
   auto Settle(const std::vector<TurnSettlement>& settlements) -> bool;
+  /// Takes what a host of this domain saw of endpoints. Returns the judgement
+  /// for that host; nothing if this host doesn't lead or doesn't judge.
+  auto TakeEndpointReport(const EndpointReport& report)
+      -> std::optional<DomainJudgement>;
   /// Reports whether this lead holds the program's account or is about to open
   /// it. If two leads search for the same account at the same time, or each
   /// hold an unverified one, the lead whose domain name sorts first proceeds. A
@@ -123,7 +128,10 @@
                    const TurnGrant& grant) const -> void;
   auto OnSearchCompleted(const ProgramId& program, const SearchOutcome& outcome)
       -> void;
-  auto PlaceTurn(const TurnGrantRequest& request, TimePoint now) -> EndpointId;
+  /// Chooses the endpoint of a granted turn and adds it to @p response.
+  auto PlaceTurn(const TurnGrantRequest& request,
+                 TurnGrantResponse& response,
+                 TimePoint now) -> void;
 
   auto FinishYield(bool done) -> void;
   auto WriteIfDue(TimePoint now) -> void;
@@ -185,6 +193,7 @@
   /// Load of endpoints by running turns of this domain; used to place turns.
   EndpointLoads m_loads;
   std::map<RequestId, PlacedTurn> m_placed_turns;
+  LeadJudgement m_judgement;
   TimePoint m_last_sweep;
 };
 
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -311,6 +311,7 @@
   m_journal_lost = false;
   m_search.Clear();
   m_program_hints.clear();
+  m_judgement.Clear();
   m_loads.clear();
   m_placed_turns.clear();
   auto waiting = std::exchange(m_waiting, {});
--- /dev/null
+++ b/src/libgateway/lead/settlement_messages.cc
@@ -0,0 +1,109 @@
+#include <nlohmann/json.hpp>
+
+#include "lead/lead_messages.h"
+
+namespace dotterelshed {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// A lead's answer is read by each host many times a minute.
+constexpr std::size_t kMaxShares = 64;
+
+/// The report is an item without program and request, of which earlier
+/// versions make nothing.
+auto WriteReport(const EndpointReport& report) -> Json {
+  auto outcomes = Json::object();
+  for (const auto& [id, counts] : report.m_outcomes) {
+    outcomes[id.value()] = counts;
+  }
+  return {{"program", ""},
+          {"request", ""},
+          {"used", 0},
+          {"host", report.m_host.value()},
+          {"outcomes", std::move(outcomes)}};
+}
+
+auto ReadReport(const Json& json) -> EndpointReport {
+  EndpointReport report{.m_host = HostId(json.at("host"))};
+  for (const auto& [id, counts] : json.at("outcomes").items()) {
+    report.m_outcomes.emplace(EndpointId(id), counts.get<OutcomeCounts>());
+  }
+  return report;
+}
+
+auto ReadBatch(const Json& json) -> SettlementBatch {
+  SettlementBatch batch;
+  for (const auto& one : json) {
+    if (one.contains("outcomes")) {
+      batch.m_report = ReadReport(one);
+      continue;
+    }
+    batch.m_settlements.push_back({ProgramId(one.at("program")),
+                                   RequestId(one.at("request")),
+                                   Tokens(one.at("used").get<std::int64_t>())});
+  }
+  return batch;
+}
+
+auto ReadJudgement(const Json& json) -> DomainJudgement {
+  DomainJudgement judgement;
+  for (const auto& [id, share] : json.at("shares").items()) {
+    judgement.m_shares.emplace(EndpointId(id), share.get<double>());
+  }
+  if (json.contains("probe")) {
+    judgement.m_probe = ProbeOrder{.m_endpoint = EndpointId(json.at("probe")),
+                                   .m_any = json.value("any", false)};
+  }
+  return judgement;
+}
+
+template <typename T, typename Decode>
+auto Parse(std::string_view text, Decode decode) -> Result<T> {
+  try {
+    return decode(Json::parse(text));
+  } catch (const Json::exception& error) {
+    return Fail(ErrorCode::kInvalidArgument, error.what(), "peer message");
+  }
+}
+
+}  // namespace
+
+auto EncodeSettlements(const SettlementBatch& batch) -> std::string {
+  auto list = Json::array();
+  if (batch.m_report) {
+    list.push_back(WriteReport(*batch.m_report));
+  }
+  for (const auto& one : batch.m_settlements) {
+    list.push_back({{"program", one.m_program.value()},
+                    {"request", one.m_request.value()},
+                    {"used", one.m_used.value()}});
+  }
+  return list.dump();
+}
+
+auto DecodeSettlements(std::string_view text) -> Result<SettlementBatch> {
+  return Parse<SettlementBatch>(text, ReadBatch);
+}
+
+auto EncodeDomainJudgement(const DomainJudgement& judgement) -> std::string {
+  auto shares = Json::object();
+  for (const auto& [id, share] : judgement.m_shares) {
+    if (shares.size() < kMaxShares) {
+      shares[id.value()] = share;
+    }
+  }
+  Json json{{"shares", std::move(shares)}};
+  if (judgement.m_probe) {
+    json["probe"] = judgement.m_probe->m_endpoint.value();
+    json["any"] = judgement.m_probe->m_any;
+  }
+  return json.dump();
+}
+
+auto DecodeDomainJudgement(std::string_view text) -> Result<DomainJudgement> {
+  return Parse<DomainJudgement>(text, ReadJudgement);
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -286,6 +286,7 @@
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
     settings.m_platform_address = FormatTcpAddress(m_store.address());
+    settings.m_obligations = m_obligations;
     auto host = std::make_unique<EntryHost>(m_loop, settings);
     REQUIRE(host->Start());
     return host;
@@ -338,6 +339,8 @@
   }
 
   EventLoop m_loop;
+  /// Of entry hosts that are started from now on.
+  Obligations m_obligations;
   TestStore m_store;
   std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -15,6 +15,10 @@
 constexpr double kPromptMissPenalty = 0.25;
 /// Score added to an endpoint to avoid, which is thus chosen last.
 constexpr double kAvoidedPenalty = 100;
+/// Score added to an endpoint that is out of use, or whose share of requests
+/// doesn't include this one. It doesn't exceed kAvoidedPenalty: a request that
+/// may end endpoints is worse.
+constexpr double kOutPenalty = 50;
 /// Scores that differ by no more than this count as equal.
 constexpr double kTieTolerance = 0.01;
 /// Avoidance after the first failures; doubles with each further one.
@@ -40,6 +44,12 @@
   if (query.m_avoided.contains(entry.m_id)) {
     score += kAvoidedPenalty;
   }
+  if (query.m_shares != nullptr) {
+    const auto share = query.m_shares->find(entry.m_id);
+    const auto left_out =
+        share != query.m_shares->end() && query.m_share_draw >= share->second;
+    score += left_out ? kOutPenalty : 0;
+  }
   const auto found = loads.find(entry.m_id);
   if (found == loads.end()) {
     return score;
--- a/src/librouting/endpoint_choice_unittest.cc
+++ b/src/librouting/endpoint_choice_unittest.cc
@@ -80,5 +80,21 @@
   CHECK(Choose(MakeDirectory(), {}, {.m_draw = 0.9}) == "b");
 }
 
+TEST_CASE("an endpoint gets its share of requests, and none while it is out") {
+  EndpointLoads loads;
+  loads[EndpointId("b")].m_outstanding = 8;
+  loads[EndpointId("c")].m_outstanding = 8;
+  EndpointShares shares{{EndpointId("a"), 0.25}};
+  CHECK(Choose(MakeDirectory(), loads,
+               {.m_shares = &shares, .m_share_draw = 0.2}) == "a");
+  CHECK(Choose(MakeDirectory(), loads,
+               {.m_shares = &shares, .m_share_draw = 0.3}) == "b");
+  shares[EndpointId("a")] = 0;
+  CHECK(Choose(MakeDirectory(), loads, {.m_shares = &shares}) == "b");
+  const ChoiceQuery only{.m_excluded = {EndpointId("b"), EndpointId("c")},
+                         .m_shares = &shares};
+  CHECK(Choose(MakeDirectory(), loads, only) == "a");
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/librouting/judgement/endpoint_judgement.cc
+++ b/src/librouting/judgement/endpoint_judgement.cc
@@ -118,9 +118,8 @@
       }
       endpoint.m_step = 0;
       return served == 0 ? std::nullopt
-                         : std::optional(Enter(judgement, id,
-                                               JudgementState::kReturning,
-                                               now));
+                         : std::optional(Enter(
+                               judgement, id, JudgementState::kReturning, now));
     case JudgementState::kReturning:
       endpoint.m_step_served += served;
       endpoint.m_step_failures += failures;
@@ -148,9 +147,9 @@
     std::erase_if(endpoint.m_by_host, [](const auto& item) {
       return SumsToZero(item.second.m_previous);
     });
-    const auto calm = endpoint.m_state == JudgementState::kInUse &&
-                      now - endpoint.m_state_since >
-                          judgement.m_options.m_forget_after;
+    const auto calm =
+        endpoint.m_state == JudgementState::kInUse &&
+        now - endpoint.m_state_since > judgement.m_options.m_forget_after;
     endpoint.m_times_out = calm ? 0 : endpoint.m_times_out;
     if (endpoint.m_spared && !pvt::LooksBad(judgement, directory, id)) {
       endpoint.m_spared = false;
@@ -265,32 +264,35 @@
     if (panic->second && !endpoint.m_unreachable) {
       continue;
     }
-    shares[id] = endpoint.m_state == JudgementState::kReturning
-                     ? kReturnShares.at(
-                           static_cast<std::size_t>(endpoint.m_step))
-                     : 0;
+    shares[id] =
+        endpoint.m_state == JudgementState::kReturning
+            ? kReturnShares.at(static_cast<std::size_t>(endpoint.m_step))
+            : 0;
   }
   return shares;
 }
 
 auto TakeProbe(EndpointJudgement& judgement,
                const EndpointDirectory& directory,
-               const ServiceId& service,
+               const ProbeQuery& query,
                TimePoint now) -> std::optional<ProbeOrder> {
   for (const auto& id : judgement.m_unusual) {
     auto& endpoint = judgement.m_endpoints.at(id);
     const auto* entry = FindEndpoint(directory, id);
-    const auto wanted = entry != nullptr && !entry->m_leaving &&
-                        (service.empty() || entry->m_service == service);
-    if (!wanted || endpoint.m_state != JudgementState::kProbing ||
-        endpoint.m_probe_pending) {
-      continue;
+    const auto listed =
+        entry != nullptr && !entry->m_leaving &&
+        (query.m_service.empty() || entry->m_service == query.m_service);
+    const auto skipped =
+        query.m_skipped != nullptr && query.m_skipped->contains(id);
+    const auto any =
+        now - endpoint.m_state_since >= judgement.m_options.m_any_probe_wait;
+    const auto due = endpoint.m_state == JudgementState::kProbing &&
+                     !endpoint.m_probe_pending;
+    if (listed && !skipped && due && (query.m_repeatable || any)) {
+      endpoint.m_probe_pending = true;
+      endpoint.m_probe_at = now + judgement.m_options.m_probe_timeout;
+      return ProbeOrder{.m_endpoint = id, .m_any = any};
     }
-    endpoint.m_probe_pending = true;
-    endpoint.m_probe_at = now + judgement.m_options.m_probe_timeout;
-    return ProbeOrder{.m_endpoint = id,
-                      .m_any = now - endpoint.m_state_since >=
-                               judgement.m_options.m_any_probe_wait};
   }
   return std::nullopt;
 }
--- a/src/librouting/judgement/endpoint_judgement_unittest.cc
+++ b/src/librouting/judgement/endpoint_judgement_unittest.cc
@@ -53,7 +53,7 @@
   }
 
   auto Probe() -> std::optional<ProbeOrder> {
-    return TakeProbe(m_judgement, m_directory, kService, m_now);
+    return TakeProbe(m_judgement, m_directory, {.m_service = kService}, m_now);
   }
 
   EndpointDirectory m_directory;
@@ -204,10 +204,9 @@
   }
 
   auto Send(int endpoint) -> void {
-    const auto failed =
-        Draw() < m_fails.at(static_cast<std::size_t>(endpoint));
-    const auto kind = Draw() < 0.5 ? EndpointOutcome::kUnreachable
-                                   : EndpointOutcome::kLost;
+    const auto failed = Draw() < m_fails.at(static_cast<std::size_t>(endpoint));
+    const auto kind =
+        Draw() < 0.5 ? EndpointOutcome::kUnreachable : EndpointOutcome::kLost;
     m_judged.Report(Draw() < 0.5 ? kHostA : kHostB, endpoint,
                     failed ? kind : EndpointOutcome::kServed);
   }
--- a/src/librouting/judgement/endpoint_outcomes.cc
+++ b/src/librouting/judgement/endpoint_outcomes.cc
@@ -53,9 +53,9 @@
          CountOf(counts, EndpointOutcome::kServed);
 }
 
-auto AddOutcome(OutcomeReport& report,
-                const EndpointId& endpoint,
-                EndpointOutcome outcome) -> bool {
+auto CountOutcome(OutcomeReport& report,
+                  const EndpointId& endpoint,
+                  EndpointOutcome outcome) -> bool {
   const auto full =
       report.size() >= kMaxReportedEndpoints && !report.contains(endpoint);
   if (full) {
--- a/src/librouting/judgement/judgement_evidence.cc
+++ b/src/librouting/judgement/judgement_evidence.cc
@@ -123,9 +123,9 @@
                 const ServiceTally& tally,
                 bool unreachable) -> bool {
   const auto in_use = tally.m_endpoints - tally.m_unreachable - tally.m_out - 1;
-  const auto floor = std::max(
-      1, static_cast<int>(
-             std::ceil(options.m_min_in_use_share * tally.m_endpoints)));
+  const auto floor =
+      std::max(1, static_cast<int>(std::ceil(options.m_min_in_use_share *
+                                             tally.m_endpoints)));
   if (in_use < floor) {
     return false;
   }
