--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -23,6 +23,7 @@
   "key_withdrawal_ms": 5500,
   "strict_key_withdrawal": true,
   "first_start": true,
+  "obligations": ["base", "health"],
   "stop_grace_s": 8.5
 })";
 
@@ -46,6 +47,8 @@
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
+  CHECK(settings->m_obligations.m_judge_endpoints);
+  CHECK_FALSE(settings->m_obligations.m_spare_connections);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -64,6 +67,7 @@
                           "strict_key_withdrawal"),
                std::tuple("start\": true", "start\": 1", "first_start"),
                std::tuple("0.25", "true", "processor_share"),
+               std::tuple("\"base\"", "7", "obligations"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
   REQUIRE_FALSE(settings);
