--- a/src/include/dotterelshed/account_access.h
+++ b/src/include/dotterelshed/account_access.h
@@ -72,6 +72,14 @@
 auto ScopedText(const AccountScope& scope, const std::string& id)
     -> std::string;
 
+/// The id as its caller chose it; for logs.
+auto UnscopedText(const std::string& stored) -> std::string;
+
+template <typename Tag>
+auto Unscoped(const StrongId<Tag>& stored) -> std::string {
+  return UnscopedText(stored.value());
+}
+
 template <typename Tag>
 auto Scoped(const AccountScope& scope, const StrongId<Tag>& id)
     -> StrongId<Tag> {
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -49,6 +49,9 @@
   kReplicaTurns,
   kReplicaWrites,
   kReplicaCopies,
+  kAccessDecisions,
+  kAccountRequests,
+  kAccountFailures,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/libaccount/account_access.cc
+++ b/src/libaccount/account_access.cc
@@ -84,4 +84,9 @@
   return scope ? scope->value() + kScopeEnd + id : id;
 }
 
+auto UnscopedText(const std::string& stored) -> std::string {
+  const auto end = stored.find(kScopeEnd);
+  return end == std::string::npos ? stored : stored.substr(end + 1);
+}
+
 }  // namespace dotterelshed
--- a/src/libaccount/account_access_unittest.cc
+++ b/src/libaccount/account_access_unittest.cc
@@ -91,6 +91,8 @@
   CHECK(ScopedText(one, "x") != ScopedText(anonymous, "x"));
   CHECK(ScopedText(anonymous, "x") != ScopedText(none, "x"));
   CHECK(Scoped(one, RequestId("x")) == Scoped(one, RequestId("x")));
+  CHECK(Unscoped(Scoped(one, RequestId("x"))) == "x");
+  CHECK(Unscoped(Scoped(none, RequestId("x"))) == "x");
   // An absent id stays absent.
   CHECK(Scoped(one, RequestId()).empty());
 }
--- a/src/libaccount/account_check.cc
+++ b/src/libaccount/account_check.cc
@@ -37,25 +37,26 @@
             const std::string& place) -> void {
   if (!IsFieldText(key, kMaxKeyBytes)) {
     draft.m_problems.push_back(
-        {place, "the key is empty, too long or has characters that can't be "
-                "sent"});
+        {place,
+         "the key is empty, too long or has characters that can't be "
+         "sent"});
     return;
   }
   const auto [known, added] = draft.m_table.m_by_key.emplace(key, account);
   if (!added && known->second != account) {
     draft.m_shared_keys.insert(key);
-    draft.m_problems.push_back(
-        {place, "the key is also one of account '" + known->second.value() +
-                    "' and is used for neither"});
+    draft.m_problems.push_back({place, "the key is also one of account '" +
+                                           known->second.value() +
+                                           "' and is used for neither"});
   }
 }
 
 auto AddEntry(Draft& draft, const AccountEntry& entry) -> void {
   const auto& id = entry.m_account.m_id;
   if (!IsFieldText(id.value(), kMaxAccountNameBytes)) {
-    draft.m_problems.push_back(
-        {entry.m_place, "the account's name is empty, too long or has "
-                        "characters that can't be sent"});
+    draft.m_problems.push_back({entry.m_place,
+                                "the account's name is empty, too long or has "
+                                "characters that can't be sent"});
     return;
   }
   if (!draft.m_table.m_accounts.emplace(id, entry.m_account).second) {
@@ -81,9 +82,9 @@
   for (const auto& key : draft.m_shared_keys) {
     draft.m_table.m_by_key.erase(key);
   }
-  return {.m_table =
-              std::make_shared<const AccountTable>(std::move(draft.m_table)),
-          .m_problems = std::move(draft.m_problems)};
+  return {
+      .m_table = std::make_shared<const AccountTable>(std::move(draft.m_table)),
+      .m_problems = std::move(draft.m_problems)};
 }
 
 }  // namespace dotterelshed
--- a/src/libaccount/account_check_unittest.cc
+++ b/src/libaccount/account_check_unittest.cc
@@ -45,13 +45,13 @@
 }
 
 TEST_CASE("what can't be sent is left out, and the rest holds") {
-  const auto unusable = GENERATE(
-      std::string(), std::string("a\nb"), std::string("a\0b", 3),
-      std::string(" a"), std::string("a "), std::string("a\x7f"),
-      std::string(65536, 'k'));
-  const auto checked = CheckAccounts({MakeEntry(unusable, {"lost"}),
-                                      MakeEntry("a", {unusable, "k"}),
-                                      MakeEntry("b", {"m"})});
+  const auto unusable =
+      GENERATE(std::string(), std::string("a\nb"), std::string("a\0b", 3),
+               std::string(" a"), std::string("a "), std::string("a\x7f"),
+               std::string(65536, 'k'));
+  const auto checked =
+      CheckAccounts({MakeEntry(unusable, {"lost"}),
+                     MakeEntry("a", {unusable, "k"}), MakeEntry("b", {"m"})});
   CHECK(checked.m_problems.size() == 2);
   CHECK(checked.m_table->m_accounts.size() == 2);
   CHECK_FALSE(Owner(checked, unusable));
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -84,6 +84,17 @@
      "dotterelshed_replica_copies_total", "domain",
      "Turns that this disk host lacked and copied, by the failure domain that "
      "had them."},
+    {MetricId::kAccessDecisions, MetricKind::kCounter,
+     "dotterelshed_access_decisions_total", "outcome",
+     "Requests by how they stand to the accounts of the configuration; only "
+     "where it has accounts."},
+    {MetricId::kAccountRequests, MetricKind::kCounter,
+     "dotterelshed_account_requests_total", "account",
+     "Requests that ended, by account: the 32 with the largest quotas, the "
+     "others together."},
+    {MetricId::kAccountFailures, MetricKind::kCounter,
+     "dotterelshed_account_failures_total", "account",
+     "Requests that ended without success, by account in the same way."},
 });
 
 }  // namespace
--- a/src/libgateway/call/account_keys_unittest.cc
+++ b/src/libgateway/call/account_keys_unittest.cc
@@ -98,8 +98,7 @@
   return "POST /kept/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
          "\r\nProgram-Id: p\r\nToken-Budget: " + std::to_string(budget) +
          "\r\nToken-Counts: 9,3\r\nCredential: " + key + "\r\n" + field +
-         "Content-Length: " + std::to_string(input.size()) + "\r\n\r\n" +
-         input;
+         "Content-Length: " + std::to_string(input.size()) + "\r\n\r\n" + input;
 }
 
 TEST_CASE("an endpoint gets the name of the key's account, never the key") {
@@ -134,8 +133,8 @@
   environment.AddRecorder();
   environment.Start();
   CHECK(environment.StatusOf(MakeSafeCall("", "/open/x")) == 200);
-  CHECK(environment.StatusOf(MakeSafeCall("Credential: no\r\nTenant: a\r\n",
-                                          "/open/x")) == 200);
+  CHECK(environment.StatusOf(
+            MakeSafeCall("Credential: no\r\nTenant: a\r\n", "/open/x")) == 200);
   REQUIRE(environment.m_requests.size() == 2);
   for (const auto& request : environment.m_requests) {
     CHECK(request.Field("Tenant").empty());
@@ -217,8 +216,7 @@
   CHECK(environment.StatusOf(MakeKeptTurn("t2", "t1", "ka")) == 200);
   CHECK(environment.FinishAt(elsewhere, MakeKeptTurn("t3", "t2", "ka"))
             ->Status() == 200);
-  CHECK(environment.m_requests.back().m_body ==
-        "ka,one\nka,one\nka,");
+  CHECK(environment.m_requests.back().m_body == "ka,one\nka,one\nka,");
   // The same name of a turn and a program is one of its own there.
   CHECK(environment.StatusOf(MakeKeptTurn("t1", "", "kb")) == 200);
   CHECK(environment.StatusOf(MakeKeptTurn("t4", "t1", "kb")) == 200);
--- a/src/libgateway/call/call_access.cc
+++ b/src/libgateway/call/call_access.cc
@@ -1,7 +1,9 @@
 #include "call/call_access.h"
 
-#include <algorithm>
+#include <string_view>
 
+#include "dotterelshed/account_labels.h"
+#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
@@ -19,6 +21,16 @@
   return limits;
 }
 
+/// @param account  outlives the result; empty for none.
+auto AccountLabel(const EntryContext& context, const AccountId& account)
+    -> std::string_view {
+  if (account.empty()) {
+    return kNoAccount;
+  }
+  return context.m_labelled_accounts.contains(account) ? account.value()
+                                                       : kOtherAccounts;
+}
+
 }  // namespace
 
 auto DecideCallAccess(const EntryContext& context,
@@ -42,4 +54,23 @@
   return ids;
 }
 
+auto CountAccessDecision(const AccessDecision& decision) -> void {
+  if (decision.m_outcome != AccessOutcome::kNotNeeded) {
+    CountMetric(MetricId::kAccessDecisions, ToString(decision.m_outcome));
+  }
+}
+
+auto CountAccountRequest(const EntryContext& context,
+                         const AccountScope& scope,
+                         bool served) -> void {
+  if (!scope) {
+    return;
+  }
+  const auto label = AccountLabel(context, *scope);
+  CountMetric(MetricId::kAccountRequests, label);
+  if (!served) {
+    CountMetric(MetricId::kAccountFailures, label);
+  }
+}
+
 }  // namespace dotterelshed
--- a/src/libgateway/call/call_access.h
+++ b/src/libgateway/call/call_access.h
@@ -31,6 +31,13 @@
 auto MakeStoredIds(const CallHeaders& headers, const AccountScope& scope)
     -> StoredIds;
 
+/// Counts the decision on a request at its arrival.
+auto CountAccessDecision(const AccessDecision& decision) -> void;
+/// Counts a request that ended, by account.
+auto CountAccountRequest(const EntryContext& context,
+                         const AccountScope& scope,
+                         bool served) -> void;
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_CALL_ACCESS_H_
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -125,6 +125,7 @@
 // Account of the caller.
 
 auto CallExchange::CheckAccess() -> bool {
+  CountAccessDecision(m_access);
   if (IsLetIn(m_access)) {
     return true;
   }
@@ -507,6 +508,7 @@
   const auto now = SteadyTime();
   const auto kind = ToString(m_route.m_kind);
   CountMetric(MetricId::kEntryRequests, reason);
+  CountAccountRequest(m_context, ScopeOf(m_access), IsSuccess(status));
   ObserveMetric(MetricId::kEntrySeconds, kind, now - m_started_at);
   if (m_forwarding) {
     ObserveMetric(MetricId::kEntryFirstByteSeconds, kind, m_time_to_first_byte);
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -41,6 +41,8 @@
   ObjectStore m_store;
   /// Newest configuration; empty until one has been received.
   std::shared_ptr<const RouteTable> m_routes;
+  /// Accounts of m_routes that have a label of their own in metrics.
+  std::set<AccountId> m_labelled_accounts;
   /// Watches the store for a newer configuration.
   std::shared_ptr<ObjectWatcher> m_config_watcher;
   EndpointDirectory m_directory;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "dotterelshed/account_labels.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
@@ -55,6 +56,15 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
+/// Numbers of accounts and keys, for logs.
+auto DescribeAccounts(const RouteTable& table) -> std::string {
+  const auto* accounts = table.m_accounts.get();
+  return accounts == nullptr
+             ? "none"
+             : std::to_string(accounts->m_accounts.size()) + " with " +
+                   std::to_string(accounts->m_by_key.size()) + " keys";
+}
+
 /// Passes a peer's message to @p take, or responds with 400 if it is invalid.
 template <typename T, typename Take>
 auto HandleMessage(const std::shared_ptr<ServerConnection>& connection,
@@ -188,13 +198,17 @@
   }
   LogEvent(LogEventId::kConfigInForce,
            {{"generation", std::to_string(table->m_generation.value())},
-            {"routes", std::to_string(table->m_routes.size())}});
+            {"routes", std::to_string(table->m_routes.size())},
+            {"accounts", DescribeAccounts(*table)}});
   SetMetric(MetricId::kConfigGeneration,
             static_cast<double>(table->m_generation.value()));
   m_lead.SetRetention(LongestRetention(*table) + kRetentionMargin);
   if (KeepsHistory(*table)) {
     m_history.Start();
   }
+  m_context.m_labelled_accounts = table->m_accounts
+                                      ? LabelledAccounts(*table->m_accounts)
+                                      : std::set<AccountId>();
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
--- a/src/libgateway/history/history_client.cc
+++ b/src/libgateway/history/history_client.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "dotterelshed/account_access.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -185,8 +186,8 @@
                 outcome == HistoryOutcome::kAbsent ? "absent" : "unknown");
     LogEvent(
         LogEventId::kHistoryNotFound,
-        {{"turn", read->m_request.m_turn.value()},
-         {"program", read->m_request.m_program.value()},
+        {{"turn", Unscoped(read->m_request.m_turn)},
+         {"program", Unscoped(read->m_request.m_program)},
          {"outcome", outcome == HistoryOutcome::kAbsent ? "absent" : "unknown"},
          {"replicas", std::to_string(read->m_order.size())},
          {"turns_found", std::to_string(read->m_turns.size())},
@@ -277,7 +278,7 @@
       write->m_over = true;
     }
   }
-  LogEvent(LogEventId::kTurnWithdrawn, {{"turn", record.m_turn.value()}});
+  LogEvent(LogEventId::kTurnWithdrawn, {{"turn", Unscoped(record.m_turn)}});
   const auto body = EncodeTurnWithdrawal(
       {.m_turn = record.m_turn, .m_lifetime = record.m_lifetime});
   for (const auto& host : m_directory.hosts()) {
@@ -288,7 +289,7 @@
                 host = host.m_host](const Result<std::string>& reply) {
                  if (!reply) {
                    LogEvent(LogEventId::kTurnWithdrawn,
-                            {{"turn", turn.value()},
+                            {{"turn", Unscoped(turn)},
                              {"failed_on", host.value()},
                              {"reason", reply.error().m_message}});
                  }
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelshed/account_access.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -127,8 +128,8 @@
   CountMetric(MetricId::kTurnDecisions, ToString(grant.m_decision));
   const auto& account = m_ledger.m_accounts.at(request.m_program);
   LogEvent(LogEventId::kTurnDecided,
-           {{"request", request.m_request.value()},
-            {"program", request.m_program.value()},
+           {{"request", Unscoped(request.m_request)},
+            {"program", Unscoped(request.m_program)},
             {"decision", std::string(ToString(grant.m_decision))},
             {"tokens", std::to_string(grant.m_tokens.value())},
             {"budget", std::to_string(account.m_budget.value())},
