Move the requests between hosts out of EntryHost

PeerRequestHandler takes the messages of other hosts; EntryHost keeps callers, readiness, views and the stop. Nothing behaves differently.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -55,18 +55,6 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
-/// Passes a peer's message to @p take, or responds with 400 if it is invalid.
-template <typename T, typename Take>
-auto HandleMessage(const std::shared_ptr<ServerConnection>& connection,
-                   const Result<T>& message,
-                   Take take) -> void {
-  if (message) {
-    take(*message);
-  } else {
-    connection->Answer(kStatusBadRequest, {}, message.error().m_message);
-  }
-}
-
 }  // namespace
 
 EntryHost::EntryHost(EventLoop& loop, const EntrySettings& settings)
@@ -85,6 +73,12 @@
       m_grants(m_context, m_lead),
       m_history(m_context),
       m_crash_ledger_sync(m_context),
+      m_peer_requests(m_context,
+                      m_lead,
+                      m_crash_ledger_sync,
+                      [this](ObjectKind kind) -> ObjectWatcher& {
+                        return WatcherFor(kind);
+                      }),
       m_callers(loop,
                 [this](const std::shared_ptr<ServerConnection>& connection,
                        IncomingRequest request) {
@@ -282,102 +276,7 @@
                        FormatMetrics());
     return;
   }
-  const auto handled =
-      HandleAccountRequest(connection, target, request.m_body) ||
-      HandleLeadRequest(connection, target, request.m_body) ||
-      HandleViewRequest(connection, target, request.m_body);
-  if (!handled) {
-    connection->Answer(kStatusNotFound, {}, "");
-  }
-}
-
-auto EntryHost::HandleAccountRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kGrantPath) {
-    HandleMessage(connection, DecodeTurnGrantRequest(body),
-                  [this, &connection](const TurnGrantRequest& message) {
-                    m_lead.RequestTurn(
-                        message,
-                        [connection](const TurnGrantResponse& response) {
-                          connection->Answer(kStatusOk, {},
-                                             EncodeTurnGrantResponse(response));
-                        });
-                  });
-  } else if (target == kSettlePath) {
-    HandleMessage(connection, DecodeSettlements(body),
-                  [this, &connection](const std::vector<TurnSettlement>& list) {
-                    const auto taken = m_lead.Settle(list);
-                    connection->Answer(taken ? kStatusOk : kStatusConflict, {},
-                                       "");
-                  });
-  } else if (target == kFindPath) {
-    HandleMessage(connection, DecodeFindAccountRequest(body),
-                  [this, &connection](const FindAccountRequest& message) {
-                    connection->Answer(
-                        kStatusOk, {},
-                        EncodeFindAccountResponse(m_lead.FindAccount(message)));
-                  });
-  } else {
-    return false;
-  }
-  return true;
-}
-
-auto EntryHost::HandleLeadRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kLeadPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    m_lead.OnLeadUpdate(lead);
-                    connection->Answer(kStatusOk, {}, "");
-                  });
-  } else if (target == kStepDownPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnStepDownRequest(connection, lead);
-                  });
-  } else if (target == kYieldPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnYieldRequest(connection, lead);
-                  });
-  } else {
-    return false;
-  }
-  return true;
-}
-
-auto EntryHost::HandleViewRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kViewPath) {
-    HandleMessage(connection, DecodeViewRequest(body),
-                  [this, &connection](const ViewRequest& message) {
-                    OnViewRequest(connection, message);
-                  });
-  } else if (target == kCrashUpdatePath) {
-    HandleMessage(connection, DecodeCrashUpdate(body, SteadyTime()),
-                  [this, &connection](const CrashUpdate& update) {
-                    m_crash_ledger_sync.ApplyUpdate(update);
-                    connection->Answer(kStatusOk, {}, "");
-                  });
-  } else if (target == kCrashUpdateRequestPath) {
-    HandleMessage(connection, DecodeCrashUpdateRequest(body),
-                  [this, &connection](const CrashUpdateRequest& message) {
-                    m_crash_ledger_sync.HandleRequest(
-                        message, [connection](const std::string& update) {
-                          connection->Answer(kStatusOk, {}, update);
-                        });
-                  });
-  } else {
-    return false;
-  }
-  return true;
+  m_peer_requests.Handle(connection, request);
 }
 
 auto EntryHost::WatcherFor(ObjectKind kind) -> ObjectWatcher& {
@@ -393,17 +292,6 @@
   }
 }
 
-auto EntryHost::OnViewRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const ViewRequest& request) -> void {
-  WatcherFor(request.m_kind)
-      .HandleRequest(
-          request, [connection](const Result<std::string>& response) {
-            connection->Answer(response ? kStatusOk : kStatusConflict, {},
-                               response.value_or(std::string()));
-          });
-}
-
 auto EntryHost::UpdateStateMetrics() const -> void {
   const auto now = SteadyTime();
   for (const auto& follower :
@@ -421,26 +309,6 @@
             "quarantined");
 }
 
-auto EntryHost::OnYieldRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const KnownLead& lead) -> void {
-  if (!m_context.IsCurrentLead(lead.m_domain, lead)) {
-    connection->Answer(kStatusConflict, {}, "");
-    return;
-  }
-  m_lead.Yield("larger_host", [connection](bool done) {
-    connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
-  });
-}
-
-auto EntryHost::OnStepDownRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const KnownLead& lead) -> void {
-  const auto done =
-      m_context.IsCurrentLead(lead.m_domain, lead) && m_lead.StepDown();
-  connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
-}
-
 // Periodic work and shutdown.
 
 auto EntryHost::ArmTick() -> void {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -14,6 +14,7 @@
 #include "lead/grant_client.h"
 #include "lead/lead_election.h"
 #include "lead/lead_service.h"
+#include "peer_request_handler.h"
 #include "view/endpoint_view.h"
 #include "view/object_watcher.h"
 
@@ -48,28 +49,8 @@
                           const IncomingRequest& request) -> void;
   auto OnPeerRequest(const std::shared_ptr<ServerConnection>& connection,
                      const IncomingRequest& request) -> void;
-  // Handlers by topic; they return false if the target is another one.
-
-  /// Grants, settlements and searches of programs' accounts.
-  auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
-                            std::string_view target,
-                            const std::string& body) -> bool;
-  /// Changes of a domain's lead.
-  auto HandleLeadRequest(const std::shared_ptr<ServerConnection>& connection,
-                         std::string_view target,
-                         const std::string& body) -> bool;
-  /// Views of the store, and the crash ledger.
-  auto HandleViewRequest(const std::shared_ptr<ServerConnection>& connection,
-                         std::string_view target,
-                         const std::string& body) -> bool;
   /// Returns the watcher of a kind that hosts may request from each other.
   auto WatcherFor(ObjectKind kind) -> ObjectWatcher&;
-  auto OnViewRequest(const std::shared_ptr<ServerConnection>& connection,
-                     const ViewRequest& request) -> void;
-  auto OnYieldRequest(const std::shared_ptr<ServerConnection>& connection,
-                      const KnownLead& lead) -> void;
-  auto OnStepDownRequest(const std::shared_ptr<ServerConnection>& connection,
-                         const KnownLead& lead) -> void;
   /// Updates the metrics of the age of the store views and of the number of
   /// suspect requests.
   auto UpdateStateMetrics() const -> void;
@@ -94,6 +75,7 @@
   GrantClient m_grants;
   HistoryClient m_history;
   CrashLedgerSync m_crash_ledger_sync;
+  PeerRequestHandler m_peer_requests;
   HttpListener m_callers;
   HttpListener m_readiness;
   HttpListener m_peers;
--- /dev/null
+++ b/src/libgateway/peer_request_handler.h
@@ -0,0 +1,67 @@
+#ifndef DOTTERELSHED_PEER_REQUEST_HANDLER_H_
+#define DOTTERELSHED_PEER_REQUEST_HANDLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "crash/crash_ledger_sync.h"
+#include "dotterelshed/http_listener.h"
+#include "entry_context.h"
+#include "lead/lead_service.h"
+#include "view/object_watcher.h"
+
+/// @file
+/// Handles the requests that hosts send to each other: grants and searches of
+/// programs' accounts, changes of a domain's lead, views of the store and the
+/// crash ledger.
+
+namespace dotterelshed {
+
+class PeerRequestHandler {
+ public:
+  /// Returns the watcher of a kind that hosts may request from each other.
+  using WatcherLookup = std::function<ObjectWatcher&(ObjectKind)>;
+
+  PeerRequestHandler(const EntryContext& context,
+                     LeadService& lead,
+                     CrashLedgerSync& crash_ledger_sync,
+                     WatcherLookup watcher_for);
+
+  /// Answers a request of another host: 404 for an unknown target, 400 for an
+  /// invalid message.
+  auto Handle(const std::shared_ptr<ServerConnection>& connection,
+              const IncomingRequest& request) -> void;
+
+ private:
+  // Handlers by topic; they return false if the target is another one.
+
+  /// Grants, settlements and searches of programs' accounts.
+  auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
+                            std::string_view target,
+                            const std::string& body) -> bool;
+  /// Changes of a domain's lead.
+  auto HandleLeadRequest(const std::shared_ptr<ServerConnection>& connection,
+                         std::string_view target,
+                         const std::string& body) -> bool;
+  /// Views of the store, and the crash ledger.
+  auto HandleViewRequest(const std::shared_ptr<ServerConnection>& connection,
+                         std::string_view target,
+                         const std::string& body) -> bool;
+  auto OnViewRequest(const std::shared_ptr<ServerConnection>& connection,
+                     const ViewRequest& request) -> void;
+  auto OnYieldRequest(const std::shared_ptr<ServerConnection>& connection,
+                      const KnownLead& lead) -> void;
+  auto OnStepDownRequest(const std::shared_ptr<ServerConnection>& connection,
+                         const KnownLead& lead) -> void;
+
+  const EntryContext& m_context;
+  LeadService& m_lead;
+  CrashLedgerSync& m_crash_ledger_sync;
+  WatcherLookup m_watcher_for;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_PEER_REQUEST_HANDLER_H_
