Count crashes of the same request apart by account

The scope is the last part of a fingerprint, empty where there are no accounts, so fingerprints without accounts stay as they were.

--- a/src/include/dotterelshed/call_fingerprint.h
+++ b/src/include/dotterelshed/call_fingerprint.h
@@ -41,14 +41,14 @@
 
 /// The parts of a request that its fingerprint covers.
 struct FingerprintParts {
-  /// Set where requests of different accounts are counted apart.
-  std::string_view m_scope;
   std::string_view m_method;
   /// Path and query.
   std::string_view m_target;
   /// Identity of the caller; empty if unknown.
   std::string_view m_caller;
   std::string_view m_body;
+  /// Set where requests of different accounts are counted apart.
+  std::string_view m_scope = {};
 };
 
 auto MakeFingerprint(const FingerprintParts& parts) -> CallFingerprint;
--- a/src/libgateway/call/call_crash_tracker.cc
+++ b/src/libgateway/call/call_crash_tracker.cc
@@ -26,11 +26,11 @@
 
 auto CallCrashTracker::fingerprint() -> const CallFingerprint& {
   if (!m_fingerprint) {
-    m_fingerprint = MakeFingerprint({.m_scope = m_scope,
-                                     .m_method = m_request.m_head.m_method,
+    m_fingerprint = MakeFingerprint({.m_method = m_request.m_head.m_method,
                                      .m_target = m_request.m_head.m_target,
                                      .m_caller = m_caller,
-                                     .m_body = m_request.m_body});
+                                     .m_body = m_request.m_body,
+                                     .m_scope = m_scope});
   }
   return *m_fingerprint;
 }
--- a/src/libquarantine/call_fingerprint_unittest.cc
+++ b/src/libquarantine/call_fingerprint_unittest.cc
@@ -31,6 +31,17 @@
   CHECK(one.m_caller != other.m_caller);
 }
 
+TEST_CASE("the same request of two accounts has two contents") {
+  const FingerprintParts parts{"GET", "/a", "p", ""};
+  auto one = parts;
+  one.m_scope = "a\n";
+  auto other = parts;
+  other.m_scope = "b\n";
+  const auto none = MakeFingerprint(parts).m_content;
+  CHECK(MakeFingerprint(one).m_content != none);
+  CHECK(MakeFingerprint(one).m_content != MakeFingerprint(other).m_content);
+}
+
 TEST_CASE("fingerprints are the same on every machine") {
   const auto call = MakeFingerprint({"POST", "/a/b", "p", "text"});
   CHECK(ToString(call.m_content) == "776c6411afaf79a17b106e1466dc5630");
