--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "dotterelshed/account_labels.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
@@ -56,16 +57,13 @@
   return Incarnation((high << kShift) | (device() >> 1));
 }
 
-/// Passes a peer's message to @p take, or responds with 400 if it is invalid.
-template <typename T, typename Take>
-auto HandleMessage(const std::shared_ptr<ServerConnection>& connection,
-                   const Result<T>& message,
-                   Take take) -> void {
-  if (message) {
-    take(*message);
-  } else {
-    connection->Answer(kStatusBadRequest, {}, message.error().m_message);
-  }
+/// Numbers of accounts and keys, for logs.
+auto DescribeAccounts(const RouteTable& table) -> std::string {
+  const auto* accounts = table.m_accounts.get();
+  return accounts == nullptr
+             ? "none"
+             : std::to_string(accounts->m_accounts.size()) + " with " +
+                   std::to_string(accounts->m_by_key.size()) + " keys";
 }
 
 }  // namespace
@@ -86,6 +84,12 @@
       m_grants(m_context, m_lead),
       m_history(m_context),
       m_crash_ledger_sync(m_context),
+      m_peer_requests(m_context,
+                      m_lead,
+                      m_crash_ledger_sync,
+                      [this](ObjectKind kind) -> ObjectWatcher& {
+                        return WatcherFor(kind);
+                      }),
       m_callers(loop,
                 [this](const std::shared_ptr<ServerConnection>& connection,
                        IncomingRequest request) {
@@ -190,13 +194,17 @@
   }
   LogEvent(LogEventId::kConfigInForce,
            {{"generation", std::to_string(table->m_generation.value())},
-            {"routes", std::to_string(table->m_routes.size())}});
+            {"routes", std::to_string(table->m_routes.size())},
+            {"accounts", DescribeAccounts(*table)}});
   SetMetric(MetricId::kConfigGeneration,
             static_cast<double>(table->m_generation.value()));
   m_lead.SetRetention(LongestRetention(*table) + kRetentionMargin);
   if (KeepsHistory(*table)) {
     m_history.Start();
   }
+  m_context.m_labelled_accounts = table->m_accounts
+                                      ? LabelledAccounts(*table->m_accounts)
+                                      : std::set<AccountId>();
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
@@ -285,114 +293,7 @@
                        FormatMetrics());
     return;
   }
-  const auto handled =
-      HandleAccountRequest(connection, target, request.m_body) ||
-      HandleLeadRequest(connection, target, request.m_body) ||
-      HandleViewRequest(connection, target, request.m_body);
-  if (!handled) {
-    connection->Answer(kStatusNotFound, {}, "");
-  }
-}
-
-auto EntryHost::HandleAccountRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kGrantPath) {
-    HandleMessage(connection, DecodeTurnGrantRequest(body),
-                  [this, &connection](const TurnGrantRequest& message) {
-                    m_lead.RequestTurn(
-                        message,
-                        [connection](const TurnGrantResponse& response) {
-                          connection->Answer(kStatusOk, {},
-                                             EncodeTurnGrantResponse(response));
-                        });
-                  });
-  } else if (target == kSettlePath) {
-    HandleMessage(connection, DecodeSettlements(body),
-                  [this, &connection](const SettlementBatch& batch) {
-                    OnSettlements(connection, batch);
-                  });
-  } else if (target == kFindPath) {
-    HandleMessage(connection, DecodeFindAccountRequest(body),
-                  [this, &connection](const FindAccountRequest& message) {
-                    connection->Answer(
-                        kStatusOk, {},
-                        EncodeFindAccountResponse(m_lead.FindAccount(message)));
-                  });
-  } else {
-    return false;
-  }
-  return true;
-}
-
-auto EntryHost::OnSettlements(
-    const std::shared_ptr<ServerConnection>& connection,
-    const SettlementBatch& batch) -> void {
-  if (!m_lead.Settle(batch.m_settlements)) {
-    connection->Answer(kStatusConflict, {}, "");
-    return;
-  }
-  const auto judgement = batch.m_report
-                             ? m_lead.TakeEndpointReport(*batch.m_report)
-                             : std::nullopt;
-  connection->Answer(kStatusOk, {},
-                     judgement ? EncodeDomainJudgement(*judgement) : "");
-}
-
-auto EntryHost::HandleLeadRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kLeadPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    m_lead.OnLeadUpdate(lead);
-                    connection->Answer(kStatusOk, {}, "");
-                  });
-  } else if (target == kStepDownPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnStepDownRequest(connection, lead);
-                  });
-  } else if (target == kYieldPath) {
-    HandleMessage(connection, DecodeKnownLead(body),
-                  [this, &connection](const KnownLead& lead) {
-                    OnYieldRequest(connection, lead);
-                  });
-  } else {
-    return false;
-  }
-  return true;
-}
-
-auto EntryHost::HandleViewRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    std::string_view target,
-    const std::string& body) -> bool {
-  if (target == kViewPath) {
-    HandleMessage(connection, DecodeViewRequest(body),
-                  [this, &connection](const ViewRequest& message) {
-                    OnViewRequest(connection, message);
-                  });
-  } else if (target == kCrashUpdatePath) {
-    HandleMessage(connection, DecodeCrashUpdate(body, SteadyTime()),
-                  [this, &connection](const CrashUpdate& update) {
-                    m_crash_ledger_sync.ApplyUpdate(update);
-                    connection->Answer(kStatusOk, {}, "");
-                  });
-  } else if (target == kCrashUpdateRequestPath) {
-    HandleMessage(connection, DecodeCrashUpdateRequest(body),
-                  [this, &connection](const CrashUpdateRequest& message) {
-                    m_crash_ledger_sync.HandleRequest(
-                        message, [connection](const std::string& update) {
-                          connection->Answer(kStatusOk, {}, update);
-                        });
-                  });
-  } else {
-    return false;
-  }
-  return true;
+  m_peer_requests.Handle(connection, request);
 }
 
 auto EntryHost::WatcherFor(ObjectKind kind) -> ObjectWatcher& {
@@ -408,17 +309,6 @@
   }
 }
 
-auto EntryHost::OnViewRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const ViewRequest& request) -> void {
-  WatcherFor(request.m_kind)
-      .HandleRequest(
-          request, [connection](const Result<std::string>& response) {
-            connection->Answer(response ? kStatusOk : kStatusConflict, {},
-                               response.value_or(std::string()));
-          });
-}
-
 auto EntryHost::UpdateStateMetrics() const -> void {
   const auto now = SteadyTime();
   for (const auto& follower : {m_context.m_config_watcher,
@@ -436,26 +326,6 @@
             "quarantined");
 }
 
-auto EntryHost::OnYieldRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const KnownLead& lead) -> void {
-  if (!m_context.IsCurrentLead(lead.m_domain, lead)) {
-    connection->Answer(kStatusConflict, {}, "");
-    return;
-  }
-  m_lead.Yield("larger_host", [connection](bool done) {
-    connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
-  });
-}
-
-auto EntryHost::OnStepDownRequest(
-    const std::shared_ptr<ServerConnection>& connection,
-    const KnownLead& lead) -> void {
-  const auto done =
-      m_context.IsCurrentLead(lead.m_domain, lead) && m_lead.StepDown();
-  connection->Answer(done ? kStatusOk : kStatusConflict, {}, "");
-}
-
 // Periodic work and shutdown.
 
 auto EntryHost::ArmTick() -> void {
