--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -108,8 +108,11 @@
               {{"service", endpoint.service()},
                {"address", FormatTcpAddress(endpoint.link().address())},
                {"zone", "a"},
+               {"version", "v1"},
                {"slots", 8},
                {"state", draining ? "draining" : "ready"},
+               {"coldLeftMs", 0},
+               {"seq", 1},
                {"born", ++m_starts}});
 }
 
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -206,8 +206,11 @@
                 {{"service", "s"},
                  {"address", FormatTcpAddress(m_endpoints[index]->address())},
                  {"zone", "z"},
+                 {"version", "v1"},
                  {"slots", 4},
                  {"state", "ready"},
+                 {"coldLeftMs", 0},
+                 {"seq", 1},
                  {"born", started_unix_ms}});
   }
 
--- a/src/libgateway/view/stale_view_unittest.cc
+++ b/src/libgateway/view/stale_view_unittest.cc
@@ -13,11 +13,11 @@
 namespace {
 
 auto LeavingSpec(const ScriptedEndpoint& endpoint) -> nlohmann::json {
-  return {{"service", "s"},
-          {"address", FormatTcpAddress(endpoint.address())},
-          {"zone", "z"},
-          {"slots", 4},
-          {"state", "draining"}};
+  return {{"service", "s"},  {"address", FormatTcpAddress(endpoint.address())},
+          {"zone", "z"},     {"version", "v1"},
+          {"slots", 4},      {"state", "draining"},
+          {"coldLeftMs", 0}, {"seq", 1},
+          {"born", 0}};
 }
 
 TEST_CASE("requests stop reaching an endpoint that left during a lost watch") {
@@ -70,8 +70,12 @@
       .m_spec = {{"service", "s"},
                  {"address", FormatTcpAddress(named.address())},
                  {"zone", "z"},
+                 {"version", "v1"},
                  {"slots", 4},
-                 {"state", "ready"}}};
+                 {"state", "ready"},
+                 {"coldLeftMs", 0},
+                 {"seq", 1},
+                 {"born", 0}}};
   ScriptedEndpoint lead(environment.m_loop, [&object](const auto& request) {
     const auto view_request = DecodeViewRequest(request.m_body);
     if (view_request && view_request->m_kind == ObjectKind::kEndpoints &&
