--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -36,6 +36,10 @@
 /// version conflict. A lead that finds its record fenced treats all its
 /// accounts that aren't in the store as unverified.
 ///
+/// A lead that can't write to the store keeps its record elsewhere. Its
+/// successor grants nothing of the accounts that such a record may have raised
+/// until it knows that record, or that there is none.
+///
 /// @code
 ///   const auto grant = RequestGrant(ledger, request, {}, now);
 ///   if (grant.m_decision == GrantDecision::kNeedsRecord) {
@@ -87,6 +91,8 @@
   bool m_has_advance = false;
   /// Another domain may keep an account of the program.
   bool m_unverified = false;
+  /// An earlier lead may have granted more than was read of its records.
+  bool m_unread = false;
 };
 
 /// A running turn and the tokens granted to it.
@@ -147,6 +153,7 @@
   kGranted,
   kBudgetSpent,  ///< The remaining budget doesn't cover this turn.
   kNeedsRecord,  ///< A record has to be written first.
+  kUnread,       ///< An earlier lead's record has to be read first.
 };
 
 /// Stable lower-case name, for logs.
@@ -203,6 +210,13 @@
                  const LedgerRecord& record,
                  TimePoint now) -> void;
 
+/// Grants nothing of the accounts that the ledger has now until NoteRead: the
+/// earlier lead may have kept a newer record that can't be read at present.
+auto NoteUnread(ProgramLedger& ledger) -> void;
+
+/// @p newer, the newest record of the earlier lead, has been read.
+auto NoteRead(ProgramLedger& ledger, const LedgerRecord& newer) -> void;
+
 /// Erases programs that have been idle for longer than the retention time.
 auto ForgetIdlePrograms(ProgramLedger& ledger, TimePoint now) -> void;
 
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -84,6 +84,13 @@
                                          ReadId<RequestId>(turn.at("request")),
                                          ToTokens(turn.at("tokens"))});
   }
+  // Hosts of earlier versions neither write nor keep it.
+  if (const auto unread = json.find("unread"); unread != json.end()) {
+    ledger.m_unread = LedgerPosition{
+        .m_incarnation =
+            Incarnation(unread->at("incarnation").get<std::int64_t>()),
+        .m_write = unread->at("write").get<std::int64_t>()};
+  }
   return ledger;
 }
 
@@ -257,12 +264,17 @@
                        {"request", WriteId(turn.m_request)},
                        {"tokens", turn.m_tokens.value()}});
   }
-  return Json{{"host", ledger.m_host.value()},
-              {"incarnation", ledger.m_incarnation.value()},
-              {"write", ledger.m_write},
-              {"fence", ledger.m_fence},
-              {"bounds", std::move(bounds)},
-              {"running", std::move(running)}};
+  Json json{{"host", ledger.m_host.value()},
+            {"incarnation", ledger.m_incarnation.value()},
+            {"write", ledger.m_write},
+            {"fence", ledger.m_fence},
+            {"bounds", std::move(bounds)},
+            {"running", std::move(running)}};
+  if (const auto& unread = ledger.m_unread) {
+    json["unread"] = {{"incarnation", unread->m_incarnation.value()},
+                      {"write", unread->m_write}};
+  }
+  return json;
 }
 
 auto DecodeStoredLedger(const Json& body) -> Result<StoredLedger> {
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -96,6 +96,13 @@
   Tokens m_used{0};
 };
 
+/// A write of a lead to its ledger.
+struct LedgerPosition {
+  Incarnation m_incarnation;
+  /// Counts the writes of one incarnation.
+  std::int64_t m_write = 0;
+};
+
 /// Stored ledger of a domain.
 struct StoredLedger {
   HostId m_host;
@@ -106,6 +113,9 @@
   /// stored ledger, so that the owner's next write fails.
   std::int64_t m_fence = 0;
   LedgerRecord m_record;
+  /// Last write to the store of an earlier lead that may have made later ones
+  /// on disk hosts, which haven't been read yet.
+  std::optional<LedgerPosition> m_unread;
 };
 
 /// Entry that a lead writes to disk hosts while the store is not writable.
--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -31,7 +31,8 @@
           .m_incarnation = m_context.m_incarnation,
           .m_write = ++m_write,
           .m_fence = m_fence,
-          .m_record = record};
+          .m_record = record,
+          .m_unread = m_unread_known ? std::nullopt : m_unread};
 }
 
 auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
@@ -41,7 +42,8 @@
 }
 
 auto LeadService::WriteJournal(TimePoint now) -> void {
-  if (m_waiting.empty() || now - m_last_write < kUrgentWriteInterval) {
+  if (m_unread || m_waiting.empty() ||
+      now - m_last_write < kUrgentWriteInterval) {
     return;
   }
   m_writing = true;
@@ -91,7 +93,8 @@
   PendingWrite write{.m_record = m_yield_callback
                                      ? BeginHandoverRecord(m_ledger, now)
                                      : BeginRecord(m_ledger, now),
-                     .m_last = m_yield_callback != nullptr};
+                     .m_last = m_yield_callback != nullptr,
+                     .m_names_unread = m_unread && !m_unread_known};
   auto object = MakeLedgerObject(write.m_record);
   m_context.m_store.Replace(
       ObjectKind::kLedgers, std::move(object),
@@ -106,6 +109,9 @@
                                    ResourceVersion version) -> void {
   m_ledger_version = version;
   m_store_lost = false;
+  if (!write.m_names_unread) {
+    m_unread.reset();
+  }
   NoteRecorded(m_ledger, write.m_record);
   if (write.m_last && m_yield_callback) {
     FinishYield(true);
@@ -177,7 +183,7 @@
 
 auto LeadService::OnStoreLost() -> void {
   // The disk hosts are tried again after each failure of the store.
-  m_journal_lost = false;
+  m_journal_lost = m_unread.has_value();
   m_store_lost = true;
   m_retry_at = SteadyTime() + kStoreProbeInterval;
   if (m_yield_callback) {
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -105,6 +105,9 @@
     case GrantDecision::kBudgetSpent:
       waiting.m_respond({.m_verdict = GrantVerdict::kBudgetSpent});
       return;
+    case GrantDecision::kUnread:
+      waiting.m_respond({.m_verdict = GrantVerdict::kUnavailable});
+      return;
     case GrantDecision::kNeedsRecord:
       break;
   }
@@ -272,6 +275,7 @@
     Adopt();
   }
   WriteIfDue(now);
+  ReadUnread(now);
   if (leading()) {
     m_journal.Refresh(now);
   }
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -91,6 +91,8 @@
     LedgerRecord m_record;
     /// Last write of a yielding lead; nothing is granted after it.
     bool m_last = false;
+    /// The ledger names an earlier lead's journal that hasn't been read.
+    bool m_names_unread = false;
   };
   /// Information for later requests of a program.
   struct ProgramHint {
@@ -108,7 +110,12 @@
   auto Adopt() -> void;
   auto OnAdoptRead(const Result<StoredObject>& stored) -> void;
   auto AdoptJournal(const StoredLedger& stored) -> void;
+  auto OnJournalRead(const StoredLedger& stored,
+                     const JournalReadResult& result) -> void;
   auto WriteAdopted() -> void;
+  /// Reads again what couldn't be read when this lead took over.
+  auto ReadUnread(TimePoint now) -> void;
+  auto OnUnreadRead(const JournalReadResult& result) -> void;
   auto OnAdoptWritten(const Result<StoredObject>& stored) -> void;
   auto ListLeads() -> void;
   auto Announce() -> void;
@@ -171,6 +178,14 @@
   /// The last write to the journal on the disk hosts failed.
   bool m_journal_lost = false;
   LedgerJournal m_journal;
+  /// Earlier lead's last write to the store, while its later ones on disk hosts
+  /// haven't been read, or the store doesn't know yet that they have. This lead
+  /// writes no journal meanwhile, since that would replace the earlier one.
+  std::optional<LedgerPosition> m_unread;
+  /// m_unread has been read.
+  bool m_unread_known = false;
+  bool m_reading_unread = false;
+  TimePoint m_next_unread_read;
   /// Set while this lead is yielding; nothing is granted meanwhile.
   YieldCallback m_yield_callback;
   std::string m_yield_reason;
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -18,9 +18,6 @@
 constexpr Duration kYieldTimeout = std::chrono::milliseconds(800);
 /// A host that yielded does not claim the lead within this time.
 constexpr Duration kReclaimDelay = std::chrono::milliseconds(1500);
-/// Maximum wait for disk hosts that may hold the ledger; they restart in about
-/// one second.
-constexpr Duration kMaxJournalWait = std::chrono::milliseconds(2000);
 /// Delay before the next claim after a claim failed for another reason than a
 /// conflict.
 constexpr Duration kClaimRetryDelay = std::chrono::milliseconds(1000);
@@ -134,112 +131,6 @@
   return true;
 }
 
-auto LeadService::BeginAdopting() -> void {
-  m_phase = Phase::kAdopting;
-  m_adopting_since = SteadyTime();
-  Adopt();
-}
-
-auto LeadService::Adopt() -> void {
-  m_writing = true;
-  m_context.m_store.Get(ObjectKind::kLedgers,
-                        m_context.m_settings.m_domain.value(),
-                        [this](const Result<StoredObject>& stored) {
-                          m_writing = false;
-                          OnAdoptRead(stored);
-                        });
-}
-
-auto LeadService::OnAdoptRead(const Result<StoredObject>& stored) -> void {
-  if (m_phase != Phase::kAdopting) {
-    return;
-  }
-  const auto now = SteadyTime();
-  if (!stored) {
-    if (stored.error().m_code != ErrorCode::kNotFound) {
-      m_retry_at = now + kStoreRetryDelay;
-      return;
-    }
-    m_ledger_version = ResourceVersion(0);
-    m_fence = 0;
-    AdoptJournal({});
-    return;
-  }
-  const auto ledger = DecodeStoredLedger(stored->m_spec);
-  if (!ledger) {
-    LogEvent(
-        LogEventId::kLeadClaimFailed,
-        {{"code", "invalid_argument"}, {"reason", ledger.error().m_message}});
-    m_retry_at = now + kStoreRetryDelay;
-    return;
-  }
-  m_ledger_version = stored->m_version;
-  m_fence = ledger->m_fence;
-  AdoptJournal(*ledger);
-}
-
-/// Merges the journal, since the previous lead may have recorded grants there
-/// while the store was not writable.
-auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
-  const auto& domain = m_context.m_settings.m_domain;
-  m_writing = true;
-  m_journal.Read(
-      domain, m_context.LeadOf(domain)->m_version, stored,
-      [this,
-       record = stored.m_record](const JournalReadResult& result) mutable {
-        m_writing = false;
-        if (m_phase != Phase::kAdopting) {
-          return;
-        }
-        const auto now = SteadyTime();
-        const auto may_wait = now - m_adopting_since < kMaxJournalWait;
-        if (!result.m_complete && may_wait) {
-          m_retry_at = now + kStoreRetryDelay;
-          return;
-        }
-        if (const auto& entry = result.m_newest) {
-          RaiseBounds(record, entry->m_ledger.m_record);
-          LogEvent(LogEventId::kJournalUsed,
-                   {{"step", "taken_over"},
-                    {"write", std::to_string(entry->m_ledger.m_write)}});
-        }
-        AdoptRecord(m_ledger, record, now);
-        WriteAdopted();
-      });
-}
-
-auto LeadService::WriteAdopted() -> void {
-  m_writing = true;
-  auto object = MakeLedgerObject(BeginRecord(m_ledger, SteadyTime()));
-  const auto after = [this](const Result<StoredObject>& stored) {
-    m_writing = false;
-    OnAdoptWritten(stored);
-  };
-  if (m_ledger_version == ResourceVersion(0)) {
-    m_context.m_store.Create(ObjectKind::kLedgers, std::move(object), after);
-  } else {
-    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after,
-                              kWriteTimeout);
-  }
-}
-
-auto LeadService::OnAdoptWritten(const Result<StoredObject>& stored) -> void {
-  if (m_phase != Phase::kAdopting) {
-    return;
-  }
-  const auto now = SteadyTime();
-  if (!stored) {
-    // Read again, since another lead may have written, or this write may have
-    // been applied.
-    m_retry_at = now + kStoreRetryDelay;
-    return;
-  }
-  m_ledger_version = stored->m_version;
-  m_last_write = now;
-  m_phase = Phase::kAnnouncing;
-  ListLeads();
-}
-
 /// If two leads start at the same time, the one that lists later finds the
 /// other and announces itself before it opens an account.
 auto LeadService::ListLeads() -> void {
@@ -309,6 +200,7 @@
   m_ledger = {.m_options = m_ledger.m_options};
   m_store_lost = false;
   m_journal_lost = false;
+  m_unread.reset();
   m_search.Clear();
   m_program_hints.clear();
   m_loads.clear();
--- a/src/libgateway/lead/ledger_journal.cc
+++ b/src/libgateway/lead/ledger_journal.cc
@@ -40,6 +40,7 @@
       ObjectKind::kDiskHosts,
       [this, done = std::move(done)](const Result<ObjectListing>& listing) {
         if (listing) {
+          m_listed = true;
           m_addresses.clear();
           for (const auto& object : listing->m_objects) {
             const auto host = DecodeReplicaHost(object.m_spec);
@@ -58,7 +59,7 @@
 
 auto LedgerJournal::Write(const JournalEntry& entry,
                           std::function<void(bool)> done) -> void {
-  if (m_addresses.empty()) {
+  if (static_cast<int>(m_addresses.size()) < RequiredCopies()) {
     done(false);
     return;
   }
@@ -74,7 +75,7 @@
     if (secured) {
       done(true);
     } else if (broadcast->m_pending == 0 && broadcast->m_count < copies) {
-      done(broadcast->m_count > 0);
+      done(false);
     }
   };
   const auto addresses = m_addresses;
@@ -89,7 +90,7 @@
 
 auto LedgerJournal::Read(const DomainId& domain,
                          ResourceVersion claim,
-                         const StoredLedger& stored,
+                         const LedgerPosition& stored,
                          std::function<void(const JournalReadResult&)> done)
     -> void {
   ListDiskHosts([this, domain, claim, stored, done = std::move(done)] {
@@ -99,10 +100,10 @@
 
 auto LedgerJournal::ReadDiskHosts(
     const JournalEntry& request,
-    const StoredLedger& stored,
+    const LedgerPosition& stored,
     const std::function<void(const JournalReadResult&)>& done) -> void {
   if (m_addresses.empty()) {
-    done({});
+    done({.m_complete = m_listed});
     return;
   }
   auto broadcast = std::make_shared<Broadcast>();
--- a/src/libgateway/lead/ledger_journal.h
+++ b/src/libgateway/lead/ledger_journal.h
@@ -12,16 +12,19 @@
 /// @file
 /// A lead's access to the disk hosts, which store its ledger while the
 /// platform's store is not writable. An entry is secured once it is stored on
-/// one more disk host than may fail at the same time, or on all that respond.
+/// one more disk host than may fail at the same time. A read is complete if
+/// fewer disk hosts than that failed to respond, so that it meets at least one
+/// that has a secured entry.
 
 namespace dotterelshed {
 
 /// Result of reading a domain's ledger from the disk hosts.
 struct JournalReadResult {
-  /// Newest entry that the writer of the stored ledger made after that ledger.
+  /// Newest entry that the writer of the stored ledger made after it.
   std::optional<JournalEntry> m_newest;
-  /// False if an entry may be stored only on disk hosts that did not respond.
-  bool m_complete = true;
+  /// False if an entry may be secured on disk hosts that did not respond, or
+  /// if the disk hosts aren't known.
+  bool m_complete = false;
 };
 
 class LedgerJournal {
@@ -35,16 +38,16 @@
   auto ListDiskHosts(std::function<void()> done) -> void;
   /// Stores an entry; @p done receives whether it is secured.
   auto Write(const JournalEntry& entry, std::function<void(bool)> done) -> void;
-  /// Reads the newest entry and fences the disk hosts: they reject later writes
-  /// of claims older than @p claim.
+  /// Reads the newest entry after @p stored, a write to the store, and fences
+  /// the disk hosts: they reject later writes of claims older than @p claim.
   auto Read(const DomainId& domain,
             ResourceVersion claim,
-            const StoredLedger& stored,
+            const LedgerPosition& stored,
             std::function<void(const JournalReadResult&)> done) -> void;
 
  private:
   auto ReadDiskHosts(const JournalEntry& request,
-                     const StoredLedger& stored,
+                     const LedgerPosition& stored,
                      const std::function<void(const JournalReadResult&)>& done)
       -> void;
   /// Number of disk hosts that must store an entry for it to be secured.
@@ -54,6 +57,8 @@
 
   EntryContext& m_context;
   std::vector<std::string> m_addresses;
+  /// The store has listed the disk hosts, though perhaps none.
+  bool m_listed = false;
   TimePoint m_last_refresh;
 };
 
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -101,6 +101,8 @@
       return "budget_spent";
     case GrantDecision::kNeedsRecord:
       return "needs_record";
+    case GrantDecision::kUnread:
+      return "unread";
   }
   return "needs_record";
 }
@@ -138,6 +140,9 @@
   if (!account.m_unverified && granted + most > account.m_budget) {
     return {GrantDecision::kBudgetSpent};
   }
+  if (account.m_unread) {
+    return {GrantDecision::kUnread};
+  }
   const auto tokens = PartialGrant(ledger, GrantLimit(account) - granted, most,
                                    conditions.m_allow_partial);
   const auto next_fits = granted + tokens + most <= SecuredBound(account) ||
@@ -178,7 +183,8 @@
 
 auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
   return MakeRecord(ledger, now, [&ledger](const ProgramAccount& account) {
-    return TargetBound(ledger, account);
+    return account.m_unread ? GrantedTokens(account)
+                            : TargetBound(ledger, account);
   });
 }
 
@@ -253,6 +259,24 @@
   }
 }
 
+auto NoteUnread(ProgramLedger& ledger) -> void {
+  for (auto& [program, account] : ledger.m_accounts) {
+    account.m_unread = true;
+  }
+}
+
+auto NoteRead(ProgramLedger& ledger, const LedgerRecord& newer) -> void {
+  for (auto& [program, account] : ledger.m_accounts) {
+    const auto bound = newer.m_bounds.find(program);
+    if (account.m_unread && bound != newer.m_bounds.end()) {
+      account.m_spent +=
+          std::max(bound->second - GrantedTokens(account), Tokens(0));
+    }
+    account.m_unread = false;
+  }
+  ledger.m_dirty = true;
+}
+
 auto ForgetIdlePrograms(ProgramLedger& ledger, TimePoint now) -> void {
   std::erase_if(ledger.m_accounts, [&ledger, now](const auto& item) {
     return now - item.second.m_last_used > ledger.m_options.m_retention;
--- a/src/libledger/program_ledger_unittest.cc
+++ b/src/libledger/program_ledger_unittest.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "dotterelshed/steady_time.h"
+
 namespace dotterelshed {
 namespace {
 
@@ -141,5 +143,44 @@
   CHECK(ledger.m_accounts.empty());
 }
 
+TEST_CASE("nothing is granted of adopted accounts until all was read") {
+  const ProgramId program("p");
+  const auto now = SteadyTime();
+  const auto newer_bound = GENERATE(0, 500, 600, 950);
+  ProgramLedger ledger;
+  AdoptRecord(ledger, {{{program, Tokens(600)}}, {}}, now);
+  NoteUnread(ledger);
+  const GrantRequest request{program, RequestId("r"), Tokens(1000),
+                             Tokens(100)};
+  const GrantConditions conditions{.m_allow_partial = true};
+  CHECK(RequestGrant(ledger, request, conditions, now).m_decision ==
+        GrantDecision::kUnread);
+  // The record reserves nothing meanwhile, and doesn't end the wait.
+  const auto record = BeginRecord(ledger, now);
+  CHECK(record.m_bounds.at(program) == Tokens(600));
+  NoteRecorded(ledger, record);
+  CHECK(RequestGrant(ledger, request, conditions, now).m_decision ==
+        GrantDecision::kUnread);
+  NoteRead(ledger, {{{program, Tokens(newer_bound)}}, {}});
+  NoteRecorded(ledger, BeginRecord(ledger, now));
+  const auto grant = RequestGrant(ledger, request, {}, now);
+  CHECK(grant.m_decision == (newer_bound > 900 ? GrantDecision::kBudgetSpent
+                                               : GrantDecision::kGranted));
+}
+
+TEST_CASE("programs that begin while a journal is unread get turns") {
+  const auto now = SteadyTime();
+  ProgramLedger ledger;
+  AdoptRecord(ledger, {{{ProgramId("p"), Tokens(600)}}, {}}, now);
+  NoteUnread(ledger);
+  const GrantRequest request{ProgramId("q"), RequestId("r"), Tokens(1000),
+                             Tokens(100)};
+  CHECK(RequestGrant(ledger, request, {}, now).m_decision ==
+        GrantDecision::kNeedsRecord);
+  NoteRecorded(ledger, BeginRecord(ledger, now));
+  CHECK(RequestGrant(ledger, request, {}, now).m_decision ==
+        GrantDecision::kGranted);
+}
+
 }  // namespace
 }  // namespace dotterelshed
