Tell a new lead all that is known of requests that end endpoints

Cause: hosts told leads only what they saw themselves. When all leads and the host that saw the ends were killed, what the others knew reached nobody.

Change: a lead with a new incarnation gets once all lost attempts and quarantines that a host knows, also from others.

Result: "all hosts tell a new lead of a quarantined request" fails before (one host of two tells it) and passes.

--- a/src/libgateway/crash/crash_ledger_sync.cc
+++ b/src/libgateway/crash/crash_ledger_sync.cc
@@ -58,6 +58,11 @@
   return contents;
 }
 
+/// Returns true if a host without the content would let further endpoints end.
+auto HasEvidence(const SuspectContent& content) -> bool {
+  return content.m_quarantine.has_value() || !content.m_lost.empty();
+}
+
 }  // namespace
 
 CrashLedgerSync::CrashLedgerSync(EntryContext& context) : m_context(context) {}
@@ -129,7 +134,6 @@
     }
     auto& cursor = m_push_cursors[domain];
     if (cursor.m_incarnation != lead.m_entry.m_incarnation) {
-      // A new lead may lack what was pushed to its predecessor.
       cursor = {.m_incarnation = lead.m_entry.m_incarnation};
     }
     const auto due = !cursor.m_in_flight && now >= cursor.m_not_before &&
@@ -146,9 +150,14 @@
   const auto version = ledger.m_changes;
   CrashUpdate update{.m_incarnation = m_context.m_incarnation,
                      .m_version = version};
+  // A new lead may have lost what was pushed to its predecessor, and so may the
+  // hosts that saw it first. It gets once what this host knows from others too.
+  const auto everything = cursor.m_version == 0;
   update.m_contents = CollectContents(
-      ledger, [since = cursor.m_version](const SuspectContent& content) {
-        return content.m_changed_locally > since;
+      ledger,
+      [everything, since = cursor.m_version](const SuspectContent& content) {
+        return everything ? HasEvidence(content)
+                          : content.m_changed_locally > since;
       });
   if (update.m_contents.empty()) {
     cursor.m_version = version;
--- a/src/libgateway/crash/crash_request_unittest.cc
+++ b/src/libgateway/crash/crash_request_unittest.cc
@@ -1,6 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 
+#include "crash/crash_messages.h"
+#include "peer_call.h"
 #include "test_environment.h"
 
 /// @file
@@ -221,5 +225,37 @@
   CHECK(environment.m_crashes == kMaxCrashes);
 }
 
+TEST_CASE("all hosts tell a new lead of a quarantined request") {
+  CrashEnvironment environment;
+  environment.Start();
+  auto& follower = environment.AddHost("h2", "z");
+  while (environment.m_crashes < kMaxCrashes) {
+    environment.Finish(MakeCall({.m_path = "/unsafe/x"}));
+  }
+  environment.RunFor(kPropagationTime);
+  // A lead that knows nothing, as after a restart of all leads.
+  std::set<Incarnation> tellers;
+  ScriptedEndpoint fresh(
+      environment.m_loop, [&tellers](const Request& request) {
+        const auto update = DecodeCrashUpdate(request.m_body, SteadyTime());
+        const auto pushed =
+            request.m_head.m_target == kCrashUpdatePath && update.has_value();
+        if (pushed &&
+            std::any_of(update->m_contents.begin(), update->m_contents.end(),
+                        [](const DigestedContent& item) {
+                          return item.second.m_quarantine.has_value();
+                        })) {
+          tellers.insert(update->m_incarnation);
+        }
+        request.m_stream->Write(request.Complete(""));
+      });
+  environment.PutLead("y", "h9", fresh);
+  environment.RunFor(kPropagationTime);
+  CHECK(tellers.size() == 2);
+  const auto call = MakeCall({.m_path = "/unsafe/x"});
+  CHECK(environment.FinishAt(follower, call)->Status() == 503);
+  CHECK(environment.m_crashes == kMaxCrashes);
+}
+
 }  // namespace
 }  // namespace dotterelshed
