Count a send that may have run, whatever a later one says

Cause: an endpoint that ran a request, lost the answer and was full when it was asked again set the request free for any other endpoint; the route's limit wasn't compared there.

Change: StartNextAttempt, through which all sends go, lets a further endpoint have the request only while fewer than the route permits may have run it; else the caller gets 502 or its stream is cut. An endpoint that can't be connected to still doesn't count.

--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -240,6 +240,11 @@
                         SteadyTime());
 }
 
+auto CallExchange::PermitsAttemptAt(const EndpointId& endpoint) const -> bool {
+  return m_may_have_run_on.contains(endpoint) ||
+         static_cast<int>(m_may_have_run_on.size()) < m_route.m_max_attempts;
+}
+
 auto CallExchange::StartNextAttempt() -> void {
   if (!CheckQuarantine()) {
     return;
@@ -252,6 +257,10 @@
     RespondUnserved(reason, kRetryAfter);
     return;
   }
+  if (!PermitsAttemptAt(*endpoint)) {
+    RespondUnserved("endpoints_used_up", kRetryAfter);
+    return;
+  }
   const auto* entry = FindEndpoint(m_context.m_directory, *endpoint);
   m_attempt = {};
   m_attempt.m_endpoint = *endpoint;
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -82,6 +82,9 @@
   auto RequestTurnGrant() -> void;
   auto OnTurnGrant(const TurnGrantResponse& response) -> void;
   auto StartNextAttempt() -> void;
+  /// Returns false if as many other endpoints as the route permits may have run
+  /// the request.
+  auto PermitsAttemptAt(const EndpointId& endpoint) const -> bool;
   auto PickEndpoint() -> std::optional<EndpointId>;
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
       -> void;
