--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -90,6 +90,9 @@
   auto RequestTurnGrant() -> void;
   auto OnTurnGrant(const TurnGrantResponse& response) -> void;
   auto StartNextAttempt() -> void;
+  /// Returns false if as many other endpoints as the route permits may have run
+  /// the request.
+  auto PermitsAttemptAt(const EndpointId& endpoint) const -> bool;
   auto PickEndpoint() -> std::optional<EndpointId>;
   /// Returns true if the endpoint that the lead or an earlier attempt named may
   /// be used.
--- a/src/libgateway/lead/settlement_messages.cc
+++ b/src/libgateway/lead/settlement_messages.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lead/lead_messages.h"
+#include "lead/message_ids.h"
 
 namespace dotterelshed {
 
@@ -16,7 +17,7 @@
 auto WriteReport(const EndpointReport& report) -> Json {
   auto outcomes = Json::object();
   for (const auto& [id, counts] : report.m_outcomes) {
-    outcomes[id.value()] = counts;
+    outcomes[WriteId(id)] = counts;
   }
   return {{"program", ""},
           {"request", ""},
@@ -28,7 +29,8 @@
 auto ReadReport(const Json& json) -> EndpointReport {
   EndpointReport report{.m_host = HostId(json.at("host"))};
   for (const auto& [id, counts] : json.at("outcomes").items()) {
-    report.m_outcomes.emplace(EndpointId(id), counts.get<OutcomeCounts>());
+    report.m_outcomes.emplace(EndpointId(DecodeText(id)),
+                              counts.get<OutcomeCounts>());
   }
   return report;
 }
@@ -40,8 +42,8 @@
       batch.m_report = ReadReport(one);
       continue;
     }
-    batch.m_settlements.push_back({ProgramId(one.at("program")),
-                                   RequestId(one.at("request")),
+    batch.m_settlements.push_back({ReadId<ProgramId>(one.at("program")),
+                                   ReadId<RequestId>(one.at("request")),
                                    Tokens(one.at("used").get<std::int64_t>())});
   }
   return batch;
@@ -50,11 +52,12 @@
 auto ReadJudgement(const Json& json) -> DomainJudgement {
   DomainJudgement judgement;
   for (const auto& [id, share] : json.at("shares").items()) {
-    judgement.m_shares.emplace(EndpointId(id), share.get<double>());
+    judgement.m_shares.emplace(EndpointId(DecodeText(id)), share.get<double>());
   }
   if (json.contains("probe")) {
-    judgement.m_probe = ProbeOrder{.m_endpoint = EndpointId(json.at("probe")),
-                                   .m_any = json.value("any", false)};
+    judgement.m_probe =
+        ProbeOrder{.m_endpoint = ReadId<EndpointId>(json.at("probe")),
+                   .m_any = json.value("any", false)};
   }
   return judgement;
 }
@@ -76,8 +79,8 @@
     list.push_back(WriteReport(*batch.m_report));
   }
   for (const auto& one : batch.m_settlements) {
-    list.push_back({{"program", one.m_program.value()},
-                    {"request", one.m_request.value()},
+    list.push_back({{"program", WriteId(one.m_program)},
+                    {"request", WriteId(one.m_request)},
                     {"used", one.m_used.value()}});
   }
   return list.dump();
@@ -91,12 +94,12 @@
   auto shares = Json::object();
   for (const auto& [id, share] : judgement.m_shares) {
     if (shares.size() < kMaxShares) {
-      shares[id.value()] = share;
+      shares[WriteId(id)] = share;
     }
   }
   Json json{{"shares", std::move(shares)}};
   if (judgement.m_probe) {
-    json["probe"] = judgement.m_probe->m_endpoint.value();
+    json["probe"] = WriteId(judgement.m_probe->m_endpoint);
     json["any"] = judgement.m_probe->m_any;
   }
   return json.dump();
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -102,8 +102,7 @@
   auto& given = judgement.m_domain.m_probe;
   if (given && (repeatable || given->m_any)) {
     const auto* entry = FindEndpoint(directory, given->m_endpoint);
-    if (entry != nullptr && !entry->m_leaving &&
-        entry->m_service == service) {
+    if (entry != nullptr && !entry->m_leaving && entry->m_service == service) {
       return std::exchange(given, std::nullopt)->m_endpoint;
     }
   }
