Ask leads for quota tokens, and answer from a domain's share

A host asks its domain's lead in batches and holds tokens for 300 ms at most; a lead that runs out borrows from those of other domains. A lead grants only for 2 s after a confirmed write, which it renews each 500 ms while there are quotas; its successor waits for that time or for the predecessor's word. Nothing is sent where no account has a quota.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -55,6 +55,8 @@
   kContentQuarantined = 503,
   kEndpointChanged = 504,
   kEndpointRejected = 505,
+  kQuotaRefused = 520,
+  kQuotaShareTaken = 521,
   kConfigInForce = 601,
   kConfigRejected = 602,
   kPlatformLost = 701,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -49,6 +49,11 @@
   kReplicaTurns,
   kReplicaWrites,
   kReplicaCopies,
+  kQuotaDecisions,
+  kQuotaRefusals,
+  kQuotaQuestions,
+  kQuotaLoans,
+  kQuotaTokens,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/include/dotterelshed/quota_ledger.h
+++ b/src/include/dotterelshed/quota_ledger.h
@@ -97,6 +97,9 @@
 auto FindQuota(const AccountTable* table, const AccountId& account)
     -> const Quota*;
 
+/// Returns true if any account has a quota.
+auto HasQuotas(const AccountTable* table) -> bool;
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_QUOTA_LEDGER_H_
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -99,6 +99,13 @@
      "use until it is listed again or lapses."},
     {LogEventId::kEndpointRejected, LogLevel::kWarning, "endpoint_rejected",
      "An entry in the list of endpoints can't be read and is left out."},
+    {LogEventId::kQuotaRefused, LogLevel::kInfo, "quota_refused",
+     "Requests of an account were refused within the last second: over_quota, "
+     "or quota_unavailable if no lead could decide. One line an account, with "
+     "their number."},
+    {LogEventId::kQuotaShareTaken, LogLevel::kInfo, "quota_share_taken",
+     "A new lead grants from its domain's share of the quotas after the wait "
+     "in the fields, in which its predecessor may still be granting."},
     {LogEventId::kConfigInForce, LogLevel::kInfo, "config_in_force",
      "A configuration generation is in force on this host."},
     {LogEventId::kConfigRejected, LogLevel::kError, "config_rejected",
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -84,6 +84,24 @@
      "dotterelshed_replica_copies_total", "domain",
      "Turns that this disk host lacked and copied, by the failure domain that "
      "had them."},
+    {MetricId::kQuotaDecisions, MetricKind::kCounter,
+     "dotterelshed_quota_decisions_total", "decision",
+     "Requests of accounts with a quota that this host decided on, by "
+     "decision."},
+    {MetricId::kQuotaRefusals, MetricKind::kCounter,
+     "dotterelshed_quota_refusals_total", "account",
+     "Requests refused for a quota, by account."},
+    {MetricId::kQuotaQuestions, MetricKind::kCounter,
+     "dotterelshed_quota_questions_total", "outcome",
+     "Questions for quota tokens to leads, by whether they were answered."},
+    {MetricId::kQuotaLoans, MetricKind::kCounter,
+     "dotterelshed_quota_loans_total", "outcome",
+     "Questions for quota tokens from this lead to those of other domains, by "
+     "whether they were answered."},
+    {MetricId::kQuotaTokens, MetricKind::kCounter,
+     "dotterelshed_quota_tokens_total", "to",
+     "Quota tokens that this lead handed out: granted to hosts of its domain, "
+     "or lent to others."},
 });
 
 }  // namespace
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -41,6 +41,7 @@
 CallExchange::CallExchange(EntryContext& context,
                            GrantClient& grants,
                            HistoryClient& history,
+                           QuotaClient& quotas,
                            std::shared_ptr<ServerConnection> caller,
                            IncomingRequest request,
                            const Route& route,
@@ -48,6 +49,7 @@
     : m_context(context),
       m_grants(grants),
       m_history(history),
+      m_quotas(quotas),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
       m_routes(m_context.m_routes),
@@ -90,6 +92,10 @@
       self->OnCallerDisconnected();
     }
   });
+  BeginWork();
+}
+
+auto CallExchange::BeginWork() -> void {
   if (!CheckQuarantine()) {
     return;
   }
@@ -437,6 +443,7 @@
 
 auto CallExchange::Finish(int status, std::string_view reason) -> void {
   m_finished = true;
+  GiveBackQuota();
   if (std::exchange(m_storing, false)) {
     // The response was not completed, so that the turn must not be continued.
     m_history.Withdraw({.m_turn = m_headers.m_request,
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -16,6 +16,7 @@
 #include "history/history_client.h"
 #include "lead/grant_client.h"
 #include "platform/call_headers.h"
+#include "quota/quota_client.h"
 
 /// @file
 /// Handles one client request from its arrival to the end of the response:
@@ -36,6 +37,7 @@
   CallExchange(EntryContext& context,
                GrantClient& grants,
                HistoryClient& history,
+               QuotaClient& quotas,
                std::shared_ptr<ServerConnection> caller,
                IncomingRequest request,
                const Route& route,
@@ -67,6 +69,13 @@
     bool m_resumes_stream = false;
   };
 
+  /// Asks for a token of the account's quota, and goes on with BeginWork.
+  auto RequestQuota(const AccountId& account) -> void;
+  auto OnQuotaDecision(const QuotaDecision& decision) -> void;
+  /// Returns the token if no endpoint got the request.
+  auto GiveBackQuota() -> void;
+  /// First step of a request that may run.
+  auto BeginWork() -> void;
   auto IsTurn() const -> bool;
   auto IsRetryable() const -> bool;
   /// Returns true if the system keeps the conversation's history.
@@ -122,6 +131,7 @@
   EntryContext& m_context;
   GrantClient& m_grants;
   HistoryClient& m_history;
+  QuotaClient& m_quotas;
   std::shared_ptr<ServerConnection> m_caller;
   IncomingRequest m_request;
   /// Configuration at the arrival of the request; keeps m_route alive.
@@ -131,10 +141,14 @@
   int m_tokens_per_event = 1;
   Completed m_completed;
   CallHeaders m_headers;
+  /// Account of the caller, if the request needs one.
+  std::optional<AccountId> m_account;
   CallCrashTracker m_crash_tracker;
   TimePoint m_started_at;
   TimePoint m_deadline;
 
+  /// End of the lease of the request's token, if its account has a quota.
+  std::optional<TimePoint> m_quota_token;
   Attempt m_attempt;
   int m_attempts = 0;
   /// Endpoints that are not used again for this request.
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -83,6 +83,8 @@
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
+      m_quota_service(m_context, m_lead),
+      m_quotas(m_context, m_lead, m_quota_service),
       m_history(m_context),
       m_crash_ledger_sync(m_context),
       m_callers(loop,
@@ -194,6 +196,8 @@
   if (KeepsHistory(*table)) {
     m_history.Start();
   }
+  m_lead.SetQuotas(HasQuotas(table->m_accounts.get()));
+  m_quota_service.ChangeAccounts(table->m_accounts.get());
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
@@ -231,8 +235,8 @@
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
-      m_context, m_grants, m_history, connection, std::move(request), *route,
-      [this](const std::shared_ptr<CallExchange>& ended) {
+      m_context, m_grants, m_history, m_quotas, connection, std::move(request),
+      *route, [this](const std::shared_ptr<CallExchange>& ended) {
         m_exchanges.erase(ended);
       });
   m_exchanges.insert(exchange);
@@ -312,6 +316,15 @@
                     connection->Answer(taken ? kStatusOk : kStatusConflict, {},
                                        "");
                   });
+  } else if (target == kQuotaPath) {
+    HandleMessage(
+        connection, DecodeQuotaAsk(body),
+        [this, &connection](const QuotaAskMessage& message) {
+          m_quota_service.HandleAsk(
+              message, [connection](const QuotaAnswerMessage& answer) {
+                connection->Answer(kStatusOk, {}, EncodeQuotaAnswer(answer));
+              });
+        });
   } else if (target == kFindPath) {
     HandleMessage(connection, DecodeFindAccountRequest(body),
                   [this, &connection](const FindAccountRequest& message) {
@@ -333,7 +346,8 @@
     HandleMessage(connection, DecodeKnownLead(body),
                   [this, &connection](const KnownLead& lead) {
                     m_lead.OnLeadUpdate(lead);
-                    connection->Answer(kStatusOk, {}, "");
+                    connection->Answer(kStatusOk, {},
+                                       m_lead.MakeHandover(lead));
                   });
   } else if (target == kStepDownPath) {
     HandleMessage(connection, DecodeKnownLead(body),
@@ -467,6 +481,7 @@
   m_callers.Tick(now);
   m_lead.Tick(now);
   m_grants.Tick(now);
+  m_quotas.Tick(now);
   m_history.Tick(now);
   m_crash_ledger_sync.Tick(now);
   if (now - m_last_crash_sweep >= kCrashSweepInterval) {
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -14,6 +14,8 @@
 #include "lead/grant_client.h"
 #include "lead/lead_election.h"
 #include "lead/lead_service.h"
+#include "quota/quota_client.h"
+#include "quota/quota_service.h"
 #include "view/endpoint_view.h"
 #include "view/object_watcher.h"
 
@@ -92,6 +94,8 @@
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
+  QuotaService m_quota_service;
+  QuotaClient m_quotas;
   HistoryClient m_history;
   CrashLedgerSync m_crash_ledger_sync;
   HttpListener m_callers;
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -22,6 +23,8 @@
 constexpr Duration kMinEndpointLeave = std::chrono::milliseconds(1000);
 /// A host whose reader is silent needs this time to read the store itself.
 constexpr Duration kMinConfigChange = std::chrono::milliseconds(1000);
+/// A token's lease must be a small part of the window.
+constexpr double kMinQuotaWindow = 1;
 
 /// Reads members of a JSON object and keeps the first error.
 struct SettingsReader {
@@ -92,6 +95,23 @@
     return value->get<bool>();
   }
 
+  auto Texts(const std::string& key) -> std::vector<std::string> {
+    const auto* value = Find(key);
+    if (value == nullptr) {
+      return {};
+    }
+    const auto valid =
+        value->is_array() &&
+        std::all_of(value->begin(), value->end(), [](const Json& one) {
+          return one.is_string() && !one.get_ref<const std::string&>().empty();
+        });
+    if (!valid) {
+      AddError(key, "must be a list of strings that aren't empty");
+      return {};
+    }
+    return value->get<std::vector<std::string>>();
+  }
+
   auto Milliseconds(const std::string& key,
                     Duration minimum,
                     Duration default_value) -> Duration {
@@ -118,6 +138,24 @@
   return role == "disk" ? HostRole::kDisk : HostRole::kEntry;
 }
 
+auto ReadQuotaSettings(SettingsReader& reader, EntrySettings& settings)
+    -> void {
+  for (auto& name : reader.Texts("domains")) {
+    settings.m_domains.emplace_back(std::move(name));
+  }
+  const auto& domains = settings.m_domains;
+  const auto listed = std::find(domains.begin(), domains.end(),
+                                settings.m_domain) != domains.end();
+  if (!domains.empty() && !listed) {
+    reader.AddError("domains", "must contain the host's own domain");
+  }
+  settings.m_quota_window = FromSeconds(reader.Number(
+      "quota_window_s", kMinQuotaWindow, ToSeconds(settings.m_quota_window)));
+  settings.m_quota_over = reader.Number("quota_over", 0, settings.m_quota_over);
+  settings.m_quota_slack =
+      reader.Number("quota_slack", 0, settings.m_quota_slack);
+}
+
 }  // namespace
 
 auto ParseEntrySettings(std::string_view text, std::string_view file)
@@ -154,6 +192,7 @@
       "max_descriptors", kMinDescriptors, settings.m_max_descriptors));
   settings.m_tolerated_losses = static_cast<int>(
       reader.Number("tolerated_losses", 0, settings.m_tolerated_losses));
+  ReadQuotaSettings(reader, settings);
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
   const auto level = reader.Text("log_level", false);
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/error.h"
@@ -49,6 +50,13 @@
   int m_max_descriptors = 1024;
   /// Number of disk hosts that may fail at the same time.
   int m_tolerated_losses = 1;
+  /// All failure domains; each has an equal share of the quotas.
+  std::vector<DomainId> m_domains;
+  /// Bound on the requests of an account with a quota: in any window at most
+  /// (rate x window + burst) x (1 + over) + slack.
+  Duration m_quota_window = std::chrono::seconds(5);
+  double m_quota_over = 0.1;
+  double m_quota_slack = 20;
   /// Processor capacity of the host, in cores.
   double m_processor_share = 1.0;
   std::string m_log_level = "info";
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -21,6 +21,10 @@
   "endpoint_leave_ms": 3000,
   "config_change_ms": 2500,
   "first_start": true,
+  "domains": ["y", "z"],
+  "quota_window_s": 4,
+  "quota_over": 0.2,
+  "quota_slack": 10,
   "stop_grace_s": 8.5
 })";
 
@@ -42,6 +46,10 @@
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
+  CHECK(settings->m_domains == std::vector{DomainId("y"), DomainId("z")});
+  CHECK(settings->m_quota_window == std::chrono::seconds(4));
+  CHECK(settings->m_quota_over == 0.2);
+  CHECK(settings->m_quota_slack == 10);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -56,6 +64,12 @@
                std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
                std::tuple("2500", "900", "config_change_ms"),
                std::tuple("true", "1", "first_start"),
+               std::tuple("\"z\"]", "\"x\"]", "domains"),
+               std::tuple("\"y\"", "1", "domains"),
+               std::tuple("4,\n  \"quota_over", "0.5,\n  \"quota_over",
+                          "quota_window_s"),
+               std::tuple("0.2,", "-1,", "quota_over"),
+               std::tuple("10,", "\"10\",", "quota_slack"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
--- /dev/null
+++ b/src/libgateway/lead/lead_quota.cc
@@ -0,0 +1,58 @@
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/quota_term.h"
+#include "dotterelshed/steady_time.h"
+#include "lead/lead_service.h"
+#include "quota/quota_messages.h"
+
+/// @file
+/// When a lead may grant quota tokens from its domain's share.
+
+namespace dotterelshed {
+
+auto LeadService::MayGrantQuotas(TimePoint now) const -> bool {
+  return active() && m_quota_sole_from &&
+         MayGrant(m_ledger.m_confirmed_at, now);
+}
+
+auto LeadService::term() const -> ResourceVersion {
+  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
+  return lead ? lead->m_version : ResourceVersion(0);
+}
+
+auto LeadService::SetQuotaSoleFrom(std::string_view reason, TimePoint time)
+    -> void {
+  m_quota_sole_from = time;
+  if (m_has_quotas) {
+    LogEvent(LogEventId::kQuotaShareTaken,
+             {{"domain", m_context.m_settings.m_domain.value()},
+              {"reason", std::string(reason)},
+              {"wait_ms", FormatMs(time - SteadyTime())}});
+  }
+}
+
+auto LeadService::MakeHandover(const KnownLead& lead) const -> std::string {
+  const auto& domain = m_context.m_settings.m_domain;
+  const auto newest = m_context.LeadOf(domain);
+  const auto wait = WaitAfterHandover(m_quota_sole_from, SteadyTime());
+  const auto stopped = m_phase == Phase::kIdle && lead.m_domain == domain &&
+                       newest && newest->m_version == lead.m_version;
+  return m_has_quotas && stopped && wait
+             ? EncodeQuotaHandover({.m_incarnation = m_context.m_incarnation,
+                                    .m_wait = *wait})
+             : std::string();
+}
+
+auto LeadService::OnHandover(const Result<std::string>& reply) -> void {
+  const auto handover = reply.and_then(DecodeQuotaHandover);
+  const auto begun = m_phase == Phase::kAnnouncing || m_phase == Phase::kActive;
+  if (!handover || !begun || !m_previous_lead || !m_quota_sole_from ||
+      handover->m_incarnation != m_previous_lead->m_entry.m_incarnation) {
+    return;
+  }
+  const auto until = SteadyTime() + handover->m_wait;
+  if (until < *m_quota_sole_from) {
+    SetQuotaSoleFrom("handed_over", until);
+  }
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -21,6 +21,9 @@
 /// Interval at which a lead without changes writes to confirm that it still
 /// leads.
 constexpr Duration kConfirmInterval = std::chrono::seconds(4);
+/// The same while there are quotas, which a lead grants only for a short time
+/// after a confirmed write.
+constexpr Duration kQuotaConfirmInterval = std::chrono::milliseconds(500);
 /// Interval of retries after a failed write.
 constexpr Duration kStoreProbeInterval = std::chrono::milliseconds(500);
 
@@ -40,8 +43,16 @@
           .m_spec = EncodeStoredLedger(NextLedger(record))};
 }
 
+auto LeadService::IsConfirmDue(TimePoint now) const -> bool {
+  const auto interval = m_has_quotas ? kQuotaConfirmInterval : kConfirmInterval;
+  return now - m_ledger.m_confirmed_at >= interval;
+}
+
 auto LeadService::WriteJournal(TimePoint now) -> void {
-  if (m_waiting.empty() || now - m_last_write < kUrgentWriteInterval) {
+  const auto confirm = m_has_quotas && IsConfirmDue(now);
+  const auto interval =
+      m_waiting.empty() ? kQuotaConfirmInterval : kUrgentWriteInterval;
+  if ((m_waiting.empty() && !confirm) || now - m_last_write < interval) {
     return;
   }
   m_writing = true;
@@ -78,9 +89,9 @@
   if (now < m_retry_at) {
     return;
   }
-  const auto interval =
-      m_waiting.empty() ? kLazyWriteInterval : kUrgentWriteInterval;
-  const auto confirm = now - m_ledger.m_confirmed_at >= kConfirmInterval;
+  const auto lazy = m_has_quotas ? kQuotaConfirmInterval : kLazyWriteInterval;
+  const auto interval = m_waiting.empty() ? lazy : kUrgentWriteInterval;
+  const auto confirm = IsConfirmDue(now);
   const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm;
   const auto due = wanted && now - m_last_write >= interval;
   if (!due && !m_yield_callback) {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -67,6 +67,25 @@
   }
   auto Tick(TimePoint now) -> void;
 
+  // Quotas of client accounts.
+
+  /// States whether the configuration has quotas. If it has, a lead confirms
+  /// several times per second that it still leads.
+  auto SetQuotas(bool has_quotas) -> void { m_has_quotas = has_quotas; }
+  /// Returns true if this lead may grant from its domain's share of quotas,
+  /// which accrues from quota_sole_from().
+  auto MayGrantQuotas(TimePoint now) const -> bool;
+  /// Returns the moment from which no other lead of the domain grants quotas;
+  /// nothing before this host first led. Stays after the end of the term.
+  auto quota_sole_from() const -> std::optional<TimePoint> {
+    return m_quota_sole_from;
+  }
+  /// Returns the store version of the newest known entry of the domain's lead.
+  auto term() const -> ResourceVersion;
+  /// Returns the body of the answer to @p lead, which has announced itself:
+  /// what this host, as its predecessor, hands over. Empty if there is nothing.
+  auto MakeHandover(const KnownLead& lead) const -> std::string;
+
  private:
   /// After this time without a response, a write is verified by reading: the
   /// store may have lost only the response, and it serves the read on another
@@ -100,6 +119,10 @@
     TimePoint m_last_used;
   };
 
+  auto SetQuotaSoleFrom(std::string_view reason, TimePoint time) -> void;
+  /// Handles the answer of the previous lead to the announcement.
+  auto OnHandover(const Result<std::string>& reply) -> void;
+
   auto IsMine(const LeadEntry& entry) const -> bool;
   auto BecomeIdle() -> void;
   auto OnClaimWritten(const Result<StoredObject>& stored) -> void;
@@ -135,6 +158,8 @@
   auto OnFenced(std::int64_t fence) -> void;
   auto OnStoreLost() -> void;
   auto WriteJournal(TimePoint now) -> void;
+  /// Returns true if a write is due even if there is nothing to record.
+  auto IsConfirmDue(TimePoint now) const -> bool;
   /// Returns true while no record can be written, neither to the store nor to
   /// disk hosts.
   auto IsRecordingUnavailable() const -> bool {
@@ -186,6 +211,10 @@
   EndpointLoads m_loads;
   std::map<RequestId, PlacedTurn> m_placed_turns;
   TimePoint m_last_sweep;
+  bool m_has_quotas = false;
+  std::optional<TimePoint> m_quota_sole_from;
+  /// No write of the previous lead can be confirmed any more.
+  bool m_previous_fenced = false;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
@@ -137,6 +138,7 @@
 auto LeadService::BeginAdopting() -> void {
   m_phase = Phase::kAdopting;
   m_adopting_since = SteadyTime();
+  m_quota_sole_from.reset();
   Adopt();
 }
 
@@ -203,6 +205,7 @@
                    {{"step", "taken_over"},
                     {"write", std::to_string(entry->m_ledger.m_write)}});
         }
+        m_previous_fenced = result.m_complete;
         AdoptRecord(m_ledger, record, now);
         WriteAdopted();
       });
@@ -237,6 +240,10 @@
   m_ledger_version = stored->m_version;
   m_last_write = now;
   m_phase = Phase::kAnnouncing;
+  const TermStart start{.m_first = !m_previous_lead,
+                        .m_fenced = m_previous_fenced};
+  SetQuotaSoleFrom(start.m_fenced ? "taken_over" : "not_fenced",
+                   SoleFrom(start, now));
   ListLeads();
 }
 
@@ -260,9 +267,11 @@
 auto LeadService::Announce() -> void {
   const auto own = m_context.LeadOf(m_context.m_settings.m_domain);
   std::vector<std::string> addresses;
+  std::string previous;
   if (m_previous_lead &&
       m_previous_lead->m_entry.m_host != m_context.m_settings.m_host) {
-    addresses.push_back(m_previous_lead->m_entry.m_peer_address);
+    previous = m_previous_lead->m_entry.m_peer_address;
+    addresses.push_back(previous);
   }
   for (const auto& [domain, lead] : m_context.m_leads) {
     if (domain != m_context.m_settings.m_domain) {
@@ -274,7 +283,11 @@
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peer_connections, address, kLeadPath,
              EncodeKnownLead(*own), kAnnounceTimeout,
-             [this, announcement](const Result<std::string>& /*reply*/) {
+             [this, announcement, from_previous = address == previous](
+                 const Result<std::string>& reply) {
+               if (from_previous && announcement == m_announcement) {
+                 OnHandover(reply);
+               }
                // A host that cannot be reached cannot serve its clients either,
                // so a failure counts as done.
                OnAnnouncementDone(announcement);
--- a/src/libquota/quota_ledger.cc
+++ b/src/libquota/quota_ledger.cc
@@ -23,6 +23,10 @@
   const auto [found, added] = ledger.m_buckets.try_emplace(
       account, QuotaBucket{.m_filled_at = ledger.m_sole_from});
   auto& bucket = found->second;
+  if (bucket.m_filled_at > now) {
+    // The wait for the predecessor may have been shortened since.
+    bucket.m_filled_at = ledger.m_sole_from;
+  }
   if (now > bucket.m_filled_at) {
     bucket.m_level += size.m_rate * ToSeconds(now - bucket.m_filled_at);
     bucket.m_filled_at = now;
@@ -35,10 +39,9 @@
 
 auto DomainBucket(const Quota& quota, const QuotaBound& bound) -> BucketSize {
   const auto span = ToSeconds(bound.m_window + bound.m_lease);
-  const auto most =
-      (quota.m_rate * ToSeconds(bound.m_window) + quota.m_burst) *
-          (1 + bound.m_over) +
-      bound.m_slack * (1 - kReservedSlack);
+  const auto most = (quota.m_rate * ToSeconds(bound.m_window) + quota.m_burst) *
+                        (1 + bound.m_over) +
+                    bound.m_slack * (1 - kReservedSlack);
   const auto domains = static_cast<double>(std::max(bound.m_domains, 1));
   // A bucket that can't hold a whole token would never grant one.
   const auto capacity = std::max(most - quota.m_rate * span, domains);
@@ -69,7 +72,8 @@
   const auto size = DomainBucket(quota, ledger.m_bound);
   const auto& bucket = Refill(ledger, account, size, now);
   const auto missing = std::min(tokens, size.m_capacity) - bucket.m_level;
-  const auto wait = std::max(bucket.m_filled_at - now, Duration{0});
+  const auto wait = std::clamp(bucket.m_filled_at - now, Duration{0},
+                               FromSeconds(kMaxForecastSeconds));
   if (missing <= 0) {
     return wait;
   }
@@ -106,4 +110,12 @@
              : nullptr;
 }
 
+auto HasQuotas(const AccountTable* table) -> bool {
+  return table != nullptr &&
+         std::any_of(table->m_accounts.begin(), table->m_accounts.end(),
+                     [table](const auto& item) {
+                       return FindQuota(table, item.first) != nullptr;
+                     });
+}
+
 }  // namespace dotterelshed
--- a/src/libquota/quota_ledger_unittest.cc
+++ b/src/libquota/quota_ledger_unittest.cc
@@ -52,7 +52,8 @@
         10);
 }
 
-TEST_CASE("nothing extra is granted from a bucket that is less than half full") {
+TEST_CASE(
+    "nothing extra is granted from a bucket that is less than half full") {
   QuotaLedger ledger{.m_sole_from = kStart};
   const Quota quota{10, 0};
   const auto full = kStart + seconds(60);
--- a/src/libquota/quota_randomized_unittest.cc
+++ b/src/libquota/quota_randomized_unittest.cc
@@ -92,8 +92,7 @@
   lead->m_claim = first ? 1 : before->m_claim + 1;
   lead->m_ledger.m_bound = sim.m_bound;
   lead->m_confirmed_at = sim.m_now;
-  lead->m_sole_from =
-      SoleFrom({.m_first = first, .m_fenced = true}, sim.m_now);
+  lead->m_sole_from = SoleFrom({.m_first = first, .m_fenced = true}, sim.m_now);
   sim.m_leads[domain] = lead;
   const auto reachable = !first && before->m_paused_until <= sim.m_now &&
                          before->m_cut_until <= sim.m_now;
@@ -172,8 +171,7 @@
     return !sim.m_use_late || batches.empty() ||
            batches.front().m_until - sim.m_now < 3 * kStep;
   };
-  while (ready() &&
-         TakeToken(host.m_holding, sim.m_bound.m_lease, sim.m_now)) {
+  while (ready() && TakeToken(host.m_holding, sim.m_bound.m_lease, sim.m_now)) {
     sim.m_uses.push_back(sim.m_now);
   }
   while (!sim.m_uses.empty() &&
