--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -59,6 +59,7 @@
   kQuotaShareTaken = 521,
   kConfigInForce = 601,
   kConfigRejected = 602,
+  kAccountRejected = 603,
   kPlatformLost = 701,
   kPlatformBack = 702,
   kRetirementAnswered = 703,
--- a/src/libgateway/lead/lead_quota.cc
+++ b/src/libgateway/lead/lead_quota.cc
@@ -37,8 +37,8 @@
   const auto stopped = m_phase == Phase::kIdle && lead.m_domain == domain &&
                        newest && newest->m_version == lead.m_version;
   return m_has_quotas && stopped && wait
-             ? EncodeQuotaHandover({.m_incarnation = m_context.m_incarnation,
-                                    .m_wait = *wait})
+             ? EncodeQuotaHandover(
+                   {.m_incarnation = m_context.m_incarnation, .m_wait = *wait})
              : std::string();
 }
 
--- a/src/libgateway/quota/quota_client.cc
+++ b/src/libgateway/quota/quota_client.cc
@@ -136,19 +136,19 @@
     const auto own = lead->m_domain == m_context.m_settings.m_domain;
     const QuotaAskMessage message{.m_loan = !own, .m_asks = batch->m_asks};
     if (own && lead->m_entry.m_host == m_context.m_settings.m_host) {
-      m_service.HandleAsk(message,
-                          [this, batch, lead = *lead,
-                           now](const QuotaAnswerMessage& answer) {
-                            OnReply(batch, lead, now, answer);
-                          });
+      m_service.HandleAsk(message, [this, batch, lead = *lead,
+                                    now](const QuotaAnswerMessage& answer) {
+        OnReply(batch, lead, now, answer);
+      });
       return;
     }
-    CallPeer(m_context.m_loop, m_context.m_peer_connections,
-             lead->m_entry.m_peer_address, kQuotaPath, EncodeQuotaAsk(message),
-             kAskTimeout,
-             [this, batch, lead = *lead, now](const Result<std::string>& reply) {
-               OnReply(batch, lead, now, reply.and_then(DecodeQuotaAnswer));
-             });
+    CallPeer(
+        m_context.m_loop, m_context.m_peer_connections,
+        lead->m_entry.m_peer_address, kQuotaPath, EncodeQuotaAsk(message),
+        kAskTimeout,
+        [this, batch, lead = *lead, now](const Result<std::string>& reply) {
+          OnReply(batch, lead, now, reply.and_then(DecodeQuotaAnswer));
+        });
     return;
   }
   for (const auto& ask : batch->m_asks) {
@@ -220,11 +220,13 @@
   if (exhausted) {
     const auto hold = std::max(answer.m_next, kMinExhausted);
     state.m_holding.m_exhausted_until =
-        now + FromSeconds(ToSeconds(hold) * (1 + m_context.RandomFraction() / 2));
+        now +
+        FromSeconds(ToSeconds(hold) * (1 + m_context.RandomFraction() / 2));
     state.m_retry_after = answer.m_retry_after;
   }
-  RefuseWaiting(ask.m_account, left,
-                exhausted ? QuotaVerdict::kRefused : QuotaVerdict::kUnavailable);
+  RefuseWaiting(
+      ask.m_account, left,
+      exhausted ? QuotaVerdict::kRefused : QuotaVerdict::kUnavailable);
 }
 
 // Refusals.
@@ -249,22 +251,21 @@
                                                       : kUnavailableRetryAfter;
   // Spread, so that callers that were refused together don't come together.
   respond({.m_verdict = verdict,
-           .m_retry_after =
-               FromSeconds(ToSeconds(wait) * (1 + m_context.RandomFraction()))});
+           .m_retry_after = FromSeconds(ToSeconds(wait) *
+                                        (1 + m_context.RandomFraction()))});
 }
 
 auto QuotaClient::LogRefusals() -> void {
   for (auto& [account, state] : m_accounts) {
     for (const auto& [verdict, count] : std::exchange(state.m_refusals, {})) {
       CountMetric(MetricId::kQuotaRefusals, account.value(), count);
-      LogEvent(
-          LogEventId::kQuotaRefused,
-          {{"account", account.value()},
-           {"reason", std::string(ToString(verdict))},
-           {"count", std::to_string(count)},
-           {"retry_ms", FormatMs(state.m_retry_after)},
-           {"config",
-            std::to_string(m_context.m_routes->m_generation.value())}});
+      LogEvent(LogEventId::kQuotaRefused,
+               {{"account", account.value()},
+                {"reason", std::string(ToString(verdict))},
+                {"count", std::to_string(count)},
+                {"retry_ms", FormatMs(state.m_retry_after)},
+                {"config",
+                 std::to_string(m_context.m_routes->m_generation.value())}});
     }
   }
 }
--- a/src/libgateway/quota/quota_messages.cc
+++ b/src/libgateway/quota/quota_messages.cc
@@ -94,9 +94,9 @@
 
 auto DecodeQuotaHandover(std::string_view text) -> Result<QuotaHandover> {
   return Parse<QuotaHandover>(text, [](const Json& json) {
-    return QuotaHandover{
-        .m_incarnation = Incarnation(json.at("incarnation").get<std::int64_t>()),
-        .m_wait = ReadMs(json.at("quota_wait_ms"))};
+    return QuotaHandover{.m_incarnation = Incarnation(
+                             json.at("incarnation").get<std::int64_t>()),
+                         .m_wait = ReadMs(json.at("quota_wait_ms"))};
   });
 }
 
--- a/src/libgateway/quota/quota_messages_unittest.cc
+++ b/src/libgateway/quota/quota_messages_unittest.cc
@@ -18,13 +18,13 @@
   CHECK(ask->m_asks[0].m_extra == 4);
   CHECK(ask->m_asks[1].m_account == AccountId("\"b"));
 
-  const auto answer = DecodeQuotaAnswer(EncodeQuotaAnswer(
-      {.m_leads = true,
-       .m_grants = true,
-       .m_answers = {{.m_tokens = 2,
-                      .m_lease = milliseconds(300),
-                      .m_next = milliseconds(20),
-                      .m_retry_after = milliseconds(900)}}}));
+  const auto answer = DecodeQuotaAnswer(
+      EncodeQuotaAnswer({.m_leads = true,
+                         .m_grants = true,
+                         .m_answers = {{.m_tokens = 2,
+                                        .m_lease = milliseconds(300),
+                                        .m_next = milliseconds(20),
+                                        .m_retry_after = milliseconds(900)}}}));
   REQUIRE(answer);
   CHECK(answer->m_leads);
   CHECK(answer->m_grants);
--- a/src/libgateway/quota/quota_service.cc
+++ b/src/libgateway/quota/quota_service.cc
@@ -27,10 +27,11 @@
 }  // namespace
 
 auto QuotaBoundOf(const EntrySettings& settings) -> QuotaBound {
-  return {.m_window = settings.m_quota_window,
-          .m_over = settings.m_quota_over,
-          .m_slack = settings.m_quota_slack,
-          .m_domains = std::max(static_cast<int>(settings.m_domains.size()), 1)};
+  return {
+      .m_window = settings.m_quota_window,
+      .m_over = settings.m_quota_over,
+      .m_slack = settings.m_quota_slack,
+      .m_domains = std::max(static_cast<int>(settings.m_domains.size()), 1)};
 }
 
 QuotaService::QuotaService(EntryContext& context, LeadService& lead)
@@ -67,12 +68,11 @@
   }
   BeginTerm();
   const auto now = SteadyTime();
-  auto pending = std::make_shared<PendingAsk>(
-      PendingAsk{.m_message = message,
-                 .m_respond = std::move(respond),
-                 .m_since = now,
-                 .m_domains = message.m_loan ? std::vector<DomainId>()
-                                             : OtherDomains()});
+  auto pending = std::make_shared<PendingAsk>(PendingAsk{
+      .m_message = message,
+      .m_respond = std::move(respond),
+      .m_since = now,
+      .m_domains = message.m_loan ? std::vector<DomainId>() : OtherDomains()});
   pending->m_answer.m_leads = true;
   pending->m_answer.m_answers.resize(message.m_asks.size());
   GrantOwn(*pending, now);
@@ -139,8 +139,8 @@
     const auto may_have =
         exhausted == lender.m_exhausted.end() || exhausted->second <= now;
     if (missing > 0 && may_have) {
-      const auto expected = ExpectedUse(m_loans[ask.m_account],
-                                        m_ledger.m_bound.m_lease, now);
+      const auto expected =
+          ExpectedUse(m_loans[ask.m_account], m_ledger.m_bound.m_lease, now);
       asks.push_back({.m_account = ask.m_account,
                       .m_need = missing,
                       .m_extra = std::max(expected - missing, 0)});
@@ -183,8 +183,8 @@
                           const Result<QuotaAnswerMessage>& answer) -> void {
   const auto now = SteadyTime();
   auto& lender = m_lenders[domain];
-  const auto valid = answer && answer->m_leads &&
-                     answer->m_answers.size() == asks.size();
+  const auto valid =
+      answer && answer->m_leads && answer->m_answers.size() == asks.size();
   CountMetric(MetricId::kQuotaLoans, valid ? "answered" : "silent");
   if (!valid) {
     lender.m_silent_until = now + kSilence;
@@ -207,7 +207,8 @@
     const auto& ask = pending.m_message.m_asks[i];
     auto& answer = pending.m_answer.m_answers[i];
     const auto* quota = FindQuota(accounts(), ask.m_account);
-    CountMetric(MetricId::kQuotaTokens, pending.m_message.m_loan ? "lent" : "granted", answer.m_tokens);
+    CountMetric(MetricId::kQuotaTokens,
+                pending.m_message.m_loan ? "lent" : "granted", answer.m_tokens);
     if (answer.m_tokens >= ask.m_need || quota == nullptr) {
       continue;
     }
