--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -58,6 +58,8 @@
   kEndpointRejected = 505,
   kEndpointJudged = 506,
   kJudgementRejected = 507,
+  kQuotaRefused = 520,
+  kQuotaShareTaken = 521,
   kConfigInForce = 601,
   kConfigRejected = 602,
   kAccountRejected = 603,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -53,6 +53,11 @@
   kAccessDecisions,
   kAccountRequests,
   kAccountFailures,
+  kQuotaDecisions,
+  kQuotaRefusals,
+  kQuotaQuestions,
+  kQuotaLoans,
+  kQuotaTokens,
 };
 
 enum class MetricKind { kCounter, kGauge, kHistogram };
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -90,10 +90,13 @@
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
+      m_quota_service(m_context, m_lead),
+      m_quotas(m_context, m_lead, m_quota_service),
       m_history(m_context),
       m_crash_ledger_sync(m_context),
       m_peer_requests(m_context,
                       m_lead,
+                      m_quota_service,
                       m_crash_ledger_sync,
                       [this](ObjectKind kind) -> ObjectWatcher& {
                         return WatcherFor(kind);
@@ -213,6 +216,8 @@
   m_context.m_labelled_accounts = table->m_accounts
                                       ? LabelledAccounts(*table->m_accounts)
                                       : std::set<AccountId>();
+  m_lead.SetQuotas(HasQuotas(table->m_accounts.get()));
+  m_quota_service.ChangeAccounts(table->m_accounts.get());
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
@@ -250,8 +255,8 @@
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
-      m_context, m_grants, m_history, connection, std::move(request), *route,
-      [this](const std::shared_ptr<CallExchange>& ended) {
+      m_context, m_grants, m_history, m_quotas, connection, std::move(request),
+      *route, [this](const std::shared_ptr<CallExchange>& ended) {
         m_exchanges.erase(ended);
       });
   m_exchanges.insert(exchange);
@@ -365,6 +370,7 @@
   });
   TickGuarded(m_lead, now);
   TickGuarded(m_grants, now);
+  TickGuarded(m_quotas, now);
   TickGuarded(m_history, now);
   TickGuarded(m_crash_ledger_sync, now);
   RunGuarded("tick", [this, now] { TickHost(now); });
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -15,6 +15,8 @@
 #include "lead/lead_election.h"
 #include "lead/lead_service.h"
 #include "peer_request_handler.h"
+#include "quota/quota_client.h"
+#include "quota/quota_service.h"
 #include "view/endpoint_view.h"
 #include "view/object_watcher.h"
 
@@ -75,6 +77,8 @@
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
+  QuotaService m_quota_service;
+  QuotaClient m_quotas;
   HistoryClient m_history;
   CrashLedgerSync m_crash_ledger_sync;
   PeerRequestHandler m_peer_requests;
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -24,6 +24,10 @@
   "strict_key_withdrawal": true,
   "first_start": true,
   "obligations": ["base", "health"],
+  "domains": ["y", "z"],
+  "quota_window_s": 4,
+  "quota_over": 0.2,
+  "quota_slack": 10,
   "stop_grace_s": 8.5
 })";
 
@@ -49,6 +53,10 @@
   CHECK(settings->m_tolerated_losses == 2);
   CHECK(settings->m_obligations.m_judge_endpoints);
   CHECK_FALSE(settings->m_obligations.m_spare_connections);
+  CHECK(settings->m_domains == std::vector{DomainId("y"), DomainId("z")});
+  CHECK(settings->m_quota_window == std::chrono::seconds(4));
+  CHECK(settings->m_quota_over == 0.2);
+  CHECK(settings->m_quota_slack == 10);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -62,6 +70,12 @@
                std::tuple("1100", "0", "endpoint_heartbeat_ms"),
                std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
                std::tuple("2500", "900", "config_change_ms"),
+               std::tuple("\"z\"]", "\"x\"]", "domains"),
+               std::tuple("\"y\"", "1", "domains"),
+               std::tuple("4,\n  \"quota_over", "0.5,\n  \"quota_over",
+                          "quota_window_s"),
+               std::tuple("0.2,", "-1,", "quota_over"),
+               std::tuple("10,", "\"10\",", "quota_slack"),
                std::tuple("5500", "-1", "key_withdrawal_ms"),
                std::tuple("withdrawal\": true", "withdrawal\": 1",
                           "strict_key_withdrawal"),
--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 
 /// @file
@@ -26,6 +27,7 @@
 auto LeadService::BeginAdopting() -> void {
   m_phase = Phase::kAdopting;
   m_adopting_since = SteadyTime();
+  m_quota_sole_from.reset();
   Adopt();
 }
 
@@ -100,6 +102,7 @@
              {{"step", "taken_over"},
               {"write", std::to_string(entry->m_ledger.m_write)}});
   }
+  m_previous_fenced = result.m_complete;
   AdoptRecord(m_ledger, record, now);
   if (complete) {
     m_unread.reset();
@@ -173,6 +176,10 @@
   m_ledger_version = stored->m_version;
   m_last_write = now;
   m_phase = Phase::kAnnouncing;
+  const TermStart start{.m_first = !m_previous_lead,
+                        .m_fenced = m_previous_fenced};
+  SetQuotaSoleFrom(start.m_fenced ? "taken_over" : "not_fenced",
+                   SoleFrom(start, now));
   ListLeads();
 }
 
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
@@ -151,9 +152,11 @@
 auto LeadService::Announce() -> void {
   const auto own = m_context.LeadOf(m_context.m_settings.m_domain);
   std::vector<std::string> addresses;
+  std::string previous;
   if (m_previous_lead &&
       m_previous_lead->m_entry.m_host != m_context.m_settings.m_host) {
-    addresses.push_back(m_previous_lead->m_entry.m_peer_address);
+    previous = m_previous_lead->m_entry.m_peer_address;
+    addresses.push_back(previous);
   }
   for (const auto& [domain, lead] : m_context.m_leads) {
     if (domain != m_context.m_settings.m_domain) {
@@ -165,7 +168,11 @@
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peer_connections, address, kLeadPath,
              EncodeKnownLead(*own), kAnnounceTimeout,
-             [this, announcement](const Result<std::string>& /*reply*/) {
+             [this, announcement, from_previous = address == previous](
+                 const Result<std::string>& reply) {
+               if (from_previous && announcement == m_announcement) {
+                 OnHandover(reply);
+               }
                // A host that cannot be reached cannot serve its clients either,
                // so a failure counts as done.
                OnAnnouncementDone(announcement);
--- a/src/libgateway/peer_request_handler.cc
+++ b/src/libgateway/peer_request_handler.cc
@@ -26,10 +26,12 @@
 
 PeerRequestHandler::PeerRequestHandler(const EntryContext& context,
                                        LeadService& lead,
+                                       QuotaService& quotas,
                                        CrashLedgerSync& crash_ledger_sync,
                                        WatcherLookup watcher_for)
     : m_context(context),
       m_lead(lead),
+      m_quotas(quotas),
       m_crash_ledger_sync(crash_ledger_sync),
       m_watcher_for(std::move(watcher_for)) {}
 
@@ -72,6 +74,15 @@
                         kStatusOk, {},
                         EncodeFindAccountResponse(m_lead.FindAccount(message)));
                   });
+  } else if (target == kQuotaPath) {
+    HandleMessage(
+        connection, DecodeQuotaAsk(body),
+        [this, &connection](const QuotaAskMessage& message) {
+          m_quotas.HandleAsk(
+              message, [connection](const QuotaAnswerMessage& answer) {
+                connection->Answer(kStatusOk, {}, EncodeQuotaAnswer(answer));
+              });
+        });
   } else {
     return false;
   }
--- a/src/libgateway/peer_request_handler.h
+++ b/src/libgateway/peer_request_handler.h
@@ -10,6 +10,7 @@
 #include "dotterelshed/http_listener.h"
 #include "entry_context.h"
 #include "lead/lead_service.h"
+#include "quota/quota_service.h"
 #include "view/object_watcher.h"
 
 /// @file
@@ -26,6 +27,7 @@
 
   PeerRequestHandler(const EntryContext& context,
                      LeadService& lead,
+                     QuotaService& quotas,
                      CrashLedgerSync& crash_ledger_sync,
                      WatcherLookup watcher_for);
 
@@ -37,7 +39,7 @@
  private:
   // Handlers by topic; they return false if the target is another one.
 
-  /// Grants, settlements and searches of programs' accounts.
+  /// Grants, settlements and searches of programs' accounts; quota tokens.
   auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
                             std::string_view target,
                             const std::string& body) -> bool;
@@ -60,6 +62,7 @@
 
   const EntryContext& m_context;
   LeadService& m_lead;
+  QuotaService& m_quotas;
   CrashLedgerSync& m_crash_ledger_sync;
   WatcherLookup m_watcher_for;
 };
--- a/src/libgateway/random_messages_unittest.cc
+++ b/src/libgateway/random_messages_unittest.cc
@@ -230,9 +230,10 @@
     const auto find = DecodeFindAccountRequest(
         EncodeFindAccountRequest({.m_program = ProgramId(id)}));
     REQUIRE(find->m_program.value() == id);
-    const auto settled = DecodeSettlements(EncodeSettlements(
-        {{.m_program = ProgramId(id), .m_request = RequestId(id)}}));
-    REQUIRE(settled->at(0).m_request.value() == id);
+    const auto settled = DecodeSettlements(
+        EncodeSettlements({.m_settlements = {{.m_program = ProgramId(id),
+                                              .m_request = RequestId(id)}}}));
+    REQUIRE(settled->m_settlements.at(0).m_request.value() == id);
     const auto journal =
         DecodeJournalEntry(EncodeJournalEntry({.m_ledger = MakeLedger(id)}));
     REQUIRE(journal->m_ledger.m_record.m_bounds.contains(ProgramId(id)));
