Wait long enough for a view to be out of date in a test

A watch that had begun before the store went down could still confirm the view, so the strict case failed once of two runs of gateway_unittests.

--- a/src/libgateway/call/account_keys_unittest.cc
+++ b/src/libgateway/call/account_keys_unittest.cc
@@ -196,7 +196,9 @@
   environment.Start();
   CHECK(environment.StatusOf(MakeSafeCall("Credential: ka\r\n")) == 200);
   environment.m_store.SetDown(true);
-  environment.RunFor(environment.m_host_settings.m_key_withdrawal);
+  // A watch that had begun before may still confirm the view.
+  environment.RunFor(environment.m_host_settings.m_view_max_age +
+                     environment.m_host_settings.m_key_withdrawal);
   CHECK(environment.StatusOf(MakeSafeCall("Credential: ka\r\n")) ==
         (strict ? 503 : 200));
   // A new key may have been added meanwhile.
