Choose endpoints by expected end, and spare connections to them

Hosts compare each answer's speed to the usual one of its route and report it with the outcomes; the lead places turns by expected end (slowness times what runs there, the prompt to be read and the turn itself) instead of places. Connections are used until shortly before their announced end, and hosts prefer a subset of endpoints. Only where the settings list the obligations.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -7,6 +7,7 @@
 
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/endpoint_judgement.h"
+#include "dotterelshed/endpoint_speed.h"
 #include "dotterelshed/ids.h"
 #include "dotterelshed/units.h"
 
@@ -44,6 +45,13 @@
   const EndpointShares* m_shares = nullptr;
   /// Uniform in [0, 1); an endpoint with a smaller share is left out.
   double m_share_draw = 0;
+  /// How slow endpoints are; may be null. Then they are chosen by the places
+  /// that are taken, else by the expected end of the request.
+  const EndpointSlowness* m_slowness = nullptr;
+  /// Host whose connections are to be reused; empty if that doesn't matter.
+  HostId m_host;
+  /// Number of hosts in its domain; 0 if not known.
+  std::size_t m_hosts = 0;
   /// Uniform in [0, 1); breaks ties.
   double m_draw = 0;
 };
--- a/src/include/dotterelshed/host_judgement.h
+++ b/src/include/dotterelshed/host_judgement.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dotterelshed/endpoint_judgement.h"
+#include "dotterelshed/endpoint_speed.h"
 
 /// @file
 /// What one host makes of its own outcomes and of the judgement of its domain's
@@ -15,6 +16,9 @@
 /// A lead's judgement as it tells one host of its domain.
 struct DomainJudgement {
   EndpointShares m_shares;
+  /// How slow endpoints are, and the number of hosts in the domain.
+  EndpointSlowness m_slowness;
+  std::size_t m_hosts = 0;
   /// Probe that this host is to make with its next suitable request.
   std::optional<ProbeOrder> m_probe;
 };
@@ -26,6 +30,9 @@
   EndpointJudgement m_own;
   /// Outcomes that the lead hasn't been told of.
   OutcomeReport m_unreported;
+  SlownessReport m_unreported_slowness;
+  /// What this host takes for usual times.
+  SpeedReference m_usual;
   DomainJudgement m_domain;
   /// Time of the lead's last answer.
   TimePoint m_domain_at;
@@ -43,6 +50,12 @@
                  EndpointOutcome outcome,
                  TimePoint now) -> std::vector<JudgementChange>;
 
+/// An answer showed an endpoint's speed by @p measure.
+auto NoteSpeed(HostJudgement& judgement,
+               const EndpointId& endpoint,
+               std::string_view measure,
+               Duration time) -> void;
+
 /// The lead answered a report.
 auto TakeDomainJudgement(HostJudgement& judgement,
                          DomainJudgement domain,
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -178,6 +178,7 @@
                      .m_budget = *m_headers.m_budget,
                      .m_turn_max = m_headers.m_max_tokens};
   request.m_service = m_service;
+  request.m_host = SubsetHost();
   m_must_settle = true;
   m_grants.RequestTurn(
       request, [self = shared_from_this()](const TurnGrantResponse& response) {
@@ -237,15 +238,26 @@
       return probe;
     }
   }
-  return ChooseEndpoint(m_context.m_directory, m_context.m_loads,
-                        {.m_service = m_service,
-                         .m_domain = m_context.m_settings.m_domain,
-                         .m_excluded = m_excluded,
-                         .m_avoided = avoided,
-                         .m_shares = &judgement.m_shares,
-                         .m_share_draw = m_context.RandomFraction(),
-                         .m_draw = m_context.RandomFraction()},
-                        now);
+  return ChooseEndpoint(
+      m_context.m_directory, m_context.m_loads,
+      {.m_service = m_service,
+       .m_domain = m_context.m_settings.m_domain,
+       .m_excluded = m_excluded,
+       .m_avoided = avoided,
+       .m_shares = &judgement.m_shares,
+       .m_share_draw = m_context.RandomFraction(),
+       .m_slowness =
+           judgement.m_enabled ? &judgement.m_domain.m_slowness : nullptr,
+       .m_host = SubsetHost(),
+       .m_hosts = judgement.m_domain.m_hosts,
+       .m_draw = m_context.RandomFraction()},
+      now);
+}
+
+auto CallExchange::SubsetHost() const -> HostId {
+  const auto& settings = m_context.m_settings;
+  return settings.m_obligations.m_spare_connections ? settings.m_host
+                                                    : HostId();
 }
 
 auto CallExchange::MayUse(const EndpointId& next,
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -53,6 +53,10 @@
     std::string m_address;
     std::shared_ptr<ClientConnection> m_connection;
     TimePoint m_sent_at;
+    /// First and last event of the response, if any.
+    TimePoint m_first_event_at;
+    TimePoint m_last_event_at;
+    int m_events = 0;
     ResponseHead m_head;
     EndpointAnswerHeaders m_headers;
     bool m_sent = false;
@@ -87,8 +91,12 @@
   /// be used.
   auto MayUse(const EndpointId& next, const std::set<EndpointId>& avoided) const
       -> bool;
+  /// Name of this host if it keeps to a subset of endpoints, else empty.
+  auto SubsetHost() const -> HostId;
   /// Adds the outcome of the current attempt to the judgement of its endpoint.
   auto JudgeAttempt(EndpointOutcome outcome) -> void;
+  /// Adds what a whole response showed of the endpoint's speed.
+  auto NoteResponseSpeed() -> void;
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
       -> void;
   auto SendAttempt() -> void;
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr int kFirstServerError = 500;
+/// Events of which the time between them shows an endpoint's speed.
+constexpr int kMinEventsForSpeed = 3;
 /// Bytes buffered for a slow client before reading from the endpoint is paused.
 constexpr std::size_t kMaxBufferedBytes = 131072;
 /// Maximum size of one event; inference engines send none that is longer.
@@ -37,6 +39,23 @@
                   "host");
 }
 
+/// The time between events of a stream is the endpoint's alone, whatever the
+/// length of the prompt and the wait for a place.
+auto CallExchange::NoteResponseSpeed() -> void {
+  if (!IsSuccess(m_attempt.m_head.m_status)) {
+    return;
+  }
+  auto time = SteadyTime() - m_attempt.m_sent_at;
+  if (m_is_event_stream) {
+    if (m_attempt.m_events < kMinEventsForSpeed) {
+      return;
+    }
+    time = (m_attempt.m_last_event_at - m_attempt.m_first_event_at) /
+           (m_attempt.m_events - 1);
+  }
+  NoteSpeed(m_context.m_judgement, m_attempt.m_endpoint, m_route.m_name, time);
+}
+
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
   auto headers = ParseEndpointAnswerHeaders(head);
   if (headers.m_leaving) {
@@ -151,6 +170,10 @@
       m_last_event_id = event->m_id;
     }
     ++m_events_forwarded;
+    m_attempt.m_last_event_at = SteadyTime();
+    if (++m_attempt.m_events == 1) {
+      m_attempt.m_first_event_at = m_attempt.m_last_event_at;
+    }
     if (KeepsHistory()) {
       m_turn_text += EventData(event->m_text);
       m_turn_text += '\n';
@@ -173,6 +196,7 @@
     JudgeAttempt(failed    ? EndpointOutcome::kFailed
                  : partial ? EndpointOutcome::kGarbled
                            : EndpointOutcome::kServed);
+    NoteResponseSpeed();
   }
   if (m_attempt.m_discard_response) {
     const auto not_run = m_attempt.m_headers.m_not_run;
--- a/src/libgateway/connection_pool.cc
+++ b/src/libgateway/connection_pool.cc
@@ -27,8 +27,7 @@
   while (!idle.empty()) {
     auto last = std::move(idle.back());
     idle.pop_back();
-    const auto fresh = now - last.m_since <= max_idle && now < last.m_until;
-    if (fresh && last.m_connection->reusable()) {
+    if (IsFresh(last, max_idle, now) && last.m_connection->reusable()) {
       CountMetric(MetricId::kEndpointConnections, "kept");
       on_acquired(std::move(last.m_connection));
       return;
@@ -65,7 +64,17 @@
     keep = std::min(keep,
                     std::max(*keep_alive - kKeepAliveMargin, *keep_alive / 2));
   }
-  idle.push_back({connection, now, now + keep});
+  idle.push_back({connection, now, now + keep, keep_alive.has_value()});
+}
+
+auto ConnectionPool::IsFresh(const Idle& idle,
+                             Duration max_idle,
+                             TimePoint now) const -> bool {
+  if (now >= idle.m_until) {
+    return false;
+  }
+  return (m_options.m_trust_announced_end && idle.m_announced) ||
+         now - idle.m_since <= max_idle;
 }
 
 auto ConnectionPool::Tick(TimePoint now) -> void {
--- a/src/libgateway/connection_pool.h
+++ b/src/libgateway/connection_pool.h
@@ -22,6 +22,9 @@
   /// announced a shorter keep-alive time.
   Duration m_max_idle = std::chrono::seconds(20);
   std::size_t m_max_idle_per_address = 8;
+  /// Connections whose end the other side has announced are used until shortly
+  /// before it, whatever shorter time the caller of Acquire names.
+  bool m_trust_announced_end = false;
 };
 
 class ConnectionPool {
@@ -34,7 +37,7 @@
   /// Passes a pooled connection immediately, or a new one once it is
   /// established; nullptr if connecting fails.
   /// @param max_idle  Pooled connections that were idle for longer are not
-  /// used.
+  /// used, unless their end was announced and the options trust that.
   auto Acquire(const std::string& address,
                Duration max_idle,
                AcquireCallback on_acquired) -> void;
@@ -55,8 +58,14 @@
     std::shared_ptr<ClientConnection> m_connection;
     TimePoint m_since;
     TimePoint m_until;
+    /// The other side has announced when it closes the connection.
+    bool m_announced = false;
   };
 
+  /// Returns true if an idle connection may be used for a request.
+  auto IsFresh(const Idle& idle, Duration max_idle, TimePoint now) const
+      -> bool;
+
   EventLoop& m_loop;
   ConnectionPoolOptions m_options;
   std::map<std::string, std::vector<Idle>> m_idle;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -77,7 +77,10 @@
                 .m_store = ObjectStore(
                     loop,
                     {.m_address = CheckedAddress(settings.m_platform_address)}),
-                .m_endpoint_connections = ConnectionPool(loop, {}),
+                .m_endpoint_connections = ConnectionPool(
+                    loop,
+                    {.m_trust_announced_end =
+                         settings.m_obligations.m_spare_connections}),
                 .m_peer_connections = ConnectionPool(loop, {}),
                 .m_random = std::mt19937_64(std::random_device()())},
       m_endpoint_view(m_context),
--- a/src/libgateway/judgement/shared_judgement_unittest.cc
+++ b/src/libgateway/judgement/shared_judgement_unittest.cc
@@ -72,8 +72,7 @@
   TwoHosts hosts;
   hosts.CallUntil(hosts.Host(), 2);
   hosts.CallUntil(*hosts.m_other, 3);
-  const auto probed =
-      SteadyTime() + JudgementOptions().m_first_probe;
+  const auto probed = SteadyTime() + JudgementOptions().m_first_probe;
   hosts.m_environment.RunFor(std::chrono::milliseconds(200));
   auto served = 0;
   while (SteadyTime() < probed - std::chrono::milliseconds(200)) {
--- a/src/libgateway/lead/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -281,9 +281,10 @@
     -> void {
   auto& judgement = m_context.m_judgement;
   if (judgement.m_enabled && domain == m_context.m_settings.m_domain) {
-    batch.m_report =
-        EndpointReport{.m_host = m_context.m_settings.m_host,
-                       .m_outcomes = TakeUnreported(judgement, SteadyTime())};
+    batch.m_report = EndpointReport{
+        .m_host = m_context.m_settings.m_host,
+        .m_outcomes = TakeUnreported(judgement, SteadyTime()),
+        .m_slowness = std::exchange(judgement.m_unreported_slowness, {})};
   }
 }
 
--- a/src/libgateway/lead/lead_judgement.cc
+++ b/src/libgateway/lead/lead_judgement.cc
@@ -4,16 +4,28 @@
 
 namespace dotterelshed {
 
+namespace {
+
+/// A host without a report for this time no longer counts.
+constexpr Duration kHostSilence = std::chrono::seconds(30);
+
+}  // namespace
+
 auto LeadJudgement::TakeReport(const EndpointReport& report, TimePoint now)
     -> DomainJudgement {
   const auto changes =
       dotterelshed::TakeReport(m_judgement, m_context.m_directory,
                                report.m_host, report.m_outcomes, now);
+  m_hosts[report.m_host] = now;
+  TakeSlowness(m_paces, report.m_slowness, now);
   if (!changes.empty()) {
     ReportJudgement(changes, "lead");
     m_shares = SharesOf(m_judgement, m_context.m_directory);
   }
-  return {.m_shares = m_shares, .m_probe = HostProbe(now)};
+  return {.m_shares = m_shares,
+          .m_slowness = m_slowness,
+          .m_hosts = m_hosts.size(),
+          .m_probe = HostProbe(now)};
 }
 
 /// Endpoints of services that turns run on are probed with turns, which this
@@ -45,11 +57,18 @@
   ReportJudgement(AdvanceJudgement(m_judgement, m_context.m_directory, now),
                   "lead");
   m_shares = SharesOf(m_judgement, m_context.m_directory);
+  m_slowness = CollectSlowness(m_paces, now);
+  std::erase_if(m_hosts, [now](const auto& item) {
+    return now - item.second > kHostSilence;
+  });
 }
 
 auto LeadJudgement::Clear() -> void {
   m_judgement = {};
   m_shares.clear();
+  m_paces.clear();
+  m_slowness.clear();
+  m_hosts.clear();
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_judgement.h
+++ b/src/libgateway/lead/lead_judgement.h
@@ -22,6 +22,9 @@
   auto TakeTurnProbe(const ServiceId& service, TimePoint now)
       -> std::optional<EndpointId>;
   auto shares() const -> const EndpointShares& { return m_shares; }
+  auto slowness() const -> const EndpointSlowness& { return m_slowness; }
+  /// Number of hosts that reported recently.
+  auto hosts() const -> std::size_t { return m_hosts.size(); }
   auto Tick(TimePoint now) -> void;
   /// This host no longer leads, or leads anew.
   auto Clear() -> void;
@@ -32,6 +35,10 @@
   EntryContext& m_context;
   EndpointJudgement m_judgement;
   EndpointShares m_shares;
+  EndpointPaces m_paces;
+  EndpointSlowness m_slowness;
+  /// Hosts by the time of their last report.
+  std::map<HostId, TimePoint> m_hosts;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -104,13 +104,16 @@
 }
 
 auto EncodeTurnGrantRequest(const TurnGrantRequest& request) -> std::string {
-  return Json{{"program", request.m_grant.m_program.value()},
-              {"request", request.m_grant.m_request.value()},
-              {"budget", request.m_grant.m_budget.value()},
-              {"most", request.m_grant.m_turn_max.value()},
-              {"service", request.m_service.value()},
-              {"may_retry", request.m_may_retry}}
-      .dump();
+  Json json{{"program", request.m_grant.m_program.value()},
+            {"request", request.m_grant.m_request.value()},
+            {"budget", request.m_grant.m_budget.value()},
+            {"most", request.m_grant.m_turn_max.value()},
+            {"service", request.m_service.value()},
+            {"may_retry", request.m_may_retry}};
+  if (!request.m_host.empty()) {
+    json["host"] = request.m_host.value();
+  }
+  return json.dump();
 }
 
 auto DecodeTurnGrantRequest(std::string_view text) -> Result<TurnGrantRequest> {
@@ -123,6 +126,7 @@
     request.m_service = ServiceId(json.at("service"));
     // Hosts of earlier versions don't send it.
     request.m_may_retry = json.value("may_retry", false);
+    request.m_host = HostId(json.value("host", std::string()));
     return request;
   });
 }
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -24,6 +24,8 @@
 struct TurnGrantRequest {
   GrantRequest m_grant;
   ServiceId m_service;
+  /// Sender, if it prefers some endpoints; empty otherwise.
+  HostId m_host;
   /// The sender has time for one more request, so the lead may answer kRetry
   /// instead of a partial grant or a refusal.
   bool m_may_retry = false;
@@ -103,6 +105,7 @@
 struct EndpointReport {
   HostId m_host;
   OutcomeReport m_outcomes;
+  SlownessReport m_slowness;
 };
 
 /// Message of a host to a lead, sent at intervals.
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -21,12 +21,14 @@
                                              .m_budget = Tokens(400),
                                              .m_turn_max = Tokens(135)},
                                  .m_service = ServiceId("s"),
+                                 .m_host = HostId("h"),
                                  .m_may_retry = true};
   const auto read = DecodeTurnGrantRequest(EncodeTurnGrantRequest(request));
   REQUIRE(read);
   CHECK(read->m_grant.m_program == ProgramId("p"));
   CHECK(read->m_grant.m_budget == Tokens(400));
   CHECK(read->m_service == ServiceId("s"));
+  CHECK(read->m_host == HostId("h"));
   CHECK(read->m_may_retry);
 
   const auto verdict = GENERATE(
@@ -69,6 +71,7 @@
   batch.m_report = EndpointReport{.m_host = HostId("h")};
   CountOutcome(batch.m_report->m_outcomes, EndpointId("e"),
                EndpointOutcome::kLost);
+  AddSlowness(batch.m_report->m_slowness, EndpointId("e"), 1.5);
   return batch;
 }
 
@@ -81,6 +84,7 @@
   CHECK(read->m_report->m_host == HostId("h"));
   CHECK(CountOf(read->m_report->m_outcomes.at(EndpointId("e")),
                 EndpointOutcome::kLost) == 1);
+  CHECK(read->m_report->m_slowness == MakeBatch().m_report->m_slowness);
 }
 
 TEST_CASE("earlier versions read a batch with a report as settlements") {
@@ -97,10 +101,14 @@
 TEST_CASE("a lead's judgement is unchanged by encoding and decoding") {
   const DomainJudgement judgement{
       .m_shares = {{EndpointId("e"), 0.25}},
+      .m_slowness = {{EndpointId("e"), 1.5}},
+      .m_hosts = 14,
       .m_probe = ProbeOrder{.m_endpoint = EndpointId("f"), .m_any = true}};
   const auto read = DecodeDomainJudgement(EncodeDomainJudgement(judgement));
   REQUIRE(read);
   CHECK(read->m_shares == judgement.m_shares);
+  CHECK(read->m_slowness == judgement.m_slowness);
+  CHECK(read->m_hosts == 14);
   REQUIRE(read->m_probe);
   CHECK(read->m_probe->m_endpoint == EndpointId("f"));
   CHECK(read->m_probe->m_any);
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -159,6 +159,9 @@
                              .m_warm = hint.m_endpoint,
                              .m_shares = &m_judgement.shares(),
                              .m_share_draw = m_context.RandomFraction(),
+                             .m_slowness = KnownSlowness(),
+                             .m_host = request.m_host,
+                             .m_hosts = m_judgement.hosts(),
                              .m_draw = m_context.RandomFraction()},
                             now);
   }
@@ -171,6 +174,12 @@
   m_placed_turns[request.m_grant.m_request] = {*chosen, now};
 }
 
+/// Nothing where hosts don't judge endpoints: turns are then placed by the
+/// places that are taken.
+auto LeadService::KnownSlowness() const -> const EndpointSlowness* {
+  return m_context.m_judgement.m_enabled ? &m_judgement.slowness() : nullptr;
+}
+
 auto LeadService::TakeEndpointReport(const EndpointReport& report)
     -> std::optional<DomainJudgement> {
   if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -128,6 +128,7 @@
                    const TurnGrant& grant) const -> void;
   auto OnSearchCompleted(const ProgramId& program, const SearchOutcome& outcome)
       -> void;
+  auto KnownSlowness() const -> const EndpointSlowness*;
   /// Chooses the endpoint of a granted turn and adds it to @p response.
   auto PlaceTurn(const TurnGrantRequest& request,
                  TurnGrantResponse& response,
--- a/src/libgateway/lead/settlement_messages.cc
+++ b/src/libgateway/lead/settlement_messages.cc
@@ -9,7 +9,7 @@
 using Json = nlohmann::json;
 
 /// A lead's answer is read by each host many times a minute.
-constexpr std::size_t kMaxShares = 64;
+constexpr std::size_t kMaxListed = 64;
 
 /// The report is an item without program and request, of which earlier
 /// versions make nothing.
@@ -18,11 +18,16 @@
   for (const auto& [id, counts] : report.m_outcomes) {
     outcomes[id.value()] = counts;
   }
+  auto slowness = Json::object();
+  for (const auto& [id, sum] : report.m_slowness) {
+    slowness[id.value()] = {sum.m_answers, sum.m_sum};
+  }
   return {{"program", ""},
           {"request", ""},
           {"used", 0},
           {"host", report.m_host.value()},
-          {"outcomes", std::move(outcomes)}};
+          {"outcomes", std::move(outcomes)},
+          {"slowness", std::move(slowness)}};
 }
 
 auto ReadReport(const Json& json) -> EndpointReport {
@@ -30,9 +35,24 @@
   for (const auto& [id, counts] : json.at("outcomes").items()) {
     report.m_outcomes.emplace(EndpointId(id), counts.get<OutcomeCounts>());
   }
+  for (const auto& [id, sum] : json.at("slowness").items()) {
+    report.m_slowness.emplace(
+        EndpointId(id), SlownessSum{.m_answers = sum.at(0).get<std::uint32_t>(),
+                                    .m_sum = sum.at(1).get<double>()});
+  }
   return report;
 }
 
+auto WriteValues(const std::map<EndpointId, double>& values) -> Json {
+  auto json = Json::object();
+  for (const auto& [id, value] : values) {
+    if (json.size() < kMaxListed) {
+      json[id.value()] = value;
+    }
+  }
+  return json;
+}
+
 auto ReadBatch(const Json& json) -> SettlementBatch {
   SettlementBatch batch;
   for (const auto& one : json) {
@@ -52,6 +72,10 @@
   for (const auto& [id, share] : json.at("shares").items()) {
     judgement.m_shares.emplace(EndpointId(id), share.get<double>());
   }
+  for (const auto& [id, slowness] : json.at("slowness").items()) {
+    judgement.m_slowness.emplace(EndpointId(id), slowness.get<double>());
+  }
+  judgement.m_hosts = json.at("hosts").get<std::size_t>();
   if (json.contains("probe")) {
     judgement.m_probe = ProbeOrder{.m_endpoint = EndpointId(json.at("probe")),
                                    .m_any = json.value("any", false)};
@@ -88,13 +112,9 @@
 }
 
 auto EncodeDomainJudgement(const DomainJudgement& judgement) -> std::string {
-  auto shares = Json::object();
-  for (const auto& [id, share] : judgement.m_shares) {
-    if (shares.size() < kMaxShares) {
-      shares[id.value()] = share;
-    }
-  }
-  Json json{{"shares", std::move(shares)}};
+  Json json{{"shares", WriteValues(judgement.m_shares)},
+            {"slowness", WriteValues(judgement.m_slowness)},
+            {"hosts", judgement.m_hosts}};
   if (judgement.m_probe) {
     json["probe"] = judgement.m_probe->m_endpoint.value();
     json["any"] = judgement.m_probe->m_any;
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -80,6 +80,8 @@
   }
   auto running() const -> bool { return m_acceptor.is_open(); }
   auto requests() const -> int { return m_requests; }
+  /// Number of connections that were made.
+  auto connections() const -> std::size_t { return m_connections.size(); }
   /// Number of connections that the host has closed.
   auto ended() const -> int { return m_ended; }
 
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "dotterelshed/endpoint_subset.h"
+
 namespace dotterelshed {
 
 namespace {
@@ -19,6 +21,11 @@
 /// doesn't include this one. It doesn't exceed kAvoidedPenalty: a request that
 /// may end endpoints is worse.
 constexpr double kOutPenalty = 50;
+/// Work of the request itself, in the unit of ExpectedWork.
+constexpr double kOwnWork = 0.25;
+/// Score added to an endpoint of the own domain that the host has no kept
+/// connections to: less than one place at a small endpoint.
+constexpr double kOutsideSubsetPenalty = 0.06;
 /// Scores that differ by no more than this count as equal.
 constexpr double kTieTolerance = 0.01;
 /// Avoidance after the first failures; doubles with each further one.
@@ -33,35 +40,89 @@
   double m_score = 0;
 };
 
-auto Score(const EndpointEntry& entry,
-           const EndpointLoads& loads,
-           const ChoiceQuery& query,
-           TimePoint now) -> double {
-  auto score = entry.m_domain == query.m_domain ? 0 : kRemoteDomainPenalty;
-  if (!query.m_warm.empty() && query.m_warm != entry.m_id) {
-    score += kPromptMissPenalty;
-  }
-  if (query.m_avoided.contains(entry.m_id)) {
-    score += kAvoidedPenalty;
+/// Work that a request meets at an endpoint, in the time of a whole prompt and
+/// answer: what runs there, and the prompt if it isn't kept there.
+auto ExpectedWork(const EndpointEntry& entry,
+                  const EndpointLoads& loads,
+                  const ChoiceQuery& query) -> double {
+  const auto found = loads.find(entry.m_id);
+  const auto running = found == loads.end() ? 0 : found->second.m_outstanding;
+  const auto cold = !query.m_warm.empty() && query.m_warm != entry.m_id;
+  return static_cast<double>(running) / std::max(1, entry.m_slots) +
+         (cold ? kPromptMissPenalty : 0);
+}
+
+/// Times that the endpoint takes as multiples of the usual.
+auto Slowness(const EndpointEntry& entry, const ChoiceQuery& query) -> double {
+  const auto found = query.m_slowness->find(entry.m_id);
+  return found == query.m_slowness->end() ? 1 : found->second;
+}
+
+auto ExpectedEnd(const EndpointEntry& entry,
+                 const EndpointLoads& loads,
+                 const ChoiceQuery& query) -> double {
+  const auto work = ExpectedWork(entry, loads, query);
+  if (query.m_slowness == nullptr) {
+    return work;
   }
+  return Slowness(entry, query) * (kOwnWork + work);
+}
+
+/// Penalty of an endpoint that shouldn't get this request at all.
+auto AvoidancePenalty(const EndpointEntry& entry,
+                      const EndpointLoads& loads,
+                      const ChoiceQuery& query,
+                      TimePoint now) -> double {
+  auto penalty = query.m_avoided.contains(entry.m_id) ? kAvoidedPenalty : 0;
   if (query.m_shares != nullptr) {
     const auto share = query.m_shares->find(entry.m_id);
     const auto left_out =
         share != query.m_shares->end() && query.m_share_draw >= share->second;
-    score += left_out ? kOutPenalty : 0;
+    penalty += left_out ? kOutPenalty : 0;
   }
   const auto found = loads.find(entry.m_id);
-  if (found == loads.end()) {
-    return score;
+  if (found != loads.end() && found->second.m_avoid_until > now) {
+    penalty += kAvoidedPenalty;
   }
-  const auto& load = found->second;
-  score += static_cast<double>(load.m_outstanding) / std::max(1, entry.m_slots);
-  if (load.m_avoid_until > now) {
-    score += kAvoidedPenalty;
+  return penalty;
+}
+
+/// What all endpoints of a service are scored by.
+struct Scoring {
+  const EndpointLoads& m_loads;
+  const ChoiceQuery& m_query;
+  /// Share of the endpoints that the host prefers.
+  double m_subset_share = 1;
+  TimePoint m_now;
+};
+
+auto Score(const EndpointEntry& entry, const Scoring& scoring) -> double {
+  const auto& query = scoring.m_query;
+  auto score = ExpectedEnd(entry, scoring.m_loads, query) +
+               AvoidancePenalty(entry, scoring.m_loads, query, scoring.m_now);
+  if (entry.m_domain != query.m_domain) {
+    score += kRemoteDomainPenalty;
+  } else if (!IsInSubset(query.m_host, entry.m_id, scoring.m_subset_share)) {
+    score += kOutsideSubsetPenalty;
   }
   return score;
 }
 
+/// Share of the own domain's endpoints that the host prefers.
+auto SubsetShareOf(const EndpointDirectory& directory,
+                   const std::vector<EndpointId>& endpoints,
+                   const ChoiceQuery& query) -> double {
+  if (query.m_host.empty() || query.m_hosts == 0) {
+    return 1;
+  }
+  const auto own = std::count_if(endpoints.begin(), endpoints.end(),
+                                 [&directory, &query](const EndpointId& id) {
+                                   return directory.m_entries.at(id).m_domain ==
+                                          query.m_domain;
+                                 });
+  return SubsetShare(static_cast<std::size_t>(own), query.m_hosts);
+}
+
 }  // namespace
 
 auto ChooseEndpoint(const EndpointDirectory& directory,
@@ -72,11 +133,16 @@
   if (service == directory.m_by_service.end()) {
     return std::nullopt;
   }
+  const Scoring scoring{
+      .m_loads = loads,
+      .m_query = query,
+      .m_subset_share = SubsetShareOf(directory, service->second, query),
+      .m_now = now};
   std::vector<Scored> scored;
   for (const auto& id : service->second) {
     const auto& entry = directory.m_entries.at(id);
     if (!entry.m_leaving && !query.m_excluded.contains(id)) {
-      scored.push_back({id, Score(entry, loads, query, now)});
+      scored.push_back({id, Score(entry, scoring)});
     }
   }
   if (scored.empty()) {
--- a/src/librouting/endpoint_choice_unittest.cc
+++ b/src/librouting/endpoint_choice_unittest.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "dotterelshed/endpoint_subset.h"
+
 namespace dotterelshed {
 namespace {
 
@@ -96,5 +98,43 @@
   CHECK(Choose(MakeDirectory(), loads, only) == "a");
 }
 
+TEST_CASE("a fast endpoint is chosen before an emptier slow one") {
+  EndpointLoads loads;
+  loads[EndpointId("a")].m_outstanding = 2;
+  const EndpointSlowness slowness{
+      {EndpointId("a"), 0.6}, {EndpointId("b"), 2.5}, {EndpointId("c"), 2.5}};
+  CHECK(Choose(MakeDirectory(), loads, {.m_slowness = &slowness}) == "a");
+  CHECK(Choose(MakeDirectory(), loads) == "b");
+}
+
+TEST_CASE("a kept prompt at an endpoint that turned slow is read again") {
+  const EndpointSlowness slowness{{EndpointId("a"), 2.5}};
+  CHECK(Choose(MakeDirectory(), {},
+               {.m_warm = EndpointId("a"), .m_slowness = &slowness}) == "b");
+}
+
+TEST_CASE("a host keeps to its subset until the rest is clearly emptier") {
+  EndpointDirectory directory;
+  for (int i = 0; i < 40; ++i) {
+    PutEndpoint(directory, {.m_id = EndpointId("e" + std::to_string(i)),
+                            .m_service = ServiceId("s"),
+                            .m_domain = kHome,
+                            .m_slots = 10});
+  }
+  const HostId host("h");
+  const auto share = SubsetShare(40, 20);
+  EndpointLoads loads;
+  ChoiceQuery query{.m_host = host, .m_hosts = 20};
+  for (int i = 0; i < 100; ++i) {
+    query.m_draw = i / 100.0;
+    CHECK(IsInSubset(host, EndpointId(Choose(directory, loads, query)), share));
+  }
+  for (const auto& [id, entry] : directory.m_entries) {
+    loads[id].m_outstanding = IsInSubset(host, id, share) ? 2 : 0;
+  }
+  CHECK_FALSE(
+      IsInSubset(host, EndpointId(Choose(directory, loads, query)), share));
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -62,6 +62,16 @@
   return changes;
 }
 
+auto NoteSpeed(HostJudgement& judgement,
+               const EndpointId& endpoint,
+               std::string_view measure,
+               Duration time) -> void {
+  if (judgement.m_enabled && !endpoint.empty()) {
+    AddSlowness(judgement.m_unreported_slowness, endpoint,
+                CompareToUsual(judgement.m_usual, measure, time));
+  }
+}
+
 auto TakeDomainJudgement(HostJudgement& judgement,
                          DomainJudgement domain,
                          TimePoint now) -> void {
@@ -102,8 +112,7 @@
   auto& given = judgement.m_domain.m_probe;
   if (given && (repeatable || given->m_any)) {
     const auto* entry = FindEndpoint(directory, given->m_endpoint);
-    if (entry != nullptr && !entry->m_leaving &&
-        entry->m_service == service) {
+    if (entry != nullptr && !entry->m_leaving && entry->m_service == service) {
       return std::exchange(given, std::nullopt)->m_endpoint;
     }
   }
--- a/src/librouting/judgement/host_judgement_unittest.cc
+++ b/src/librouting/judgement/host_judgement_unittest.cc
@@ -12,8 +12,7 @@
 struct Host {
   Host() {
     for (const auto* id : {"bad", "b", "c", "d", "e", "f"}) {
-      PutEndpoint(m_directory,
-                  {.m_id = EndpointId(id), .m_service = kService});
+      PutEndpoint(m_directory, {.m_id = EndpointId(id), .m_service = kService});
     }
     m_judgement.m_enabled = true;
   }
@@ -50,7 +49,8 @@
   CHECK_FALSE(IsReportDue(host.m_judgement, host.m_now));
 }
 
-TEST_CASE("without a lead, a host's own outcomes put an endpoint out and back") {
+TEST_CASE(
+    "without a lead, a host's own outcomes put an endpoint out and back") {
   Host host;
   host.Note(EndpointOutcome::kLost, 3);
   CHECK(host.m_judgement.m_shares.at(kBad) == 0);
@@ -108,7 +108,7 @@
   OutcomeReport report;
   for (int i = 0; i < 1000; ++i) {
     CountOutcome(report, EndpointId("e" + std::to_string(i)),
-               EndpointOutcome::kLost);
+                 EndpointOutcome::kLost);
   }
   CHECK(report.size() == 64);
   CHECK(CountOutcome(report, EndpointId("e1"), EndpointOutcome::kServed));
--- a/src/librouting/speed/endpoint_speed.cc
+++ b/src/librouting/speed/endpoint_speed.cc
@@ -41,8 +41,8 @@
                     Duration time) -> double {
   auto found = reference.m_measures.find(measure);
   if (found == reference.m_measures.end()) {
-    found = reference.m_measures.emplace(std::string(measure),
-                                         SpeedReference::Measure())
+    found = reference.m_measures
+                .emplace(std::string(measure), SpeedReference::Measure())
                 .first;
   }
   auto& usual = found->second;
--- a/src/librouting/subset/endpoint_subset_unittest.cc
+++ b/src/librouting/subset/endpoint_subset_unittest.cc
@@ -18,10 +18,10 @@
 }
 
 TEST_CASE("subsets are even over hosts and endpoints at several sizes") {
-  const auto [hosts, endpoints] = GENERATE(
-      std::pair<std::size_t, std::size_t>(14, 18),
-      std::pair<std::size_t, std::size_t>(96, 133),
-      std::pair<std::size_t, std::size_t>(320, 12000));
+  const auto [hosts, endpoints] =
+      GENERATE(std::pair<std::size_t, std::size_t>(14, 18),
+               std::pair<std::size_t, std::size_t>(96, 133),
+               std::pair<std::size_t, std::size_t>(320, 12000));
   const auto share = SubsetShare(endpoints, hosts);
   std::vector<double> by_host(hosts);
   std::vector<double> by_endpoint(endpoints);
@@ -54,10 +54,10 @@
 }
 
 TEST_CASE("hosts and endpoints that come and go change few pairs of others") {
-  const auto [hosts, endpoints] = GENERATE(
-      std::pair<std::size_t, std::size_t>(14, 18),
-      std::pair<std::size_t, std::size_t>(96, 133),
-      std::pair<std::size_t, std::size_t>(320, 3000));
+  const auto [hosts, endpoints] =
+      GENERATE(std::pair<std::size_t, std::size_t>(14, 18),
+               std::pair<std::size_t, std::size_t>(96, 133),
+               std::pair<std::size_t, std::size_t>(320, 3000));
   const auto before = SubsetShare(endpoints, hosts);
   const auto after = SubsetShare(endpoints + 1, hosts - 1);
   auto changed = 0.0;
