Spread requests by speed where a host sees only its own load

Among equals they are now picked at random by speed; the lead, which sees the load of the domain, goes on choosing by expected end.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -48,6 +48,10 @@
   /// How slow endpoints are; may be null. Then they are chosen by the places
   /// that are taken, else by the expected end of the request.
   const EndpointSlowness* m_slowness = nullptr;
+  /// The loads are those of all hosts of the domain. One that sees only its own
+  /// requests can't tell when a fast endpoint is full, so it spreads equals by
+  /// their speed.
+  bool m_sees_all_load = false;
   /// Host whose connections are to be reused; empty if that doesn't matter.
   HostId m_host;
   /// Number of hosts in its domain; 0 if not known.
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -53,8 +53,8 @@
 }
 
 /// Times that the endpoint takes as multiples of the usual.
-auto Slowness(const EndpointEntry& entry, const ChoiceQuery& query) -> double {
-  const auto found = query.m_slowness->find(entry.m_id);
+auto Slowness(const EndpointId& id, const ChoiceQuery& query) -> double {
+  const auto found = query.m_slowness->find(id);
   return found == query.m_slowness->end() ? 1 : found->second;
 }
 
@@ -65,7 +65,8 @@
   if (query.m_slowness == nullptr) {
     return work;
   }
-  return Slowness(entry, query) * (kOwnWork + work);
+  return Slowness(entry.m_id, query) *
+         (work + (query.m_sees_all_load ? kOwnWork : 0));
 }
 
 /// Penalty of an endpoint that shouldn't get this request at all.
@@ -123,6 +124,26 @@
   return SubsetShare(static_cast<std::size_t>(own), query.m_hosts);
 }
 
+/// Picks one at random, by its speed if that is known.
+auto PickAmongEquals(const std::vector<Scored>& equals,
+                     const ChoiceQuery& query) -> EndpointId {
+  const auto speed = [&query](const Scored& one) {
+    return query.m_slowness == nullptr ? 1 : 1 / Slowness(one.m_id, query);
+  };
+  auto total = 0.0;
+  for (const auto& one : equals) {
+    total += speed(one);
+  }
+  auto left = query.m_draw * total;
+  for (const auto& one : equals) {
+    left -= speed(one);
+    if (left < 0) {
+      return one.m_id;
+    }
+  }
+  return equals.back().m_id;
+}
+
 }  // namespace
 
 auto ChooseEndpoint(const EndpointDirectory& directory,
@@ -154,9 +175,7 @@
   const auto limit = best->m_score + kTieTolerance;
   std::erase_if(scored,
                 [limit](const Scored& one) { return one.m_score > limit; });
-  const auto index = static_cast<std::size_t>(
-      query.m_draw * static_cast<double>(scored.size()));
-  return scored[std::min(index, scored.size() - 1)].m_id;
+  return PickAmongEquals(scored, query);
 }
 
 auto NoteFailure(EndpointLoad& load, TimePoint now) -> void {
--- a/src/librouting/endpoint_choice_unittest.cc
+++ b/src/librouting/endpoint_choice_unittest.cc
@@ -103,14 +103,28 @@
   loads[EndpointId("a")].m_outstanding = 2;
   const EndpointSlowness slowness{
       {EndpointId("a"), 0.6}, {EndpointId("b"), 2.5}, {EndpointId("c"), 2.5}};
-  CHECK(Choose(MakeDirectory(), loads, {.m_slowness = &slowness}) == "a");
+  CHECK(Choose(MakeDirectory(), loads,
+               {.m_slowness = &slowness, .m_sees_all_load = true}) == "a");
   CHECK(Choose(MakeDirectory(), loads) == "b");
 }
 
 TEST_CASE("a kept prompt at an endpoint that turned slow is read again") {
   const EndpointSlowness slowness{{EndpointId("a"), 2.5}};
   CHECK(Choose(MakeDirectory(), {},
-               {.m_warm = EndpointId("a"), .m_slowness = &slowness}) == "b");
+               {.m_warm = EndpointId("a"),
+                .m_slowness = &slowness,
+                .m_sees_all_load = true}) == "b");
+}
+
+TEST_CASE("a host that sees only its own load spreads equals by their speed") {
+  const EndpointSlowness slowness{{EndpointId("a"), 0.5}};
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 300; ++i) {
+    ++chosen[Choose(MakeDirectory(), {},
+                    {.m_slowness = &slowness, .m_draw = i / 300.0})];
+  }
+  CHECK(chosen["a"] == 200);
+  CHECK(chosen["b"] == 100);
 }
 
 TEST_CASE("a host keeps to its subset until the rest is clearly emptier") {
--- a/src/librouting/speed/choice_replay_unittest.cc
+++ b/src/librouting/speed/choice_replay_unittest.cc
@@ -52,6 +52,7 @@
     const auto chosen = ChooseEndpoint(m_directory, m_loads,
                                        {.m_service = kService,
                                         .m_slowness = slowness,
+                                        .m_sees_all_load = true,
                                         .m_draw = Draw()},
                                        m_now);
     REQUIRE(chosen);
@@ -72,12 +73,11 @@
       one.m_left_s -= ToSeconds(kStep) * Speed(one.m_endpoint) /
                       (1 + (kFullFactor - 1) * load);
     }
-    const auto ended = std::partition(
-        m_running.begin(), m_running.end(),
-        [](const Running& one) { return one.m_left_s > 0; });
-    std::for_each(ended, m_running.end(), [this](const Running& one) {
-      End(one);
-    });
+    const auto ended =
+        std::partition(m_running.begin(), m_running.end(),
+                       [](const Running& one) { return one.m_left_s > 0; });
+    std::for_each(ended, m_running.end(),
+                  [this](const Running& one) { End(one); });
     m_running.erase(ended, m_running.end());
   }
 
