Log why a turn was placed where it was, and narrow the subsets

turn_decided has the endpoint, what it had to do, its slowness, whether it has the prompt and whether it is probed, where hosts judge endpoints.

--- a/src/include/dotterelshed/endpoint_subset.h
+++ b/src/include/dotterelshed/endpoint_subset.h
@@ -14,9 +14,9 @@
 
 struct SubsetOptions {
   /// Width that suffices for a host's load and for losses.
-  double m_min_width = 8;
+  double m_min_width = 5;
   /// Hosts that should prefer each endpoint, so that none depends on few.
-  double m_hosts_per_endpoint = 8;
+  double m_hosts_per_endpoint = 5;
 };
 
 /// Returns the share of a service's endpoints that a host prefers, from 0 to 1.
--- /dev/null
+++ b/src/libgateway/lead/lead_placement.cc
@@ -0,0 +1,77 @@
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "dotterelshed/steady_time.h"
+#include "lead/lead_service.h"
+
+/// @file
+/// How a lead places turns on endpoints.
+
+namespace dotterelshed {
+
+auto LeadService::PlaceTurn(const TurnGrantRequest& request,
+                            TurnGrantResponse& response,
+                            TimePoint now) -> std::vector<LogField> {
+  auto& hint = m_program_hints[request.m_grant.m_program];
+  hint.m_last_used = now;
+  auto chosen = m_judgement.TakeTurnProbe(request.m_service, now);
+  response.m_probe = chosen.has_value();
+  if (!chosen) {
+    chosen = ChooseEndpoint(m_context.m_directory, m_loads,
+                            {.m_service = request.m_service,
+                             .m_domain = m_context.m_settings.m_domain,
+                             .m_warm = hint.m_endpoint,
+                             .m_shares = &m_judgement.shares(),
+                             .m_share_draw = m_context.RandomFraction(),
+                             .m_slowness = KnownSlowness(),
+                             .m_sees_all_load = true,
+                             .m_host = request.m_host,
+                             .m_hosts = m_judgement.hosts(),
+                             .m_draw = m_context.RandomFraction()},
+                            now);
+  }
+  if (!chosen) {
+    return {};
+  }
+  response.m_endpoint = *chosen;
+  const auto kept = std::exchange(hint.m_endpoint, *chosen) == *chosen;
+  auto placement = DescribePlacement(response, kept);
+  ++m_loads[*chosen].m_outstanding;
+  m_placed_turns[request.m_grant.m_request] = {*chosen, now};
+  return placement;
+}
+
+auto LeadService::DescribePlacement(const TurnGrantResponse& response,
+                                    bool kept) const -> std::vector<LogField> {
+  const auto* slowness = KnownSlowness();
+  if (slowness == nullptr) {
+    return {};
+  }
+  const auto load = m_loads.find(response.m_endpoint);
+  const auto outstanding =
+      load == m_loads.end() ? 0 : load->second.m_outstanding;
+  const auto found = slowness->find(response.m_endpoint);
+  const auto times = found == slowness->end() ? 1 : found->second;
+  return {{"endpoint", response.m_endpoint.value()},
+          {"outstanding", std::to_string(outstanding)},
+          {"slowness", fmt::format("{:.1f}", times)},
+          {"kept", kept ? "yes" : "no"},
+          {"probe", response.m_probe ? "yes" : "no"}};
+}
+
+/// Nothing where hosts don't judge endpoints: turns are then placed by the
+/// places that are taken.
+auto LeadService::KnownSlowness() const -> const EndpointSlowness* {
+  return m_context.m_judgement.m_enabled ? &m_judgement.slowness() : nullptr;
+}
+
+auto LeadService::TakeEndpointReport(const EndpointReport& report)
+    -> std::optional<DomainJudgement> {
+  if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
+    return std::nullopt;
+  }
+  return m_judgement.TakeReport(report, SteadyTime());
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -96,20 +96,18 @@
   const auto now = SteadyTime();
   const auto grant =
       RequestGrant(m_ledger, waiting.m_request.m_grant, conditions, now);
-  LogDecision(waiting.m_request.m_grant, conditions, grant);
-  switch (grant.m_decision) {
-    case GrantDecision::kGranted: {
-      TurnGrantResponse response{.m_verdict = GrantVerdict::kGranted,
-                                 .m_tokens = grant.m_tokens};
-      PlaceTurn(waiting.m_request, response, now);
-      waiting.m_respond(response);
-      return;
-    }
-    case GrantDecision::kBudgetSpent:
-      waiting.m_respond({.m_verdict = GrantVerdict::kBudgetSpent});
-      return;
-    case GrantDecision::kNeedsRecord:
-      break;
+  if (grant.m_decision == GrantDecision::kGranted) {
+    TurnGrantResponse response{.m_verdict = GrantVerdict::kGranted,
+                               .m_tokens = grant.m_tokens};
+    const auto placement = PlaceTurn(waiting.m_request, response, now);
+    LogDecision(waiting.m_request.m_grant, conditions, grant, placement);
+    waiting.m_respond(response);
+    return;
+  }
+  LogDecision(waiting.m_request.m_grant, conditions, grant, {});
+  if (grant.m_decision == GrantDecision::kBudgetSpent) {
+    waiting.m_respond({.m_verdict = GrantVerdict::kBudgetSpent});
+    return;
   }
   if (conditions.m_unverified) {
     waiting.m_respond({.m_verdict = GrantVerdict::kUnavailable});
@@ -126,69 +124,29 @@
 
 auto LeadService::LogDecision(const GrantRequest& request,
                               const GrantConditions& conditions,
-                              const TurnGrant& grant) const -> void {
+                              const TurnGrant& grant,
+                              const std::vector<LogField>& placement) const
+    -> void {
   CountMetric(MetricId::kTurnDecisions, ToString(grant.m_decision));
   const auto& account = m_ledger.m_accounts.at(request.m_program);
-  LogEvent(LogEventId::kTurnDecided,
-           {{"request", request.m_request.value()},
-            {"program", request.m_program.value()},
-            {"decision", std::string(ToString(grant.m_decision))},
-            {"tokens", std::to_string(grant.m_tokens.value())},
-            {"budget", std::to_string(account.m_budget.value())},
-            {"spent", std::to_string(account.m_spent.value())},
-            {"running", std::to_string(account.m_running.size())},
-            {"recorded", std::to_string(account.m_recorded_bound.value())},
-            {"advance", account.m_has_advance ? "yes" : "no"},
-            {"blind", conditions.m_unverified ? "yes" : "no"},
-            {"store", m_store_lost ? "lost" : "reached"}},
+  std::vector<LogField> fields = {
+      {"request", request.m_request.value()},
+      {"program", request.m_program.value()},
+      {"decision", std::string(ToString(grant.m_decision))},
+      {"tokens", std::to_string(grant.m_tokens.value())},
+      {"budget", std::to_string(account.m_budget.value())},
+      {"spent", std::to_string(account.m_spent.value())},
+      {"running", std::to_string(account.m_running.size())},
+      {"recorded", std::to_string(account.m_recorded_bound.value())},
+      {"advance", account.m_has_advance ? "yes" : "no"},
+      {"blind", conditions.m_unverified ? "yes" : "no"},
+      {"store", m_store_lost ? "lost" : "reached"}};
+  fields.insert(fields.end(), placement.begin(), placement.end());
+  LogEvent(LogEventId::kTurnDecided, fields,
            grant.m_decision == GrantDecision::kGranted ? LogWeight::kOrdinary
                                                        : LogWeight::kUnusual);
 }
 
-auto LeadService::PlaceTurn(const TurnGrantRequest& request,
-                            TurnGrantResponse& response,
-                            TimePoint now) -> void {
-  auto& hint = m_program_hints[request.m_grant.m_program];
-  hint.m_last_used = now;
-  auto chosen = m_judgement.TakeTurnProbe(request.m_service, now);
-  response.m_probe = chosen.has_value();
-  if (!chosen) {
-    chosen = ChooseEndpoint(m_context.m_directory, m_loads,
-                            {.m_service = request.m_service,
-                             .m_domain = m_context.m_settings.m_domain,
-                             .m_warm = hint.m_endpoint,
-                             .m_shares = &m_judgement.shares(),
-                             .m_share_draw = m_context.RandomFraction(),
-                             .m_slowness = KnownSlowness(),
-                             .m_sees_all_load = true,
-                             .m_host = request.m_host,
-                             .m_hosts = m_judgement.hosts(),
-                             .m_draw = m_context.RandomFraction()},
-                            now);
-  }
-  if (!chosen) {
-    return;
-  }
-  response.m_endpoint = *chosen;
-  hint.m_endpoint = *chosen;
-  ++m_loads[*chosen].m_outstanding;
-  m_placed_turns[request.m_grant.m_request] = {*chosen, now};
-}
-
-/// Nothing where hosts don't judge endpoints: turns are then placed by the
-/// places that are taken.
-auto LeadService::KnownSlowness() const -> const EndpointSlowness* {
-  return m_context.m_judgement.m_enabled ? &m_judgement.slowness() : nullptr;
-}
-
-auto LeadService::TakeEndpointReport(const EndpointReport& report)
-    -> std::optional<DomainJudgement> {
-  if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
-    return std::nullopt;
-  }
-  return m_judgement.TakeReport(report, SteadyTime());
-}
-
 auto LeadService::Settle(const std::vector<TurnSettlement>& settlements)
     -> bool {
   if (m_phase != Phase::kActive || m_yield_callback) {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "dotterelshed/log_events.h"
 #include "dotterelshed/program_ledger.h"
 #include "entry_context.h"
 #include "lead/account_search.h"
@@ -125,14 +126,20 @@
       -> void;
   auto LogDecision(const GrantRequest& request,
                    const GrantConditions& conditions,
-                   const TurnGrant& grant) const -> void;
+                   const TurnGrant& grant,
+                   const std::vector<LogField>& placement) const -> void;
+  /// Inputs of the choice of a turn's endpoint, for the log; empty where hosts
+  /// don't judge endpoints.
+  auto DescribePlacement(const TurnGrantResponse& response, bool kept) const
+      -> std::vector<LogField>;
   auto OnSearchCompleted(const ProgramId& program, const SearchOutcome& outcome)
       -> void;
   auto KnownSlowness() const -> const EndpointSlowness*;
-  /// Chooses the endpoint of a granted turn and adds it to @p response.
+  /// Chooses the endpoint of a granted turn and adds it to @p response. Returns
+  /// the inputs of the choice.
   auto PlaceTurn(const TurnGrantRequest& request,
                  TurnGrantResponse& response,
-                 TimePoint now) -> void;
+                 TimePoint now) -> std::vector<LogField>;
 
   auto FinishYield(bool done) -> void;
   auto WriteIfDue(TimePoint now) -> void;
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -25,7 +25,7 @@
 constexpr double kOwnWork = 0.25;
 /// Score added to an endpoint of the own domain that the host has no kept
 /// connections to: less than one place at a small endpoint.
-constexpr double kOutsideSubsetPenalty = 0.06;
+constexpr double kOutsideSubsetPenalty = 0.1;
 /// Scores that differ by no more than this count as equal.
 constexpr double kTieTolerance = 0.01;
 /// Avoidance after the first failures; doubles with each further one.
