--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -114,13 +114,16 @@
 }
 
 auto EncodeTurnGrantRequest(const TurnGrantRequest& request) -> std::string {
-  return Json{{"program", WriteId(request.m_grant.m_program)},
-              {"request", WriteId(request.m_grant.m_request)},
-              {"budget", request.m_grant.m_budget.value()},
-              {"most", request.m_grant.m_turn_max.value()},
-              {"service", WriteId(request.m_service)},
-              {"may_retry", request.m_may_retry}}
-      .dump();
+  Json json{{"program", WriteId(request.m_grant.m_program)},
+            {"request", WriteId(request.m_grant.m_request)},
+            {"budget", request.m_grant.m_budget.value()},
+            {"most", request.m_grant.m_turn_max.value()},
+            {"service", WriteId(request.m_service)},
+            {"may_retry", request.m_may_retry}};
+  if (!request.m_host.empty()) {
+    json["host"] = request.m_host.value();
+  }
+  return json.dump();
 }
 
 auto DecodeTurnGrantRequest(std::string_view text) -> Result<TurnGrantRequest> {
@@ -133,6 +136,7 @@
     request.m_service = ReadId<ServiceId>(json.at("service"));
     // Hosts of earlier versions don't send it.
     request.m_may_retry = json.value("may_retry", false);
+    request.m_host = HostId(json.value("host", std::string()));
     return request;
   });
 }
--- a/src/libgateway/lead/settlement_messages.cc
+++ b/src/libgateway/lead/settlement_messages.cc
@@ -10,7 +10,7 @@
 using Json = nlohmann::json;
 
 /// A lead's answer is read by each host many times a minute.
-constexpr std::size_t kMaxShares = 64;
+constexpr std::size_t kMaxListed = 64;
 
 /// The report is an item without program and request, of which earlier
 /// versions make nothing.
@@ -19,11 +19,16 @@
   for (const auto& [id, counts] : report.m_outcomes) {
     outcomes[WriteId(id)] = counts;
   }
+  auto slowness = Json::object();
+  for (const auto& [id, sum] : report.m_slowness) {
+    slowness[WriteId(id)] = {sum.m_answers, sum.m_sum};
+  }
   return {{"program", ""},
           {"request", ""},
           {"used", 0},
           {"host", report.m_host.value()},
-          {"outcomes", std::move(outcomes)}};
+          {"outcomes", std::move(outcomes)},
+          {"slowness", std::move(slowness)}};
 }
 
 auto ReadReport(const Json& json) -> EndpointReport {
@@ -32,9 +37,25 @@
     report.m_outcomes.emplace(EndpointId(DecodeText(id)),
                               counts.get<OutcomeCounts>());
   }
+  for (const auto& [id, sum] : json.at("slowness").items()) {
+    report.m_slowness.emplace(
+        EndpointId(DecodeText(id)),
+        SlownessSum{.m_answers = sum.at(0).get<std::uint32_t>(),
+                    .m_sum = sum.at(1).get<double>()});
+  }
   return report;
 }
 
+auto WriteValues(const std::map<EndpointId, double>& values) -> Json {
+  auto json = Json::object();
+  for (const auto& [id, value] : values) {
+    if (json.size() < kMaxListed) {
+      json[WriteId(id)] = value;
+    }
+  }
+  return json;
+}
+
 auto ReadBatch(const Json& json) -> SettlementBatch {
   SettlementBatch batch;
   for (const auto& one : json) {
@@ -54,6 +75,11 @@
   for (const auto& [id, share] : json.at("shares").items()) {
     judgement.m_shares.emplace(EndpointId(DecodeText(id)), share.get<double>());
   }
+  for (const auto& [id, slowness] : json.at("slowness").items()) {
+    judgement.m_slowness.emplace(EndpointId(DecodeText(id)),
+                                 slowness.get<double>());
+  }
+  judgement.m_hosts = json.at("hosts").get<std::size_t>();
   if (json.contains("probe")) {
     judgement.m_probe =
         ProbeOrder{.m_endpoint = ReadId<EndpointId>(json.at("probe")),
@@ -91,13 +117,9 @@
 }
 
 auto EncodeDomainJudgement(const DomainJudgement& judgement) -> std::string {
-  auto shares = Json::object();
-  for (const auto& [id, share] : judgement.m_shares) {
-    if (shares.size() < kMaxShares) {
-      shares[WriteId(id)] = share;
-    }
-  }
-  Json json{{"shares", std::move(shares)}};
+  Json json{{"shares", WriteValues(judgement.m_shares)},
+            {"slowness", WriteValues(judgement.m_slowness)},
+            {"hosts", judgement.m_hosts}};
   if (judgement.m_probe) {
     json["probe"] = WriteId(judgement.m_probe->m_endpoint);
     json["any"] = judgement.m_probe->m_any;
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -62,6 +62,16 @@
   return changes;
 }
 
+auto NoteSpeed(HostJudgement& judgement,
+               const EndpointId& endpoint,
+               std::string_view measure,
+               Duration time) -> void {
+  if (judgement.m_enabled && !endpoint.empty()) {
+    AddSlowness(judgement.m_unreported_slowness, endpoint,
+                CompareToUsual(judgement.m_usual, measure, time));
+  }
+}
+
 auto TakeDomainJudgement(HostJudgement& judgement,
                          DomainJudgement domain,
                          TimePoint now) -> void {
