--- a/src/libgateway/lead/ledger_journal.cc
+++ b/src/libgateway/lead/ledger_journal.cc
@@ -1,5 +1,6 @@
 #include "lead/ledger_journal.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -24,6 +25,12 @@
   JournalReadResult m_result;
 };
 
+/// Copies that an entry needs where there are @p hosts disk hosts; all of them
+/// if there are fewer than are wanted. A read needs all then, too.
+auto CopiesOf(std::size_t hosts, int wanted) -> int {
+  return std::min(static_cast<int>(hosts), wanted);
+}
+
 }  // namespace
 
 LedgerJournal::LedgerJournal(EntryContext& context) : m_context(context) {}
@@ -59,25 +66,26 @@
 
 auto LedgerJournal::Write(const JournalEntry& entry,
                           std::function<void(bool)> done) -> void {
-  if (static_cast<int>(m_addresses.size()) < RequiredCopies()) {
+  if (m_addresses.empty()) {
     done(false);
     return;
   }
   auto broadcast = std::make_shared<Broadcast>();
   broadcast->m_pending = static_cast<int>(m_addresses.size());
   const auto body = EncodeJournalEntry(entry);
-  const auto on_response = [broadcast, copies = RequiredCopies(),
-                            done = std::move(done)](bool stored) {
-    --broadcast->m_pending;
-    const auto before = broadcast->m_count;
-    broadcast->m_count += stored ? 1 : 0;
-    const auto secured = broadcast->m_count == copies && before < copies;
-    if (secured) {
-      done(true);
-    } else if (broadcast->m_pending == 0 && broadcast->m_count < copies) {
-      done(false);
-    }
-  };
+  const auto on_response =
+      [broadcast, copies = CopiesOf(m_addresses.size(), RequiredCopies()),
+       done = std::move(done)](bool stored) {
+        --broadcast->m_pending;
+        const auto before = broadcast->m_count;
+        broadcast->m_count += stored ? 1 : 0;
+        const auto secured = broadcast->m_count == copies && before < copies;
+        if (secured) {
+          done(true);
+        } else if (broadcast->m_pending == 0 && broadcast->m_count < copies) {
+          done(false);
+        }
+      };
   const auto addresses = m_addresses;
   for (const auto& address : addresses) {
     CallPeer(m_context.m_loop, m_context.m_peer_connections, address,
@@ -108,7 +116,9 @@
   }
   auto broadcast = std::make_shared<Broadcast>();
   broadcast->m_pending = static_cast<int>(m_addresses.size());
-  const auto on_response = [broadcast, stored, done, copies = RequiredCopies()](
+  const auto on_response = [broadcast, stored, done,
+                            copies =
+                                CopiesOf(m_addresses.size(), RequiredCopies())](
                                const Result<std::string>& reply) {
     broadcast->m_count += reply ? 0 : 1;
     const auto entry = reply.and_then(DecodeJournalEntry);
--- a/src/libgateway/lead/ledger_journal.h
+++ b/src/libgateway/lead/ledger_journal.h
@@ -12,9 +12,9 @@
 /// @file
 /// A lead's access to the disk hosts, which store its ledger while the
 /// platform's store is not writable. An entry is secured once it is stored on
-/// one more disk host than may fail at the same time. A read is complete if
-/// fewer disk hosts than that failed to respond, so that it meets at least one
-/// that has a secured entry.
+/// one more disk host than may fail at the same time, or on all of them if
+/// there are no more. A read is complete if fewer disk hosts than that failed
+/// to respond, so that it meets at least one that has a secured entry.
 
 namespace dotterelshed {
 
@@ -50,7 +50,8 @@
                      const LedgerPosition& stored,
                      const std::function<void(const JournalReadResult&)>& done)
       -> void;
-  /// Number of disk hosts that must store an entry for it to be secured.
+  /// Number of disk hosts that must store an entry for it to be secured, if
+  /// there are as many.
   auto RequiredCopies() const -> int {
     return m_context.m_settings.m_tolerated_losses + 1;
   }
