Send a stream to a second endpoint only if the first doesn't answer a probe

Cause: a host closed the connection to an endpoint that had been silent for 1.3 s and sent the stream to another one at once. Not all endpoints drop a request when its connection closes; a slow one works on.

Change: the host asks the silent endpoint for its health, which takes no slot. Any answer within 0.3 s shows that it is well: the host waits on. Without one another endpoint gets the stream. Where the route permits no other endpoint, and for requests that aren't streams, nothing changes.

--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "call/endpoint_probe.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
@@ -25,6 +26,8 @@
 /// Response timeout of streams; clients abandon a stream that is silent for two
 /// seconds.
 constexpr Duration kStreamResponseTimeout = std::chrono::milliseconds(1300);
+/// Time in which an endpoint that is well responds to a probe.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /// Minimum time left before the deadline for a retry after a response timeout.
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(200);
 /// Maximum idle time of a reused connection for a request that may be executed
@@ -421,6 +424,33 @@
     return;
   }
   m_retried_without_response = true;
+  const auto next_elsewhere =
+      static_cast<int>(m_may_have_run_on.size()) < m_route.m_max_attempts;
+  if (m_route.m_kind == CallKind::kStream && next_elsewhere) {
+    ProbeSilentEndpoint();
+  } else {
+    RetryAfterSilence();
+  }
+}
+
+/// An endpoint may go on with a stream after its connection was closed. So
+/// another one gets the stream only if this one hangs or can't be reached.
+auto CallExchange::ProbeSilentEndpoint() -> void {
+  ProbeEndpoint(m_context.m_loop, m_context.m_endpoint_connections,
+                m_attempt.m_address, kProbeTimeout,
+                [weak = weak_from_this(), attempt = m_attempts](bool answered) {
+                  const auto self = weak.lock();
+                  const auto waits = self && !self->m_finished &&
+                                     self->m_attempts == attempt &&
+                                     self->m_attempt.m_connection != nullptr &&
+                                     !self->m_attempt.m_response_started;
+                  if (waits && !answered) {
+                    self->RetryAfterSilence();
+                  }
+                });
+}
+
+auto CallExchange::RetryAfterSilence() -> void {
   m_attempt.m_connection->Close();
   ReportLostAttempt(CrashEvidence::kUnproved);
   HandleLostAttempt("silent");
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -102,6 +102,8 @@
   auto HandleNotExecuted(std::string_view reason) -> void;
   auto ResponseTimeout() const -> Duration;
   auto RetryIfNoResponse(TimePoint now) -> void;
+  auto ProbeSilentEndpoint() -> void;
+  auto RetryAfterSilence() -> void;
   auto EndAttempt() -> void;
   /// Rejects the request if it is quarantined. Returns false if it was
   /// rejected.
