Handle what arrived during a pause before requests are timed

Cause: after a pause of the process of over 1.3 s a tick could come before the answers that waited to be read, and took them for silent: the request was sent again, and an error of the next endpoint ended a stream. So "an error answer never gets into a resumed stream" failed beside load.

Change: the first tick that is over 200 ms late leaves the requests alone, never two in a row.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -21,6 +21,8 @@
 
 /// Resolution of all timeouts without a timer of their own.
 constexpr Duration kTick = std::chrono::milliseconds(25);
+/// A tick that is later than this follows a pause of the process.
+constexpr Duration kMaxTickDelay = std::chrono::milliseconds(200);
 /// Time after SIGTERM in which new requests are still accepted: the load
 /// balancer needs two failed readiness probes, one second apart.
 constexpr Duration kLameDuckTime = std::chrono::milliseconds(2800);
@@ -464,8 +466,10 @@
   const auto now = SteadyTime();
   const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
                                                         m_exchanges.end());
-  for (const auto& exchange : open) {
-    TickGuarded(*exchange, now);
+  if (!WasPaused(now)) {
+    for (const auto& exchange : open) {
+      TickGuarded(*exchange, now);
+    }
   }
   TickGuarded(m_endpoint_view, now);
   TickGuarded(*m_config_watcher, now);
@@ -483,6 +487,13 @@
   }
 }
 
+auto EntryHost::WasPaused(TimePoint now) -> bool {
+  const auto late = now - std::exchange(m_last_tick, now) > kMaxTickDelay;
+  // A host that is always late must not wait for ever.
+  m_was_paused = late && !m_was_paused;
+  return m_was_paused;
+}
+
 auto EntryHost::TickHost(TimePoint now) -> void {
   if (now - m_last_crash_sweep >= kCrashSweepInterval) {
     m_last_crash_sweep = now;
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -9,6 +9,7 @@
 #include "call/call_exchange.h"
 #include "crash/crash_ledger_sync.h"
 #include "dotterelshed/http_listener.h"
+#include "dotterelshed/steady_time.h"
 #include "entry_context.h"
 #include "history/history_client.h"
 #include "lead/grant_client.h"
@@ -84,6 +85,10 @@
   auto ApplyLimits() -> void;
 
   auto Tick() -> void;
+  /// Returns true if the process didn't run for a while before this tick. What
+  /// has arrived meanwhile is handled before the next one, so that it isn't
+  /// taken for silence.
+  auto WasPaused(TimePoint now) -> bool;
   /// Periodic work of the host itself.
   auto TickHost(TimePoint now) -> void;
   auto ContinueStop(TimePoint now) -> void;
@@ -105,6 +110,8 @@
   boost::asio::steady_timer m_tick_timer;
   TimePoint m_stop_started_at;
   TimePoint m_last_flush;
+  TimePoint m_last_tick = SteadyTime();
+  bool m_was_paused = false;
   TimePoint m_last_crash_sweep;
   bool m_views_started = false;
   bool m_stopping = false;
