Tell engines the order of turns

Engines served turns first come, first served, so that under a burst programs about to end waited behind new ones and behind those whose objective had passed. RankTurn (libadmission) gives each turn a rank by the share of its program's time that is left, by whether the program is new or too late, and by the priority of account or route; hosts send it as Request-Priority. The lead adds a program's age to its grant if the host asks for it. The setting turn_order is auto by default: only where the configuration names client accounts, so that earlier deployments send what they sent before.

--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -4,7 +4,7 @@
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
-set(DOTTERELSHED_PACKAGES base http account routing ledger quarantine history gateway
+set(DOTTERELSHED_PACKAGES base http account routing admission ledger quarantine history gateway
   config core platform peer backend host)
 
 function(dotterelshed_link target)
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -118,6 +118,18 @@
   return role == "disk" ? HostRole::kDisk : HostRole::kEntry;
 }
 
+auto ReadTurnOrder(SettingsReader& reader) -> TurnOrderMode {
+  const auto text = reader.Text("turn_order", false);
+  if (text.empty()) {
+    return TurnOrderMode::kAuto;
+  }
+  const auto mode = ParseTurnOrderMode(text);
+  if (!mode) {
+    reader.AddError("turn_order", "'" + text + "' is not auto, on or off");
+  }
+  return mode.value_or(TurnOrderMode::kAuto);
+}
+
 }  // namespace
 
 auto ParseEntrySettings(std::string_view text, std::string_view file)
@@ -156,6 +168,7 @@
       reader.Number("tolerated_losses", 0, settings.m_tolerated_losses));
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
+  settings.m_turn_order = ReadTurnOrder(reader);
   const auto level = reader.Text("log_level", false);
   if (!level.empty()) {
     settings.m_log_level = level;
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -7,6 +7,7 @@
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
+#include "dotterelshed/turn_order.h"
 #include "dotterelshed/units.h"
 
 /// @file
@@ -51,6 +52,8 @@
   int m_tolerated_losses = 1;
   /// Processor capacity of the host, in cores.
   double m_processor_share = 1.0;
+  /// When engines are told the order of turns.
+  TurnOrderMode m_turn_order = TurnOrderMode::kAuto;
   std::string m_log_level = "info";
 };
 
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -21,6 +21,7 @@
   "endpoint_leave_ms": 3000,
   "config_change_ms": 2500,
   "first_start": true,
+  "turn_order": "off",
   "stop_grace_s": 8.5
 })";
 
@@ -42,6 +43,9 @@
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
+  CHECK(settings->m_turn_order == TurnOrderMode::kOff);
+  CHECK(ParseEntrySettings(Changed("\"turn_order\": \"off\",", ""), "f")
+            ->m_turn_order == TurnOrderMode::kAuto);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -56,6 +60,7 @@
                std::tuple("3000", "\"3\"", "endpoint_leave_ms"),
                std::tuple("2500", "900", "config_change_ms"),
                std::tuple("true", "1", "first_start"),
+               std::tuple("\"off\"", "\"maybe\"", "turn_order"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
   const auto settings = ParseEntrySettings(Changed(from, to), "f");
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -104,13 +104,16 @@
 }
 
 auto EncodeTurnGrantRequest(const TurnGrantRequest& request) -> std::string {
-  return Json{{"program", request.m_grant.m_program.value()},
-              {"request", request.m_grant.m_request.value()},
-              {"budget", request.m_grant.m_budget.value()},
-              {"most", request.m_grant.m_turn_max.value()},
-              {"service", request.m_service.value()},
-              {"may_retry", request.m_may_retry}}
-      .dump();
+  Json json{{"program", request.m_grant.m_program.value()},
+            {"request", request.m_grant.m_request.value()},
+            {"budget", request.m_grant.m_budget.value()},
+            {"most", request.m_grant.m_turn_max.value()},
+            {"service", request.m_service.value()},
+            {"may_retry", request.m_may_retry}};
+  if (request.m_wants_age) {
+    json["wants_age"] = true;
+  }
+  return json.dump();
 }
 
 auto DecodeTurnGrantRequest(std::string_view text) -> Result<TurnGrantRequest> {
@@ -123,17 +126,21 @@
     request.m_service = ServiceId(json.at("service"));
     // Hosts of earlier versions don't send it.
     request.m_may_retry = json.value("may_retry", false);
+    request.m_wants_age = json.value("wants_age", false);
     return request;
   });
 }
 
 auto EncodeTurnGrantResponse(const TurnGrantResponse& response) -> std::string {
-  return Json{{"verdict", ToString(response.m_verdict)},
-              {"domain", response.m_domain.value()},
-              {"endpoint", response.m_endpoint.value()},
-              {"tokens", response.m_tokens.value()},
-              {"lead", WriteOptionalLead(response.m_lead)}}
-      .dump();
+  Json json{{"verdict", ToString(response.m_verdict)},
+            {"domain", response.m_domain.value()},
+            {"endpoint", response.m_endpoint.value()},
+            {"tokens", response.m_tokens.value()},
+            {"lead", WriteOptionalLead(response.m_lead)}};
+  if (response.m_age) {
+    json["age_us"] = response.m_age->count();
+  }
+  return json.dump();
 }
 
 auto DecodeTurnGrantResponse(std::string_view text)
@@ -150,6 +157,9 @@
     response.m_endpoint = EndpointId(json.at("endpoint"));
     response.m_tokens = ToTokens(json.at("tokens"));
     response.m_lead = ReadOptionalLead(json.at("lead"));
+    if (const auto age = json.find("age_us"); age != json.end()) {
+      response.m_age = Duration(age->get<std::int64_t>());
+    }
     return response;
   });
 }
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -100,7 +100,8 @@
     case GrantDecision::kGranted:
       waiting.m_respond({.m_verdict = GrantVerdict::kGranted,
                          .m_endpoint = PlaceTurn(waiting.m_request, now),
-                         .m_tokens = grant.m_tokens});
+                         .m_tokens = grant.m_tokens,
+                         .m_age = AgeOf(waiting.m_request, now)});
       return;
     case GrantDecision::kBudgetSpent:
       waiting.m_respond({.m_verdict = GrantVerdict::kBudgetSpent});
@@ -142,6 +143,18 @@
                                                        : LogWeight::kUnusual);
 }
 
+auto LeadService::AgeOf(const TurnGrantRequest& request, TimePoint now)
+    -> std::optional<Duration> {
+  if (!request.m_wants_age) {
+    return std::nullopt;
+  }
+  auto& started = m_program_hints[request.m_grant.m_program].m_started;
+  if (!started) {
+    started = now;
+  }
+  return now - *started;
+}
+
 auto LeadService::PlaceTurn(const TurnGrantRequest& request, TimePoint now)
     -> EndpointId {
   auto& hint = m_program_hints[request.m_grant.m_program];
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -98,6 +98,8 @@
     DomainId m_domain;
     EndpointId m_endpoint;
     TimePoint m_last_used;
+    /// First turn that this lead placed; nothing before.
+    std::optional<TimePoint> m_started;
   };
 
   auto IsMine(const LeadEntry& entry) const -> bool;
@@ -124,6 +126,9 @@
   auto OnSearchCompleted(const ProgramId& program, const SearchOutcome& outcome)
       -> void;
   auto PlaceTurn(const TurnGrantRequest& request, TimePoint now) -> EndpointId;
+  /// Age of the request's program, if the request asks for it.
+  auto AgeOf(const TurnGrantRequest& request, TimePoint now)
+      -> std::optional<Duration>;
 
   auto FinishYield(bool done) -> void;
   auto WriteIfDue(TimePoint now) -> void;
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -286,6 +286,7 @@
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
     settings.m_platform_address = FormatTcpAddress(m_store.address());
+    settings.m_turn_order = m_turn_order;
     auto host = std::make_unique<EntryHost>(m_loop, settings);
     REQUIRE(host->Start());
     return host;
@@ -339,6 +340,8 @@
 
   EventLoop m_loop;
   TestStore m_store;
+  /// Setting of the hosts that are started from now on.
+  TurnOrderMode m_turn_order = TurnOrderMode::kAuto;
   std::vector<std::unique_ptr<ScriptedEndpoint>> m_endpoints;
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
