--- a/src/libgateway/peer_request_handler.h
+++ b/src/libgateway/peer_request_handler.h
@@ -53,8 +53,6 @@
   auto HandleViewRequest(const std::shared_ptr<ServerConnection>& connection,
                          std::string_view target,
                          const std::string& body) -> bool;
-  auto OnSettlements(const std::shared_ptr<ServerConnection>& connection,
-                     const SettlementBatch& batch) -> void;
   auto OnViewRequest(const std::shared_ptr<ServerConnection>& connection,
                      const ViewRequest& request) -> void;
   auto OnYieldRequest(const std::shared_ptr<ServerConnection>& connection,
