--- a/src/cmake/PackageTargets.cmake
+++ b/src/cmake/PackageTargets.cmake
@@ -4,8 +4,7 @@
 # dotterelshed_program(NAME DEPENDS ...): builds src/<NAME>/*.cc; its unit tests
 # are built with all of them but main.cc.
 
-set(DOTTERELSHED_PACKAGES base http account quota routing admission ledger
-  quarantine history gateway
+set(DOTTERELSHED_PACKAGES base http account quota routing ledger quarantine history gateway
   config core platform peer backend host)
 
 function(dotterelshed_link target)
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -68,8 +68,6 @@
   const auto& engine = TraitsOf(*m_routes, m_service).m_engine;
   if (engine) {
     m_tokens_per_event = engine->m_tokens_per_event;
-    m_orders_turns = IsTurnOrderUsed(m_context.m_settings.m_turn_order,
-                                     m_routes->m_accounts != nullptr);
   }
   auto wait = m_route.m_timeout - kTimeoutMargin;
   if (m_headers.m_deadline) {
@@ -237,7 +235,6 @@
                      .m_turn_max = m_headers.m_max_tokens};
   request.m_service = m_service;
   request.m_host = SubsetHost();
-  request.m_wants_age = m_orders_turns;
   m_must_settle = true;
   m_grants.RequestTurn(
       request, [self = shared_from_this()](const TurnGrantResponse& response) {
@@ -262,7 +259,6 @@
       m_next_endpoint = response.m_endpoint;
       m_is_probe = response.m_probe;
       m_granted_tokens = response.m_tokens;
-      m_program_age = response.m_age;
       StartNextAttempt();
       return;
     case GrantVerdict::kBudgetSpent:
@@ -406,8 +402,6 @@
   }
   attempt.m_accounts_in_force = m_access.m_outcome != AccessOutcome::kNotNeeded;
   attempt.m_account = m_account;
-  m_rank = RankForEngine(now);
-  attempt.m_rank = m_rank;
   const auto& head = m_request.m_head;
   auto bytes = FormatRequest(
       head.m_method, head.m_target, MakeEndpointFields(head.m_fields, attempt),
@@ -429,23 +423,6 @@
            [self](ExchangeFailure failure) { self->OnFailure(failure); }});
 }
 
-auto CallExchange::RankForEngine(TimePoint now) const
-    -> std::optional<TurnRank> {
-  if (!m_orders_turns) {
-    return std::nullopt;
-  }
-  const auto since_arrival = now - m_started_at;
-  TurnStanding standing{
-      .m_route_priority = m_route.m_priority,
-      .m_first = m_program_age == Duration{0} && !m_headers.m_previous_turn,
-      .m_time_left = m_headers.m_time_left,
-      .m_age = m_program_age};
-  if (standing.m_time_left) {
-    *standing.m_time_left -= since_arrival;
-  }
-  return RankTurn(standing);
-}
-
 auto CallExchange::EndAttempt() -> void {
   if (m_attempt.m_endpoint.empty()) {
     return;
@@ -603,20 +580,6 @@
   }
 }
 
-/// What the last attempt's place in the order was decided by.
-auto CallExchange::AddOrder(std::vector<LogField>& fields) const -> void {
-  if (!m_rank) {
-    return;
-  }
-  fields.push_back({"rank", std::to_string(m_rank->value())});
-  if (m_headers.m_time_left) {
-    fields.push_back({"left_ms", FormatMs(*m_headers.m_time_left)});
-  }
-  if (m_program_age) {
-    fields.push_back({"age_ms", FormatMs(*m_program_age)});
-  }
-}
-
 auto CallExchange::Finish(int status, std::string_view reason) -> void {
   m_finished = true;
   GiveBackQuota();
@@ -639,21 +602,19 @@
   if (m_forwarding) {
     ObserveMetric(MetricId::kEntryFirstByteSeconds, kind, m_time_to_first_byte);
   }
-  std::vector<LogField> fields{
-      {"request", m_headers.m_request.value()},
-      {"program", m_headers.m_program.value()},
-      {"account", m_account.value_or(AccountId()).value()},
-      {"route", m_route.m_name},
-      {"status", std::to_string(status)},
-      {"reason", std::string(reason)},
-      {"attempts", std::to_string(m_attempts)},
-      {"events", std::to_string(m_events_forwarded)},
-      {"first_ms", FormatMs(m_time_to_first_byte)},
-      {"ms", FormatMs(now - m_started_at)},
-      {"config", std::to_string(m_routes->m_generation.value())},
-      {"view_ms", FormatMs(m_context.m_endpoint_watcher->Age(now))}};
-  AddOrder(fields);
-  LogEvent(LogEventId::kRequestEnded, fields,
+  LogEvent(LogEventId::kRequestEnded,
+           {{"request", m_headers.m_request.value()},
+            {"program", m_headers.m_program.value()},
+            {"account", m_account.value_or(AccountId()).value()},
+            {"route", m_route.m_name},
+            {"status", std::to_string(status)},
+            {"reason", std::string(reason)},
+            {"attempts", std::to_string(m_attempts)},
+            {"events", std::to_string(m_events_forwarded)},
+            {"first_ms", FormatMs(m_time_to_first_byte)},
+            {"ms", FormatMs(now - m_started_at)},
+            {"config", std::to_string(m_routes->m_generation.value())},
+            {"view_ms", FormatMs(m_context.m_endpoint_watcher->Age(now))}},
            IsSuccess(status) ? LogWeight::kOrdinary : LogWeight::kUnusual);
   m_completed(shared_from_this());
 }
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -12,9 +12,7 @@
 #include "call/event_splitter.h"
 #include "dotterelshed/http_client.h"
 #include "dotterelshed/http_listener.h"
-#include "dotterelshed/log_events.h"
 #include "dotterelshed/route_table.h"
-#include "dotterelshed/turn_order.h"
 #include "entry_context.h"
 #include "history/history_client.h"
 #include "lead/grant_client.h"
@@ -122,9 +120,6 @@
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
       -> void;
   auto SendAttempt() -> void;
-  /// Place of a turn in the order that its engine is told; nothing if the
-  /// engine is to follow its own.
-  auto RankForEngine(TimePoint now) const -> std::optional<TurnRank>;
   auto OnHead(ResponseHead& head) -> HeadVerdict;
   /// Returns true if the current response must not reach the caller, since
   /// another attempt follows or since it can't continue a stream.
@@ -163,7 +158,6 @@
   auto RespondUnserved(std::string_view reason, Duration retry_after) -> void;
   auto AbortResponse(std::string_view reason) -> void;
   auto OnCallerDisconnected() -> void;
-  auto AddOrder(std::vector<LogField>& fields) const -> void;
   auto Finish(int status, std::string_view reason) -> void;
 
   EntryContext& m_context;
@@ -215,12 +209,6 @@
   /// Tokens granted by the lead for a turn. An endpoint may generate more, so
   /// the stream is cut at this limit.
   std::optional<Tokens> m_granted_tokens;
-  /// Age of the program as known to the lead.
-  std::optional<Duration> m_program_age;
-  /// Engines are told the order of turns.
-  bool m_orders_turns = false;
-  /// Rank that the engine of the last attempt was told.
-  std::optional<TurnRank> m_rank;
   int m_response_status = 0;
   Duration m_time_to_first_byte{0};
   bool m_retried_without_response = false;
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -157,18 +157,6 @@
       reader.Number("quota_slack", 0, settings.m_quota_slack);
 }
 
-auto ReadTurnOrder(SettingsReader& reader) -> TurnOrderMode {
-  const auto text = reader.Text("turn_order", false);
-  if (text.empty()) {
-    return TurnOrderMode::kAuto;
-  }
-  const auto mode = ParseTurnOrderMode(text);
-  if (!mode) {
-    reader.AddError("turn_order", "'" + text + "' is not auto, on or off");
-  }
-  return mode.value_or(TurnOrderMode::kAuto);
-}
-
 }  // namespace
 
 auto ParseEntrySettings(std::string_view text, std::string_view file)
@@ -213,7 +201,6 @@
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
   settings.m_obligations = ReadObligations(reader.Texts("obligations"));
-  settings.m_turn_order = ReadTurnOrder(reader);
   const auto level = reader.Text("log_level", false);
   if (!level.empty()) {
     settings.m_log_level = level;
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -8,7 +8,6 @@
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/error.h"
 #include "dotterelshed/ids.h"
-#include "dotterelshed/turn_order.h"
 #include "dotterelshed/units.h"
 #include "platform/obligations.h"
 
@@ -70,8 +69,6 @@
   double m_processor_share = 1.0;
   /// What the deployment asks for; see obligations.h.
   Obligations m_obligations;
-  /// When engines are told the order of turns.
-  TurnOrderMode m_turn_order = TurnOrderMode::kAuto;
   std::string m_log_level = "info";
 };
 
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -28,7 +28,6 @@
   "quota_window_s": 4,
   "quota_over": 0.2,
   "quota_slack": 10,
-  "turn_order": "off",
   "stop_grace_s": 8.5
 })";
 
@@ -58,9 +57,6 @@
   CHECK(settings->m_quota_window == std::chrono::seconds(4));
   CHECK(settings->m_quota_over == 0.2);
   CHECK(settings->m_quota_slack == 10);
-  CHECK(settings->m_turn_order == TurnOrderMode::kOff);
-  CHECK(ParseEntrySettings(Changed("\"turn_order\": \"off\",", ""), "f")
-            ->m_turn_order == TurnOrderMode::kAuto);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
@@ -84,7 +80,6 @@
                std::tuple("withdrawal\": true", "withdrawal\": 1",
                           "strict_key_withdrawal"),
                std::tuple("start\": true", "start\": 1", "first_start"),
-               std::tuple("\"off\"", "\"maybe\"", "turn_order"),
                std::tuple("0.25", "true", "processor_share"),
                std::tuple("\"base\"", "7", "obligations"),
                std::tuple("stop_grace_s", "stop_grace", "stop_grace"));
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -123,9 +123,6 @@
   if (!request.m_host.empty()) {
     json["host"] = request.m_host.value();
   }
-  if (request.m_wants_age) {
-    json["wants_age"] = true;
-  }
   return json.dump();
 }
 
@@ -140,7 +137,6 @@
     // Hosts of earlier versions don't send it.
     request.m_may_retry = json.value("may_retry", false);
     request.m_host = HostId(json.value("host", std::string()));
-    request.m_wants_age = json.value("wants_age", false);
     return request;
   });
 }
@@ -154,9 +150,6 @@
   if (response.m_probe) {
     json["probe"] = true;
   }
-  if (response.m_age) {
-    json["age_us"] = response.m_age->count();
-  }
   return json.dump();
 }
 
@@ -175,9 +168,6 @@
     response.m_tokens = ToTokens(json.at("tokens"));
     response.m_probe = json.value("probe", false);
     response.m_lead = ReadOptionalLead(json.at("lead"));
-    if (const auto age = json.find("age_us"); age != json.end()) {
-      response.m_age = Duration(age->get<std::int64_t>());
-    }
     return response;
   });
 }
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -29,9 +29,6 @@
   /// The sender has time for one more request, so the lead may answer kRetry
   /// instead of a partial grant or a refusal.
   bool m_may_retry = false;
-  /// The sender tells engines the order of turns, which takes the program's
-  /// age.
-  bool m_wants_age = false;
 };
 
 /// Names the lead of a domain; stored under the domain's name.
@@ -76,9 +73,6 @@
   bool m_probe = false;
   /// With kGranted: tokens that the turn may generate.
   Tokens m_tokens{0};
-  /// With kGranted, if it was asked for: time since the first turn of the
-  /// program that this lead granted.
-  std::optional<Duration> m_age;
   /// With kNotLead: lead that the receiver knows of, if any.
   std::optional<KnownLead> m_lead;
 };
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -22,8 +22,7 @@
                                              .m_turn_max = Tokens(135)},
                                  .m_service = ServiceId("s"),
                                  .m_host = HostId("h"),
-                                 .m_may_retry = true,
-                                 .m_wants_age = true};
+                                 .m_may_retry = true};
   const auto read = DecodeTurnGrantRequest(EncodeTurnGrantRequest(request));
   REQUIRE(read);
   CHECK(read->m_grant.m_program == ProgramId("p"));
@@ -31,33 +30,21 @@
   CHECK(read->m_service == ServiceId("s"));
   CHECK(read->m_host == HostId("h"));
   CHECK(read->m_may_retry);
-  CHECK(read->m_wants_age);
 
   const auto verdict = GENERATE(
       GrantVerdict::kGranted, GrantVerdict::kBudgetSpent,
       GrantVerdict::kElsewhere, GrantVerdict::kNotLead, GrantVerdict::kNoStore,
       GrantVerdict::kRetry, GrantVerdict::kUnavailable);
-  const auto answer = DecodeTurnGrantResponse(
-      EncodeTurnGrantResponse({.m_verdict = verdict,
-                               .m_tokens = Tokens(9),
-                               .m_age = std::chrono::milliseconds(70),
-                               .m_lead = MakeLead()}));
+  const auto answer = DecodeTurnGrantResponse(EncodeTurnGrantResponse(
+      {.m_verdict = verdict, .m_tokens = Tokens(9), .m_lead = MakeLead()}));
   REQUIRE(answer);
   CHECK(answer->m_verdict == verdict);
   CHECK(answer->m_tokens == Tokens(9));
-  CHECK(answer->m_age == std::chrono::milliseconds(70));
   REQUIRE(answer->m_lead);
   CHECK(answer->m_lead->m_entry.m_incarnation == Incarnation(1LL << 60));
   CHECK(answer->m_lead->m_version == ResourceVersion(12));
 }
 
-TEST_CASE("a program's age is in no message unless it is asked for") {
-  CHECK(EncodeTurnGrantRequest({}).find("age") == std::string::npos);
-  CHECK(EncodeTurnGrantResponse({}).find("age") == std::string::npos);
-  CHECK_FALSE(DecodeTurnGrantRequest(EncodeTurnGrantRequest({}))->m_wants_age);
-  CHECK_FALSE(DecodeTurnGrantResponse(EncodeTurnGrantResponse({}))->m_age);
-}
-
 TEST_CASE("a stored ledger is unchanged by encoding and decoding") {
   const StoredLedger ledger{.m_host = HostId("h"),
                             .m_incarnation = Incarnation(5),
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -99,8 +99,7 @@
       RequestGrant(m_ledger, waiting.m_request.m_grant, conditions, now);
   if (grant.m_decision == GrantDecision::kGranted) {
     TurnGrantResponse response{.m_verdict = GrantVerdict::kGranted,
-                               .m_tokens = grant.m_tokens,
-                               .m_age = AgeOf(waiting.m_request, now)};
+                               .m_tokens = grant.m_tokens};
     const auto placement = PlaceTurn(waiting.m_request, response, now);
     LogDecision(waiting.m_request.m_grant, conditions, grant, placement);
     waiting.m_respond(response);
@@ -153,18 +152,6 @@
                                                        : LogWeight::kUnusual);
 }
 
-auto LeadService::AgeOf(const TurnGrantRequest& request, TimePoint now)
-    -> std::optional<Duration> {
-  if (!request.m_wants_age) {
-    return std::nullopt;
-  }
-  auto& started = m_program_hints[request.m_grant.m_program].m_started;
-  if (!started) {
-    started = now;
-  }
-  return now - *started;
-}
-
 auto LeadService::Settle(const std::vector<TurnSettlement>& settlements)
     -> bool {
   if (m_phase != Phase::kActive || m_yield_callback) {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -125,8 +125,6 @@
     DomainId m_domain;
     EndpointId m_endpoint;
     TimePoint m_last_used;
-    /// First turn that this lead placed; nothing before.
-    std::optional<TimePoint> m_started;
   };
 
   auto SetQuotaSoleFrom(std::string_view reason, TimePoint time) -> void;
@@ -172,9 +170,6 @@
   auto PlaceTurn(const TurnGrantRequest& request,
                  TurnGrantResponse& response,
                  TimePoint now) -> std::vector<LogField>;
-  /// Age of the request's program, if the request asks for it.
-  auto AgeOf(const TurnGrantRequest& request, TimePoint now)
-      -> std::optional<Duration>;
 
   auto FinishYield(bool done) -> void;
   auto WriteIfDue(TimePoint now) -> void;
