--- a/src/libgateway/call/account_keys_unittest.cc
+++ b/src/libgateway/call/account_keys_unittest.cc
@@ -242,5 +242,18 @@
   CHECK(environment.StatusOf(MakeKeptTurn("t3", "", "kb", kOneTurn)) == 200);
 }
 
+TEST_CASE("an id of bytes that aren't UTF-8 is an id like any other") {
+  AccountEnvironment environment(true);
+  environment.StartWithTwoDisks();
+  // This host asks the lead by messages, which are JSON.
+  auto& follower = environment.AddHost("h2", "z");
+  const auto first = std::string("t\xff");
+  const auto second = std::string("t\xfe");
+  CHECK(environment.StatusOf(follower, MakeKeptTurn(first, "", "ka")) == 200);
+  CHECK(environment.StatusOf(follower, MakeKeptTurn("t2", first, "ka")) == 200);
+  CHECK(environment.StatusOf(follower, MakeKeptTurn("t3", second, "ka")) ==
+        404);
+}
+
 }  // namespace
 }  // namespace dotterelshed
