Don't wait for a lead that is known to have stopped

All leads killed at once came back on the same hosts and then refused for 2 s, as each waited for a predecessor that had ended. A stored ledger now states the writer's own wait, and whether the writer stops: a lead that follows an earlier process of its host, or one that yielded, waits only for what that one still had to wait for.

--- a/src/include/dotterelshed/quota_term.h
+++ b/src/include/dotterelshed/quota_term.h
@@ -27,6 +27,9 @@
   bool m_first = false;
   /// No write of the predecessor can be confirmed any more.
   bool m_fenced = false;
+  /// The predecessor is known to have stopped: what was left of its own wait
+  /// when it wrote that.
+  std::optional<Duration> m_wait_left;
 };
 
 /// Returns true if a lead whose last confirmed write was sent at
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -62,6 +62,11 @@
       Incarnation(json.at("incarnation").get<std::int64_t>());
   ledger.m_write = json.at("write").get<std::int64_t>();
   ledger.m_fence = json.at("fence").get<std::int64_t>();
+  if (json.contains("quota_wait_ms")) {
+    ledger.m_quota_wait =
+        std::chrono::milliseconds(json.at("quota_wait_ms").get<std::int64_t>());
+  }
+  ledger.m_quotas_stopped = json.value("quotas_stopped", false);
   for (const auto& [program, bound] : json.at("bounds").items()) {
     ledger.m_record.m_bounds.emplace(ProgramId(program), ToTokens(bound));
   }
@@ -242,12 +247,20 @@
                        {"request", turn.m_request.value()},
                        {"tokens", turn.m_tokens.value()}});
   }
-  return Json{{"host", ledger.m_host.value()},
-              {"incarnation", ledger.m_incarnation.value()},
-              {"write", ledger.m_write},
-              {"fence", ledger.m_fence},
-              {"bounds", std::move(bounds)},
-              {"running", std::move(running)}};
+  Json json{{"host", ledger.m_host.value()},
+            {"incarnation", ledger.m_incarnation.value()},
+            {"write", ledger.m_write},
+            {"fence", ledger.m_fence},
+            {"bounds", std::move(bounds)},
+            {"running", std::move(running)}};
+  if (ledger.m_quota_wait) {
+    // Rounded up, since the wait must not be too short.
+    const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(*ledger.m_quota_wait);
+    json["quota_wait_ms"] = wait.count();
+    json["quotas_stopped"] = ledger.m_quotas_stopped;
+  }
+  return json;
 }
 
 auto DecodeStoredLedger(const Json& body) -> Result<StoredLedger> {
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -105,6 +105,11 @@
   /// Counts the fences set by leads of other domains. A fence changes the
   /// stored ledger, so that the owner's next write fails.
   std::int64_t m_fence = 0;
+  /// Time for which the writer's own share of quotas had still to wait for its
+  /// predecessor; nothing without quotas.
+  std::optional<Duration> m_quota_wait;
+  /// The writer grants no quota tokens after this write.
+  bool m_quotas_stopped = false;
   LedgerRecord m_record;
 };
 
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -48,6 +48,8 @@
                             .m_incarnation = Incarnation(5),
                             .m_write = 3,
                             .m_fence = 2,
+                            .m_quota_wait = std::chrono::microseconds(1500),
+                            .m_quotas_stopped = true,
                             .m_record = {{{ProgramId("p"), Tokens(270)}},
                                          {{.m_program = ProgramId("p"),
                                            .m_request = RequestId("r"),
@@ -56,6 +58,10 @@
   REQUIRE(read);
   CHECK(read->m_write == 3);
   CHECK(read->m_fence == 2);
+  REQUIRE(read->m_quota_wait);
+  CHECK(*read->m_quota_wait >= *ledger.m_quota_wait);
+  CHECK(read->m_quotas_stopped);
+  CHECK_FALSE(EncodeStoredLedger({}).contains("quota_wait_ms"));
   CHECK(read->m_record.m_bounds.at(ProgramId("p")) == Tokens(270));
   REQUIRE(read->m_record.m_running.size() == 1);
   CHECK(read->m_record.m_running[0].m_request == RequestId("r"));
--- a/src/libgateway/lead/lead_quota.cc
+++ b/src/libgateway/lead/lead_quota.cc
@@ -10,7 +10,7 @@
 namespace dotterelshed {
 
 auto LeadService::MayGrantQuotas(TimePoint now) const -> bool {
-  return active() && m_quota_sole_from &&
+  return active() && m_quota_sole_from && m_quotas_may_resume &&
          MayGrant(m_ledger.m_confirmed_at, now);
 }
 
@@ -19,6 +19,22 @@
   return lead ? lead->m_version : ResourceVersion(0);
 }
 
+auto LeadService::ReadQuotaStart(const StoredLedger* stored) -> void {
+  m_quota_start = {.m_first = stored == nullptr};
+  m_quota_predecessor = {};
+  m_quotas_may_resume = true;
+  if (stored == nullptr) {
+    return;
+  }
+  m_quota_predecessor = stored->m_incarnation;
+  // A host has one process, so an earlier one of this host has ended.
+  const auto ended =
+      stored->m_quotas_stopped || stored->m_host == m_context.m_settings.m_host;
+  if (ended) {
+    m_quota_start.m_wait_left = stored->m_quota_wait;
+  }
+}
+
 auto LeadService::SetQuotaSoleFrom(std::string_view reason, TimePoint time)
     -> void {
   m_quota_sole_from = time;
@@ -45,8 +61,8 @@
 auto LeadService::OnHandover(const Result<std::string>& reply) -> void {
   const auto handover = reply.and_then(DecodeQuotaHandover);
   const auto begun = m_phase == Phase::kAnnouncing || m_phase == Phase::kActive;
-  if (!handover || !begun || !m_previous_lead || !m_quota_sole_from ||
-      handover->m_incarnation != m_previous_lead->m_entry.m_incarnation) {
+  if (!handover || !begun || !m_quota_sole_from ||
+      handover->m_incarnation != m_quota_predecessor) {
     return;
   }
   const auto until = SteadyTime() + handover->m_wait;
--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
+#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 
 /// @file
@@ -30,10 +31,13 @@
 }  // namespace
 
 auto LeadService::NextLedger(const LedgerRecord& record) -> StoredLedger {
+  const auto wait = WaitAfterHandover(m_quota_sole_from, SteadyTime());
   return {.m_host = m_context.m_settings.m_host,
           .m_incarnation = m_context.m_incarnation,
           .m_write = ++m_write,
           .m_fence = m_fence,
+          .m_quota_wait = m_has_quotas ? wait : std::nullopt,
+          .m_quotas_stopped = m_yield_callback != nullptr,
           .m_record = record};
 }
 
@@ -99,6 +103,11 @@
   }
   m_writing = true;
   m_last_write = now;
+  if (m_yield_callback) {
+    // Also if the yield fails: this write may have been applied, and says that
+    // nothing is granted after it, until another one has replaced it.
+    m_quotas_may_resume = false;
+  }
   PendingWrite write{.m_record = m_yield_callback
                                      ? BeginHandoverRecord(m_ledger, now)
                                      : BeginRecord(m_ledger, now),
@@ -117,6 +126,7 @@
                                    ResourceVersion version) -> void {
   m_ledger_version = version;
   m_store_lost = false;
+  m_quotas_may_resume = !write.m_last;
   NoteRecorded(m_ledger, write.m_record);
   if (write.m_last && m_yield_callback) {
     FinishYield(true);
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "dotterelshed/program_ledger.h"
+#include "dotterelshed/quota_term.h"
 #include "entry_context.h"
 #include "lead/account_search.h"
 #include "lead/lead_messages.h"
@@ -119,6 +120,8 @@
     TimePoint m_last_used;
   };
 
+  /// Notes what the stored ledger, if there is one, says about quotas.
+  auto ReadQuotaStart(const StoredLedger* stored) -> void;
   auto SetQuotaSoleFrom(std::string_view reason, TimePoint time) -> void;
   /// Handles the answer of the previous lead to the announcement.
   auto OnHandover(const Result<std::string>& reply) -> void;
@@ -213,8 +216,13 @@
   TimePoint m_last_sweep;
   bool m_has_quotas = false;
   std::optional<TimePoint> m_quota_sole_from;
-  /// No write of the previous lead can be confirmed any more.
-  bool m_previous_fenced = false;
+  /// How this term began, as far as it matters for quotas.
+  TermStart m_quota_start;
+  /// Incarnation of the host that last wrote the ledger before this one.
+  Incarnation m_quota_predecessor;
+  /// False from a write which says that this lead stops granting quotas until
+  /// another one is confirmed.
+  bool m_quotas_may_resume = true;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
-#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
@@ -164,6 +163,7 @@
     }
     m_ledger_version = ResourceVersion(0);
     m_fence = 0;
+    ReadQuotaStart(nullptr);
     AdoptJournal({});
     return;
   }
@@ -177,6 +177,7 @@
   }
   m_ledger_version = stored->m_version;
   m_fence = ledger->m_fence;
+  ReadQuotaStart(&*ledger);
   AdoptJournal(*ledger);
 }
 
@@ -205,7 +206,7 @@
                    {{"step", "taken_over"},
                     {"write", std::to_string(entry->m_ledger.m_write)}});
         }
-        m_previous_fenced = result.m_complete;
+        m_quota_start.m_fenced = result.m_complete;
         AdoptRecord(m_ledger, record, now);
         WriteAdopted();
       });
@@ -240,10 +241,7 @@
   m_ledger_version = stored->m_version;
   m_last_write = now;
   m_phase = Phase::kAnnouncing;
-  const TermStart start{.m_first = !m_previous_lead,
-                        .m_fenced = m_previous_fenced};
-  SetQuotaSoleFrom(start.m_fenced ? "taken_over" : "not_fenced",
-                   SoleFrom(start, now));
+  SetQuotaSoleFrom("taken_over", SoleFrom(m_quota_start, now));
   ListLeads();
 }
 
--- a/src/libgateway/quota/quota_client.cc
+++ b/src/libgateway/quota/quota_client.cc
@@ -23,8 +23,9 @@
 constexpr Duration kSilence = std::chrono::milliseconds(400);
 /// A lead that is alive but doesn't lead is soon followed by another one.
 constexpr Duration kNotLeadSilence = std::chrono::milliseconds(100);
-/// Number of timeouts in a row after which this host tries to take over.
-constexpr int kMaxTimeouts = 3;
+/// Time without any answer of the own domain's lead after which this host tries
+/// to take over.
+constexpr Duration kMaxLeadSilence = std::chrono::milliseconds(1000);
 /// Shortest time for which an exhausted account's requests are refused without
 /// a question. It is spread, so that hosts don't ask at the same time.
 constexpr Duration kMinExhausted = std::chrono::milliseconds(100);
@@ -166,11 +167,16 @@
   CountMetric(MetricId::kQuotaQuestions, valid ? "answered" : "silent");
   if (!valid) {
     NoteSilence(lead, answer ? nullptr : &answer.error());
+    if (!answer && answer.error().m_code == ErrorCode::kTimeout) {
+      // The lead is overloaded or gone. Asking the others too would make them
+      // overloaded as well; later questions go to them for a while.
+      batch->m_domains.clear();
+    }
     Send(batch);
     return;
   }
   if (lead.m_domain == m_context.m_settings.m_domain) {
-    m_timeouts = 0;
+    m_silent_since.reset();
   }
   for (std::size_t i = 0; i < asks.size(); ++i) {
     Apply(asks[i], answer->m_answers[i], answer->m_grants, sent_at);
@@ -186,9 +192,13 @@
   if (error == nullptr || lead.m_domain != m_context.m_settings.m_domain) {
     return;
   }
-  const auto gone = error->m_code == ErrorCode::kUnavailable;
-  if (gone || ++m_timeouts >= kMaxTimeouts) {
-    m_timeouts = 0;
+  if (!m_silent_since) {
+    m_silent_since = now;
+  }
+  // A busy lead refuses connections too, and each change of lead costs the
+  // domain its share for a while.
+  if (now - *m_silent_since >= kMaxLeadSilence) {
+    m_silent_since.reset();
     m_lead.TakeOver(lead);
   }
 }
--- a/src/libgateway/quota/quota_client.h
+++ b/src/libgateway/quota/quota_client.h
@@ -101,8 +101,9 @@
   bool m_flush_scheduled = false;
   /// Leads that didn't answer; not asked again before these moments.
   std::map<DomainId, TimePoint> m_silent_until;
-  /// Questions in a row that the own domain's lead didn't answer in time.
-  int m_timeouts = 0;
+  /// First question since its last answer that the own domain's lead didn't
+  /// answer.
+  std::optional<TimePoint> m_silent_since;
   TimePoint m_last_log;
 };
 
--- a/src/libgateway/quota/quota_unittest.cc
+++ b/src/libgateway/quota/quota_unittest.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "dotterelshed/quota_term.h"
+#include "lead/lead_messages.h"
 #include "peer_call.h"
 #include "quota/quota_messages.h"
 #include "test_environment.h"
@@ -107,12 +108,21 @@
   CHECK(environment.CountAnswers(own + own / 2, 200) == own + own / 2);
 }
 
+/// Stores the ledger that an earlier lead of the domain "z" left.
+auto PutLedger(TestEnvironment& environment,
+               const std::string& host,
+               bool stopped) -> void {
+  environment.m_store.Put("ledgers", "z",
+                          EncodeStoredLedger({.m_host = HostId(host),
+                                              .m_incarnation = Incarnation(1),
+                                              .m_quota_wait = Duration{0},
+                                              .m_quotas_stopped = stopped}));
+}
+
 TEST_CASE("a lead that took over grants nothing while the last one might") {
   QuotaEnvironment environment(100, 20);
   environment.AddEndpoint(AnswerPlain);
-  ScriptedEndpoint silent(environment.m_loop,
-                          [](const Request& /*request*/) {});
-  environment.PutLead("z", "h1", silent);
+  PutLedger(environment, "h2", false);
   environment.Start();
   const auto caller = environment.Finish(kRequest);
   CHECK(caller->Status() == 503);
@@ -121,6 +131,17 @@
   CHECK(environment.Finish(kRequest)->Status() == 200);
 }
 
+TEST_CASE("a lead that knows that the last one stopped grants soon") {
+  QuotaEnvironment environment(100, 20);
+  environment.AddEndpoint(AnswerPlain);
+  const auto yielded = GENERATE(true, false);
+  // Else an earlier process of the same host left the ledger.
+  PutLedger(environment, yielded ? "h2" : "h1", yielded);
+  environment.Start();
+  environment.RunFor(std::chrono::milliseconds(500));
+  CHECK(environment.Finish(kRequest)->Status() == 200);
+}
+
 TEST_CASE("a token of a request that no endpoint ran is used again") {
   QuotaEnvironment environment(0.001, 20);
   int refusals = 0;
--- a/src/libquota/quota_term.cc
+++ b/src/libquota/quota_term.cc
@@ -12,6 +12,9 @@
   if (start.m_first) {
     return now;
   }
+  if (start.m_wait_left) {
+    return now + *start.m_wait_left;
+  }
   return now + (start.m_fenced ? kQuotaAuthority : kUnfencedWait);
 }
 
--- a/src/libquota/quota_term_unittest.cc
+++ b/src/libquota/quota_term_unittest.cc
@@ -25,6 +25,11 @@
   CHECK(SoleFrom({}, kStart) > SoleFrom({.m_fenced = true}, kStart));
 }
 
+TEST_CASE("a lead that knows that its predecessor stopped inherits its wait") {
+  const TermStart start{.m_wait_left = milliseconds(700)};
+  CHECK(SoleFrom(start, kStart) == kStart + milliseconds(700));
+}
+
 TEST_CASE("a lead that stopped hands over the wait for its own predecessor") {
   CHECK(WaitAfterHandover(kStart + seconds(1), kStart) == seconds(1));
   CHECK(WaitAfterHandover(kStart - seconds(1), kStart) == Duration{0});
