--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
-#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 
 /// @file
@@ -53,6 +52,7 @@
     }
     m_ledger_version = ResourceVersion(0);
     m_fence = 0;
+    ReadQuotaStart(nullptr);
     AdoptJournal({});
     return;
   }
@@ -66,6 +66,7 @@
   }
   m_ledger_version = stored->m_version;
   m_fence = ledger->m_fence;
+  ReadQuotaStart(&*ledger);
   AdoptJournal(*ledger);
 }
 
@@ -102,7 +103,7 @@
              {{"step", "taken_over"},
               {"write", std::to_string(entry->m_ledger.m_write)}});
   }
-  m_previous_fenced = result.m_complete;
+  m_quota_start.m_fenced = result.m_complete;
   AdoptRecord(m_ledger, record, now);
   if (complete) {
     m_unread.reset();
@@ -176,10 +177,7 @@
   m_ledger_version = stored->m_version;
   m_last_write = now;
   m_phase = Phase::kAnnouncing;
-  const TermStart start{.m_first = !m_previous_lead,
-                        .m_fenced = m_previous_fenced};
-  SetQuotaSoleFrom(start.m_fenced ? "taken_over" : "not_fenced",
-                   SoleFrom(start, now));
+  SetQuotaSoleFrom("taken_over", SoleFrom(m_quota_start, now));
   ListLeads();
 }
 
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -64,6 +64,11 @@
       Incarnation(json.at("incarnation").get<std::int64_t>());
   ledger.m_write = json.at("write").get<std::int64_t>();
   ledger.m_fence = json.at("fence").get<std::int64_t>();
+  if (json.contains("quota_wait_ms")) {
+    ledger.m_quota_wait =
+        std::chrono::milliseconds(json.at("quota_wait_ms").get<std::int64_t>());
+  }
+  ledger.m_quotas_stopped = json.value("quotas_stopped", false);
   for (const auto& [program, bound] : json.at("bounds").items()) {
     ledger.m_record.m_bounds.emplace(ProgramId(DecodeText(program)),
                                      ToTokens(bound));
@@ -247,6 +252,13 @@
     json["unread"] = {{"incarnation", unread->m_incarnation.value()},
                       {"write", unread->m_write}};
   }
+  if (ledger.m_quota_wait) {
+    // Rounded up, since the wait must not be too short.
+    const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(*ledger.m_quota_wait);
+    json["quota_wait_ms"] = wait.count();
+    json["quotas_stopped"] = ledger.m_quotas_stopped;
+  }
   return json;
 }
 
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "dotterelshed/log_events.h"
-#include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
