--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -57,7 +57,8 @@
       if (error) {
         return;
       }
-      (n == SIGHUP ? m_on_reload : m_on_stop)();
+      RunGuarded("signal",
+                 [this, n] { (n == SIGHUP ? m_on_reload : m_on_stop)(); });
       Wait();
     });
   }
@@ -120,7 +121,8 @@
   if (settings.m_role == HostRole::kDisk) {
     DiskHost host(loop, settings);
     const auto stop = [&loop, &host] {
-      host.Stop();
+      // The process ends whatever the parts of the host do.
+      RunGuarded("stop", [&host] { host.Stop(); });
       loop.stop();
     };
     return RunHost(loop, host, stop, file);
--- a/src/libbase/byte_text.cc
+++ b/src/libbase/byte_text.cc
@@ -55,7 +55,7 @@
 /// Length of the sequence that @p bytes begin with; 0 if it is invalid.
 auto SequenceLength(std::string_view bytes) -> std::size_t {
   const auto rule = RuleOf(ByteAt(bytes, 0));
-  const auto length = static_cast<std::size_t>(rule.m_more + 1);
+  const auto length = static_cast<std::size_t>(rule.m_more) + 1;
   if (rule.m_more < 0 || bytes.size() < length) {
     return 0;
   }
