--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -357,12 +357,14 @@
 
 auto EntryHost::Tick() -> void {
   const auto now = SteadyTime();
+  if (WasPaused(now)) {
+    ArmTick();
+    return;
+  }
   const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
                                                         m_exchanges.end());
-  if (!WasPaused(now)) {
-    for (const auto& exchange : open) {
-      TickGuarded(*exchange, now);
-    }
+  for (const auto& exchange : open) {
+    TickGuarded(*exchange, now);
   }
   TickGuarded(m_endpoint_view, now);
   TickGuarded(*m_context.m_config_watcher, now);
