--- a/src/libgateway/lead/lead_judgement.cc
+++ b/src/libgateway/lead/lead_judgement.cc
@@ -8,6 +8,8 @@
 
 /// A host without a report for this time no longer counts.
 constexpr Duration kHostSilence = std::chrono::seconds(30);
+/// A refresh visits all endpoints that hosts reported of.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -54,6 +56,13 @@
 }
 
 auto LeadJudgement::Tick(TimePoint now) -> void {
+  if (now - m_last_refresh >= kRefreshInterval) {
+    Refresh(now);
+  }
+}
+
+auto LeadJudgement::Refresh(TimePoint now) -> void {
+  m_last_refresh = now;
   ReportJudgement(AdvanceJudgement(m_judgement, m_context.m_directory, now),
                   "lead");
   m_shares = SharesOf(m_judgement, m_context.m_directory);
--- a/src/libgateway/lead/lead_judgement.h
+++ b/src/libgateway/lead/lead_judgement.h
@@ -31,6 +31,8 @@
 
  private:
   auto HostProbe(TimePoint now) -> std::optional<ProbeOrder>;
+  /// Brings what hosts are told up to date.
+  auto Refresh(TimePoint now) -> void;
 
   EntryContext& m_context;
   EndpointJudgement m_judgement;
@@ -39,6 +41,7 @@
   EndpointSlowness m_slowness;
   /// Hosts by the time of their last report.
   std::map<HostId, TimePoint> m_hosts;
+  TimePoint m_last_refresh;
 };
 
 }  // namespace dotterelshed
