--- a/src/include/dotterelshed/endpoint_speed.h
+++ b/src/include/dotterelshed/endpoint_speed.h
@@ -35,7 +35,7 @@
 struct SlownessSum {
   std::uint32_t m_answers = 0;
   double m_sum = 0;
-  bool operator==(const SlownessSum&) const = default;
+  auto operator==(const SlownessSum&) const -> bool = default;
 };
 using SlownessReport = std::map<EndpointId, SlownessSum>;
 
