Store kept turns on more hosts and in more domains than may be lost

Cause: with a domain cut off, or its disk hosts away, hosts of all domains refused kept turns (gfz, 3 domains). Change: copy_rule.h decides; disk hosts that are silent for 100 ms are passed over and their domain is probed; substitutes are kept with the turn, listed, and copy it again. A replica reads two whole lists at a time, first of those that answered, and tries a missing one after 300 ms. Setting tolerated_domains.

--- a/src/include/dotterelshed/copy_rule.h
+++ b/src/include/dotterelshed/copy_rule.h
@@ -29,6 +29,9 @@
   std::optional<int> m_lost_domains;
 };
 
+/// Number of hosts that must have a turn.
+auto RequiredHosts(const CopyRule& rule) -> std::size_t;
+
 /// The disk hosts as one host sees them.
 struct ReplicaView {
   /// All that the store lists, also those that are leaving or drained.
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -46,6 +46,7 @@
   kSuspectContents,
   kHistoryReads,
   kHistoryStoreSeconds,
+  kHistoryWrites,
   kReplicaTurns,
   kReplicaWrites,
   kReplicaCopies,
--- a/src/include/dotterelshed/turn_index.h
+++ b/src/include/dotterelshed/turn_index.h
@@ -61,7 +61,8 @@
   kFull,       ///< No room; nothing was added.
 };
 
-/// Adds a turn whose lifetime begins at @p now.
+/// Adds a turn whose lifetime begins at @p now. Substitutes that a known one
+/// lacks are added to it.
 auto AddTurn(TurnIndex& index, TurnRecord record, TimePoint now) -> AddOutcome;
 
 /// Turns from the requested one back towards the start of its conversation.
--- a/src/include/dotterelshed/turn_record.h
+++ b/src/include/dotterelshed/turn_record.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_TURN_RECORD_H_
 #define DOTTERELSHED_TURN_RECORD_H_
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,9 @@
   std::string m_text;
   /// Time for which the turn can still be continued.
   Duration m_lifetime{0};
+  /// Hosts that store it in place of replicas of the program that did not
+  /// answer. They copy it again if they lose their disk.
+  std::set<HostId> m_substitutes;
 };
 
 /// Returns the data of an event of an event stream: the values of its data
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -75,6 +75,10 @@
     {MetricId::kHistoryStoreSeconds, MetricKind::kHistogram,
      "dotterelshed_history_store_seconds", "",
      "Time from the end of a turn until it is on enough disks."},
+    {MetricId::kHistoryWrites, MetricKind::kCounter,
+     "dotterelshed_history_writes_total", "copies",
+     "Turns that were stored: spread over as many failure domains as hosts may "
+     "be lost and one more, or short of that while domains did not answer."},
     {MetricId::kReplicaTurns, MetricKind::kGauge, "dotterelshed_replica_turns",
      "unit", "Turns that this disk host stores, and their bytes."},
     {MetricId::kReplicaWrites, MetricKind::kCounter,
--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -80,6 +80,13 @@
     return value->get<double>();
   }
 
+  /// Returns a whole number that may be missing.
+  auto OptionalCount(const std::string& key) -> std::optional<int> {
+    return Find(key) == nullptr
+               ? std::nullopt
+               : std::optional(static_cast<int>(Number(key, 0, 0)));
+  }
+
   auto Flag(const std::string& key, bool default_value) -> bool {
     const auto* value = Find(key);
     if (value == nullptr) {
@@ -154,6 +161,7 @@
       "max_descriptors", kMinDescriptors, settings.m_max_descriptors));
   settings.m_tolerated_losses = static_cast<int>(
       reader.Number("tolerated_losses", 0, settings.m_tolerated_losses));
+  settings.m_tolerated_domains = reader.OptionalCount("tolerated_domains");
   settings.m_processor_share =
       reader.Number("processor_share", 0, settings.m_processor_share);
   const auto level = reader.Text("log_level", false);
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_ENTRY_SETTINGS_H_
 #define DOTTERELSHED_ENTRY_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,10 @@
   int m_max_descriptors = 1024;
   /// Number of disk hosts that may fail at the same time.
   int m_tolerated_losses = 1;
+  /// Number of failure domains that may fail at the same time, instead of so
+  /// many hosts. Without a value each disk host that fails may be the last of
+  /// its domain.
+  std::optional<int> m_tolerated_domains;
   /// Processor capacity of the host, in cores.
   double m_processor_share = 1.0;
   std::string m_log_level = "info";
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -42,6 +42,13 @@
   CHECK(settings->m_first_start);
   CHECK(settings->m_processor_share == 0.25);
   CHECK(settings->m_tolerated_losses == 2);
+  CHECK_FALSE(settings->m_tolerated_domains);
+  const auto with_domains = ParseEntrySettings(
+      Changed("\"view_max_age_ms\"",
+              "\"tolerated_domains\": 0, \"view_max_age_ms\""),
+      "f");
+  REQUIRE(with_domains);
+  CHECK(with_domains->m_tolerated_domains == 0);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
--- a/src/libgateway/history/history_client.cc
+++ b/src/libgateway/history/history_client.cc
@@ -22,6 +22,9 @@
 constexpr Duration kReadTimeout = std::chrono::milliseconds(500);
 constexpr Duration kWriteTimeout = std::chrono::milliseconds(500);
 constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(200);
+/// After this time another host is chosen for the one that hasn't answered. A
+/// write waits for two flushes of the disk at most, its own and the one before.
+constexpr Duration kWriteHedgeDelay = std::chrono::milliseconds(100);
 /// After this time the replicas that lack the turn copy it from the others.
 constexpr Duration kMaxWriteTime = std::chrono::seconds(10);
 constexpr std::size_t kMaxPendingWrites = 500;
@@ -66,13 +69,26 @@
   TurnRecord m_record;
   std::string m_body;
   StoredCallback m_stored;
+  /// Hosts that have it on their disk, and how many of its substitutes they
+  /// know.
+  std::map<HostId, std::size_t> m_copies;
+  /// Failure domains of these hosts.
   std::set<DomainId> m_stored_in;
-  std::set<HostId> m_in_flight;
+  std::map<HostId, TimePoint> m_in_flight;
   /// Number of failure domains that are to have the turn.
   std::size_t m_wanted = kMaxReplicas;
   TimePoint m_started_at;
   TimePoint m_sent_at;
   bool m_over = false;
+
+  /// Adds the hosts that haven't answered a call about this turn for too long.
+  auto AddLate(TimePoint now, std::set<HostId>& hosts) const -> void {
+    for (const auto& [host, sent_at] : m_in_flight) {
+      if (now - sent_at >= kWriteHedgeDelay) {
+        hosts.insert(host);
+      }
+    }
+  }
 };
 
 HistoryClient::HistoryClient(EntryContext& context)
@@ -98,8 +114,9 @@
   read->m_respond = std::move(respond);
   read->m_started_at = now;
   const auto failing = m_directory.Failing();
-  read->m_order = OrderForReading(m_directory.hosts(), request.m_program,
-                                  m_context.m_settings.m_domain, failing);
+  read->m_order =
+      OrderForReading(m_directory.hosts(), request.m_program,
+                      m_context.m_settings.m_domain, m_directory.Avoided(now));
   // A failing host may have the turn, but nothing is gained by waiting for it.
   const auto skipped =
       std::erase_if(read->m_order, [&failing](const ReplicaHost& host) {
@@ -134,6 +151,7 @@
 auto HistoryClient::AskNext(const std::shared_ptr<PendingRead>& read) -> void {
   const auto& host = read->m_order[read->m_next++];
   ++read->m_in_flight;
+  m_directory.NoteCallBegun(host.m_host, SteadyTime());
   CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
            kTurnReadPath,
            EncodeTurnReadRequest({.m_turn = read->m_request.m_turn}),
@@ -197,21 +215,25 @@
 
 // Storing.
 
-auto HistoryClient::RequiredDomains() const -> std::size_t {
-  const auto wanted =
-      static_cast<std::size_t>(m_context.m_settings.m_tolerated_losses) + 1;
-  return std::clamp(m_directory.MemberDomains(), std::size_t{1}, wanted);
+auto HistoryClient::Rule() const -> CopyRule {
+  return {.m_lost_hosts = m_context.m_settings.m_tolerated_losses,
+          .m_lost_domains = m_context.m_settings.m_tolerated_domains};
+}
+
+auto HistoryClient::View(std::set<HostId> failing) const -> ReplicaView {
+  return {.m_hosts = m_directory.hosts(),
+          .m_failing = std::move(failing),
+          .m_domain = m_context.m_settings.m_domain};
 }
 
 auto HistoryClient::available() const -> bool {
-  return m_directory.UsableDomains() >= RequiredDomains();
+  return CanStore(Rule(), View(m_directory.Failing()));
 }
 
 auto HistoryClient::Store(TurnRecord record, StoredCallback stored) -> void {
   auto write = std::make_shared<PendingWrite>();
   write->m_body = EncodeTurnRecords({&record});
   write->m_record = std::move(record);
-  write->m_record.m_text.clear();
   write->m_stored = std::move(stored);
   write->m_started_at = SteadyTime();
   m_writes.push_back(write);
@@ -226,51 +248,125 @@
     -> void {
   const auto now = SteadyTime();
   write->m_sent_at = now;
+  auto avoided = m_directory.Avoided(now);
+  if (write->m_stored) {
+    write->AddLate(now, avoided);
+  }
+  const auto view = View(std::move(avoided));
+  const auto& program = write->m_record.m_program;
+  write->m_wanted = std::max(ChooseReplicas(view.m_hosts, program, {}).size(),
+                             std::size_t{1});
+  const auto targets = ChooseTargets(Rule(), view, program);
   const auto failing = m_directory.Failing();
-  const auto replicas =
-      ChooseReplicas(m_directory.hosts(), write->m_record.m_program, failing);
-  write->m_wanted = std::max(replicas.size(), std::size_t{1});
-  for (const auto& host : replicas) {
+  std::vector<ReplicaHost> receivers;
+  for (const auto& host : targets.m_hosts) {
     // A failing host gets the turn once a probe of it has been answered; many
-    // turns may be waiting for it.
-    const auto skipped = write->m_stored_in.contains(host.m_domain) ||
-                         write->m_in_flight.contains(host.m_host) ||
-                         failing.contains(host.m_host);
-    if (skipped) {
-      continue;
+    // turns may be waiting for it. What a domain needs beyond one copy when the
+    // turn is complete, its hosts copy from each other.
+    const auto skipped =
+        failing.contains(host.m_host) ||
+        write->m_copies.contains(host.m_host) ||
+        write->m_in_flight.contains(host.m_host) ||
+        (!write->m_stored && write->m_stored_in.contains(host.m_domain));
+    if (!skipped) {
+      receivers.push_back(host);
+    }
+  }
+  auto& substitutes = write->m_record.m_substitutes;
+  const auto known = substitutes.size();
+  for (const auto& host : receivers) {
+    if (targets.m_substitutes.contains(host.m_host)) {
+      substitutes.insert(host.m_host);
+    }
+  }
+  if (substitutes.size() != known) {
+    write->m_body = EncodeTurnRecords({&write->m_record});
+  }
+  for (const auto& host : receivers) {
+    SendToReplica(write, host, now);
+  }
+  SendSubstitutes(write, now);
+}
+
+auto HistoryClient::SendSubstitutes(const std::shared_ptr<PendingWrite>& write,
+                                    TimePoint now) -> void {
+  const auto failing = m_directory.Failing();
+  for (const auto& host : m_directory.hosts()) {
+    const auto copy = write->m_copies.find(host.m_host);
+    const auto lacking = copy != write->m_copies.end() &&
+                         copy->second < write->m_record.m_substitutes.size() &&
+                         !write->m_in_flight.contains(host.m_host) &&
+                         !failing.contains(host.m_host);
+    if (lacking) {
+      SendToReplica(write, host, now);
     }
-    write->m_in_flight.insert(host.m_host);
-    CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
-             kTurnWritePath, write->m_body, kWriteTimeout,
-             [this, write, host](const Result<std::string>& reply) {
-               OnWriteReply(write, host, reply.has_value());
-             });
   }
 }
 
+auto HistoryClient::SendToReplica(const std::shared_ptr<PendingWrite>& write,
+                                  const ReplicaHost& host,
+                                  TimePoint now) -> void {
+  write->m_in_flight[host.m_host] = now;
+  m_directory.NoteCallBegun(host.m_host, now);
+  const auto substitutes = write->m_record.m_substitutes.size();
+  CallPeer(m_context.m_loop, m_context.m_peer_connections, host.m_address,
+           kTurnWritePath, write->m_body, kWriteTimeout,
+           [this, write, host, substitutes](const Result<std::string>& reply) {
+             if (reply) {
+               write->m_stored_in.insert(host.m_domain);
+             }
+             OnWriteReply(write, host.m_host, substitutes, reply.has_value());
+           });
+}
+
 auto HistoryClient::OnWriteReply(const std::shared_ptr<PendingWrite>& write,
-                                 const ReplicaHost& host,
+                                 const HostId& host,
+                                 std::size_t substitutes,
                                  bool stored) -> void {
   const auto now = SteadyTime();
-  write->m_in_flight.erase(host.m_host);
-  m_directory.NoteCall(host.m_host, stored, now);
+  write->m_in_flight.erase(host);
+  m_directory.NoteCall(host, stored, now);
   if (stored) {
-    write->m_stored_in.insert(host.m_domain);
+    auto& known = write->m_copies[host];
+    known = std::max(known, substitutes);
   }
   CheckWritten(write, now);
+  if (!stored && write->m_stored && !write->m_over) {
+    SendToReplicas(write);
+  }
 }
 
 auto HistoryClient::CheckWritten(const std::shared_ptr<PendingWrite>& write,
                                  TimePoint now) -> void {
-  const auto enough = write->m_stored_in.size() >= RequiredDomains();
-  if (!write->m_stored || write->m_over || !enough) {
+  if (!write->m_stored || write->m_over) {
+    return;
+  }
+  std::set<HostId> copies;
+  for (const auto& [host, substitutes] : write->m_copies) {
+    copies.insert(host);
+  }
+  if (!IsStored(Rule(), View(m_directory.Failing()), copies)) {
     return;
   }
   const auto waited = now - write->m_started_at;
+  const auto short_of = write->m_stored_in.size() <
+                        std::min(write->m_wanted, RequiredHosts(Rule()));
   ObserveMetric(MetricId::kHistoryStoreSeconds, "", waited);
+  CountMetric(MetricId::kHistoryWrites, short_of ? "short" : "spread");
   std::exchange(write->m_stored, nullptr)();
 }
 
+auto HistoryClient::IsOver(const PendingWrite& write, TimePoint now) const
+    -> bool {
+  const auto all_told = std::all_of(
+      write.m_copies.begin(), write.m_copies.end(), [&write](const auto& copy) {
+        return copy.second >= write.m_record.m_substitutes.size();
+      });
+  const auto finished =
+      write.m_stored_in.size() >= write.m_wanted && all_told && !write.m_stored;
+  return write.m_over || finished || now - write.m_started_at > kMaxWriteTime;
+}
+
 auto HistoryClient::Withdraw(const TurnRecord& record) -> void {
   for (const auto& write : m_writes) {
     if (write->m_record.m_turn == record.m_turn) {
@@ -302,17 +398,15 @@
     return;
   }
   m_directory.Tick(now);
-  const auto is_over = [now](const std::shared_ptr<PendingWrite>& write) {
-    const auto finished =
-        write->m_stored_in.size() >= write->m_wanted && !write->m_stored;
-    return write->m_over || finished ||
-           now - write->m_started_at > kMaxWriteTime;
-  };
-  m_writes.remove_if(is_over);
+  m_writes.remove_if([this, now](const std::shared_ptr<PendingWrite>& write) {
+    return IsOver(*write, now);
+  });
   const auto writes = m_writes;
   for (const auto& write : writes) {
     CheckWritten(write, now);
-    if (now - write->m_sent_at >= kWriteRetryDelay) {
+    // A response waits for it, or only further copies are missing.
+    const auto delay = write->m_stored ? kWriteHedgeDelay : kWriteRetryDelay;
+    if (now - write->m_sent_at >= delay) {
       SendToReplicas(write);
     }
   }
--- a/src/libgateway/history/history_client.h
+++ b/src/libgateway/history/history_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "dotterelshed/copy_rule.h"
 #include "entry_context.h"
 #include "history/history_cache.h"
 #include "history/replica_directory.h"
@@ -15,9 +16,9 @@
 /// Histories of conversations as an entry host uses them: reads the turns that
 /// a new one continues from, and writes a completed one on the disk hosts.
 ///
-/// A turn counts as stored once it is on the disks of more failure domains than
-/// may be lost at the same time. It is sent to the other replicas as well,
-/// until they have it.
+/// A turn counts as stored once its copies survive what may be lost at the same
+/// time, see copy_rule.h. Hosts that don't answer are passed over for others.
+/// It is sent to the other replicas as well, until they have it.
 
 namespace dotterelshed {
 
@@ -84,13 +85,24 @@
   auto FinishRead(const std::shared_ptr<PendingRead>& read,
                   HistoryOutcome outcome) -> void;
   auto SendToReplicas(const std::shared_ptr<PendingWrite>& write) -> void;
+  auto SendToReplica(const std::shared_ptr<PendingWrite>& write,
+                     const ReplicaHost& host,
+                     TimePoint now) -> void;
+  /// Sends the turn's substitutes to hosts that stored it before they were
+  /// chosen.
+  auto SendSubstitutes(const std::shared_ptr<PendingWrite>& write,
+                       TimePoint now) -> void;
   auto OnWriteReply(const std::shared_ptr<PendingWrite>& write,
-                    const ReplicaHost& host,
+                    const HostId& host,
+                    std::size_t substitutes,
                     bool stored) -> void;
   auto CheckWritten(const std::shared_ptr<PendingWrite>& write, TimePoint now)
       -> void;
-  /// Number of failure domains that must have a turn for it to be stored.
-  auto RequiredDomains() const -> std::size_t;
+  auto IsOver(const PendingWrite& write, TimePoint now) const -> bool;
+  /// The disk hosts as seen by this host's calls.
+  /// @param failing  Those that are taken not to answer.
+  auto View(std::set<HostId> failing) const -> ReplicaView;
+  auto Rule() const -> CopyRule;
 
   EntryContext& m_context;
   ReplicaDirectory m_directory;
--- a/src/libgateway/history/replica_directory.cc
+++ b/src/libgateway/history/replica_directory.cc
@@ -19,6 +19,12 @@
 constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(200);
 constexpr int kMaxDoublings = 3;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
+/// A write takes one flush of the disk, and a read none; a host that has not
+/// answered after this time is slow or cut off.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(100);
+/// A host of a domain in which another one is silent is probed if it had no
+/// outcome for this time.
+constexpr Duration kOutcomeAge = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -53,7 +59,28 @@
                      found->second.m_next_probe <= now;
     if (due) {
       found->second.m_next_probe = now + kProbeTimeout * 2;
-      Probe(host);
+      Probe(host, now);
+    }
+  }
+  ProbeDomains(now);
+}
+
+auto ReplicaDirectory::ProbeDomains(TimePoint now) -> void {
+  std::set<DomainId> suspected;
+  const auto avoided = Avoided(now);
+  for (const auto& host : m_hosts) {
+    if (!host.m_drained && avoided.contains(host.m_host)) {
+      suspected.insert(host.m_domain);
+    }
+  }
+  for (const auto& host : m_hosts) {
+    const auto& traffic = m_traffic[host.m_host];
+    const auto due = !host.m_drained && suspected.contains(host.m_domain) &&
+                     !avoided.contains(host.m_host) &&
+                     !traffic.m_waiting_since &&
+                     now - traffic.m_last_outcome >= kOutcomeAge;
+    if (due) {
+      Probe(host, now);
     }
   }
 }
@@ -79,30 +106,35 @@
   return failing;
 }
 
-auto ReplicaDirectory::CountDomains(const std::set<HostId>& left_out) const
-    -> std::size_t {
-  std::set<DomainId> domains;
+auto ReplicaDirectory::IsSilent(const HostId& host, TimePoint now) const
+    -> bool {
+  const auto found = m_traffic.find(host);
+  return found != m_traffic.end() && found->second.m_waiting_since &&
+         now - *found->second.m_waiting_since >= kSilentAfter;
+}
+
+auto ReplicaDirectory::Avoided(TimePoint now) const -> std::set<HostId> {
+  auto avoided = Failing();
   for (const auto& host : m_hosts) {
-    const auto counts =
-        !host.m_leaving && !host.m_drained && !left_out.contains(host.m_host);
-    if (counts) {
-      domains.insert(host.m_domain);
+    if (IsSilent(host.m_host, now)) {
+      avoided.insert(host.m_host);
     }
   }
-  return domains.size();
+  return avoided;
 }
 
-auto ReplicaDirectory::MemberDomains() const -> std::size_t {
-  return CountDomains({});
-}
-
-auto ReplicaDirectory::UsableDomains() const -> std::size_t {
-  return CountDomains(Failing());
+auto ReplicaDirectory::NoteCallBegun(const HostId& host, TimePoint now)
+    -> void {
+  auto& waiting_since = m_traffic[host].m_waiting_since;
+  if (!waiting_since) {
+    waiting_since = now;
+  }
 }
 
 auto ReplicaDirectory::NoteCall(const HostId& host,
                                 bool answered,
                                 TimePoint now) -> void {
+  m_traffic[host] = {.m_last_outcome = now};
   if (answered) {
     m_failures.erase(host);
     return;
@@ -113,7 +145,8 @@
   ++failures.m_in_a_row;
 }
 
-auto ReplicaDirectory::Probe(const ReplicaHost& host) -> void {
+auto ReplicaDirectory::Probe(const ReplicaHost& host, TimePoint now) -> void {
+  NoteCallBegun(host.m_host, now);
   CallPeer(m_loop, m_peers, host.m_address, kTurnReadPath,
            EncodeTurnReadRequest({}), kProbeTimeout,
            [this, host = host.m_host](const Result<std::string>& reply) {
--- a/src/libgateway/history/replica_directory.h
+++ b/src/libgateway/history/replica_directory.h
@@ -14,7 +14,10 @@
 /// @file
 /// The disk hosts that store turns, as the platform's store lists them, and
 /// which of them fail this host's calls. One that failed is probed in the
-/// background until it answers, so that no request waits for it meanwhile.
+/// background until it answers, so that no request waits for it meanwhile. One
+/// that is silent for longer than calls take is passed over before its call
+/// times out, and the other hosts of its domain are probed, so that a domain
+/// that is cut off is known as a whole.
 
 namespace dotterelshed {
 
@@ -40,10 +43,11 @@
   auto hosts() const -> const std::vector<ReplicaHost>& { return m_hosts; }
   /// Hosts that failed the last call to them.
   auto Failing() const -> std::set<HostId>;
-  /// Number of failure domains with a host that takes turns.
-  auto MemberDomains() const -> std::size_t;
-  /// Number of failure domains with a host that takes turns and does not fail.
-  auto UsableDomains() const -> std::size_t;
+  /// Failing hosts, and those that have left a call without an answer for
+  /// longer than calls take.
+  auto Avoided(TimePoint now) const -> std::set<HostId>;
+  /// Records that a call begins. Each needs its outcome, see NoteCall().
+  auto NoteCallBegun(const HostId& host, TimePoint now) -> void;
   /// Records the outcome of a call.
   auto NoteCall(const HostId& host, bool answered, TimePoint now) -> void;
   /// Records that a host is being drained, before the store lists it so.
@@ -54,15 +58,25 @@
     int m_in_a_row = 0;
     TimePoint m_next_probe;
   };
+  /// Calls to a host.
+  struct Traffic {
+    /// Begin of the first call since the host last answered or failed.
+    std::optional<TimePoint> m_waiting_since;
+    TimePoint m_last_outcome;
+  };
 
   auto Apply(const StoredObject& object) -> void;
-  auto CountDomains(const std::set<HostId>& left_out) const -> std::size_t;
-  auto Probe(const ReplicaHost& host) -> void;
+  auto IsSilent(const HostId& host, TimePoint now) const -> bool;
+  /// Probes the hosts of domains with a host that is silent or failing, unless
+  /// they had a call lately.
+  auto ProbeDomains(TimePoint now) -> void;
+  auto Probe(const ReplicaHost& host, TimePoint now) -> void;
 
   EventLoop& m_loop;
   ConnectionPool& m_peers;
   std::vector<ReplicaHost> m_hosts;
   std::map<HostId, Failures> m_failures;
+  std::map<HostId, Traffic> m_traffic;
   std::shared_ptr<ObjectWatcher> m_watcher;
   bool m_started = false;
 };
--- a/src/libgateway/history/replica_messages.cc
+++ b/src/libgateway/history/replica_messages.cc
@@ -9,6 +9,9 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view kPlace = "replica message";
+/// Values of a record and of a list's entry before the optional hosts.
+constexpr std::size_t kRecordFields = 5;
+constexpr std::size_t kListedFields = 2;
 
 auto ToMs(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -35,10 +38,35 @@
   }
 }
 
+/// Appends the hosts to an array, if there are any.
+auto AppendHosts(const std::set<HostId>& hosts, Json& array) -> void {
+  if (hosts.empty()) {
+    return;
+  }
+  auto list = Json::array();
+  for (const auto& host : hosts) {
+    list.push_back(host.value());
+  }
+  array.push_back(std::move(list));
+}
+
+/// Reads the hosts at a position of an array that may end before it.
+auto ReadHosts(const Json& array, std::size_t position) -> std::set<HostId> {
+  std::set<HostId> hosts;
+  if (position < array.size()) {
+    for (const auto& host : array.at(position)) {
+      hosts.insert(HostId(host.get<std::string>()));
+    }
+  }
+  return hosts;
+}
+
 auto WriteRecord(const TurnRecord& record) -> Json {
-  return Json::array({record.m_turn.value(), record.m_previous.value(),
-                      record.m_program.value(), record.m_text,
-                      ToMs(record.m_lifetime)});
+  auto json = Json::array({record.m_turn.value(), record.m_previous.value(),
+                           record.m_program.value(), record.m_text,
+                           ToMs(record.m_lifetime)});
+  AppendHosts(record.m_substitutes, json);
+  return json;
 }
 
 auto WriteRecords(const std::vector<const TurnRecord*>& records) -> Json {
@@ -54,7 +82,8 @@
           .m_previous = RequestId(json.at(1)),
           .m_program = ProgramId(json.at(2)),
           .m_text = json.at(3),
-          .m_lifetime = ReadMs(json.at(4))};
+          .m_lifetime = ReadMs(json.at(4)),
+          .m_substitutes = ReadHosts(json, kRecordFields)};
 }
 
 auto ReadRecords(const Json& json) -> std::vector<TurnRecord> {
@@ -118,7 +147,9 @@
 auto EncodeTurnListResponse(const TurnListResponse& response) -> std::string {
   auto turns = Json::array();
   for (const auto& one : response.m_turns) {
-    turns.push_back(Json::array({one.m_turn.value(), one.m_program.value()}));
+    auto entry = Json::array({one.m_turn.value(), one.m_program.value()});
+    AppendHosts(one.m_substitutes, entry);
+    turns.push_back(std::move(entry));
   }
   return Pack({{"incarnation", response.m_incarnation.value()},
                {"turns", std::move(turns)},
@@ -134,7 +165,10 @@
         .m_last_sequence = json.at("last").get<std::uint64_t>(),
         .m_has_more = json.at("more").get<bool>()};
     for (const auto& one : json.at("turns")) {
-      response.m_turns.push_back({RequestId(one.at(0)), ProgramId(one.at(1))});
+      response.m_turns.push_back(
+          {.m_turn = RequestId(one.at(0)),
+           .m_program = ProgramId(one.at(1)),
+           .m_substitutes = ReadHosts(one, kListedFields)});
     }
     return response;
   });
--- a/src/libgateway/history/replica_messages.h
+++ b/src/libgateway/history/replica_messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,8 @@
 struct ListedTurn {
   RequestId m_turn;
   ProgramId m_program;
+  /// Hosts that are to have it besides the program's replicas.
+  std::set<HostId> m_substitutes;
 };
 
 struct TurnListResponse {
--- a/src/libgateway/history/replica_messages_unittest.cc
+++ b/src/libgateway/history/replica_messages_unittest.cc
@@ -18,7 +18,8 @@
           .m_previous = RequestId("t1"),
           .m_program = ProgramId("p"),
           .m_text = std::string("any \0 bytes \xff", 13),
-          .m_lifetime = std::chrono::seconds(70)};
+          .m_lifetime = std::chrono::seconds(70),
+          .m_substitutes = {HostId("a2"), HostId("a3")}};
 }
 
 TEST_CASE("records arrive as they were sent, whatever bytes they hold") {
@@ -34,17 +35,21 @@
   CHECK(arrived.m_program == record.m_program);
   CHECK(arrived.m_text == record.m_text);
   CHECK(arrived.m_lifetime == record.m_lifetime);
+  CHECK(arrived.m_substitutes == record.m_substitutes);
 }
 
 TEST_CASE("lists and withdrawals arrive as they were sent") {
-  const auto list = DecodeTurnListResponse(
-      EncodeTurnListResponse({.m_incarnation = Incarnation(3),
-                              .m_turns = {{RequestId("t1"), ProgramId("p")}},
-                              .m_last_sequence = 9,
-                              .m_has_more = true}));
+  const auto list = DecodeTurnListResponse(EncodeTurnListResponse(
+      {.m_incarnation = Incarnation(3),
+       .m_turns = {{RequestId("t1"), ProgramId("p")},
+                   {RequestId("t2"), ProgramId("p"), {HostId("a2")}}},
+       .m_last_sequence = 9,
+       .m_has_more = true}));
   REQUIRE(list);
   CHECK(list->m_incarnation == Incarnation(3));
   CHECK(list->m_turns.front().m_turn == RequestId("t1"));
+  CHECK(list->m_turns.front().m_substitutes.empty());
+  CHECK(list->m_turns.back().m_substitutes.contains(HostId("a2")));
   CHECK(list->m_last_sequence == 9);
   CHECK(list->m_has_more);
   const auto withdrawal = DecodeTurnWithdrawal(EncodeTurnWithdrawal(
--- a/src/libgateway/history/replica_sync.cc
+++ b/src/libgateway/history/replica_sync.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "dotterelshed/copy_rule.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -16,6 +17,9 @@
 constexpr Duration kCopyTimeout = std::chrono::seconds(2);
 /// Shortest interval between syncs with one other replica.
 constexpr Duration kSyncInterval = std::chrono::seconds(1);
+/// Interval after a failed sync. A replica that is back has turns that others
+/// lack, and lacks some itself, which should not last until the next loss.
+constexpr Duration kFailedSyncInterval = std::chrono::milliseconds(300);
 /// Part of the interval for each replica, so that many replicas don't make many
 /// calls a second.
 constexpr Duration kSyncIntervalPerHost = std::chrono::milliseconds(200);
@@ -24,6 +28,10 @@
 constexpr Duration kSettledAge = std::chrono::milliseconds(1500);
 /// Turns that are copied with one call.
 constexpr std::size_t kCopyTurns = 64;
+/// Replicas of which the whole list is read at the same time. Several have the
+/// same turns, which would be copied as often; and a host whose disk was lost
+/// has to take new turns meanwhile.
+constexpr std::ptrdiff_t kMaxBehind = 2;
 
 }  // namespace
 
@@ -42,14 +50,34 @@
   if (!m_directory.listed()) {
     return;
   }
-  for (const auto& peer : Others()) {
-    const auto& state = m_peers[peer.m_host];
-    if (!state.m_busy && state.m_next_at <= now) {
-      BeginPass(peer);
+  auto behind =
+      std::count_if(m_peers.begin(), m_peers.end(), [](const auto& item) {
+        return item.second.m_busy && !item.second.m_caught_up;
+      });
+  for (const auto& peer : DuePeers(now)) {
+    const auto catches_up = !m_peers[peer.m_host].m_caught_up;
+    if (catches_up && behind >= kMaxBehind) {
+      continue;
     }
+    behind += catches_up ? 1 : 0;
+    BeginPass(peer);
   }
 }
 
+auto ReplicaSync::DuePeers(TimePoint now) -> std::vector<ReplicaHost> {
+  auto due = Others();
+  std::erase_if(due, [this, now](const ReplicaHost& peer) {
+    const auto& state = m_peers[peer.m_host];
+    return state.m_busy || state.m_next_at > now;
+  });
+  std::stable_sort(due.begin(), due.end(),
+                   [this](const ReplicaHost& one, const ReplicaHost& other) {
+                     return m_peers[one.m_host].m_failed <
+                            m_peers[other.m_host].m_failed;
+                   });
+  return due;
+}
+
 auto ReplicaSync::SyncBeforeLeave(const HostId& leaving, SyncedCallback synced)
     -> void {
   m_directory.MarkLeaving(leaving);
@@ -76,14 +104,6 @@
   return others;
 }
 
-auto ReplicaSync::IsResponsible(const ProgramId& program) const -> bool {
-  const auto replicas = ChooseReplicas(m_directory.hosts(), program, {});
-  return std::any_of(replicas.begin(), replicas.end(),
-                     [this](const ReplicaHost& host) {
-                       return host.m_host == m_options.m_host;
-                     });
-}
-
 auto ReplicaSync::BeginPass(const ReplicaHost& peer) -> void {
   auto& state = m_peers[peer.m_host];
   state.m_busy = true;
@@ -123,10 +143,19 @@
 auto ReplicaSync::LackingTurns(const TurnListResponse& list) const
     -> std::vector<RequestId> {
   std::vector<RequestId> lacking;
+  std::map<ProgramId, bool> responsible;
   for (const auto& listed : list.m_turns) {
     const auto known = m_index.m_turns.contains(listed.m_turn) ||
                        m_index.m_withdrawn.contains(listed.m_turn);
-    if (!known && IsResponsible(listed.m_program)) {
+    if (known) {
+      continue;
+    }
+    const auto [own, first] = responsible.try_emplace(listed.m_program, false);
+    if (first) {
+      own->second = IsResponsible(m_directory.hosts(), m_options.m_host,
+                                  listed.m_program, {});
+    }
+    if (own->second || listed.m_substitutes.contains(m_options.m_host)) {
       lacking.push_back(listed.m_turn);
     }
   }
@@ -195,10 +224,12 @@
 auto ReplicaSync::EndPass(PeerState& state, bool synced) -> void {
   const auto hosts = static_cast<std::int64_t>(m_directory.hosts().size());
   state.m_busy = false;
-  const auto interval =
-      state.m_waiting.empty()
-          ? std::max(kSyncInterval, kSyncIntervalPerHost * hosts)
-          : Duration{0};
+  state.m_failed = synced ? 0 : state.m_failed + 1;
+  auto interval = synced ? std::max(kSyncInterval, kSyncIntervalPerHost * hosts)
+                         : kFailedSyncInterval;
+  if (!state.m_waiting.empty()) {
+    interval = Duration{0};
+  }
   state.m_next_at = SteadyTime() + interval;
   for (const auto& served : std::exchange(state.m_served, {})) {
     served(synced);
--- a/src/libgateway/history/replica_sync.h
+++ b/src/libgateway/history/replica_sync.h
@@ -55,12 +55,16 @@
     TimePoint m_next_at;
     bool m_busy = false;
     bool m_caught_up = false;
+    /// Syncs that failed since the last one that didn't.
+    int m_failed = 0;
     /// Callbacks for which a pass over the whole list has to begin.
     std::vector<SyncedCallback> m_waiting;
     /// Callbacks that the current pass serves when it ends.
     std::vector<SyncedCallback> m_served;
   };
 
+  /// Returns the replicas that are due, those that answered last first.
+  auto DuePeers(TimePoint now) -> std::vector<ReplicaHost>;
   auto BeginPass(const ReplicaHost& peer) -> void;
   auto ReadPage(const ReplicaHost& peer) -> void;
   auto OnList(const ReplicaHost& peer, const TurnListResponse& list) -> void;
@@ -73,7 +77,6 @@
   auto OnSynced(const ReplicaHost& peer, const TurnListResponse& list) -> void;
   auto OnFailed(const ReplicaHost& peer, const std::string& reason) -> void;
   auto EndPass(PeerState& state, bool synced) -> void;
-  auto IsResponsible(const ProgramId& program) const -> bool;
 
   EventLoop& m_loop;
   ConnectionPool& m_connections;
--- a/src/libgateway/history/replica_sync_unittest.cc
+++ b/src/libgateway/history/replica_sync_unittest.cc
@@ -96,6 +96,19 @@
   CHECK(environment.m_lists.back().m_min_age > Duration{0});
 }
 
+TEST_CASE("a replica that has lost its disk reads two whole lists at a time") {
+  SyncEnvironment environment;
+  for (const auto* name : {"d6", "d7", "d8"}) {
+    auto spec = environment.m_store.Find("disk-hosts", "d9").at("spec");
+    spec["host"] = name;
+    environment.m_store.Put("disk-hosts", name, spec);
+  }
+  environment.Call(kTurnReadPath, EncodeTurnReadRequest({}));
+  environment.WaitForList();
+  environment.RunFor(std::chrono::milliseconds(400));
+  CHECK(environment.m_lists.size() == 2);
+}
+
 TEST_CASE("a host that leaves is read from the start, after it has said so") {
   SyncEnvironment environment;
   environment.Call(kTurnReadPath, EncodeTurnReadRequest({}));
--- a/src/libgateway/history/turn_database.cc
+++ b/src/libgateway/history/turn_database.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <filesystem>
+#include <map>
+#include <set>
 #include <system_error>
 #include <utility>
 
@@ -29,13 +31,21 @@
     "PRAGMA cache_size = -2000;"
     "CREATE TABLE IF NOT EXISTS turns (sequence INTEGER PRIMARY KEY,"
     " turn TEXT, previous TEXT, program TEXT, text BLOB, expires_ms INTEGER);"
+    "CREATE TABLE IF NOT EXISTS substitutes (sequence INTEGER, host TEXT,"
+    " PRIMARY KEY (sequence, host)) WITHOUT ROWID;"
     "CREATE TABLE IF NOT EXISTS origin (intact_since_ms INTEGER);";
 constexpr const char* kInsert =
     "INSERT OR REPLACE INTO turns VALUES (?, ?, ?, ?, ?, ?)";
+constexpr const char* kInsertSubstitute =
+    "INSERT OR REPLACE INTO substitutes VALUES (?, ?)";
 constexpr const char* kDelete = "DELETE FROM turns WHERE sequence = ?";
+constexpr const char* kDeleteSubstitutes =
+    "DELETE FROM substitutes WHERE sequence = ?";
 constexpr const char* kSelect =
     "SELECT sequence, turn, previous, program, text, expires_ms FROM turns"
     " ORDER BY sequence";
+constexpr const char* kSelectSubstitutes =
+    "SELECT sequence, host FROM substitutes";
 
 struct StatementCloser {
   auto operator()(sqlite3_stmt* statement) const -> void {
@@ -110,6 +120,49 @@
   return Run(database, statement);
 }
 
+auto InsertSubstitutes(sqlite3* database,
+                       sqlite3_stmt* statement,
+                       const StoredTurn& turn) -> Status {
+  for (const auto& host : turn.m_record.m_substitutes) {
+    sqlite3_bind_int64(statement, 1,
+                       static_cast<sqlite3_int64>(turn.m_sequence));
+    BindText(statement, 2, host.value());
+    auto stored = Run(database, statement);
+    if (!stored) {
+      return stored;
+    }
+  }
+  return {};
+}
+
+auto DeleteRow(sqlite3* database,
+               sqlite3_stmt* statement,
+               std::uint64_t sequence) -> Status {
+  sqlite3_bind_int64(statement, 1, static_cast<sqlite3_int64>(sequence));
+  return Run(database, statement);
+}
+
+/// Reads the hosts that store turns in place of others, by the turns'
+/// sequence numbers.
+auto ReadSubstitutes(sqlite3* database)
+    -> Result<std::map<std::uint64_t, std::set<HostId>>> {
+  const auto select = Prepare(database, kSelectSubstitutes);
+  if (!select) {
+    return tl::unexpected(select.error());
+  }
+  std::map<std::uint64_t, std::set<HostId>> substitutes;
+  auto code = SQLITE_ROW;
+  while ((code = sqlite3_step(select->get())) == SQLITE_ROW) {
+    const auto sequence = sqlite3_column_int64(select->get(), 0);
+    substitutes[static_cast<std::uint64_t>(sequence)].insert(
+        HostId(ColumnBytes(select->get(), 1)));
+  }
+  if (code != SQLITE_DONE) {
+    return DatabaseError(database);
+  }
+  return substitutes;
+}
+
 auto ReadTurn(sqlite3_stmt* statement, std::int64_t now_ms) -> StoredTurn {
   const auto expires_ms = sqlite3_column_int64(statement, 5);
   const auto left_ms = std::max<std::int64_t>(expires_ms - now_ms, 0);
@@ -246,9 +299,18 @@
   if (!select) {
     return tl::unexpected(select.error());
   }
+  auto substitutes = ReadSubstitutes(database);
+  if (!substitutes) {
+    return tl::unexpected(substitutes.error());
+  }
   auto code = SQLITE_ROW;
   while ((code = sqlite3_step(select->get())) == SQLITE_ROW) {
-    contents.m_turns.push_back(ReadTurn(select->get(), now_ms));
+    auto turn = ReadTurn(select->get(), now_ms);
+    const auto found = substitutes->find(turn.m_sequence);
+    if (found != substitutes->end()) {
+      turn.m_record.m_substitutes = std::move(found->second);
+    }
+    contents.m_turns.push_back(std::move(turn));
   }
   if (code != SQLITE_DONE) {
     return DatabaseError(database);
@@ -310,19 +372,24 @@
 auto TurnDatabase::WriteChanges(sqlite3* database, const Batch& batch)
     -> Status {
   const auto insert = Prepare(database, kInsert);
+  const auto insert_substitute = Prepare(database, kInsertSubstitute);
   const auto remove = Prepare(database, kDelete);
-  if (!insert || !remove) {
+  const auto remove_substitutes = Prepare(database, kDeleteSubstitutes);
+  if (!insert || !insert_substitute || !remove || !remove_substitutes) {
     return DatabaseError(database);
   }
   for (const auto& turn : batch.m_added) {
-    auto stored = Insert(database, insert->get(), turn);
+    auto stored = Insert(database, insert->get(), turn).and_then([&] {
+      return InsertSubstitutes(database, insert_substitute->get(), turn);
+    });
     if (!stored) {
       return stored;
     }
   }
   for (const auto sequence : batch.m_removed) {
-    sqlite3_bind_int64(remove->get(), 1, static_cast<sqlite3_int64>(sequence));
-    auto removed = Run(database, remove->get());
+    auto removed = DeleteRow(database, remove->get(), sequence).and_then([&] {
+      return DeleteRow(database, remove_substitutes->get(), sequence);
+    });
     if (!removed) {
       return removed;
     }
--- a/src/libgateway/history/turn_database_unittest.cc
+++ b/src/libgateway/history/turn_database_unittest.cc
@@ -53,6 +53,25 @@
   }
 }
 
+TEST_CASE("the hosts that stand in for others are there after a restart") {
+  const TestFolder folder;
+  EventLoop loop;
+  auto turn = MakeTurn(1, "a");
+  turn.m_record.m_substitutes = {HostId("x2"), HostId("x3")};
+  {
+    TurnDatabase log(loop, {.m_folder = folder.m_path, .m_first_start = true});
+    REQUIRE(log.Open());
+    StoreAll(loop, log, {turn, MakeTurn(2, "b")});
+    log.Remove({2});
+  }
+  TurnDatabase log(loop, {.m_folder = folder.m_path});
+  const auto contents = log.Open();
+  REQUIRE(contents);
+  REQUIRE(contents->m_turns.size() == 1);
+  CHECK(contents->m_turns.front().m_record.m_substitutes ==
+        turn.m_record.m_substitutes);
+}
+
 TEST_CASE("stored turns are there after a restart, removed ones are not") {
   const TestFolder folder;
   EventLoop loop;
--- a/src/libgateway/history/turn_replica.cc
+++ b/src/libgateway/history/turn_replica.cc
@@ -238,8 +238,9 @@
                             .m_last_sequence = page.m_last_sequence,
                             .m_has_more = page.m_has_more};
   for (const auto* turn : page.m_turns) {
-    response.m_turns.push_back(
-        {turn->m_record.m_turn, turn->m_record.m_program});
+    response.m_turns.push_back({.m_turn = turn->m_record.m_turn,
+                                .m_program = turn->m_record.m_program,
+                                .m_substitutes = turn->m_record.m_substitutes});
   }
   connection->Answer(kStatusOk, {}, EncodeTurnListResponse(response));
 }
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -243,6 +244,8 @@
     settings.m_host = HostId(name);
     settings.m_domain = DomainId(domain);
     settings.m_role = HostRole::kDisk;
+    settings.m_tolerated_losses = m_tolerated_losses;
+    settings.m_tolerated_domains = m_tolerated_domains;
     settings.m_first_start = first_start;
     settings.m_peer_address = "127.0.0.1:0";
     settings.m_platform_address = FormatTcpAddress(m_store.address());
@@ -282,6 +285,8 @@
     settings.m_host = HostId(name);
     settings.m_domain = DomainId(domain);
     settings.m_processor_share = processor_share;
+    settings.m_tolerated_losses = m_tolerated_losses;
+    settings.m_tolerated_domains = m_tolerated_domains;
     settings.m_caller_address = "127.0.0.1:0";
     settings.m_ready_address = "127.0.0.1:0";
     settings.m_peer_address = "127.0.0.1:0";
@@ -343,6 +348,9 @@
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
   std::vector<std::unique_ptr<EntryHost>> m_more_hosts;
+  /// Settings of hosts that are added later.
+  int m_tolerated_losses = EntrySettings().m_tolerated_losses;
+  std::optional<int> m_tolerated_domains;
 };
 
 }  // namespace dotterelshed
--- a/src/libhistory/copy_rule.cc
+++ b/src/libhistory/copy_rule.cc
@@ -36,7 +36,8 @@
   if (rule.m_lost_domains && copies.m_hosts >= hosts && IsCutOff(view)) {
     return true;
   }
-  const auto domains = MoreThan(rule.m_lost_domains.value_or(rule.m_lost_hosts));
+  const auto domains =
+      MoreThan(rule.m_lost_domains.value_or(rule.m_lost_hosts));
   const auto enough_hosts =
       copies.m_hosts >= std::clamp(members.m_hosts, std::size_t{1}, hosts);
   const auto enough_domains =
@@ -70,8 +71,7 @@
   auto rest = view.m_hosts;
   while (CountAnswering(view, chosen) < wanted) {
     std::erase_if(rest, [&](const ReplicaHost& host) {
-      return view.m_failing.contains(host.m_host) ||
-             Holds(chosen, host.m_host);
+      return view.m_failing.contains(host.m_host) || Holds(chosen, host.m_host);
     });
     auto fresh = rest;
     std::erase_if(fresh, [&chosen](const ReplicaHost& host) {
@@ -90,6 +90,10 @@
 
 }  // namespace
 
+auto RequiredHosts(const CopyRule& rule) -> std::size_t {
+  return MoreThan(rule.m_lost_hosts);
+}
+
 auto TakesTurns(const ReplicaHost& host) -> bool {
   return !host.m_leaving && !host.m_drained;
 }
@@ -115,10 +119,10 @@
 }
 
 auto CanStore(const CopyRule& rule, const ReplicaView& view) -> bool {
-  return IsEnough(rule, view, CountSpread(view, [&view](const ReplicaHost& host) {
-                    return TakesTurns(host) &&
-                           !view.m_failing.contains(host.m_host);
-                  }));
+  return IsEnough(
+      rule, view, CountSpread(view, [&view](const ReplicaHost& host) {
+        return TakesTurns(host) && !view.m_failing.contains(host.m_host);
+      }));
 }
 
 auto ChooseTargets(const CopyRule& rule,
--- a/src/libhistory/copy_rule_unittest.cc
+++ b/src/libhistory/copy_rule_unittest.cc
@@ -53,24 +53,59 @@
   const auto one = GENERATE(values<Case>({
       {"a host of each domain", kTwoOrOne, 3, 3, {}, {"a1", "b1", "c1"}, true},
       {"three hosts of two domains",
-       kTwoOrOne, 3, 3, {}, {"a1", "a2", "b1"}, true},
+       kTwoOrOne,
+       3,
+       3,
+       {},
+       {"a1", "a2", "b1"},
+       true},
       {"two hosts", kTwoOrOne, 3, 3, {}, {"a1", "b1"}, false},
       {"one domain", kTwoOrOne, 3, 3, {}, {"a1", "a2", "a3"}, false},
       {"the own domain, cut off",
-       kTwoOrOne, 2, 3, {"b1", "b2", "b3"}, {"a1", "a2", "a3"}, true},
+       kTwoOrOne,
+       2,
+       3,
+       {"b1", "b2", "b3"},
+       {"a1", "a2", "a3"},
+       true},
       {"the own domain, cut off, too few hosts",
-       kTwoOrOne, 2, 3, {"b1", "b2", "b3"}, {"a1", "a2"}, false},
+       kTwoOrOne,
+       2,
+       3,
+       {"b1", "b2", "b3"},
+       {"a1", "a2"},
+       false},
       {"the own domain, all but one host away",
-       kTwoOrOne, 2, 3, {"b1", "b2"}, {"a1", "a2", "a3"}, false},
+       kTwoOrOne,
+       2,
+       3,
+       {"b1", "b2"},
+       {"a1", "a2", "a3"},
+       false},
       {"one loss, two domains", kOneOrOne, 4, 1, {}, {"a1", "d1"}, true},
       {"one loss, one host", kOneOrOne, 4, 1, {}, {"a1"}, false},
       {"one loss, cut off, one host",
-       kOneOrOne, 4, 1, {"b1", "c1", "d1"}, {"a1"}, false},
+       kOneOrOne,
+       4,
+       1,
+       {"b1", "c1", "d1"},
+       {"a1"},
+       false},
       {"all hosts that there are", kTwoOrOne, 2, 1, {}, {"a1", "b1"}, true},
       {"no bound for domains, two of them",
-       kTwo, 3, 3, {}, {"a1", "a2", "b1"}, false},
+       kTwo,
+       3,
+       3,
+       {},
+       {"a1", "a2", "b1"},
+       false},
       {"no bound for domains, cut off",
-       kTwo, 2, 3, {"b1", "b2", "b3"}, {"a1", "a2", "a3"}, false},
+       kTwo,
+       2,
+       3,
+       {"b1", "b2", "b3"},
+       {"a1", "a2", "a3"},
+       false},
       {"no bound for domains, three", kTwo, 3, 3, {}, {"a1", "b1", "c1"}, true},
   }));
   CAPTURE(one.m_name);
@@ -104,8 +139,8 @@
                          .m_failing = MakeIds(one.m_failing),
                          .m_domain = DomainId("a")};
   for (int program = 0; program < 50; ++program) {
-    const auto targets = ChooseTargets(kTwoOrOne, view,
-                                       ProgramId(std::to_string(program)));
+    const auto targets =
+        ChooseTargets(kTwoOrOne, view, ProgramId(std::to_string(program)));
     std::set<DomainId> domains;
     std::size_t answering = 0;
     for (const auto& host : targets.m_hosts) {
@@ -161,8 +196,8 @@
     m_side.clear();
     const auto cut = RandomHost().m_domain;
     for (const auto& host : m_hosts) {
-      const auto inside = m_network == Network::kCut ? host.m_domain == cut
-                                                     : Draw(2) == 0;
+      const auto inside =
+          m_network == Network::kCut ? host.m_domain == cut : Draw(2) == 0;
       if (inside) {
         m_side.insert(host.m_host);
       }
@@ -175,8 +210,8 @@
     const auto& near = RandomHost();
     ReplicaView view{.m_hosts = m_hosts, .m_domain = near.m_domain};
     for (const auto& host : m_hosts) {
-      const auto away = m_network == Network::kCut &&
-                        !Connected(host.m_host, near.m_host);
+      const auto away =
+          m_network == Network::kCut && !Connected(host.m_host, near.m_host);
       if (away || Draw(8) == 0) {
         view.m_failing.insert(host.m_host);
       }
--- a/src/libhistory/replica_placement.cc
+++ b/src/libhistory/replica_placement.cc
@@ -23,8 +23,9 @@
 auto HostPreference(const ReplicaHost& host,
                     const ProgramId& program,
                     const std::set<HostId>& avoided) {
-  return std::tuple(!avoided.contains(host.m_host),
-                    Rank(host.m_host.value(), program), host.m_host);
+  return std::tuple<bool, std::uint64_t, const HostId&>(
+      !avoided.contains(host.m_host), Rank(host.m_host.value(), program),
+      host.m_host);
 }
 
 auto Contains(const std::vector<ReplicaHost>& hosts, const HostId& host)
--- a/src/libhistory/turn_index.cc
+++ b/src/libhistory/turn_index.cc
@@ -34,7 +34,9 @@
 }  // namespace
 
 auto AddTurn(TurnIndex& index, TurnRecord record, TimePoint now) -> AddOutcome {
-  if (index.m_turns.contains(record.m_turn)) {
+  const auto known = index.m_turns.find(record.m_turn);
+  if (known != index.m_turns.end()) {
+    known->second.m_record.m_substitutes.merge(record.m_substitutes);
     return AddOutcome::kKnown;
   }
   if (index.m_withdrawn.contains(record.m_turn)) {
--- a/src/libhistory/turn_index_unittest.cc
+++ b/src/libhistory/turn_index_unittest.cc
@@ -46,6 +46,16 @@
   CHECK(EventData("id: 1\n\n").empty());
 }
 
+TEST_CASE("hosts that stand in for others are added to a known turn") {
+  TurnIndex index;
+  AddTurn(index, MakeRecord("a"), kStart);
+  auto again = MakeRecord("a");
+  again.m_substitutes = {HostId("x2")};
+  CHECK(AddTurn(index, again, kStart) == AddOutcome::kKnown);
+  CHECK(index.m_turns.at(RequestId("a")).m_record.m_substitutes ==
+        std::set{HostId("x2")});
+}
+
 TEST_CASE("a chain is found back to its start, through any branch") {
   TurnIndex index;
   AddTurn(index, MakeRecord("c", "b"), kStart);
