Test a cut only once hosts know of it

Cause: hosts collect changes of the list of disk hosts for 250 ms, so that the first turns of the cut tests were stored before they saw it; 'a host that stands in for another one copies its turns again' then failed, as no host stood in. Measured: the four cut cases pass.

--- a/src/libgateway/history/history_cut_unittest.cc
+++ b/src/libgateway/history/history_cut_unittest.cc
@@ -58,7 +58,8 @@
         m_store.Put("disk-hosts", host.m_host.value(), EncodeReplicaHost(host));
       }
     }
-    RunFor(std::chrono::milliseconds(200));
+    // Hosts collect changes of the list for a while.
+    RunFor(std::chrono::milliseconds(800));
   }
 
   auto Heal() -> void {
@@ -160,8 +161,8 @@
   environment.EmptyDisk(substitute);
   environment.RunFor(kCatchUp);
   for (const auto& host : targets.m_hosts) {
-    const auto holds = host.m_domain != DomainId("y") &&
-                       host.m_host != substitute;
+    const auto holds =
+        host.m_domain != DomainId("y") && host.m_host != substitute;
     if (holds) {
       environment.EmptyDisk(host.m_host);
     }
@@ -172,8 +173,7 @@
 TEST_CASE("a turn is found after two disks were lost and a domain is cut off") {
   CutEnvironment environment;
   environment.TimeTurn("t1", "");
-  const auto replicas =
-      ChooseReplicas(environment.Disks(), ProgramId("p"), {});
+  const auto replicas = ChooseReplicas(environment.Disks(), ProgramId("p"), {});
   REQUIRE(replicas.size() == 3);
   environment.EmptyDisk(replicas[0].m_host);
   environment.EmptyDisk(replicas[1].m_host);
