--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -47,6 +47,7 @@
   kSuspectContents,
   kHistoryReads,
   kHistoryStoreSeconds,
+  kHistoryWrites,
   kReplicaTurns,
   kReplicaWrites,
   kReplicaCopies,
--- a/src/libgateway/entry_settings.h
+++ b/src/libgateway/entry_settings.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_ENTRY_SETTINGS_H_
 #define DOTTERELSHED_ENTRY_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,10 @@
   Duration m_quota_window = std::chrono::seconds(5);
   double m_quota_over = 0.1;
   double m_quota_slack = 20;
+  /// Number of failure domains that may fail at the same time, instead of so
+  /// many hosts. Without a value each disk host that fails may be the last of
+  /// its domain.
+  std::optional<int> m_tolerated_domains;
   /// Processor capacity of the host, in cores.
   double m_processor_share = 1.0;
   /// What the deployment asks for; see obligations.h.
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -57,6 +57,13 @@
   CHECK(settings->m_quota_window == std::chrono::seconds(4));
   CHECK(settings->m_quota_over == 0.2);
   CHECK(settings->m_quota_slack == 10);
+  CHECK_FALSE(settings->m_tolerated_domains);
+  const auto with_domains = ParseEntrySettings(
+      Changed("\"view_max_age_ms\"",
+              "\"tolerated_domains\": 0, \"view_max_age_ms\""),
+      "f");
+  REQUIRE(with_domains);
+  CHECK(with_domains->m_tolerated_domains == 0);
 }
 
 TEST_CASE("an invalid setting is reported with its key") {
--- a/src/librouting/judgement/choice_replay_hosts_unittest.cc
+++ b/src/librouting/judgement/choice_replay_hosts_unittest.cc
@@ -42,15 +42,14 @@
     const auto host = m_random() % kHosts;
     const HostId name("h" + std::to_string(host));
     const auto shares = SharesOf(m_judgement, m_directory);
-    const auto chosen = ChooseEndpoint(
-        m_directory, m_loads.at(host),
-        {.m_service = ServiceId("s"),
-         .m_shares = judged ? &shares : nullptr,
-         .m_share_draw = Draw(),
-         .m_host = subsets ? name : HostId(),
-         .m_hosts = kHosts,
-         .m_draw = Draw()},
-        m_now);
+    const auto chosen = ChooseEndpoint(m_directory, m_loads.at(host),
+                                       {.m_service = ServiceId("s"),
+                                        .m_shares = judged ? &shares : nullptr,
+                                        .m_share_draw = Draw(),
+                                        .m_host = subsets ? name : HostId(),
+                                        .m_hosts = kHosts,
+                                        .m_draw = Draw()},
+                                       m_now);
     REQUIRE(chosen);
     const auto lost = std::stoi(chosen->value().substr(1)) < failing;
     auto& load = m_loads.at(host)[*chosen];
