--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -218,11 +218,11 @@
   if (KeepsHistory(*table)) {
     m_history.Start();
   }
+  m_lead.SetQuotas(HasQuotas(table->m_accounts.get()));
+  m_quota_service.ChangeAccounts(table->m_accounts.get());
   m_context.m_labelled_accounts = table->m_accounts
                                       ? LabelledAccounts(*table->m_accounts)
                                       : std::set<AccountId>();
-  m_lead.SetQuotas(HasQuotas(table->m_accounts.get()));
-  m_quota_service.ChangeAccounts(table->m_accounts.get());
   m_context.m_routes = std::make_shared<const RouteTable>(std::move(*table));
   ApplyLimits();
 }
--- a/src/libgateway/peer_request_handler.cc
+++ b/src/libgateway/peer_request_handler.cc
@@ -41,6 +41,7 @@
   const auto& target = request.m_head.m_target;
   const auto handled =
       HandleAccountRequest(connection, target, request.m_body) ||
+      HandleQuotaRequest(connection, target, request.m_body) ||
       HandleLeadRequest(connection, target, request.m_body) ||
       HandleViewRequest(connection, target, request.m_body);
   if (!handled) {
@@ -74,15 +75,6 @@
                         kStatusOk, {},
                         EncodeFindAccountResponse(m_lead.FindAccount(message)));
                   });
-  } else if (target == kQuotaPath) {
-    HandleMessage(
-        connection, DecodeQuotaAsk(body),
-        [this, &connection](const QuotaAskMessage& message) {
-          m_quotas.HandleAsk(
-              message, [connection](const QuotaAnswerMessage& answer) {
-                connection->Answer(kStatusOk, {}, EncodeQuotaAnswer(answer));
-              });
-        });
   } else {
     return false;
   }
@@ -103,6 +95,24 @@
                      judgement ? EncodeDomainJudgement(*judgement) : "");
 }
 
+auto PeerRequestHandler::HandleQuotaRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    std::string_view target,
+    const std::string& body) -> bool {
+  if (target != kQuotaPath) {
+    return false;
+  }
+  HandleMessage(connection, DecodeQuotaAsk(body),
+                [this, &connection](const QuotaAskMessage& message) {
+                  m_quotas.HandleAsk(
+                      message, [connection](const QuotaAnswerMessage& answer) {
+                        connection->Answer(kStatusOk, {},
+                                           EncodeQuotaAnswer(answer));
+                      });
+                });
+  return true;
+}
+
 auto PeerRequestHandler::HandleLeadRequest(
     const std::shared_ptr<ServerConnection>& connection,
     std::string_view target,
@@ -111,7 +121,8 @@
     HandleMessage(connection, DecodeKnownLead(body),
                   [this, &connection](const KnownLead& lead) {
                     m_lead.OnLeadUpdate(lead);
-                    connection->Answer(kStatusOk, {}, "");
+                    connection->Answer(kStatusOk, {},
+                                       m_lead.MakeHandover(lead));
                   });
   } else if (target == kStepDownPath) {
     HandleMessage(connection, DecodeKnownLead(body),
--- a/src/libgateway/peer_request_handler.h
+++ b/src/libgateway/peer_request_handler.h
@@ -15,8 +15,8 @@
 
 /// @file
 /// Handles the requests that hosts send to each other: grants and searches of
-/// programs' accounts, changes of a domain's lead, views of the store and the
-/// crash ledger.
+/// programs' accounts, quotas of client accounts, changes of a domain's lead,
+/// views of the store and the crash ledger.
 
 namespace dotterelshed {
 
@@ -45,6 +45,10 @@
                             const std::string& body) -> bool;
   auto OnSettlements(const std::shared_ptr<ServerConnection>& connection,
                      const SettlementBatch& batch) -> void;
+  /// Tokens of client accounts' quotas.
+  auto HandleQuotaRequest(const std::shared_ptr<ServerConnection>& connection,
+                          std::string_view target,
+                          const std::string& body) -> bool;
   /// Changes of a domain's lead.
   auto HandleLeadRequest(const std::shared_ptr<ServerConnection>& connection,
                          std::string_view target,
