Split the handling of a call by its steps

What a request needs around its attempts (account, history, tokens), the attempts themselves and what follows from an endpoint's silence get files of their own. Nothing behaves differently.

--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -50,6 +50,15 @@
   auto Tick(TimePoint now) -> void;
 
  private:
+  static constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+  /// Turns are kept somewhat longer than the route says, so that one that is
+  /// continued at the last moment is still there.
+  static constexpr Duration kLifetimeMargin = std::chrono::seconds(10);
+  /// Response timeout of streams; clients abandon a stream that is silent for
+  /// two seconds.
+  static constexpr Duration kStreamResponseTimeout =
+      std::chrono::milliseconds(1300);
+
   /// State of the current attempt.
   struct Attempt {
     EndpointId m_endpoint;
