--- a/bench/quota_cost.cc
+++ b/bench/quota_cost.cc
@@ -23,12 +23,13 @@
   const Quota quota{.m_rate = 1e6, .m_burst = 1e6};
   QuotaLedger ledger{.m_bound = {.m_domains = 3}};
   std::vector<QuotaAsk> asks;
+  asks.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     asks.push_back({.m_account = AccountName(i), .m_need = 1});
   }
   TimePoint now{std::chrono::seconds(100)};
   std::size_t next = 0;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     now += std::chrono::microseconds(1);
     benchmark::DoNotOptimize(
         GrantTokens(ledger, quota, asks[next++ % asks.size()], now));
@@ -46,7 +47,7 @@
       .m_answers = {
           {.m_tokens = 1, .m_lease = std::chrono::milliseconds(300)}}};
   std::size_t bytes = 0;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const auto question = EncodeQuotaAsk(ask);
     const auto reply = EncodeQuotaAnswer(answer);
     benchmark::DoNotOptimize(DecodeQuotaAsk(question));
--- a/src/libbase/log.cc
+++ b/src/libbase/log.cc
@@ -136,7 +136,7 @@
   return value.empty() || !std::all_of(value.begin(), value.end(), plain);
 }
 
-/// The most of a value that a line shows; callers choose some of them.
+/// Maximum bytes of a value in a line; some values come from callers.
 constexpr std::size_t kMaxValueBytes = 1024;
 
 /// Makes a value fit one line: quotes, backslashes and control characters are
--- a/src/libgateway/call/call_access.cc
+++ b/src/libgateway/call/call_access.cc
@@ -48,7 +48,8 @@
   return limits;
 }
 
-/// @param account  outlives the result; empty for none.
+}  // namespace
+
 auto AccountLabel(const EntryContext& context, const AccountId& account)
     -> std::string_view {
   if (account.empty()) {
@@ -58,8 +59,6 @@
                                                        : kOtherAccounts;
 }
 
-}  // namespace
-
 auto DecideCallAccess(const EntryContext& context,
                       const Route& route,
                       const CallHeaders& headers) -> AccessDecision {
--- a/src/libgateway/call/call_access.h
+++ b/src/libgateway/call/call_access.h
@@ -15,6 +15,12 @@
 
 namespace dotterelshed {
 
+/// Returns the value of an account's label in metrics: its own name for the
+/// accounts with the largest quotas, else one that all others share.
+/// @param account  outlives the result; empty for none.
+auto AccountLabel(const EntryContext& context, const AccountId& account)
+    -> std::string_view;
+
 /// Decides by the newest configuration of this host.
 auto DecideCallAccess(const EntryContext& context,
                       const Route& route,
--- a/src/libgateway/call/call_turn.cc
+++ b/src/libgateway/call/call_turn.cc
@@ -40,7 +40,9 @@
   if (waits) {
     // The key may belong to another account by now, whose turns, budget and
     // quota were not looked at.
-    RespondUnserved("key_changed", kRetryAfter);
+    RespondUnserved(
+        IsLetIn(access) ? "key_changed" : ToString(access.m_outcome),
+        kRetryAfter);
   } else {
     RespondKeyRequired(access.m_outcome);
   }
--- a/src/libgateway/history/history_client.cc
+++ b/src/libgateway/history/history_client.cc
@@ -184,7 +184,8 @@
     }
   }
   AskAll(read);
-  if (read->m_in_flight == 0) {
+  // A question that fails at once may have ended the read.
+  if (read->m_respond && read->m_in_flight == 0) {
     const auto absent = read->m_certain && read->m_turns.empty();
     FinishRead(read,
                absent ? HistoryOutcome::kAbsent : HistoryOutcome::kUnknown);
--- a/src/libgateway/history/history_cut_unittest.cc
+++ b/src/libgateway/history/history_cut_unittest.cc
@@ -122,7 +122,8 @@
   CHECK(environment.m_host->ready());
 }
 
-TEST_CASE("a domain that is cut off goes on, and gives what was said there") {
+TEST_CASE(
+    "a domain that is cut off goes on, and its turns are found after the cut") {
   CutEnvironment environment;
   environment.TimeTurn("t1", "");
   environment.Cut("x");
--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -158,7 +158,7 @@
   if (m_ledger_version == ResourceVersion(0)) {
     m_context.m_store.Create(ObjectKind::kLedgers, std::move(object), after);
   } else {
-    m_context.m_store.Replace(ObjectKind::kLedgers, std::move(object), after,
+    m_context.m_store.Replace(ObjectKind::kLedgers, object, after,
                               kWriteTimeout);
   }
 }
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -55,8 +55,7 @@
     return;
   }
   object.m_version = m_previous_lead->m_version;
-  m_context.m_store.Replace(ObjectKind::kLeads, std::move(object), after,
-                            kWriteTimeout);
+  m_context.m_store.Replace(ObjectKind::kLeads, object, after, kWriteTimeout);
 }
 
 auto LeadService::OnClaimWritten(const Result<StoredObject>& stored) -> void {
--- a/src/libgateway/quota/quota_client.cc
+++ b/src/libgateway/quota/quota_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "call/call_access.h"
 #include "dotterelshed/log_events.h"
 #include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
@@ -29,6 +30,8 @@
 /// Shortest time for which an exhausted account's requests are refused without
 /// a question. It is spread, so that hosts don't ask at the same time.
 constexpr Duration kMinExhausted = std::chrono::milliseconds(100);
+/// Longest such time; a limit may be raised meanwhile.
+constexpr Duration kMaxExhausted = std::chrono::milliseconds(1000);
 constexpr Duration kUnavailableRetryAfter = std::chrono::milliseconds(300);
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
@@ -192,9 +195,13 @@
   if (error == nullptr || lead.m_domain != m_context.m_settings.m_domain) {
     return;
   }
-  if (!m_silent_since) {
+  const auto same_silence = m_silent_lead == lead.m_version &&
+                            now - m_last_silence < 2 * kMaxLeadSilence;
+  if (!m_silent_since || !same_silence) {
     m_silent_since = now;
   }
+  m_silent_lead = lead.m_version;
+  m_last_silence = now;
   // A busy lead refuses connections too, and each change of lead costs the
   // domain its share for a while.
   if (now - *m_silent_since >= kMaxLeadSilence) {
@@ -228,7 +235,7 @@
   // Tokens may also have lapsed on their way.
   const auto exhausted = decided && answer.m_tokens < ask.m_need;
   if (exhausted) {
-    const auto hold = std::max(answer.m_next, kMinExhausted);
+    const auto hold = std::clamp(answer.m_next, kMinExhausted, kMaxExhausted);
     state.m_holding.m_exhausted_until =
         now +
         FromSeconds(ToSeconds(hold) * (1 + m_context.RandomFraction() / 2));
@@ -268,7 +275,8 @@
 auto QuotaClient::LogRefusals() -> void {
   for (auto& [account, state] : m_accounts) {
     for (const auto& [verdict, count] : std::exchange(state.m_refusals, {})) {
-      CountMetric(MetricId::kQuotaRefusals, account.value(), count);
+      CountMetric(MetricId::kQuotaRefusals, AccountLabel(m_context, account),
+                  count);
       LogEvent(LogEventId::kQuotaRefused,
                {{"account", account.value()},
                 {"reason", std::string(ToString(verdict))},
--- a/src/libgateway/quota/quota_client.h
+++ b/src/libgateway/quota/quota_client.h
@@ -104,6 +104,9 @@
   /// First question since its last answer that the own domain's lead didn't
   /// answer.
   std::optional<TimePoint> m_silent_since;
+  /// Version of the lead that was silent then.
+  ResourceVersion m_silent_lead;
+  TimePoint m_last_silence;
   TimePoint m_last_log;
 };
 
--- a/src/libgateway/quota/quota_service.cc
+++ b/src/libgateway/quota/quota_service.cc
@@ -21,6 +21,8 @@
 /// Shortest time for which a lead isn't asked again for an account of which it
 /// had too few tokens.
 constexpr Duration kMinExhausted = std::chrono::milliseconds(50);
+/// Longest such time; a limit may be raised meanwhile.
+constexpr Duration kMaxExhausted = std::chrono::milliseconds(1000);
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(2);
 
@@ -90,6 +92,11 @@
       pending.m_answer.m_answers[i] = {
           .m_tokens = GrantTokens(m_ledger, *quota, ask, now),
           .m_lease = m_ledger.m_bound.m_lease};
+    } else if (m_context.m_routes != nullptr) {
+      // The configuration of this lead has no limit for the account, that of
+      // the asking host has one: it is about to be lifted or to begin.
+      pending.m_answer.m_answers[i] = {.m_tokens = std::max(ask.m_need, 0),
+                                       .m_lease = m_ledger.m_bound.m_lease};
     }
   }
 }
@@ -196,7 +203,7 @@
               sent_at + std::min(one.m_lease, m_ledger.m_bound.m_lease));
     if (one.m_tokens < asks[i].m_need) {
       lender.m_exhausted[asks[i].m_account] =
-          now + std::max(one.m_next, kMinExhausted);
+          now + std::clamp(one.m_next, kMinExhausted, kMaxExhausted);
     }
   }
 }
--- a/src/libhistory/copy_rule.cc
+++ b/src/libhistory/copy_rule.cc
@@ -24,7 +24,7 @@
   return spread;
 }
 
-auto MoreThan(int lost) -> std::size_t {
+auto OneMoreThan(int lost) -> std::size_t {
   return static_cast<std::size_t>(lost) + 1;
 }
 
@@ -32,12 +32,12 @@
               const ReplicaView& view,
               const Spread& copies) -> bool {
   const auto members = CountSpread(view, TakesTurns);
-  const auto hosts = MoreThan(rule.m_lost_hosts);
+  const auto hosts = OneMoreThan(rule.m_lost_hosts);
   if (rule.m_lost_domains && copies.m_hosts >= hosts && IsCutOff(view)) {
     return true;
   }
   const auto domains =
-      MoreThan(rule.m_lost_domains.value_or(rule.m_lost_hosts));
+      OneMoreThan(rule.m_lost_domains.value_or(rule.m_lost_hosts));
   const auto enough_hosts =
       copies.m_hosts >= std::clamp(members.m_hosts, std::size_t{1}, hosts);
   const auto enough_domains =
@@ -91,7 +91,7 @@
 }  // namespace
 
 auto RequiredHosts(const CopyRule& rule) -> std::size_t {
-  return MoreThan(rule.m_lost_hosts);
+  return OneMoreThan(rule.m_lost_hosts);
 }
 
 auto TakesTurns(const ReplicaHost& host) -> bool {
@@ -131,7 +131,8 @@
   CopyTargets targets{
       .m_hosts = ChooseReplicas(view.m_hosts, program, view.m_failing)};
   if (rule.m_lost_domains) {
-    AddAnswering(view, program, MoreThan(rule.m_lost_hosts), targets.m_hosts);
+    AddAnswering(view, program, OneMoreThan(rule.m_lost_hosts),
+                 targets.m_hosts);
   }
   const auto own = ChooseReplicas(view.m_hosts, program, {});
   for (const auto& host : targets.m_hosts) {
--- a/src/libhistory/copy_rule_unittest.cc
+++ b/src/libhistory/copy_rule_unittest.cc
@@ -180,7 +180,7 @@
   std::set<HostId> m_emptied;
   std::vector<Turn> m_turns;
   bool m_lost = false;
-  bool m_in_one_domain_uncut = false;
+  bool m_stored_in_one_domain = false;
 
   auto Draw(std::size_t count) -> std::size_t { return m_random() % count; }
   auto RandomHost() -> const ReplicaHost& {
@@ -237,7 +237,7 @@
         domains.insert(host.m_domain);
       }
     }
-    m_in_one_domain_uncut |= domains.size() < 2 && !IsCutOff(view);
+    m_stored_in_one_domain |= domains.size() < 2 && !IsCutOff(view);
     m_turns.push_back(std::move(turn));
   }
 
@@ -314,7 +314,7 @@
                     .m_random = Random(seed)};
         world.Run(150);
         losses += world.m_lost ? 1 : 0;
-        CHECK_FALSE(world.m_in_one_domain_uncut);
+        CHECK_FALSE(world.m_stored_in_one_domain);
       }
     }
   }
--- a/src/libquota/quota_ledger.cc
+++ b/src/libquota/quota_ledger.cc
@@ -15,6 +15,8 @@
 /// Levels are sums of many small parts; a token that is short by no more than
 /// this is there.
 constexpr double kRounding = 1e-9;
+/// Larger levels count as this one, so that a number of tokens fits its type.
+constexpr double kMaxLevel = 1e9;
 
 auto Refill(QuotaLedger& ledger,
             const AccountId& account,
@@ -56,7 +58,7 @@
                  TimePoint now) -> int {
   const auto size = DomainBucket(quota, ledger.m_bound);
   auto& bucket = Refill(ledger, ask.m_account, size, now);
-  const auto level = bucket.m_level + kRounding;
+  const auto level = std::min(bucket.m_level + kRounding, kMaxLevel);
   const auto need = std::clamp(ask.m_need, 0, static_cast<int>(level));
   const auto spare = std::max(level - need - size.m_capacity / 2, 0.0);
   const auto extra = std::clamp(ask.m_extra, 0, static_cast<int>(spare));
--- a/src/libquota/quota_ledger_unittest.cc
+++ b/src/libquota/quota_ledger_unittest.cc
@@ -108,5 +108,14 @@
   CHECK(HeldTokens(holding, kStart) == 0);
 }
 
+TEST_CASE("an account with a limit beyond any number of tokens is let in") {
+  const Quota quota{.m_rate = 1e300, .m_burst = 1e300};
+  QuotaLedger ledger{.m_bound = {.m_domains = 3}};
+  const QuotaAsk ask{.m_account = AccountId("a"), .m_need = 5};
+  const TimePoint start{std::chrono::seconds(100)};
+  GrantTokens(ledger, quota, ask, start);
+  CHECK(GrantTokens(ledger, quota, ask, start + std::chrono::seconds(1)) == 5);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -18,8 +18,8 @@
 /// Score added to an endpoint to avoid, which is thus chosen last.
 constexpr double kAvoidedPenalty = 100;
 /// Score added to an endpoint that is out of use, or whose share of requests
-/// doesn't include this one. It doesn't exceed kAvoidedPenalty: a request that
-/// may end endpoints is worse.
+/// doesn't include this one. Less than kAvoidedPenalty: an endpoint out
+/// of use is preferred to one that this request must avoid.
 constexpr double kOutPenalty = 50;
 /// Work of the request itself, in the unit of ExpectedWork.
 constexpr double kOwnWork = 0.25;
--- a/src/librouting/judgement/endpoint_judgement.cc
+++ b/src/librouting/judgement/endpoint_judgement.cc
@@ -110,7 +110,7 @@
       return failures == 0 ? std::nullopt
                            : JudgeInUse(judgement, directory, id, now);
     case JudgementState::kOut:
-      // Of requests that were sent before.
+      // These outcomes are of requests sent before it was taken out.
       return std::nullopt;
     case JudgementState::kProbing:
       if (failures > 0) {
--- a/src/librouting/judgement/judgement_evidence.cc
+++ b/src/librouting/judgement/judgement_evidence.cc
@@ -88,7 +88,8 @@
     return false;
   }
   const auto others = OutcomesOfOthers(judgement, directory, id);
-  // As much must be known of the others, or all may fail as often.
+  // Without as many outcomes of the others it isn't known whether they fail
+  // as often.
   return OutcomesIn(others) >= OutcomesIn(evidence.m_outcomes) &&
          share >= options.m_partial_multiple * FailureShare(others);
 }
