--- a/src/libgateway/quota/quota_client.cc
+++ b/src/libgateway/quota/quota_client.cc
@@ -26,7 +26,7 @@
 constexpr Duration kNotLeadSilence = std::chrono::milliseconds(100);
 /// Time without any answer of the own domain's lead after which this host tries
 /// to take over.
-constexpr Duration kMaxLeadSilence = std::chrono::milliseconds(1000);
+constexpr Duration kMaxLeadSilence = std::chrono::milliseconds(3000);
 /// Shortest time for which an exhausted account's requests are refused without
 /// a question. It is spread, so that hosts don't ask at the same time.
 constexpr Duration kMinExhausted = std::chrono::milliseconds(100);
