--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -15,6 +15,7 @@
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/host_judgement.h"
 #include "dotterelshed/route_table.h"
+#include "dotterelshed/steady_time.h"
 #include "entry_settings.h"
 #include "lead/lead_messages.h"
 #include "platform/object_store.h"
@@ -61,6 +62,8 @@
   ConnectionPool m_endpoint_connections;
   ConnectionPool m_peer_connections;
   std::map<DomainId, KnownLead> m_leads;
+  /// Times at which m_leads learned of them.
+  std::map<DomainId, TimePoint> m_leads_known_since;
   /// False from a failed read of the endpoints until the next successful one.
   bool m_store_reachable = true;
   std::mt19937_64 m_random;
@@ -88,9 +91,18 @@
       return false;
     }
     m_leads[lead.m_domain] = lead;
+    m_leads_known_since[lead.m_domain] = SteadyTime();
     return true;
   }
 
+  /// Returns true if this host learned of the domain's lead within the last
+  /// @p time.
+  auto IsNewLead(const DomainId& domain, Duration time) const -> bool {
+    const auto since = m_leads_known_since.find(domain);
+    return since != m_leads_known_since.end() &&
+           SteadyTime() - since->second < time;
+  }
+
   /// Returns the source of this host's views: the lead of its domain, which
   /// reads the store for the other hosts of the domain.
   auto MakeViewReader() -> ViewReader {
--- a/src/libgateway/lead/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -170,7 +170,7 @@
     return;
   }
   if (pending->m_domain == own) {
-    m_own_lead.TakeOver(pending->m_asked_lead);
+    m_own_lead.TakeOverSilent(pending->m_asked_lead);
     if (++pending->m_unanswered_requests >= kMaxUnansweredRequests) {
       pending->m_domain = FallbackDomain(pending->m_request.m_grant.m_program);
     }
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -78,6 +78,11 @@
 
   /// States whether the configuration has quotas. If it has, a lead confirms
   /// several times per second that it still leads.
+  /// Takes over from a lead that doesn't answer. Where accounts have quotas, a
+  /// new lead is given time to start: each change of lead costs the domain its
+  /// share of the quotas, and hosts whose requests wait would go on replacing
+  /// one busy lead after the other.
+  auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   auto SetQuotas(bool has_quotas) -> void { m_has_quotas = has_quotas; }
   /// Returns true if this lead may grant from its domain's share of quotas,
   /// which accrues from quota_sole_from().
--- a/src/libgateway/quota/quota_client.cc
+++ b/src/libgateway/quota/quota_client.cc
@@ -206,7 +206,7 @@
   // domain its share for a while.
   if (now - *m_silent_since >= kMaxLeadSilence) {
     m_silent_since.reset();
-    m_lead.TakeOver(lead);
+    m_lead.TakeOverSilent(lead);
   }
 }
 
