--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -43,8 +43,8 @@
   auto& judgement = m_context.m_judgement;
   const auto now = SteadyTime();
   if (judgement.m_enabled && m_attempts == 0) {
-    const auto probe = ProbeFor(judgement, m_context.m_directory, m_service,
-                                IsRetryable(), now);
+    auto probe = ProbeFor(judgement, m_context.m_directory, m_service,
+                          IsRetryable(), now);
     if (probe && !avoided.contains(*probe)) {
       return probe;
     }
