--- a/src/libgateway/quota/quota_unittest.cc
+++ b/src/libgateway/quota/quota_unittest.cc
@@ -142,6 +142,24 @@
   CHECK(environment.Finish(kRequest)->Status() == 200);
 }
 
+TEST_CASE("a new lead has time to start where accounts have quotas") {
+  QuotaEnvironment environment(1000, 20);
+  ScriptedEndpoint silent(environment.m_loop,
+                          [](const Request& /*request*/) {});
+  environment.PutLead("z", "h2", silent);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  std::string turn = kTurnRequest;
+  turn.insert(turn.find("\r\n") + 2, "Credential: kb\r\n");
+  environment.Call(turn);
+  environment.RunFor(std::chrono::milliseconds(1500));
+  CHECK(silent.requests() > 0);
+  CHECK(environment.LeadHost() == "h2");
+  environment.RunFor(std::chrono::milliseconds(1500));
+  environment.Finish(turn);
+  CHECK(environment.LeadHost() == "h1");
+}
+
 TEST_CASE("a token of a request that no endpoint ran is used again") {
   QuotaEnvironment environment(0.001, 20);
   int refusals = 0;
