--- a/src/librouting/speed/choice_replay_unittest.cc
+++ b/src/librouting/speed/choice_replay_unittest.cc
@@ -95,7 +95,8 @@
     for (int step = 0; step < 12000; ++step) {
       const auto slowness = CollectSlowness(m_paces, m_now);
       // About half of the places are taken.
-      for (auto due = 1.6 * Draw() + 0.9; due >= 1; due -= 1) {
+      const auto arrivals = static_cast<int>(1.6 * Draw() + 0.9);
+      for (int i = 0; i < arrivals; ++i) {
         Arrive(by_expected_end ? &slowness : nullptr);
       }
       Advance();
