--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -117,7 +117,7 @@
                      .m_names_unread = m_unread && !m_unread_known};
   auto object = MakeLedgerObject(write.m_record);
   m_context.m_store.Replace(
-      ObjectKind::kLedgers, std::move(object),
+      ObjectKind::kLedgers, object,
       [this, write = std::move(write)](const Result<StoredObject>& stored) {
         m_writing = false;
         OnWriteCompleted(write, stored);
