--- a/src/libgateway/quota/quota_unittest.cc
+++ b/src/libgateway/quota/quota_unittest.cc
@@ -41,6 +41,7 @@
   /// Sends requests at once and returns the number of answers with a status.
   auto CountAnswers(int requests, int status) -> int {
     std::vector<std::shared_ptr<TestCaller>> callers;
+    callers.reserve(static_cast<std::size_t>(requests));
     for (int i = 0; i < requests; ++i) {
       callers.push_back(Call(kRequest));
     }
