--- a/src/libquota/quota_randomized_unittest.cc
+++ b/src/libquota/quota_randomized_unittest.cc
@@ -159,7 +159,7 @@
       count = 1;
       valid = *until - sim.m_now;
     }
-    sim.Send([&sim, host, sent, count, valid] {
+    sim.Send([&sim, host, sent, count = count, valid = valid] {
       AddTokens(sim.m_hosts[host].m_holding, count, sent + valid);
     });
   });
