--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -551,23 +551,22 @@
     world = World(os.path.dirname(os.path.abspath(case_file)))
     world.record("TROUBLE", 1 if TROUBLE else 0)
 
-    async def bounded():
-        return await asyncio.wait_for(case(world), 110)
-
-    code = 2
-    try:
-        held = asyncio.run(bounded())
-        code = 0 if held else 1
-    except CannotRun as error:
-        world.record("couldn't run:", error)
-    except asyncio.TimeoutError:
-        world.record("couldn't run: took too long")
-    except Exception as error:  # pylint: disable=broad-except
-        # A mistake of the case itself says nothing about the rule.
-        world.record("couldn't run:", repr(error))
-    finally:
+    async def run():
+        code = 2
+        try:
+            held = await asyncio.wait_for(case(world), 100)
+            code = 0 if held else 1
+        except CannotRun as error:
+            world.record("couldn't run:", error)
+        except asyncio.TimeoutError:
+            world.record("couldn't run: took too long")
+        except Exception as error:  # pylint: disable=broad-except
+            # A mistake of the case itself says nothing about the rule.
+            world.record("couldn't run:", repr(error))
         world.clean_up()
-    world.record("exit", code)
-    sys.stdout.flush()
-    # What the stand-ins still wait for ends with this process.
-    os._exit(code)
+        world.record("exit", code)
+        sys.stdout.flush()
+        # What the stand-ins still wait for ends with this process.
+        os._exit(code)
+
+    asyncio.run(run())
