Log and count what endpoints say of their limits

No line or metric told whether hosts knew a limit. Now endpoint_limited says when an endpoint states a limit, another one, or none any more, and dotterelshed_limited_attempts_total counts requests that a host sent in spite of one.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -58,6 +58,7 @@
   kEndpointRejected = 505,
   kEndpointJudged = 506,
   kJudgementRejected = 507,
+  kEndpointLimited = 508,
   kQuotaRefused = 520,
   kQuotaShareTaken = 521,
   kConfigInForce = 601,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -43,6 +43,7 @@
   kTurnDecisions,
   kEndpointConnections,
   kEndpointJudgements,
+  kLimitedAttempts,
   kViewAge,
   kSuspectContents,
   kHistoryReads,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -110,6 +110,9 @@
     {LogEventId::kJudgementRejected, LogLevel::kWarning, "judgement_rejected",
      "The lead's judgement of endpoints can't be read; this host judges by its "
      "own outcomes alone."},
+    {LogEventId::kEndpointLimited, LogLevel::kInfo, "endpoint_limited",
+     "An endpoint stated how many requests a second it takes from all hosts "
+     "together, another number than before, or none any more."},
     {LogEventId::kQuotaRefused, LogLevel::kInfo, "quota_refused",
      "Requests of an account were refused within the last second: over_quota, "
      "or quota_unavailable if no lead could decide. One line an account, with "
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -63,6 +63,10 @@
     {MetricId::kEndpointJudgements, MetricKind::kCounter,
      "dotterelshed_endpoint_judgements_total", "state",
      "Changes of this host's judgements of endpoints, by the new state."},
+    {MetricId::kLimitedAttempts, MetricKind::kCounter,
+     "dotterelshed_limited_attempts_total", "endpoint",
+     "Requests that this host sent to endpoints of which it knew a limit, by "
+     "endpoint."},
     {MetricId::kViewAge, MetricKind::kGauge, "dotterelshed_view_age_seconds",
      "kind",
      "Time since the platform last showed that this host's view of a kind of "
--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -165,6 +165,9 @@
   m_attempt.m_sent_at = now;
   m_attempt.m_may_have_run_before = std::exchange(m_may_have_run, true);
   m_crash_tracker.OnAttemptSent(m_attempt.m_endpoint, now);
+  if (LimitOf(m_context.m_limits, m_attempt.m_endpoint)) {
+    CountMetric(MetricId::kLimitedAttempts, m_attempt.m_endpoint.value());
+  }
   m_attempt.m_first_at_endpoint =
       m_may_have_run_on.insert(m_attempt.m_endpoint).second;
   const auto self = shared_from_this();
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -124,6 +124,8 @@
   auto SubsetHost() const -> HostId;
   /// Adds the outcome of the current attempt to the judgement of its endpoint.
   auto JudgeAttempt(EndpointOutcome outcome) -> void;
+  /// Takes note of the limit that the current attempt's answer states, if any.
+  auto NoteLimit(std::optional<double> stated) -> void;
   /// Adds what a whole response showed of the endpoint's speed.
   auto NoteResponseSpeed() -> void;
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -13,6 +13,7 @@
 #include "dotterelshed/crash_ledger.h"
 #include "dotterelshed/endpoint_choice.h"
 #include "dotterelshed/endpoint_directory.h"
+#include "dotterelshed/endpoint_limits.h"
 #include "dotterelshed/host_judgement.h"
 #include "dotterelshed/route_table.h"
 #include "dotterelshed/steady_time.h"
@@ -56,6 +57,8 @@
   EndpointLoads m_loads;
   /// Which endpoints are out of use.
   HostJudgement m_judgement;
+  /// Limits that endpoints stated, and those that were withdrawn.
+  LimitStatements m_limits;
   /// Requests under which endpoints crashed, as observed by all hosts.
   CrashLedger m_crash_ledger;
   std::multiset<SuspectAttempt> m_suspect_attempts;
