A failing test: hosts together keep the limit that an endpoint states

Four hosts in two failure domains, turns and calls, two endpoints of which one states 3 requests a second: from 3 s after that it gets 137 requests in 4 s; the rule LIMIT allows 23.

--- /dev/null
+++ b/src/libgateway/limit/endpoint_limit_unittest.cc
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "test_calls.h"
+
+/// @file
+/// Endpoints that state how many requests a second they take from all hosts.
+
+namespace dotterelshed {
+namespace {
+
+using Request = ScriptedEndpoint::Request;
+
+constexpr Duration kContactTime = std::chrono::seconds(3);
+constexpr Duration kWindow = std::chrono::seconds(4);
+
+/// Answers with one event, and with a limit if there is one.
+auto AnswerWithLimit(const Request& request, double limit) -> void {
+  const auto body = MakeEvent(1);
+  const auto field =
+      limit > 0 ? "Server-Limit: " + std::to_string(limit) + "\r\n" : "";
+  request.m_stream->Write(request.Head(200, field + "Content-Length: " +
+                                                std::to_string(body.size()) +
+                                                "\r\n") +
+                          body);
+}
+
+/// Four hosts in two failure domains.
+struct TwoDomains {
+  TestEnvironment m_environment;
+  std::vector<EntryHost*> m_hosts;
+  std::vector<std::shared_ptr<TestCaller>> m_callers;
+  int m_sent = 0;
+
+  auto Start() -> void {
+    m_environment.m_host_settings.m_domains = {DomainId("z"), DomainId("y")};
+    m_environment.Start();
+    m_hosts.push_back(m_environment.m_host.get());
+    for (const auto& [name, domain] :
+         {std::pair("h2", "z"), std::pair("h3", "y"), std::pair("h4", "y")}) {
+      m_hosts.push_back(&m_environment.AddHost(name, domain));
+    }
+  }
+
+  /// Sends a turn to one host and a call to another one each 25 ms.
+  auto SendFor(Duration time) -> void {
+    const auto end = SteadyTime() + time;
+    while (SteadyTime() < end) {
+      const auto id = "r" + std::to_string(++m_sent);
+      const auto host = static_cast<std::size_t>(m_sent) % m_hosts.size();
+      const auto other = (host + 1) % m_hosts.size();
+      m_callers.push_back(m_environment.CallAt(
+          *m_hosts[host],
+          "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: " + id +
+              "\r\nProgram-Id: p" + id + "\r\nToken-Budget: 100\r\n" +
+              "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n"));
+      m_callers.push_back(m_environment.CallAt(*m_hosts[other], kSafeCall));
+      m_environment.RunFor(std::chrono::milliseconds(25));
+    }
+  }
+
+  auto CountAnswers(int status) const -> std::ptrdiff_t {
+    return std::count_if(
+        m_callers.begin(), m_callers.end(),
+        [status](const auto& caller) { return caller->Status() == status; });
+  }
+};
+
+/// Number of @p times in the span that ends @p window after @p from.
+auto CountIn(const std::vector<TimePoint>& times,
+             TimePoint from,
+             Duration window) -> std::ptrdiff_t {
+  return std::count_if(times.begin(), times.end(), [&](TimePoint time) {
+    return time >= from && time < from + window;
+  });
+}
+
+TEST_CASE("hosts together keep the limit that an endpoint states", "[.]") {
+  constexpr double kLimit = 3;
+  TwoDomains setup;
+  std::vector<TimePoint> arrivals;
+  setup.m_environment.AddEndpoint([&arrivals](const Request& request) {
+    arrivals.push_back(SteadyTime());
+    AnswerWithLimit(request, kLimit);
+  });
+  setup.m_environment.AddEndpoint(
+      [](const Request& request) { AnswerWithLimit(request, 0); });
+  setup.Start();
+  setup.SendFor(kContactTime + kWindow);
+  setup.m_environment.RunFor(std::chrono::milliseconds(200));
+
+  const auto allowed = 1.5 * kLimit * ToSeconds(kWindow) + 5;
+  const auto got = CountIn(arrivals, arrivals.front() + kContactTime, kWindow);
+  CHECK(static_cast<double>(got) <= allowed);
+  CHECK(static_cast<double>(got) >= 0.5 * kLimit * ToSeconds(kWindow));
+  CHECK(setup.CountAnswers(200) ==
+        static_cast<std::ptrdiff_t>(setup.m_callers.size()));
+}
+
+}  // namespace
+}  // namespace dotterelshed
