Hosts keep an endpoint's stated limit together, by permits of their leads

Cause: Server-Limit was passed on to the caller and reached no decision.

Change: a host that has heard of a limit sends only with a permit of its domain's lead, checked when the request is written. Each domain has a fixed share of the limit, so domains, cuts and new leads need no agreement: at most 4.3 x limit + 5 requests in any 4 s (docs/design/endpoint-limits.md). Requests for which all limits leave no room get 503 with Retry-After at once.

--- a/src/include/dotterelshed/endpoint_limits.h
+++ b/src/include/dotterelshed/endpoint_limits.h
@@ -36,6 +36,12 @@
                      TimePoint sent_at,
                      TimePoint now) -> bool;
 
+/// Takes over what another host knows; the later statement holds. Returns true
+/// if the endpoint's limit is another one than before.
+auto MergeStatement(LimitStatements& statements,
+                    const EndpointId& endpoint,
+                    const LimitStatement& other) -> bool;
+
 /// Returns the endpoint's limit, or nothing if none is known.
 auto LimitOf(const LimitStatements& statements, const EndpointId& endpoint)
     -> std::optional<double>;
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -44,6 +44,8 @@
   kEndpointConnections,
   kEndpointJudgements,
   kLimitedAttempts,
+  kEndpointPermits,
+  kPermitAsks,
   kViewAge,
   kSuspectContents,
   kHistoryReads,
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -67,6 +67,13 @@
      "dotterelshed_limited_attempts_total", "endpoint",
      "Requests that this host sent to endpoints of which it knew a limit, by "
      "endpoint."},
+    {MetricId::kEndpointPermits, MetricKind::kCounter,
+     "dotterelshed_endpoint_permits_total", "decision",
+     "Permits for requests to endpoints with limits that this lead granted or "
+     "refused, for turns and for hosts that asked."},
+    {MetricId::kPermitAsks, MetricKind::kCounter,
+     "dotterelshed_permit_asks_total", "outcome",
+     "Questions of this host for such permits, by the lead's answer."},
     {MetricId::kViewAge, MetricKind::kGauge, "dotterelshed_view_age_seconds",
      "kind",
      "Time since the platform last showed that this host's view of a kind of "
--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -18,6 +18,8 @@
 /// Minimum time left before the deadline for starting an attempt.
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(30);
 constexpr int kMaxAttempts = 6;
+/// Longest Retry-After of a request that endpoints' limits leave no room for.
+constexpr Duration kMaxLimitWait = std::chrono::seconds(2);
 /// Maximum idle time of a reused connection for a request that may be executed
 /// only once: an older one may be closing at the other end.
 constexpr Duration kMaxIdleNonRetryable = std::chrono::milliseconds(1000);
@@ -42,10 +44,11 @@
   }
   auto& judgement = m_context.m_judgement;
   const auto now = SteadyTime();
+  const auto excluded = ExcludedEndpoints(now);
   if (judgement.m_enabled && m_attempts == 0) {
     auto probe = ProbeFor(judgement, m_context.m_directory, m_service,
                           IsRetryable(), now);
-    if (probe && !avoided.contains(*probe)) {
+    if (probe && !avoided.contains(*probe) && !excluded.contains(*probe)) {
       return probe;
     }
   }
@@ -53,7 +56,7 @@
       m_context.m_directory, m_context.m_loads,
       {.m_service = m_service,
        .m_domain = m_context.m_settings.m_domain,
-       .m_excluded = m_excluded,
+       .m_excluded = excluded,
        .m_avoided = avoided,
        .m_shares = &judgement.m_shares,
        .m_share_draw = m_context.RandomFraction(),
@@ -96,16 +99,22 @@
   }
   const auto now = SteadyTime();
   const auto endpoint = PickEndpoint();
-  if (!endpoint || m_attempts >= kMaxAttempts ||
-      m_deadline - now < kMinAttemptTime) {
-    const auto reason = endpoint ? "attempts_used_up" : "no_endpoint";
-    RespondUnserved(reason, kRetryAfter);
+  if (!endpoint) {
+    RespondNoEndpoint(now);
+    return;
+  }
+  if (m_attempts >= kMaxAttempts || m_deadline - now < kMinAttemptTime) {
+    RespondUnserved("attempts_used_up", kRetryAfter);
     return;
   }
   if (!PermitsAttemptAt(*endpoint)) {
     RespondUnserved("endpoints_used_up", kRetryAfter);
     return;
   }
+  if (!MaySendTo(*endpoint, now)) {
+    RequestPermit(*endpoint);
+    return;
+  }
   const auto* entry = FindEndpoint(m_context.m_directory, *endpoint);
   m_attempt = {};
   m_attempt.m_endpoint = *endpoint;
@@ -122,6 +131,53 @@
       });
 }
 
+// Limits that endpoints state.
+
+auto CallExchange::ExcludedEndpoints(TimePoint now) const
+    -> std::set<EndpointId> {
+  auto excluded = m_limits.Exhausted(m_service, now);
+  excluded.insert(m_excluded.begin(), m_excluded.end());
+  return excluded;
+}
+
+auto CallExchange::MaySendTo(const EndpointId& endpoint, TimePoint now) const
+    -> bool {
+  const auto permitted =
+      m_permit && m_permit->m_endpoint == endpoint && now <= m_permit->m_until;
+  return permitted || !LimitOf(m_context.m_limits, endpoint);
+}
+
+auto CallExchange::RequestPermit(const EndpointId& endpoint) -> void {
+  const auto until = SteadyTime() + kPermitTime;
+  m_limits.Ask(
+      endpoint, [self = shared_from_this(), endpoint, until](bool permitted) {
+        if (self->m_finished) {
+          return;
+        }
+        if (permitted) {
+          self->m_permit = Permit{.m_endpoint = endpoint, .m_until = until};
+          self->m_next_endpoint = endpoint;
+        }
+        self->StartNextAttempt();
+      });
+}
+
+auto CallExchange::RespondNoEndpoint(TimePoint now) -> void {
+  if (const auto wait = m_limits.ShortestWait(m_service, now)) {
+    RespondLimited(*wait);
+  } else {
+    RespondUnserved("no_endpoint", kRetryAfter);
+  }
+}
+
+/// Callers come back at different times, since there is room for few at once.
+auto CallExchange::RespondLimited(Duration wait) -> void {
+  const auto spread = wait * (1 + m_context.RandomFraction());
+  const auto retry_after = std::clamp(
+      std::chrono::duration_cast<Duration>(spread), kRetryAfter, kMaxLimitWait);
+  RespondUnserved("endpoints_limited", retry_after);
+}
+
 auto CallExchange::OnConnection(int attempt,
                                 std::shared_ptr<ClientConnection> connection)
     -> void {
@@ -149,6 +205,13 @@
     return;
   }
   const auto now = SteadyTime();
+  if (!MaySendTo(m_attempt.m_endpoint, now)) {
+    // The limit became known, or the permit lapsed, while it was connected.
+    EndAttempt();
+    StartNextAttempt();
+    return;
+  }
+  m_permit.reset();
   AttemptHeaders attempt;
   attempt.m_endpoint = m_attempt.m_endpoint;
   attempt.m_deadline = m_deadline - now;
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -19,6 +19,7 @@
 
 CallExchange::CallExchange(EntryContext& context,
                            GrantClient& grants,
+                           LimitClient& limits,
                            HistoryClient& history,
                            QuotaClient& quotas,
                            std::shared_ptr<ServerConnection> caller,
@@ -27,6 +28,7 @@
                            Completed completed)
     : m_context(context),
       m_grants(grants),
+      m_limits(limits),
       m_history(history),
       m_quotas(quotas),
       m_caller(std::move(caller)),
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -16,6 +16,7 @@
 #include "entry_context.h"
 #include "history/history_client.h"
 #include "lead/grant_client.h"
+#include "limit/limit_client.h"
 #include "platform/call_headers.h"
 #include "quota/quota_client.h"
 
@@ -37,6 +38,7 @@
   /// @param route  Route in the active configuration.
   CallExchange(EntryContext& context,
                GrantClient& grants,
+               LimitClient& limits,
                HistoryClient& history,
                QuotaClient& quotas,
                std::shared_ptr<ServerConnection> caller,
@@ -59,6 +61,14 @@
   static constexpr Duration kStreamResponseTimeout =
       std::chrono::milliseconds(1300);
 
+  /// Leave of the domain's lead to send the request to an endpoint that states
+  /// a limit.
+  struct Permit {
+    EndpointId m_endpoint;
+    /// The request must be sent before.
+    TimePoint m_until;
+  };
+
   /// State of the current attempt.
   struct Attempt {
     EndpointId m_endpoint;
@@ -120,12 +130,21 @@
   /// be used.
   auto MayUse(const EndpointId& next, const std::set<EndpointId>& avoided) const
       -> bool;
+  /// Endpoints that may not be chosen: those that were tried, and those whose
+  /// limit leaves no room now.
+  auto ExcludedEndpoints(TimePoint now) const -> std::set<EndpointId>;
+  /// Returns true if the endpoint has no limit or the request has its permit.
+  auto MaySendTo(const EndpointId& endpoint, TimePoint now) const -> bool;
+  /// Asks the lead, and goes on with another endpoint if it has no permit.
+  auto RequestPermit(const EndpointId& endpoint) -> void;
+  /// Refuses a request for which there is no endpoint.
+  auto RespondNoEndpoint(TimePoint now) -> void;
+  /// Refuses a request for which endpoints' limits leave no room for @p wait.
+  auto RespondLimited(Duration wait) -> void;
   /// Name of this host if it keeps to a subset of endpoints, else empty.
   auto SubsetHost() const -> HostId;
   /// Adds the outcome of the current attempt to the judgement of its endpoint.
   auto JudgeAttempt(EndpointOutcome outcome) -> void;
-  /// Takes note of the limit that the current attempt's answer states, if any.
-  auto NoteLimit(std::optional<double> stated) -> void;
   /// Adds what a whole response showed of the endpoint's speed.
   auto NoteResponseSpeed() -> void;
   auto OnConnection(int attempt, std::shared_ptr<ClientConnection> connection)
@@ -173,6 +192,7 @@
 
   EntryContext& m_context;
   GrantClient& m_grants;
+  LimitClient& m_limits;
   HistoryClient& m_history;
   QuotaClient& m_quotas;
   std::shared_ptr<ServerConnection> m_caller;
@@ -204,6 +224,7 @@
   std::set<EndpointId> m_may_have_run_on;
   /// Endpoint of the next attempt, if already chosen.
   EndpointId m_next_endpoint;
+  std::optional<Permit> m_permit;
   /// The lead made this turn the probe of an endpoint that is out of use.
   bool m_is_probe = false;
   EventSplitter m_events;
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -1,12 +1,8 @@
 #include "call/call_exchange.h"
 
-#include <fmt/format.h>
-
 #include <utility>
 
 #include "dotterelshed/http_status.h"
-#include "dotterelshed/log_events.h"
-#include "dotterelshed/metrics.h"
 #include "dotterelshed/steady_time.h"
 #include "dotterelshed/turn_record.h"
 #include "judgement/judgement_log.h"
@@ -43,19 +39,6 @@
                   "host");
 }
 
-auto CallExchange::NoteLimit(std::optional<double> stated) -> void {
-  const auto& endpoint = m_attempt.m_endpoint;
-  const auto changed = NoteAnswerLimit(m_context.m_limits, endpoint, stated,
-                                       m_attempt.m_sent_at, SteadyTime());
-  if (changed) {
-    LogEvent(LogEventId::kEndpointLimited,
-             {{"request", m_headers.m_request.value()},
-              {"endpoint", endpoint.value()},
-              {"per_second", stated ? fmt::format("{:.2f}", *stated) : "none"},
-              {"source", "answer"}});
-  }
-}
-
 /// The time between events of a stream is the endpoint's alone, whatever the
 /// length of the prompt and the wait for a place.
 auto CallExchange::NoteResponseSpeed() -> void {
@@ -92,7 +75,10 @@
   if (IsSuccess(head.m_status) && !headers.m_signed) {
     return HeadVerdict::kAbort;
   }
-  NoteLimit(headers.m_request_limit);
+  m_limits.NoteAnswer({.m_endpoint = m_attempt.m_endpoint,
+                       .m_request = m_headers.m_request,
+                       .m_stated = headers.m_request_limit,
+                       .m_sent_at = m_attempt.m_sent_at});
   const auto type = FieldText(head.m_fields, "content-type");
   m_attempt.m_resumes_stream = m_forwarding;
   if (m_forwarding && IsSuccess(head.m_status) &&
--- a/src/libgateway/call/call_turn.cc
+++ b/src/libgateway/call/call_turn.cc
@@ -139,6 +139,14 @@
   }
   switch (response.m_verdict) {
     case GrantVerdict::kGranted:
+      if (response.m_limit_wait > Duration{0}) {
+        RespondLimited(response.m_limit_wait);
+        return;
+      }
+      if (response.m_permitted) {
+        m_permit = Permit{.m_endpoint = response.m_endpoint,
+                          .m_until = SteadyTime() + kPermitTime};
+      }
       m_next_endpoint = response.m_endpoint;
       m_is_probe = response.m_probe;
       m_granted_tokens = response.m_tokens;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -95,6 +95,7 @@
       m_lead(m_context),
       m_election(m_context, m_lead),
       m_grants(m_context, m_lead),
+      m_limits(m_context, m_lead),
       m_quota_service(m_context, m_lead),
       m_quotas(m_context, m_lead, m_quota_service),
       m_history(m_context),
@@ -260,8 +261,9 @@
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
-      m_context, m_grants, m_history, m_quotas, connection, std::move(request),
-      *route, [this](const std::shared_ptr<CallExchange>& ended) {
+      m_context, m_grants, m_limits, m_history, m_quotas, connection,
+      std::move(request), *route,
+      [this](const std::shared_ptr<CallExchange>& ended) {
         m_exchanges.erase(ended);
       });
   m_exchanges.insert(exchange);
@@ -379,6 +381,7 @@
   });
   TickGuarded(m_lead, now);
   TickGuarded(m_grants, now);
+  TickGuarded(m_limits, now);
   TickGuarded(m_quotas, now);
   TickGuarded(m_history, now);
   TickGuarded(m_crash_ledger_sync, now);
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -15,6 +15,7 @@
 #include "lead/grant_client.h"
 #include "lead/lead_election.h"
 #include "lead/lead_service.h"
+#include "limit/limit_client.h"
 #include "peer_request_handler.h"
 #include "quota/quota_client.h"
 #include "quota/quota_service.h"
@@ -82,6 +83,7 @@
   LeadService m_lead;
   LeadElection m_election;
   GrantClient m_grants;
+  LimitClient m_limits;
   QuotaService m_quota_service;
   QuotaClient m_quotas;
   HistoryClient m_history;
--- /dev/null
+++ b/src/libgateway/lead/lead_limits.h
@@ -0,0 +1,44 @@
+#ifndef DOTTERELSHED_LEAD_LIMITS_H_
+#define DOTTERELSHED_LEAD_LIMITS_H_
+
+#include <set>
+
+#include "dotterelshed/endpoint_permits.h"
+#include "entry_context.h"
+#include "limit/limit_messages.h"
+
+/// @file
+/// A lead's side of endpoints' limits: collects what hosts of its domain heard
+/// of them, and gives out permits from the domain's share.
+
+namespace dotterelshed {
+
+class LeadLimits {
+ public:
+  explicit LeadLimits(EntryContext& context) : m_context(context) {}
+
+  auto HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer;
+  /// Takes a permit for an endpoint with a limit. Returns false if it has none.
+  auto Take(const EndpointId& endpoint, TimePoint now) -> bool;
+  /// Returns the endpoints of a service for which there is no permit now.
+  auto Exhausted(const ServiceId& service, TimePoint now)
+      -> std::set<EndpointId>;
+  /// Returns the shortest time until one of the endpoints has a permit; zero if
+  /// @p endpoints is empty.
+  auto ShortestWait(const std::set<EndpointId>& endpoints, TimePoint now)
+      -> Duration;
+  /// This host no longer leads, or leads anew.
+  auto Clear() -> void { m_buckets.clear(); }
+
+ private:
+  /// Returns the domain's share of the endpoint's limit, in requests a second;
+  /// nothing if it has no limit.
+  auto RateOf(const EndpointId& endpoint) const -> std::optional<double>;
+
+  EntryContext& m_context;
+  PermitBuckets m_buckets;
+};
+
+}  // namespace dotterelshed
+
+#endif  // DOTTERELSHED_LEAD_LIMITS_H_
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -155,6 +155,14 @@
   if (response.m_probe) {
     json["probe"] = true;
   }
+  if (response.m_permitted) {
+    json["permitted"] = true;
+  }
+  if (response.m_limit_wait > Duration{0}) {
+    const auto wait =
+        std::chrono::ceil<std::chrono::milliseconds>(response.m_limit_wait);
+    json["limit_wait_ms"] = wait.count();
+  }
   return json.dump();
 }
 
@@ -172,6 +180,10 @@
     response.m_endpoint = ReadId<EndpointId>(json.at("endpoint"));
     response.m_tokens = ToTokens(json.at("tokens"));
     response.m_probe = json.value("probe", false);
+    // Leads of earlier versions know of no limits.
+    response.m_permitted = json.value("permitted", false);
+    response.m_limit_wait =
+        std::chrono::milliseconds(json.value("limit_wait_ms", std::int64_t{0}));
     response.m_lead = ReadOptionalLead(json.at("lead"));
     return response;
   });
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -71,6 +71,11 @@
   EndpointId m_endpoint;
   /// With kGranted: the turn is the probe of an endpoint that is out of use.
   bool m_probe = false;
+  /// With kGranted: the lead's permit for the endpoint was taken for the turn.
+  bool m_permitted = false;
+  /// With kGranted and no endpoint: time until the limits of the service's
+  /// endpoints leave room for a turn; zero if limits aren't the reason.
+  Duration m_limit_wait{0};
   /// With kGranted: tokens that the turn may generate.
   Tokens m_tokens{0};
   /// With kNotLead: lead that the receiver knows of, if any.
--- a/src/libgateway/lead/lead_placement.cc
+++ b/src/libgateway/lead/lead_placement.cc
@@ -15,12 +15,17 @@
                             TimePoint now) -> std::vector<LogField> {
   auto& hint = m_program_hints[request.m_grant.m_program];
   hint.m_last_used = now;
+  const auto exhausted = m_limits.Exhausted(request.m_service, now);
   auto chosen = m_judgement.TakeTurnProbe(request.m_service, now);
+  if (chosen && exhausted.contains(*chosen)) {
+    chosen.reset();
+  }
   response.m_probe = chosen.has_value();
   if (!chosen) {
     chosen = ChooseEndpoint(m_context.m_directory, m_loads,
                             {.m_service = request.m_service,
                              .m_domain = m_context.m_settings.m_domain,
+                             .m_excluded = exhausted,
                              .m_warm = hint.m_endpoint,
                              .m_shares = &m_judgement.shares(),
                              .m_share_draw = m_context.RandomFraction(),
@@ -32,9 +37,11 @@
                             now);
   }
   if (!chosen) {
+    response.m_limit_wait = m_limits.ShortestWait(exhausted, now);
     return {};
   }
   response.m_endpoint = *chosen;
+  response.m_permitted = m_limits.Take(*chosen, now);
   const auto kept = std::exchange(hint.m_endpoint, *chosen) == *chosen;
   auto placement = DescribePlacement(response, kept);
   ++m_loads[*chosen].m_outstanding;
@@ -66,6 +73,13 @@
   return m_context.m_judgement.m_enabled ? &m_judgement.slowness() : nullptr;
 }
 
+auto LeadService::AskPermit(const LimitAsk& ask) -> LimitAnswer {
+  if (m_phase != Phase::kActive) {
+    return {};
+  }
+  return m_limits.HandleAsk(ask, SteadyTime());
+}
+
 auto LeadService::TakeEndpointReport(const EndpointReport& report)
     -> std::optional<DomainJudgement> {
   if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -28,7 +28,8 @@
                [this](const ProgramId& program, const SearchOutcome& outcome) {
                  OnSearchCompleted(program, outcome);
                }),
-      m_judgement(context) {}
+      m_judgement(context),
+      m_limits(context) {}
 
 auto LeadService::FindAccount(const FindAccountRequest& request)
     -> FindAccountResponse {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -14,6 +14,7 @@
 #include "entry_context.h"
 #include "lead/account_search.h"
 #include "lead/lead_judgement.h"
+#include "lead/lead_limits.h"
 #include "lead/lead_messages.h"
 #include "lead/ledger_journal.h"
 
@@ -43,6 +44,9 @@
   /// for that host; nothing if this host doesn't lead or doesn't judge.
   auto TakeEndpointReport(const EndpointReport& report)
       -> std::optional<DomainJudgement>;
+  /// Takes what a host of this domain heard of endpoints' limits, and gives it
+  /// a permit if it asks for one.
+  auto AskPermit(const LimitAsk& ask) -> LimitAnswer;
   /// Reports whether this lead holds the program's account or is about to open
   /// it. If two leads search for the same account at the same time, or each
   /// hold an unverified one, the lead whose domain name sorts first proceeds. A
@@ -250,6 +254,7 @@
   EndpointLoads m_loads;
   std::map<RequestId, PlacedTurn> m_placed_turns;
   LeadJudgement m_judgement;
+  LeadLimits m_limits;
   TimePoint m_last_sweep;
   bool m_has_quotas = false;
   std::optional<TimePoint> m_quota_sole_from;
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -209,6 +209,7 @@
   m_search.Clear();
   m_program_hints.clear();
   m_judgement.Clear();
+  m_limits.Clear();
   m_loads.clear();
   m_placed_turns.clear();
   auto waiting = std::exchange(m_waiting, {});
--- a/src/libgateway/limit/endpoint_limit_unittest.cc
+++ b/src/libgateway/limit/endpoint_limit_unittest.cc
@@ -77,7 +77,7 @@
   });
 }
 
-TEST_CASE("hosts together keep the limit that an endpoint states", "[.]") {
+TEST_CASE("hosts together keep the limit that an endpoint states") {
   constexpr double kLimit = 3;
   TwoDomains setup;
   std::vector<TimePoint> arrivals;
@@ -99,5 +99,49 @@
         static_cast<std::ptrdiff_t>(setup.m_callers.size()));
 }
 
+TEST_CASE("what the limits of all endpoints leave no room for is refused") {
+  TwoDomains setup;
+  int runs = 0;
+  const auto script = [&runs](const Request& request) {
+    ++runs;
+    AnswerWithLimit(request, 2);
+  };
+  setup.m_environment.AddEndpoint(script);
+  setup.m_environment.AddEndpoint(script);
+  setup.Start();
+  setup.SendFor(std::chrono::seconds(3));
+  setup.m_environment.RunFor(std::chrono::milliseconds(200));
+
+  const auto sent = static_cast<std::ptrdiff_t>(setup.m_callers.size());
+  const auto refused = setup.CountAnswers(503);
+  CHECK(setup.CountAnswers(200) + refused == sent);
+  CHECK(runs == setup.CountAnswers(200));
+  CHECK(refused > sent / 2);
+  for (const auto& caller : setup.m_callers) {
+    CHECK((caller->Status() == 200 ||
+           caller->m_got.find("Retry-After: ") != std::string::npos));
+  }
+}
+
+TEST_CASE("all hosts use an endpoint again when its limit has ended") {
+  TwoDomains setup;
+  double limit = 2;
+  std::vector<TimePoint> arrivals;
+  setup.m_environment.AddEndpoint([&](const Request& request) {
+    arrivals.push_back(SteadyTime());
+    AnswerWithLimit(request, limit);
+  });
+  setup.m_environment.AddEndpoint(
+      [](const Request& request) { AnswerWithLimit(request, 0); });
+  setup.Start();
+  setup.SendFor(std::chrono::seconds(1));
+  limit = 0;
+  setup.SendFor(std::chrono::seconds(4));
+  const auto before = arrivals.size();
+  setup.SendFor(std::chrono::seconds(1));
+  // Without limits, each of the two gets about half of 80 requests a second.
+  CHECK(arrivals.size() - before > 20);
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- /dev/null
+++ b/src/libgateway/limit/limit_client.cc
@@ -0,0 +1,186 @@
+#include "limit/limit_client.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "dotterelshed/log_events.h"
+#include "dotterelshed/metrics.h"
+#include "dotterelshed/steady_time.h"
+#include "peer_call.h"
+
+namespace dotterelshed {
+
+namespace {
+
+/// No permit is asked for within this time after the lead had none or was
+/// silent, however soon there may be one.
+constexpr Duration kMinWait = std::chrono::milliseconds(20);
+constexpr Duration kSilenceWait = std::chrono::milliseconds(200);
+constexpr Duration kNewsInterval = std::chrono::milliseconds(50);
+constexpr Duration kNewsTimeout = std::chrono::milliseconds(500);
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+
+auto LogLimit(const EndpointId& endpoint,
+              const RequestId& request,
+              std::optional<double> limit,
+              std::string_view source) -> void {
+  LogEvent(LogEventId::kEndpointLimited,
+           {{"request", request.value()},
+            {"endpoint", endpoint.value()},
+            {"per_second", limit ? fmt::format("{:.2f}", *limit) : "none"},
+            {"source", std::string(source)}});
+}
+
+}  // namespace
+
+LimitClient::LimitClient(EntryContext& context, LeadService& own_lead)
+    : m_context(context), m_own_lead(own_lead) {}
+
+auto LimitClient::NoteAnswer(const AnswerLimit& answer) -> void {
+  const auto changed =
+      NoteAnswerLimit(m_context.m_limits, answer.m_endpoint, answer.m_stated,
+                      answer.m_sent_at, SteadyTime());
+  if (changed) {
+    m_news.insert(answer.m_endpoint);
+    LogLimit(answer.m_endpoint, answer.m_request, answer.m_stated, "answer");
+  }
+}
+
+auto LimitClient::Ask(const EndpointId& endpoint, Respond respond) -> void {
+  const auto now = SteadyTime();
+  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
+  if (!lead) {
+    NoteSilence(endpoint, now);
+    respond(false);
+    return;
+  }
+  LimitAsk ask{.m_endpoint = endpoint};
+  if (const auto known = m_context.m_limits.find(endpoint);
+      known != m_context.m_limits.end()) {
+    ask.m_statements.insert(*known);
+  }
+  if (lead->m_entry.m_host == m_context.m_settings.m_host) {
+    respond(TakeAnswer(endpoint, m_own_lead.AskPermit(ask), now));
+    return;
+  }
+  CallPeer(m_context.m_loop, m_context.m_peer_connections,
+           lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
+           kAskTimeout,
+           [this, endpoint, now,
+            respond = std::move(respond)](const Result<std::string>& reply) {
+             const auto answer = reply.and_then([](const std::string& text) {
+               return DecodeLimitAnswer(text, SteadyTime());
+             });
+             // The answer may have waited while this host was paused.
+             const auto in_time = SteadyTime() - now <= kPermitTime;
+             respond(TakeAnswer(endpoint, answer.value_or(LimitAnswer()),
+                                SteadyTime()) &&
+                     in_time);
+           });
+}
+
+auto LimitClient::TakeAnswer(const EndpointId& endpoint,
+                             const LimitAnswer& answer,
+                             TimePoint now) -> bool {
+  CountMetric(MetricId::kPermitAsks, !answer.m_leads      ? "unanswered"
+                                     : answer.m_permitted ? "granted"
+                                                          : "refused");
+  if (!answer.m_leads) {
+    NoteSilence(endpoint, now);
+    return false;
+  }
+  for (const auto& [id, state] : answer.m_states) {
+    if (MergeStatement(m_context.m_limits, id, state.m_statement)) {
+      LogLimit(id, RequestId(), state.m_statement.m_per_second, "lead");
+    }
+    if (state.m_wait > Duration{0}) {
+      m_none_before[id] = now + std::max(state.m_wait, kMinWait);
+    }
+  }
+  if (!answer.m_permitted) {
+    auto& none_before = m_none_before[endpoint];
+    none_before = std::max(none_before, now + kMinWait);
+  }
+  return answer.m_permitted;
+}
+
+auto LimitClient::NoteSilence(const EndpointId& endpoint, TimePoint now)
+    -> void {
+  const auto* entry = FindEndpoint(m_context.m_directory, endpoint);
+  for (const auto& [id, statement] : m_context.m_limits) {
+    const auto* other = FindEndpoint(m_context.m_directory, id);
+    const auto same_service = entry != nullptr && other != nullptr &&
+                              other->m_service == entry->m_service;
+    if (statement.m_per_second && same_service) {
+      m_none_before[id] = now + kSilenceWait;
+    }
+  }
+  m_none_before[endpoint] = now + kSilenceWait;
+}
+
+auto LimitClient::Exhausted(const ServiceId& service, TimePoint now) const
+    -> std::set<EndpointId> {
+  std::set<EndpointId> exhausted;
+  for (const auto& [id, none_before] : m_none_before) {
+    const auto* entry = FindEndpoint(m_context.m_directory, id);
+    const auto concerns = none_before > now && entry != nullptr &&
+                          entry->m_service == service &&
+                          LimitOf(m_context.m_limits, id);
+    if (concerns) {
+      exhausted.insert(id);
+    }
+  }
+  return exhausted;
+}
+
+auto LimitClient::ShortestWait(const ServiceId& service, TimePoint now) const
+    -> std::optional<Duration> {
+  std::optional<Duration> shortest;
+  for (const auto& id : Exhausted(service, now)) {
+    const auto wait = m_none_before.at(id) - now;
+    shortest = std::min(shortest.value_or(wait), wait);
+  }
+  return shortest;
+}
+
+auto LimitClient::Tick(TimePoint now) -> void {
+  if (!m_news.empty() && now - m_last_news >= kNewsInterval) {
+    m_last_news = now;
+    SendNews(now);
+  }
+  if (now - m_last_sweep >= kSweepInterval) {
+    m_last_sweep = now;
+    ForgetRemoved();
+    std::erase_if(m_none_before,
+                  [now](const auto& item) { return item.second <= now; });
+  }
+}
+
+/// News that get lost are told with the next question for a permit.
+auto LimitClient::SendNews(TimePoint now) -> void {
+  LimitAsk ask;
+  for (const auto& id : std::exchange(m_news, {})) {
+    const auto known = m_context.m_limits.find(id);
+    if (known != m_context.m_limits.end()) {
+      ask.m_statements.insert(*known);
+    }
+  }
+  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
+  const auto elsewhere =
+      lead && lead->m_entry.m_host != m_context.m_settings.m_host;
+  if (elsewhere) {
+    CallPeer(m_context.m_loop, m_context.m_peer_connections,
+             lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
+             kNewsTimeout, [](const Result<std::string>& /*reply*/) {});
+  }
+}
+
+auto LimitClient::ForgetRemoved() -> void {
+  std::erase_if(m_context.m_limits, [this](const auto& item) {
+    return FindEndpoint(m_context.m_directory, item.first) == nullptr;
+  });
+}
+
+}  // namespace dotterelshed
--- a/src/libgateway/peer_call.h
+++ b/src/libgateway/peer_call.h
@@ -18,6 +18,7 @@
 inline constexpr std::string_view kGrantPath = "/peer/grant";
 inline constexpr std::string_view kSettlePath = "/peer/settle";
 inline constexpr std::string_view kQuotaPath = "/peer/quota";
+inline constexpr std::string_view kLimitPath = "/peer/limit";
 inline constexpr std::string_view kFindPath = "/peer/find";
 inline constexpr std::string_view kLeadPath = "/peer/lead";
 inline constexpr std::string_view kYieldPath = "/peer/yield";
--- a/src/libgateway/peer_request_handler.cc
+++ b/src/libgateway/peer_request_handler.cc
@@ -68,6 +68,13 @@
                   [this, &connection](const SettlementBatch& batch) {
                     OnSettlements(connection, batch);
                   });
+  } else if (target == kLimitPath) {
+    HandleMessage(connection, DecodeLimitAsk(body, SteadyTime()),
+                  [this, &connection](const LimitAsk& ask) {
+                    connection->Answer(
+                        kStatusOk, {},
+                        EncodeLimitAnswer(m_lead.AskPermit(ask), SteadyTime()));
+                  });
   } else if (target == kFindPath) {
     HandleMessage(connection, DecodeFindAccountRequest(body),
                   [this, &connection](const FindAccountRequest& message) {
--- a/src/libgateway/peer_request_handler.h
+++ b/src/libgateway/peer_request_handler.h
@@ -39,7 +39,8 @@
  private:
   // Handlers by topic; they return false if the target is another one.
 
-  /// Grants, settlements and searches of programs' accounts; quota tokens.
+  /// Grants, settlements and searches of programs' accounts; permits for
+  /// endpoints with limits.
   auto HandleAccountRequest(const std::shared_ptr<ServerConnection>& connection,
                             std::string_view target,
                             const std::string& body) -> bool;
--- a/src/libgateway/random_messages_unittest.cc
+++ b/src/libgateway/random_messages_unittest.cc
@@ -11,6 +11,7 @@
 #include "dotterelshed/steady_time.h"
 #include "history/replica_messages.h"
 #include "lead/lead_messages.h"
+#include "limit/limit_messages.h"
 #include "platform/call_headers.h"
 #include "platform/object_codec.h"
 #include "view/view_messages.h"
@@ -178,6 +179,10 @@
        {EncodeCrashUpdate(MakeCrashUpdate(now), now)}},
       {Ignore(DecodeCrashUpdateRequest), {EncodeCrashUpdateRequest({})}},
       {Ignore(DecodeViewRequest), {EncodeViewRequest({})}},
+      {[now](const std::string& text) { (void)DecodeLimitAsk(text, now); },
+       {EncodeLimitAsk({.m_statements = {{EndpointId("e"), {}}}}, now)}},
+      {[now](const std::string& text) { (void)DecodeLimitAnswer(text, now); },
+       {EncodeLimitAnswer({.m_states = {{EndpointId("e"), {}}}}, now)}},
       {Ignore(DecodeViewResponse),
        {EncodeViewResponse({.m_removed = {"a"}}, "[" + server + "]")}},
       {Ignore(DecodeTurnRecords), {EncodeTurnRecords({&turn})}},
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -162,6 +162,7 @@
     m_context.m_loads[change.m_endpoint] = {.m_outstanding = open};
     m_context.m_endpoint_connections.CloseIdle(change.m_old_address);
     ForgetOutcomes(m_context.m_judgement.m_own, change.m_endpoint);
+    m_context.m_limits.erase(change.m_endpoint);
   }
   if (IndicatesEndpointEnd(change)) {
     NoteEndpointEnded(m_context.m_crash_ledger, change.m_endpoint,
--- a/src/librouting/limits/endpoint_limits.cc
+++ b/src/librouting/limits/endpoint_limits.cc
@@ -1,5 +1,7 @@
 #include "dotterelshed/endpoint_limits.h"
 
+#include <utility>
+
 namespace dotterelshed {
 
 auto NoteAnswerLimit(LimitStatements& statements,
@@ -19,6 +21,20 @@
   return true;
 }
 
+auto MergeStatement(LimitStatements& statements,
+                    const EndpointId& endpoint,
+                    const LimitStatement& other) -> bool {
+  const auto [found, added] = statements.try_emplace(endpoint, other);
+  if (added) {
+    return other.m_per_second.has_value();
+  }
+  if (other.m_as_of <= found->second.m_as_of) {
+    return false;
+  }
+  const auto before = std::exchange(found->second, other).m_per_second;
+  return before != other.m_per_second;
+}
+
 auto LimitOf(const LimitStatements& statements, const EndpointId& endpoint)
     -> std::optional<double> {
   const auto found = statements.find(endpoint);
--- a/src/librouting/limits/endpoint_limits_unittest.cc
+++ b/src/librouting/limits/endpoint_limits_unittest.cc
@@ -28,5 +28,19 @@
   CHECK_FALSE(LimitOf(statements, kEndpoint));
 }
 
+TEST_CASE("of two hosts' statements the later one holds") {
+  LimitStatements statements;
+  CHECK(MergeStatement(statements, kEndpoint,
+                       {.m_per_second = 2.0, .m_as_of = At(10)}));
+  CHECK_FALSE(MergeStatement(statements, kEndpoint, {.m_as_of = At(5)}));
+  CHECK(LimitOf(statements, kEndpoint) == 2.0);
+  CHECK(MergeStatement(statements, kEndpoint, {.m_as_of = At(11)}));
+  CHECK_FALSE(LimitOf(statements, kEndpoint));
+  // An older statement doesn't bring a limit back that has ended.
+  CHECK_FALSE(MergeStatement(statements, kEndpoint,
+                             {.m_per_second = 2.0, .m_as_of = At(10)}));
+  CHECK_FALSE(LimitOf(statements, kEndpoint));
+}
+
 }  // namespace
 }  // namespace dotterelshed
