--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -24,6 +24,8 @@
   /// "IP:port".
   std::string m_address;
   DomainId m_domain;
+  /// Endpoints of several versions may serve a service side by side.
+  SoftwareVersion m_software;
   int m_slots = 1;
   /// True when it takes no new work.
   bool m_leaving = false;
--- a/src/include/dotterelshed/ids.h
+++ b/src/include/dotterelshed/ids.h
@@ -77,6 +77,8 @@
   return out << count.value();
 }
 
+/// Version of an endpoint's own software, not of the weights that it serves.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 using HostId = StrongId<struct HostIdTag>;
 using DomainId = StrongId<struct DomainIdTag>;
 using PoolId = StrongId<struct PoolIdTag>;
--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -119,6 +119,7 @@
   m_attempt = {};
   m_attempt.m_endpoint = *endpoint;
   m_attempt.m_address = entry->m_address;
+  m_attempt.m_software = entry->m_software;
   ++m_context.m_loads[*endpoint].m_outstanding;
   ++m_attempts;
   const auto max_idle =
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -73,6 +73,7 @@
   struct Attempt {
     EndpointId m_endpoint;
     std::string m_address;
+    SoftwareVersion m_software;
     std::shared_ptr<ClientConnection> m_connection;
     TimePoint m_sent_at;
     /// First and last event of the response, if any.
@@ -237,6 +238,9 @@
   /// Content type of the forwarded response.
   std::string m_forwarded_content_type;
   std::optional<std::int64_t> m_last_event_id;
+  /// Software version of the endpoint that last answered with success; empty
+  /// before.
+  SoftwareVersion m_software;
   std::int64_t m_events_forwarded = 0;
   /// Tokens granted by the lead for a turn. An endpoint may generate more, so
   /// the stream is cut at this limit.
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -111,6 +111,9 @@
 
 auto CallExchange::BeginForwarding() -> void {
   auto& head = m_attempt.m_head;
+  if (IsSuccess(head.m_status)) {
+    m_software = m_attempt.m_software;
+  }
   NoteAnswer(m_context.m_loads[m_attempt.m_endpoint],
              SteadyTime() - m_attempt.m_sent_at);
   if (m_forwarding) {
--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -193,23 +193,26 @@
       "limits":{"headerBytes":4000,"maxBodyBytes":10000}})"));
   }
 
-  auto AddEndpoint(ScriptedEndpoint::Handler handler) -> ScriptedEndpoint& {
+  /// @param software  version that the endpoint's entry states.
+  auto AddEndpoint(ScriptedEndpoint::Handler handler,
+                   const std::string& software = "v1") -> ScriptedEndpoint& {
     m_endpoints.push_back(
         std::make_unique<ScriptedEndpoint>(m_loop, std::move(handler)));
-    PutEndpoint(m_endpoints.size() - 1);
+    PutEndpoint(m_endpoints.size() - 1, 0, software);
     return *m_endpoints.back();
   }
 
   /// Writes an endpoint's entry to the store.
   /// @param index  of the endpoint in m_endpoints.
   /// @param started_unix_ms  start time stated in the entry.
-  auto PutEndpoint(std::size_t index, std::int64_t started_unix_ms = 0)
-      -> void {
+  auto PutEndpoint(std::size_t index,
+                   std::int64_t started_unix_ms = 0,
+                   const std::string& software = "v1") -> void {
     m_store.Put("servers", EndpointName(index),
                 {{"service", "s"},
                  {"address", FormatTcpAddress(m_endpoints[index]->address())},
                  {"zone", "z"},
-                 {"version", "v1"},
+                 {"version", software},
                  {"slots", 4},
                  {"state", "ready"},
                  {"coldLeftMs", 0},
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -179,6 +179,7 @@
     fields.push_back({"service", entry->m_service.value()});
     fields.push_back({"domain", entry->m_domain.value()});
     fields.push_back({"version", std::to_string(entry->m_version.value())});
+    fields.push_back({"software", entry->m_software.value()});
   }
   LogEvent(LogEventId::kEndpointChanged, fields);
 }
