A stream goes on only at the software version that began it

What callers saw: text joined from two versions of an endpoint's software, answered 200 and whole, with nothing in the answer to show it.

Cause: the attempt that a caller names in Resumes was not read, and the version of an endpoint not kept, so any endpoint of the service got the stream; after a kill of all entry hosts none could have known better. A host's own resumption of a broken stream had the same fault.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -34,6 +34,8 @@
 struct ChoiceQuery {
   ServiceId m_service;
   DomainId m_domain;
+  /// Only endpoints of this software version may be chosen; any if empty.
+  SoftwareVersion m_software;
   /// Endpoints that must not be chosen, for example since they were tried.
   std::set<EndpointId> m_excluded;
   /// Endpoints that are chosen only if there are no others.
@@ -60,6 +62,11 @@
   double m_draw = 0;
 };
 
+/// Returns true if the endpoint may go on with a stream of this software
+/// version, which is empty if none has begun.
+auto IsOfVersion(const EndpointEntry& entry, const SoftwareVersion& software)
+    -> bool;
+
 /// Returns the endpoint for a request, or nothing if the service has none that
 /// may be chosen.
 auto ChooseEndpoint(const EndpointDirectory& directory,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -46,6 +46,8 @@
   kLimitedAttempts,
   kEndpointPermits,
   kPermitAsks,
+  kStreamOrigins,
+  kStreamOriginCopies,
   kViewAge,
   kSuspectContents,
   kHistoryReads,
--- a/src/include/dotterelshed/route_table.h
+++ b/src/include/dotterelshed/route_table.h
@@ -110,6 +110,8 @@
 
 /// True if the system keeps the history of any route's conversations.
 auto KeepsHistory(const RouteTable& table) -> bool;
+/// True if callers may take up broken streams of any route.
+auto HasResumableStreams(const RouteTable& table) -> bool;
 
 /// Traits of a service; default values if the table doesn't have it.
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -35,6 +35,10 @@
      "An attempt at an endpoint ended without a usable answer; whether the "
      "request may have run is in the fields. Attempts with the same content "
      "and caller are the same request, also under other request ids."},
+    {LogEventId::kStreamOriginSought, LogLevel::kInfo, "stream_origin_sought",
+     "A caller takes up a stream: the software version that began it was found "
+     "here or at one of the disk hosts that were asked, or is unknown, so that "
+     "the stream can't go on."},
     {LogEventId::kLeadChanged, LogLevel::kInfo, "lead_changed",
      "The failure domain has a new lead."},
     {LogEventId::kPoolChanged, LogLevel::kInfo, "pool_changed",
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -74,6 +74,14 @@
     {MetricId::kPermitAsks, MetricKind::kCounter,
      "dotterelshed_permit_asks_total", "outcome",
      "Questions of this host for such permits, by the lead's answer."},
+    {MetricId::kStreamOrigins, MetricKind::kCounter,
+     "dotterelshed_stream_origins_total", "outcome",
+     "Streams that callers took up here, by whether the software version that "
+     "began them is known."},
+    {MetricId::kStreamOriginCopies, MetricKind::kCounter,
+     "dotterelshed_stream_origin_copies_total", "outcome",
+     "Messages to disk hosts about streams that began here, by whether they "
+     "were answered."},
     {MetricId::kViewAge, MetricKind::kGauge, "dotterelshed_view_age_seconds",
      "kind",
      "Time since the platform last showed that this host's view of a kind of "
--- a/src/libgateway/call/call_access.cc
+++ b/src/libgateway/call/call_access.cc
@@ -73,6 +73,7 @@
 auto MakeStoredIds(const CallHeaders& headers, const AccountScope& scope)
     -> StoredIds {
   StoredIds ids{.m_request = Scoped(scope, Storable(headers.m_request)),
+                .m_resumes = Scoped(scope, Storable(headers.m_resumes)),
                 .m_program = Scoped(scope, Storable(headers.m_program))};
   if (headers.m_previous_turn) {
     ids.m_previous_turn = Scoped(scope, Storable(*headers.m_previous_turn));
--- a/src/libgateway/call/call_access.h
+++ b/src/libgateway/call/call_access.h
@@ -31,6 +31,8 @@
 struct StoredIds {
   RequestId m_request;
   std::optional<RequestId> m_previous_turn;
+  /// Attempt that began the stream which the request takes up; may be empty.
+  RequestId m_resumes;
   ProgramId m_program;
 };
 
--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -33,7 +33,7 @@
   const auto next = std::exchange(m_next_endpoint, EndpointId());
   const auto avoided = m_crash_tracker.AvoidedEndpoints();
   const auto* entry = FindEndpoint(m_context.m_directory, next);
-  if (entry != nullptr && MayUse(next, avoided)) {
+  if (entry != nullptr && MayUse(*entry, avoided)) {
     if (!entry->m_leaving) {
       return next;
     }
@@ -48,7 +48,8 @@
   if (judgement.m_enabled && m_attempts == 0) {
     auto probe = ProbeFor(judgement, m_context.m_directory, m_service,
                           IsRetryable(), now);
-    if (probe && !avoided.contains(*probe) && !excluded.contains(*probe)) {
+    if (probe && !avoided.contains(*probe) && !excluded.contains(*probe) &&
+        IsOfVersion(*FindEndpoint(m_context.m_directory, *probe), m_software)) {
       return probe;
     }
   }
@@ -56,6 +57,7 @@
       m_context.m_directory, m_context.m_loads,
       {.m_service = m_service,
        .m_domain = m_context.m_settings.m_domain,
+       .m_software = m_software,
        .m_excluded = excluded,
        .m_avoided = avoided,
        .m_shares = &judgement.m_shares,
@@ -74,9 +76,11 @@
                                                     : HostId();
 }
 
-auto CallExchange::MayUse(const EndpointId& next,
+auto CallExchange::MayUse(const EndpointEntry& entry,
                           const std::set<EndpointId>& avoided) const -> bool {
-  if (m_excluded.contains(next)) {
+  const auto& next = entry.m_id;
+  // It may have started again with other software.
+  if (m_excluded.contains(next) || !IsOfVersion(entry, m_software)) {
     return false;
   }
   // An endpoint that already had the request is allowed, since the route may
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -21,6 +21,7 @@
                            GrantClient& grants,
                            LimitClient& limits,
                            HistoryClient& history,
+                           StreamOriginClient& stream_origins,
                            QuotaClient& quotas,
                            std::shared_ptr<ServerConnection> caller,
                            IncomingRequest request,
@@ -30,6 +31,7 @@
       m_grants(grants),
       m_limits(limits),
       m_history(history),
+      m_stream_origins(stream_origins),
       m_quotas(quotas),
       m_caller(std::move(caller)),
       m_request(std::move(request)),
@@ -93,6 +95,8 @@
   if (KeepsHistory() && !m_history.available()) {
     // A turn that can't be stored in the end must not run.
     RespondLocally(kStatusUnavailable, "history_unavailable", kRetryAfter);
+  } else if (TakesUpStream() && m_software.empty()) {
+    FindStreamOrigin();
   } else if (KeepsHistory() && m_headers.m_previous_turn) {
     ReadHistory();
   } else {
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -19,6 +19,7 @@
 #include "limit/limit_client.h"
 #include "platform/call_headers.h"
 #include "quota/quota_client.h"
+#include "stream/stream_origin_client.h"
 
 /// @file
 /// Handles one client request from its arrival to the end of the response:
@@ -40,6 +41,7 @@
                GrantClient& grants,
                LimitClient& limits,
                HistoryClient& history,
+               StreamOriginClient& stream_origins,
                QuotaClient& quotas,
                std::shared_ptr<ServerConnection> caller,
                IncomingRequest request,
@@ -112,6 +114,13 @@
   /// if it was refused.
   auto CheckAccessAgain() -> bool;
   auto RespondKeyRequired(AccessOutcome outcome) -> void;
+  /// Returns true if the request takes up a stream that has begun.
+  auto TakesUpStream() const -> bool;
+  /// Finds the software version that began the stream.
+  auto FindStreamOrigin() -> void;
+  auto OnStreamOrigin(const std::optional<SoftwareVersion>& software) -> void;
+  /// Keeps the stream at the version of the current attempt from now on.
+  auto NoteStreamBegun() -> void;
   auto ReadHistory() -> void;
   auto OnHistory(const HistoryReadResult& result) -> void;
   /// Obtains what the first attempt needs beside the history, and starts it.
@@ -129,8 +138,8 @@
   auto PickEndpoint() -> std::optional<EndpointId>;
   /// Returns true if the endpoint that the lead or an earlier attempt named may
   /// be used.
-  auto MayUse(const EndpointId& next, const std::set<EndpointId>& avoided) const
-      -> bool;
+  auto MayUse(const EndpointEntry& entry,
+              const std::set<EndpointId>& avoided) const -> bool;
   /// Endpoints that may not be chosen: those that were tried, and those whose
   /// limit leaves no room now.
   auto ExcludedEndpoints(TimePoint now) const -> std::set<EndpointId>;
@@ -195,6 +204,7 @@
   GrantClient& m_grants;
   LimitClient& m_limits;
   HistoryClient& m_history;
+  StreamOriginClient& m_stream_origins;
   QuotaClient& m_quotas;
   std::shared_ptr<ServerConnection> m_caller;
   IncomingRequest m_request;
@@ -238,8 +248,8 @@
   /// Content type of the forwarded response.
   std::string m_forwarded_content_type;
   std::optional<std::int64_t> m_last_event_id;
-  /// Software version of the endpoint that last answered with success; empty
-  /// before.
+  /// Software version that began the stream, here or for an earlier attempt of
+  /// the caller; only endpoints of it may go on. Empty before that.
   SoftwareVersion m_software;
   std::int64_t m_events_forwarded = 0;
   /// Tokens granted by the lead for a turn. An endpoint may generate more, so
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -111,9 +111,6 @@
 
 auto CallExchange::BeginForwarding() -> void {
   auto& head = m_attempt.m_head;
-  if (IsSuccess(head.m_status)) {
-    m_software = m_attempt.m_software;
-  }
   NoteAnswer(m_context.m_loads[m_attempt.m_endpoint],
              SteadyTime() - m_attempt.m_sent_at);
   if (m_forwarding) {
@@ -124,6 +121,9 @@
   m_forwarded_content_type = FieldText(head.m_fields, "content-type");
   m_is_event_stream =
       m_route.m_kind == CallKind::kStream && IsSuccess(head.m_status);
+  if (m_is_event_stream) {
+    NoteStreamBegun();
+  }
   m_caller->BeginAnswer(head.m_status, head.m_reason,
                         EndToEndFields(head.m_fields),
                         m_is_event_stream ? std::nullopt : head.m_length);
--- a/src/libgateway/call/call_turn.cc
+++ b/src/libgateway/call/call_turn.cc
@@ -54,6 +54,48 @@
               KeyRequiredText(outcome == AccessOutcome::kMissingKey));
 }
 
+// Software version of the stream.
+
+auto CallExchange::TakesUpStream() const -> bool {
+  return m_route.m_kind == CallKind::kStream && m_route.m_resumable &&
+         m_headers.m_resume_after.has_value();
+}
+
+auto CallExchange::FindStreamOrigin() -> void {
+  m_stream_origins.Find(m_ids.m_resumes,
+                        [self = shared_from_this()](
+                            const std::optional<SoftwareVersion>& software) {
+                          self->OnStreamOrigin(software);
+                        });
+}
+
+/// Endpoints don't check the version, and the caller can't see it.
+auto CallExchange::OnStreamOrigin(
+    const std::optional<SoftwareVersion>& software) -> void {
+  if (m_finished) {
+    return;
+  }
+  if (!software || software->empty()) {
+    RespondLocally(kStatusUnavailable, "stream_origin_unknown", kRetryAfter);
+    return;
+  }
+  m_software = *software;
+  BeginWork();
+}
+
+auto CallExchange::NoteStreamBegun() -> void {
+  if (!m_software.empty()) {
+    return;
+  }
+  m_software = m_attempt.m_software;
+  if (m_route.m_resumable && !m_headers.m_request.empty()) {
+    const auto wait = m_headers.m_deadline.value_or(m_route.m_timeout);
+    m_stream_origins.NoteBegun({.m_attempt = m_ids.m_request,
+                                .m_software = m_software,
+                                .m_lifetime = wait + kLifetimeMargin});
+  }
+}
+
 // History of the conversation.
 
 auto CallExchange::ReadHistory() -> void {
@@ -117,6 +159,7 @@
                      .m_budget = *m_headers.m_budget,
                      .m_turn_max = m_headers.m_max_tokens};
   request.m_service = m_service;
+  request.m_software = m_software;
   request.m_host = SubsetHost();
   m_must_settle = true;
   m_grants.RequestTurn(
--- a/src/libgateway/call/stream_version_unittest.cc
+++ b/src/libgateway/call/stream_version_unittest.cc
@@ -84,7 +84,7 @@
   std::map<std::string, int> m_taken_up_at;
 };
 
-TEST_CASE("a stream that its caller takes up goes on at its version", "[.]") {
+TEST_CASE("a stream that its caller takes up goes on at its version") {
   TwoVersions environment;
   environment.AddDisk("d1", "z");
   environment.Start();
@@ -103,7 +103,7 @@
   CHECK_FALSE(environment.WasTakenUpElsewhere());
 }
 
-TEST_CASE("a stream of which no host knows the version isn't taken up", "[.]") {
+TEST_CASE("a stream of which no host knows the version isn't taken up") {
   TwoVersions environment;
   environment.Start();
   environment.BeginAndLeave();
@@ -114,7 +114,7 @@
   CHECK(environment.m_taken_up_at.empty());
 }
 
-TEST_CASE("a stream that breaks off isn't resumed at another version", "[.]") {
+TEST_CASE("a stream that breaks off isn't resumed at another version") {
   StreamEnvironment environment;
   std::string first;
   const auto same_left = GENERATE(true, false);
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -99,6 +99,7 @@
       m_quota_service(m_context, m_lead),
       m_quotas(m_context, m_lead, m_quota_service),
       m_history(m_context),
+      m_stream_origins(m_context, m_history.disk_hosts()),
       m_crash_ledger_sync(m_context),
       m_peer_requests(m_context,
                       m_lead,
@@ -216,7 +217,7 @@
   SetMetric(MetricId::kConfigGeneration,
             static_cast<double>(table->m_generation.value()));
   m_lead.SetRetention(LongestRetention(*table) + kRetentionMargin);
-  if (KeepsHistory(*table)) {
+  if (KeepsHistory(*table) || HasResumableStreams(*table)) {
     m_history.Start();
   }
   m_lead.SetQuotas(HasQuotas(table->m_accounts.get()));
@@ -261,8 +262,8 @@
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
-      m_context, m_grants, m_limits, m_history, m_quotas, connection,
-      std::move(request), *route,
+      m_context, m_grants, m_limits, m_history, m_stream_origins, m_quotas,
+      connection, std::move(request), *route,
       [this](const std::shared_ptr<CallExchange>& ended) {
         m_exchanges.erase(ended);
       });
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -19,6 +19,7 @@
 #include "peer_request_handler.h"
 #include "quota/quota_client.h"
 #include "quota/quota_service.h"
+#include "stream/stream_origin_client.h"
 #include "view/endpoint_view.h"
 #include "view/object_watcher.h"
 
@@ -87,6 +88,7 @@
   QuotaService m_quota_service;
   QuotaClient m_quotas;
   HistoryClient m_history;
+  StreamOriginClient m_stream_origins;
   CrashLedgerSync m_crash_ledger_sync;
   PeerRequestHandler m_peer_requests;
   HttpListener m_callers;
--- a/src/libgateway/history/disk_host.cc
+++ b/src/libgateway/history/disk_host.cc
@@ -127,7 +127,9 @@
 auto DiskHost::OnPeerRequest(
     const std::shared_ptr<ServerConnection>& connection,
     const IncomingRequest& request) -> void {
-  if (!m_replica.Handle(connection, request)) {
+  const auto handled = m_replica.Handle(connection, request) ||
+                       m_stream_origins.Handle(connection, request);
+  if (!handled) {
     OnJournalRequest(connection, request);
   }
 }
--- a/src/libgateway/history/disk_host.h
+++ b/src/libgateway/history/disk_host.h
@@ -8,11 +8,13 @@
 #include "history/turn_replica.h"
 #include "lead/journal_files.h"
 #include "platform/object_store.h"
+#include "stream/stream_origin_service.h"
 #include "view/object_watcher.h"
 
 /// @file
 /// Process on a host with a disk. It stores the histories of conversations, and
-/// the ledgers of the leads while the platform's store is not writable. The
+/// the ledgers of the leads while the platform's store is not writable, and
+/// knows at which software versions streams began. The
 /// ledgers are obsolete once the store is back, so the process confirms a
 /// retirement of its host as soon as the other replicas have its histories.
 
@@ -45,6 +47,7 @@
   HttpListener m_peers;
   JournalFiles m_journal;
   TurnReplica m_replica;
+  StreamOriginService m_stream_origins;
   /// What other hosts are told of this one.
   ReplicaHost m_entry;
   std::shared_ptr<ObjectWatcher> m_watcher;
--- a/src/libgateway/history/history_client.h
+++ b/src/libgateway/history/history_client.h
@@ -53,6 +53,8 @@
   /// Watcher of the list of disk hosts, which other hosts may read through this
   /// one.
   auto watcher() -> ObjectWatcher& { return m_directory.watcher(); }
+  /// Disk hosts, which are known after Start().
+  auto disk_hosts() -> ReplicaDirectory& { return m_directory; }
   /// Returns true if enough disk hosts can be reached for a turn to count as
   /// stored.
   auto available() const -> bool;
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -128,6 +128,9 @@
   if (!request.m_host.empty()) {
     json["host"] = request.m_host.value();
   }
+  if (!request.m_software.empty()) {
+    json["software"] = WriteId(request.m_software);
+  }
   return json.dump();
 }
 
@@ -142,6 +145,9 @@
     // Hosts of earlier versions don't send it.
     request.m_may_retry = json.value("may_retry", false);
     request.m_host = HostId(json.value("host", std::string()));
+    if (const auto software = json.find("software"); software != json.end()) {
+      request.m_software = ReadId<SoftwareVersion>(*software);
+    }
     return request;
   });
 }
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -24,6 +24,8 @@
 struct TurnGrantRequest {
   GrantRequest m_grant;
   ServiceId m_service;
+  /// The turn takes up a stream of this software version; empty otherwise.
+  SoftwareVersion m_software;
   /// Sender, if it prefers some endpoints; empty otherwise.
   HostId m_host;
   /// The sender has time for one more request, so the lead may answer kRetry
--- a/src/libgateway/lead/lead_placement.cc
+++ b/src/libgateway/lead/lead_placement.cc
@@ -17,7 +17,9 @@
   hint.m_last_used = now;
   const auto exhausted = m_limits.Exhausted(request.m_service, now);
   auto chosen = m_judgement.TakeTurnProbe(request.m_service, now);
-  if (chosen && exhausted.contains(*chosen)) {
+  if (chosen && (exhausted.contains(*chosen) ||
+                 !IsOfVersion(m_context.m_directory.m_entries.at(*chosen),
+                              request.m_software))) {
     chosen.reset();
   }
   response.m_probe = chosen.has_value();
@@ -25,6 +27,7 @@
     chosen = ChooseEndpoint(m_context.m_directory, m_loads,
                             {.m_service = request.m_service,
                              .m_domain = m_context.m_settings.m_domain,
+                             .m_software = request.m_software,
                              .m_excluded = exhausted,
                              .m_warm = hint.m_endpoint,
                              .m_shares = &m_judgement.shares(),
--- a/src/libgateway/random_messages_unittest.cc
+++ b/src/libgateway/random_messages_unittest.cc
@@ -14,6 +14,7 @@
 #include "limit/limit_messages.h"
 #include "platform/call_headers.h"
 #include "platform/object_codec.h"
+#include "stream/stream_messages.h"
 #include "view/view_messages.h"
 
 /// @file
@@ -179,6 +180,11 @@
        {EncodeCrashUpdate(MakeCrashUpdate(now), now)}},
       {Ignore(DecodeCrashUpdateRequest), {EncodeCrashUpdateRequest({})}},
       {Ignore(DecodeViewRequest), {EncodeViewRequest({})}},
+      {Ignore(DecodeStreamBegun), {EncodeStreamBegun({})}},
+      {Ignore(DecodeStreamQuestion), {EncodeStreamQuestion({})}},
+      {Ignore(DecodeStreamAnswer),
+       {EncodeStreamAnswer({}),
+        EncodeStreamAnswer({.m_software = SoftwareVersion("v")})}},
       {[now](const std::string& text) { (void)DecodeLimitAsk(text, now); },
        {EncodeLimitAsk({.m_statements = {{EndpointId("e"), {}}}}, now)}},
       {[now](const std::string& text) { (void)DecodeLimitAnswer(text, now); },
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -146,6 +146,11 @@
 
 }  // namespace
 
+auto IsOfVersion(const EndpointEntry& entry, const SoftwareVersion& software)
+    -> bool {
+  return software.empty() || entry.m_software == software;
+}
+
 auto ChooseEndpoint(const EndpointDirectory& directory,
                     const EndpointLoads& loads,
                     const ChoiceQuery& query,
@@ -162,7 +167,8 @@
   std::vector<Scored> scored;
   for (const auto& id : service->second) {
     const auto& entry = directory.m_entries.at(id);
-    if (!entry.m_leaving && !query.m_excluded.contains(id)) {
+    if (!entry.m_leaving && !query.m_excluded.contains(id) &&
+        IsOfVersion(entry, query.m_software)) {
       scored.push_back({id, Score(entry, scoring)});
     }
   }
--- a/src/librouting/route_table.cc
+++ b/src/librouting/route_table.cc
@@ -88,6 +88,11 @@
                      [](const Route& route) { return route.m_keeps_history; });
 }
 
+auto HasResumableStreams(const RouteTable& table) -> bool {
+  return std::any_of(table.m_routes.begin(), table.m_routes.end(),
+                     [](const Route& route) { return route.m_resumable; });
+}
+
 auto TraitsOf(const RouteTable& table, const ServiceId& service)
     -> const ServiceTraits& {
   static const ServiceTraits kUnknown;
