Hosts that an endpoint has told nothing keep its limit too

What callers saw: nothing.

Cause: a host learned of a limit only from an answer of its own, and sent without a permit until then.

Change: a host tells its lead, leads tell each other, and the answers by which hosts follow the endpoints say that the lead knows of a change.

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -59,6 +59,9 @@
   HostJudgement m_judgement;
   /// Limits that endpoints stated, and those that were withdrawn.
   LimitStatements m_limits;
+  /// Number of changes of m_limits so far, and of the lead's as it last said.
+  std::int64_t m_limit_changes = 0;
+  std::int64_t m_lead_limit_changes = 0;
   /// Requests under which endpoints crashed, as observed by all hosts.
   CrashLedger m_crash_ledger;
   std::multiset<SuspectAttempt> m_suspect_attempts;
--- a/src/libgateway/lead/lead_limits.cc
+++ b/src/libgateway/lead/lead_limits.cc
@@ -3,9 +3,16 @@
 #include <algorithm>
 
 #include "dotterelshed/metrics.h"
+#include "peer_call.h"
 
 namespace dotterelshed {
 
+namespace {
+
+constexpr Duration kTellTimeout = std::chrono::milliseconds(500);
+
+}  // namespace
+
 auto LeadLimits::RateOf(const EndpointId& endpoint) const
     -> std::optional<double> {
   const auto limit = LimitOf(m_context.m_limits, endpoint);
@@ -22,31 +29,57 @@
 }
 
 auto LeadLimits::HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer {
+  LimitStatements changed;
   for (const auto& [id, statement] : ask.m_statements) {
-    MergeStatement(m_context.m_limits, id, statement);
+    if (MergeStatement(m_context.m_limits, id, statement)) {
+      changed.emplace(id, statement);
+      ++m_context.m_limit_changes;
+    }
+  }
+  if (!ask.m_from_lead) {
+    TellOtherLeads(changed, now);
   }
   LimitAnswer answer{.m_leads = true};
+  answer.m_permitted = !ask.m_endpoint.empty() && Take(ask.m_endpoint, now);
   const auto* entry = FindEndpoint(m_context.m_directory, ask.m_endpoint);
-  if (ask.m_endpoint.empty()) {
-    return answer;
-  }
-  answer.m_permitted = Take(ask.m_endpoint, now);
   for (const auto& [id, statement] : m_context.m_limits) {
     const auto* other = FindEndpoint(m_context.m_directory, id);
     const auto same_service = entry != nullptr && other != nullptr &&
                               other->m_service == entry->m_service;
-    if (id == ask.m_endpoint || same_service) {
-      const auto rate = RateOf(id);
-      answer.m_states.emplace(
-          id,
-          LimitState{.m_statement = statement,
-                     .m_wait = rate ? TimeToPermit(m_buckets, id, *rate, now)
-                                    : Duration{0}});
+    if (ask.m_all || id == ask.m_endpoint || same_service) {
+      answer.m_states.emplace(id, StateOf(id, statement, now));
     }
   }
   return answer;
 }
 
+auto LeadLimits::StateOf(const EndpointId& endpoint,
+                         const LimitStatement& statement,
+                         TimePoint now) -> LimitState {
+  const auto rate = RateOf(endpoint);
+  return {.m_statement = statement,
+          .m_wait = rate ? TimeToPermit(m_buckets, endpoint, *rate, now)
+                         : Duration{0}};
+}
+
+/// Without this, turns that hosts of another domain get would be placed there
+/// without permits until one of these hosts has an answer of its own.
+auto LeadLimits::TellOtherLeads(const LimitStatements& statements,
+                                TimePoint now) -> void {
+  if (statements.empty()) {
+    return;
+  }
+  const auto body =
+      EncodeLimitAsk({.m_statements = statements, .m_from_lead = true}, now);
+  for (const auto& [domain, lead] : m_context.m_leads) {
+    if (domain != m_context.m_settings.m_domain) {
+      CallPeer(m_context.m_loop, m_context.m_peer_connections,
+               lead.m_entry.m_peer_address, kLimitPath, body, kTellTimeout,
+               [](const Result<std::string>& /*reply*/) {});
+    }
+  }
+}
+
 auto LeadLimits::Take(const EndpointId& endpoint, TimePoint now) -> bool {
   const auto rate = RateOf(endpoint);
   if (!rate) {
--- a/src/libgateway/lead/lead_limits.h
+++ b/src/libgateway/lead/lead_limits.h
@@ -18,6 +18,8 @@
   explicit LeadLimits(EntryContext& context) : m_context(context) {}
 
   auto HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer;
+  /// Tells the leads of the other domains what endpoints stated.
+  auto TellOtherLeads(const LimitStatements& statements, TimePoint now) -> void;
   /// Takes a permit for an endpoint with a limit. Returns false if it has none.
   auto Take(const EndpointId& endpoint, TimePoint now) -> bool;
   /// Returns the endpoints of a service for which there is no permit now.
@@ -31,6 +33,9 @@
   auto Clear() -> void { m_buckets.clear(); }
 
  private:
+  auto StateOf(const EndpointId& endpoint,
+               const LimitStatement& statement,
+               TimePoint now) -> LimitState;
   /// Returns the domain's share of the endpoint's limit, in requests a second;
   /// nothing if it has no limit.
   auto RateOf(const EndpointId& endpoint) const -> std::optional<double>;
--- a/src/libgateway/lead/lead_placement.cc
+++ b/src/libgateway/lead/lead_placement.cc
@@ -83,6 +83,12 @@
   return m_limits.HandleAsk(ask, SteadyTime());
 }
 
+auto LeadService::TellLimits(const LimitStatements& statements) -> void {
+  if (m_phase == Phase::kActive) {
+    m_limits.TellOtherLeads(statements, SteadyTime());
+  }
+}
+
 auto LeadService::TakeEndpointReport(const EndpointReport& report)
     -> std::optional<DomainJudgement> {
   if (m_phase != Phase::kActive || !m_context.m_judgement.m_enabled) {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -47,6 +47,8 @@
   /// Takes what a host of this domain heard of endpoints' limits, and gives it
   /// a permit if it asks for one.
   auto AskPermit(const LimitAsk& ask) -> LimitAnswer;
+  /// Tells the other domains' leads what this lead's own host heard.
+  auto TellLimits(const LimitStatements& statements) -> void;
   /// Reports whether this lead holds the program's account or is about to open
   /// it. If two leads search for the same account at the same time, or each
   /// hold an unverified one, the lead whose domain name sorts first proceeds. A
--- a/src/libgateway/limit/endpoint_limit_unittest.cc
+++ b/src/libgateway/limit/endpoint_limit_unittest.cc
@@ -99,6 +99,37 @@
         static_cast<std::ptrdiff_t>(setup.m_callers.size()));
 }
 
+TEST_CASE("hosts that an endpoint has told nothing keep its limit too") {
+  constexpr double kLimit = 0.5;
+  constexpr int kUntold = 30;
+  TwoDomains setup;
+  auto& environment = setup.m_environment;
+  int runs = 0;
+  environment.AddEndpoint([&runs](const Request& request) {
+    ++runs;
+    AnswerWithLimit(request, kLimit);
+  });
+  environment.AddEndpoint(
+      [](const Request& request) { AnswerWithLimit(request, 0); });
+  setup.Start();
+  std::vector<EntryHost*> untold;
+  for (int i = 0; i < kUntold; ++i) {
+    untold.push_back(
+        &environment.AddHost("u" + std::to_string(i), i % 2 == 0 ? "z" : "y"));
+  }
+  while (runs == 0) {
+    environment.FinishAt(*setup.m_hosts[0], kSafeCall);
+  }
+  environment.RunFor(kContactTime);
+  runs = 0;
+  for (auto* host : untold) {
+    setup.m_callers.push_back(environment.CallAt(*host, kSafeCall));
+  }
+  environment.RunFor(std::chrono::milliseconds(500));
+  CHECK(setup.CountAnswers(200) == kUntold);
+  CHECK(runs <= 1.5 * kLimit * ToSeconds(kWindow) + 5);
+}
+
 TEST_CASE("what the limits of all endpoints leave no room for is refused") {
   TwoDomains setup;
   int runs = 0;
--- a/src/libgateway/limit/limit_client.cc
+++ b/src/libgateway/limit/limit_client.cc
@@ -43,6 +43,7 @@
       NoteAnswerLimit(m_context.m_limits, answer.m_endpoint, answer.m_stated,
                       answer.m_sent_at, SteadyTime());
   if (changed) {
+    ++m_context.m_limit_changes;
     m_news.insert(answer.m_endpoint);
     LogLimit(answer.m_endpoint, answer.m_request, answer.m_stated, "answer");
   }
@@ -91,19 +92,25 @@
     NoteSilence(endpoint, now);
     return false;
   }
-  for (const auto& [id, state] : answer.m_states) {
+  TakeStates(answer.m_states, now);
+  if (!answer.m_permitted) {
+    auto& none_before = m_none_before[endpoint];
+    none_before = std::max(none_before, now + kMinWait);
+  }
+  return answer.m_permitted;
+}
+
+auto LimitClient::TakeStates(const std::map<EndpointId, LimitState>& states,
+                             TimePoint now) -> void {
+  for (const auto& [id, state] : states) {
     if (MergeStatement(m_context.m_limits, id, state.m_statement)) {
+      ++m_context.m_limit_changes;
       LogLimit(id, RequestId(), state.m_statement.m_per_second, "lead");
     }
     if (state.m_wait > Duration{0}) {
       m_none_before[id] = now + std::max(state.m_wait, kMinWait);
     }
   }
-  if (!answer.m_permitted) {
-    auto& none_before = m_none_before[endpoint];
-    none_before = std::max(none_before, now + kMinWait);
-  }
-  return answer.m_permitted;
 }
 
 auto LimitClient::NoteSilence(const EndpointId& endpoint, TimePoint now)
@@ -146,7 +153,8 @@
 }
 
 auto LimitClient::Tick(TimePoint now) -> void {
-  if (!m_news.empty() && now - m_last_news >= kNewsInterval) {
+  if ((!m_news.empty() || IsBehindLead()) &&
+      now - m_last_news >= kNewsInterval) {
     m_last_news = now;
     SendNews(now);
   }
@@ -158,9 +166,18 @@
   }
 }
 
+auto LimitClient::IsBehindLead() const -> bool {
+  const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
+  const auto elsewhere =
+      lead && lead->m_entry.m_host != m_context.m_settings.m_host;
+  return elsewhere && m_context.m_lead_limit_changes > 0 &&
+         (lead->m_version != m_told_by ||
+          m_context.m_lead_limit_changes > m_told_changes);
+}
+
 /// News that get lost are told with the next question for a permit.
 auto LimitClient::SendNews(TimePoint now) -> void {
-  LimitAsk ask;
+  LimitAsk ask{.m_all = IsBehindLead()};
   for (const auto& id : std::exchange(m_news, {})) {
     const auto known = m_context.m_limits.find(id);
     if (known != m_context.m_limits.end()) {
@@ -168,13 +185,31 @@
     }
   }
   const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
-  const auto elsewhere =
-      lead && lead->m_entry.m_host != m_context.m_settings.m_host;
-  if (elsewhere) {
-    CallPeer(m_context.m_loop, m_context.m_peer_connections,
-             lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
-             kNewsTimeout, [](const Result<std::string>& /*reply*/) {});
+  if (!lead) {
+    return;
   }
+  if (lead->m_entry.m_host == m_context.m_settings.m_host) {
+    m_own_lead.TellLimits(ask.m_statements);
+    return;
+  }
+  CallPeer(m_context.m_loop, m_context.m_peer_connections,
+           lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
+           kNewsTimeout,
+           [this, version = lead->m_version, all = ask.m_all,
+            changes = m_context.m_lead_limit_changes](
+               const Result<std::string>& reply) {
+             const auto later = SteadyTime();
+             const auto answer =
+                 reply.and_then([later](const std::string& text) {
+                   return DecodeLimitAnswer(text, later);
+                 });
+             if (!all || !answer || !answer->m_leads) {
+               return;
+             }
+             m_told_by = version;
+             m_told_changes = changes;
+             TakeStates(answer->m_states, later);
+           });
 }
 
 auto LimitClient::ForgetRemoved() -> void {
--- a/src/libgateway/limit/limit_client.h
+++ b/src/libgateway/limit/limit_client.h
@@ -53,9 +53,13 @@
   auto TakeAnswer(const EndpointId& endpoint,
                   const LimitAnswer& answer,
                   TimePoint now) -> bool;
+  auto TakeStates(const std::map<EndpointId, LimitState>& states, TimePoint now)
+      -> void;
   /// No permit of the service's endpoints is to be had for a while.
   auto NoteSilence(const EndpointId& endpoint, TimePoint now) -> void;
   auto SendNews(TimePoint now) -> void;
+  /// Returns true if the lead knows of limits that this host hasn't been told.
+  auto IsBehindLead() const -> bool;
   auto ForgetRemoved() -> void;
 
   EntryContext& m_context;
@@ -65,6 +69,9 @@
   /// Endpoints of whose last statement the lead hasn't been told.
   std::set<EndpointId> m_news;
   TimePoint m_last_news;
+  /// Lead that last told this host all limits, and its number of changes then.
+  ResourceVersion m_told_by;
+  std::int64_t m_told_changes = 0;
   TimePoint m_last_sweep;
 };
 
--- a/src/libgateway/limit/limit_messages.cc
+++ b/src/libgateway/limit/limit_messages.cc
@@ -60,13 +60,17 @@
     statements.push_back(WriteStatement(id, statement, now));
   }
   return Json{{"endpoint", WriteId(ask.m_endpoint)},
-              {"statements", std::move(statements)}}
+              {"statements", std::move(statements)},
+              {"all", ask.m_all},
+              {"from_lead", ask.m_from_lead}}
       .dump();
 }
 
 auto DecodeLimitAsk(std::string_view text, TimePoint now) -> Result<LimitAsk> {
   return Parse<LimitAsk>(text, [now](const Json& json) {
     LimitAsk ask{.m_endpoint = ReadId<EndpointId>(json.at("endpoint"))};
+    ask.m_all = json.value("all", false);
+    ask.m_from_lead = json.value("from_lead", false);
     for (const auto& one : json.at("statements")) {
       ask.m_statements.emplace(ReadId<EndpointId>(one.at(0)),
                                ReadStatement(one, now));
--- a/src/libgateway/limit/limit_messages.h
+++ b/src/libgateway/limit/limit_messages.h
@@ -21,6 +21,10 @@
   /// Endpoint that a request is to be sent to; empty if none is.
   EndpointId m_endpoint;
   LimitStatements m_statements;
+  /// The sender wants all that the lead knows.
+  bool m_all = false;
+  /// The sender leads another domain and tells all leads.
+  bool m_from_lead = false;
 };
 
 /// What a lead says of one endpoint.
@@ -35,8 +39,8 @@
   bool m_leads = false;
   /// The request may be sent within kPermitTime of the question.
   bool m_permitted = false;
-  /// All endpoints that have stated a limit of the service of the one that was
-  /// asked for.
+  /// Endpoints that have stated a limit: all if the sender wants that, else
+  /// those of the service of the one that was asked for.
   std::map<EndpointId, LimitState> m_states;
 };
 
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -75,6 +75,11 @@
           .m_on_hold =
               [this](Duration hold) {
                 ExtendGracePeriod(m_context.m_directory, SteadyTime() + hold);
+              },
+          .m_limit_changes = [this] { return m_context.m_limit_changes; },
+          .m_on_limit_changes =
+              [this](std::int64_t changes) {
+                m_context.m_lead_limit_changes = changes;
               }},
       context.MakeViewReader());
   context.m_on_leave_announced = [this](const EndpointId& endpoint) {
--- a/src/libgateway/view/object_watcher.cc
+++ b/src/libgateway/view/object_watcher.cc
@@ -346,6 +346,9 @@
   if (m_handlers.m_on_hold) {
     m_handlers.m_on_hold(response.m_hold);
   }
+  if (m_handlers.m_on_limit_changes) {
+    m_handlers.m_on_limit_changes(response.m_limit_changes);
+  }
   if (response.m_partial) {
     m_handlers.m_on_changes(ToChanges(response));
   } else if (response.m_objects) {
@@ -380,10 +383,13 @@
 }
 
 auto ObjectWatcher::CurrentState() const -> ViewResponse {
-  return {.m_version = m_version,
-          .m_age = Age(SteadyTime()),
-          .m_hold =
-              m_handlers.m_hold_left ? m_handlers.m_hold_left() : Duration{0}};
+  return {
+      .m_version = m_version,
+      .m_age = Age(SteadyTime()),
+      .m_hold = m_handlers.m_hold_left ? m_handlers.m_hold_left() : Duration{0},
+      .m_limit_changes = m_handlers.m_limit_changes
+                             ? m_handlers.m_limit_changes()
+                             : std::int64_t{0}};
 }
 
 auto ObjectWatcher::Confirm(TimePoint shown_at) -> void {
--- a/src/libgateway/view/object_watcher.h
+++ b/src/libgateway/view/object_watcher.h
@@ -48,6 +48,10 @@
   std::function<Duration()> m_hold_left = {};
   /// Called with that time as reported by the reader; may be empty.
   std::function<void(Duration)> m_on_hold = {};
+  /// Returns the number of changes of endpoints' limits; may be empty.
+  std::function<std::int64_t()> m_limit_changes = {};
+  /// Called with that number as reported by the reader; may be empty.
+  std::function<void(std::int64_t)> m_on_limit_changes = {};
 };
 
 /// Host that reads the store on behalf of this one.
--- a/src/libgateway/view/view_messages.cc
+++ b/src/libgateway/view/view_messages.cc
@@ -83,11 +83,11 @@
 auto EncodeViewResponse(const ViewResponse& response, std::string_view objects)
     -> std::string {
   return fmt::format(
-      R"({{"version":{},"age_ms":{},"hold_ms":{},"partial":{},"removed":{},)"
-      R"("objects":{}}})",
+      R"({{"version":{},"age_ms":{},"hold_ms":{},"limit_changes":{},)"
+      R"("partial":{},"removed":{},"objects":{}}})",
       response.m_version.value(), ToMs(response.m_age), ToMs(response.m_hold),
-      response.m_partial, Json(response.m_removed).dump(),
-      objects.empty() ? "null" : objects);
+      response.m_limit_changes, response.m_partial,
+      Json(response.m_removed).dump(), objects.empty() ? "null" : objects);
 }
 
 auto DecodeViewResponse(std::string_view text) -> Result<ViewResponse> {
@@ -96,6 +96,7 @@
     ViewResponse response{.m_version = ReadVersion(json.at("version")),
                           .m_age = ReadMs(json.at("age_ms")),
                           .m_hold = ReadMs(json.at("hold_ms"))};
+    response.m_limit_changes = json.value("limit_changes", std::int64_t{0});
     response.m_partial = json.value("partial", false);
     response.m_removed = json.value("removed", std::vector<std::string>());
     if (const auto& objects = json.at("objects"); !objects.is_null()) {
--- a/src/libgateway/view/view_messages.h
+++ b/src/libgateway/view/view_messages.h
@@ -34,6 +34,9 @@
   /// Remaining time in which entries that vanished with a store outage may be
   /// listed again.
   Duration m_hold{0};
+  /// With endpoints: number of changes of their limits that the responding host
+  /// knows of. Hosts of earlier versions don't send this.
+  std::int64_t m_limit_changes = 0;
   /// All objects of the kind; empty if they are the same as at the requested
   /// version.
   std::optional<std::vector<StoredObject>> m_objects;
