--- a/src/libgateway/limit/endpoint_limit_unittest.cc
+++ b/src/libgateway/limit/endpoint_limit_unittest.cc
@@ -113,6 +113,7 @@
       [](const Request& request) { AnswerWithLimit(request, 0); });
   setup.Start();
   std::vector<EntryHost*> untold;
+  untold.reserve(kUntold);
   for (int i = 0; i < kUntold; ++i) {
     untold.push_back(
         &environment.AddHost("u" + std::to_string(i), i % 2 == 0 ? "z" : "y"));
