Nothing of an answer with a rejected head is passed on

What callers saw: where an endpoint's answer states a transfer coding that we refuse, the bytes of its body came without a head, as bytes that belong to no answer.

Cause: the parser's callback for the head returns an error, but the library goes on to the body in the same call and clears the error; the body went to the caller before the state was looked at.

Change: the callback's refusal is kept, nothing of the body is passed on, and the message is malformed. The test failed before for both codings (body not empty).

--- a/src/libhttp/http_parser.cc
+++ b/src/libhttp/http_parser.cc
@@ -55,6 +55,8 @@
   std::string m_reason;
   int m_version = 0;
   HttpFields m_fields;
+  /// The head is no usable one. The library goes on to the body all the same.
+  bool m_rejected = false;
 
  private:
   auto on_request_impl(http::verb /*method*/,
@@ -84,8 +86,9 @@
     error = {};
   }
   auto on_header_impl(ErrorCodeIn& error) -> void override {
-    if (HasDoubtfulFraming(m_fields)) {
-      error = make_error_code(http::error::bad_transfer_encoding);
+    m_rejected = HasDoubtfulFraming(m_fields);
+    if (m_rejected) {
+      error = make_error_code(http::error::bad_value);
       return;
     }
     std::optional<std::uint64_t> length;
@@ -101,7 +104,9 @@
   }
   auto on_body_impl(beast::string_view body, ErrorCodeIn& error)
       -> std::size_t override {
-    m_on_body(ToView(body));
+    if (!m_rejected) {
+      m_on_body(ToView(body));
+    }
     error = {};
     return body.size();
   }
@@ -113,7 +118,7 @@
   auto on_chunk_body_impl(std::uint64_t /*remain*/,
                           beast::string_view body,
                           ErrorCodeIn& error) -> std::size_t override {
-    if (!body.empty()) {
+    if (!body.empty() && !m_rejected) {
       m_on_body(ToView(body));
     }
     error = {};
@@ -179,6 +184,10 @@
       const auto rest = input.substr(used);
       used +=
           m_parser->put(boost::asio::buffer(rest.data(), rest.size()), error);
+      if (m_parser->m_rejected) {
+        m_state = ParseState::kMalformed;
+        return used;
+      }
       if (error == http::error::need_more) {
         break;
       }
--- a/src/libhttp/http_parser_unittest.cc
+++ b/src/libhttp/http_parser_unittest.cc
@@ -154,5 +154,21 @@
   }
 }
 
+TEST_CASE("nothing of an answer with a rejected head is passed on") {
+  const auto* head =
+      GENERATE("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n");
+  int heads = 0;
+  std::string body;
+  ResponseParser parser(
+      {}, false,
+      {.m_on_head = [&heads](ResponseHead& /*head*/) { ++heads; },
+       .m_on_body = [&body](std::string_view bytes) { body += bytes; }});
+  parser.Feed(std::string(head) + "\r\nwrong");
+  CHECK(parser.state() == ParseState::kMalformed);
+  CHECK(heads == 0);
+  CHECK(body.empty());
+}
+
 }  // namespace
 }  // namespace dotterelshed
