An answer with a status below 100, or of 101, is no answer

Here, statuses 000 to 099 were taken for interim answers, so that what followed on the same connection could be taken for the answer, or the request waited for its time-out; 101 reached the caller as it was.

Change: such a head is malformed; the request is retried where it may be, else answered 502. The test failed before: 200 with the faulty endpoint's second answer, and 101.

--- a/src/libhttp/http_parser.cc
+++ b/src/libhttp/http_parser.cc
@@ -12,6 +12,7 @@
 namespace http = boost::beast::http;
 using ErrorCodeIn = beast::error_code;
 
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kSwitchingProtocols = 101;
 
@@ -41,6 +42,12 @@
   return coding != nullptr && !EqualsIgnoringCase(*coding, "chunked");
 }
 
+/// Returns false for statuses that no answer to our requests has: Beast takes
+/// any three digits, and no request asks to switch protocols.
+auto IsAnswerStatus(int status) -> bool {
+  return status >= kFirstStatus && status != kSwitchingProtocols;
+}
+
 /// Beast's grammar with callbacks; collects the head, passes the body on.
 template <bool IsRequest>
 class GrammarParser : public http::basic_parser<IsRequest> {
@@ -86,7 +93,8 @@
     error = {};
   }
   auto on_header_impl(ErrorCodeIn& error) -> void override {
-    m_rejected = HasDoubtfulFraming(m_fields);
+    m_rejected = HasDoubtfulFraming(m_fields) ||
+                 (!IsRequest && !IsAnswerStatus(m_status));
     if (m_rejected) {
       error = make_error_code(http::error::bad_value);
       return;
@@ -299,8 +307,7 @@
 
   auto OnHeader(std::optional<std::uint64_t> length) -> void {
     auto& parser = *m_feeder.m_parser;
-    m_interim = parser.m_status < kFirstFinalStatus &&
-                parser.m_status != kSwitchingProtocols;
+    m_interim = parser.m_status < kFirstFinalStatus;
     if (m_interim) {
       return;
     }
--- a/src/libhttp/http_parser_unittest.cc
+++ b/src/libhttp/http_parser_unittest.cc
@@ -156,7 +156,10 @@
 
 TEST_CASE("nothing of an answer with a rejected head is passed on") {
   const auto* head =
-      GENERATE("HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+      GENERATE("HTTP/1.1 000 X\r\nContent-Length: 5\r\n",
+               "HTTP/1.1 099 X\r\nContent-Length: 5\r\n",
+               "HTTP/1.1 101 X\r\nContent-Length: 5\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n");
   int heads = 0;
   std::string body;
