A kept turn without end is abandoned before it fills memory

Heads, interim answers, framing, single events and peers' bodies were bounded here; bodies are passed on as they come. One case was not: the text of a turn whose history is kept grew until the request's time-out, since only turns of programs with a budget are cut at their tokens.

Change: such a turn is broken off after 2 MiB of events (reason turn_too_long). The test failed before: still open after 4 MiB.

--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -243,6 +243,8 @@
   HistoryText m_previous_text;
   /// What this turn adds to the history: its input and the data of its events.
   std::string m_turn_text;
+  /// Size of the events of a turn whose history is kept.
+  std::size_t m_turn_bytes = 0;
   /// The turn was sent to the replicas, and its response has not ended yet.
   bool m_storing = false;
   /// Content type of the forwarded response.
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxBufferedBytes = 131072;
 /// Maximum size of one event; inference engines send none that is longer.
 constexpr std::size_t kMaxEventBytes = 1048576;
+/// Maximum size of the events of a turn whose text is kept until it is stored.
+constexpr std::size_t kMaxTurnBytes = 2097152;
 
 /// Returns true for statuses that say that the request was not executed. Except
 /// for 421 they count only if the response also has the endpoint's explicit
@@ -182,6 +184,11 @@
       m_attempt.m_first_event_at = m_attempt.m_last_event_at;
     }
     if (KeepsHistory()) {
+      m_turn_bytes += event->m_text.size();
+      if (m_turn_bytes > kMaxTurnBytes) {
+        AbortResponse("turn_too_long");
+        return;
+      }
       m_turn_text += EventData(event->m_text);
       m_turn_text += '\n';
     }
--- a/src/libgateway/call/unbounded_response_unittest.cc
+++ b/src/libgateway/call/unbounded_response_unittest.cc
@@ -1,3 +1,4 @@
+#include "history/test_history.h"
 #include "peer_call.h"
 #include "test_environment.h"
 
@@ -7,8 +8,6 @@
 namespace dotterelshed {
 namespace {
 
-using Request = ScriptedEndpoint::Request;
-
 constexpr std::size_t kPieceBytes = 16384;
 
 /// Sends m_begin for each request, then m_piece repeatedly.
@@ -162,6 +161,25 @@
   CHECK_FALSE(caller->Body());
 }
 
+TEST_CASE("a kept turn without end is abandoned before it fills memory") {
+  constexpr std::size_t kMost = 4U << 20U;
+  Flood flood{std::string(kSignedHead) + "\r\n", Repeat("data: t\n\n"), {}};
+  HistoryEnvironment environment;
+  environment.AddDisk("d1", "z");
+  auto& endpoint = environment.AddEndpoint(flood.Handler());
+  environment.Start();
+  auto caller = environment.Call(MakeCall("/kept/1"));
+  environment.RunUntil([&] {
+    flood.SendMore();
+    const auto over = caller->m_ended && endpoint.ended() > 0;
+    return over || caller->m_got.size() > kMost;
+  });
+  CHECK(caller->m_got.size() <= kMost);
+  CHECK(caller->m_ended);
+  // Streams that are still open must not outlive the loop.
+  flood.m_requests.clear();
+}
+
 TEST_CASE("a peer's unbounded body is abandoned") {
   Flood flood{"HTTP/1.1 200 X\r\n\r\n", Repeat("a"), {}};
   TestEnvironment environment;
