--- a/src/include/dotterelshed/endpoint_directory.h
+++ b/src/include/dotterelshed/endpoint_directory.h
@@ -140,6 +140,10 @@
 auto FindEndpoint(const EndpointDirectory& directory, const EndpointId& id)
     -> const EndpointEntry*;
 
+/// Returns the service of an endpoint; empty if it isn't known.
+auto ServiceOf(const EndpointDirectory& directory, const EndpointId& id)
+    -> ServiceId;
+
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_ENDPOINT_DIRECTORY_H_
--- a/src/libgateway/lead/lead_limits.cc
+++ b/src/libgateway/lead/lead_limits.cc
@@ -41,11 +41,10 @@
   }
   LimitAnswer answer{.m_leads = true};
   answer.m_permitted = !ask.m_endpoint.empty() && Take(ask.m_endpoint, now);
-  const auto* entry = FindEndpoint(m_context.m_directory, ask.m_endpoint);
+  const auto service = ServiceOf(m_context.m_directory, ask.m_endpoint);
   for (const auto& [id, statement] : m_context.m_limits) {
-    const auto* other = FindEndpoint(m_context.m_directory, id);
-    const auto same_service = entry != nullptr && other != nullptr &&
-                              other->m_service == entry->m_service;
+    const auto same_service =
+        !service.empty() && ServiceOf(m_context.m_directory, id) == service;
     if (ask.m_all || id == ask.m_endpoint || same_service) {
       answer.m_states.emplace(id, StateOf(id, statement, now));
     }
@@ -95,9 +94,8 @@
   std::set<EndpointId> exhausted;
   for (const auto& [id, statement] : m_context.m_limits) {
     const auto rate = RateOf(id);
-    const auto* entry = FindEndpoint(m_context.m_directory, id);
     const auto concerns =
-        rate && entry != nullptr && entry->m_service == service;
+        rate && ServiceOf(m_context.m_directory, id) == service;
     if (concerns && TimeToPermit(m_buckets, id, *rate, now) > Duration{0}) {
       exhausted.insert(id);
     }
--- a/src/libgateway/limit/endpoint_limit_unittest.cc
+++ b/src/libgateway/limit/endpoint_limit_unittest.cc
@@ -61,6 +61,15 @@
     }
   }
 
+  /// Waits until all calls are answered.
+  auto Finish() -> void {
+    m_environment.RunUntil([this] {
+      return std::all_of(
+          m_callers.begin(), m_callers.end(),
+          [](const auto& caller) { return caller->m_ended || caller->Body(); });
+    });
+  }
+
   auto CountAnswers(int status) const -> std::ptrdiff_t {
     return std::count_if(
         m_callers.begin(), m_callers.end(),
@@ -89,7 +98,7 @@
       [](const Request& request) { AnswerWithLimit(request, 0); });
   setup.Start();
   setup.SendFor(kContactTime + kWindow);
-  setup.m_environment.RunFor(std::chrono::milliseconds(200));
+  setup.Finish();
 
   const auto allowed = 1.5 * kLimit * ToSeconds(kWindow) + 5;
   const auto got = CountIn(arrivals, arrivals.front() + kContactTime, kWindow);
@@ -126,7 +135,7 @@
   for (auto* host : untold) {
     setup.m_callers.push_back(environment.CallAt(*host, kSafeCall));
   }
-  environment.RunFor(std::chrono::milliseconds(500));
+  setup.Finish();
   CHECK(setup.CountAnswers(200) == kUntold);
   CHECK(runs <= 1.5 * kLimit * ToSeconds(kWindow) + 5);
 }
@@ -142,7 +151,7 @@
   setup.m_environment.AddEndpoint(script);
   setup.Start();
   setup.SendFor(std::chrono::seconds(3));
-  setup.m_environment.RunFor(std::chrono::milliseconds(200));
+  setup.Finish();
 
   const auto sent = static_cast<std::ptrdiff_t>(setup.m_callers.size());
   const auto refused = setup.CountAnswers(503);
--- a/src/libgateway/limit/limit_client.cc
+++ b/src/libgateway/limit/limit_client.cc
@@ -115,11 +115,9 @@
 
 auto LimitClient::NoteSilence(const EndpointId& endpoint, TimePoint now)
     -> void {
-  const auto* entry = FindEndpoint(m_context.m_directory, endpoint);
+  const auto service = ServiceOf(m_context.m_directory, endpoint);
   for (const auto& [id, statement] : m_context.m_limits) {
-    const auto* other = FindEndpoint(m_context.m_directory, id);
-    const auto same_service = entry != nullptr && other != nullptr &&
-                              other->m_service == entry->m_service;
+    const auto same_service = ServiceOf(m_context.m_directory, id) == service;
     if (statement.m_per_second && same_service) {
       m_none_before[id] = now + kSilenceWait;
     }
@@ -131,9 +129,8 @@
     -> std::set<EndpointId> {
   std::set<EndpointId> exhausted;
   for (const auto& [id, none_before] : m_none_before) {
-    const auto* entry = FindEndpoint(m_context.m_directory, id);
-    const auto concerns = none_before > now && entry != nullptr &&
-                          entry->m_service == service &&
+    const auto concerns = none_before > now &&
+                          ServiceOf(m_context.m_directory, id) == service &&
                           LimitOf(m_context.m_limits, id);
     if (concerns) {
       exhausted.insert(id);
--- a/src/librouting/endpoint_directory.cc
+++ b/src/librouting/endpoint_directory.cc
@@ -223,4 +223,10 @@
   return found == directory.m_entries.end() ? nullptr : &found->second;
 }
 
+auto ServiceOf(const EndpointDirectory& directory, const EndpointId& id)
+    -> ServiceId {
+  const auto* entry = FindEndpoint(directory, id);
+  return entry == nullptr ? ServiceId() : entry->m_service;
+}
+
 }  // namespace dotterelshed
