Leads tell each other of limits until they are heard

What callers saw: nothing. Cause: a lead told the other leads of a change once; one that it didn't know yet, or whose message was lost, never heard, and its hosts sent without permits. Change: leads repeat what they know each second while there are limits and for 5 s after, and a host repeats news that its lead didn't take.

--- a/src/libgateway/lead/lead_limits.cc
+++ b/src/libgateway/lead/lead_limits.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Duration kTellTimeout = std::chrono::milliseconds(500);
+constexpr Duration kTellInterval = std::chrono::seconds(1);
+/// Time for which the other leads are told that the last limit has ended.
+constexpr Duration kTellEndTime = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -79,6 +82,23 @@
   }
 }
 
+/// A message may be lost, and its receiver may have become lead since.
+auto LeadLimits::Tick(TimePoint now) -> void {
+  if (now - m_last_told < kTellInterval) {
+    return;
+  }
+  m_last_told = now;
+  const auto limited = std::any_of(
+      m_context.m_limits.begin(), m_context.m_limits.end(),
+      [](const auto& item) { return item.second.m_per_second.has_value(); });
+  if (limited) {
+    m_last_limited = now;
+  }
+  if (now - m_last_limited <= kTellEndTime) {
+    TellOtherLeads(m_context.m_limits, now);
+  }
+}
+
 auto LeadLimits::Take(const EndpointId& endpoint, TimePoint now) -> bool {
   const auto rate = RateOf(endpoint);
   if (!rate) {
--- a/src/libgateway/lead/lead_limits.h
+++ b/src/libgateway/lead/lead_limits.h
@@ -29,6 +29,9 @@
   /// @p endpoints is empty.
   auto ShortestWait(const std::set<EndpointId>& endpoints, TimePoint now)
       -> Duration;
+  /// Tells the other leads again while there are limits; call several times per
+  /// second while this host leads.
+  auto Tick(TimePoint now) -> void;
   /// This host no longer leads, or leads anew.
   auto Clear() -> void { m_buckets.clear(); }
 
@@ -42,6 +45,9 @@
 
   EntryContext& m_context;
   PermitBuckets m_buckets;
+  TimePoint m_last_told;
+  /// Last time at which there was a limit.
+  TimePoint m_last_limited;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -268,6 +268,7 @@
   if (leading()) {
     m_journal.Refresh(now);
     m_judgement.Tick(now);
+    m_limits.Tick(now);
   }
   RemoveExpired(now);
 }
--- a/src/libgateway/limit/limit_client.cc
+++ b/src/libgateway/limit/limit_client.cc
@@ -172,7 +172,7 @@
           m_context.m_lead_limit_changes > m_told_changes);
 }
 
-/// News that get lost are told with the next question for a permit.
+/// News that get lost are told again.
 auto LimitClient::SendNews(TimePoint now) -> void {
   LimitAsk ask{.m_all = IsBehindLead()};
   for (const auto& id : std::exchange(m_news, {})) {
@@ -192,7 +192,7 @@
   CallPeer(m_context.m_loop, m_context.m_peer_connections,
            lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
            kNewsTimeout,
-           [this, version = lead->m_version, all = ask.m_all,
+           [this, version = lead->m_version, ask,
             changes = m_context.m_lead_limit_changes](
                const Result<std::string>& reply) {
              const auto later = SteadyTime();
@@ -200,7 +200,13 @@
                  reply.and_then([later](const std::string& text) {
                    return DecodeLimitAnswer(text, later);
                  });
-             if (!all || !answer || !answer->m_leads) {
+             if (!answer || !answer->m_leads) {
+               for (const auto& [id, statement] : ask.m_statements) {
+                 m_news.insert(id);
+               }
+               return;
+             }
+             if (!ask.m_all) {
                return;
              }
              m_told_by = version;
