Name what hosts report of limits in plain terms, and split a long function

Read as a newcomer: news and home become reports and the own domain, the answer of a report is handled in fewer branches, public items have comments. No change of behaviour.

--- a/src/libgateway/limit/limit_client.cc
+++ b/src/libgateway/limit/limit_client.cc
@@ -18,8 +18,8 @@
 /// silent, however soon there may be one.
 constexpr Duration kMinWait = std::chrono::milliseconds(20);
 constexpr Duration kSilenceWait = std::chrono::milliseconds(200);
-constexpr Duration kNewsInterval = std::chrono::milliseconds(50);
-constexpr Duration kNewsTimeout = std::chrono::milliseconds(500);
+constexpr Duration kReportInterval = std::chrono::milliseconds(50);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 
 auto LogLimit(const EndpointId& endpoint,
@@ -44,7 +44,7 @@
                       answer.m_sent_at, SteadyTime());
   if (changed) {
     ++m_context.m_limit_changes;
-    m_news.insert(answer.m_endpoint);
+    m_unreported.insert(answer.m_endpoint);
     LogLimit(answer.m_endpoint, answer.m_request, answer.m_stated, "answer");
   }
 }
@@ -150,10 +150,10 @@
 }
 
 auto LimitClient::Tick(TimePoint now) -> void {
-  if ((!m_news.empty() || IsBehindLead()) &&
-      now - m_last_news >= kNewsInterval) {
-    m_last_news = now;
-    SendNews(now);
+  if ((!m_unreported.empty() || IsBehindLead()) &&
+      now - m_last_report >= kReportInterval) {
+    m_last_report = now;
+    ReportStatements(now);
   }
   if (now - m_last_sweep >= kSweepInterval) {
     m_last_sweep = now;
@@ -168,14 +168,13 @@
   const auto elsewhere =
       lead && lead->m_entry.m_host != m_context.m_settings.m_host;
   return elsewhere && m_context.m_lead_limit_changes > 0 &&
-         (lead->m_version != m_told_by ||
-          m_context.m_lead_limit_changes > m_told_changes);
+         (lead->m_version != m_synced_lead ||
+          m_context.m_lead_limit_changes > m_synced_changes);
 }
 
-/// News that get lost are told again.
-auto LimitClient::SendNews(TimePoint now) -> void {
+auto LimitClient::ReportStatements(TimePoint now) -> void {
   LimitAsk ask{.m_all = IsBehindLead()};
-  for (const auto& id : std::exchange(m_news, {})) {
+  for (const auto& id : std::exchange(m_unreported, {})) {
     const auto known = m_context.m_limits.find(id);
     if (known != m_context.m_limits.end()) {
       ask.m_statements.insert(*known);
@@ -191,7 +190,7 @@
   }
   CallPeer(m_context.m_loop, m_context.m_peer_connections,
            lead->m_entry.m_peer_address, kLimitPath, EncodeLimitAsk(ask, now),
-           kNewsTimeout,
+           kReportTimeout,
            [this, version = lead->m_version, ask,
             changes = m_context.m_lead_limit_changes](
                const Result<std::string>& reply) {
@@ -201,20 +200,21 @@
                    return DecodeLimitAnswer(text, later);
                  });
              if (!answer || !answer->m_leads) {
-               for (const auto& [id, statement] : ask.m_statements) {
-                 m_news.insert(id);
-               }
-               return;
+               ReportAgain(ask);
+             } else if (ask.m_all) {
+               m_synced_lead = version;
+               m_synced_changes = changes;
+               TakeStates(answer->m_states, later);
              }
-             if (!ask.m_all) {
-               return;
-             }
-             m_told_by = version;
-             m_told_changes = changes;
-             TakeStates(answer->m_states, later);
            });
 }
 
+auto LimitClient::ReportAgain(const LimitAsk& ask) -> void {
+  for (const auto& [id, statement] : ask.m_statements) {
+    m_unreported.insert(id);
+  }
+}
+
 auto LimitClient::ForgetRemoved() -> void {
   std::erase_if(m_context.m_limits, [this](const auto& item) {
     return FindEndpoint(m_context.m_directory, item.first) == nullptr;
--- a/src/libgateway/limit/limit_client.h
+++ b/src/libgateway/limit/limit_client.h
@@ -34,6 +34,7 @@
 
   LimitClient(EntryContext& context, LeadService& own_lead);
 
+  /// Takes note of the limit that an answer states, or that it states none.
   auto NoteAnswer(const AnswerLimit& answer) -> void;
   /// Asks for a permit to send a request to the endpoint. Responds at once if
   /// this host leads, else within kAskTimeout.
@@ -45,6 +46,7 @@
   /// have a permit, if none is to be had for some now.
   auto ShortestWait(const ServiceId& service, TimePoint now) const
       -> std::optional<Duration>;
+  /// Reports to the lead; call several times per second.
   auto Tick(TimePoint now) -> void;
 
  private:
@@ -57,7 +59,11 @@
       -> void;
   /// No permit of the service's endpoints is to be had for a while.
   auto NoteSilence(const EndpointId& endpoint, TimePoint now) -> void;
-  auto SendNews(TimePoint now) -> void;
+  /// Tells the lead what it hasn't been told, and asks for what it knows if
+  /// this host is behind it.
+  auto ReportStatements(TimePoint now) -> void;
+  /// Puts statements that the lead didn't take back among the unreported ones.
+  auto ReportAgain(const LimitAsk& ask) -> void;
   /// Returns true if the lead knows of limits that this host hasn't been told.
   auto IsBehindLead() const -> bool;
   auto ForgetRemoved() -> void;
@@ -67,11 +73,11 @@
   /// The lead has no permit for these endpoints before these moments.
   std::map<EndpointId, TimePoint> m_none_before;
   /// Endpoints of whose last statement the lead hasn't been told.
-  std::set<EndpointId> m_news;
-  TimePoint m_last_news;
+  std::set<EndpointId> m_unreported;
+  TimePoint m_last_report;
   /// Lead that last told this host all limits, and its number of changes then.
-  ResourceVersion m_told_by;
-  std::int64_t m_told_changes = 0;
+  ResourceVersion m_synced_lead;
+  std::int64_t m_synced_changes = 0;
   TimePoint m_last_sweep;
 };
 
--- a/src/librouting/limits/endpoint_permits.cc
+++ b/src/librouting/limits/endpoint_permits.cc
@@ -21,7 +21,7 @@
 constexpr Duration kMaxWait = std::chrono::seconds(10);
 
 /// Share of the endpoint's own domain; the others have equal parts of the rest.
-constexpr double kHomeShare = 0.7;
+constexpr double kOwnDomainShare = 0.7;
 
 /// Orders domains by how soon they get a share; the endpoint's own comes first.
 auto RankHash(const LimitedEndpoint& endpoint, const DomainId& domain)
@@ -69,14 +69,14 @@
   const auto limit = std::max(endpoint.m_limit, kMinLimit);
   const auto sharing =
       std::clamp<std::size_t>(domains.size(), 1, kMaxSharingDomains);
-  const auto has_home = std::find(domains.begin(), domains.end(),
-                                  endpoint.m_domain) != domains.end();
-  if (sharing == 1 || !has_home) {
+  const auto own_domain_listed = std::find(domains.begin(), domains.end(),
+                                           endpoint.m_domain) != domains.end();
+  if (sharing == 1 || !own_domain_listed) {
     return limit / static_cast<double>(sharing);
   }
   return domain == endpoint.m_domain
-             ? limit * kHomeShare
-             : limit * (1 - kHomeShare) / static_cast<double>(sharing - 1);
+             ? limit * kOwnDomainShare
+             : limit * (1 - kOwnDomainShare) / static_cast<double>(sharing - 1);
 }
 
 auto TakePermit(PermitBuckets& buckets,
