A host that knows no lead keeps its statements of limits for the next one

What callers saw: nothing; found by reading, no run shows it. A host that heard of a limit while it knew no lead dropped the report, so that the next lead heard of it only with the host's first question for a permit. It is kept now. The six cases of endpoint limits pass.

--- a/src/libgateway/limit/limit_client.cc
+++ b/src/libgateway/limit/limit_client.cc
@@ -182,6 +182,7 @@
   }
   const auto lead = m_context.LeadOf(m_context.m_settings.m_domain);
   if (!lead) {
+    ReportAgain(ask);
     return;
   }
   if (lead->m_entry.m_host == m_context.m_settings.m_host) {
