--- a/src/libgateway/lead/lead_limits.cc
+++ b/src/libgateway/lead/lead_limits.cc
@@ -31,14 +31,20 @@
       settings.m_domain, settings.m_domains);
 }
 
-auto LeadLimits::HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer {
+auto LeadLimits::TakeStatements(const LimitStatements& statements)
+    -> LimitStatements {
   LimitStatements changed;
-  for (const auto& [id, statement] : ask.m_statements) {
+  for (const auto& [id, statement] : statements) {
     if (MergeStatement(m_context.m_limits, id, statement)) {
       changed.emplace(id, statement);
       ++m_context.m_limit_changes;
     }
   }
+  return changed;
+}
+
+auto LeadLimits::HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer {
+  const auto changed = TakeStatements(ask.m_statements);
   if (!ask.m_from_lead) {
     TellOtherLeads(changed, now);
   }
--- a/src/libgateway/lead/lead_limits.h
+++ b/src/libgateway/lead/lead_limits.h
@@ -17,6 +17,7 @@
  public:
   explicit LeadLimits(EntryContext& context) : m_context(context) {}
 
+  /// Answers a host of this domain, or another domain's lead.
   auto HandleAsk(const LimitAsk& ask, TimePoint now) -> LimitAnswer;
   /// Tells the leads of the other domains what endpoints stated.
   auto TellOtherLeads(const LimitStatements& statements, TimePoint now) -> void;
@@ -36,6 +37,8 @@
   auto Clear() -> void { m_buckets.clear(); }
 
  private:
+  /// Takes over what others know. Returns the statements that changed a limit.
+  auto TakeStatements(const LimitStatements& statements) -> LimitStatements;
   auto StateOf(const EndpointId& endpoint,
                const LimitStatement& statement,
                TimePoint now) -> LimitState;
--- a/src/libgateway/stream/stream_origin_service.cc
+++ b/src/libgateway/stream/stream_origin_service.cc
@@ -10,35 +10,42 @@
 auto StreamOriginService::Handle(
     const std::shared_ptr<ServerConnection>& connection,
     const IncomingRequest& request) -> bool {
-  const auto now = SteadyTime();
-  const auto reject = [&connection](const Error& error) {
-    connection->Answer(kStatusBadRequest, {}, error.m_message);
-    return true;
-  };
   if (request.m_head.m_target == kStreamBegunPath) {
-    const auto begun = DecodeStreamBegun(request.m_body);
-    if (!begun) {
-      return reject(begun.error());
-    }
-    AddOrigin(
-        m_origins, begun->m_attempt,
-        {.m_software = begun->m_software, .m_expires = now + begun->m_lifetime},
-        now);
-    connection->Answer(kStatusOk, {}, "");
-    return true;
+    OnBegun(*connection, request.m_body);
+  } else if (request.m_head.m_target == kStreamQuestionPath) {
+    OnQuestion(*connection, request.m_body);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+auto StreamOriginService::OnBegun(ServerConnection& connection,
+                                  const std::string& body) -> void {
+  const auto begun = DecodeStreamBegun(body);
+  if (!begun) {
+    connection.Answer(kStatusBadRequest, {}, begun.error().m_message);
+    return;
   }
-  if (request.m_head.m_target == kStreamQuestionPath) {
-    const auto question = DecodeStreamQuestion(request.m_body);
-    if (!question) {
-      return reject(question.error());
-    }
-    connection->Answer(
-        kStatusOk, {},
-        EncodeStreamAnswer(
-            {.m_software = FindOrigin(m_origins, question->m_attempt, now)}));
-    return true;
+  const auto now = SteadyTime();
+  AddOrigin(
+      m_origins, begun->m_attempt,
+      {.m_software = begun->m_software, .m_expires = now + begun->m_lifetime},
+      now);
+  connection.Answer(kStatusOk, {}, "");
+}
+
+auto StreamOriginService::OnQuestion(ServerConnection& connection,
+                                     const std::string& body) -> void {
+  const auto question = DecodeStreamQuestion(body);
+  if (!question) {
+    connection.Answer(kStatusBadRequest, {}, question.error().m_message);
+    return;
   }
-  return false;
+  const auto software =
+      FindOrigin(m_origins, question->m_attempt, SteadyTime());
+  connection.Answer(kStatusOk, {},
+                    EncodeStreamAnswer({.m_software = software}));
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/stream/stream_origin_service.h
+++ b/src/libgateway/stream/stream_origin_service.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHED_STREAM_ORIGIN_SERVICE_H_
 
 #include <memory>
+#include <string>
 
 #include "dotterelshed/http_listener.h"
 #include "dotterelshed/stream_origins.h"
@@ -19,6 +20,10 @@
               const IncomingRequest& request) -> bool;
 
  private:
+  auto OnBegun(ServerConnection& connection, const std::string& body) -> void;
+  auto OnQuestion(ServerConnection& connection, const std::string& body)
+      -> void;
+
   StreamOrigins m_origins;
 };
 
