A lead's successor gives no advance while a lost one may matter

Cause: a turn may be granted before its program is on record (the advance). A new lead gave advances again after 8 s, taken to be longer than any pause of a program. Programs that pause for 12 s while two leads are killed, one after the other, got an advance from each, and the third lead knew of neither. turn_decided of the hosts' logs shows both with advance=yes and recorded=0, 12.6 s apart.

Change: a record says whether its writer may give advances, or how long its successor must wait. After a lead that might have given some, no advance is given for the retention time and the lease. A clean handover has them on record and costs no wait, where each change of lead cost 8 s before. A lead that may have lost advances says so when another domain's lead searches for an account.

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -21,10 +21,13 @@
 /// maximum that may be granted before the first record is written. A lead that
 /// takes over counts the recorded bound as spent and gives no advance on it.
 ///
-/// The advance is guarded by a lease. A lead gives advances to new programs
-/// only after it has led for the lease time, and only while its last confirmed
-/// write is younger than that. A lead that was replaced without noticing thus
-/// stops giving advances before its successor starts.
+/// An advance that is lost with its lead's memory must remain the program's
+/// only one. Each record therefore says whether its writer may give advances.
+/// If it may, the successor gives none until the programs that had one have
+/// ended or are forgotten. If it may not, because it waits itself or hands
+/// over, the successor only continues the wait. A lead that was replaced
+/// without noticing stops giving advances when its last confirmed write is
+/// older than the lease, which is part of the wait.
 ///
 /// An account is unverified while the lead of another domain may keep one of
 /// the same program. Its grants don't exceed the advance in total; the other
@@ -59,11 +62,11 @@
   /// maximum, down to 1/divisor of it; most turns generate far less than their
   /// maximum.
   int m_min_partial_divisor = 3;
-  /// Time after a takeover before unknown programs get an advance, and time
-  /// after the last confirmed write from which they get none. Must be longer
-  /// than any pause between two turns of a program.
+  /// Time after the last confirmed write from which unknown programs get no
+  /// advance.
   Duration m_advance_lease = std::chrono::seconds(8);
-  /// Time for which a program is remembered after its last turn.
+  /// Time for which a program is remembered after its last turn. Must be longer
+  /// than any pause between two turns of a program.
   Duration m_retention = std::chrono::seconds(75);
 };
 
@@ -109,6 +112,9 @@
   /// Set only by a lead that hands over: its running turns. They are included
   /// in their program's bound until the next lead learns of their end.
   std::vector<RunningTurn> m_running;
+  /// Time, as of this record, for which its writer's successor must give no
+  /// advances. Nothing if the writer itself may give some after this record.
+  std::optional<Duration> m_advance_wait;
 };
 
 /// Raises the bounds of the store's @p record to those in @p other, a record
@@ -119,8 +125,10 @@
 struct ProgramLedger {
   LedgerOptions m_options;
   std::map<ProgramId, ProgramAccount> m_accounts;
-  /// Start of this lead's term.
-  TimePoint m_term_start;
+  /// Time from which no advance of an earlier lead matters.
+  TimePoint m_advance_from;
+  /// The stored record says that this lead may give advances.
+  bool m_advances = false;
   /// Start of the write in progress.
   TimePoint m_write_started;
   /// Start of the last write that was confirmed.
@@ -142,8 +150,9 @@
 struct GrantConditions {
   /// Another domain may keep the program's account.
   bool m_unverified = false;
-  /// The lead of another domain didn't answer and was fenced.
-  bool m_other_fenced = false;
+  /// A lead of another domain may have given the program an advance that isn't
+  /// on record.
+  bool m_other_advance = false;
   /// The store can't be written at present: grant less than the turn's maximum
   /// rather than nothing.
   bool m_allow_partial = false;
@@ -190,7 +199,8 @@
 
 /// Returns the last record of a lead that hands over to another host. It
 /// reserves nothing beyond the tokens granted and names the running turns, so
-/// that the next lead counts nothing as spent that wasn't granted.
+/// that the next lead counts nothing as spent that wasn't granted. From here on
+/// this lead gives no advances until an ordinary record is confirmed.
 auto BeginHandoverRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord;
 
 /// @p record has been stored under this lead's term, after all earlier ones.
@@ -205,6 +215,15 @@
 /// programs that this domain has not in the store.
 auto NoteFence(ProgramLedger& ledger) -> void;
 
+/// Returns the time for which an earlier lead of this domain may have given a
+/// program an advance that isn't on record; zero afterwards.
+auto AdvanceWaitLeft(const ProgramLedger& ledger, TimePoint now) -> Duration;
+
+/// Changes the time for which programs are remembered. A wait for lost advances
+/// becomes longer with it.
+auto SetRetention(ProgramLedger& ledger, Duration retention, TimePoint now)
+    -> void;
+
 /// Begins a term with the record that the store holds.
 auto AdoptRecord(ProgramLedger& ledger,
                  const LedgerRecord& record,
--- a/src/libgateway/lead/account_search.cc
+++ b/src/libgateway/lead/account_search.cc
@@ -77,6 +77,15 @@
            });
 }
 
+auto AccountSearch::ResultOf(const FindAccountResponse& response)
+    -> LookupResult {
+  if (response.m_found) {
+    return LookupResult::kFound;
+  }
+  return response.m_may_have_lost_advances ? LookupResult::kNoneOnRecord
+                                           : LookupResult::kNone;
+}
+
 auto AccountSearch::OnFindResponse(const ProgramId& program,
                                    const DomainId& domain,
                                    const Result<FindAccountResponse>& response)
@@ -85,9 +94,7 @@
     return;
   }
   if (response && response->m_leads) {
-    RecordResult(
-        program, domain,
-        response->m_found ? LookupResult::kFound : LookupResult::kNone);
+    RecordResult(program, domain, ResultOf(*response));
     return;
   }
   if (response && response->m_lead && m_context.UpdateLead(*response->m_lead)) {
@@ -219,8 +226,9 @@
   auto& conditions = search.m_conditions;
   conditions.m_unverified =
       conditions.m_unverified || result == LookupResult::kUnknown;
-  conditions.m_other_fenced =
-      conditions.m_other_fenced || result == LookupResult::kUnreachable;
+  conditions.m_other_advance = conditions.m_other_advance ||
+                               result == LookupResult::kUnreachable ||
+                               result == LookupResult::kNoneOnRecord;
   if (search.m_pending_domains.empty()) {
     Complete(program, {.m_conditions = conditions});
   }
--- a/src/libgateway/lead/account_search.h
+++ b/src/libgateway/lead/account_search.h
@@ -59,8 +59,9 @@
   enum class LookupResult {
     kFound,
     kNone,
-    kUnreachable,  ///< No response; the fenced ledger has no record of it.
-    kUnknown,      ///< No response, and the ledger could not be read.
+    kNoneOnRecord,  ///< None, but an earlier lead's advance may be lost.
+    kUnreachable,   ///< No response; the fenced ledger has no record of it.
+    kUnknown,       ///< No response, and the ledger could not be read.
   };
   /// Cached copy of another domain's stored ledger.
   struct FetchedLedger {
@@ -68,6 +69,7 @@
     LedgerRecord m_record;
   };
 
+  static auto ResultOf(const FindAccountResponse& response) -> LookupResult;
   auto QueryLead(const ProgramId& program, const DomainId& domain) -> void;
   auto OnFindResponse(const ProgramId& program,
                       const DomainId& domain,
--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -53,7 +53,11 @@
     m_ledger_version = ResourceVersion(0);
     m_fence = 0;
     ReadQuotaStart(nullptr);
-    AdoptJournal({});
+    // No earlier lead can have given advances. The first leads of the domains
+    // may not know of each other yet.
+    StoredLedger first;
+    first.m_record.m_advance_wait = m_ledger.m_options.m_advance_lease;
+    AdoptJournal(first);
     return;
   }
   const auto ledger = DecodeStoredLedger(stored->m_spec);
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -36,6 +36,11 @@
   return Tokens(value.get<std::int64_t>());
 }
 
+/// A wait in whole milliseconds, rounded up, since it must not be too short.
+auto CeilMs(Duration wait) -> std::int64_t {
+  return std::chrono::ceil<std::chrono::milliseconds>(wait).count();
+}
+
 auto ReadLeadEntry(const Json& json) -> LeadEntry {
   LeadEntry entry;
   entry.m_host = HostId(json.at("host"));
@@ -69,6 +74,11 @@
         std::chrono::milliseconds(json.at("quota_wait_ms").get<std::int64_t>());
   }
   ledger.m_quotas_stopped = json.value("quotas_stopped", false);
+  // Hosts of earlier versions give advances and don't write it.
+  if (const auto wait = json.find("advance_wait_ms"); wait != json.end()) {
+    ledger.m_record.m_advance_wait =
+        std::chrono::milliseconds(wait->get<std::int64_t>());
+  }
   for (const auto& [program, bound] : json.at("bounds").items()) {
     ledger.m_record.m_bounds.emplace(ProgramId(DecodeText(program)),
                                      ToTokens(bound));
@@ -165,9 +175,7 @@
     json["permitted"] = true;
   }
   if (response.m_limit_wait > Duration{0}) {
-    const auto wait =
-        std::chrono::ceil<std::chrono::milliseconds>(response.m_limit_wait);
-    json["limit_wait_ms"] = wait.count();
+    json["limit_wait_ms"] = CeilMs(response.m_limit_wait);
   }
   return json.dump();
 }
@@ -217,6 +225,7 @@
     -> std::string {
   return Json{{"leads", response.m_leads},
               {"found", response.m_found},
+              {"lost_advances", response.m_may_have_lost_advances},
               {"lead", WriteOptionalLead(response.m_lead)}}
       .dump();
 }
@@ -224,9 +233,12 @@
 auto DecodeFindAccountResponse(std::string_view text)
     -> Result<FindAccountResponse> {
   return Parse<FindAccountResponse>(text, [](const Json& json) {
-    return FindAccountResponse{.m_leads = json.at("leads").get<bool>(),
-                               .m_found = json.at("found").get<bool>(),
-                               .m_lead = ReadOptionalLead(json.at("lead"))};
+    return FindAccountResponse{
+        .m_leads = json.at("leads").get<bool>(),
+        .m_found = json.at("found").get<bool>(),
+        // Leads of earlier versions don't know it.
+        .m_may_have_lost_advances = json.value("lost_advances", true),
+        .m_lead = ReadOptionalLead(json.at("lead"))};
   });
 }
 
@@ -270,11 +282,11 @@
     json["unread"] = {{"incarnation", unread->m_incarnation.value()},
                       {"write", unread->m_write}};
   }
+  if (ledger.m_record.m_advance_wait) {
+    json["advance_wait_ms"] = CeilMs(*ledger.m_record.m_advance_wait);
+  }
   if (ledger.m_quota_wait) {
-    // Rounded up, since the wait must not be too short.
-    const auto wait =
-        std::chrono::ceil<std::chrono::milliseconds>(*ledger.m_quota_wait);
-    json["quota_wait_ms"] = wait.count();
+    json["quota_wait_ms"] = CeilMs(*ledger.m_quota_wait);
     json["quotas_stopped"] = ledger.m_quotas_stopped;
   }
   return json;
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -97,6 +97,9 @@
   /// The receiver leads its domain, so that m_found is valid.
   bool m_leads = false;
   bool m_found = false;
+  /// With m_leads: an earlier lead of the receiver's domain may have given the
+  /// program an advance that isn't on record.
+  bool m_may_have_lost_advances = false;
   /// If the receiver does not lead: the lead that it knows of, if any.
   std::optional<KnownLead> m_lead;
 };
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -55,7 +55,8 @@
                             .m_record = {{{ProgramId("p"), Tokens(270)}},
                                          {{.m_program = ProgramId("p"),
                                            .m_request = RequestId("r"),
-                                           .m_tokens = Tokens(135)}}}};
+                                           .m_tokens = Tokens(135)}},
+                                         std::chrono::microseconds(2500)}};
   const auto read = DecodeStoredLedger(EncodeStoredLedger(ledger));
   REQUIRE(read);
   CHECK(read->m_write == 3);
@@ -64,6 +65,8 @@
   CHECK(*read->m_quota_wait >= *ledger.m_quota_wait);
   CHECK(read->m_quotas_stopped);
   CHECK_FALSE(EncodeStoredLedger({}).contains("quota_wait_ms"));
+  CHECK(read->m_record.m_advance_wait == std::chrono::milliseconds(3));
+  CHECK_FALSE(EncodeStoredLedger({}).contains("advance_wait_ms"));
   CHECK(read->m_record.m_bounds.at(ProgramId("p")) == Tokens(270));
   REQUIRE(read->m_record.m_running.size() == 1);
   CHECK(read->m_record.m_running[0].m_request == RequestId("r"));
--- a/src/libgateway/lead/lead_search_unittest.cc
+++ b/src/libgateway/lead/lead_search_unittest.cc
@@ -65,6 +65,29 @@
   CHECK(LedgerOf(environment, "z").m_record.m_bounds.empty());
 }
 
+// Guards against two advances of a program, each lost with a domain's lead.
+TEST_CASE("a program gets no advance if another domain may have lost one") {
+  const auto lost = GENERATE(false, true);
+  TestEnvironment environment;
+  ScriptedEndpoint other(environment.m_loop, [lost](const Request& request) {
+    request.m_stream->Write(request.Complete(EncodeFindAccountResponse(
+        {.m_leads = true, .m_may_have_lost_advances = lost})));
+  });
+  environment.PutLead("a", "h2", other);
+  StoredLedger handed_over;
+  handed_over.m_record.m_advance_wait = Duration{0};
+  PutLedger(environment, "z", handed_over);
+  environment.AddEndpoint(AnswerTurn);
+  environment.Start();
+  CHECK(environment.Finish(MakeTurn("r1", 40, 10))->Status() == 200);
+  environment.m_store.SetDown(true);
+  const std::string unknown =
+      "POST /turn/x HTTP/1.1\r\nHost: desk\r\nRequest-Id: q1\r\n"
+      "Program-Id: q\r\nSession-Id: q\r\nToken-Budget: 100\r\n"
+      "Token-Counts: 100,10\r\nContent-Length: 0\r\n\r\n";
+  CHECK(environment.Finish(unknown)->Status() == (lost ? 503 : 200));
+}
+
 TEST_CASE("a fenced lead searches again for its unrecorded programs") {
   TestEnvironment environment;
   auto claimed = false;
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -31,6 +31,10 @@
       m_judgement(context),
       m_limits(context) {}
 
+auto LeadService::SetRetention(Duration retention) -> void {
+  dotterelshed::SetRetention(m_ledger, retention, SteadyTime());
+}
+
 auto LeadService::FindAccount(const FindAccountRequest& request)
     -> FindAccountResponse {
   if (!active()) {
@@ -41,7 +45,10 @@
     m_program_hints[request.m_program] = {.m_domain = request.m_domain,
                                           .m_last_used = SteadyTime()};
   }
-  return {.m_leads = true, .m_found = claimed};
+  return {.m_leads = true,
+          .m_found = claimed,
+          .m_may_have_lost_advances =
+              AdvanceWaitLeft(m_ledger, SteadyTime()) > Duration{0}};
 }
 
 auto LeadService::ClaimsAccount(const FindAccountRequest& request) const
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -75,9 +75,7 @@
   /// Returns true if this host leads or is becoming lead.
   auto leading() const -> bool { return m_phase != Phase::kIdle; }
   /// Sets the time for which programs are remembered after their last turn.
-  auto SetRetention(Duration retention) -> void {
-    m_ledger.m_options.m_retention = retention;
-  }
+  auto SetRetention(Duration retention) -> void;
   auto Tick(TimePoint now) -> void;
 
   // Quotas of client accounts.
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -185,10 +185,12 @@
     return;
   }
   m_phase = Phase::kActive;
-  LogEvent(LogEventId::kLeadChanged,
-           {{"domain", m_context.m_settings.m_domain.value()},
-            {"lead", m_context.m_settings.m_host.value()},
-            {"programs", std::to_string(m_ledger.m_accounts.size())}});
+  LogEvent(
+      LogEventId::kLeadChanged,
+      {{"domain", m_context.m_settings.m_domain.value()},
+       {"lead", m_context.m_settings.m_host.value()},
+       {"programs", std::to_string(m_ledger.m_accounts.size())},
+       {"advance_wait_ms", FormatMs(AdvanceWaitLeft(m_ledger, SteadyTime()))}});
   DecideWaiting();
 }
 
--- a/src/libledger/ledger_fence_randomized_unittest.cc
+++ b/src/libledger/ledger_fence_randomized_unittest.cc
@@ -65,6 +65,8 @@
   bool m_power_fails = false;
   /// A lead is replaced at times and its memory is lost.
   bool m_leads_fail = false;
+  /// Programs pause at times for longer than the advance lease.
+  bool m_programs_pause = false;
   int m_requests = 0;
 
   auto Draw(int below) -> int {
@@ -94,7 +96,8 @@
       return std::nullopt;
     }
     other.m_other_has.insert(program);
-    return GrantConditions{};
+    const auto lost = AdvanceWaitLeft(other.m_ledger, sim.m_now) > Duration{0};
+    return GrantConditions{.m_other_advance = lost};
   }
   const auto store_reached = !sim.m_store_fails || sim.Draw(4) > 0;
   if (!store_reached) {
@@ -109,7 +112,7 @@
     own.m_other_has.insert(program);
     return std::nullopt;
   }
-  return GrantConditions{.m_other_fenced = true};
+  return GrantConditions{.m_other_advance = true};
 }
 
 auto RequestTurn(Simulation& sim, int index) -> void {
@@ -197,6 +200,9 @@
       if (sim.m_leads_fail && sim.Draw(5) == 0) {
         ReplaceLead(own, sim.m_now);
       }
+      if (sim.m_programs_pause && sim.Draw(5) == 0) {
+        sim.m_now += std::chrono::seconds(sim.Draw(10));
+      }
       return;
     case 0:
     case 1:
@@ -219,6 +225,7 @@
   bool m_journal = false;
   bool m_power_fails = false;
   bool m_leads_fail = false;
+  bool m_programs_pause = false;
 };
 
 auto RunSeeds(const RunOptions& options) -> void {
@@ -230,8 +237,10 @@
                    .m_store_fails = options.m_store_fails,
                    .m_journal = options.m_journal,
                    .m_power_fails = options.m_power_fails,
-                   .m_leads_fail = options.m_leads_fail};
+                   .m_leads_fail = options.m_leads_fail,
+                   .m_programs_pause = options.m_programs_pause};
     for (auto& domain : sim.m_domains) {
+      domain.m_ledger.m_advances = true;
       domain.m_ledger.m_confirmed_at = sim.m_now;
     }
     for (int step = 0; step < kSteps; ++step) {
@@ -256,6 +265,11 @@
   RunSeeds({.m_journal = true, .m_leads_fail = true});
 }
 
+// Guards against two advances lost in two domains, one after the other.
+TEST_CASE("programs that pause while leads are replaced exceed no budget") {
+  RunSeeds({.m_leads_fail = true, .m_programs_pause = true});
+}
+
 TEST_CASE("journaling leads that lose their memory don't exceed a budget") {
   RunSeeds({.m_journal = true, .m_power_fails = true});
 }
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -42,11 +42,28 @@
 }
 
 /// True when no other lead can be giving advances, nor have given one to a
-/// program that is still running.
+/// program that may still go on.
 auto CanAdvance(const ProgramLedger& ledger, TimePoint now) -> bool {
-  const auto lease = ledger.m_options.m_advance_lease;
-  return now - ledger.m_term_start >= lease &&
-         now - ledger.m_confirmed_at < lease;
+  return ledger.m_advances &&
+         now - ledger.m_confirmed_at < ledger.m_options.m_advance_lease;
+}
+
+/// Wait after a lead that may have given advances until its last confirmed
+/// write is too old for that, and until the programs that had one are
+/// forgotten.
+auto FullAdvanceWait(const LedgerOptions& options) -> Duration {
+  return options.m_advance_lease + options.m_retention;
+}
+
+/// Wait that a lead which hands over leaves to its successor. Unverified
+/// accounts aren't in its record.
+auto HandoverAdvanceWait(const ProgramLedger& ledger, TimePoint now)
+    -> Duration {
+  const auto unrecorded =
+      std::any_of(ledger.m_accounts.begin(), ledger.m_accounts.end(),
+                  [](const auto& item) { return item.second.m_unverified; });
+  return unrecorded ? FullAdvanceWait(ledger.m_options)
+                    : AdvanceWaitLeft(ledger, now);
 }
 
 auto OpenAccount(ProgramLedger& ledger,
@@ -54,8 +71,8 @@
                  const GrantConditions& conditions,
                  TimePoint now) -> ProgramAccount& {
   auto& account = ledger.m_accounts[request.m_program];
-  // The lead that didn't answer may have given an advance already.
-  account.m_has_advance = CanAdvance(ledger, now) && !conditions.m_other_fenced;
+  account.m_has_advance =
+      CanAdvance(ledger, now) && !conditions.m_other_advance;
   account.m_unverified = conditions.m_unverified;
   return account;
 }
@@ -129,7 +146,8 @@
   account.m_turn_max = std::max(account.m_turn_max, request.m_turn_max);
   if (account.m_unverified) {
     account.m_unverified = conditions.m_unverified;
-    account.m_has_advance = account.m_has_advance && !conditions.m_other_fenced;
+    account.m_has_advance =
+        account.m_has_advance && !conditions.m_other_advance;
   }
   const auto running = account.m_running.find(request.m_request);
   if (running != account.m_running.end()) {
@@ -182,14 +200,22 @@
 }
 
 auto BeginRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
-  return MakeRecord(ledger, now, [&ledger](const ProgramAccount& account) {
-    return account.m_unread ? GrantedTokens(account)
-                            : TargetBound(ledger, account);
-  });
+  auto record =
+      MakeRecord(ledger, now, [&ledger](const ProgramAccount& account) {
+        return account.m_unread ? GrantedTokens(account)
+                                : TargetBound(ledger, account);
+      });
+  const auto wait = AdvanceWaitLeft(ledger, now);
+  if (wait > Duration{0}) {
+    record.m_advance_wait = wait;
+  }
+  return record;
 }
 
 auto BeginHandoverRecord(ProgramLedger& ledger, TimePoint now) -> LedgerRecord {
   auto record = MakeRecord(ledger, now, GrantedTokens);
+  record.m_advance_wait = HandoverAdvanceWait(ledger, now);
+  ledger.m_advances = false;
   for (const auto& [program, account] : ledger.m_accounts) {
     if (account.m_unverified) {
       continue;
@@ -203,6 +229,7 @@
 
 auto NoteRecorded(ProgramLedger& ledger, const LedgerRecord& record) -> void {
   ledger.m_confirmed_at = ledger.m_write_started;
+  ledger.m_advances = !record.m_advance_wait;
   for (const auto& [program, bound] : record.m_bounds) {
     const auto found = ledger.m_accounts.find(program);
     if (found != ledger.m_accounts.end()) {
@@ -238,11 +265,26 @@
   }
 }
 
+auto AdvanceWaitLeft(const ProgramLedger& ledger, TimePoint now) -> Duration {
+  return std::max(ledger.m_advance_from - now, Duration{0});
+}
+
+auto SetRetention(ProgramLedger& ledger, Duration retention, TimePoint now)
+    -> void {
+  const auto longer = retention - ledger.m_options.m_retention;
+  if (now < ledger.m_advance_from && longer > Duration{0}) {
+    ledger.m_advance_from += longer;
+  }
+  ledger.m_options.m_retention = retention;
+}
+
 auto AdoptRecord(ProgramLedger& ledger,
                  const LedgerRecord& record,
                  TimePoint now) -> void {
   ledger.m_accounts.clear();
-  ledger.m_term_start = now;
+  ledger.m_advance_from =
+      now + record.m_advance_wait.value_or(FullAdvanceWait(ledger.m_options));
+  ledger.m_advances = false;
   ledger.m_confirmed_at = now;
   ledger.m_dirty = false;
   for (const auto& [program, bound] : record.m_bounds) {
--- a/src/libledger/program_ledger_randomized_unittest.cc
+++ b/src/libledger/program_ledger_randomized_unittest.cc
@@ -97,10 +97,9 @@
                  std::int64_t term,
                  const GrantConditions& conditions) -> void {
   const auto program = ProgramName(sim);
-  // The pauses between a program's turns are shorter than the advance lease, so
-  // a program that paused for longer has ended.
+  // A program that paused for longer than it is remembered has ended.
   const auto last = sim.m_last_asked.try_emplace(program, sim.m_now).first;
-  if (sim.m_now - last->second >= LedgerOptions{}.m_advance_lease) {
+  if (sim.m_now - last->second >= LedgerOptions{}.m_retention) {
     return;
   }
   last->second = sim.m_now;
@@ -273,6 +272,9 @@
       }
       return;
     default:
+      if (sim.Draw(3) == 0) {
+        sim.m_now += std::chrono::seconds(sim.Draw(30));
+      }
       return;
   }
 }
@@ -290,6 +292,8 @@
   for (auto seed = first; seed < first + kRuns; ++seed) {
     CAPTURE(seed);
     Simulation sim{.m_random = std::mt19937(seed)};
+    sim.m_lead.m_ledger.m_advances = true;
+    sim.m_isolated.m_advances = true;
     for (int step = 0; step < kSteps; ++step) {
       Step(sim);
       CheckBudgets(sim);
@@ -302,6 +306,8 @@
   for (unsigned seed = 1; seed <= kRuns; ++seed) {
     CAPTURE(seed);
     Simulation sim{.m_random = std::mt19937(seed)};
+    sim.m_lead.m_ledger.m_advances = true;
+    sim.m_isolated.m_advances = true;
     // The home domain's lead never loses its memory, so each advance that it
     // gave is counted.
     for (int step = 0; step < kSteps; ++step) {
--- a/src/libledger/program_ledger_unittest.cc
+++ b/src/libledger/program_ledger_unittest.cc
@@ -11,23 +11,26 @@
 constexpr Tokens kBudget(400);
 const TimePoint kSettled{std::chrono::seconds(100)};
 
-/// A ledger whose lead may give advances: its term began long ago, and its last
-/// write was confirmed at kSettled.
+/// A ledger whose lead may give advances: its last write was confirmed at
+/// kSettled.
 auto MakeLedger() -> ProgramLedger {
   ProgramLedger ledger;
+  ledger.m_advances = true;
   ledger.m_confirmed_at = kSettled;
   return ledger;
 }
 
 auto RequestTurn(ProgramLedger& ledger,
                  const std::string& request,
-                 const GrantConditions& conditions = {}) -> TurnGrant {
+                 const GrantConditions& conditions = {},
+                 TimePoint now = kSettled,
+                 const ProgramId& program = ProgramId("p")) -> TurnGrant {
   return RequestGrant(ledger,
-                      {.m_program = ProgramId("p"),
+                      {.m_program = program,
                        .m_request = RequestId(request),
                        .m_budget = kBudget,
                        .m_turn_max = kTurnMax},
-                      conditions, kSettled);
+                      conditions, now);
 }
 
 auto Record(ProgramLedger& ledger) -> LedgerRecord {
@@ -128,6 +131,56 @@
   CHECK(RequestTurn(ledger, "a").m_decision == GrantDecision::kNeedsRecord);
 }
 
+// Guards against BUDGET broken by two leads that are lost, each with an
+// advance.
+TEST_CASE("a program that pauses gets no advance after its lead was lost") {
+  const auto pause = std::chrono::seconds(GENERATE(0, 12, 75));
+  auto lost = MakeLedger();
+  const auto record = Record(lost);
+  REQUIRE(RequestTurn(lost, "a").m_decision == GrantDecision::kGranted);
+  ProgramLedger next;
+  AdoptRecord(next, record, kSettled);
+  NoteRecorded(next, BeginRecord(next, kSettled + pause));
+  CHECK(RequestTurn(next, "b", {}, kSettled + pause).m_decision ==
+        GrantDecision::kNeedsRecord);
+}
+
+TEST_CASE("advances are given again when no program can have a lost one") {
+  ProgramLedger ledger;
+  AdoptRecord(ledger, {}, kSettled);
+  const auto over = kSettled + AdvanceWaitLeft(ledger, kSettled);
+  CHECK(over - kSettled >= ledger.m_options.m_retention);
+  NoteRecorded(ledger, BeginRecord(ledger, over));
+  CHECK(RequestTurn(ledger, "a", {}, over).m_decision ==
+        GrantDecision::kGranted);
+}
+
+TEST_CASE("a lead that gives no advances leaves its successor what it waits") {
+  ProgramLedger ledger;
+  AdoptRecord(ledger, {}, kSettled);
+  const auto later = kSettled + std::chrono::seconds(20);
+  const auto wait = AdvanceWaitLeft(ledger, later);
+  ProgramLedger next;
+  AdoptRecord(next, BeginRecord(ledger, later), later);
+  CHECK(AdvanceWaitLeft(next, later) == wait);
+  SetRetention(next, next.m_options.m_retention + std::chrono::seconds(5),
+               later);
+  CHECK(AdvanceWaitLeft(next, later) == wait + std::chrono::seconds(5));
+}
+
+TEST_CASE("a lead that hands over leaves no wait unless it omits accounts") {
+  const auto unverified = GENERATE(false, true);
+  auto ledger = MakeLedger();
+  RequestTurn(ledger, "a", {.m_unverified = unverified});
+  const auto record = BeginHandoverRecord(ledger, kSettled);
+  ProgramLedger next;
+  AdoptRecord(next, record, kSettled);
+  CHECK((AdvanceWaitLeft(next, kSettled) > Duration{0}) == unverified);
+  // The record may be in the store although the lead goes on.
+  CHECK(RequestTurn(ledger, "q", {}, kSettled, ProgramId("q")).m_decision ==
+        GrantDecision::kNeedsRecord);
+}
+
 TEST_CASE("a lead whose lease has run out gives no advance") {
   auto ledger = MakeLedger();
   ledger.m_confirmed_at = kSettled - std::chrono::seconds(8);
