Lists the store in an outage although the leads change

Cause: after a failure of the store a host asks its lead and lists for itself when the last failed call is old enough. Each new lead made the host ask that one at once and took back the pending retry. While the leads of its domain stood still in turn, the host didn't list for 8.1 s: its log has no platform_back between 18.4 s and 27.3 s, with seven changes of the lead.

Change: moving on to another lead in an outage goes through the same decision as a retry, so a listing that is due is made.

--- a/src/libgateway/view/object_watcher.cc
+++ b/src/libgateway/view/object_watcher.cc
@@ -372,9 +372,18 @@
   m_server.AddRequest(request, CurrentState(), respond_by, std::move(respond));
 }
 
+auto ObjectWatcher::OnReaderChanged() -> void {
+  if (m_reachable) {
+    StartNextCall();
+  } else {
+    // Readers may replace each other faster than the store is due again.
+    RetryAfterFailure();
+  }
+}
+
 auto ObjectWatcher::Tick(TimePoint now) -> void {
   if (!m_called_reader.empty() && m_called_reader != ReaderAddress()) {
-    StartNextCall();
+    OnReaderChanged();
   }
   // Before the first listing there are no objects to respond with.
   if (m_from_store) {
--- a/src/libgateway/view/object_watcher.h
+++ b/src/libgateway/view/object_watcher.h
@@ -121,6 +121,8 @@
   auto OnListing(const Result<ObjectListing>& listing) -> void;
   auto OnChanges(const Result<ObjectChanges>& changes) -> void;
   auto OnFailure(const Error& error) -> void;
+  /// Moves on to the host that is the reader now.
+  auto OnReaderChanged() -> void;
   auto ScheduleRetry() -> void;
   /// Tries the store or the reader again after the store has failed.
   auto RetryAfterFailure() -> void;
--- a/src/libgateway/view/shared_view_unittest.cc
+++ b/src/libgateway/view/shared_view_unittest.cc
@@ -1,3 +1,4 @@
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr int kFollowers = 6;
+/// Leads that replace each other at this interval.
+constexpr int kSilentLeads = 12;
+constexpr Duration kLeadChange = std::chrono::milliseconds(300);
 
 /// One domain with a lead and its followers, all of them ready.
 struct Domain {
@@ -164,5 +168,45 @@
   CHECK(dead_store.refused() < 5);
 }
 
+// Guards against DRAIN broken by a host that never lists a store that is back,
+// since it asks one new lead after the other.
+TEST_CASE("a host lists a store that is back although its leads change") {
+  TestEnvironment environment;
+  environment.AddEndpoint(AnswerPlain);
+  std::vector<std::unique_ptr<ScriptedEndpoint>> silent;
+  for (int i = 0; i < kSilentLeads; ++i) {
+    silent.push_back(std::make_unique<ScriptedEndpoint>(
+        environment.m_loop, [](const auto& /*request*/) {}));
+  }
+  const auto lead = [&silent] {
+    const auto changes = SteadyTime().time_since_epoch() / kLeadChange;
+    return FormatTcpAddress(silent[changes % kSilentLeads]->address());
+  };
+  ObjectStore store(environment.m_loop,
+                    {.m_address = environment.m_store.address()});
+  ConnectionPool peers(environment.m_loop, {});
+  int listings = 0;
+  const WatcherOptions options{.m_kind = ObjectKind::kEndpoints};
+  const auto watcher = std::make_shared<ObjectWatcher>(
+      environment.m_loop, store, options,
+      HandleEachObject(
+          [&listings](const StoredObject& /*object*/) { ++listings; }),
+      ViewReader{peers, lead});
+  const auto run_until = [&](const std::function<bool()>& done) {
+    environment.RunUntil([&] {
+      watcher->Tick(SteadyTime());
+      return done();
+    });
+  };
+  environment.m_store.SetDown(true);
+  watcher->Start();
+  run_until([&environment] { return environment.m_store.refused() > 0; });
+  environment.m_store.SetDown(false);
+  const auto up_at = SteadyTime();
+  run_until(
+      [&] { return listings > 0 || SteadyTime() - up_at > options.m_max_age; });
+  CHECK(listings > 0);
+}
+
 }  // namespace
 }  // namespace dotterelshed
