Read settings whose values the platform leaves out

A number or flag stands in a list, which is empty if there is no value; the reader takes such a list for its value or the default, and null for no value. Texts and lists are as strict as before.

--- a/src/libgateway/entry_settings.cc
+++ b/src/libgateway/entry_settings.cc
@@ -42,10 +42,22 @@
     }
   }
 
+  /// Returns nothing for a key that is missing or null.
   auto Find(const std::string& key) -> const Json* {
     m_known.insert(key);
     const auto found = m_json.find(key);
-    return found == m_json.end() ? nullptr : &*found;
+    return found == m_json.end() || found->is_null() ? nullptr : &*found;
+  }
+
+  /// Returns the number or flag of a key. It may stand in a list, which is
+  /// empty if there is no value.
+  auto FindValue(const std::string& key) -> const Json* {
+    const auto* value = Find(key);
+    if (value == nullptr || !value->is_array() || value->size() > 1) {
+      return value;
+    }
+    return value->empty() || value->front().is_null() ? nullptr
+                                                      : &value->front();
   }
 
   auto Text(const std::string& key, bool required) -> std::string {
@@ -73,7 +85,7 @@
 
   auto Number(const std::string& key, double minimum, double default_value)
       -> double {
-    const auto* value = Find(key);
+    const auto* value = FindValue(key);
     if (value == nullptr) {
       return default_value;
     }
@@ -86,13 +98,13 @@
 
   /// Returns a whole number that may be missing.
   auto OptionalCount(const std::string& key) -> std::optional<int> {
-    return Find(key) == nullptr
+    return FindValue(key) == nullptr
                ? std::nullopt
                : std::optional(static_cast<int>(Number(key, 0, 0)));
   }
 
   auto Flag(const std::string& key, bool default_value) -> bool {
-    const auto* value = Find(key);
+    const auto* value = FindValue(key);
     if (value == nullptr) {
       return default_value;
     }
--- a/src/libgateway/entry_settings_unittest.cc
+++ b/src/libgateway/entry_settings_unittest.cc
@@ -95,6 +95,25 @@
   CHECK(settings.error().m_place == "f: " + std::string(key));
 }
 
+TEST_CASE("a number or flag may stand in a list or have no value") {
+  const auto [text, slack] =
+      GENERATE(std::pair("[25]", 25.0), std::pair("[]", 0.0),
+               std::pair("[null]", 0.0), std::pair("null", 0.0));
+  const auto settings = ParseEntrySettings(
+      Changed("\"quota_slack\": 10", std::string("\"quota_slack\": ") + text),
+      "f");
+  REQUIRE(settings);
+  CHECK(settings->m_quota_slack ==
+        (slack == 0 ? EntrySettings().m_quota_slack : slack));
+  const auto flag = ParseEntrySettings(
+      Changed("withdrawal\": true", "withdrawal\": [true]"), "f");
+  REQUIRE(flag);
+  CHECK(flag->m_strict_key_withdrawal);
+  CHECK_FALSE(ParseEntrySettings(Changed("10,", "[10, 11],"), "f"));
+  CHECK_FALSE(ParseEntrySettings(Changed("10,", "[\"10\"],"), "f"));
+  CHECK_FALSE(ParseEntrySettings(Changed("\"h1\"", "null"), "f"));
+}
+
 TEST_CASE("the stricter bound of keys and configuration is followed") {
   EntrySettings settings;
   settings.m_config_change = std::chrono::seconds(3);
