A replaced lead hands its unrecorded grants to its successor

The successor had to wait as after a kill.

Change: a lead that ends its term keeps what the store's record lacks (grants of programs that aren't there, what is left of its own wait) and answers with it when its successor announces itself, beside the wait for quotas. The successor takes these accounts for unverified ones and looks for them in the other domains, since its predecessor may have been fenced. A predecessor that doesn't answer costs the full wait.

The two kinds of handover are one message now, in lead_messages.

Tests: a predecessor that is there ends the wait with its grants; a handover's waits are never shortened by encoding (moved, with the new field).

--- a/src/include/dotterelshed/program_ledger.h
+++ b/src/include/dotterelshed/program_ledger.h
@@ -27,7 +27,8 @@
 /// ended or are forgotten. If it may not, because it waits itself or hands
 /// over, the successor only continues the wait. A lead that was replaced
 /// without noticing stops giving advances when its last confirmed write is
-/// older than the lease, which is part of the wait.
+/// older than the lease, which is part of the wait. A predecessor that is still
+/// there names its unrecorded grants, which ends the wait for them.
 ///
 /// An account is unverified while the lead of another domain may keep one of
 /// the same program. Its grants don't exceed the advance in total; the other
@@ -219,6 +220,18 @@
 /// program an advance that isn't on record; zero afterwards.
 auto AdvanceWaitLeft(const ProgramLedger& ledger, TimePoint now) -> Duration;
 
+/// Returns what a lead that has stopped granting knows beyond the store's
+/// record: the tokens granted to programs that aren't there, and its wait.
+auto UnrecordedGrants(const ProgramLedger& ledger, TimePoint now)
+    -> LedgerRecord;
+
+/// Takes over the predecessor's @p unrecorded grants, so that only its own wait
+/// is left. They count as unverified accounts: another domain may have fenced
+/// the predecessor.
+auto AdoptUnrecorded(ProgramLedger& ledger,
+                     const LedgerRecord& unrecorded,
+                     TimePoint now) -> void;
+
 /// Changes the time for which programs are remembered. A wait for lost advances
 /// becomes longer with it.
 auto SetRetention(ProgramLedger& ledger, Duration retention, TimePoint now)
--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -27,6 +27,7 @@
   m_phase = Phase::kAdopting;
   m_adopting_since = SteadyTime();
   m_quota_sole_from.reset();
+  m_unrecorded.reset();
   Adopt();
 }
 
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -41,6 +41,15 @@
   return std::chrono::ceil<std::chrono::milliseconds>(wait).count();
 }
 
+auto ReadOptionalMs(const Json& json, const char* key)
+    -> std::optional<Duration> {
+  const auto found = json.find(key);
+  if (found == json.end()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(found->get<std::int64_t>());
+}
+
 auto ReadLeadEntry(const Json& json) -> LeadEntry {
   LeadEntry entry;
   entry.m_host = HostId(json.at("host"));
@@ -62,6 +71,40 @@
           .m_version = ResourceVersion(json.at("version").get<std::int64_t>())};
 }
 
+auto ReadLedgerRecord(const Json& json) -> LedgerRecord {
+  LedgerRecord record;
+  for (const auto& [program, bound] : json.at("bounds").items()) {
+    record.m_bounds.emplace(ProgramId(DecodeText(program)), ToTokens(bound));
+  }
+  for (const auto& turn : json.at("running")) {
+    record.m_running.push_back({ReadId<ProgramId>(turn.at("program")),
+                                ReadId<RequestId>(turn.at("request")),
+                                ToTokens(turn.at("tokens"))});
+  }
+  // Hosts of earlier versions give advances and don't write it.
+  record.m_advance_wait = ReadOptionalMs(json, "advance_wait_ms");
+  return record;
+}
+
+/// Adds the members of @p record to @p json.
+auto WriteLedgerRecord(Json& json, const LedgerRecord& record) -> void {
+  auto bounds = Json::object();
+  for (const auto& [program, bound] : record.m_bounds) {
+    bounds[WriteId(program)] = bound.value();
+  }
+  auto running = Json::array();
+  for (const auto& turn : record.m_running) {
+    running.push_back({{"program", WriteId(turn.m_program)},
+                       {"request", WriteId(turn.m_request)},
+                       {"tokens", turn.m_tokens.value()}});
+  }
+  json["bounds"] = std::move(bounds);
+  json["running"] = std::move(running);
+  if (record.m_advance_wait) {
+    json["advance_wait_ms"] = CeilMs(*record.m_advance_wait);
+  }
+}
+
 auto ReadStoredLedger(const Json& json) -> StoredLedger {
   StoredLedger ledger;
   ledger.m_host = HostId(json.at("host"));
@@ -69,25 +112,9 @@
       Incarnation(json.at("incarnation").get<std::int64_t>());
   ledger.m_write = json.at("write").get<std::int64_t>();
   ledger.m_fence = json.at("fence").get<std::int64_t>();
-  if (json.contains("quota_wait_ms")) {
-    ledger.m_quota_wait =
-        std::chrono::milliseconds(json.at("quota_wait_ms").get<std::int64_t>());
-  }
+  ledger.m_quota_wait = ReadOptionalMs(json, "quota_wait_ms");
   ledger.m_quotas_stopped = json.value("quotas_stopped", false);
-  // Hosts of earlier versions give advances and don't write it.
-  if (const auto wait = json.find("advance_wait_ms"); wait != json.end()) {
-    ledger.m_record.m_advance_wait =
-        std::chrono::milliseconds(wait->get<std::int64_t>());
-  }
-  for (const auto& [program, bound] : json.at("bounds").items()) {
-    ledger.m_record.m_bounds.emplace(ProgramId(DecodeText(program)),
-                                     ToTokens(bound));
-  }
-  for (const auto& turn : json.at("running")) {
-    ledger.m_record.m_running.push_back({ReadId<ProgramId>(turn.at("program")),
-                                         ReadId<RequestId>(turn.at("request")),
-                                         ToTokens(turn.at("tokens"))});
-  }
+  ledger.m_record = ReadLedgerRecord(json);
   // Hosts of earlier versions neither write nor keep it.
   if (const auto unread = json.find("unread"); unread != json.end()) {
     ledger.m_unread = LedgerPosition{
@@ -262,29 +289,15 @@
 }
 
 auto EncodeStoredLedger(const StoredLedger& ledger) -> Json {
-  auto bounds = Json::object();
-  for (const auto& [program, bound] : ledger.m_record.m_bounds) {
-    bounds[WriteId(program)] = bound.value();
-  }
-  auto running = Json::array();
-  for (const auto& turn : ledger.m_record.m_running) {
-    running.push_back({{"program", WriteId(turn.m_program)},
-                       {"request", WriteId(turn.m_request)},
-                       {"tokens", turn.m_tokens.value()}});
-  }
   Json json{{"host", ledger.m_host.value()},
             {"incarnation", ledger.m_incarnation.value()},
             {"write", ledger.m_write},
-            {"fence", ledger.m_fence},
-            {"bounds", std::move(bounds)},
-            {"running", std::move(running)}};
+            {"fence", ledger.m_fence}};
+  WriteLedgerRecord(json, ledger.m_record);
   if (const auto& unread = ledger.m_unread) {
     json["unread"] = {{"incarnation", unread->m_incarnation.value()},
                       {"write", unread->m_write}};
   }
-  if (ledger.m_record.m_advance_wait) {
-    json["advance_wait_ms"] = CeilMs(*ledger.m_record.m_advance_wait);
-  }
   if (ledger.m_quota_wait) {
     json["quota_wait_ms"] = CeilMs(*ledger.m_quota_wait);
     json["quotas_stopped"] = ledger.m_quotas_stopped;
@@ -296,6 +309,31 @@
   return Read<StoredLedger>(body, ReadStoredLedger);
 }
 
+auto EncodeLeadHandover(const LeadHandover& handover) -> std::string {
+  Json json{{"incarnation", handover.m_incarnation.value()}};
+  if (handover.m_quota_wait) {
+    json["quota_wait_ms"] = CeilMs(*handover.m_quota_wait);
+  }
+  if (handover.m_unrecorded) {
+    WriteLedgerRecord(json["unrecorded"], *handover.m_unrecorded);
+  }
+  return json.dump();
+}
+
+auto DecodeLeadHandover(std::string_view text) -> Result<LeadHandover> {
+  return Parse<LeadHandover>(text, [](const Json& json) {
+    LeadHandover handover{
+        .m_incarnation =
+            Incarnation(json.at("incarnation").get<std::int64_t>()),
+        .m_quota_wait = ReadOptionalMs(json, "quota_wait_ms")};
+    const auto unrecorded = json.find("unrecorded");
+    if (unrecorded != json.end()) {
+      handover.m_unrecorded = ReadLedgerRecord(*unrecorded);
+    }
+    return handover;
+  });
+}
+
 auto EncodeJournalEntry(const JournalEntry& entry) -> std::string {
   return Json{{"domain", entry.m_domain.value()},
               {"claim", entry.m_claim.value()},
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -153,6 +153,16 @@
   std::optional<LedgerPosition> m_unread;
 };
 
+/// What a lead that learns of its successor says to it.
+struct LeadHandover {
+  Incarnation m_incarnation;
+  /// Time for which the successor's share of quotas must still wait; see
+  /// WaitAfterHandover. Nothing without quotas.
+  std::optional<Duration> m_quota_wait;
+  /// See UnrecordedGrants. Nothing if this host's last term granted nothing.
+  std::optional<LedgerRecord> m_unrecorded;
+};
+
 /// Entry that a lead writes to disk hosts while the store is not writable.
 struct JournalEntry {
   DomainId m_domain;
@@ -184,6 +194,8 @@
 auto DecodeLeadEntry(const nlohmann::json& json) -> Result<LeadEntry>;
 auto EncodeStoredLedger(const StoredLedger& ledger) -> nlohmann::json;
 auto DecodeStoredLedger(const nlohmann::json& json) -> Result<StoredLedger>;
+auto EncodeLeadHandover(const LeadHandover& handover) -> std::string;
+auto DecodeLeadHandover(std::string_view text) -> Result<LeadHandover>;
 auto EncodeJournalEntry(const JournalEntry& entry) -> std::string;
 auto DecodeJournalEntry(std::string_view text) -> Result<JournalEntry>;
 
--- a/src/libgateway/lead/lead_messages_unittest.cc
+++ b/src/libgateway/lead/lead_messages_unittest.cc
@@ -73,6 +73,25 @@
   CHECK(read->m_record.m_running[0].m_tokens == Tokens(135));
 }
 
+TEST_CASE("a handover's waits are never shortened by encoding") {
+  const LeadHandover handover{
+      .m_incarnation = Incarnation(7),
+      .m_quota_wait = std::chrono::microseconds(1500),
+      .m_unrecorded = LedgerRecord{
+          {{ProgramId("p"), Tokens(9)}}, {}, std::chrono::microseconds(2500)}};
+  const auto read = DecodeLeadHandover(EncodeLeadHandover(handover));
+  REQUIRE(read);
+  CHECK(read->m_incarnation == handover.m_incarnation);
+  CHECK(read->m_quota_wait >= handover.m_quota_wait);
+  REQUIRE(read->m_unrecorded);
+  CHECK(read->m_unrecorded->m_bounds == handover.m_unrecorded->m_bounds);
+  CHECK(read->m_unrecorded->m_advance_wait >=
+        handover.m_unrecorded->m_advance_wait);
+  const auto* text = GENERATE("", "[]", "{}", R"({"incarnation":"1"})",
+                              R"({"incarnation":1,"unrecorded":{}})");
+  CHECK_FALSE(DecodeLeadHandover(text));
+}
+
 auto MakeBatch() -> SettlementBatch {
   SettlementBatch batch{.m_settlements = {{.m_program = ProgramId("p"),
                                            .m_request = RequestId("r"),
--- a/src/libgateway/lead/lead_quota.cc
+++ b/src/libgateway/lead/lead_quota.cc
@@ -2,7 +2,6 @@
 #include "dotterelshed/quota_term.h"
 #include "dotterelshed/steady_time.h"
 #include "lead/lead_service.h"
-#include "quota/quota_messages.h"
 
 /// @file
 /// When a lead may grant quota tokens from its domain's share.
@@ -38,12 +37,12 @@
 
 auto LeadService::ReadQuotaStart(const StoredLedger* stored) -> void {
   m_quota_start = {.m_first = stored == nullptr};
-  m_quota_predecessor = {};
+  m_predecessor = {};
   m_quotas_may_resume = true;
   if (stored == nullptr) {
     return;
   }
-  m_quota_predecessor = stored->m_incarnation;
+  m_predecessor = stored->m_incarnation;
   // A host has one process, so an earlier one of this host has ended.
   const auto ended =
       stored->m_quotas_stopped || stored->m_host == m_context.m_settings.m_host;
@@ -63,27 +62,9 @@
   }
 }
 
-auto LeadService::MakeHandover(const KnownLead& lead) const -> std::string {
-  const auto& domain = m_context.m_settings.m_domain;
-  const auto newest = m_context.LeadOf(domain);
-  const auto wait = WaitAfterHandover(m_quota_sole_from, SteadyTime());
-  const auto stopped = m_phase == Phase::kIdle && lead.m_domain == domain &&
-                       newest && newest->m_version == lead.m_version;
-  return m_has_quotas && stopped && wait
-             ? EncodeQuotaHandover(
-                   {.m_incarnation = m_context.m_incarnation, .m_wait = *wait})
-             : std::string();
-}
-
-auto LeadService::OnHandover(const Result<std::string>& reply) -> void {
-  const auto handover = reply.and_then(DecodeQuotaHandover);
-  const auto begun = m_phase == Phase::kAnnouncing || m_phase == Phase::kActive;
-  if (!handover || !begun || !m_quota_sole_from ||
-      handover->m_incarnation != m_quota_predecessor) {
-    return;
-  }
-  const auto until = SteadyTime() + handover->m_wait;
-  if (until < *m_quota_sole_from) {
+auto LeadService::TakeQuotaHandover(Duration wait) -> void {
+  const auto until = SteadyTime() + wait;
+  if (m_quota_sole_from && until < *m_quota_sole_from) {
     SetQuotaSoleFrom("handed_over", until);
   }
 }
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -142,6 +142,7 @@
   auto SetQuotaSoleFrom(std::string_view reason, TimePoint time) -> void;
   /// Handles the answer of the previous lead to the announcement.
   auto OnHandover(const Result<std::string>& reply) -> void;
+  auto TakeQuotaHandover(Duration wait) -> void;
 
   auto IsMine(const LeadEntry& entry) const -> bool;
   auto BecomeIdle() -> void;
@@ -261,7 +262,9 @@
   /// How this term began, as far as it matters for quotas.
   TermStart m_quota_start;
   /// Incarnation of the host that last wrote the ledger before this one.
-  Incarnation m_quota_predecessor;
+  Incarnation m_predecessor;
+  /// What this host knows of its last term beyond the store's record.
+  std::optional<LedgerRecord> m_unrecorded;
   /// False from a write which says that this lead stops granting quotas until
   /// another one is confirmed.
   bool m_quotas_may_resume = true;
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -179,6 +179,36 @@
   OnAnnouncementDone(announcement);
 }
 
+auto LeadService::MakeHandover(const KnownLead& lead) const -> std::string {
+  const auto& domain = m_context.m_settings.m_domain;
+  const auto newest = m_context.LeadOf(domain);
+  const auto stopped = m_phase == Phase::kIdle && lead.m_domain == domain &&
+                       newest && newest->m_version == lead.m_version;
+  const auto quota_wait =
+      m_has_quotas ? WaitAfterHandover(m_quota_sole_from, SteadyTime())
+                   : std::nullopt;
+  return stopped && (quota_wait || m_unrecorded)
+             ? EncodeLeadHandover({.m_incarnation = m_context.m_incarnation,
+                                   .m_quota_wait = quota_wait,
+                                   .m_unrecorded = m_unrecorded})
+             : std::string();
+}
+
+auto LeadService::OnHandover(const Result<std::string>& reply) -> void {
+  const auto handover = reply.and_then(DecodeLeadHandover);
+  const auto begun = m_phase == Phase::kAnnouncing || m_phase == Phase::kActive;
+  if (!handover || !begun || handover->m_incarnation != m_predecessor) {
+    return;
+  }
+  if (handover->m_quota_wait) {
+    TakeQuotaHandover(*handover->m_quota_wait);
+  }
+  // Once this lead grants, it may have opened accounts of these programs.
+  if (handover->m_unrecorded && m_phase == Phase::kAnnouncing) {
+    AdoptUnrecorded(m_ledger, *handover->m_unrecorded, SteadyTime());
+  }
+}
+
 auto LeadService::OnAnnouncementDone(int announcement) -> void {
   if (announcement != m_announcement || --m_pending_announcements > 0 ||
       m_phase != Phase::kAnnouncing) {
@@ -199,6 +229,9 @@
     LogEvent(LogEventId::kLeadLost,
              {{"domain", m_context.m_settings.m_domain.value()}});
   }
+  if (m_phase == Phase::kActive) {
+    m_unrecorded = UnrecordedGrants(m_ledger, SteadyTime());
+  }
   m_phase = Phase::kIdle;
   m_retry_at = SteadyTime() + kStoreRetryDelay;
   if (const auto callback = std::exchange(m_yield_callback, nullptr)) {
--- a/src/libgateway/quota/quota_messages.cc
+++ b/src/libgateway/quota/quota_messages.cc
@@ -85,19 +85,4 @@
   });
 }
 
-auto EncodeQuotaHandover(const QuotaHandover& handover) -> std::string {
-  // Rounded up, since the wait must not be too short.
-  return Json{{"incarnation", handover.m_incarnation.value()},
-              {"quota_wait_ms", ToMs(handover.m_wait) + 1}}
-      .dump();
-}
-
-auto DecodeQuotaHandover(std::string_view text) -> Result<QuotaHandover> {
-  return Parse<QuotaHandover>(text, [](const Json& json) {
-    return QuotaHandover{.m_incarnation = Incarnation(
-                             json.at("incarnation").get<std::int64_t>()),
-                         .m_wait = ReadMs(json.at("quota_wait_ms"))};
-  });
-}
-
 }  // namespace dotterelshed
--- a/src/libgateway/quota/quota_messages.h
+++ b/src/libgateway/quota/quota_messages.h
@@ -49,16 +49,6 @@
 auto EncodeQuotaAnswer(const QuotaAnswerMessage& message) -> std::string;
 auto DecodeQuotaAnswer(std::string_view text) -> Result<QuotaAnswerMessage>;
 
-/// What a lead that learns of its successor says to it.
-struct QuotaHandover {
-  Incarnation m_incarnation;
-  /// Time for which the successor must still wait; see WaitAfterHandover.
-  Duration m_wait{0};
-};
-
-auto EncodeQuotaHandover(const QuotaHandover& handover) -> std::string;
-auto DecodeQuotaHandover(std::string_view text) -> Result<QuotaHandover>;
-
 }  // namespace dotterelshed
 
 #endif  // DOTTERELSHED_QUOTA_MESSAGES_H_
--- a/src/libgateway/quota/quota_messages_unittest.cc
+++ b/src/libgateway/quota/quota_messages_unittest.cc
@@ -35,22 +35,12 @@
   CHECK(answer->m_answers[0].m_retry_after == milliseconds(900));
 }
 
-TEST_CASE("a handover's wait is never shortened by encoding") {
-  const QuotaHandover handover{.m_incarnation = Incarnation(7),
-                               .m_wait = std::chrono::microseconds(1500)};
-  const auto read = DecodeQuotaHandover(EncodeQuotaHandover(handover));
-  REQUIRE(read);
-  CHECK(read->m_incarnation == handover.m_incarnation);
-  CHECK(read->m_wait >= handover.m_wait);
-}
-
 TEST_CASE("malformed quota messages are refused") {
   const auto* text = GENERATE("", "[]", "{}", "{\"loan\":1,\"asks\":[]}",
                               "{\"loan\":true,\"asks\":[[1,2,3]]}",
                               "{\"loan\":true,\"asks\":[[\"a\"]]}");
   CHECK_FALSE(DecodeQuotaAsk(text));
   CHECK_FALSE(DecodeQuotaAnswer(text));
-  CHECK_FALSE(DecodeQuotaHandover(text));
 }
 
 TEST_CASE("a question can't ask for less than nothing") {
--- a/src/libledger/program_ledger.cc
+++ b/src/libledger/program_ledger.cc
@@ -95,6 +95,23 @@
   return record;
 }
 
+auto AddRunning(LedgerRecord& record,
+                const ProgramId& program,
+                const ProgramAccount& account) -> void {
+  for (const auto& [request, tokens] : account.m_running) {
+    record.m_running.push_back({program, request, tokens});
+  }
+}
+
+/// Moves the grants of @p record's running turns from spent to running.
+auto RestoreRunning(ProgramLedger& ledger, const LedgerRecord& record) -> void {
+  for (const auto& turn : record.m_running) {
+    auto& account = ledger.m_accounts[turn.m_program];
+    account.m_spent -= turn.m_tokens;
+    account.m_running.emplace(turn.m_request, turn.m_tokens);
+  }
+}
+
 /// The part of @p room that a turn of at most @p most tokens is granted.
 auto PartialGrant(const ProgramLedger& ledger,
                   Tokens room,
@@ -217,11 +234,8 @@
   record.m_advance_wait = HandoverAdvanceWait(ledger, now);
   ledger.m_advances = false;
   for (const auto& [program, account] : ledger.m_accounts) {
-    if (account.m_unverified) {
-      continue;
-    }
-    for (const auto& [request, tokens] : account.m_running) {
-      record.m_running.push_back({program, request, tokens});
+    if (!account.m_unverified) {
+      AddRunning(record, program, account);
     }
   }
   return record;
@@ -294,10 +308,44 @@
     account.m_in_store = true;
     account.m_last_used = now;
   }
-  for (const auto& turn : record.m_running) {
-    auto& account = ledger.m_accounts[turn.m_program];
-    account.m_spent -= turn.m_tokens;
-    account.m_running.emplace(turn.m_request, turn.m_tokens);
+  RestoreRunning(ledger, record);
+}
+
+auto UnrecordedGrants(const ProgramLedger& ledger, TimePoint now)
+    -> LedgerRecord {
+  LedgerRecord unrecorded;
+  for (const auto& [program, account] : ledger.m_accounts) {
+    if (!account.m_in_store) {
+      unrecorded.m_bounds.emplace(program, GrantedTokens(account));
+      AddRunning(unrecorded, program, account);
+    }
+  }
+  unrecorded.m_advance_wait = AdvanceWaitLeft(ledger, now);
+  return unrecorded;
+}
+
+auto AdoptUnrecorded(ProgramLedger& ledger,
+                     const LedgerRecord& unrecorded,
+                     TimePoint now) -> void {
+  LedgerRecord added;
+  for (const auto& [program, bound] : unrecorded.m_bounds) {
+    const auto [found, is_new] = ledger.m_accounts.try_emplace(program);
+    if (is_new) {
+      found->second.m_spent = bound;
+      found->second.m_unverified = true;
+      found->second.m_last_used = now;
+      added.m_bounds.emplace(program, bound);
+    }
+  }
+  for (const auto& turn : unrecorded.m_running) {
+    if (added.m_bounds.contains(turn.m_program)) {
+      added.m_running.push_back(turn);
+    }
+  }
+  RestoreRunning(ledger, added);
+  if (unrecorded.m_advance_wait) {
+    ledger.m_advance_from =
+        std::min(ledger.m_advance_from, now + *unrecorded.m_advance_wait);
   }
 }
 
--- a/src/libledger/program_ledger_unittest.cc
+++ b/src/libledger/program_ledger_unittest.cc
@@ -181,6 +181,28 @@
         GrantDecision::kNeedsRecord);
 }
 
+TEST_CASE("a predecessor that is there ends the wait with its grants") {
+  auto ledger = MakeLedger();
+  RequestTurn(ledger, "a");
+  Settle(ledger, "a", Tokens(30));
+  RequestTurn(ledger, "b", {.m_allow_partial = true});
+  ProgramLedger next;
+  AdoptRecord(next, {}, kSettled);
+  AdoptUnrecorded(next, UnrecordedGrants(ledger, kSettled), kSettled);
+  CHECK(AdvanceWaitLeft(next, kSettled) == Duration{0});
+  const auto& account = next.m_accounts.at(ProgramId("p"));
+  CHECK(account.m_spent == Tokens(30));
+  CHECK(account.m_running.at(RequestId("b")) == Tokens(70));
+  CHECK_FALSE(HasVerifiedAccount(next, ProgramId("p")));
+  NoteRecorded(next, BeginRecord(next, kSettled));
+  CHECK(RequestTurn(next, "c").m_decision == GrantDecision::kNeedsRecord);
+  // A program that is on record keeps its account.
+  Record(next);
+  AdoptUnrecorded(next, {{{ProgramId("p"), Tokens(0)}}, {}, Duration{0}},
+                  kSettled);
+  CHECK(account.m_spent == Tokens(30));
+}
+
 TEST_CASE("a lead whose lease has run out gives no advance") {
   auto ledger = MakeLedger();
   ledger.m_confirmed_at = kSettled - std::chrono::seconds(8);
