A host that has just lost the store leaves new leads to the others

Callers saw: a domain whose lead changed more often than needed.

Cause: each host replaces a lead whose answer it misses for 750 ms, however new that lead is, and also a host that lost the store itself a moment ago and may have to yield again.

Change: within 10 s of losing the store a host gives a lead that it has just learned of 2.5 s, as hosts with quotas do already. A lead that was known for longer is replaced as before, and other hosts don't wait.

Test: a host that lost the store gives a new lead time to answer; failed without the condition.

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -72,6 +72,8 @@
   std::map<DomainId, TimePoint> m_leads_known_since;
   /// False from a failed read of the endpoints until the next successful one.
   bool m_store_reachable = true;
+  /// Time of the last successful read after a failed one.
+  std::optional<TimePoint> m_store_back_at;
   std::mt19937_64 m_random;
 
   /// Returns the lead of a domain, if one is known.
@@ -101,6 +103,13 @@
     return true;
   }
 
+  /// Returns true if a read of the endpoints failed within the last @p time or
+  /// is still failing.
+  auto HasLostStore(Duration time) const -> bool {
+    return !m_store_reachable ||
+           (m_store_back_at && SteadyTime() - *m_store_back_at < time);
+  }
+
   /// Returns true if this host learned of the domain's lead within the last
   /// @p time.
   auto IsNewLead(const DomainId& domain, Duration time) const -> bool {
--- a/src/libgateway/lead/lead_quota.cc
+++ b/src/libgateway/lead/lead_quota.cc
@@ -8,23 +8,6 @@
 
 namespace dotterelshed {
 
-namespace {
-
-/// Time in which a lead that a host has just learned of isn't replaced for its
-/// silence: claim, ledger, journals and the first requests that waited.
-constexpr Duration kStartTime = std::chrono::milliseconds(2500);
-
-}  // namespace
-
-auto LeadService::TakeOverSilent(const std::optional<KnownLead>& silent)
-    -> void {
-  const auto starts =
-      m_context.IsNewLead(m_context.m_settings.m_domain, kStartTime);
-  if (!m_has_quotas || !starts) {
-    TakeOver(silent);
-  }
-}
-
 auto LeadService::MayGrantQuotas(TimePoint now) const -> bool {
   return active() && m_quota_sole_from && m_quotas_may_resume &&
          MayGrant(m_ledger.m_confirmed_at, now);
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -59,6 +59,12 @@
   /// Tries to become lead in place of @p silent, or as first lead. Does nothing
   /// if a newer lead is known, since that one has not been asked yet.
   auto TakeOver(const std::optional<KnownLead>& silent) -> void;
+  /// Takes over from a lead that doesn't answer. Some hosts give a new lead time
+  /// to start. Where accounts have quotas, each change of lead costs the domain
+  /// its share of them, and hosts whose requests wait would go on replacing one
+  /// busy lead after the other. A host that has just lost the store may lose it
+  /// again and leaves the lead to the others.
+  auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   /// Records the granted tokens and stops leading, so that the next lead starts
   /// from exact values. @p callback receives whether this succeeded.
   auto Yield(std::string_view reason, YieldCallback callback) -> void;
@@ -82,11 +88,6 @@
 
   /// States whether the configuration has quotas. If it has, a lead confirms
   /// several times per second that it still leads.
-  /// Takes over from a lead that doesn't answer. Where accounts have quotas, a
-  /// new lead is given time to start: each change of lead costs the domain its
-  /// share of the quotas, and hosts whose requests wait would go on replacing
-  /// one busy lead after the other.
-  auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   auto SetQuotas(bool has_quotas) -> void { m_has_quotas = has_quotas; }
   /// Returns true if this lead may grant from its domain's share of quotas,
   /// which accrues from quota_sole_from().
--- a/src/libgateway/lead/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -54,6 +54,33 @@
   CHECK(environment.LeadHost() == "h3");
 }
 
+// Guards against leads that the store is about to turn away again.
+TEST_CASE("a host that lost the store gives a new lead time to answer") {
+  const auto lost = GENERATE(false, true);
+  TestEnvironment environment;
+  const auto no_answer = [](const Request& /*request*/) {};
+  ScriptedEndpoint silent(environment.m_loop, no_answer);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  if (lost) {
+    environment.m_store.SetDown(true);
+    environment.RunFor(std::chrono::milliseconds(1500));
+    environment.m_store.SetDown(false);
+    environment.RunFor(std::chrono::milliseconds(2500));
+  }
+  environment.PutLead("z", "h2", silent);
+  environment.RunUntil([&environment, &silent] {
+    environment.Finish(kTurnRequest);
+    return silent.requests() > 0;
+  });
+  const auto asked_at = SteadyTime();
+  environment.RunUntil([&environment] {
+    environment.Finish(kTurnRequest);
+    return environment.LeadHost() == "h1";
+  });
+  CHECK((SteadyTime() - asked_at > std::chrono::seconds(1)) == lost);
+}
+
 TEST_CASE(
     "a lost answer to a write neither fails the turn nor loses the lead") {
   TestEnvironment environment;
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -21,6 +21,11 @@
 /// Delay before the next claim after a claim failed for another reason than a
 /// conflict.
 constexpr Duration kClaimRetryDelay = std::chrono::milliseconds(1000);
+/// Time in which a lead that a host has just learned of isn't replaced for its
+/// silence: claim, ledger, journals and the first requests that waited.
+constexpr Duration kStartTime = std::chrono::milliseconds(2500);
+/// A host that lost the store within this time leaves new leads to the others.
+constexpr Duration kSettledTime = std::chrono::seconds(10);
 constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
 /// Timeout of an announcement to another host.
 constexpr Duration kAnnounceTimeout = std::chrono::milliseconds(150);
@@ -58,6 +63,16 @@
   m_context.m_store.Replace(ObjectKind::kLeads, object, after, kWriteTimeout);
 }
 
+auto LeadService::TakeOverSilent(const std::optional<KnownLead>& silent)
+    -> void {
+  const auto starts =
+      m_context.IsNewLead(m_context.m_settings.m_domain, kStartTime);
+  const auto patient = m_has_quotas || m_context.HasLostStore(kSettledTime);
+  if (!starts || !patient) {
+    TakeOver(silent);
+  }
+}
+
 auto LeadService::OnClaimWritten(const Result<StoredObject>& stored) -> void {
   if (m_phase != Phase::kClaiming) {
     return;
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -115,6 +115,9 @@
 }
 
 auto EndpointView::OnStoreReachable(bool reachable) -> void {
+  if (reachable && !m_context.m_store_reachable) {
+    m_context.m_store_back_at = SteadyTime();
+  }
   m_context.m_store_reachable = reachable;
   const auto& watcher = *m_context.m_endpoint_watcher;
   if (reachable) {
