A host out of step lists the endpoints before it refuses a stream

But callers would have seen 503: the host's own view lacked the endpoints of that version until its next change or listing (3 of 3 requests in the test).

Change: a host that knows a stream's version and has no endpoint of it asks for a listing of the store and waits for it, 0.6 s at most; requests share a listing.

Test: a host out of step takes up a stream at a version that is new to it; 503 before, 200 with one more listing for three requests now.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -67,6 +67,12 @@
 auto IsOfVersion(const EndpointEntry& entry, const SoftwareVersion& software)
     -> bool;
 
+/// Returns true if the service has an endpoint of this software version that
+/// takes new requests.
+auto HasVersion(const EndpointDirectory& directory,
+                const ServiceId& service,
+                const SoftwareVersion& software) -> bool;
+
 /// Returns the endpoint for a request, or nothing if the service has none that
 /// may be chosen.
 auto ChooseEndpoint(const EndpointDirectory& directory,
--- a/src/libgateway/call/call_turn.cc
+++ b/src/libgateway/call/call_turn.cc
@@ -80,7 +80,17 @@
     return;
   }
   m_software = *software;
-  BeginWork();
+  if (HasVersion(m_context.m_directory, m_service, m_software)) {
+    BeginWork();
+    return;
+  }
+  // Endpoints of the version may have joined while this host was cut off or
+  // stood still.
+  m_context.m_refresh_endpoints([self = shared_from_this()] {
+    if (!self->m_finished) {
+      self->BeginWork();
+    }
+  });
 }
 
 auto CallExchange::NoteStreamBegun() -> void {
--- a/src/libgateway/call/stream_version_unittest.cc
+++ b/src/libgateway/call/stream_version_unittest.cc
@@ -114,6 +114,33 @@
   CHECK(environment.m_taken_up_at.empty());
 }
 
+// Guards against ORDER, and against a refusal, at a host that was out of step
+// while endpoints of another version joined.
+TEST_CASE(
+    "a host out of step takes up a stream at a version that is new to it") {
+  TwoVersions environment;
+  environment.AddDisk("d1", "z");
+  environment.m_store.Remove("servers", "e2");
+  environment.Start();
+  environment.m_store.SetSilentWatches(true);
+  environment.PutEndpoint(1, 0, "v2");
+  environment.m_store.Remove("servers", "e1");
+  auto& other = environment.AddHost("h2", "y");
+  environment.RunFor(std::chrono::milliseconds(300));
+  const auto caller = environment.CallAt(other, Begin("r1"));
+  environment.RunUntil(
+      [&caller] { return caller->m_got.find("id: 2") != std::string::npos; });
+  environment.RunFor(std::chrono::milliseconds(50));
+  caller->m_stream->Close();
+  REQUIRE(environment.m_begun_at == "v2");
+  const auto before = environment.m_store.listings("servers");
+  for (const auto* id : {"t1", "t2", "t3"}) {
+    CHECK(environment.Finish(TakeUp(id, "r1"))->Status() == 200);
+  }
+  CHECK(environment.m_store.listings("servers") == before + 1);
+  CHECK_FALSE(environment.WasTakenUpElsewhere());
+}
+
 TEST_CASE("a stream that breaks off isn't resumed at another version") {
   StreamEnvironment environment;
   std::string first;
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -53,6 +53,9 @@
   std::shared_ptr<ObjectWatcher> m_endpoint_watcher;
   /// Called when an endpoint says in an answer that it is leaving.
   std::function<void(const EndpointId&)> m_on_leave_announced;
+  /// Brings m_directory up to date with the store: calls @p done when it is, or
+  /// after EndpointView::kMaxListingWait.
+  std::function<void(std::function<void()> done)> m_refresh_endpoints;
   /// Load of the endpoints as seen by this host's own attempts.
   EndpointLoads m_loads;
   /// Which endpoints are out of use.
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -1,5 +1,6 @@
 #include "view/endpoint_view.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -82,6 +83,9 @@
                 m_context.m_lead_limit_changes = changes;
               }},
       context.MakeViewReader());
+  context.m_refresh_endpoints = [this](std::function<void()> done) {
+    Refresh(std::move(done));
+  };
   context.m_on_leave_announced = [this](const EndpointId& endpoint) {
     ReportChange(AnnounceLeaving(m_context.m_directory, endpoint, SteadyTime()),
                  "answer");
@@ -97,6 +101,33 @@
   for (const auto& change : DropExpiredEndpoints(m_context.m_directory, now)) {
     ReportChange(change, "time");
   }
+  EndWaits(now - kMaxListingWait);
+}
+
+auto EndpointView::Refresh(std::function<void()> done) -> void {
+  const auto now = SteadyTime();
+  const auto recent = now - m_refreshed_at < kMaxListingWait;
+  if (recent && m_waits.empty()) {
+    // The listing that another request asked for has just arrived or failed.
+    done();
+    return;
+  }
+  m_waits.push_back({std::move(done), now});
+  if (!recent) {
+    m_refreshed_at = now;
+    m_context.m_endpoint_watcher->Refresh();
+  }
+}
+
+auto EndpointView::EndWaits(TimePoint time) -> void {
+  const auto over = std::partition(
+      m_waits.begin(), m_waits.end(),
+      [time](const ListingWait& wait) { return wait.m_since > time; });
+  const std::vector<ListingWait> ended(over, m_waits.end());
+  m_waits.erase(over, m_waits.end());
+  for (const auto& wait : ended) {
+    wait.m_done();
+  }
 }
 
 auto EndpointView::ClearListedEndpoints(TimePoint now) -> void {
@@ -140,6 +171,7 @@
   for (const auto& change : changes) {
     ReportChange(change, "listing");
   }
+  EndWaits(SteadyTime());
 }
 
 auto EndpointView::ApplyChanges(const ObjectChanges& changes) -> void {
--- a/src/libgateway/view/endpoint_view.h
+++ b/src/libgateway/view/endpoint_view.h
@@ -1,7 +1,9 @@
 #ifndef DOTTERELSHED_ENDPOINT_VIEW_H_
 #define DOTTERELSHED_ENDPOINT_VIEW_H_
 
+#include <functional>
 #include <string_view>
+#include <vector>
 
 #include "dotterelshed/endpoint_directory.h"
 #include "entry_context.h"
@@ -15,6 +17,10 @@
 
 class EndpointView {
  public:
+  /// Longest wait for a listing that a request needs, and the shortest time
+  /// between two of them.
+  static constexpr Duration kMaxListingWait = std::chrono::milliseconds(600);
+
   /// Creates the context's endpoint watcher.
   explicit EndpointView(EntryContext& context);
 
@@ -33,8 +39,21 @@
   auto ReportChange(const EndpointChange& change, std::string_view source)
       -> void;
   auto OnStoreReachable(bool reachable) -> void;
+  /// Lists the endpoints, unless that was done a moment ago; @p done is called
+  /// when a listing arrives, or after kMaxListingWait.
+  auto Refresh(std::function<void()> done) -> void;
+  /// Calls those that wait for a listing since before @p time.
+  auto EndWaits(TimePoint time) -> void;
+
+  /// A request that needs the newest listing.
+  struct ListingWait {
+    std::function<void()> m_done;
+    TimePoint m_since;
+  };
 
   EntryContext& m_context;
+  std::vector<ListingWait> m_waits;
+  TimePoint m_refreshed_at;
 };
 
 }  // namespace dotterelshed
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -151,6 +151,18 @@
   return software.empty() || entry.m_software == software;
 }
 
+auto HasVersion(const EndpointDirectory& directory,
+                const ServiceId& service,
+                const SoftwareVersion& software) -> bool {
+  const auto found = directory.m_by_service.find(service);
+  return found != directory.m_by_service.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const EndpointId& id) {
+                       const auto& entry = directory.m_entries.at(id);
+                       return !entry.m_leaving && IsOfVersion(entry, software);
+                     });
+}
+
 auto ChooseEndpoint(const EndpointDirectory& directory,
                     const EndpointLoads& loads,
                     const ChoiceQuery& query,
