Only hosts that were out of touch leave new leads to the others

Cause: "a host that has just lost the store" was true of many hosts after failures of a moment (a lead that is cut off, a history that is gone).

Change: the rule holds for a host whose view an outage made too old (view_max_age), and for 10 s after.

Its test has an outage of that length now.

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -75,7 +75,9 @@
   std::map<DomainId, TimePoint> m_leads_known_since;
   /// False from a failed read of the endpoints until the next successful one.
   bool m_store_reachable = true;
-  /// Time of the last successful read after a failed one.
+  /// Time of the first failed read; nothing while the endpoints can be read.
+  std::optional<TimePoint> m_store_lost_at;
+  /// End of the last outage that made this host's view too old.
   std::optional<TimePoint> m_store_back_at;
   std::mt19937_64 m_random;
 
@@ -106,11 +108,16 @@
     return true;
   }
 
-  /// Returns true if a read of the endpoints failed within the last @p time or
-  /// is still failing.
-  auto HasLostStore(Duration time) const -> bool {
-    return !m_store_reachable ||
-           (m_store_back_at && SteadyTime() - *m_store_back_at < time);
+  /// Returns true if an outage of the store made this host's view too old, and
+  /// still lasts or ended within the last @p time.
+  auto WasOutOfTouch(Duration time) const -> bool {
+    const auto now = SteadyTime();
+    return IsOutage(now) || (m_store_back_at && now - *m_store_back_at < time);
+  }
+  /// Returns true in an outage of the store that makes the view too old.
+  auto IsOutage(TimePoint now) const -> bool {
+    return m_store_lost_at &&
+           now - *m_store_lost_at >= m_settings.m_view_max_age;
   }
 
   /// Returns true if this host learned of the domain's lead within the last
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -59,11 +59,11 @@
   /// Tries to become lead in place of @p silent, or as first lead. Does nothing
   /// if a newer lead is known, since that one has not been asked yet.
   auto TakeOver(const std::optional<KnownLead>& silent) -> void;
-  /// Takes over from a lead that doesn't answer. Some hosts give a new lead time
-  /// to start. Where accounts have quotas, each change of lead costs the domain
-  /// its share of them, and hosts whose requests wait would go on replacing one
-  /// busy lead after the other. A host that has just lost the store may lose it
-  /// again and leaves the lead to the others.
+  /// Takes over from a lead that doesn't answer. Some hosts give a new lead
+  /// time to start. Where accounts have quotas, each change of lead costs the
+  /// domain its share of them, and hosts whose requests wait would go on
+  /// replacing one busy lead after the other. A host that was out of touch with
+  /// the store may lose it again and leaves the lead to the others.
   auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   /// Records the granted tokens and stops leading, so that the next lead starts
   /// from exact values. @p callback receives whether this succeeded.
--- a/src/libgateway/lead/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -64,7 +64,8 @@
   environment.StartFollower();
   if (lost) {
     environment.m_store.SetDown(true);
-    environment.RunFor(std::chrono::milliseconds(1500));
+    // Longer than a view may be old.
+    environment.RunFor(std::chrono::milliseconds(3500));
     environment.m_store.SetDown(false);
     environment.RunFor(std::chrono::milliseconds(2500));
   }
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -24,7 +24,8 @@
 /// Time in which a lead that a host has just learned of isn't replaced for its
 /// silence: claim, ledger, journals and the first requests that waited.
 constexpr Duration kStartTime = std::chrono::milliseconds(2500);
-/// A host that lost the store within this time leaves new leads to the others.
+/// A host that was out of touch within this time leaves new leads to the
+/// others.
 constexpr Duration kSettledTime = std::chrono::seconds(10);
 constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
 /// Timeout of an announcement to another host.
@@ -67,7 +68,7 @@
     -> void {
   const auto starts =
       m_context.IsNewLead(m_context.m_settings.m_domain, kStartTime);
-  const auto patient = m_has_quotas || m_context.HasLostStore(kSettledTime);
+  const auto patient = m_has_quotas || m_context.WasOutOfTouch(kSettledTime);
   if (!starts || !patient) {
     TakeOver(silent);
   }
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -146,9 +146,11 @@
 }
 
 auto EndpointView::OnStoreReachable(bool reachable) -> void {
-  if (reachable && !m_context.m_store_reachable) {
-    m_context.m_store_back_at = SteadyTime();
+  const auto now = SteadyTime();
+  if (reachable && m_context.IsOutage(now)) {
+    m_context.m_store_back_at = now;
   }
+  m_context.m_store_lost_at = reachable ? std::nullopt : std::optional(now);
   m_context.m_store_reachable = reachable;
   const auto& watcher = *m_context.m_endpoint_watcher;
   if (reachable) {
--- a/src/libgateway/view/shared_view_unittest.cc
+++ b/src/libgateway/view/shared_view_unittest.cc
@@ -174,6 +174,7 @@
   TestEnvironment environment;
   environment.AddEndpoint(AnswerPlain);
   std::vector<std::unique_ptr<ScriptedEndpoint>> silent;
+  silent.reserve(kSilentLeads);
   for (int i = 0; i < kSilentLeads; ++i) {
     silent.push_back(std::make_unique<ScriptedEndpoint>(
         environment.m_loop, [](const auto& /*request*/) {}));
