An outage of half of a view's maximum age makes a host leave new leads

An outage there lasts 2 to 2.6 s for a host that reads through its lead, which is under the maximum age of a view.

Change: half of that age counts.

--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -77,7 +77,7 @@
   bool m_store_reachable = true;
   /// Time of the first failed read; nothing while the endpoints can be read.
   std::optional<TimePoint> m_store_lost_at;
-  /// End of the last outage that made this host's view too old.
+  /// End of the last outage; see IsOutage.
   std::optional<TimePoint> m_store_back_at;
   std::mt19937_64 m_random;
 
@@ -108,16 +108,16 @@
     return true;
   }
 
-  /// Returns true if an outage of the store made this host's view too old, and
-  /// still lasts or ended within the last @p time.
+  /// Returns true in an outage of the store and for @p time afterwards.
   auto WasOutOfTouch(Duration time) const -> bool {
     const auto now = SteadyTime();
     return IsOutage(now) || (m_store_back_at && now - *m_store_back_at < time);
   }
-  /// Returns true in an outage of the store that makes the view too old.
+  /// Returns true in an outage of the store that lasts for half of the time for
+  /// which views may be used; shorter failures have many causes.
   auto IsOutage(TimePoint now) const -> bool {
     return m_store_lost_at &&
-           now - *m_store_lost_at >= m_settings.m_view_max_age;
+           now - *m_store_lost_at >= m_settings.m_view_max_age / 2;
   }
 
   /// Returns true if this host learned of the domain's lead within the last
