Log who asks a lead to give way, who leaves one to others, and a lead's load

The logs didn't say what the large hosts do meanwhile, nor whether a lead is overloaded.

lead_asked (209): a request to give way, with its outcome. lead_load (210): a lead's decisions, late answers, waiting turns, longest pause of its loop and writes in the last second. lead_left (211): a silent lead that a host doesn't replace at once. lead_changed (201) names its term and predecessor.

--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -57,6 +57,16 @@
     {LogEventId::kLedgerFenced, LogLevel::kInfo, "ledger_fenced",
      "Another domain's lead couldn't ask this one and fenced its ledger; "
      "programs that aren't on record are looked for again."},
+    {LogEventId::kLeadAsked, LogLevel::kInfo, "lead_asked",
+     "This host asked its domain's lead to give way, as the larger host or "
+     "since the lead has lost the store; the outcome is in the fields."},
+    {LogEventId::kLeadLoad, LogLevel::kInfo, "lead_load",
+     "What a lead did in the last second: turns granted, refused and answered "
+     "late, the most that waited, the longest pause of its event loop and its "
+     "writes of the ledger."},
+    {LogEventId::kLeadLeft, LogLevel::kInfo, "lead_left",
+     "The domain's lead doesn't answer, and this host leaves its replacement "
+     "to others for a while; why is in the fields."},
     {LogEventId::kHistoryMismatch, LogLevel::kWarning, "history_mismatch",
      "A caller's token does not match the stored history; refused."},
     {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
--- a/src/libgateway/lead/lead_election.cc
+++ b/src/libgateway/lead/lead_election.cc
@@ -1,5 +1,6 @@
 #include "lead/lead_election.h"
 
+#include "dotterelshed/log_events.h"
 #include "dotterelshed/steady_time.h"
 #include "peer_call.h"
 
@@ -26,6 +27,11 @@
 /// A host that is smaller than the lead waits this much longer for the others.
 constexpr Duration kSmallHostDelay = std::chrono::milliseconds(1000);
 
+/// Why a request of the path is sent, for the log.
+auto ReasonOf(std::string_view path) -> std::string {
+  return path == kYieldPath ? "smaller" : "store_lost";
+}
+
 }  // namespace
 
 LeadElection::LeadElection(EntryContext& context, LeadService& lead)
@@ -79,14 +85,21 @@
   m_next_request =
       SteadyTime() + kRequestInterval +
       FromSeconds(ToSeconds(kRequestInterval) * m_context.RandomFraction());
-  CallPeer(m_context.m_loop, m_context.m_peer_connections,
-           lead.m_entry.m_peer_address, path, EncodeKnownLead(lead),
-           kRequestTimeout, [this, lead](const Result<std::string>& reply) {
-             // Without a response, the next request retries.
-             if (reply) {
-               m_lead.TakeOver(lead);
-             }
-           });
+  CallPeer(
+      m_context.m_loop, m_context.m_peer_connections,
+      lead.m_entry.m_peer_address, path, EncodeKnownLead(lead), kRequestTimeout,
+      [this, lead, path](const Result<std::string>& reply) {
+        LogEvent(LogEventId::kLeadAsked,
+                 {{"domain", lead.m_domain.value()},
+                  {"lead", lead.m_entry.m_host.value()},
+                  {"term", std::to_string(lead.m_version.value())},
+                  {"reason", ReasonOf(path)},
+                  {"outcome", reply ? "gave_way" : reply.error().m_message}});
+        // Without a response, the next request retries.
+        if (reply) {
+          m_lead.TakeOver(lead);
+        }
+      });
 }
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -134,6 +134,7 @@
   }
   m_quotas_may_resume = !write.m_last;
   NoteRecorded(m_ledger, write.m_record);
+  NoteRecordTime(m_load, SteadyTime() - m_last_write);
   if (write.m_last && m_yield_callback) {
     FinishYield(true);
   } else {
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -138,9 +138,9 @@
 auto LeadService::LogDecision(const GrantRequest& request,
                               const GrantConditions& conditions,
                               const TurnGrant& grant,
-                              const std::vector<LogField>& placement) const
-    -> void {
+                              const std::vector<LogField>& placement) -> void {
   CountMetric(MetricId::kTurnDecisions, ToString(grant.m_decision));
+  NoteDecision(m_load, grant.m_decision);
   const auto& account = m_ledger.m_accounts.at(request.m_program);
   std::vector<LogField> fields = {
       {"request", Unscoped(request.m_request)},
@@ -235,6 +235,7 @@
 /// second request may wait.
 auto LeadService::AnswerLate(const WaitingTurn& waiting, bool decidable)
     -> void {
+  ++m_load.m_late;
   if (waiting.m_request.m_may_retry && !m_store_lost) {
     waiting.m_respond({.m_verdict = GrantVerdict::kRetry});
   } else if (decidable) {
@@ -273,6 +274,7 @@
   WriteIfDue(now);
   ReadUnread(now);
   if (leading()) {
+    NoteTick(m_load, term(), m_waiting.size(), now);
     m_journal.Refresh(now);
     m_judgement.Tick(now);
     m_limits.Tick(now);
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -15,6 +15,7 @@
 #include "lead/account_search.h"
 #include "lead/lead_judgement.h"
 #include "lead/lead_limits.h"
+#include "lead/lead_load.h"
 #include "lead/lead_messages.h"
 #include "lead/ledger_journal.h"
 
@@ -145,6 +146,8 @@
   auto OnHandover(const Result<std::string>& reply) -> void;
   auto TakeQuotaHandover(Duration wait) -> void;
 
+  /// Logs once a lead that this host doesn't replace at once.
+  auto LogLeadLeft(const KnownLead& silent, std::string_view reason) -> void;
   auto IsMine(const LeadEntry& entry) const -> bool;
   auto BecomeIdle() -> void;
   auto OnClaimWritten(const Result<StoredObject>& stored) -> void;
@@ -171,7 +174,7 @@
   auto LogDecision(const GrantRequest& request,
                    const GrantConditions& conditions,
                    const TurnGrant& grant,
-                   const std::vector<LogField>& placement) const -> void;
+                   const std::vector<LogField>& placement) -> void;
   /// Inputs of the choice of a turn's endpoint, for the log; empty where hosts
   /// don't judge endpoints.
   auto DescribePlacement(const TurnGrantResponse& response, bool kept) const
@@ -257,6 +260,9 @@
   std::map<RequestId, PlacedTurn> m_placed_turns;
   LeadJudgement m_judgement;
   LeadLimits m_limits;
+  LeadLoad m_load;
+  /// Version of the last lead that LogLeadLeft logged.
+  ResourceVersion m_logged_left;
   TimePoint m_last_sweep;
   bool m_has_quotas = false;
   std::optional<TimePoint> m_quota_sole_from;
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -69,8 +69,21 @@
   const auto starts =
       m_context.IsNewLead(m_context.m_settings.m_domain, kStartTime);
   const auto patient = m_has_quotas || m_context.WasOutOfTouch(kSettledTime);
-  if (!starts || !patient) {
-    TakeOver(silent);
+  if (silent && starts && patient) {
+    LogLeadLeft(*silent, "new_lead");
+    return;
+  }
+  TakeOver(silent);
+}
+
+auto LeadService::LogLeadLeft(const KnownLead& silent, std::string_view reason)
+    -> void {
+  if (std::exchange(m_logged_left, silent.m_version) != silent.m_version) {
+    LogEvent(LogEventId::kLeadLeft,
+             {{"domain", silent.m_domain.value()},
+              {"lead", silent.m_entry.m_host.value()},
+              {"term", std::to_string(silent.m_version.value())},
+              {"reason", std::string(reason)}});
   }
 }
 
@@ -231,10 +244,14 @@
     return;
   }
   m_phase = Phase::kActive;
+  m_load = {.m_since = SteadyTime()};
   LogEvent(
       LogEventId::kLeadChanged,
       {{"domain", m_context.m_settings.m_domain.value()},
        {"lead", m_context.m_settings.m_host.value()},
+       {"term", std::to_string(term().value())},
+       {"previous",
+        m_previous_lead ? m_previous_lead->m_entry.m_host.value() : ""},
        {"programs", std::to_string(m_ledger.m_accounts.size())},
        {"advance_wait_ms", FormatMs(AdvanceWaitLeft(m_ledger, SteadyTime()))}});
   DecideWaiting();
@@ -253,6 +270,7 @@
   if (const auto callback = std::exchange(m_yield_callback, nullptr)) {
     callback(false);
   }
+  m_load = {};
   m_ledger = {.m_options = m_ledger.m_options};
   m_store_lost = false;
   m_journal_lost = false;
