A small lead that is taking over or overloaded gives way to a larger host

Cause: the two large hosts asked each of them to give way. One that was taking over refused, one that was overloaded didn't answer, and the large host then waited for 2 to 4 s, until after the next small lead had taken over.

Change: a host that is taking over gives up at once, since it has granted nothing.

Tests, which failed before: a small lead that doesn't answer a larger host is replaced; a larger host asks each new small lead to yield.

--- a/src/libgateway/lead/lead_election.cc
+++ b/src/libgateway/lead/lead_election.cc
@@ -55,12 +55,16 @@
     m_lead.TakeOver(lead);
     return;
   }
-  if (!lead || !m_context.m_store_reachable || now < m_next_request) {
+  if (!lead || !m_context.m_store_reachable) {
     return;
   }
+  const auto due = now >= m_next_request;
   if (IsMuchSmaller(*lead)) {
-    RequestLead(*lead, kYieldPath);
-  } else if (HasLostStore(*lead, now)) {
+    // Small leads may replace each other faster than a request is due.
+    if (due || lead->m_version != m_asked_term) {
+      RequestLead(*lead, kYieldPath);
+    }
+  } else if (due && HasLostStore(*lead, now)) {
     RequestLead(*lead, kStepDownPath);
   }
 }
@@ -82,6 +86,7 @@
 
 auto LeadElection::RequestLead(const KnownLead& lead, std::string_view path)
     -> void {
+  m_asked_term = lead.m_version;
   m_next_request =
       SteadyTime() + kRequestInterval +
       FromSeconds(ToSeconds(kRequestInterval) * m_context.RandomFraction());
@@ -95,8 +100,11 @@
                   {"term", std::to_string(lead.m_version.value())},
                   {"reason", ReasonOf(path)},
                   {"outcome", reply ? "gave_way" : reply.error().m_message}});
-        // Without a response, the next request retries.
-        if (reply) {
+        // A small lead that doesn't respond in time is overloaded, and so would
+        // the next small one be.
+        const auto overloaded = path == kYieldPath && !reply &&
+                                reply.error().m_code == ErrorCode::kTimeout;
+        if (reply || overloaded) {
           m_lead.TakeOver(lead);
         }
       });
--- a/src/libgateway/lead/lead_election.h
+++ b/src/libgateway/lead/lead_election.h
@@ -29,7 +29,8 @@
   /// Returns true if the lead hasn't served views for some time although this
   /// host reads the store.
   auto HasLostStore(const KnownLead& lead, TimePoint now) const -> bool;
-  /// Sends a request to stop leading, and takes over if the lead agrees.
+  /// Sends a request to stop leading. Takes over if the lead agrees, or if it
+  /// is smaller and too busy to respond.
   /// @param path  kYieldPath or kStepDownPath.
   auto RequestLead(const KnownLead& lead, std::string_view path) -> void;
 
@@ -42,6 +43,8 @@
   /// store.
   Duration m_replacement_delay;
   TimePoint m_next_request;
+  /// Version of the lead that was last asked.
+  ResourceVersion m_asked_term;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -67,7 +67,8 @@
   /// the store may lose it again and leaves the lead to the others.
   auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   /// Records the granted tokens and stops leading, so that the next lead starts
-  /// from exact values. @p callback receives whether this succeeded.
+  /// from exact values. A host that is still taking over gives up at once.
+  /// @p callback receives whether this succeeded.
   auto Yield(std::string_view reason, YieldCallback callback) -> void;
   /// Stops leading at once if this lead can't write to the store, so that a
   /// host that can may take over. Returns false if it goes on leading.
@@ -189,6 +190,8 @@
                  TimePoint now) -> std::vector<LogField>;
 
   auto FinishYield(bool done) -> void;
+  auto GiveUpTakeover(std::string_view reason) -> void;
+  auto LogYielded(std::string_view reason) const -> void;
   auto WriteIfDue(TimePoint now) -> void;
   auto OnWriteCompleted(const PendingWrite& write,
                         const Result<StoredObject>& stored) -> void;
--- a/src/libgateway/lead/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -134,6 +134,41 @@
   CHECK((yield_request != targets.end()) == (share < 0.5));
 }
 
+// Guards against an overloaded small lead that other small hosts replace.
+TEST_CASE("a small lead that doesn't answer a larger host is replaced") {
+  TestEnvironment environment;
+  ScriptedEndpoint lead(environment.m_loop, [](const Request& request) {
+    if (request.m_head.m_target != kYieldPath) {
+      request.m_stream->Write(request.Complete(""));
+    }
+  });
+  environment.PutLead("z", "h2", lead, 0.1);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  environment.RunFor(std::chrono::milliseconds(2500));
+  CHECK(environment.LeadHost() == "h1");
+}
+
+// Guards against a larger host that waits for its next request meanwhile.
+TEST_CASE("a larger host asks each new small lead to yield") {
+  TestEnvironment environment;
+  int yield_requests = 0;
+  ScriptedEndpoint lead(environment.m_loop, [&](const Request& request) {
+    yield_requests += request.m_head.m_target == kYieldPath ? 1 : 0;
+    request.m_stream->Write(request.Head(409, "Content-Length: 0\r\n"));
+  });
+  environment.PutLead("z", "h2", lead, 0.1);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  environment.RunUntil([&yield_requests] { return yield_requests > 0; });
+  ScriptedEndpoint next(environment.m_loop, [](const Request& request) {
+    request.m_stream->Write(request.Complete(""));
+  });
+  environment.PutLead("z", "h3", next, 0.1);
+  environment.RunFor(std::chrono::milliseconds(1500));
+  CHECK(environment.LeadHost() == "h1");
+}
+
 TEST_CASE("a lead that refuses to yield stays lead") {
   TestEnvironment environment;
   ScriptedEndpoint lead(environment.m_loop, [](const Request& request) {
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -292,6 +292,11 @@
 
 auto LeadService::Yield(std::string_view reason, YieldCallback callback)
     -> void {
+  if (m_phase == Phase::kAdopting || m_phase == Phase::kAnnouncing) {
+    GiveUpTakeover(reason);
+    callback(true);
+    return;
+  }
   if (m_phase != Phase::kActive || m_yield_callback || m_store_lost) {
     callback(false);
     return;
@@ -302,11 +307,23 @@
   WriteIfDue(SteadyTime());
 }
 
+/// Nothing was granted in this term, so there is nothing to record.
+auto LeadService::GiveUpTakeover(std::string_view reason) -> void {
+  LogYielded(reason);
+  BecomeIdle();
+  m_retry_at = SteadyTime() + kReclaimDelay;
+}
+
+auto LeadService::LogYielded(std::string_view reason) const -> void {
+  LogEvent(LogEventId::kLeadYielded,
+           {{"domain", m_context.m_settings.m_domain.value()},
+            {"term", std::to_string(term().value())},
+            {"reason", std::string(reason)}});
+}
+
 auto LeadService::StepDown() -> bool {
   if (m_phase == Phase::kActive && m_store_lost) {
-    LogEvent(LogEventId::kLeadYielded,
-             {{"domain", m_context.m_settings.m_domain.value()},
-              {"reason", "store_lost"}});
+    LogYielded("store_lost");
     BecomeIdle();
     m_retry_at = SteadyTime() + kReclaimDelay;
   }
@@ -316,9 +333,7 @@
 auto LeadService::FinishYield(bool done) -> void {
   const auto callback = std::exchange(m_yield_callback, nullptr);
   if (done) {
-    LogEvent(LogEventId::kLeadYielded,
-             {{"domain", m_context.m_settings.m_domain.value()},
-              {"reason", m_yield_reason}});
+    LogYielded(m_yield_reason);
     BecomeIdle();
     m_retry_at = SteadyTime() + kReclaimDelay;
   } else {
