A host that is being stopped doesn't become lead

Cause: any host whose turn found no lead claimed it, also one that had got SIGTERM. edge-ijssel-1-30 did so 1.8 s after its host_draining and ended a second later, as a lead that is lost without a word: its successor waited 2 s for quotas and gave no advances for 83 s.

Change: from the stop on, a host claims nothing.

Test, which failed before: a host that is being stopped doesn't become lead.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -422,7 +422,7 @@
   }
   m_stop_started_at = SteadyTime();
   m_callers.CloseAfterAnswers();
-  m_lead.Yield("stop", [](bool /*done*/) {});
+  m_lead.BeginStop();
   LogEvent(LogEventId::kHostDraining,
            {{"open", std::to_string(m_callers.open_requests())}});
 }
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -70,6 +70,8 @@
   /// from exact values. A host that is still taking over gives up at once.
   /// @p callback receives whether this succeeded.
   auto Yield(std::string_view reason, YieldCallback callback) -> void;
+  /// The host is being stopped: yields, and doesn't become lead again.
+  auto BeginStop() -> void;
   /// Stops leading at once if this lead can't write to the store, so that a
   /// host that can may take over. Returns false if it goes on leading.
   auto StepDown() -> bool;
@@ -220,6 +222,7 @@
 
   EntryContext& m_context;
   Phase m_phase = Phase::kIdle;
+  bool m_stopping = false;
   ProgramLedger m_ledger;
   ResourceVersion m_ledger_version;
   std::int64_t m_write = 0;
--- a/src/libgateway/lead/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -169,6 +169,20 @@
   CHECK(environment.LeadHost() == "h1");
 }
 
+// Guards against a lead that is lost without a word two seconds later.
+TEST_CASE("a host that is being stopped doesn't become lead") {
+  TestEnvironment environment;
+  ScriptedEndpoint silent(environment.m_loop,
+                          [](const Request& /*request*/) {});
+  environment.PutLead("z", "h2", silent);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  environment.m_host->Stop();
+  environment.Finish(kTurnRequest);
+  CHECK(silent.requests() > 0);
+  CHECK(environment.LeadHost() == "h2");
+}
+
 TEST_CASE("a lead that refuses to yield stays lead") {
   TestEnvironment environment;
   ScriptedEndpoint lead(environment.m_loop, [](const Request& request) {
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -40,7 +40,7 @@
 
 auto LeadService::TakeOver(const std::optional<KnownLead>& silent) -> void {
   const auto& domain = m_context.m_settings.m_domain;
-  if (m_phase != Phase::kIdle || SteadyTime() < m_retry_at ||
+  if (m_stopping || m_phase != Phase::kIdle || SteadyTime() < m_retry_at ||
       !m_context.IsCurrentLead(domain, silent)) {
     return;
   }
@@ -307,6 +307,11 @@
   WriteIfDue(SteadyTime());
 }
 
+auto LeadService::BeginStop() -> void {
+  m_stopping = true;
+  Yield("stop", [](bool /*done*/) {});
+}
+
 /// Nothing was granted in this term, so there is nothing to record.
 auto LeadService::GiveUpTakeover(std::string_view reason) -> void {
   LogYielded(reason);
