A small host leaves a large lead's place to another large host

Cause: the first host whose question isn't answered claims the lead, and the small ones ask more often.

Change: a host with at most half of the silent lead's processor share leaves it to others for 0.8 s, in which a large host's own question has failed too. It claims the lead after that, so a domain without another large host has one.

Tests: a small host leaves a large lead's place to another large one, which failed before; a small host replaces a large lead that no other one replaces.

--- a/src/libgateway/lead/lead_election.cc
+++ b/src/libgateway/lead/lead_election.cc
@@ -11,9 +11,6 @@
 /// Upper bound of the random delay before a host claims a domain without a
 /// lead. Different delays make it likely that only one host claims it.
 constexpr Duration kMaxElectionDelay = std::chrono::milliseconds(1500);
-/// Minimum ratio of processor shares for a handover, which stops the domain's
-/// turns for about 100 ms.
-constexpr double kMinCapacityRatio = 2.0;
 /// Timeout of a request to stop leading, which includes the lead's last write.
 constexpr Duration kRequestTimeout = std::chrono::milliseconds(1200);
 /// Minimum interval between requests to a lead that did not stop.
@@ -59,7 +56,8 @@
     return;
   }
   const auto due = now >= m_next_request;
-  if (IsMuchSmaller(*lead)) {
+  if (IsMuchSmaller(lead->m_entry.m_processor_share,
+                    m_context.m_settings.m_processor_share)) {
     // Small leads may replace each other faster than a request is due.
     if (due || lead->m_version != m_asked_term) {
       RequestLead(*lead, kYieldPath);
@@ -69,11 +67,6 @@
   }
 }
 
-auto LeadElection::IsMuchSmaller(const KnownLead& lead) const -> bool {
-  return lead.m_entry.m_processor_share * kMinCapacityRatio <=
-         m_context.m_settings.m_processor_share;
-}
-
 auto LeadElection::HasLostStore(const KnownLead& lead, TimePoint now) const
     -> bool {
   const auto since = m_context.m_endpoint_watcher->reader_failed_since();
--- a/src/libgateway/lead/lead_election.h
+++ b/src/libgateway/lead/lead_election.h
@@ -24,8 +24,6 @@
   auto Tick(TimePoint now) -> void;
 
  private:
-  /// Returns true if @p lead should be replaced by this host.
-  auto IsMuchSmaller(const KnownLead& lead) const -> bool;
   /// Returns true if the lead hasn't served views for some time although this
   /// host reads the store.
   auto HasLostStore(const KnownLead& lead, TimePoint now) const -> bool;
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -133,8 +133,15 @@
   return json.is_null() ? std::nullopt : std::optional(ReadKnownLead(json));
 }
 
+/// Minimum ratio of processor shares for a handover.
+constexpr double kMinCapacityRatio = 2.0;
+
 }  // namespace
 
+auto IsMuchSmaller(double share, double other) -> bool {
+  return share * kMinCapacityRatio <= other;
+}
+
 auto ToString(GrantVerdict verdict) -> std::string_view {
   switch (verdict) {
     case GrantVerdict::kGranted:
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -44,6 +44,11 @@
   double m_processor_share = 1.0;
 };
 
+/// Returns true if a host with the processor share @p share should leave its
+/// domain's lead to one with @p other. A handover stops the domain's turns for
+/// about 100 ms.
+auto IsMuchSmaller(double share, double other) -> bool;
+
 /// The lead of a domain and the store version of its entry; a higher version is
 /// newer.
 struct KnownLead {
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -63,7 +63,8 @@
   /// Takes over from a lead that doesn't answer. Some hosts give a new lead
   /// time to start. Where accounts have quotas, each change of lead costs the
   /// domain its share of them, and hosts whose requests wait would go on
-  /// replacing one busy lead after the other. A host that was out of touch with
+  /// replacing one busy lead after the other. A much smaller host leaves the
+  /// place to larger ones for a moment. A host that was out of touch with
   /// the store may lose it again and leaves the lead to the others.
   auto TakeOverSilent(const std::optional<KnownLead>& silent) -> void;
   /// Records the granted tokens and stops leading, so that the next lead starts
@@ -126,6 +127,13 @@
     EndpointId m_endpoint;
     TimePoint m_since;
   };
+  /// A lead of this domain that doesn't answer.
+  struct Silence {
+    ResourceVersion m_lead;
+    TimePoint m_since;
+    /// When it was last noticed.
+    TimePoint m_last;
+  };
   /// A ledger write to the store in progress.
   struct PendingWrite {
     LedgerRecord m_record;
@@ -149,6 +157,9 @@
   auto OnHandover(const Result<std::string>& reply) -> void;
   auto TakeQuotaHandover(Duration wait) -> void;
 
+  /// Returns true while larger hosts may be about to replace the silent lead,
+  /// whose load this one could hardly bear.
+  auto LeavesToLarger(const KnownLead& silent) -> bool;
   /// Logs once a lead that this host doesn't replace at once.
   auto LogLeadLeft(const KnownLead& silent, std::string_view reason) -> void;
   auto IsMine(const LeadEntry& entry) const -> bool;
@@ -267,6 +278,7 @@
   LeadJudgement m_judgement;
   LeadLimits m_limits;
   LeadLoad m_load;
+  Silence m_silence;
   /// Version of the last lead that LogLeadLeft logged.
   ResourceVersion m_logged_left;
   TimePoint m_last_sweep;
--- a/src/libgateway/lead/lead_takeover_unittest.cc
+++ b/src/libgateway/lead/lead_takeover_unittest.cc
@@ -183,6 +183,34 @@
   CHECK(environment.LeadHost() == "h2");
 }
 
+// Guards against a lead that can't bear the load of the one it replaced.
+TEST_CASE("a small host leaves a large lead's place to another large one") {
+  TestEnvironment environment;
+  ScriptedEndpoint silent(environment.m_loop,
+                          [](const Request& /*request*/) {});
+  environment.PutLead("z", "h2", silent);
+  environment.AddEndpoint(AnswerTurn);
+  environment.StartFollower();
+  auto& small = environment.AddHost("h3", "z", 0.1);
+  environment.CallAt(small, kTurnRequest);
+  environment.RunFor(std::chrono::milliseconds(300));
+  environment.Finish(kTurnRequest);
+  CHECK(environment.LeadHost() == "h1");
+}
+
+TEST_CASE("a small host replaces a large lead that no other one replaces") {
+  TestEnvironment environment;
+  ScriptedEndpoint silent(environment.m_loop,
+                          [](const Request& /*request*/) {});
+  environment.PutLead("z", "h2", silent);
+  environment.AddEndpoint(AnswerTurn);
+  auto& small = environment.AddHost("h3", "z", 0.1);
+  environment.RunUntil([&environment, &small] {
+    environment.FinishAt(small, kTurnRequest);
+    return environment.LeadHost() == "h3";
+  });
+}
+
 TEST_CASE("a lead that refuses to yield stays lead") {
   TestEnvironment environment;
   ScriptedEndpoint lead(environment.m_loop, [](const Request& request) {
--- a/src/libgateway/lead/lead_term.cc
+++ b/src/libgateway/lead/lead_term.cc
@@ -24,6 +24,9 @@
 /// Time in which a lead that a host has just learned of isn't replaced for its
 /// silence: claim, ledger, journals and the first requests that waited.
 constexpr Duration kStartTime = std::chrono::milliseconds(2500);
+/// Time that a host leaves to larger ones before it replaces a large lead; they
+/// notice the silence within the timeout of a grant request.
+constexpr Duration kLargerHostTime = std::chrono::milliseconds(800);
 /// A host that was out of touch within this time leaves new leads to the
 /// others.
 constexpr Duration kSettledTime = std::chrono::seconds(10);
@@ -71,9 +74,23 @@
   const auto patient = m_has_quotas || m_context.WasOutOfTouch(kSettledTime);
   if (silent && starts && patient) {
     LogLeadLeft(*silent, "new_lead");
-    return;
+  } else if (silent && LeavesToLarger(*silent)) {
+    LogLeadLeft(*silent, "larger_host");
+  } else {
+    TakeOver(silent);
   }
-  TakeOver(silent);
+}
+
+auto LeadService::LeavesToLarger(const KnownLead& silent) -> bool {
+  const auto now = SteadyTime();
+  const auto same = m_silence.m_lead == silent.m_version &&
+                    now - m_silence.m_last < kStartTime;
+  m_silence = {.m_lead = silent.m_version,
+               .m_since = same ? m_silence.m_since : now,
+               .m_last = now};
+  return IsMuchSmaller(m_context.m_settings.m_processor_share,
+                       silent.m_entry.m_processor_share) &&
+         now - m_silence.m_since < kLargerHostTime;
 }
 
 auto LeadService::LogLeadLeft(const KnownLead& silent, std::string_view reason)
