A host that reaches no endpoint borrows connections of other hosts

Cause: a host had no other way for a call than its own links. It tried up to six endpoints, 250 ms each, and answered 503, or waited on a connection that hangs until the deadline. Its readiness couldn't help: if most hosts of a domain aren't ready, the platform uses all of them.

Change: a host whose connections fail, or that hears from no endpoint, checks its links by connecting to three endpoints. If they are lost, its attempts go through other hosts, which pass bytes on and decide nothing, so that budgets, keys, limits, versions and deadlines are held as on its own links. Which hosts would do so is said with each question for a view; leads name them. A relay takes 64 attempts, none while it is busy, stopped or without links itself. If there is none, calls are refused at once and the host isn't ready. Lost links are checked on every 400 ms. docs/design/relays.md weighs the ways.

--- a/src/include/dotterelshed/endpoint_choice.h
+++ b/src/include/dotterelshed/endpoint_choice.h
@@ -80,6 +80,9 @@
                     const ChoiceQuery& query,
                     TimePoint now) -> std::optional<EndpointId>;
 
+/// Forgets failures that weren't the endpoint's.
+auto ForgetFailures(EndpointLoad& load) -> void;
+
 /// An attempt could not be delivered, or ended without a usable answer.
 auto NoteFailure(EndpointLoad& load, TimePoint now) -> void;
 
--- a/src/include/dotterelshed/host_judgement.h
+++ b/src/include/dotterelshed/host_judgement.h
@@ -50,6 +50,9 @@
                  EndpointOutcome outcome,
                  TimePoint now) -> std::vector<JudgementChange>;
 
+/// Forgets what this host saw itself, since its own links had failed.
+auto ForgetOwnOutcomes(HostJudgement& judgement) -> void;
+
 /// An answer showed an endpoint's speed by @p measure.
 auto NoteSpeed(HostJudgement& judgement,
                const EndpointId& endpoint,
--- a/src/include/dotterelshed/http_client.h
+++ b/src/include/dotterelshed/http_client.h
@@ -7,6 +7,7 @@
 
 #include "dotterelshed/byte_stream.h"
 #include "dotterelshed/http_parser.h"
+#include "dotterelshed/tcp_connector.h"
 #include "dotterelshed/units.h"
 
 /// @file
@@ -49,15 +50,6 @@
   std::uint64_t m_max_body_bytes = kMaxAnswerBytes;
 };
 
-struct ConnectOptions {
-  Duration m_timeout = std::chrono::milliseconds(250);
-  /// Silence after which unacknowledged bytes break the connection.
-  Duration m_peer_timeout = std::chrono::seconds(3);
-  /// True for connections that wait for long: probes find a silent one within
-  /// about three seconds.
-  bool m_probe = false;
-};
-
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   explicit ClientConnection(EventLoop& loop);
@@ -67,6 +59,20 @@
                const ConnectOptions& options,
                std::function<void(bool)> done) -> void;
 
+  /// Connects through another host. @p request is sent to the host at @p relay;
+  /// if it answers 200, what is written afterwards goes to the endpoint that
+  /// the request names, and the body of that answer is what the endpoint sends.
+  /// Such a connection is used for one exchange only. An end of it that the
+  /// relay didn't announce counts as a reset.
+  /// @param options  The time limit holds for each of the two steps.
+  /// @param done  gets the status of the relay's answer, or zero without one.
+  auto ConnectThrough(const TcpAddress& relay,
+                      std::string request,
+                      const ConnectOptions& options,
+                      std::function<void(int)> done) -> void;
+  /// True if another host passes the bytes on.
+  auto relayed() const -> bool { return m_relay != nullptr; }
+
   /// Sends a whole request. One exchange at a time.
   /// @param bodyless  true for HEAD.
   auto Exchange(const std::string& request,
@@ -86,7 +92,14 @@
   auto SetReading(bool reading) -> void;
 
  private:
-  auto OnConnected() -> void;
+  auto OnConnected(TcpSocket socket) -> void;
+  auto BeginRelay(const std::string& request,
+                  Duration timeout,
+                  std::function<void(int)> done) -> void;
+  auto OnRelayAnswer(int status) -> void;
+  auto OnRelayBytes(std::string_view bytes) -> void;
+  auto OnStreamBytes(std::string_view bytes) -> void;
+  auto OnStreamEnd(StreamEnd end) -> void;
   auto OnBytes(std::string_view bytes) -> void;
   auto OnEnd(StreamEnd end) -> void;
   auto NewParser() -> void;
@@ -94,9 +107,13 @@
   auto FailExchange(ExchangeFailure failure) -> void;
 
   EventLoop& m_loop;
-  std::unique_ptr<TcpSocket> m_connecting;
-  std::unique_ptr<boost::asio::steady_timer> m_connect_timer;
+  std::shared_ptr<TcpConnector> m_connector;
   std::shared_ptr<ByteStream> m_stream;
+  /// Parses the answer of the host that passes the bytes on; null without one.
+  std::unique_ptr<ResponseParser> m_relay;
+  /// Runs until the relay's answer.
+  std::unique_ptr<boost::asio::steady_timer> m_relay_timer;
+  std::function<void(int)> m_on_relay_answer;
   std::unique_ptr<ResponseParser> m_parser;
   ExchangeHandlers m_handlers;
   HeadVerdict m_verdict = HeadVerdict::kTake;
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -58,6 +58,11 @@
   auto SetGoneHandler(std::function<void()> on_gone) -> void;
   /// Called whenever all that was sent has been taken by the system.
   auto SetDrainedHandler(std::function<void()> on_drained) -> void;
+  /// What the other side sends after the open request goes to @p take as it
+  /// comes, until the answer ends; the connection takes no further request.
+  auto PassBytesTo(std::function<void(std::string_view)> take) -> void;
+  /// Slows the sender of such bytes down, or lets it go on.
+  auto SetReading(bool reading) -> void;
   auto pending_bytes() const -> std::size_t;
   /// True while a request is open.
   auto busy() const -> bool { return m_busy; }
@@ -83,6 +88,7 @@
   std::string m_ahead;
   std::function<void()> m_on_gone;
   std::function<void()> m_on_drained;
+  std::function<void(std::string_view)> m_take_bytes;
   TimePoint m_since;
   bool m_busy = false;
   bool m_begun = false;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -63,6 +63,8 @@
   kEndpointJudged = 506,
   kJudgementRejected = 507,
   kEndpointLimited = 508,
+  kEndpointLinksChanged = 509,
+  kRelayFailed = 510,
   kQuotaRefused = 520,
   kQuotaShareTaken = 521,
   kConfigInForce = 601,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -46,6 +46,8 @@
   kLimitedAttempts,
   kEndpointPermits,
   kPermitAsks,
+  kRelayedAttempts,
+  kRelayPassages,
   kStreamOrigins,
   kStreamOriginCopies,
   kViewAge,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -127,6 +127,14 @@
     {LogEventId::kEndpointLimited, LogLevel::kInfo, "endpoint_limited",
      "An endpoint stated how many requests a second it takes from all hosts "
      "together, another number than before, or none any more."},
+    {LogEventId::kEndpointLinksChanged, LogLevel::kWarning,
+     "endpoint_links_changed",
+     "This host reaches no endpoint any more, or reaches them again. "
+     "Meanwhile other hosts pass its attempts on. What raised the suspicion "
+     "and the check that decided are in the fields."},
+    {LogEventId::kRelayFailed, LogLevel::kWarning, "relay_failed",
+     "This host reaches no endpoint, and none of the other hosts that it tried "
+     "passed an attempt on."},
     {LogEventId::kQuotaRefused, LogLevel::kInfo, "quota_refused",
      "Requests of an account were refused within the last second: over_quota, "
      "or quota_unavailable if no lead could decide. One line an account, with "
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -74,6 +74,13 @@
     {MetricId::kPermitAsks, MetricKind::kCounter,
      "dotterelshed_permit_asks_total", "outcome",
      "Questions of this host for such permits, by the lead's answer."},
+    {MetricId::kRelayedAttempts, MetricKind::kCounter,
+     "dotterelshed_relayed_attempts_total", "outcome",
+     "Connections that this host, without links to endpoints, asked other "
+     "hosts for, by outcome."},
+    {MetricId::kRelayPassages, MetricKind::kCounter,
+     "dotterelshed_relay_passages_total", "outcome",
+     "Connections that other hosts asked this one for, by outcome."},
     {MetricId::kStreamOrigins, MetricKind::kCounter,
      "dotterelshed_stream_origins_total", "outcome",
      "Streams that callers took up here, by whether the software version that "
--- a/src/libgateway/call/call_attempts.cc
+++ b/src/libgateway/call/call_attempts.cc
@@ -100,6 +100,10 @@
     return;
   }
   const auto now = SteadyTime();
+  if (m_context.m_cut_off()) {
+    RespondUnserved("endpoints_cut_off", kRetryAfter);
+    return;
+  }
   const auto endpoint = PickEndpoint();
   if (!endpoint) {
     RespondNoEndpoint(now);
@@ -126,8 +130,8 @@
   ++m_attempts;
   const auto max_idle =
       IsRetryable() ? kMaxIdleRetryable : kMaxIdleNonRetryable;
-  m_context.m_endpoint_connections.Acquire(
-      entry->m_address, max_idle,
+  m_context.m_connect_endpoint(
+      *endpoint, entry->m_address, max_idle,
       [self = shared_from_this(),
        attempt = m_attempts](std::shared_ptr<ClientConnection> connection) {
         self->OnConnection(attempt, std::move(connection));
@@ -184,6 +188,10 @@
   m_attempt.m_sent_at = now;
   m_attempt.m_may_have_run_before = std::exchange(m_may_have_run, true);
   m_crash_tracker.OnAttemptSent(m_attempt.m_endpoint, now);
+  m_attempt.m_heard_at = now;
+  if (!m_attempt.m_connection->relayed()) {
+    NoteSent(m_context.m_endpoint_link, m_attempt.m_endpoint, now);
+  }
   if (LimitOf(m_context.m_limits, m_attempt.m_endpoint)) {
     CountMetric(MetricId::kLimitedAttempts, m_attempt.m_endpoint.value());
   }
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -169,6 +169,9 @@
 }
 
 auto CallExchange::Tick(TimePoint now) -> void {
+  if (!m_finished && now < m_deadline) {
+    RetryIfLinkLost(now);
+  }
   if (!m_finished && now < m_deadline) {
     RetryIfNoResponse(now);
   }
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -78,6 +78,8 @@
     SoftwareVersion m_software;
     std::shared_ptr<ClientConnection> m_connection;
     TimePoint m_sent_at;
+    /// When the endpoint last sent something; before that, m_sent_at.
+    TimePoint m_heard_at;
     /// First and last event of the response, if any.
     TimePoint m_first_event_at;
     TimePoint m_last_event_at;
@@ -173,6 +175,11 @@
   auto HandleNotExecuted(std::string_view reason) -> void;
   auto ResponseTimeout() const -> Duration;
   auto RetryIfNoResponse(TimePoint now) -> void;
+  /// Gives up a retryable attempt on a connection that hangs since this host
+  /// lost its links to endpoints.
+  auto RetryIfLinkLost(TimePoint now) -> void;
+  /// The endpoint of the attempt sent something.
+  auto NoteBytes() -> void;
   auto ProbeSilentEndpoint() -> void;
   auto RetryAfterSilence() -> void;
   auto EndAttempt() -> void;
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -58,7 +58,16 @@
   NoteSpeed(m_context.m_judgement, m_attempt.m_endpoint, m_route.m_name, time);
 }
 
+auto CallExchange::NoteBytes() -> void {
+  m_attempt.m_heard_at = SteadyTime();
+  if (m_attempt.m_connection && !m_attempt.m_connection->relayed()) {
+    NoteHeard(m_context.m_endpoint_link, m_attempt.m_endpoint,
+              m_attempt.m_heard_at);
+  }
+}
+
 auto CallExchange::OnHead(ResponseHead& head) -> HeadVerdict {
+  NoteBytes();
   auto headers = ParseEndpointAnswerHeaders(head);
   if (headers.m_leaving) {
     // Valid also in a late response to an earlier request.
@@ -132,6 +141,7 @@
 }
 
 auto CallExchange::OnBody(std::string_view bytes) -> void {
+  NoteBytes();
   if (m_finished || m_attempt.m_discard_response) {
     return;
   }
--- a/src/libgateway/call/call_silence.cc
+++ b/src/libgateway/call/call_silence.cc
@@ -21,6 +21,9 @@
 constexpr int kResponseTimeoutFactor = 5;
 constexpr Duration kMinResponseTimeout = std::chrono::milliseconds(400);
 constexpr Duration kMaxResponseTimeout = std::chrono::milliseconds(900);
+/// Silence of an endpoint after which a connection counts as hanging while this
+/// host has lost its links.
+constexpr Duration kLinkSilence = std::chrono::milliseconds(500);
 /// Time in which an endpoint that is well responds to a probe.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /// Minimum time left before the deadline for a retry after a response timeout.
@@ -60,11 +63,24 @@
   }
 }
 
+/// The endpoint may go on, but nothing of it arrives here any more. Requests
+/// that may run once only wait on, since their connections may come back.
+auto CallExchange::RetryIfLinkLost(TimePoint now) -> void {
+  const auto hangs = m_context.m_endpoint_link.m_lost && m_attempt.m_sent &&
+                     m_attempt.m_connection != nullptr &&
+                     !m_attempt.m_connection->relayed() &&
+                     now - m_attempt.m_heard_at >= kLinkSilence;
+  if (hangs && IsRetryable() && m_deadline - now >= kMinRetryTime) {
+    m_attempt.m_connection->Close();
+    HandleLostAttempt("links_lost");
+  }
+}
+
 /// An endpoint may go on with a stream after its connection was closed. So
 /// another one gets the stream only if this one hangs or can't be reached.
 auto CallExchange::ProbeSilentEndpoint() -> void {
-  ProbeEndpoint(m_context.m_loop, m_context.m_endpoint_connections,
-                m_attempt.m_address, kProbeTimeout,
+  ProbeEndpoint(m_context, m_attempt.m_endpoint, m_attempt.m_address,
+                kProbeTimeout,
                 [weak = weak_from_this(), attempt = m_attempts](bool answered) {
                   const auto self = weak.lock();
                   const auto waits = self && !self->m_finished &&
--- a/src/libgateway/call/endpoint_probe.cc
+++ b/src/libgateway/call/endpoint_probe.cc
@@ -14,9 +14,14 @@
 constexpr Duration kMaxIdle = std::chrono::milliseconds(1000);
 
 struct Probe : public std::enable_shared_from_this<Probe> {
-  Probe(EventLoop& loop, ConnectionPool& pool) : m_pool(pool), m_timer(loop) {}
+  explicit Probe(EntryContext& context)
+      : m_context(context),
+        m_pool(context.m_endpoint_connections),
+        m_timer(context.m_loop) {}
 
+  EntryContext& m_context;
   ConnectionPool& m_pool;
+  EndpointId m_endpoint;
   boost::asio::steady_timer m_timer;
   std::string m_address;
   std::shared_ptr<ClientConnection> m_connection;
@@ -30,11 +35,12 @@
             self->Finish(false);
           }
         });
-    m_pool.Acquire(m_address, kMaxIdle,
-                   [self = shared_from_this()](
-                       std::shared_ptr<ClientConnection> connection) {
-                     self->OnConnection(std::move(connection));
-                   });
+    m_context.m_connect_endpoint(
+        m_endpoint, m_address, kMaxIdle,
+        [self =
+             shared_from_this()](std::shared_ptr<ClientConnection> connection) {
+          self->OnConnection(std::move(connection));
+        });
   }
 
   auto OnConnection(std::shared_ptr<ClientConnection> connection) -> void {
@@ -71,12 +77,13 @@
 
 }  // namespace
 
-auto ProbeEndpoint(EventLoop& loop,
-                   ConnectionPool& pool,
+auto ProbeEndpoint(EntryContext& context,
+                   const EndpointId& endpoint,
                    const std::string& address,
                    Duration timeout,
                    std::function<void(bool)> done) -> void {
-  const auto probe = std::make_shared<Probe>(loop, pool);
+  const auto probe = std::make_shared<Probe>(context);
+  probe->m_endpoint = endpoint;
   probe->m_address = address;
   probe->m_done = std::move(done);
   probe->Begin(timeout);
--- a/src/libgateway/call/endpoint_probe.h
+++ b/src/libgateway/call/endpoint_probe.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-#include "connection_pool.h"
+#include "entry_context.h"
 
 /// @file
 /// Tells an endpoint that is reachable and slow from one that has ended, is cut
@@ -15,8 +15,8 @@
 /// Asks the endpoint at @p address for its health. @p done receives whether any
 /// response arrives within @p timeout, also one that says that the endpoint is
 /// not well.
-auto ProbeEndpoint(EventLoop& loop,
-                   ConnectionPool& pool,
+auto ProbeEndpoint(EntryContext& context,
+                   const EndpointId& endpoint,
                    const std::string& address,
                    Duration timeout,
                    std::function<void(bool)> done) -> void;
--- a/src/libgateway/connection_pool.cc
+++ b/src/libgateway/connection_pool.cc
@@ -34,8 +34,13 @@
     }
     last.m_connection->Close();
   }
+  Connect(address, std::move(on_acquired));
+}
+
+auto ConnectionPool::Connect(const std::string& address,
+                             AcquireCallback on_acquired) -> void {
   const auto parsed = ParseTcpAddress(address);
-  if (!parsed) {
+  if (!parsed || m_blocked) {
     on_acquired(nullptr);
     return;
   }
@@ -90,6 +95,14 @@
   }
 }
 
+auto ConnectionPool::CloseAllIdle() -> void {
+  for (const auto& [address, idle] : std::exchange(m_idle, {})) {
+    for (const auto& one : idle) {
+      one.m_connection->Close();
+    }
+  }
+}
+
 auto ConnectionPool::CloseIdle(const std::string& address) -> void {
   const auto found = m_idle.find(address);
   if (found == m_idle.end()) {
--- a/src/libgateway/connection_pool.h
+++ b/src/libgateway/connection_pool.h
@@ -42,6 +42,10 @@
                Duration max_idle,
                AcquireCallback on_acquired) -> void;
 
+  /// Passes a new connection once it is established; nullptr if connecting
+  /// fails.
+  auto Connect(const std::string& address, AcquireCallback on_acquired) -> void;
+
   /// Returns a connection to the pool after an exchange.
   /// @param keep_alive  Time for which the other side keeps it open, if known.
   auto Release(const std::string& address,
@@ -50,6 +54,10 @@
 
   /// Closes connections that exceeded their idle time.
   auto Tick(TimePoint now) -> void;
+  /// Makes connecting fail, as if the links were lost; for tests.
+  auto SetBlocked(bool blocked) -> void { m_blocked = blocked; }
+  /// Closes all idle connections.
+  auto CloseAllIdle() -> void;
   /// Closes the idle connections to an address.
   auto CloseIdle(const std::string& address) -> void;
 
@@ -69,6 +77,7 @@
   EventLoop& m_loop;
   ConnectionPoolOptions m_options;
   std::map<std::string, std::vector<Idle>> m_idle;
+  bool m_blocked = false;
 };
 
 }  // namespace dotterelshed
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -14,12 +14,14 @@
 #include "dotterelshed/endpoint_choice.h"
 #include "dotterelshed/endpoint_directory.h"
 #include "dotterelshed/endpoint_limits.h"
+#include "dotterelshed/endpoint_link.h"
 #include "dotterelshed/host_judgement.h"
 #include "dotterelshed/route_table.h"
 #include "dotterelshed/steady_time.h"
 #include "entry_settings.h"
 #include "lead/lead_messages.h"
 #include "platform/object_store.h"
+#include "relay/relay_directory.h"
 #include "view/object_watcher.h"
 
 /// @file
@@ -69,6 +71,23 @@
   CrashLedger m_crash_ledger;
   std::multiset<SuspectAttempt> m_suspect_attempts;
   ConnectionPool m_endpoint_connections;
+  /// Whether this host reaches endpoints by itself.
+  EndpointLink m_endpoint_link;
+  /// Passes a connection to an endpoint, through another host if need be; see
+  /// RelayClient::Acquire.
+  std::function<void(const EndpointId& endpoint,
+                     const std::string& address,
+                     Duration max_idle,
+                     ConnectionPool::AcquireCallback on_acquired)>
+      m_connect_endpoint;
+  /// Returns true if no endpoint can be reached, not even through other hosts.
+  std::function<bool()> m_cut_off;
+  /// Hosts that pass other hosts' attempts on.
+  RelayDirectory m_relay_directory;
+  /// Returns true if this host is one of them.
+  std::function<bool()> m_can_relay;
+  /// Delay of the last tick of the event loop.
+  Duration m_loop_delay{0};
   ConnectionPool m_peer_connections;
   std::map<DomainId, KnownLead> m_leads;
   /// Times at which m_leads learned of them.
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -101,10 +101,13 @@
       m_history(m_context),
       m_stream_origins(m_context, m_history.disk_hosts()),
       m_crash_ledger_sync(m_context),
+      m_relay_client(m_context),
+      m_relay_service(m_context),
       m_peer_requests(m_context,
                       m_lead,
                       m_quota_service,
                       m_crash_ledger_sync,
+                      m_relay_service,
                       [this](ObjectKind kind) -> ObjectWatcher& {
                         return WatcherFor(kind);
                       }),
@@ -129,9 +132,21 @@
   m_context.m_crash_ledger.m_options.m_listing_expiry =
       settings.m_endpoint_heartbeat * kMissedHeartbeatsToLapse + kLapseMargin;
   m_context.m_judgement.m_enabled = settings.m_obligations.m_judge_endpoints;
+  ConnectRelays();
   MakeWatchers();
 }
 
+auto EntryHost::ConnectRelays() -> void {
+  m_context.m_connect_endpoint =
+      [this](const EndpointId& endpoint, const std::string& address,
+             Duration max_idle, ConnectionPool::AcquireCallback on_acquired) {
+        m_relay_client.Acquire(endpoint, address, max_idle,
+                               std::move(on_acquired));
+      };
+  m_context.m_cut_off = [this] { return m_relay_client.cut_off(); };
+  m_context.m_can_relay = [this] { return m_relay_service.available(); };
+}
+
 auto EntryHost::MakeWatchers() -> void {
   auto& loop = m_context.m_loop;
   const auto max_age = m_context.m_settings.m_view_max_age;
@@ -290,6 +305,7 @@
 auto EntryHost::ready() const -> bool {
   return !m_stopping && m_context.m_routes &&
          !m_context.m_directory.m_entries.empty() && m_lead_watcher->listed() &&
+         !m_relay_client.cut_off() &&
          (!KeepsHistory(*m_context.m_routes) || m_history.available());
 }
 
@@ -360,6 +376,7 @@
 
 auto EntryHost::Tick() -> void {
   const auto now = SteadyTime();
+  m_context.m_loop_delay = now - m_last_tick - kTick;
   if (WasPaused(now)) {
     ArmTick();
     return;
@@ -386,6 +403,7 @@
   TickGuarded(m_quotas, now);
   TickGuarded(m_history, now);
   TickGuarded(m_crash_ledger_sync, now);
+  TickGuarded(m_relay_client, now);
   RunGuarded("tick", [this, now] { TickHost(now); });
   if (!m_context.m_loop.stopped()) {
     ArmTick();
@@ -423,6 +441,7 @@
   m_stop_started_at = SteadyTime();
   m_callers.CloseAfterAnswers();
   m_lead.BeginStop();
+  m_relay_service.Stop();
   LogEvent(LogEventId::kHostDraining,
            {{"open", std::to_string(m_callers.open_requests())}});
 }
@@ -434,8 +453,9 @@
     return;
   }
   m_callers.StopListening();
-  const auto over =
-      m_callers.open_requests() == 0 && m_callers.closing_connections() == 0;
+  const auto over = m_callers.open_requests() == 0 &&
+                    m_callers.closing_connections() == 0 &&
+                    m_relay_service.open() == 0;
   if (over || since > grace - kExitMargin) {
     LogEvent(LogEventId::kHostStopped,
              {{"open", std::to_string(m_callers.open_requests())},
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -19,6 +19,8 @@
 #include "peer_request_handler.h"
 #include "quota/quota_client.h"
 #include "quota/quota_service.h"
+#include "relay/relay_client.h"
+#include "relay/relay_service.h"
 #include "stream/stream_origin_client.h"
 #include "view/endpoint_view.h"
 #include "view/object_watcher.h"
@@ -40,6 +42,10 @@
   auto ready() const -> bool;
   /// Returns true if the host leads its failure domain.
   auto leads() const -> bool { return m_lead.active(); }
+  /// Connections to endpoints, for tests.
+  auto endpoint_connections() -> ConnectionPool& {
+    return m_context.m_endpoint_connections;
+  }
   auto caller_address() const -> TcpAddress {
     return m_callers.local_address();
   }
@@ -48,6 +54,8 @@
 
  private:
   auto MakeWatchers() -> void;
+  /// Makes connections to endpoints go through other hosts if need be.
+  auto ConnectRelays() -> void;
   auto OnCallerRequest(const std::shared_ptr<ServerConnection>& connection,
                        IncomingRequest request) -> void;
   auto OnReadinessRequest(const std::shared_ptr<ServerConnection>& connection,
@@ -90,6 +98,8 @@
   HistoryClient m_history;
   StreamOriginClient m_stream_origins;
   CrashLedgerSync m_crash_ledger_sync;
+  RelayClient m_relay_client;
+  RelayService m_relay_service;
   PeerRequestHandler m_peer_requests;
   HttpListener m_callers;
   HttpListener m_readiness;
--- a/src/libgateway/lead/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -280,7 +280,10 @@
 auto GrantClient::AddReport(const DomainId& domain, SettlementBatch& batch)
     -> void {
   auto& judgement = m_context.m_judgement;
-  if (judgement.m_enabled && domain == m_context.m_settings.m_domain) {
+  // What fails while this host's own links may be failing is held back.
+  const auto suspect = IsSuspect(m_context.m_endpoint_link, SteadyTime());
+  if (judgement.m_enabled && domain == m_context.m_settings.m_domain &&
+      !suspect) {
     batch.m_report = EndpointReport{
         .m_host = m_context.m_settings.m_host,
         .m_outcomes = TakeUnreported(judgement, SteadyTime()),
--- a/src/libgateway/peer_call.h
+++ b/src/libgateway/peer_call.h
@@ -15,6 +15,8 @@
 
 namespace dotterelshed {
 
+inline constexpr std::string_view kRelayPath = "/peer/relay";
+inline constexpr std::string_view kRelayListPath = "/peer/relay-list";
 inline constexpr std::string_view kGrantPath = "/peer/grant";
 inline constexpr std::string_view kSettlePath = "/peer/settle";
 inline constexpr std::string_view kQuotaPath = "/peer/quota";
--- a/src/libgateway/peer_request_handler.cc
+++ b/src/libgateway/peer_request_handler.cc
@@ -24,15 +24,17 @@
 
 }  // namespace
 
-PeerRequestHandler::PeerRequestHandler(const EntryContext& context,
+PeerRequestHandler::PeerRequestHandler(EntryContext& context,
                                        LeadService& lead,
                                        QuotaService& quotas,
                                        CrashLedgerSync& crash_ledger_sync,
+                                       RelayService& relays,
                                        WatcherLookup watcher_for)
     : m_context(context),
       m_lead(lead),
       m_quotas(quotas),
       m_crash_ledger_sync(crash_ledger_sync),
+      m_relays(relays),
       m_watcher_for(std::move(watcher_for)) {}
 
 auto PeerRequestHandler::Handle(
@@ -43,7 +45,8 @@
       HandleAccountRequest(connection, target, request.m_body) ||
       HandleQuotaRequest(connection, target, request.m_body) ||
       HandleLeadRequest(connection, target, request.m_body) ||
-      HandleViewRequest(connection, target, request.m_body);
+      HandleViewRequest(connection, target, request.m_body) ||
+      HandleRelayRequest(connection, request);
   if (!handled) {
     connection->Answer(kStatusNotFound, {}, "");
   }
@@ -176,9 +179,26 @@
   return true;
 }
 
+auto PeerRequestHandler::HandleRelayRequest(
+    const std::shared_ptr<ServerConnection>& connection,
+    const IncomingRequest& request) -> bool {
+  if (request.m_head.m_target == kRelayPath) {
+    m_relays.Handle(connection, request);
+  } else if (request.m_head.m_target == kRelayListPath) {
+    m_relays.HandleListRequest(connection);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 auto PeerRequestHandler::OnViewRequest(
     const std::shared_ptr<ServerConnection>& connection,
     const ViewRequest& request) -> void {
+  if (!request.m_host_address.empty()) {
+    NoteRelayHost(m_context.m_relay_directory, request.m_host_address,
+                  request.m_can_relay, SteadyTime());
+  }
   m_watcher_for(request.m_kind)
       .HandleRequest(
           request, [connection](const Result<std::string>& response) {
--- a/src/libgateway/peer_request_handler.h
+++ b/src/libgateway/peer_request_handler.h
@@ -11,6 +11,7 @@
 #include "entry_context.h"
 #include "lead/lead_service.h"
 #include "quota/quota_service.h"
+#include "relay/relay_service.h"
 #include "view/object_watcher.h"
 
 /// @file
@@ -25,10 +26,11 @@
   /// Returns the watcher of a kind that hosts may request from each other.
   using WatcherLookup = std::function<ObjectWatcher&(ObjectKind)>;
 
-  PeerRequestHandler(const EntryContext& context,
+  PeerRequestHandler(EntryContext& context,
                      LeadService& lead,
                      QuotaService& quotas,
                      CrashLedgerSync& crash_ledger_sync,
+                     RelayService& relays,
                      WatcherLookup watcher_for);
 
   /// Answers a request of another host: 404 for an unknown target, 400 for an
@@ -58,6 +60,9 @@
   auto HandleViewRequest(const std::shared_ptr<ServerConnection>& connection,
                          std::string_view target,
                          const std::string& body) -> bool;
+  /// Attempts of hosts that reach no endpoint.
+  auto HandleRelayRequest(const std::shared_ptr<ServerConnection>& connection,
+                          const IncomingRequest& request) -> bool;
   auto OnViewRequest(const std::shared_ptr<ServerConnection>& connection,
                      const ViewRequest& request) -> void;
   auto OnYieldRequest(const std::shared_ptr<ServerConnection>& connection,
@@ -65,10 +70,11 @@
   auto OnStepDownRequest(const std::shared_ptr<ServerConnection>& connection,
                          const KnownLead& lead) -> void;
 
-  const EntryContext& m_context;
+  EntryContext& m_context;
   LeadService& m_lead;
   QuotaService& m_quotas;
   CrashLedgerSync& m_crash_ledger_sync;
+  RelayService& m_relays;
   WatcherLookup m_watcher_for;
 };
 
--- a/src/libgateway/view/endpoint_view.cc
+++ b/src/libgateway/view/endpoint_view.cc
@@ -67,6 +67,11 @@
               [this](const ObjectListing& listing) { ApplyListing(listing); },
           .m_on_changes =
               [this](const ObjectChanges& changes) { ApplyChanges(changes); },
+          .m_describe_host =
+              [this](ViewRequest& request) {
+                request.m_host_address = m_context.m_settings.m_peer_address;
+                request.m_can_relay = m_context.m_can_relay();
+              },
           .m_on_reachable =
               [this](bool reachable) { OnStoreReachable(reachable); },
           .m_hold_left =
--- a/src/libgateway/view/object_watcher.cc
+++ b/src/libgateway/view/object_watcher.cc
@@ -288,11 +288,14 @@
   // a change.
   const auto known = m_reachable ? m_version : ResourceVersion(0);
   LeaveStore();
+  ViewRequest request{.m_kind = m_options.m_kind,
+                      .m_version = known,
+                      .m_accepts_partial = m_listed && m_reachable};
+  if (m_handlers.m_describe_host) {
+    m_handlers.m_describe_host(request);
+  }
   CallPeer(m_loop, m_reader->m_peers, address, kViewPath,
-           EncodeViewRequest({.m_kind = m_options.m_kind,
-                              .m_version = known,
-                              .m_accepts_partial = m_listed && m_reachable}),
-           timeout,
+           EncodeViewRequest(request), timeout,
            [weak = weak_from_this(),
             call_number = ++m_call_number](const Result<std::string>& reply) {
              const auto self = weak.lock();
--- a/src/libgateway/view/object_watcher.h
+++ b/src/libgateway/view/object_watcher.h
@@ -41,6 +41,9 @@
   /// Called with a complete listing, which replaces all known objects.
   std::function<void(const ObjectListing&)> m_on_listing;
   std::function<void(const ObjectChanges&)> m_on_changes;
+  /// Adds what this host says of itself to a request to the reader; may be
+  /// empty.
+  std::function<void(ViewRequest&)> m_describe_host = {};
   /// Called when the store becomes unreachable or reachable; may be empty.
   std::function<void(bool)> m_on_reachable = {};
   /// Returns the remaining time in which vanished entries are kept, since they
--- a/src/libgateway/view/view_messages.cc
+++ b/src/libgateway/view/view_messages.cc
@@ -51,10 +51,14 @@
 }  // namespace
 
 auto EncodeViewRequest(const ViewRequest& request) -> std::string {
-  return Json{{"kind", KindName(request.m_kind)},
-              {"version", request.m_version.value()},
-              {"accepts_partial", request.m_accepts_partial}}
-      .dump();
+  Json json = {{"kind", KindName(request.m_kind)},
+               {"version", request.m_version.value()},
+               {"accepts_partial", request.m_accepts_partial}};
+  if (!request.m_host_address.empty()) {
+    json["host_address"] = request.m_host_address;
+    json["can_relay"] = request.m_can_relay;
+  }
+  return json.dump();
 }
 
 auto DecodeViewRequest(std::string_view text) -> Result<ViewRequest> {
@@ -64,7 +68,9 @@
       return ViewRequest{
           .m_kind = kind,
           .m_version = ReadVersion(json.at("version")),
-          .m_accepts_partial = json.value("accepts_partial", false)};
+          .m_accepts_partial = json.value("accepts_partial", false),
+          .m_host_address = json.value("host_address", std::string()),
+          .m_can_relay = json.value("can_relay", false)};
     });
   } catch (const Json::exception& error) {
     return Fail(ErrorCode::kInvalidArgument, error.what(), std::string(kPlace));
--- a/src/libgateway/view/view_messages.h
+++ b/src/libgateway/view/view_messages.h
@@ -24,6 +24,10 @@
   ResourceVersion m_version;
   /// The response may be partial. Hosts of earlier versions don't send this.
   bool m_accepts_partial = false;
+  /// With endpoints: peer address of the requesting host, and whether it would
+  /// pass other hosts' attempts on. Empty from hosts of earlier versions.
+  std::string m_host_address;
+  bool m_can_relay = false;
 };
 
 struct ViewResponse {
--- a/src/libhttp/http_client.cc
+++ b/src/libhttp/http_client.cc
@@ -1,9 +1,8 @@
 #include "dotterelshed/http_client.h"
 
-#include <netinet/tcp.h>
-
 #include <utility>
 
+#include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
@@ -12,37 +11,11 @@
 
 namespace asio = boost::asio;
 using ErrorCodeIn = boost::system::error_code;
-using UserTimeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-
-using ProbeIdleTime =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-using ProbeInterval =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-using ProbeCount =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-
-constexpr int kProbeIdleSeconds = 1;
-constexpr int kProbeIntervalSeconds = 1;
-constexpr int kProbes = 2;
-
 /// Heads of answers may be larger than what callers may send.
 constexpr std::uint32_t kMaxAnswerHeadBytes = 65536;
-
-auto SetTimeouts(TcpSocket& socket, const ConnectOptions& options) -> void {
-  const auto peer_timeout =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          options.m_peer_timeout);
-  ErrorCodeIn ignored;
-  socket.set_option(UserTimeout(static_cast<int>(peer_timeout.count())),
-                    ignored);
-  if (options.m_probe) {
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(ProbeIdleTime(kProbeIdleSeconds), ignored);
-    socket.set_option(ProbeInterval(kProbeIntervalSeconds), ignored);
-    socket.set_option(ProbeCount(kProbes), ignored);
-  }
-}
+/// Body of a relay's answer, which is what one exchange with the endpoint
+/// brings.
+constexpr std::uint64_t kMaxRelayedBytes = 2 * kMaxAnswerBytes;
 
 }  // namespace
 
@@ -65,57 +38,126 @@
 auto ClientConnection::Connect(const TcpAddress& address,
                                const ConnectOptions& options,
                                std::function<void(bool)> done) -> void {
-  m_connecting = std::make_unique<TcpSocket>(m_loop);
-  m_connect_timer =
-      std::make_unique<asio::steady_timer>(m_loop, options.m_timeout);
-  m_connect_timer->async_wait(
-      [self = shared_from_this()](const ErrorCodeIn& error) {
-        if (!error && self->m_connecting) {
-          ErrorCodeIn ignored;
-          self->m_connecting->close(ignored);
-        }
-      });
-  m_connecting->async_connect(
-      address, [self = shared_from_this(), done = std::move(done),
-                options](const ErrorCodeIn& error) {
-        self->m_connect_timer.reset();
-        if (!self->m_connecting) {
-          return;
-        }
-        if (error || !self->m_connecting->is_open()) {
-          self->m_connecting.reset();
-          done(false);
-          return;
-        }
-        SetTimeouts(*self->m_connecting, options);
-        self->OnConnected();
-        done(true);
-      });
+  m_connector = std::make_shared<TcpConnector>(m_loop);
+  m_connector->Connect(address, options,
+                       [self = shared_from_this(), done = std::move(done)](
+                           std::optional<TcpSocket> socket) {
+                         self->m_connector.reset();
+                         if (socket) {
+                           self->OnConnected(std::move(*socket));
+                         }
+                         done(socket.has_value());
+                       });
 }
 
-auto ClientConnection::OnConnected() -> void {
-  m_stream = std::make_shared<ByteStream>(std::move(*m_connecting));
-  m_connecting.reset();
+auto ClientConnection::OnConnected(TcpSocket socket) -> void {
+  m_stream = std::make_shared<ByteStream>(std::move(socket));
   m_connected_at = SteadyTime();
   m_reusable = true;
   const std::weak_ptr<ClientConnection> weak = weak_from_this();
   m_stream->Start({.m_on_bytes =
                        [weak](std::string_view bytes) {
                          if (const auto self = weak.lock()) {
-                           self->OnBytes(bytes);
+                           self->OnStreamBytes(bytes);
                          }
                        },
                    .m_on_end =
                        [weak](StreamEnd end) {
                          if (const auto self = weak.lock()) {
-                           self->OnEnd(end);
+                           self->OnStreamEnd(end);
                          }
                        },
                    .m_on_drained = {}});
 }
 
+// Connections through another host.
+
+auto ClientConnection::ConnectThrough(const TcpAddress& relay,
+                                      std::string request,
+                                      const ConnectOptions& options,
+                                      std::function<void(int)> done) -> void {
+  Connect(
+      relay, options,
+      [self = shared_from_this(), request = std::move(request),
+       timeout = options.m_timeout, done = std::move(done)](bool connected) {
+        if (connected) {
+          self->BeginRelay(request, timeout, done);
+        } else {
+          done(0);
+        }
+      });
+}
+
+auto ClientConnection::BeginRelay(const std::string& request,
+                                  Duration timeout,
+                                  std::function<void(int)> done) -> void {
+  m_on_relay_answer = std::move(done);
+  m_relay = std::make_unique<ResponseParser>(
+      ParserLimits{.m_max_header_bytes = kMaxAnswerHeadBytes,
+                   .m_max_body_bytes = kMaxRelayedBytes},
+      false,
+      ResponseSink{
+          .m_on_head =
+              [this](ResponseHead& head) { OnRelayAnswer(head.m_status); },
+          .m_on_body = [this](std::string_view bytes) { OnBytes(bytes); }});
+  m_relay_timer = std::make_unique<asio::steady_timer>(m_loop, timeout);
+  m_relay_timer->async_wait(
+      [self = shared_from_this()](const ErrorCodeIn& error) {
+        if (!error) {
+          self->OnRelayAnswer(0);
+        }
+      });
+  m_stream->Write(request);
+}
+
+auto ClientConnection::OnRelayAnswer(int status) -> void {
+  const auto done = std::exchange(m_on_relay_answer, nullptr);
+  if (!done) {
+    return;
+  }
+  m_relay_timer.reset();
+  if (status != kStatusOk) {
+    Close();
+  }
+  done(status);
+}
+
+auto ClientConnection::OnRelayBytes(std::string_view bytes) -> void {
+  m_relay->Feed(bytes);
+  if (m_stream->closed()) {
+    return;
+  }
+  const auto state = m_relay->state();
+  if (state == ParseState::kDone) {
+    OnEnd(StreamEnd::kClosed);
+  } else if (state >= ParseState::kMalformed) {
+    OnStreamEnd(StreamEnd::kReset);
+  }
+}
+
+auto ClientConnection::OnStreamBytes(std::string_view bytes) -> void {
+  const auto self = shared_from_this();
+  if (m_relay) {
+    OnRelayBytes(bytes);
+  } else {
+    OnBytes(bytes);
+  }
+}
+
+auto ClientConnection::OnStreamEnd(StreamEnd end) -> void {
+  const auto self = shared_from_this();
+  if (m_on_relay_answer) {
+    OnRelayAnswer(0);
+    return;
+  }
+  // A relay that ends announces no end of the endpoint's answer.
+  OnEnd(m_relay ? StreamEnd::kReset : end);
+}
+
+// Exchanges.
+
 auto ClientConnection::reusable() const -> bool {
-  return m_reusable && !m_busy && m_stream && !m_stream->closed();
+  return m_reusable && !m_relay && !m_busy && m_stream && !m_stream->closed();
 }
 
 auto ClientConnection::Exchange(const std::string& request,
@@ -203,7 +245,7 @@
 auto ClientConnection::FinishExchange(bool leftover) -> void {
   const auto handlers = std::exchange(m_handlers, {});
   m_busy = false;
-  m_reusable = m_parser->keep_alive() && !leftover &&
+  m_reusable = !m_relay && m_parser->keep_alive() && !leftover &&
                m_stream->pending_bytes() == 0 && !m_stream->closed();
   if (!m_reusable) {
     m_stream->Close();
@@ -222,8 +264,10 @@
 auto ClientConnection::Close() -> void {
   m_busy = false;
   m_reusable = false;
-  m_connecting.reset();
-  m_connect_timer.reset();
+  if (const auto connector = std::exchange(m_connector, nullptr)) {
+    connector->Cancel();
+  }
+  m_relay_timer.reset();
   if (m_stream) {
     m_stream->Close();
   }
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -65,6 +65,10 @@
 
 auto ServerConnection::OnBytes(std::string_view bytes) -> void {
   const auto self = shared_from_this();
+  if (const auto take = m_take_bytes) {
+    take(bytes);
+    return;
+  }
   if (!m_parser->started()) {
     m_since = SteadyTime();
   }
@@ -189,6 +193,7 @@
   m_chunked = false;
   m_on_gone = {};
   m_on_drained = {};
+  m_take_bytes = {};
   --m_listener->m_open_requests;
   m_since = SteadyTime();
   if (!m_keep_alive || m_listener->m_stopped) {
@@ -216,6 +221,7 @@
   m_busy = false;
   m_on_gone = {};
   m_on_drained = {};
+  m_take_bytes = {};
   m_stream->Close();
   Forget();
 }
@@ -239,6 +245,24 @@
   m_on_drained = std::move(on_drained);
 }
 
+auto ServerConnection::PassBytesTo(std::function<void(std::string_view)> take)
+    -> void {
+  if (!m_busy) {
+    return;
+  }
+  m_keep_alive = false;
+  m_take_bytes = std::move(take);
+  m_stream->SetReading(true);
+  const auto ahead = std::exchange(m_ahead, {});
+  if (!ahead.empty()) {
+    OnBytes(ahead);
+  }
+}
+
+auto ServerConnection::SetReading(bool reading) -> void {
+  m_stream->SetReading(reading);
+}
+
 auto ServerConnection::pending_bytes() const -> std::size_t {
   return m_stream->pending_bytes();
 }
--- a/src/librouting/endpoint_choice.cc
+++ b/src/librouting/endpoint_choice.cc
@@ -205,9 +205,13 @@
   }
 }
 
-auto NoteAnswer(EndpointLoad& load, Duration latency) -> void {
+auto ForgetFailures(EndpointLoad& load) -> void {
   load.m_failures_in_a_row = 0;
   load.m_avoid_until = TimePoint{};
+}
+
+auto NoteAnswer(EndpointLoad& load, Duration latency) -> void {
+  ForgetFailures(load);
   ++load.m_answers;
   const auto weight = load.m_answers == 1 ? 1.0 : kLatencyWeight;
   const auto change = weight * ToSeconds(latency - load.m_mean_latency);
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -62,6 +62,13 @@
   return changes;
 }
 
+auto ForgetOwnOutcomes(HostJudgement& judgement) -> void {
+  judgement.m_own = {.m_options = judgement.m_own.m_options};
+  judgement.m_unreported.clear();
+  judgement.m_own_shares.clear();
+  judgement.m_shares = judgement.m_domain.m_shares;
+}
+
 auto NoteSpeed(HostJudgement& judgement,
                const EndpointId& endpoint,
                std::string_view measure,
