A host that reported an endpoint's failure asks on for the lead's judgement

Callers of a host were sent to an endpoint that its domain's lead had already taken out of use (known red: 'what hosts learn of an endpoint keeps the whole domain off it', 4 requests instead of 3).

Cause: a lead tells a host its judgement in the answer to a report. If the report of another host came later and decided, the first host had nothing more to report and learned nothing until its next failure.

Evidence: the log of a failing run: two failures at the lead's own host, one at the other, whose report arrived first; the lead's 'out' came with its own report, and the other host chose the endpoint 200 ms later.

A check of host_judgement_unittest asked that nothing is due right after such a report, which was the fault; it now asks for a report within the second and for none after it.

--- a/src/include/dotterelshed/host_judgement.h
+++ b/src/include/dotterelshed/host_judgement.h
@@ -38,6 +38,8 @@
   TimePoint m_domain_at;
   /// Last report that was sent.
   TimePoint m_reported_at;
+  /// Last report that had a failure.
+  TimePoint m_failure_reported_at;
   /// Shares by this host's own outcomes, and combined with the lead's.
   EndpointShares m_own_shares;
   EndpointShares m_shares;
@@ -70,7 +72,8 @@
                           TimePoint now) -> std::vector<JudgementChange>;
 
 /// Returns true if a report should be sent although no other message to the
-/// lead is due: something failed, or the lead's judgement would lapse.
+/// lead is due: something failed now or a moment ago, or the lead's judgement
+/// would lapse.
 auto IsReportDue(const HostJudgement& judgement, TimePoint now) -> bool;
 
 /// Takes the outcomes for the next report.
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -11,6 +11,9 @@
 constexpr Duration kDomainJudgementAge = std::chrono::seconds(3);
 /// The lead is asked again after this time while its judgement matters.
 constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+/// A host that reported a failure asks on for this time, since the reports of
+/// other hosts may come after its own and decide.
+constexpr Duration kFollowTime = std::chrono::seconds(1);
 /// The only host of a judgement that no other host adds to.
 const HostId kThisHost("this");
 
@@ -103,11 +106,18 @@
   }
   const auto lapsing = !judgement.m_domain.m_shares.empty() &&
                        now - judgement.m_reported_at >= kRefreshInterval;
-  return lapsing || ConcernsListed(judgement);
+  const auto follows = now - judgement.m_failure_reported_at < kFollowTime;
+  return lapsing || follows || ConcernsListed(judgement);
 }
 
 auto TakeUnreported(HostJudgement& judgement, TimePoint now) -> OutcomeReport {
   judgement.m_reported_at = now;
+  const auto failed = std::any_of(
+      judgement.m_unreported.begin(), judgement.m_unreported.end(),
+      [](const auto& item) { return FailuresIn(item.second) > 0; });
+  if (failed) {
+    judgement.m_failure_reported_at = now;
+  }
   return std::exchange(judgement.m_unreported, {});
 }
 
--- a/src/librouting/judgement/host_judgement_unittest.cc
+++ b/src/librouting/judgement/host_judgement_unittest.cc
@@ -98,6 +98,9 @@
   CHECK(IsReportDue(host.m_judgement, host.m_now));
   const auto report = TakeUnreported(host.m_judgement, host.m_now);
   CHECK(CountOf(report.at(kBad), EndpointOutcome::kServed) == 3);
+  // Another host's report may come later and decide.
+  CHECK(IsReportDue(host.m_judgement, host.m_now));
+  host.m_now += std::chrono::seconds(1);
   CHECK_FALSE(IsReportDue(host.m_judgement, host.m_now));
   TakeDomainJudgement(host.m_judgement, {.m_shares = {{kBad, 0}}}, host.m_now);
   host.Note(EndpointOutcome::kServed, 1);
