A host whose links are lost twice in a moment goes on asking for relays

If its links came back and were lost again within 300 ms, answers to the first question were counted for the second, the count fell below zero, and the host asked no more. Answers carry the number of their question now.

--- a/src/libgateway/relay/relay_client.cc
+++ b/src/libgateway/relay/relay_client.cc
@@ -144,6 +144,7 @@
 
 auto RelayClient::AskForRelays(TimePoint now) -> void {
   m_asked_at = now;
+  const auto question = ++m_question;
   m_named.clear();
   m_unanswered = 1;
   const auto& settings = m_context.m_settings;
@@ -159,14 +160,14 @@
     ++m_unanswered;
     CallPeer(m_context.m_loop, m_context.m_peer_connections, address,
              kRelayListPath, "", kAskTimeout,
-             [this, near](const Result<std::string>& reply) {
+             [this, near, question](const Result<std::string>& reply) {
                if (const auto relays = reply.and_then(DecodeRelays)) {
                  AddRelays(*relays, near);
                }
-               OnLeadDone();
+               OnLeadDone(question);
              });
   }
-  OnLeadDone();
+  OnLeadDone(question);
 }
 
 auto RelayClient::AddRelays(const std::vector<std::string>& addresses,
@@ -179,7 +180,10 @@
   }
 }
 
-auto RelayClient::OnLeadDone() -> void {
+auto RelayClient::OnLeadDone(int question) -> void {
+  if (question != m_question) {
+    return;
+  }
   --m_unanswered;
   if (m_unanswered == 0 && !m_named.empty()) {
     std::erase_if(m_relays, [this](const auto& item) {
--- a/src/libgateway/relay/relay_client.h
+++ b/src/libgateway/relay/relay_client.h
@@ -65,8 +65,8 @@
   auto AskForRelays(TimePoint now) -> void;
   /// @param near  They are of this host's domain.
   auto AddRelays(const std::vector<std::string>& addresses, bool near) -> void;
-  /// One of the leads has answered, or none is left to be asked.
-  auto OnLeadDone() -> void;
+  /// One of the leads has answered @p question, or none is left to be asked.
+  auto OnLeadDone(int question) -> void;
   /// Returns the address of the one that was used longest ago; empty if none
   /// may be used now.
   auto PickRelay(const Pending& pending) -> std::string;
@@ -85,6 +85,9 @@
   /// Connections that wait for the first relay.
   std::vector<std::shared_ptr<Pending>> m_waiting;
   TimePoint m_asked_at;
+  /// Number of the current question to the leads; answers to earlier ones only
+  /// add relays.
+  int m_question = 0;
   /// Leads whose answer is missing, plus one while they are being asked.
   int m_unanswered = 0;
 };
