A relay ends attempts that outlast the longest time of a request

Found by reading, not seen in a run: if a host without links loses power, its relay isn't told. The attempt's two connections stayed open, and 64 of them would have filled the relay. They end after the longest timeout of the routes and a second. Test: a relay ends what lasts longer than any request may, whose wait has no end without the change (RunUntil gives up after 20 s; not run without it).

--- a/src/libgateway/relay/relay_service.cc
+++ b/src/libgateway/relay/relay_service.cc
@@ -19,9 +19,22 @@
 constexpr int kMaxPassages = 64;
 /// A host whose event loop is later than this has enough to do.
 constexpr Duration kMaxLoopDelay = std::chrono::milliseconds(100);
+/// Added to the longest time that a request may take: its attempt is over then,
+/// whether or not the asking host is still there.
+constexpr Duration kPassageMargin = std::chrono::seconds(1);
 /// Bytes kept for a slow reader before the sender has to wait.
 constexpr std::size_t kMaxBufferedBytes = 131072;
 
+auto LongestTimeout(const RouteTable* routes) -> Duration {
+  Duration longest{0};
+  if (routes != nullptr) {
+    for (const auto& route : routes->m_routes) {
+      longest = std::max(longest, route.m_timeout);
+    }
+  }
+  return longest;
+}
+
 }  // namespace
 
 /// One attempt: a caller's connection and one to the endpoint. An end of either
@@ -34,14 +47,25 @@
           std::shared_ptr<ServerConnection> caller)
       : m_open(std::move(open)),
         m_caller(std::move(caller)),
-        m_connector(std::make_shared<TcpConnector>(loop)) {
+        m_connector(std::make_shared<TcpConnector>(loop)),
+        m_timer(loop) {
     ++*m_open;
   }
   ~Passage() { --*m_open; }
   Passage(const Passage&) = delete;
   auto operator=(const Passage&) -> Passage& = delete;
 
-  auto Start(const TcpAddress& address) -> void {
+  /// @param limit  Time after which both connections are ended.
+  auto Start(const TcpAddress& address, Duration limit) -> void {
+    m_timer.expires_after(limit);
+    m_timer.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (!error && self) {
+            self->m_caller->Abort();
+            self->OnGone();
+          }
+        });
     m_caller->SetGoneHandler([self = shared_from_this()] { self->OnGone(); });
     m_connector->Connect(
         address, {},
@@ -104,6 +128,7 @@
   std::shared_ptr<ServerConnection> m_caller;
   std::shared_ptr<TcpConnector> m_connector;
   std::shared_ptr<ByteStream> m_endpoint;
+  boost::asio::steady_timer m_timer;
 };
 
 auto RelayService::available() const -> bool {
@@ -140,7 +165,8 @@
     return;
   }
   std::make_shared<Passage>(m_context.m_loop, m_open, connection)
-      ->Start(*address);
+      ->Start(*address,
+              LongestTimeout(m_context.m_routes.get()) + kPassageMargin);
 }
 
 auto RelayService::HandleListRequest(
--- a/src/libgateway/relay/relay_unittest.cc
+++ b/src/libgateway/relay/relay_unittest.cc
@@ -158,6 +158,34 @@
   CHECK(unlisted.connections() == 0);
 }
 
+// Guards against attempts of hosts that are gone, which would fill a relay.
+TEST_CASE("a relay ends what lasts longer than any request may") {
+  TestEnvironment environment;
+  auto config = environment.m_store.Find("config", "main")["spec"];
+  for (auto& route : config["routes"]) {
+    route["timeoutMs"] = 300;
+  }
+  environment.m_store.Put("config", "main", config);
+  auto& silent = environment.AddEndpoint([](const Request& /*request*/) {});
+  environment.Start();
+  const auto entry =
+      DecodeLeadEntry(environment.m_store.Find("leads", "z")["spec"]);
+  REQUIRE(entry);
+  auto connection = std::make_shared<ClientConnection>(environment.m_loop);
+  int status = 0;
+  connection->ConnectThrough(
+      *ParseTcpAddress(entry->m_peer_address),
+      FormatRequest("POST", kRelayPath, {{"Host", "h"}},
+                    EncodeRelayRequest({.m_endpoint_address = FormatTcpAddress(
+                                            silent.address())})),
+      {}, [&status](int answer) { status = answer; });
+  environment.RunUntil([&status] { return status != 0; });
+  CHECK(status == 200);
+  const auto begun = SteadyTime();
+  environment.RunUntil([&silent] { return silent.ended() == 1; });
+  CHECK(SteadyTime() - begun > std::chrono::milliseconds(300));
+}
+
 // Guards against an answer without length that looks complete since a host
 // between ended.
 TEST_CASE("an answer is complete only if the relay announces its end") {
