--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -112,9 +112,9 @@
 
 auto TakeUnreported(HostJudgement& judgement, TimePoint now) -> OutcomeReport {
   judgement.m_reported_at = now;
-  const auto failed = std::any_of(
-      judgement.m_unreported.begin(), judgement.m_unreported.end(),
-      [](const auto& item) { return FailuresIn(item.second) > 0; });
+  const auto failed =
+      std::any_of(judgement.m_unreported.begin(), judgement.m_unreported.end(),
+                  [](const auto& item) { return FailuresIn(item.second) > 0; });
   if (failed) {
     judgement.m_failure_reported_at = now;
   }
