Checks of links in a module of their own; comments without figures

relay_client.cc checked this host's links and kept the list of relays. The checks are in link_monitor.cc now, without a change of what they decide; the log line endpoint_links_changed no longer counts relays.

--- a/src/include/dotterelshed/endpoint_link.h
+++ b/src/include/dotterelshed/endpoint_link.h
@@ -2,7 +2,6 @@
 #define DOTTERELSHED_ENDPOINT_LINK_H_
 
 #include <map>
-#include <optional>
 #include <vector>
 
 #include "dotterelshed/endpoint_directory.h"
--- a/src/libgateway/lead/lead_load.h
+++ b/src/libgateway/lead/lead_load.h
@@ -2,7 +2,6 @@
 #define DOTTERELSHED_LEAD_LOAD_H_
 
 #include <cstddef>
-#include <optional>
 
 #include "dotterelshed/ids.h"
 #include "dotterelshed/program_ledger.h"
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -46,7 +46,7 @@
 
 /// Returns true if a host with the processor share @p share should leave its
 /// domain's lead to one with @p other. A handover stops the domain's turns for
-/// about 100 ms.
+/// a moment, so that a small difference isn't worth it.
 auto IsMuchSmaller(double share, double other) -> bool;
 
 /// The lead of a domain and the store version of its entry; a higher version is
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -233,6 +233,7 @@
 
   EntryContext& m_context;
   Phase m_phase = Phase::kIdle;
+  /// The host is being stopped and claims no lead.
   bool m_stopping = false;
   ProgramLedger m_ledger;
   ResourceVersion m_ledger_version;
--- a/src/libgateway/relay/relay_client.cc
+++ b/src/libgateway/relay/relay_client.cc
@@ -31,6 +31,10 @@
 
 }  // namespace
 
+RelayClient::RelayClient(EntryContext& context)
+    : m_context(context),
+      m_links(context, [this](bool lost) { OnLinksChanged(lost); }) {}
+
 auto RelayClient::Acquire(const EndpointId& endpoint,
                           const std::string& address,
                           Duration max_idle,
@@ -64,82 +68,22 @@
          m_unanswered == 0;
 }
 
-// Checks of this host's links.
-
 auto RelayClient::Tick(TimePoint now) -> void {
-  const auto& link = m_context.m_endpoint_link;
-  if (IsCheckDue(link, now)) {
-    BeginCheck(now);
-  }
-  if (link.m_lost && m_unanswered == 0 && now - m_asked_at >= kAskInterval) {
+  m_links.Tick(now);
+  if (m_context.m_endpoint_link.m_lost && m_unanswered == 0 &&
+      now - m_asked_at >= kAskInterval) {
     AskForRelays(now);
   }
 }
 
-auto RelayClient::BeginCheck(TimePoint now) -> void {
-  const auto& directory = m_context.m_directory;
-  const auto targets = CheckTargets(directory, m_context.m_settings.m_domain,
-                                    m_context.RandomFraction());
-  m_context.m_endpoint_link.m_checking = true;
-  if (targets.empty()) {
-    NoteCheck(m_context.m_endpoint_link, {}, now);
-    return;
-  }
-  auto check = std::make_shared<Check>();
-  check->m_open = static_cast<int>(targets.size());
-  check->m_result.m_tried = check->m_open;
-  for (const auto& id : targets) {
-    const auto& entry = directory.m_entries.at(id);
-    m_context.m_endpoint_connections.Connect(
-        entry.m_address,
-        [this, check, address = entry.m_address](
-            const std::shared_ptr<ClientConnection>& connection) {
-          if (connection) {
-            ++check->m_result.m_connected;
-            m_context.m_endpoint_connections.Release(address, connection,
-                                                     std::nullopt);
-          }
-          if (--check->m_open == 0) {
-            EndCheck(check->m_result);
-          }
-        });
-  }
-}
-
-auto RelayClient::EndCheck(const LinkCheck& result) -> void {
-  const auto now = SteadyTime();
-  auto& link = m_context.m_endpoint_link;
-  const auto unconnected = link.m_unconnected.size();
-  const auto unanswered = link.m_unanswered.size();
-  const auto silent = now - link.m_last_heard;
-  if (!NoteCheck(link, result, now)) {
-    return;
-  }
-  LogEvent(LogEventId::kEndpointLinksChanged,
-           {{"state", link.m_lost ? "lost" : "back"},
-            {"tried", std::to_string(result.m_tried)},
-            {"connected", std::to_string(result.m_connected)},
-            {"unconnected", std::to_string(unconnected)},
-            {"unanswered", std::to_string(unanswered)},
-            {"silent_ms", FormatMs(silent)},
-            {"relays", std::to_string(m_relays.size())}});
-  if (link.m_lost) {
-    OnLinksLost();
-    AskForRelays(now);
+auto RelayClient::OnLinksChanged(bool lost) -> void {
+  if (lost) {
+    AskForRelays(SteadyTime());
   } else {
     m_relays.clear();
   }
 }
 
-/// What failed on this host's own links says nothing about the endpoints.
-auto RelayClient::OnLinksLost() -> void {
-  m_context.m_endpoint_connections.CloseAllIdle();
-  ForgetOwnOutcomes(m_context.m_judgement);
-  for (auto& [id, load] : m_context.m_loads) {
-    ForgetFailures(load);
-  }
-}
-
 // Hosts that pass attempts on.
 
 auto RelayClient::AskForRelays(TimePoint now) -> void {
--- a/src/libgateway/relay/relay_client.h
+++ b/src/libgateway/relay/relay_client.h
@@ -10,11 +10,12 @@
 
 #include "dotterelshed/http_client.h"
 #include "entry_context.h"
+#include "relay/link_monitor.h"
 
 /// @file
 /// Connections to endpoints: this host's own, or through other hosts while its
-/// links to endpoints are lost. Finds out which of the two holds, and asks the
-/// leads which hosts may pass attempts on.
+/// links to endpoints are lost. Asks the leads which hosts may pass attempts
+/// on.
 
 namespace dotterelshed {
 
@@ -22,7 +23,7 @@
  public:
   using AcquireCallback = ConnectionPool::AcquireCallback;
 
-  explicit RelayClient(EntryContext& context) : m_context(context) {}
+  explicit RelayClient(EntryContext& context);
 
   /// Passes a connection to the endpoint, or nullptr if there is none.
   /// @param max_idle  see ConnectionPool::Acquire.
@@ -51,17 +52,10 @@
     /// Number of the last connection through it.
     std::int64_t m_last_use = 0;
   };
-  /// Connections of one check.
-  struct Check {
-    LinkCheck m_result;
-    int m_open = 0;
-  };
-
+  /// A connection on this host's own links was made, or not.
   auto OnDirect(const EndpointId& endpoint,
                 const std::shared_ptr<ClientConnection>& connection) -> void;
-  auto BeginCheck(TimePoint now) -> void;
-  auto EndCheck(const LinkCheck& result) -> void;
-  auto OnLinksLost() -> void;
+  auto OnLinksChanged(bool lost) -> void;
   auto AskForRelays(TimePoint now) -> void;
   /// @param near  They are of this host's domain.
   auto AddRelays(const std::vector<std::string>& addresses, bool near) -> void;
@@ -77,6 +71,7 @@
                      int status) -> void;
 
   EntryContext& m_context;
+  LinkMonitor m_links;
   /// By peer address.
   std::map<std::string, Relay> m_relays;
   /// Those that the leads named since they were last asked.
