A test of judgements closes its callers' connections

Cause: the test left every caller's connection open. A host takes half as many connections as the process has spare descriptors and closes further ones. The return of an endpoint takes 3 to 9 s here, in which the test opened several hundred.

Change: it closes each connection after the answer. What it checks is the same.

--- a/src/libgateway/judgement/shared_judgement_unittest.cc
+++ b/src/libgateway/judgement/shared_judgement_unittest.cc
@@ -39,8 +39,14 @@
     });
   }
 
-  auto CallAt(EntryHost& host) -> void {
-    CHECK(m_environment.FinishAt(host, kSafeCall)->Status() == 200);
+  auto CallAt(EntryHost& host) -> void { ServeAt(host, kSafeCall); }
+
+  /// Sends a request and closes its connection after the answer. A host takes
+  /// only as many connections as half of its descriptors allow.
+  auto ServeAt(EntryHost& host, const std::string& request) -> void {
+    const auto caller = m_environment.FinishAt(host, request);
+    CHECK(caller->Status() == 200);
+    caller->m_stream->Close();
   }
 
   /// Calls until the first endpoint has had this many requests.
@@ -77,8 +83,8 @@
   auto served = 0;
   while (SteadyTime() < probed - std::chrono::milliseconds(200)) {
     hosts.CallAt(*hosts.m_other);
-    const auto turn = MakeTurn("r" + std::to_string(served), 1000, 10);
-    CHECK(hosts.m_environment.Finish(turn)->Status() == 200);
+    hosts.ServeAt(hosts.Host(),
+                  MakeTurn("r" + std::to_string(served), 1000, 10));
     ++served;
   }
   CHECK(served >= kEndpoints);
@@ -94,8 +100,7 @@
   // return need time and several requests.
   for (int i = 0; i < 800 && hosts.m_first.requests() <= 10; ++i) {
     hosts.CallAt(i % 2 == 0 ? hosts.Host() : *hosts.m_other);
-    const auto turn = MakeTurn("r" + std::to_string(i), 10000, 10);
-    CHECK(hosts.m_environment.Finish(turn)->Status() == 200);
+    hosts.ServeAt(hosts.Host(), MakeTurn("r" + std::to_string(i), 10000, 10));
     hosts.m_environment.RunFor(std::chrono::milliseconds(25));
   }
   CHECK(hosts.m_first.requests() > 10);
