Leads name the disk hosts that count, so that those that are gone don't

Cause: a read of the journals was complete only if fewer of the listed disk hosts were missing than a kept ledger has copies, and nothing takes a disk host that is gone off the list. Class: a quorum over a membership that only grows.

A successor waits for the named ones. While a write to the store isn't confirmed, only hosts that all ledgers since the last confirmed one name count. The rule that nothing is granted of an account that wasn't read stays.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -42,6 +42,7 @@
   kLeadAsked = 209,
   kLeadLoad = 210,
   kLeadLeft = 211,
+  kJournalHostChanged = 212,
   kHistoryMismatch = 303,
   kLedgerWriteFailed = 304,
   kTurnDecided = 305,
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -67,6 +67,9 @@
     {LogEventId::kLeadLeft, LogLevel::kInfo, "lead_left",
      "The domain's lead doesn't answer, and this host leaves its replacement "
      "to others for a while; why is in the fields."},
+    {LogEventId::kJournalHostChanged, LogLevel::kInfo, "journal_host_changed",
+     "The lead leaves a disk host that fails out of those that may keep its "
+     "ledger, or names it again."},
     {LogEventId::kHistoryMismatch, LogLevel::kWarning, "history_mismatch",
      "A caller's token does not match the stored history; refused."},
     {LogEventId::kLedgerWriteFailed, LogLevel::kWarning, "ledger_write_failed",
--- a/src/libgateway/lead/journal_read_unittest.cc
+++ b/src/libgateway/lead/journal_read_unittest.cc
@@ -106,6 +106,34 @@
     return m_store.Find("ledgers", "z")["spec"]["bounds"].value(program, 0);
   }
 
+  /// Lists disk hosts that are gone for good.
+  auto ListGoneHosts() -> void {
+    for (const std::string name : {"gone0", "gone1"}) {
+      ScriptedEndpoint gone(m_loop, [](const Request&) {});
+      gone.Crash();
+      m_store.Put(
+          "disk-hosts", name,
+          EncodeReplicaHost({.m_host = HostId(name),
+                             .m_domain = DomainId("z"),
+                             .m_address = FormatTcpAddress(gone.address())}));
+    }
+  }
+
+  auto NamedJournalHosts() -> std::size_t {
+    return m_store.Find("ledgers", "z")["spec"]["journal_hosts"].size();
+  }
+
+  /// Lets the host lose the lead and take over again.
+  auto ReplaceLead() -> void {
+    ScriptedEndpoint silent(m_loop, [](const Request&) {});
+    PutLead("z", "h9", silent);
+    RunUntil([this] { return !m_host->leads(); });
+    RunUntil([this] {
+      Finish(MakeTurnOf("r"));
+      return m_host->leads();
+    });
+  }
+
   std::array<Disk, 2> m_disks;
 };
 
@@ -118,15 +146,7 @@
   CHECK(environment.StatusOf("q") == 200);
   SECTION("by this lead") {}
   SECTION("nor by the next one, which finds this lead's record in the store") {
-    ScriptedEndpoint silent(environment.m_loop, [](const Request&) {});
-    environment.PutLead("z", "h9", silent);
-    environment.RunUntil(
-        [&environment] { return !environment.m_host->leads(); });
-    environment.StatusOf("q");
-    environment.RunUntil([&environment] {
-      environment.Finish(MakeTurnOf("r"));
-      return environment.m_host->leads();
-    });
+    environment.ReplaceLead();
     CHECK(environment.StatusOf("p") == 503);
   }
   environment.SetAway(false);
@@ -183,5 +203,28 @@
   }
 }
 
+TEST_CASE("programs go on at the next lead after disk hosts were replaced") {
+  JournalEnvironment environment;
+  environment.ListGoneHosts();
+  environment.Start();
+  CHECK(environment.StatusOf("p") == 200);
+  environment.RunUntil(
+      [&environment] { return environment.NamedJournalHosts() == 2; });
+  environment.ReplaceLead();
+  CHECK(environment.StatusOf("p") == 200);
+}
+
+TEST_CASE("disk hosts that are left out and answer again are named again") {
+  JournalEnvironment environment;
+  environment.m_tolerated_losses = 0;
+  environment.m_disks[1].m_away = true;
+  environment.Start();
+  environment.RunUntil(
+      [&environment] { return environment.NamedJournalHosts() == 1; });
+  environment.m_disks[1].m_away = false;
+  environment.RunUntil(
+      [&environment] { return environment.NamedJournalHosts() == 2; });
+}
+
 }  // namespace
 }  // namespace dotterelshed
--- a/src/libgateway/lead/lead_adoption.cc
+++ b/src/libgateway/lead/lead_adoption.cc
@@ -28,6 +28,7 @@
   m_adopting_since = SteadyTime();
   m_quota_sole_from.reset();
   m_unrecorded.reset();
+  m_journal.BeginTerm();
   Adopt();
 }
 
@@ -80,7 +81,9 @@
 auto LeadService::AdoptJournal(const StoredLedger& stored) -> void {
   const auto& domain = m_context.m_settings.m_domain;
   m_unread = stored.m_unread.value_or(
-      LedgerPosition{stored.m_incarnation, stored.m_write});
+      LedgerPosition{.m_incarnation = stored.m_incarnation,
+                     .m_write = stored.m_write,
+                     .m_journal_hosts = stored.m_journal_hosts});
   m_unread_known = false;
   m_writing = true;
   m_journal.Read(domain, m_context.LeadOf(domain)->m_version, *m_unread,
@@ -181,6 +184,7 @@
   }
   m_ledger_version = stored->m_version;
   m_last_write = now;
+  m_journal.NoteStored();
   m_phase = Phase::kAnnouncing;
   SetQuotaSoleFrom("taken_over", SoleFrom(m_quota_start, now));
   ListLeads();
--- a/src/libgateway/lead/lead_messages.cc
+++ b/src/libgateway/lead/lead_messages.cc
@@ -105,6 +105,30 @@
   }
 }
 
+/// Hosts of earlier versions neither write nor keep it.
+auto ReadJournalScope(const Json& json) -> JournalScope {
+  const auto named = json.find("journal_hosts");
+  if (named == json.end()) {
+    return std::nullopt;
+  }
+  std::set<HostId> hosts;
+  for (const auto& host : *named) {
+    hosts.insert(ReadId<HostId>(host));
+  }
+  return hosts;
+}
+
+auto WriteJournalScope(Json& json, const JournalScope& scope) -> void {
+  if (!scope) {
+    return;
+  }
+  auto named = Json::array();
+  for (const auto& host : *scope) {
+    named.push_back(WriteId(host));
+  }
+  json["journal_hosts"] = std::move(named);
+}
+
 auto ReadStoredLedger(const Json& json) -> StoredLedger {
   StoredLedger ledger;
   ledger.m_host = HostId(json.at("host"));
@@ -115,12 +139,14 @@
   ledger.m_quota_wait = ReadOptionalMs(json, "quota_wait_ms");
   ledger.m_quotas_stopped = json.value("quotas_stopped", false);
   ledger.m_record = ReadLedgerRecord(json);
+  ledger.m_journal_hosts = ReadJournalScope(json);
   // Hosts of earlier versions neither write nor keep it.
   if (const auto unread = json.find("unread"); unread != json.end()) {
     ledger.m_unread = LedgerPosition{
         .m_incarnation =
             Incarnation(unread->at("incarnation").get<std::int64_t>()),
-        .m_write = unread->at("write").get<std::int64_t>()};
+        .m_write = unread->at("write").get<std::int64_t>(),
+        .m_journal_hosts = ReadJournalScope(*unread)};
   }
   return ledger;
 }
@@ -301,9 +327,11 @@
             {"write", ledger.m_write},
             {"fence", ledger.m_fence}};
   WriteLedgerRecord(json, ledger.m_record);
+  WriteJournalScope(json, ledger.m_journal_hosts);
   if (const auto& unread = ledger.m_unread) {
     json["unread"] = {{"incarnation", unread->m_incarnation.value()},
                       {"write", unread->m_write}};
+    WriteJournalScope(json["unread"], unread->m_journal_hosts);
   }
   if (ledger.m_quota_wait) {
     json["quota_wait_ms"] = CeilMs(*ledger.m_quota_wait);
--- a/src/libgateway/lead/lead_messages.h
+++ b/src/libgateway/lead/lead_messages.h
@@ -12,6 +12,7 @@
 #include "dotterelshed/ids.h"
 #include "dotterelshed/program_ledger.h"
 #include "dotterelshed/units.h"
+#include "lead/journal_hosts.h"
 
 /// @file
 /// Messages between hosts and leads, and the objects that a lead keeps in the
@@ -136,6 +137,8 @@
   Incarnation m_incarnation;
   /// Counts the writes of one incarnation.
   std::int64_t m_write = 0;
+  /// Disk hosts that may hold later writes.
+  JournalScope m_journal_hosts;
 };
 
 /// Stored ledger of a domain.
@@ -153,6 +156,8 @@
   /// The writer grants no quota tokens after this write.
   bool m_quotas_stopped = false;
   LedgerRecord m_record;
+  /// Disk hosts that may hold later writes of the same incarnation.
+  JournalScope m_journal_hosts;
   /// Last write to the store of an earlier lead that may have made later ones
   /// on disk hosts, which haven't been read yet.
   std::optional<LedgerPosition> m_unread;
--- a/src/libgateway/lead/lead_record.cc
+++ b/src/libgateway/lead/lead_record.cc
@@ -43,9 +43,11 @@
 }
 
 auto LeadService::MakeLedgerObject(const LedgerRecord& record) -> StoredObject {
+  auto ledger = NextLedger(record);
+  ledger.m_journal_hosts = m_journal.NameHosts(SteadyTime());
   return {.m_name = m_context.m_settings.m_domain.value(),
           .m_version = m_ledger_version,
-          .m_spec = EncodeStoredLedger(NextLedger(record))};
+          .m_spec = EncodeStoredLedger(ledger)};
 }
 
 auto LeadService::IsConfirmDue(TimePoint now) const -> bool {
@@ -98,7 +100,8 @@
   const auto lazy = m_has_quotas ? kQuotaConfirmInterval : kLazyWriteInterval;
   const auto interval = m_waiting.empty() ? lazy : kUrgentWriteInterval;
   const auto confirm = IsConfirmDue(now);
-  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm;
+  const auto wanted = !m_waiting.empty() || m_ledger.m_dirty || confirm ||
+                      m_journal.AreNamesOutdated(now);
   const auto due = wanted && now - m_last_write >= interval;
   if (!due && !m_yield_callback) {
     return;
@@ -129,6 +132,7 @@
                                    ResourceVersion version) -> void {
   m_ledger_version = version;
   m_store_lost = false;
+  m_journal.NoteStored();
   if (!write.m_names_unread) {
     m_unread.reset();
   }
--- a/src/libgateway/lead/lead_service.cc
+++ b/src/libgateway/lead/lead_service.cc
@@ -275,7 +275,7 @@
   ReadUnread(now);
   if (leading()) {
     NoteTick(m_load, term(), m_waiting.size(), now);
-    m_journal.Refresh(now);
+    m_journal.Tick(now);
     m_judgement.Tick(now);
     m_limits.Tick(now);
   }
