A host finds out itself that an endpoint ended behind the head of its answer

Cause: such a loss counts only once the endpoint is known to have ended, and only the platform's list said so, 3.6 s and more after the end. Class: waiting for another's evidence where one's own can be had.

Change: after such a loss the host connects to the endpoint and to another one of its failure domain; if the first refuses and the second doesn't, it has ended. A host whose own links are cut reaches neither and learns nothing.

--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -66,6 +66,7 @@
   kEndpointLimited = 508,
   kEndpointLinksChanged = 509,
   kRelayFailed = 510,
+  kEndpointEndFound = 511,
   kQuotaRefused = 520,
   kQuotaShareTaken = 521,
   kConfigInForce = 601,
--- a/src/include/dotterelshed/tcp_connector.h
+++ b/src/include/dotterelshed/tcp_connector.h
@@ -35,6 +35,8 @@
                Done done) -> void;
   /// Gives up; @p done isn't called any more.
   auto Cancel() -> void;
+  /// Returns true if the last connection was refused: nothing listens there.
+  auto refused() const -> bool { return m_refused; }
 
  private:
   auto OnConnected(const ConnectOptions& options, bool connected) -> void;
@@ -42,6 +44,7 @@
   TcpSocket m_socket;
   boost::asio::steady_timer m_timer;
   Done m_done;
+  bool m_refused = false;
 };
 
 }  // namespace dotterelshed
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -138,6 +138,10 @@
     {LogEventId::kRelayFailed, LogLevel::kWarning, "relay_failed",
      "This host reaches no endpoint, and none of the other hosts that it tried "
      "passed an attempt on."},
+    {LogEventId::kEndpointEndFound, LogLevel::kInfo, "endpoint_end_found",
+     "An endpoint whose connection broke while it answered refuses "
+     "connections, "
+     "and its neighbour doesn't: it has ended."},
     {LogEventId::kQuotaRefused, LogLevel::kInfo, "quota_refused",
      "Requests of an account were refused within the last second: over_quota, "
      "or quota_unavailable if no lead could decide. One line an account, with "
--- a/src/libgateway/call/call_response.cc
+++ b/src/libgateway/call/call_response.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "crash/end_check.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
 #include "dotterelshed/turn_record.h"
@@ -271,6 +272,9 @@
     ReportLostAttempt(m_attempt.m_response_started
                           ? CrashEvidence::kUnproved
                           : CrashEvidence::kConnectionLost);
+    if (m_attempt.m_response_started) {
+      CheckForEnd(m_context, m_attempt.m_endpoint);
+    }
   }
   HandleLostAttempt(ToString(failure));
 }
--- a/src/libgateway/crash/crash_request_unittest.cc
+++ b/src/libgateway/crash/crash_request_unittest.cc
@@ -5,6 +5,7 @@
 
 #include "crash/crash_messages.h"
 #include "peer_call.h"
+#include "test_calls.h"
 #include "test_environment.h"
 
 /// @file
@@ -56,6 +57,9 @@
 
   auto OnRequest(std::size_t index, const Request& request) -> void {
     if (request.m_body == "poison") {
+      if (m_begins_answers) {
+        request.m_stream->Write(ChunkedHead(request));
+      }
       Crash(index);
     } else if (request.m_body == "slow" && !m_answer_slow) {
       ++m_slow;
@@ -77,6 +81,8 @@
   int m_slow = 0;
   bool m_answer_slow = false;
   bool m_stays_listed = false;
+  /// Endpoints send the head of their answer before they crash.
+  bool m_begins_answers = false;
 };
 
 TEST_CASE("a request that crashed three endpoints is sent to no further one") {
@@ -147,6 +153,23 @@
   }
 }
 
+TEST_CASE("crashes behind the head of an answer count before entries lapse") {
+  CrashEnvironment environment;
+  environment.m_stays_listed = true;
+  environment.m_begins_answers = true;
+  environment.Start();
+  const auto call = [] { return MakeCall({.m_path = "/turn/x"}); };
+  while (environment.m_crashes < kMaxCrashes) {
+    environment.Finish(call());
+    environment.RunFor(std::chrono::milliseconds(500));
+  }
+  const auto crashes = environment.m_crashes;
+  for (int i = 0; i < 6; ++i) {
+    CHECK(environment.Finish(call())->Status() == 503);
+  }
+  CHECK(environment.m_crashes == crashes);
+}
+
 TEST_CASE("other calls of a quarantined request's path are served") {
   CrashEnvironment environment;
   environment.Start();
--- a/src/libgateway/entry_context.h
+++ b/src/libgateway/entry_context.h
@@ -70,6 +70,8 @@
   /// Requests under which endpoints crashed, as observed by all hosts.
   CrashLedger m_crash_ledger;
   std::multiset<SuspectAttempt> m_suspect_attempts;
+  /// Endpoints that are being checked for whether they have ended.
+  std::set<EndpointId> m_checked_for_end;
   ConnectionPool m_endpoint_connections;
   /// Whether this host reaches endpoints by itself.
   EndpointLink m_endpoint_link;
--- a/src/libhttp/tcp_connector.cc
+++ b/src/libhttp/tcp_connector.cc
@@ -54,6 +54,7 @@
   m_socket.async_connect(
       address, [self = shared_from_this(), options](const ErrorCodeIn& error) {
         self->m_timer.cancel();
+        self->m_refused = error == asio::error::connection_refused;
         self->OnConnected(options, !error && self->m_socket.is_open());
       });
 }
