A lead's order to probe an endpoint outlasts its next answer

Cause: a lead's answer to a report replaces the one before. If it ordered a probe and the next answer came before a request that could be the probe, the order was lost, while the lead took the probe for given out and waited for its timeout.

The new test fails on the code before.

Change: an order stays until a request was made with it, or the lead's timeout for it is over.

--- a/src/include/dotterelshed/host_judgement.h
+++ b/src/include/dotterelshed/host_judgement.h
@@ -34,8 +34,9 @@
   /// What this host takes for usual times.
   SpeedReference m_usual;
   DomainJudgement m_domain;
-  /// Time of the lead's last answer.
+  /// Time of the lead's last answer, and of its last one with a probe.
   TimePoint m_domain_at;
+  TimePoint m_probe_at;
   /// Last report that was sent.
   TimePoint m_reported_at;
   /// Last report that had a failure.
@@ -61,7 +62,9 @@
                std::string_view measure,
                Duration time) -> void;
 
-/// The lead answered a report.
+/// The lead answered a report. A probe that an earlier answer ordered, and that
+/// no request was made with yet, stays ordered until the lead gives it out
+/// again.
 auto TakeDomainJudgement(HostJudgement& judgement,
                          DomainJudgement domain,
                          TimePoint now) -> void;
--- a/src/librouting/judgement/host_judgement.cc
+++ b/src/librouting/judgement/host_judgement.cc
@@ -85,6 +85,12 @@
 auto TakeDomainJudgement(HostJudgement& judgement,
                          DomainJudgement domain,
                          TimePoint now) -> void {
+  const auto timeout = judgement.m_own.m_options.m_probe_timeout;
+  if (domain.m_probe) {
+    judgement.m_probe_at = now;
+  } else if (now - judgement.m_probe_at < timeout) {
+    domain.m_probe = judgement.m_domain.m_probe;
+  }
   judgement.m_domain = std::move(domain);
   judgement.m_domain_at = now;
 }
--- a/src/librouting/judgement/host_judgement_unittest.cc
+++ b/src/librouting/judgement/host_judgement_unittest.cc
@@ -90,6 +90,25 @@
   CHECK_FALSE(host.Probe(true));
 }
 
+TEST_CASE("a probe that the lead ordered outlasts its next answers") {
+  Host host;
+  const DomainJudgement without{.m_shares = {{kBad, 0}}};
+  auto with = without;
+  with.m_probe = ProbeOrder{.m_endpoint = kBad};
+  TakeDomainJudgement(host.m_judgement, with, host.m_now);
+  TakeDomainJudgement(host.m_judgement, without, host.m_now);
+  SECTION("until a request is made with it") {
+    CHECK(host.Probe(true) == kBad);
+    TakeDomainJudgement(host.m_judgement, without, host.m_now);
+    CHECK_FALSE(host.Probe(true));
+  }
+  SECTION("or the lead gives it out again") {
+    host.m_now += JudgementOptions().m_probe_timeout;
+    TakeDomainJudgement(host.m_judgement, without, host.m_now);
+    CHECK_FALSE(host.Probe(true));
+  }
+}
+
 TEST_CASE("only what the lead needs to know at once causes a report") {
   Host host;
   host.Note(EndpointOutcome::kServed, 3);
