--- a/src/libgateway/crash/end_check.cc
+++ b/src/libgateway/crash/end_check.cc
@@ -51,18 +51,19 @@
         m_lost_at(SteadyTime()),
         m_timer(context.m_loop) {}
 
+  /// Connects to the endpoint and to another one after @p delay.
   auto BeginRound(Duration delay) -> void {
     m_timer.expires_after(delay);
     m_timer.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error) {
-            self->Round();
+            self->RunRound();
           }
         });
   }
 
  private:
-  auto Round() -> void {
+  auto RunRound() -> void {
     const auto* entry = FindEndpoint(m_context.m_directory, m_endpoint);
     const auto* neighbour =
         entry == nullptr ? nullptr : FindNeighbour(m_context, *entry);
@@ -107,12 +108,7 @@
       return;
     }
     if (m_refused && m_neighbour_reached) {
-      LogEvent(LogEventId::kEndpointEndFound,
-               {{"endpoint", m_endpoint.value()},
-                {"neighbour", m_neighbour.value()},
-                {"lost_ms", FormatMs(SteadyTime() - m_lost_at)}});
-      NoteEndpointEnded(m_context.m_crash_ledger, m_endpoint, SteadyTime());
-      End();
+      NoteEnd();
     } else if (m_rounds < kMaxRounds) {
       BeginRound(kSecondDelay);
     } else {
@@ -120,6 +116,15 @@
     }
   }
 
+  auto NoteEnd() -> void {
+    LogEvent(LogEventId::kEndpointEndFound,
+             {{"endpoint", m_endpoint.value()},
+              {"neighbour", m_neighbour.value()},
+              {"lost_ms", FormatMs(SteadyTime() - m_lost_at)}});
+    NoteEndpointEnded(m_context.m_crash_ledger, m_endpoint, SteadyTime());
+    End();
+  }
+
   auto End() -> void { m_context.m_checked_for_end.erase(m_endpoint); }
 
   EntryContext& m_context;
--- a/src/libgateway/lead/journal_hosts_unittest.cc
+++ b/src/libgateway/lead/journal_hosts_unittest.cc
@@ -26,6 +26,7 @@
 
 auto MakeHosts(const std::vector<std::string>& names) -> JournalHosts {
   std::vector<ReplicaHost> listed;
+  listed.reserve(names.size());
   for (const auto& name : names) {
     listed.push_back({.m_host = HostId(name), .m_address = name + ":1"});
   }
