The test environment closes its callers' connections at its end

Cause: a caller and its stream hold each other, so that no connection of a caller was closed before the process ended.

Change: the environment keeps its callers and closes their streams at its end; within a test case nothing changes.

--- a/src/libgateway/test_environment.h
+++ b/src/libgateway/test_environment.h
@@ -193,6 +193,17 @@
       "limits":{"headerBytes":4000,"maxBodyBytes":10000}})"));
   }
 
+  /// A caller and its stream hold each other, so they aren't closed otherwise.
+  ~TestEnvironment() {
+    for (const auto& caller : m_callers) {
+      caller->m_stream->Close();
+    }
+  }
+  TestEnvironment(const TestEnvironment&) = delete;
+  auto operator=(const TestEnvironment&) -> TestEnvironment& = delete;
+  TestEnvironment(TestEnvironment&&) = delete;
+  auto operator=(TestEnvironment&&) -> TestEnvironment& = delete;
+
   /// @param software  version that the endpoint's entry states.
   auto AddEndpoint(ScriptedEndpoint::Handler handler,
                    const std::string& software = "v1") -> ScriptedEndpoint& {
@@ -321,6 +332,7 @@
          .m_on_end = [caller](StreamEnd /*end*/) { caller->m_ended = true; },
          .m_on_drained = {}});
     caller->m_stream->Write(request);
+    m_callers.push_back(caller);
     return caller;
   }
 
@@ -361,6 +373,7 @@
   std::vector<std::unique_ptr<DiskHost>> m_disk_hosts;
   std::unique_ptr<EntryHost> m_host;
   std::vector<std::unique_ptr<EntryHost>> m_more_hosts;
+  std::vector<std::shared_ptr<TestCaller>> m_callers;
   /// Settings of hosts that are added later.
   int m_tolerated_losses = EntrySettings().m_tolerated_losses;
   std::optional<int> m_tolerated_domains;
