--- a/src/libgateway/lead/journal_hosts.h
+++ b/src/libgateway/lead/journal_hosts.h
@@ -21,7 +21,8 @@
 
 namespace dotterelshed {
 
-/// Set of disk hosts; nothing stands for all that are listed.
+/// The disk hosts that a ledger in the store names. Nothing, in ledgers of
+/// earlier versions, stands for all that are listed.
 using JournalScope = std::optional<std::set<HostId>>;
 
 /// A disk host as one lead sees it.
@@ -62,7 +63,7 @@
 /// confirmed may have been applied, or be applied later, so a successor may
 /// read any of those since the last confirmed one.
 struct JournalTarget {
-  /// Hosts that all of those ledgers name.
+  /// Hosts that all of those ledgers name; none before the first is confirmed.
   std::set<HostId> m_hosts;
   /// Copies that are needed for each of them.
   int m_copies = 0;
--- a/src/libgateway/lead/lead_service.h
+++ b/src/libgateway/lead/lead_service.h
@@ -157,8 +157,8 @@
   auto OnHandover(const Result<std::string>& reply) -> void;
   auto TakeQuotaHandover(Duration wait) -> void;
 
-  /// Returns true while larger hosts may be about to replace the silent lead,
-  /// whose load this one could hardly bear.
+  /// Notes that @p silent doesn't answer. Returns true while larger hosts may
+  /// be about to replace it, since this one could hardly bear its load.
   auto LeavesToLarger(const KnownLead& silent) -> bool;
   /// Logs once a lead that this host doesn't replace at once.
   auto LogLeadLeft(const KnownLead& silent, std::string_view reason) -> void;
--- a/src/libgateway/relay/relay_client.h
+++ b/src/libgateway/relay/relay_client.h
@@ -52,6 +52,7 @@
     /// Number of the last connection through it.
     std::int64_t m_last_use = 0;
   };
+
   /// A connection on this host's own links was made, or not.
   auto OnDirect(const EndpointId& endpoint,
                 const std::shared_ptr<ClientConnection>& connection) -> void;
