Hosts say which connections they close beside a request

What was missing: nothing told a connection that rested for long from one that was in use a moment before, nor what had been read ahead, lay unread, or came after the close. Five hypotheses by reading could not be told apart.

Change: connection_closed (122) with the reason, the answers given, the time of rest and the bytes read ahead, found unread or read after the close; unusual if there are such bytes, ordinary for the closes of a stop. dotterelshed_connections_closed_total by reason. host_stopped says how many connections were still open. No decision changes.

--- a/src/include/dotterelshed/byte_stream.h
+++ b/src/include/dotterelshed/byte_stream.h
@@ -60,6 +60,8 @@
   /// seconds is dropped. No handler runs any more.
   auto CloseAfterWrites() -> void;
   auto closed() const -> bool { return m_closed; }
+  /// Bytes that have arrived and weren't read; 0 if the system can't say.
+  auto unread_bytes() const -> std::size_t;
 
  private:
   auto WaitReadable() -> void;
@@ -77,6 +79,9 @@
   ByteStreamHandlers m_handlers;
   std::string m_pending;
   std::unique_ptr<boost::asio::steady_timer> m_close_timer;
+  /// When this side's end was sent, and the bytes that were dropped since.
+  TimePoint m_ended_at;
+  std::size_t m_dropped_bytes = 0;
   bool m_reading = true;
   bool m_read_armed = false;
   bool m_write_armed = false;
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -34,6 +34,7 @@
 };
 
 class HttpListener;
+enum class CloseReason;
 
 /// One accepted connection. An answer is given either whole by Answer, or by
 /// BeginAnswer, SendBody and EndAnswer.
@@ -77,9 +78,11 @@
   auto Refuse(int status) -> void;
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
-  auto CloseIfIdle() -> void;
+  auto CloseIfIdle(CloseReason reason) -> void;
   /// Ends the connection once its last answer is out.
   auto CloseAfterWrites() -> void;
+  /// Reports the end of the connection by this host.
+  auto NoteClose(CloseReason reason) const -> void;
   auto Forget() -> void;
 
   HttpListener* m_listener;
@@ -90,6 +93,7 @@
   std::function<void()> m_on_drained;
   std::function<void(std::string_view)> m_take_bytes;
   TimePoint m_since;
+  int m_answers = 0;
   bool m_busy = false;
   bool m_begun = false;
   bool m_chunked = false;
@@ -121,6 +125,8 @@
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
+  /// Connections that are open for requests.
+  auto connections() const -> std::size_t { return m_connections.size(); }
   /// Connections whose last answer the other side may still be taking. The
   /// process must not exit before they are closed, or the answer is cut.
   auto closing_connections() const -> std::size_t;
--- a/src/include/dotterelshed/log_events.h
+++ b/src/include/dotterelshed/log_events.h
@@ -29,6 +29,7 @@
   kCallRefused = 110,
   kCallFinished = 111,
   kRequestEnded = 120,
+  kConnectionClosed = 122,
   kStreamOriginSought = 130,
   kAttemptEnded = 121,
   kLeadChanged = 201,
--- a/src/include/dotterelshed/metrics.h
+++ b/src/include/dotterelshed/metrics.h
@@ -40,6 +40,7 @@
   kEntryRequests,
   kEntrySeconds,
   kEntryFirstByteSeconds,
+  kConnectionsClosed,
   kTurnDecisions,
   kEndpointConnections,
   kEndpointJudgements,
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -54,6 +54,10 @@
     {MetricId::kEntryFirstByteSeconds, MetricKind::kHistogram,
      "dotterelshed_entry_first_byte_seconds", "kind",
      "Time from a request's arrival to the first byte of its answer, by kind."},
+    {MetricId::kConnectionsClosed, MetricKind::kCounter,
+     "dotterelshed_connections_closed_total", "reason",
+     "Callers' and hosts' connections that this host closed while no request "
+     "was open, by reason; crossed: bytes arrived that it didn't handle."},
     {MetricId::kTurnDecisions, MetricKind::kCounter,
      "dotterelshed_turn_decisions_total", "decision",
      "Turns that this lead decided on, by decision."},
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -460,6 +460,7 @@
     LogEvent(LogEventId::kHostStopped,
              {{"open", std::to_string(m_callers.open_requests())},
               {"closing", std::to_string(m_callers.closing_connections())},
+              {"connections", std::to_string(m_callers.connections())},
               {"exit_code", "0"}});
     m_context.m_loop.stop();
   }
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <utility>
 
+#include "connection_log.h"
 #include "dotterelshed/event_loop.h"
+#include "dotterelshed/steady_time.h"
 
 namespace dotterelshed {
 
@@ -100,7 +102,9 @@
       End(error == asio::error::eof ? StreamEnd::kClosed : StreamEnd::kReset);
       return;
     }
-    if (!m_closing && !HandleBytes({buffer.data(), size})) {
+    if (m_closing) {
+      m_dropped_bytes += size;
+    } else if (!HandleBytes({buffer.data(), size})) {
       return;
     }
     if (m_closed || size < buffer.size()) {
@@ -120,6 +124,12 @@
   return handled;
 }
 
+auto ByteStream::unread_bytes() const -> std::size_t {
+  ErrorCodeIn error;
+  const auto bytes = m_socket.available(error);
+  return error ? 0 : bytes;
+}
+
 auto ByteStream::End(StreamEnd end) -> void {
   if (m_closing) {
     Close();
@@ -189,6 +199,9 @@
   }
   m_closed = true;
   m_close_timer.reset();
+  if (m_dropped_bytes > 0) {
+    ReportBytesAfterClose(m_dropped_bytes, SteadyTime() - m_ended_at);
+  }
   ErrorCodeIn error;
   m_socket.close(error);
   // A handler may be running: what it holds is released after it.
@@ -201,6 +214,7 @@
     return;
   }
   m_closing = true;
+  m_ended_at = SteadyTime();
   asio::post(m_socket.get_executor(),
              [self = shared_from_this()] { self->m_handlers = {}; });
   if (m_pending.empty()) {
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection_log.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/steady_time.h"
 
@@ -196,7 +197,9 @@
   m_take_bytes = {};
   --m_listener->m_open_requests;
   m_since = SteadyTime();
+  ++m_answers;
   if (!m_keep_alive || m_listener->m_stopped) {
+    NoteClose(m_keep_alive ? CloseReason::kStop : CloseReason::kAnswered);
     CloseAfterWrites();
     return;
   }
@@ -279,14 +282,15 @@
     return;
   }
   if (now - m_since > limits.m_idle_timeout) {
-    CloseIfIdle();
+    CloseIfIdle(CloseReason::kIdle);
   }
 }
 
-auto ServerConnection::CloseIfIdle() -> void {
+auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
   if (m_busy || m_parser->started() || !m_ahead.empty()) {
     return;
   }
+  NoteClose(reason);
   if (pending_bytes() > 0) {
     CloseAfterWrites();
     return;
@@ -295,6 +299,14 @@
   Forget();
 }
 
+auto ServerConnection::NoteClose(CloseReason reason) const -> void {
+  ReportClose({.m_reason = reason,
+               .m_answers = m_answers,
+               .m_rested = SteadyTime() - m_since,
+               .m_ahead_bytes = m_ahead.size(),
+               .m_unread_bytes = m_stream->unread_bytes()});
+}
+
 auto ServerConnection::CloseAfterWrites() -> void {
   auto& closing = m_listener->m_closing;
   std::erase_if(closing, IsClosed);
@@ -357,6 +369,8 @@
           std::make_shared<ServerConnection>(*this, std::move(socket));
       m_connections.insert(connection);
       connection->Start();
+    } else if (!error) {
+      ReportClose({.m_reason = CloseReason::kLimit});
     }
     if (error) {
       AcceptLater();
@@ -400,7 +414,7 @@
   const std::vector<std::shared_ptr<ServerConnection>> all(
       m_connections.begin(), m_connections.end());
   for (const auto& connection : all) {
-    connection->CloseIfIdle();
+    connection->CloseIfIdle(CloseReason::kStop);
   }
 }
 
