--- a/src/include/dotterelshed/byte_stream.h
+++ b/src/include/dotterelshed/byte_stream.h
@@ -53,6 +53,8 @@
   auto pending_bytes() const -> std::size_t { return m_pending.size(); }
   /// Stops or resumes reading, to slow the sender down.
   auto SetReading(bool reading) -> void;
+  /// Hands on what has arrived without waiting for the event loop.
+  auto ReadNow() -> void;
   /// Ends the connection at once; no handler runs any more.
   auto Close() -> void;
   /// Ends the connection once what was written is gone, and reads on for a
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -16,6 +16,10 @@
 /// @file
 /// Server side of HTTP/1.1: a listening socket and the connections that come in
 /// on it. Requests of one connection are handled one after the other.
+///
+/// Each request that reaches the listener goes to its handler, also while the
+/// listener stops. So a connection ends only with nothing on it that has
+/// arrived.
 
 namespace dotterelshed {
 
@@ -78,6 +82,7 @@
   auto Refuse(int status) -> void;
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
+  /// Closes the connection unless a request has begun to arrive on it.
   auto CloseIfIdle(CloseReason reason) -> void;
   /// Ends the connection once its last answer is out.
   auto CloseAfterWrites() -> void;
@@ -92,7 +97,11 @@
   std::function<void()> m_on_gone;
   std::function<void()> m_on_drained;
   std::function<void(std::string_view)> m_take_bytes;
+  /// End of the last answer, or begin of the next request.
   TimePoint m_since;
+  /// How long the connection stays open at least after it was accepted; zero
+  /// once a request was answered.
+  Duration m_kept_for;
   int m_answers = 0;
   bool m_busy = false;
   bool m_begun = false;
@@ -120,8 +129,8 @@
 
   /// Answers from now on end their connections.
   auto CloseAfterAnswers() -> void { m_close_after_answers = true; }
-  /// Takes no new connections, closes those without an open request and, as
-  /// their answers end, the others.
+  /// Takes no new connections but those that wait to be accepted. Answers end
+  /// their connections from now on, and connections without a request end.
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
@@ -136,6 +145,10 @@
 
   auto Accept() -> void;
   auto AcceptLater() -> void;
+  /// Accepts the connections that wait for it.
+  auto AcceptWaiting() -> void;
+  /// Takes an accepted connection, or closes it if there are too many.
+  auto Add(TcpSocket socket) -> void;
 
   EventLoop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -73,6 +73,12 @@
   }
 }
 
+auto ByteStream::ReadNow() -> void {
+  if (!m_closed && !m_closing) {
+    OnReadable();
+  }
+}
+
 auto ByteStream::WaitReadable() -> void {
   if (m_closed || m_read_armed || (!m_reading && !m_closing)) {
     return;
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -20,6 +20,9 @@
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 /// Bytes of later requests that are read while one is open.
 constexpr std::size_t kMaxAheadBytes = 65536;
+/// Time in which the first request comes on a connection that was accepted in a
+/// stop.
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto HasNoBody(int status) -> bool {
@@ -39,7 +42,8 @@
     : m_listener(&listener),
       m_stream(std::make_shared<ByteStream>(std::move(socket))),
       m_parser(std::make_unique<RequestParser>(listener.m_limits.m_parser)),
-      m_since(SteadyTime()) {}
+      m_since(SteadyTime()),
+      m_kept_for(kFirstRequestTime) {}
 
 auto ServerConnection::Start() -> void {
   const std::weak_ptr<ServerConnection> weak = weak_from_this();
@@ -161,6 +165,7 @@
   } else if (m_chunked) {
     fields.push_back({"Transfer-Encoding", "chunked"});
   }
+  m_kept_for = Duration{0};
   if (!m_keep_alive) {
     fields.push_back({"Connection", "close"});
   }
@@ -281,13 +286,19 @@
     }
     return;
   }
-  if (now - m_since > limits.m_idle_timeout) {
-    CloseIfIdle(CloseReason::kIdle);
+  const auto stopped = m_listener->m_stopped;
+  const auto rests = stopped ? Duration{0} : limits.m_idle_timeout;
+  if (now - m_since > std::max(rests, m_kept_for)) {
+    CloseIfIdle(stopped ? CloseReason::kStop : CloseReason::kIdle);
   }
 }
 
 auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
-  if (m_busy || m_parser->started() || !m_ahead.empty()) {
+  const auto self = shared_from_this();
+  // What has arrived counts, read or not.
+  m_stream->ReadNow();
+  const auto gone = m_listener == nullptr;
+  if (gone || m_busy || m_parser->started() || !m_ahead.empty()) {
     return;
   }
   NoteClose(reason);
@@ -361,17 +372,12 @@
 
 auto HttpListener::Accept() -> void {
   m_acceptor.async_accept([this](const ErrorCodeIn& error, TcpSocket socket) {
+    if (!error) {
+      Add(std::move(socket));
+    }
     if (!m_acceptor.is_open()) {
       return;
     }
-    if (!error && m_connections.size() < m_limits.m_max_connections) {
-      auto connection =
-          std::make_shared<ServerConnection>(*this, std::move(socket));
-      m_connections.insert(connection);
-      connection->Start();
-    } else if (!error) {
-      ReportClose({.m_reason = CloseReason::kLimit});
-    }
     if (error) {
       AcceptLater();
     } else {
@@ -380,6 +386,29 @@
   });
 }
 
+auto HttpListener::AcceptWaiting() -> void {
+  ErrorCodeIn error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    TcpSocket socket(m_loop);
+    m_acceptor.accept(socket, error);
+    if (!error) {
+      Add(std::move(socket));
+    }
+  }
+}
+
+auto HttpListener::Add(TcpSocket socket) -> void {
+  if (m_connections.size() >= m_limits.m_max_connections) {
+    ReportClose({.m_reason = CloseReason::kLimit});
+    return;
+  }
+  auto connection =
+      std::make_shared<ServerConnection>(*this, std::move(socket));
+  m_connections.insert(connection);
+  connection->Start();
+}
+
 /// Without descriptors the next try would fail at once as well.
 auto HttpListener::AcceptLater() -> void {
   m_accept_timer.expires_after(kAcceptPause);
@@ -409,13 +438,12 @@
     return;
   }
   m_close_after_answers = true;
+  if (m_acceptor.is_open()) {
+    AcceptWaiting();
+  }
   ErrorCodeIn error;
   m_acceptor.close(error);
-  const std::vector<std::shared_ptr<ServerConnection>> all(
-      m_connections.begin(), m_connections.end());
-  for (const auto& connection : all) {
-    connection->CloseIfIdle(CloseReason::kStop);
-  }
+  Tick(SteadyTime());
 }
 
 }  // namespace dotterelshed
--- /dev/null
+++ b/src/libhttp/lost_requests_unittest.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "dotterelshed/http_listener.h"
+#include "dotterelshed/steady_time.h"
+
+/// @file
+/// LOST: requests that reached a listener while it stopped, or while its idle
+/// timeout changed, and got neither an answer nor a refusal.
+
+namespace dotterelshed {
+namespace {
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A caller and a listener whose event loop runs only when the test says so, so
+/// that bytes wait unread as they do on a busy host.
+struct Caller {
+  EventLoop m_loop;
+  HttpListener m_listener;
+  std::shared_ptr<ServerConnection> m_open;
+  int m_requests = 0;
+  TcpSocket m_socket;
+  std::string m_got;
+  bool m_ended = false;
+
+  Caller()
+      : m_listener(m_loop,
+                   [this](const std::shared_ptr<ServerConnection>& connection,
+                          const IncomingRequest& /*request*/) {
+                     ++m_requests;
+                     m_open = connection;
+                   }),
+        m_socket(m_loop) {
+    REQUIRE(m_listener.Listen({boost::asio::ip::address_v4::loopback(), 0}));
+  }
+
+  auto Connect() -> void { m_socket.connect(m_listener.local_address()); }
+  auto Send() -> void { m_socket.send(boost::asio::buffer(kRequest)); }
+
+  /// Runs the listener, and reads what has come.
+  auto Run(Duration time = std::chrono::milliseconds(50)) -> void {
+    const auto until = SteadyTime() + time;
+    while (SteadyTime() < until) {
+      m_loop.run_for(std::chrono::milliseconds(5));
+      m_listener.Tick(SteadyTime());
+    }
+    std::string buffer(4096, '\0');
+    boost::system::error_code error;
+    m_socket.non_blocking(true);
+    while (!error) {
+      const auto bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
+      m_got.append(buffer, 0, bytes);
+    }
+    m_ended = m_ended || error != boost::asio::error::would_block;
+  }
+
+  /// Sends a request and answers it; the connection stays open.
+  auto SendAndAnswer() -> void {
+    Send();
+    Run();
+    m_open->Answer(200, {}, "");
+    Run();
+  }
+
+  auto Answers() const -> int {
+    int answers = 0;
+    for (auto at = m_got.find("HTTP/1.1 "); at != std::string::npos;
+         at = m_got.find("HTTP/1.1 ", at + 1)) {
+      ++answers;
+    }
+    return answers;
+  }
+};
+
+TEST_CASE("LOST: a request that waits unread when a stop closes connections") {
+  Caller caller;
+  caller.Connect();
+  caller.SendAndAnswer();
+  caller.Send();
+  caller.m_listener.StopListening();
+  caller.Run();
+  REQUIRE(caller.m_requests == 2);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 2);
+}
+
+TEST_CASE("LOST: a request in the queue of a listening socket that closes") {
+  Caller caller;
+  caller.Connect();
+  caller.Send();
+  caller.m_listener.StopListening();
+  caller.Run();
+  REQUIRE(caller.m_requests == 1);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 1);
+}
+
+}  // namespace
+}  // namespace dotterelshed
