A request read ahead is answered although the host stops

What callers saw: a request sent behind an answer that hadn't ended, or at once after its last byte, got no answer if its host was being stopped (LOST).

Cause: an answer that began before SIGTERM doesn't say Connection: close. At its end a stopping host closed the connection nevertheless, and dropped what it had read ahead. An answer that begins after SIGTERM ended its connection although the next request had been read.

Change: only an answer that says so ends its connection. One doesn't say so while a request is read ahead; the answer to that one does.

Evidence: both tests fail on the code before.

--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -157,7 +157,9 @@
     return;
   }
   m_begun = true;
-  m_keep_alive = m_keep_alive && !m_listener->m_close_after_answers;
+  // A request that was read ahead is answered as well; its answer says so.
+  const auto last = m_listener->m_close_after_answers && m_ahead.empty();
+  m_keep_alive = m_keep_alive && !last;
   m_bodyless = m_bodyless || HasNoBody(status);
   m_chunked = !length.has_value() && !m_bodyless;
   if (length && !HasNoBody(status)) {
@@ -203,8 +205,8 @@
   --m_listener->m_open_requests;
   m_since = SteadyTime();
   ++m_answers;
-  if (!m_keep_alive || m_listener->m_stopped) {
-    NoteClose(m_keep_alive ? CloseReason::kStop : CloseReason::kAnswered);
+  if (!m_keep_alive) {
+    NoteClose(CloseReason::kAnswered);
     CloseAfterWrites();
     return;
   }
--- a/src/libhttp/lost_requests_unittest.cc
+++ b/src/libhttp/lost_requests_unittest.cc
@@ -99,5 +99,41 @@
   CHECK(caller.Answers() == 1);
 }
 
+TEST_CASE(
+    "LOST: a request read ahead of an answer that said nothing of a stop") {
+  Caller caller;
+  caller.Connect();
+  caller.Send();
+  caller.Run();
+  caller.m_open->BeginAnswer(200, "", {}, 1);
+  caller.Send();
+  caller.Run();
+  caller.m_listener.StopListening();
+  caller.m_open->SendBody("x");
+  caller.m_open->EndAnswer();
+  caller.Run();
+  REQUIRE(caller.m_requests == 2);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 2);
+}
+
+TEST_CASE("LOST: a request read ahead of an answer that begins in a stop") {
+  Caller caller;
+  caller.Connect();
+  caller.Send();
+  caller.Run();
+  caller.Send();
+  caller.Run();
+  caller.m_listener.CloseAfterAnswers();
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  REQUIRE(caller.m_requests == 2);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 2);
+  CHECK(caller.m_ended);
+}
+
 }  // namespace
 }  // namespace dotterelshed
