Answers state how long their connection is kept, and hosts keep to it

Cause: 2.8 s after SIGTERM a host closed each connection without a request, also one that was in use a moment before, and its callers had been told nothing if their last answer had begun before SIGTERM. A configuration with a shorter idle timeout closed connections at once whose callers went by the longer one, and a host that didn't know of a longer one yet closed those that went by that.

Without a stop connections live as long as before.

--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -18,8 +18,9 @@
 /// on it. Requests of one connection are handled one after the other.
 ///
 /// Each request that reaches the listener goes to its handler, also while the
-/// listener stops. So a connection ends only with nothing on it that has
-/// arrived.
+/// listener stops or its limits change. So a connection without an open request
+/// ends only after an answer that said so, or once the time is over that the
+/// last answer stated, and with nothing on it that has arrived.
 
 namespace dotterelshed {
 
@@ -28,6 +29,11 @@
   ParserLimits m_parser;
   Duration m_header_timeout = std::chrono::seconds(3);
   Duration m_idle_timeout = std::chrono::seconds(15);
+  /// Longest time that answers state in Keep-Alive, in whole seconds. The
+  /// connection stays open for it whatever becomes of the limits, and the other
+  /// side sends nothing later. Without it, or if the idle timeout leaves no
+  /// whole second, nothing is stated.
+  std::optional<std::chrono::seconds> m_kept_time;
   /// Connections beyond this number are closed at once.
   std::size_t m_max_connections = 2000;
 };
@@ -82,6 +88,8 @@
   auto Refuse(int status) -> void;
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
+  /// Time that the next answer states in Keep-Alive; zero for none.
+  auto StatedTime() const -> std::chrono::seconds;
   /// Closes the connection unless a request has begun to arrive on it.
   auto CloseIfIdle(CloseReason reason) -> void;
   /// Ends the connection once its last answer is out.
@@ -99,8 +107,8 @@
   std::function<void(std::string_view)> m_take_bytes;
   /// End of the last answer, or begin of the next request.
   TimePoint m_since;
-  /// How long the connection stays open at least after it was accepted; zero
-  /// once a request was answered.
+  /// How long the connection stays open at least after the last answer, or
+  /// after it was accepted.
   Duration m_kept_for;
   int m_answers = 0;
   bool m_busy = false;
@@ -130,7 +138,8 @@
   /// Answers from now on end their connections.
   auto CloseAfterAnswers() -> void { m_close_after_answers = true; }
   /// Takes no new connections but those that wait to be accepted. Answers end
-  /// their connections from now on, and connections without a request end.
+  /// their connections from now on, and connections without a request end once
+  /// the time is over that their last answer stated.
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -20,6 +20,9 @@
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 /// Bytes of later requests that are read while one is open.
 constexpr std::size_t kMaxAheadBytes = 65536;
+/// Added to the time that an answer states, for requests that are on their way
+/// when it is over.
+constexpr Duration kKeptMargin = std::chrono::milliseconds(500);
 /// Time in which the first request comes on a connection that was accepted in a
 /// stop.
 constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
@@ -167,9 +170,13 @@
   } else if (m_chunked) {
     fields.push_back({"Transfer-Encoding", "chunked"});
   }
-  m_kept_for = Duration{0};
+  const auto stated = m_keep_alive ? StatedTime() : std::chrono::seconds(0);
+  m_kept_for = stated.count() > 0 ? stated + kKeptMargin : Duration{0};
   if (!m_keep_alive) {
     fields.push_back({"Connection", "close"});
+  } else if (stated.count() > 0) {
+    fields.push_back(
+        {"Keep-Alive", "timeout=" + std::to_string(stated.count())});
   }
   m_stream->Write(FormatResponseHead(status, reason, fields));
 }
@@ -295,6 +302,14 @@
   }
 }
 
+auto ServerConnection::StatedTime() const -> std::chrono::seconds {
+  const auto& limits = m_listener->m_limits;
+  const auto reached = std::chrono::floor<std::chrono::seconds>(
+      limits.m_idle_timeout - kKeptMargin);
+  return std::min(reached,
+                  limits.m_kept_time.value_or(std::chrono::seconds(0)));
+}
+
 auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
   const auto self = shared_from_this();
   // What has arrived counts, read or not.
--- a/src/libhttp/lost_requests_unittest.cc
+++ b/src/libhttp/lost_requests_unittest.cc
@@ -87,6 +87,22 @@
   CHECK(caller.Answers() == 2);
 }
 
+TEST_CASE("LOST: a request that comes after a stop on a connection in use") {
+  Caller caller;
+  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.Connect();
+  caller.SendAndAnswer();
+  caller.m_listener.StopListening();
+  caller.Run();
+  caller.Send();
+  caller.Run();
+  REQUIRE(caller.m_requests == 2);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 2);
+  CHECK(caller.m_got.find("Connection: close") != std::string::npos);
+}
+
 TEST_CASE("LOST: a request in the queue of a listening socket that closes") {
   Caller caller;
   caller.Connect();
@@ -135,5 +151,46 @@
   CHECK(caller.m_ended);
 }
 
+TEST_CASE("LOST: a request on a connection whose idle timeout was shortened") {
+  Caller caller;
+  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.Connect();
+  caller.SendAndAnswer();
+  CHECK(caller.m_got.find("Keep-Alive: timeout=1") != std::string::npos);
+  caller.m_listener.SetLimits({.m_idle_timeout = std::chrono::milliseconds(100),
+                               .m_kept_time = std::chrono::seconds(1)});
+  caller.Run(std::chrono::milliseconds(900));
+  caller.Send();
+  caller.Run();
+  REQUIRE(caller.m_requests == 2);
+  caller.m_open->Answer(200, {}, "");
+  caller.Run();
+  CHECK(caller.Answers() == 2);
+}
+
+TEST_CASE(
+    "a stopping listener closes a connection once its stated time is over") {
+  Caller caller;
+  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.Connect();
+  caller.SendAndAnswer();
+  caller.m_listener.StopListening();
+  caller.Run(std::chrono::milliseconds(900));
+  CHECK_FALSE(caller.m_ended);
+  caller.Run(std::chrono::milliseconds(900));
+  CHECK(caller.m_ended);
+  CHECK(caller.m_listener.connections() == 0);
+}
+
+TEST_CASE("an answer states no time that its idle timeout doesn't reach") {
+  Caller caller;
+  caller.m_listener.SetLimits(
+      {.m_idle_timeout = std::chrono::milliseconds(1200),
+       .m_kept_time = std::chrono::seconds(2)});
+  caller.Connect();
+  caller.SendAndAnswer();
+  CHECK(caller.m_got.find("Keep-Alive") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace dotterelshed
