A stopping host waits for requests that are half read

What callers saw: a request whose body was still arriving when its host had no other one was cut without an answer (LOST).

Cause: the process exited once no whole request was open and no last answer was being taken; a request of which a part had come counted as nothing.

Change: the process exits when no connection is left.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -268,8 +268,15 @@
 auto EntryHost::OnCallerRequest(
     const std::shared_ptr<ServerConnection>& connection,
     IncomingRequest request) -> void {
+  if (m_stopping && SteadyTime() - m_stop_started_at >= LameDuckTime()) {
+    // The rest of the grace period may be too short for it. Another host can
+    // take it at once.
+    Refuse(connection, request, kStatusUnavailable, "stopping", std::nullopt);
+    return;
+  }
   if (!m_context.m_routes) {
-    Refuse(connection, request, kStatusUnavailable, "no_configuration");
+    Refuse(connection, request, kStatusUnavailable, "no_configuration",
+           kRetryAfter);
     return;
   }
   const auto* host = FindField(request.m_head.m_fields, "host");
@@ -277,7 +284,7 @@
                                       : FindRoute(*m_context.m_routes, *host,
                                                   request.m_head.m_target);
   if (route == nullptr) {
-    Refuse(connection, request, kStatusNotFound, "no_route");
+    Refuse(connection, request, kStatusNotFound, "no_route", std::nullopt);
     return;
   }
   auto exchange = std::make_shared<CallExchange>(
@@ -293,10 +300,11 @@
 auto EntryHost::Refuse(const std::shared_ptr<ServerConnection>& connection,
                        const IncomingRequest& request,
                        int status,
-                       std::string_view reason) -> void {
+                       std::string_view reason,
+                       std::optional<Duration> retry_after) -> void {
   HttpFields fields;
-  if (status == kStatusUnavailable) {
-    fields.push_back(MakeRetryAfterField(kRetryAfter));
+  if (retry_after) {
+    fields.push_back(MakeRetryAfterField(*retry_after));
   }
   LogEvent(LogEventId::kRequestEnded,
            {{"request", ParseCallHeaders(request.m_head).m_request.value()},
@@ -450,17 +458,22 @@
            {{"open", std::to_string(m_callers.open_requests())}});
 }
 
+auto EntryHost::LameDuckTime() const -> Duration {
+  return std::min(kLameDuckTime, m_context.m_settings.m_stop_grace / 2);
+}
+
 auto EntryHost::ContinueStop(TimePoint now) -> void {
   const auto since = now - m_stop_started_at;
-  const auto grace = m_context.m_settings.m_stop_grace;
-  if (since < std::min(kLameDuckTime, grace / 2)) {
+  if (since < LameDuckTime()) {
     return;
   }
   m_callers.StopListening();
-  const auto over = m_callers.open_requests() == 0 &&
+  const auto exit = m_context.m_settings.m_stop_grace - kExitMargin;
+  // A connection without an open request may be bringing one.
+  const auto over = m_callers.connections() == 0 &&
                     m_callers.closing_connections() == 0 &&
                     m_relay_service.open() == 0;
-  if (over || since > grace - kExitMargin) {
+  if (over || since > exit) {
     LogEvent(LogEventId::kHostStopped,
              {{"open", std::to_string(m_callers.open_requests())},
               {"closing", std::to_string(m_callers.closing_connections())},
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -2,6 +2,7 @@
 #define DOTTERELSHED_ENTRY_HOST_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -70,7 +71,8 @@
   auto Refuse(const std::shared_ptr<ServerConnection>& connection,
               const IncomingRequest& request,
               int status,
-              std::string_view reason) -> void;
+              std::string_view reason,
+              std::optional<Duration> retry_after) -> void;
 
   /// Starts to read configuration and endpoints, unless started before.
   auto StartViews() -> void;
@@ -85,6 +87,8 @@
   /// Periodic work of the host itself.
   auto TickHost(TimePoint now) -> void;
   auto ContinueStop(TimePoint now) -> void;
+  /// Time after SIGTERM in which new requests are still accepted.
+  auto LameDuckTime() const -> Duration;
   auto ArmTick() -> void;
 
   EntryContext m_context;
