A stopping host answers what waits when its grace period ends

What callers saw: a request that waited for a lead, a quota, a disk host or an endpoint until the end of the host's grace period was cut without an answer (LOST); no line of the host told of it.

Cause: the process ended with what was open. Only the caller's deadline and the route's timeout ended a wait, and both may lie behind the grace period.

Change: 0.6 s before the end of the grace period each request whose answer hasn't begun gets 503, or 504 if an endpoint may have run it. What is still being answered at the exit is broken off there as before, with a line (reason=stopping).

Evidence: both tests fail on the code before (status 0).

--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -175,12 +175,28 @@
   if (!m_finished && now < m_deadline) {
     RetryIfNoResponse(now);
   }
-  if (m_finished || now < m_deadline) {
-    return;
+  if (!m_finished && now >= m_deadline) {
+    GiveUp("deadline");
   }
+}
+
+auto CallExchange::AnswerBeforeExit() -> void {
+  if (!m_finished && !m_forwarding) {
+    GiveUp("stopping");
+  }
+}
+
+auto CallExchange::CutForExit() -> void {
+  if (!m_finished) {
+    AbortResponse("stopping");
+  }
+}
+
+auto CallExchange::GiveUp(std::string_view reason) -> void {
   if (m_attempt.m_connection) {
-    const auto silent = m_attempt.m_sent && !m_attempt.m_response_started &&
-                        now - m_attempt.m_sent_at >= kStreamResponseTimeout;
+    const auto silent =
+        m_attempt.m_sent && !m_attempt.m_response_started &&
+        SteadyTime() - m_attempt.m_sent_at >= kStreamResponseTimeout;
     if (silent) {
       JudgeAttempt(EndpointOutcome::kSilent);
     }
@@ -188,9 +204,9 @@
     ReportLostAttempt(CrashEvidence::kUnproved);
   }
   if (m_may_have_run) {
-    RespondLocally(kStatusGatewayTimeout, "deadline");
+    RespondLocally(kStatusGatewayTimeout, reason);
   } else {
-    RespondLocally(kStatusUnavailable, "deadline", kRetryAfter);
+    RespondLocally(kStatusUnavailable, reason, kRetryAfter);
   }
 }
 
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -52,6 +52,11 @@
   /// Enforces the deadline and the response timeout; call several times per
   /// second.
   auto Tick(TimePoint now) -> void;
+  /// Answers with an error, unless the response has begun. For a host that is
+  /// about to exit.
+  auto AnswerBeforeExit() -> void;
+  /// Breaks the response off, as the exit of the process would, and logs it.
+  auto CutForExit() -> void;
 
  private:
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
@@ -200,6 +205,9 @@
                    std::string_view reason,
                    HttpFields fields,
                    std::string_view body) -> void;
+  /// Ends the current attempt and responds with an error: 504 if the request
+  /// may have been executed, else 503.
+  auto GiveUp(std::string_view reason) -> void;
   /// Responds with an error when no further attempt is made: 502 if an earlier
   /// attempt may have been executed, else 503 with Retry-After.
   auto RespondUnserved(std::string_view reason, Duration retry_after) -> void;
--- a/src/libgateway/call/lost_in_stop_unittest.cc
+++ b/src/libgateway/call/lost_in_stop_unittest.cc
@@ -25,6 +25,34 @@
   environment.m_loop.run_for(std::chrono::milliseconds(50));
 }
 
+TEST_CASE(
+    "LOST: an endpoint that doesn't answer before a host's grace is over") {
+  TestEnvironment environment;
+  environment.m_host_settings.m_stop_grace = std::chrono::seconds(2);
+  auto& endpoint = environment.AddEndpoint([](const Request& /*request*/) {});
+  environment.Start();
+  const auto caller = environment.Call(kUnsafeCall + "xx");
+  environment.RunUntil([&endpoint] { return endpoint.requests() == 1; });
+  environment.m_host->Stop();
+  RunUntilGone(environment);
+  CHECK(caller->Status() == 504);
+}
+
+TEST_CASE("LOST: a lead that doesn't answer before a host's grace is over") {
+  TestEnvironment environment;
+  environment.m_host_settings.m_stop_grace = std::chrono::milliseconds(1200);
+  auto& endpoint = environment.AddEndpoint(AnswerTurn);
+  ScriptedEndpoint lead(environment.m_loop, [](const Request& /*request*/) {});
+  environment.PutLead("z", "other", lead);
+  environment.StartFollower();
+  const auto caller = environment.Call(kTurnRequest);
+  environment.RunFor(std::chrono::milliseconds(20));
+  environment.m_host->Stop();
+  RunUntilGone(environment);
+  CHECK(caller->Status() == 503);
+  CHECK(endpoint.requests() == 0);
+}
+
 TEST_CASE(
     "LOST: a request that is half read when a stopping host has no other") {
   TestEnvironment environment;
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -33,6 +33,8 @@
 constexpr std::chrono::seconds kKeptTime{2};
 /// Part of the stop grace period reserved for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+/// Time before the exit in which requests without an answer get an error.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
 /// Added to the longest retention of the routes, so that turns still running at
 /// its end are counted.
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
@@ -393,11 +395,8 @@
     ArmTick();
     return;
   }
-  const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
-                                                        m_exchanges.end());
-  for (const auto& exchange : open) {
-    TickGuarded(*exchange, now);
-  }
+  ForEachExchange(
+      [now](CallExchange& exchange) { TickGuarded(exchange, now); });
   TickGuarded(m_endpoint_view, now);
   TickGuarded(*m_context.m_config_watcher, now);
   TickGuarded(*m_lead_watcher, now);
@@ -422,6 +421,15 @@
   }
 }
 
+auto EntryHost::ForEachExchange(const std::function<void(CallExchange&)>& visit)
+    -> void {
+  const std::vector<std::shared_ptr<CallExchange>> open(m_exchanges.begin(),
+                                                        m_exchanges.end());
+  for (const auto& exchange : open) {
+    visit(*exchange);
+  }
+}
+
 auto EntryHost::WasPaused(TimePoint now) -> bool {
   const auto late = now - std::exchange(m_last_tick, now) > kMaxTickDelay;
   // A host that is always late must not wait for ever.
@@ -469,6 +477,10 @@
   }
   m_callers.StopListening();
   const auto exit = m_context.m_settings.m_stop_grace - kExitMargin;
+  if (since > exit - kLastAnswersTime) {
+    ForEachExchange(
+        [](CallExchange& exchange) { exchange.AnswerBeforeExit(); });
+  }
   // A connection without an open request may be bringing one.
   const auto over = m_callers.connections() == 0 &&
                     m_callers.closing_connections() == 0 &&
@@ -479,6 +491,7 @@
               {"closing", std::to_string(m_callers.closing_connections())},
               {"connections", std::to_string(m_callers.connections())},
               {"exit_code", "0"}});
+    ForEachExchange([](CallExchange& exchange) { exchange.CutForExit(); });
     m_context.m_loop.stop();
   }
 }
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -1,6 +1,7 @@
 #ifndef DOTTERELSHED_ENTRY_HOST_H_
 #define DOTTERELSHED_ENTRY_HOST_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,6 +90,7 @@
   auto ContinueStop(TimePoint now) -> void;
   /// Time after SIGTERM in which new requests are still accepted.
   auto LameDuckTime() const -> Duration;
+  auto ForEachExchange(const std::function<void(CallExchange&)>& visit) -> void;
   auto ArmTick() -> void;
 
   EntryContext m_context;
