A host that starts or exits isn't ended by SIGHUP

Cause: signals have their default action before the watch of signals begins and after it ends, and between that and the exit the host's parts are taken down.

Change: SIGHUP is ignored until the watch begins, since the settings are read later anyway; signals that come after the event loop has ended stay pending.

--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -68,6 +68,17 @@
   std::function<void()> m_on_reload;
 };
 
+/// Leaves the signals of SignalWatch pending for the rest of the process, which
+/// one that comes while it exits would end otherwise.
+auto BlockSignals() -> void {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const auto signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 /// Bounds of the log's volume: each request makes up to three ordinary lines.
 constexpr int kMaxOrdinaryLinesPerSecond = 300;
 constexpr int kMaxUnusualLinesPerSecond = 1000;
@@ -113,6 +124,7 @@
     return kRunError;
   }
   RunEventLoop(loop);
+  BlockSignals();
   return 0;
 }
 
@@ -168,6 +180,8 @@
   using dotterelshed::kRunError;
   // A closed peer is seen as an error of the write.
   std::signal(SIGPIPE, SIG_IGN);
+  // The settings haven't been read yet.
+  std::signal(SIGHUP, SIG_IGN);
   try {
     const auto description = dotterelshed::MakeOptions();
     std::ostringstream usage;
