The soak draws planned work alone, with callers that use open connections

Callers keep their connection for as long as the host permits, rest up to 3.5 s now and then, and go on until the processes are gone.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -1,9 +1,14 @@
 #include "callers.h"
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 #include "after.h"
 #include "dotterelshed/http_message.h"
+#include "dotterelshed/steady_time.h"
 #include "service_standins.h"
 
 namespace dotterelshed::soak {
@@ -15,6 +20,10 @@
 constexpr Duration kPause = std::chrono::milliseconds(15);
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr int kMaxTries = 3;
+/// Of callers that keep connections: longest rest, and one call in how many
+/// follows after a rest.
+constexpr int kMaxRestMs = 3500;
+constexpr int kCallsPerRest = 6;
 
 auto TargetOf(CallKind kind, std::mt19937& random) -> std::string {
   switch (kind) {
@@ -28,6 +37,19 @@
   return "/";
 }
 
+/// Time that an answer states in Keep-Alive, if any.
+auto StatedTime(const ResponseHead& head) -> std::optional<Duration> {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto text = FieldText(head.m_fields, "keep-alive");
+  int seconds = 0;
+  if (!text.starts_with(kTimeout)) {
+    return std::nullopt;
+  }
+  std::from_chars(text.data() + kTimeout.size(), text.data() + text.size(),
+                  seconds);
+  return std::chrono::seconds(seconds);
+}
+
 auto CountEvents(const std::string& body) -> int {
   int events = 0;
   for (auto at = body.find("\n\n"); at != std::string::npos;
@@ -46,6 +68,7 @@
   std::string m_request;
   std::shared_ptr<ClientConnection> m_connection;
   std::unique_ptr<boost::asio::steady_timer> m_timer;
+  std::optional<Duration> m_kept_for;
   int m_tries = 0;
   bool m_over = false;
 };
@@ -56,6 +79,7 @@
                std::string name,
                std::string domain,
                unsigned seed,
+               CallerOptions options,
                OnCallEnded ended)
     : m_loop(loop),
       m_promises(promises),
@@ -63,6 +87,7 @@
       m_name(std::move(name)),
       m_domain(std::move(domain)),
       m_random(seed),
+      m_options(options),
       m_ended(std::move(ended)) {}
 
 auto Caller::BeginProgram() -> void {
@@ -94,6 +119,11 @@
 
 /// A host of the own domain, mostly; retries reach others.
 auto Caller::PickDoor() -> const Door& {
+  if (m_options.m_keeps_connections && MayUseKept()) {
+    return *std::find_if(
+        m_doors.begin(), m_doors.end(),
+        [this](const Door& door) { return door.m_host == m_kept_host; });
+  }
   const auto anywhere = m_random() % 5 == 0;
   for (;;) {
     const auto& door = m_doors[m_random() % m_doors.size()];
@@ -103,6 +133,16 @@
   }
 }
 
+auto Caller::MayUseKept() const -> bool {
+  return m_kept && m_kept->reusable() && SteadyTime() < m_kept_until;
+}
+
+auto Caller::DrawPause() -> Duration {
+  const auto rests =
+      m_options.m_keeps_connections && m_random() % kCallsPerRest == 0;
+  return rests ? std::chrono::milliseconds(m_random() % kMaxRestMs) : kPause;
+}
+
 auto Caller::Send(CallKind kind, int tries) -> void {
   const auto& door = PickDoor();
   auto call = std::make_shared<Open>();
@@ -129,8 +169,9 @@
       self->Finish(call);
     }
   });
-  const auto keep = m_kept && m_kept_host == door.m_host && m_kept->reusable();
-  if (keep) {
+  call->m_result.m_request = call->m_sent.m_id;
+  call->m_result.m_host = door.m_host;
+  if (MayUseKept() && m_kept_host == door.m_host) {
     call->m_connection = std::exchange(m_kept, nullptr);
     Exchange(call);
     return;
@@ -155,6 +196,7 @@
       {.m_on_head =
            [call](ResponseHead& head) {
              call->m_result.m_status = head.m_status;
+             call->m_kept_for = StatedTime(head);
              call->m_result.m_signed =
                  FindField(head.m_fields, "response-signature") != nullptr;
              const auto* id = FindField(head.m_fields, "request-id");
@@ -172,7 +214,10 @@
              self->Finish(call);
            },
        .m_on_failure =
-           [self, call](ExchangeFailure /*failure*/) { self->Finish(call); }});
+           [self, call](ExchangeFailure /*failure*/) {
+             call->m_result.m_cut = !call->m_over;
+             self->Finish(call);
+           }});
 }
 
 auto Caller::Finish(const std::shared_ptr<Open>& call) -> void {
@@ -189,6 +234,8 @@
   m_ended(result);
   if (result.m_whole && call->m_connection->reusable()) {
     m_kept = call->m_connection;
+    m_kept_until =
+        call->m_kept_for ? SteadyTime() + *call->m_kept_for : TimePoint::max();
   } else {
     call->m_connection->Close();
   }
@@ -201,7 +248,7 @@
     After(m_loop, kPause,
           [self = shared_from_this()] { self->BeginProgram(); });
   } else {
-    After(m_loop, kPause, [self = shared_from_this()] { self->Next(); });
+    After(m_loop, DrawPause(), [self = shared_from_this()] { self->Next(); });
   }
 }
 
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -24,6 +24,11 @@
   TcpAddress m_address;
 };
 
+struct CallerOptions {
+  /// Uses a connection for as long as the host permits, and rests now and then.
+  bool m_keeps_connections = false;
+};
+
 /// What a caller got, for the world's own checks.
 using OnCallEnded = std::function<void(const CallResult&)>;
 
@@ -35,6 +40,7 @@
          std::string name,
          std::string domain,
          unsigned seed,
+         CallerOptions options,
          OnCallEnded ended);
 
   auto Start() -> void { BeginProgram(); }
@@ -49,6 +55,10 @@
   auto Exchange(const std::shared_ptr<Open>& call) -> void;
   auto Finish(const std::shared_ptr<Open>& call) -> void;
   auto PickDoor() -> const Door&;
+  /// True if the kept connection may be used for one more request.
+  auto MayUseKept() const -> bool;
+  /// Time before the next call of the program.
+  auto DrawPause() -> Duration;
 
   EventLoop& m_loop;
   Promises& m_promises;
@@ -56,9 +66,11 @@
   std::string m_name;
   std::string m_domain;
   std::mt19937 m_random;
+  CallerOptions m_options;
   OnCallEnded m_ended;
   std::shared_ptr<ClientConnection> m_kept;
   std::string m_kept_host;
+  TimePoint m_kept_until = TimePoint::max();
   std::string m_program;
   int m_budget = 0;
   int m_steps_left = 0;
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "dotterelshed/units.h"
 
@@ -28,6 +29,10 @@
   auto operator=(const HostProcess&) -> HostProcess& = delete;
 
   auto Start() -> void;
+  /// The program of later starts.
+  auto SetProgram(std::string program) -> void {
+    m_options.m_program = std::move(program);
+  }
   auto Signal(int signal) -> void;
   auto running() const -> bool { return m_pid > 0; }
   /// Starts of this process so far.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -29,7 +29,14 @@
       "where settings and logs of the hosts go")(
       "seconds", options::value<double>()->default_value(12),
       "time in which faults are drawn")(
-      "untimed", "check only promises without a time bound");
+      "untimed", "check only promises without a time bound")(
+      "planned", "draw planned work only; no request may be cut")(
+      "production", options::value<std::string>()->default_value(""),
+      "program that the hosts begin with; with --planned they are replaced one "
+      "by one")("hosts", options::value<int>()->default_value(2),
+                "entry hosts of each of the three domains")(
+      "callers", options::value<int>()->default_value(4),
+      "callers of each domain");
   return description;
 }
 
@@ -40,6 +47,10 @@
   soak.m_folder = given["folder"].as<std::string>();
   soak.m_fault_time = dotterelshed::FromSeconds(given["seconds"].as<double>());
   soak.m_timed = given.count("untimed") == 0;
+  soak.m_planned = given.count("planned") > 0;
+  soak.m_production = given["production"].as<std::string>();
+  soak.m_hosts_per_domain = given["hosts"].as<int>();
+  soak.m_callers_per_domain = given["callers"].as<int>();
   std::filesystem::create_directories(soak.m_folder);
   const auto logging =
       dotterelshed::StartLogging({.m_level = dotterelshed::LogLevel::kError});
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -34,6 +34,11 @@
   std::string m_body;
   /// Events handed to the caller, of a turn.
   int m_events = 0;
+  /// The connection ended while the request was on it.
+  bool m_cut = false;
+  std::string m_request;
+  /// Host that the request was sent to.
+  std::string m_host;
 };
 
 class Promises {
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -39,9 +39,9 @@
     case 0:
       Note("kill " + host.m_name);
       host.m_process->Signal(SIGKILL);
-      After(m_loop, time, [&host] {
+      After(m_loop, time, [this, &host] {
         if (!host.m_process->running()) {
-          host.m_process->Start();
+          StartHost(host);
         }
       });
       return;
@@ -59,9 +59,9 @@
       host.m_stopping = true;
       host.m_disturbed_until = SteadyTime() + kStopTime + kContactTime;
       host.m_process->Signal(SIGTERM);
-      After(m_loop, kStopTime, [&host] {
+      After(m_loop, kStopTime, [this, &host] {
         if (!host.m_process->running()) {
-          host.m_process->Start();
+          StartHost(host);
         }
       });
       return;
@@ -212,9 +212,11 @@
     if (std::exchange(host->m_frozen, false)) {
       host->m_process->Signal(SIGCONT);
     }
-    const auto gone = !host->m_process->running() && !host->m_stopping;
+    // Planned work starts its hosts by itself.
+    const auto gone = !host->m_process->running() && !host->m_stopping &&
+                      !m_options.m_planned;
     if (gone) {
-      host->m_process->Start();
+      StartHost(*host);
     }
   }
   for (const auto& endpoint : m_endpoints) {
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <iostream>
 #include <utility>
@@ -23,11 +24,18 @@
 constexpr Duration kRecoverTime = std::chrono::seconds(8);
 /// Part of the calls after recovery that must be answered.
 constexpr double kServedAgain = 0.95;
-constexpr int kCallersPerDomain = 4;
 constexpr Duration kPoisonKnown = std::chrono::milliseconds(4000);
 constexpr int kMostEnds = 3;
 constexpr int kMostLatePoison = 3;
 constexpr Duration kEndpointDown = std::chrono::milliseconds(1500);
+constexpr int kIdleTimeoutMs = 15000;
+
+/// Idle timeout of a version; planned work changes it.
+auto IdleTimeoutOf(int version, bool planned) -> int {
+  constexpr std::array kTimeouts{kIdleTimeoutMs, 3000, 1200, 6000};
+  const auto at = static_cast<std::size_t>(version) % kTimeouts.size();
+  return planned ? kTimeouts.at(at) : kIdleTimeoutMs;
+}
 
 }  // namespace
 
@@ -44,15 +52,17 @@
     AddEndpoint("engine");
     AddEndpoint("desk");
     AddEndpoint("other");
-    AddHost(std::string("h1") + domain, domain, "entry");
-    AddHost(std::string("h2") + domain, domain, "entry");
+    for (int at = 1; at <= m_options.m_hosts_per_domain; ++at) {
+      AddHost("h" + std::to_string(at) + domain, domain, "entry");
+    }
   }
   AddHost("d1", "a", "disk");
   for (const auto* domain : {"a", "b", "c"}) {
-    for (int at = 0; at < kCallersPerDomain; ++at) {
+    for (int at = 0; at < m_options.m_callers_per_domain; ++at) {
       m_callers.push_back(std::make_shared<Caller>(
           m_loop, m_promises, m_doors, std::string(domain) + std::to_string(at),
           domain, m_random(),
+          CallerOptions{.m_keeps_connections = m_options.m_planned},
           [this](const CallResult& result) { OnCallEnded(result); }));
     }
   }
@@ -100,7 +110,10 @@
           {"engine", {{"slots", 8}, {"tokensPerEvent", 3}}}},
          {{"name", "desk"}},
          {{"name", "other"}}}},
-       {"limits", {{"headerBytes", 8000}, {"maxBodyBytes", 100000}}}});
+       {"limits",
+        {{"headerBytes", 8000},
+         {"maxBodyBytes", 100000},
+         {"idleTimeoutMs", IdleTimeoutOf(m_version, m_options.m_planned)}}}});
 }
 
 auto SoakWorld::PutEndpoint(Endpoint& endpoint, bool draining) -> void {
@@ -144,15 +157,19 @@
     settings["caller_address"] = FormatTcpAddress(callers);
     settings["ready_address"] = FormatTcpAddress(ReserveAddress());
     host->m_caller_link = std::make_unique<LoopbackProxy>(m_loop, callers);
-    m_doors.push_back({name, domain, host->m_caller_link->address()});
+    // A proxy would take requests for hosts that are gone.
+    const auto door =
+        m_options.m_planned ? callers : host->m_caller_link->address();
+    m_doors.push_back({name, domain, door});
   } else {
     settings["data_dir"] = m_options.m_folder;
   }
   std::ofstream(folder + ".jsonc") << settings.dump(2) << "\n";
-  host->m_process = std::make_unique<HostProcess>(
-      HostOptions{.m_program = m_options.m_program,
-                  .m_settings_file = folder + ".jsonc",
-                  .m_log_file = folder + ".log"});
+  host->m_old = !m_options.m_production.empty();
+  host->m_process = std::make_unique<HostProcess>(HostOptions{
+      .m_program = host->m_old ? m_options.m_production : m_options.m_program,
+      .m_settings_file = folder + ".jsonc",
+      .m_log_file = folder + ".log"});
   m_hosts.push_back(std::move(host));
 }
 
@@ -192,6 +209,11 @@
   }
 }
 
+auto SoakWorld::StartHost(Host& host) -> void {
+  host.m_started_at = SteadyTime();
+  host.m_process->Start();
+}
+
 // Promises that need the world's state.
 
 auto SoakWorld::OnRun(const ServedRun& run) -> void {
@@ -277,7 +299,22 @@
   }
 }
 
+auto SoakWorld::CheckCut(const CallResult& result) -> void {
+  const auto host = std::find_if(
+      m_hosts.begin(), m_hosts.end(),
+      [&result](const auto& one) { return one->m_name == result.m_host; });
+  if ((*host)->m_old) {
+    ++m_cut_by_old;
+    return;
+  }
+  m_promises.Break("LOST: " + result.m_request + " was cut by " +
+                   result.m_host);
+}
+
 auto SoakWorld::OnCallEnded(const CallResult& result) -> void {
+  if (m_options.m_planned && result.m_cut) {
+    CheckCut(result);
+  }
   if (!m_recovering) {
     return;
   }
@@ -288,8 +325,11 @@
 }
 
 auto SoakWorld::StopAll() -> void {
+  // Callers of planned work go on until the processes are gone.
   for (const auto& caller : m_callers) {
-    caller->Stop();
+    if (!m_options.m_planned) {
+      caller->Stop();
+    }
   }
   m_poison->Stop();
   Note(std::to_string(m_poison_ends) + " endpoints ended under the poison, " +
@@ -314,7 +354,7 @@
 
 auto SoakWorld::Run() -> std::vector<std::string> {
   for (const auto& host : m_hosts) {
-    host->m_process->Start();
+    StartHost(*host);
   }
   RunFor(kWarmUp);
   for (const auto& caller : m_callers) {
@@ -322,11 +362,18 @@
   }
   m_poison = std::make_shared<PoisonCaller>(m_loop, m_promises, m_doors,
                                             m_options.m_seed);
-  m_poison->Start();
+  if (!m_options.m_planned) {
+    m_poison->Start();
+  }
   const auto until = SteadyTime() + m_options.m_fault_time;
   while (SteadyTime() < until) {
-    DrawFault();
-    RunFor(DrawTime(100, 1200));
+    if (m_options.m_planned) {
+      DrawPlannedWork();
+      RunFor(DrawTime(50, 400));
+    } else {
+      DrawFault();
+      RunFor(DrawTime(100, 1200));
+    }
   }
   Note("heal");
   Heal();
@@ -343,6 +390,9 @@
                      " of " + std::to_string(m_asked));
   }
   StopAll();
+  if (m_cut_by_old > 0) {
+    Note(std::to_string(m_cut_by_old) + " requests cut by the old program");
+  }
   return m_promises.broken();
 }
 
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -28,6 +28,15 @@
   /// Settings and logs go there.
   std::string m_folder;
   Duration m_fault_time = std::chrono::seconds(12);
+  /// Only planned work is drawn: stops, reloads, changes of the configuration
+  /// and endpoints that leave, in series that overlap. No request may be cut.
+  bool m_planned = false;
+  /// Program that the hosts begin with; they are replaced one by one by
+  /// m_program, which alone must keep planned work from cutting requests. Empty
+  /// if all run m_program.
+  std::string m_production;
+  int m_hosts_per_domain = 2;
+  int m_callers_per_domain = 4;
   /// Promises that have a time bound are checked too; a machine that is busy
   /// with other things may break them.
   bool m_timed = true;
@@ -56,6 +65,9 @@
     /// Set while it is expected to end by itself.
     bool m_stopping = false;
     bool m_frozen = false;
+    /// It runs SoakOptions::m_production.
+    bool m_old = false;
+    TimePoint m_started_at;
     /// Newest version of the configuration whose effect was seen.
     int m_seen_version = 0;
     TimePoint m_seen_at;
@@ -74,6 +86,18 @@
   auto Tick() -> void;
   auto WatchProcesses() -> void;
 
+  auto StartHost(Host& host) -> void;
+
+  auto DrawPlannedWork() -> void;
+  /// True if it has run for a while and its domain has another host in use.
+  auto MayStop(const Host& host) const -> bool;
+  auto StopInOrder(Host& host) -> void;
+  auto StartWhenGone(Host& host) -> void;
+  auto ReloadAll() -> void;
+  auto ChangeConfigOften() -> void;
+  /// Stops the next host that still runs the old program, if none is stopping.
+  auto UpgradeNext() -> void;
+
   auto DrawFault() -> void;
   auto DisturbHost(Host& host) -> void;
   auto DisturbLink(LoopbackProxy& link, Duration time) -> void;
@@ -88,6 +112,7 @@
   auto CheckVersion(const ServedRun& run, Host& host) -> void;
   auto OnPoison(const ServedRun& run, const Host& host) -> void;
   auto OnCallEnded(const CallResult& result) -> void;
+  auto CheckCut(const CallResult& result) -> void;
   auto StopAll() -> void;
   auto Note(const std::string& what) -> void;
   auto RandomHost() -> Host&;
@@ -126,6 +151,8 @@
   bool m_recovering = false;
   int m_asked = 0;
   int m_answered = 0;
+  /// Requests that hosts of the old program cut.
+  int m_cut_by_old = 0;
 };
 
 }  // namespace dotterelshed::soak
