Connections of a listener get a file of their own

server_connection.cc holds ServerConnection, http_listener.cc the listening socket; how an answer states the end of its connection is a function of its own. No change of what the code does.

--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -88,6 +88,8 @@
   auto Refuse(int status) -> void;
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
+  /// Adds to an answer's fields whether and how long the connection is kept.
+  auto StateEnd(HttpFields& fields) -> void;
   /// Time that the next answer states in Keep-Alive; zero for none.
   auto StatedTime() const -> std::chrono::seconds;
   /// Closes the connection unless a request has begun to arrive on it.
@@ -158,6 +160,8 @@
   auto AcceptWaiting() -> void;
   /// Takes an accepted connection, or closes it if there are too many.
   auto Add(TcpSocket socket) -> void;
+  /// Takes a stream that ends once what was written is out.
+  auto AddClosing(const std::shared_ptr<ByteStream>& stream) -> void;
 
   EventLoop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
--- /dev/null
+++ b/src/libhttp/server_connection.cc
@@ -0,0 +1,347 @@
+#include <algorithm>
+#include <utility>
+
+#include "connection_log.h"
+#include "dotterelshed/http_listener.h"
+#include "dotterelshed/http_status.h"
+#include "dotterelshed/steady_time.h"
+
+/// @file
+/// One connection of a listener: its requests, its answers and its end.
+
+namespace dotterelshed {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Bytes of later requests that are read while one is open.
+constexpr std::size_t kMaxAheadBytes = 65536;
+/// Added to the time that an answer states, for requests that are on their way
+/// when it is over.
+constexpr Duration kKeptMargin = std::chrono::milliseconds(500);
+/// Time in which the first request comes on a connection that was accepted in a
+/// stop.
+constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+auto HasNoBody(int status) -> bool {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(HttpListener& listener, TcpSocket socket)
+    : m_listener(&listener),
+      m_stream(std::make_shared<ByteStream>(std::move(socket))),
+      m_parser(std::make_unique<RequestParser>(listener.m_limits.m_parser)),
+      m_since(SteadyTime()),
+      m_kept_for(kFirstRequestTime) {}
+
+auto ServerConnection::Start() -> void {
+  const std::weak_ptr<ServerConnection> weak = weak_from_this();
+  m_stream->Start({.m_on_bytes =
+                       [weak](std::string_view bytes) {
+                         if (const auto self = weak.lock()) {
+                           self->OnBytes(bytes);
+                         }
+                       },
+                   .m_on_end =
+                       [weak](StreamEnd /*end*/) {
+                         if (const auto self = weak.lock()) {
+                           self->OnEnd();
+                         }
+                       },
+                   .m_on_drained =
+                       [weak] {
+                         const auto self = weak.lock();
+                         if (self && self->m_on_drained) {
+                           self->m_on_drained();
+                         }
+                       }});
+}
+
+auto ServerConnection::OnBytes(std::string_view bytes) -> void {
+  const auto self = shared_from_this();
+  if (const auto take = m_take_bytes) {
+    take(bytes);
+    return;
+  }
+  if (!m_parser->started()) {
+    m_since = SteadyTime();
+  }
+  m_ahead += bytes;
+  if (m_busy) {
+    m_stream->SetReading(m_ahead.size() < kMaxAheadBytes);
+    return;
+  }
+  ParseAhead();
+}
+
+auto ServerConnection::ParseAhead() -> void {
+  if (m_ahead.empty() || m_listener == nullptr) {
+    return;
+  }
+  const auto used = m_parser->Feed(m_ahead);
+  m_ahead.erase(0, used);
+  HandleParsed();
+}
+
+auto ServerConnection::HandleParsed() -> void {
+  switch (m_parser->state()) {
+    case ParseState::kHead:
+      return;
+    case ParseState::kBody:
+      if (m_parser->expects_continue() && !m_continued) {
+        m_continued = true;
+        m_stream->Write(kContinue);
+      }
+      return;
+    case ParseState::kMalformed:
+      Refuse(kStatusBadRequest);
+      return;
+    case ParseState::kHeaderTooLarge:
+      Refuse(kStatusHeaderTooLarge);
+      return;
+    case ParseState::kBodyTooLarge:
+      Refuse(kStatusBodyTooLarge);
+      return;
+    case ParseState::kDone:
+      break;
+  }
+  m_busy = true;
+  m_begun = false;
+  ++m_listener->m_open_requests;
+  m_keep_alive = m_parser->head().m_keep_alive;
+  m_bodyless = m_parser->head().m_method == "HEAD";
+  IncomingRequest request{.m_head = std::move(m_parser->head()),
+                          .m_body = std::move(m_parser->body())};
+  m_parser = std::make_unique<RequestParser>(m_listener->m_limits.m_parser);
+  m_continued = false;
+  m_listener->m_on_request(shared_from_this(), std::move(request));
+}
+
+auto ServerConnection::Refuse(int status) -> void {
+  if (m_listener == nullptr) {
+    return;
+  }
+  m_busy = true;
+  ++m_listener->m_open_requests;
+  m_keep_alive = false;
+  Answer(status, {}, "");
+}
+
+auto ServerConnection::Answer(int status,
+                              HttpFields fields,
+                              std::string_view body) -> void {
+  BeginAnswer(status, "", std::move(fields), body.size());
+  if (!body.empty()) {
+    SendBody(body);
+  }
+  EndAnswer();
+}
+
+auto ServerConnection::BeginAnswer(int status,
+                                   std::string_view reason,
+                                   HttpFields fields,
+                                   std::optional<std::uint64_t> length)
+    -> void {
+  if (!m_busy || m_listener == nullptr) {
+    return;
+  }
+  m_begun = true;
+  m_bodyless = m_bodyless || HasNoBody(status);
+  m_chunked = !length.has_value() && !m_bodyless;
+  if (length && !HasNoBody(status)) {
+    fields.push_back({"Content-Length", std::to_string(*length)});
+  } else if (m_chunked) {
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  }
+  StateEnd(fields);
+  m_stream->Write(FormatResponseHead(status, reason, fields));
+}
+
+auto ServerConnection::StateEnd(HttpFields& fields) -> void {
+  // A request that was read ahead is answered as well; its answer says so.
+  const auto last = m_listener->m_close_after_answers && m_ahead.empty();
+  m_keep_alive = m_keep_alive && !last;
+  const auto stated = m_keep_alive ? StatedTime() : std::chrono::seconds(0);
+  m_kept_for = stated.count() > 0 ? stated + kKeptMargin : Duration{0};
+  if (!m_keep_alive) {
+    fields.push_back({"Connection", "close"});
+  } else if (stated.count() > 0) {
+    fields.push_back(
+        {"Keep-Alive", "timeout=" + std::to_string(stated.count())});
+  }
+}
+
+auto ServerConnection::SendBody(std::string_view bytes) -> void {
+  if (!m_busy || bytes.empty() || m_bodyless) {
+    return;
+  }
+  if (m_chunked) {
+    m_stream->Write(FormatChunk(bytes));
+  } else {
+    m_stream->Write(bytes);
+  }
+}
+
+auto ServerConnection::EndAnswer() -> void {
+  if (!m_busy || m_listener == nullptr) {
+    return;
+  }
+  if (m_chunked) {
+    m_stream->Write(kLastChunk);
+  }
+  FinishAnswer();
+}
+
+auto ServerConnection::FinishAnswer() -> void {
+  const auto self = shared_from_this();
+  m_busy = false;
+  m_chunked = false;
+  m_on_gone = {};
+  m_on_drained = {};
+  m_take_bytes = {};
+  --m_listener->m_open_requests;
+  m_since = SteadyTime();
+  ++m_answers;
+  if (!m_keep_alive) {
+    NoteClose(CloseReason::kAnswered);
+    CloseAfterWrites();
+    return;
+  }
+  m_stream->SetReading(true);
+  if (!m_ahead.empty()) {
+    asio::post(m_listener->m_loop, [self] {
+      if (!self->m_busy) {
+        self->ParseAhead();
+      }
+    });
+  }
+}
+
+auto ServerConnection::Abort() -> void {
+  if (m_listener == nullptr) {
+    return;
+  }
+  const auto self = shared_from_this();
+  if (m_busy) {
+    --m_listener->m_open_requests;
+  }
+  m_busy = false;
+  m_on_gone = {};
+  m_on_drained = {};
+  m_take_bytes = {};
+  m_stream->Close();
+  Forget();
+}
+
+auto ServerConnection::OnEnd() -> void {
+  const auto self = shared_from_this();
+  const auto on_gone = std::exchange(m_on_gone, {});
+  const auto was_busy = m_busy;
+  Abort();
+  if (was_busy && on_gone) {
+    on_gone();
+  }
+}
+
+auto ServerConnection::SetGoneHandler(std::function<void()> on_gone) -> void {
+  m_on_gone = std::move(on_gone);
+}
+
+auto ServerConnection::SetDrainedHandler(std::function<void()> on_drained)
+    -> void {
+  m_on_drained = std::move(on_drained);
+}
+
+auto ServerConnection::PassBytesTo(std::function<void(std::string_view)> take)
+    -> void {
+  if (!m_busy) {
+    return;
+  }
+  m_keep_alive = false;
+  m_take_bytes = std::move(take);
+  m_stream->SetReading(true);
+  const auto ahead = std::exchange(m_ahead, {});
+  if (!ahead.empty()) {
+    OnBytes(ahead);
+  }
+}
+
+auto ServerConnection::SetReading(bool reading) -> void {
+  m_stream->SetReading(reading);
+}
+
+auto ServerConnection::pending_bytes() const -> std::size_t {
+  return m_stream->pending_bytes();
+}
+
+auto ServerConnection::Tick(TimePoint now) -> void {
+  if (m_busy) {
+    return;
+  }
+  const auto& limits = m_listener->m_limits;
+  if (m_parser->started()) {
+    if (now - m_since > limits.m_header_timeout) {
+      Refuse(kStatusTimeout);
+    }
+    return;
+  }
+  const auto stopped = m_listener->m_stopped;
+  const auto rests = stopped ? Duration{0} : limits.m_idle_timeout;
+  if (now - m_since > std::max(rests, m_kept_for)) {
+    CloseIfIdle(stopped ? CloseReason::kStop : CloseReason::kIdle);
+  }
+}
+
+auto ServerConnection::StatedTime() const -> std::chrono::seconds {
+  const auto& limits = m_listener->m_limits;
+  const auto reached = std::chrono::floor<std::chrono::seconds>(
+      limits.m_idle_timeout - kKeptMargin);
+  return std::min(reached,
+                  limits.m_kept_time.value_or(std::chrono::seconds(0)));
+}
+
+auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
+  const auto self = shared_from_this();
+  // What has arrived counts, read or not.
+  m_stream->ReadNow();
+  const auto gone = m_listener == nullptr;
+  if (gone || m_busy || m_parser->started() || !m_ahead.empty()) {
+    return;
+  }
+  NoteClose(reason);
+  if (pending_bytes() > 0) {
+    CloseAfterWrites();
+    return;
+  }
+  m_stream->Close();
+  Forget();
+}
+
+auto ServerConnection::NoteClose(CloseReason reason) const -> void {
+  ReportClose({.m_reason = reason,
+               .m_answers = m_answers,
+               .m_rested = SteadyTime() - m_since,
+               .m_ahead_bytes = m_ahead.size(),
+               .m_unread_bytes = m_stream->unread_bytes()});
+}
+
+auto ServerConnection::CloseAfterWrites() -> void {
+  m_listener->AddClosing(m_stream);
+  m_stream->CloseAfterWrites();
+  Forget();
+}
+
+auto ServerConnection::Forget() -> void {
+  auto* listener = std::exchange(m_listener, nullptr);
+  if (listener != nullptr) {
+    listener->m_connections.erase(shared_from_this());
+  }
+}
+
+}  // namespace dotterelshed
