A request is held to the limits in force when it begins

After a version with a larger maxBodyBytes or headerBytes the next request on an open connection was still held to the old limit, and refused with 413 or 431 though it was proper.

Cause: the parser of the next request was made when the one before it had been read.

Change: it is made anew if the limits have changed when a request begins.

Evidence: the test fails on the code before (no request).

--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -83,6 +83,8 @@
 
   auto OnBytes(std::string_view bytes) -> void;
   auto OnEnd() -> void;
+  /// Prepares for the next request, which the limits in force are asked of.
+  auto NewParser() -> void;
   auto ParseAhead() -> void;
   auto HandleParsed() -> void;
   auto Refuse(int status) -> void;
@@ -103,6 +105,7 @@
   HttpListener* m_listener;
   std::shared_ptr<ByteStream> m_stream;
   std::unique_ptr<RequestParser> m_parser;
+  ParserLimits m_parser_limits;
   std::string m_ahead;
   std::function<void()> m_on_gone;
   std::function<void()> m_on_drained;
--- a/src/include/dotterelshed/http_parser.h
+++ b/src/include/dotterelshed/http_parser.h
@@ -33,6 +33,8 @@
 struct ParserLimits {
   std::uint32_t m_max_header_bytes = 16384;
   std::uint64_t m_max_body_bytes = 4194304;
+
+  auto operator==(const ParserLimits&) const -> bool = default;
 };
 
 /// Parses one request and keeps its whole body.
--- a/src/libhttp/lost_requests_unittest.cc
+++ b/src/libhttp/lost_requests_unittest.cc
@@ -168,6 +168,18 @@
   CHECK(caller.Answers() == 2);
 }
 
+TEST_CASE("a request is held to the limits in force when it begins") {
+  Caller caller;
+  caller.m_listener.SetLimits({.m_parser = {.m_max_body_bytes = 1}});
+  caller.Connect();
+  caller.Run();
+  caller.m_listener.SetLimits({.m_parser = {.m_max_body_bytes = 100}});
+  caller.m_socket.send(boost::asio::buffer(std::string(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")));
+  caller.Run();
+  CHECK(caller.m_requests == 1);
+}
+
 TEST_CASE(
     "a stopping listener closes a connection once its stated time is over") {
   Caller caller;
--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -36,9 +36,10 @@
 ServerConnection::ServerConnection(HttpListener& listener, TcpSocket socket)
     : m_listener(&listener),
       m_stream(std::make_shared<ByteStream>(std::move(socket))),
-      m_parser(std::make_unique<RequestParser>(listener.m_limits.m_parser)),
       m_since(SteadyTime()),
-      m_kept_for(kFirstRequestTime) {}
+      m_kept_for(kFirstRequestTime) {
+  NewParser();
+}
 
 auto ServerConnection::Start() -> void {
   const std::weak_ptr<ServerConnection> weak = weak_from_this();
@@ -69,8 +70,14 @@
     take(bytes);
     return;
   }
+  if (m_listener == nullptr) {
+    return;
+  }
   if (!m_parser->started()) {
     m_since = SteadyTime();
+    if (m_parser_limits != m_listener->m_limits.m_parser) {
+      NewParser();
+    }
   }
   m_ahead += bytes;
   if (m_busy) {
@@ -80,6 +87,11 @@
   ParseAhead();
 }
 
+auto ServerConnection::NewParser() -> void {
+  m_parser_limits = m_listener->m_limits.m_parser;
+  m_parser = std::make_unique<RequestParser>(m_parser_limits);
+}
+
 auto ServerConnection::ParseAhead() -> void {
   if (m_ahead.empty() || m_listener == nullptr) {
     return;
@@ -118,7 +130,7 @@
   m_bodyless = m_parser->head().m_method == "HEAD";
   IncomingRequest request{.m_head = std::move(m_parser->head()),
                           .m_body = std::move(m_parser->body())};
-  m_parser = std::make_unique<RequestParser>(m_listener->m_limits.m_parser);
+  NewParser();
   m_continued = false;
   m_listener->m_on_request(shared_from_this(), std::move(request));
 }
