--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -19,7 +19,7 @@
 constexpr std::size_t kMaxAheadBytes = 65536;
 /// Added to the time that an answer states, for requests that are on their way
 /// when it is over.
-constexpr Duration kKeptMargin = std::chrono::milliseconds(500);
+constexpr Duration kKeptMargin = std::chrono::milliseconds(750);
 /// Time in which the first request comes on a connection that was accepted in a
 /// stop.
 constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
