--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -34,7 +34,8 @@
   /// side sends nothing later. Without it, or if the idle timeout leaves no
   /// whole second, nothing is stated.
   std::optional<std::chrono::seconds> m_kept_time;
-  /// Connections beyond this number are closed at once.
+  /// Requests on connections beyond this number get 503; from a tenth more on
+  /// connections are closed at once.
   std::size_t m_max_connections = 2000;
 };
 
@@ -83,6 +84,7 @@
 
   auto OnBytes(std::string_view bytes) -> void;
   auto OnEnd() -> void;
+  auto OnDrained() -> void;
   /// Prepares for the next request, which the limits in force are asked of.
   auto NewParser() -> void;
   auto ParseAhead() -> void;
@@ -94,6 +96,13 @@
   auto StateEnd(HttpFields& fields) -> void;
   /// Time that the next answer states in Keep-Alive; zero for none.
   auto StatedTime() const -> std::chrono::seconds;
+  /// How long the connection stays open at least after an answer that states
+  /// @p stated.
+  auto KeptTime(std::chrono::seconds stated) const -> Duration;
+  /// How long the connection may rest now.
+  auto RestTime() const -> Duration;
+  /// Answers 408 unless the rest of the request has arrived.
+  auto RefuseIfLate() -> void;
   /// Closes the connection unless a request has begun to arrive on it.
   auto CloseIfIdle(CloseReason reason) -> void;
   /// Ends the connection once its last answer is out.
@@ -122,6 +131,8 @@
   bool m_bodyless = false;
   bool m_keep_alive = true;
   bool m_continued = false;
+  /// One more than the listener may have: its request is refused.
+  bool m_surplus = false;
 };
 
 class HttpListener {
@@ -161,7 +172,7 @@
   auto AcceptLater() -> void;
   /// Accepts the connections that wait for it.
   auto AcceptWaiting() -> void;
-  /// Takes an accepted connection, or closes it if there are too many.
+  /// Takes an accepted connection, or closes it if there are far too many.
   auto Add(TcpSocket socket) -> void;
   /// Takes a stream that ends once what was written is out.
   auto AddClosing(const std::shared_ptr<ByteStream>& stream) -> void;
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -15,6 +15,8 @@
 using ErrorCodeIn = boost::system::error_code;
 
 constexpr int kListenBacklog = 1024;
+/// Part of the greatest number of connections that may come beyond it.
+constexpr std::size_t kSurplusPart = 10;
 /// Wait after a connection couldn't be accepted, for lack of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -91,12 +93,14 @@
 }
 
 auto HttpListener::Add(TcpSocket socket) -> void {
-  if (m_connections.size() >= m_limits.m_max_connections) {
+  const auto most = m_limits.m_max_connections;
+  if (m_connections.size() > most + most / kSurplusPart) {
     ReportClose({.m_reason = CloseReason::kLimit});
     return;
   }
   auto connection =
       std::make_shared<ServerConnection>(*this, std::move(socket));
+  connection->m_surplus = m_connections.size() >= most;
   m_connections.insert(connection);
   connection->Start();
 }
--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -23,6 +23,9 @@
 /// Time in which the first request comes on a connection that was accepted in a
 /// stop.
 constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
+/// Time in which the other side may take the last answer before the connection
+/// is ended behind it.
+constexpr Duration kTakeTime = std::chrono::seconds(10);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto HasNoBody(int status) -> bool {
@@ -57,9 +60,8 @@
                        },
                    .m_on_drained =
                        [weak] {
-                         const auto self = weak.lock();
-                         if (self && self->m_on_drained) {
-                           self->m_on_drained();
+                         if (const auto self = weak.lock()) {
+                           self->OnDrained();
                          }
                        }});
 }
@@ -87,6 +89,15 @@
   ParseAhead();
 }
 
+auto ServerConnection::OnDrained() -> void {
+  if (!m_busy && !m_parser->started()) {
+    m_since = SteadyTime();
+  }
+  if (const auto on_drained = m_on_drained) {
+    on_drained();
+  }
+}
+
 auto ServerConnection::NewParser() -> void {
   m_parser_limits = m_listener->m_limits.m_parser;
   m_parser = std::make_unique<RequestParser>(m_parser_limits);
@@ -123,6 +134,10 @@
     case ParseState::kDone:
       break;
   }
+  if (m_surplus) {
+    Refuse(kStatusUnavailable);
+    return;
+  }
   m_busy = true;
   m_begun = false;
   ++m_listener->m_open_requests;
@@ -176,11 +191,12 @@
 }
 
 auto ServerConnection::StateEnd(HttpFields& fields) -> void {
-  // A request that was read ahead is answered as well; its answer says so.
-  const auto last = m_listener->m_close_after_answers && m_ahead.empty();
+  // A request that has arrived already is answered as well; its answer says so.
+  const auto last = m_listener->m_close_after_answers && m_ahead.empty() &&
+                    m_stream->unread_bytes() == 0;
   m_keep_alive = m_keep_alive && !last;
   const auto stated = m_keep_alive ? StatedTime() : std::chrono::seconds(0);
-  m_kept_for = stated.count() > 0 ? stated + kKeptMargin : Duration{0};
+  m_kept_for = KeptTime(stated);
   if (!m_keep_alive) {
     fields.push_back({"Connection", "close"});
   } else if (stated.count() > 0) {
@@ -293,23 +309,51 @@
 }
 
 auto ServerConnection::Tick(TimePoint now) -> void {
-  if (m_busy) {
+  // A handler of another connection may have ended this one.
+  if (m_busy || m_listener == nullptr) {
     return;
   }
-  const auto& limits = m_listener->m_limits;
   if (m_parser->started()) {
-    if (now - m_since > limits.m_header_timeout) {
-      Refuse(kStatusTimeout);
+    if (now - m_since > m_listener->m_limits.m_header_timeout) {
+      RefuseIfLate();
     }
     return;
   }
   const auto stopped = m_listener->m_stopped;
-  const auto rests = stopped ? Duration{0} : limits.m_idle_timeout;
-  if (now - m_since > std::max(rests, m_kept_for)) {
+  if (now - m_since > RestTime()) {
     CloseIfIdle(stopped ? CloseReason::kStop : CloseReason::kIdle);
   }
 }
 
+auto ServerConnection::RestTime() const -> Duration {
+  // The other side counts the stated time from when it has the answer.
+  if (pending_bytes() > 0 && m_kept_for > Duration{0}) {
+    return kTakeTime;
+  }
+  const auto ends_early = m_listener->m_stopped || m_surplus;
+  const auto idle_timeout =
+      ends_early ? Duration{0} : m_listener->m_limits.m_idle_timeout;
+  return std::max(idle_timeout, m_kept_for);
+}
+
+auto ServerConnection::RefuseIfLate() -> void {
+  const auto self = shared_from_this();
+  m_stream->ReadNow();
+  const auto waits = m_listener != nullptr && !m_busy && m_parser->started();
+  if (waits) {
+    Refuse(kStatusTimeout);
+  }
+}
+
+auto ServerConnection::KeptTime(std::chrono::seconds stated) const -> Duration {
+  const auto& limits = m_listener->m_limits;
+  if (!m_keep_alive || !limits.m_kept_time) {
+    return Duration{0};
+  }
+  // Without a statement callers go by the idle timeout.
+  return stated.count() > 0 ? stated + kKeptMargin : limits.m_idle_timeout;
+}
+
 auto ServerConnection::StatedTime() const -> std::chrono::seconds {
   const auto& limits = m_listener->m_limits;
   const auto reached = std::chrono::floor<std::chrono::seconds>(
@@ -320,10 +364,12 @@
 
 auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
   const auto self = shared_from_this();
+  const auto answers = m_answers;
   // What has arrived counts, read or not.
   m_stream->ReadNow();
   const auto gone = m_listener == nullptr;
-  if (gone || m_busy || m_parser->started() || !m_ahead.empty()) {
+  const auto used = m_answers != answers || m_busy || m_parser->started();
+  if (gone || used || !m_ahead.empty()) {
     return;
   }
   NoteClose(reason);
