--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -216,6 +216,8 @@
        .m_on_failure =
            [self, call](ExchangeFailure /*failure*/) {
              call->m_result.m_cut = !call->m_over;
+             call->m_result.m_requests_before =
+                 call->m_connection->exchanges() - 1;
              self->Finish(call);
            }});
 }
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -36,6 +36,8 @@
   int m_events = 0;
   /// The connection ended while the request was on it.
   bool m_cut = false;
+  /// Requests that the connection had carried before.
+  int m_requests_before = 0;
   std::string m_request;
   /// Host that the request was sent to.
   std::string m_host;
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -307,6 +307,9 @@
     ++m_cut_by_old;
     return;
   }
+  Note("LOST " + result.m_request + " by " + result.m_host + ", behind " +
+       std::to_string(result.m_requests_before) + " others, status " +
+       std::to_string(result.m_status));
   m_promises.Break("LOST: " + result.m_request + " was cut by " +
                    result.m_host);
 }
