A stopping disk host answers what has reached it

What callers saw: nothing of their own; entry hosts that stored a turn, read a history, kept a ledger or asked for a stream's origin at a disk host that got SIGTERM saw the connection reset, and took the host for lost.

Cause: the process closed its disk's files and ended at once. What lay unread, waited to be accepted or was being written to the disk got no answer.

Change: at SIGTERM the disk host takes what has arrived, answers it and exits with 0 once all connections are closed, after 2 s (or 0.3 s before the end of its grace period) at most. What has no answer 0.3 s before that gets 503. host_stopped tells what was open.

--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -133,9 +133,11 @@
   if (settings.m_role == HostRole::kDisk) {
     DiskHost host(loop, settings);
     const auto stop = [&loop, &host] {
+      const auto end = [&loop] { loop.stop(); };
       // The process ends whatever the parts of the host do.
-      RunGuarded("stop", [&host] { host.Stop(); });
-      loop.stop();
+      if (!RunGuarded("stop", [&] { host.BeginStop(end); })) {
+        end();
+      }
     };
     return RunHost(loop, host, stop, file);
   }
--- a/src/libgateway/history/disk_host.cc
+++ b/src/libgateway/history/disk_host.cc
@@ -1,5 +1,8 @@
 #include "history/disk_host.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "dotterelshed/event_loop.h"
 #include "dotterelshed/http_status.h"
 #include "dotterelshed/log_events.h"
@@ -15,6 +18,14 @@
 /// A retirement allows some seconds, and only this host can confirm its own.
 constexpr Duration kRetirementViewAge = std::chrono::seconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(250);
+constexpr Duration kStopTick = std::chrono::milliseconds(20);
+/// A stopping host exits within this time. Other hosts wait for an answer of
+/// half a second at most, except for copies of turns.
+constexpr Duration kLongestStop = std::chrono::seconds(2);
+/// Part of the stop grace period reserved for the exit itself.
+constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+/// Time before the exit in which requests without an answer are refused.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
 
 /// Returns the HTTP status that reports a journal error to a peer.
 auto StatusOf(const Error& error) -> int {
@@ -81,13 +92,57 @@
   return {};
 }
 
+auto DiskHost::BeginStop(std::function<void()> on_stopped) -> void {
+  if (m_on_stopped) {
+    return;
+  }
+  m_on_stopped = std::move(on_stopped);
+  m_stop_started_at = SteadyTime();
+  LogEvent(LogEventId::kHostDraining,
+           {{"open", std::to_string(m_peers.open_requests())}});
+  m_watcher->Stop();
+  m_register_timer.cancel();
+  m_peers.StopListening();
+  ArmTick();
+  ContinueStop(m_stop_started_at);
+}
+
+auto DiskHost::ContinueStop(TimePoint now) -> void {
+  const auto exit =
+      std::min(kLongestStop, m_settings.m_stop_grace - kExitMargin);
+  const auto since = now - m_stop_started_at;
+  if (since > exit - kLastAnswersTime) {
+    RefuseWaiting();
+  }
+  const auto over =
+      m_peers.connections() == 0 && m_peers.closing_connections() == 0;
+  if (!over && since <= exit) {
+    return;
+  }
+  const auto on_stopped = std::exchange(m_on_stopped, nullptr);
+  RunGuarded("stop", [this] { Stop(); });
+  on_stopped();
+}
+
+auto DiskHost::RefuseWaiting() -> void {
+  for (const auto& weak : std::exchange(m_waiting, {})) {
+    if (const auto connection = weak.lock()) {
+      connection->Answer(kStatusUnavailable, {}, "");
+    }
+  }
+}
+
 auto DiskHost::Stop() -> void {
   m_watcher->Stop();
   m_register_timer.cancel();
   m_tick_timer.cancel();
   m_peers.StopListening();
   m_replica.Stop();
-  LogEvent(LogEventId::kHostStopped, {{"exit_code", "0"}});
+  LogEvent(LogEventId::kHostStopped,
+           {{"open", std::to_string(m_peers.open_requests())},
+            {"closing", std::to_string(m_peers.closing_connections())},
+            {"connections", std::to_string(m_peers.connections())},
+            {"exit_code", "0"}});
 }
 
 auto DiskHost::Register() -> void {
@@ -132,6 +187,13 @@
   if (!handled) {
     OnJournalRequest(connection, request);
   }
+  if (connection->busy()) {
+    std::erase_if(m_waiting, [](const auto& weak) {
+      const auto waiting = weak.lock();
+      return !waiting || !waiting->busy();
+    });
+    m_waiting.push_back(connection);
+  }
 }
 
 auto DiskHost::OnJournalRequest(
@@ -163,7 +225,7 @@
 }
 
 auto DiskHost::ArmTick() -> void {
-  m_tick_timer.expires_after(kTick);
+  m_tick_timer.expires_after(m_on_stopped ? kStopTick : kTick);
   m_tick_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       const auto now = SteadyTime();
@@ -171,6 +233,9 @@
       RunGuarded("tick", [this, now] { m_replica.Tick(now); });
       FlushLog();
       ArmTick();
+      if (m_on_stopped) {
+        ContinueStop(now);
+      }
     }
   });
 }
--- a/src/libgateway/history/disk_host.h
+++ b/src/libgateway/history/disk_host.h
@@ -1,7 +1,9 @@
 #ifndef DOTTERELSHED_DISK_HOST_H_
 #define DOTTERELSHED_DISK_HOST_H_
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 #include "dotterelshed/http_listener.h"
 #include "entry_settings.h"
@@ -26,7 +28,11 @@
 
   /// Errors: kUnavailable if the address cannot be bound.
   auto Start() -> Status;
-  /// Stops answering and closes the disk's files.
+  /// Takes no new connections, answers the requests that have reached this host
+  /// and then calls @p on_stopped, with the disk's files closed; all that
+  /// within the stop grace period.
+  auto BeginStop(std::function<void()> on_stopped) -> void;
+  /// Stops answering at once and closes the disk's files.
   auto Stop() -> void;
   auto peer_address() const -> TcpAddress { return m_peers.local_address(); }
 
@@ -40,6 +46,9 @@
   auto OnRetirement(const StoredObject& object) -> void;
   auto AnswerRetirement(const std::string& name) -> void;
   auto ArmTick() -> void;
+  auto ContinueStop(TimePoint now) -> void;
+  /// Refuses the requests that have no answer yet.
+  auto RefuseWaiting() -> void;
 
   EventLoop& m_loop;
   EntrySettings m_settings;
@@ -55,6 +64,11 @@
   boost::asio::steady_timer m_tick_timer;
   /// Version of the retirement request that was confirmed; 0 if none.
   ResourceVersion m_answered_version;
+  /// Connections of requests that were not answered at once.
+  std::vector<std::weak_ptr<ServerConnection>> m_waiting;
+  /// Set while the host stops.
+  std::function<void()> m_on_stopped;
+  TimePoint m_stop_started_at;
 };
 
 }  // namespace dotterelshed
