Upgrades of the soak replace all hosts or fail, in a drawn order

What was missing: planned work ended after 12 s, when only a few of the hosts ran the new program, and the run passed; hosts were always replaced in one order, the disk host last; nothing changed once the last host was new; and a host that ended by itself stayed away, which the platform's don't.

Entry hosts are replaced in a drawn order, the disk host first or last. A series of changes follows right after the start of the last new host. Under planned work a host that ended by itself is still a broken promise, but is started again.

--- a/soak/soak_planned_work.cc
+++ b/soak/soak_planned_work.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <csignal>
+#include <iterator>
+#include <utility>
 
 #include "after.h"
 #include "dotterelshed/steady_time.h"
@@ -18,6 +20,8 @@
 /// A host counts as disturbed for this long after it was started.
 constexpr Duration kContactTime = std::chrono::seconds(4);
 constexpr int kMostChangesInSeries = 12;
+/// Longest time from the stop of one host to that of the next.
+constexpr Duration kReplacementTime = std::chrono::seconds(12);
 
 }  // namespace
 
@@ -49,13 +53,17 @@
       StartWhenGone(host);
       return;
     }
-    if (host.m_old) {
+    const auto upgraded = std::exchange(host.m_old, false);
+    if (upgraded) {
       Note("upgrade " + host.m_name);
-      host.m_old = false;
       host.m_process->SetProgram(m_options.m_program);
     }
     host.m_disturbed_until = SteadyTime() + kContactTime;
     StartHost(host);
+    if (upgraded && OldHosts() == 0) {
+      Note("all hosts are replaced");
+      ChangeConfigOften();
+    }
   });
 }
 
@@ -75,19 +83,58 @@
   }
 }
 
+auto SoakWorld::OldHosts() const -> int {
+  return static_cast<int>(
+      std::count_if(m_hosts.begin(), m_hosts.end(),
+                    [](const auto& host) { return host->m_old; }));
+}
+
+auto SoakWorld::DrawUpgradeOrder() -> void {
+  for (const auto& host : m_hosts) {
+    m_upgrade_order.push_back(host.get());
+  }
+  const auto disk_host = std::prev(m_upgrade_order.end());
+  std::shuffle(m_upgrade_order.begin(), disk_host, m_random);
+  // It is the first or the last one.
+  if (Draw(2) == 0) {
+    std::rotate(m_upgrade_order.begin(), disk_host, m_upgrade_order.end());
+  }
+}
+
 auto SoakWorld::UpgradeNext() -> void {
   const auto any_stopping =
       std::any_of(m_hosts.begin(), m_hosts.end(), [](const auto& host) {
         return host->m_stopping || !host->m_process->running();
       });
-  const auto next = std::find_if(
-      m_hosts.begin(), m_hosts.end(),
-      [this](const auto& host) { return host->m_old && MayStop(*host); });
-  if (!any_stopping && next != m_hosts.end()) {
+  const auto next = std::find_if(m_upgrade_order.begin(), m_upgrade_order.end(),
+                                 [](const auto* host) { return host->m_old; });
+  const auto possible =
+      !any_stopping && next != m_upgrade_order.end() && MayStop(**next);
+  if (possible) {
     StopInOrder(**next);
   }
 }
 
+auto SoakWorld::RunPlannedWork() -> void {
+  const auto end = SteadyTime() + m_options.m_fault_time;
+  const auto hosts = OldHosts();
+  const auto last_end = SteadyTime() + hosts * kReplacementTime;
+  if (hosts > 0) {
+    DrawUpgradeOrder();
+  }
+  const auto upgrading = [this, last_end] {
+    return OldHosts() > 0 && SteadyTime() < last_end;
+  };
+  while (SteadyTime() < end || upgrading()) {
+    DrawPlannedWork();
+    RunFor(DrawTime(50, 400));
+  }
+  if (OldHosts() > 0) {
+    m_promises.Break(std::to_string(OldHosts()) + " of " +
+                     std::to_string(hosts) + " hosts weren't replaced");
+  }
+}
+
 auto SoakWorld::DrawPlannedWork() -> void {
   if (!m_options.m_production.empty()) {
     UpgradeNext();
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -206,6 +206,11 @@
                        std::to_string(*status));
     }
     host->m_stopping = false;
+    // The platform starts it again.
+    if (m_options.m_planned && !killed && !stopped) {
+      host->m_disturbed_until = SteadyTime() + kStopTime;
+      StartWhenGone(*host);
+    }
   }
 }
 
@@ -352,6 +357,14 @@
   }
 }
 
+auto SoakWorld::RunFaults() -> void {
+  const auto until = SteadyTime() + m_options.m_fault_time;
+  while (SteadyTime() < until) {
+    DrawFault();
+    RunFor(DrawTime(100, 1200));
+  }
+}
+
 auto SoakWorld::Run() -> std::vector<std::string> {
   for (const auto& host : m_hosts) {
     StartHost(*host);
@@ -365,15 +378,10 @@
   if (!m_options.m_planned) {
     m_poison->Start();
   }
-  const auto until = SteadyTime() + m_options.m_fault_time;
-  while (SteadyTime() < until) {
-    if (m_options.m_planned) {
-      DrawPlannedWork();
-      RunFor(DrawTime(50, 400));
-    } else {
-      DrawFault();
-      RunFor(DrawTime(100, 1200));
-    }
+  if (m_options.m_planned) {
+    RunPlannedWork();
+  } else {
+    RunFaults();
   }
   Note("heal");
   Heal();
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -88,6 +88,9 @@
 
   auto StartHost(Host& host) -> void;
 
+  /// Draws planned work for the given time, or until no host runs the old
+  /// program; breaks a promise if hosts take too long to be replaced.
+  auto RunPlannedWork() -> void;
   auto DrawPlannedWork() -> void;
   /// True if it has run for a while and its domain has another host in use.
   auto MayStop(const Host& host) const -> bool;
@@ -95,9 +98,13 @@
   auto StartWhenGone(Host& host) -> void;
   auto ReloadAll() -> void;
   auto ChangeConfigOften() -> void;
+  /// Number of hosts that run the old program.
+  auto OldHosts() const -> int;
+  auto DrawUpgradeOrder() -> void;
   /// Stops the next host that still runs the old program, if none is stopping.
   auto UpgradeNext() -> void;
 
+  auto RunFaults() -> void;
   auto DrawFault() -> void;
   auto DisturbHost(Host& host) -> void;
   auto DisturbLink(LoopbackProxy& link, Duration time) -> void;
@@ -130,6 +137,8 @@
   TestStore m_store;
   Promises m_promises;
   std::vector<std::unique_ptr<Host>> m_hosts;
+  /// Hosts in the order in which an upgrade replaces them.
+  std::vector<Host*> m_upgrade_order;
   std::vector<std::unique_ptr<Endpoint>> m_endpoints;
   /// Endpoints that are leaving, and since when the store says so.
   std::map<std::string, TimePoint> m_leaving;
