Postmortem of requests cut by planned work; the stated time follows the grace period

With a grace period below 4 s a caller may have been told two seconds although the process ends earlier; the time is now what a stop takes requests for, in whole seconds.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -28,9 +28,6 @@
 /// Time after SIGTERM in which new requests are still accepted: the load
 /// balancer needs two failed readiness probes, one second apart.
 constexpr Duration kLameDuckTime = std::chrono::milliseconds(2800);
-/// Time for which answers say that their connection is kept. Connections that
-/// were in use when SIGTERM came are over by the end of kLameDuckTime.
-constexpr std::chrono::seconds kKeptTime{2};
 /// Part of the stop grace period reserved for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
 /// Time before the exit in which requests without an answer get an error.
@@ -258,7 +255,9 @@
     limits.m_header_timeout = stated.m_header_timeout;
     limits.m_idle_timeout = stated.m_idle_timeout;
   }
-  limits.m_kept_time = kKeptTime;
+  // So connections that are in use when a stop begins are over when it stops
+  // to take requests.
+  limits.m_kept_time = std::chrono::floor<std::chrono::seconds>(LameDuckTime());
   const auto spare =
       m_context.m_settings.m_max_descriptors - kReservedDescriptors;
   limits.m_max_connections = static_cast<std::size_t>(std::max(spare / 2, 1));
