A connection whose stated time outlasts its host ends with its answer

An answer that begins before SIGTERM states two seconds; if it ends less than that before the exit, the exit cut the connection while its caller might use it.

Change: the listener knows when the process ends, and closes such a connection behind its answer, as far from the caller's next request as can be.

--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -153,6 +153,9 @@
 
   /// Answers from now on end their connections.
   auto CloseAfterAnswers() -> void { m_close_after_answers = true; }
+  /// Says when the process ends. A connection whose stated time would last
+  /// longer ends with its answer.
+  auto SetEnd(TimePoint end) -> void { m_end = end; }
   /// Takes no new connections but those that wait to be accepted. Answers end
   /// their connections from now on, and connections without a request end once
   /// the time is over that their last answer stated.
@@ -187,6 +190,7 @@
   std::vector<std::weak_ptr<ByteStream>> m_closing;
   int m_open_requests = 0;
   boost::asio::steady_timer m_accept_timer;
+  TimePoint m_end = TimePoint::max();
   bool m_close_after_answers = false;
   bool m_stopped = false;
 };
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -459,6 +459,7 @@
   }
   m_stop_started_at = SteadyTime();
   m_callers.CloseAfterAnswers();
+  m_callers.SetEnd(m_stop_started_at + ExitTime());
   m_lead.BeginStop();
   m_relay_service.Stop();
   LogEvent(LogEventId::kHostDraining,
@@ -469,13 +470,17 @@
   return std::min(kLameDuckTime, m_context.m_settings.m_stop_grace / 2);
 }
 
+auto EntryHost::ExitTime() const -> Duration {
+  return m_context.m_settings.m_stop_grace - kExitMargin;
+}
+
 auto EntryHost::ContinueStop(TimePoint now) -> void {
   const auto since = now - m_stop_started_at;
   if (since < LameDuckTime()) {
     return;
   }
   m_callers.StopListening();
-  const auto exit = m_context.m_settings.m_stop_grace - kExitMargin;
+  const auto exit = ExitTime();
   if (since > exit - kLastAnswersTime) {
     ForEachExchange(
         [](CallExchange& exchange) { exchange.AnswerBeforeExit(); });
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -90,6 +90,8 @@
   auto ContinueStop(TimePoint now) -> void;
   /// Time after SIGTERM in which new requests are still accepted.
   auto LameDuckTime() const -> Duration;
+  /// Time after SIGTERM in which the process exits at the latest.
+  auto ExitTime() const -> Duration;
   auto ForEachExchange(const std::function<void(CallExchange&)>& visit) -> void;
   auto ArmTick() -> void;
 
--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -236,7 +236,9 @@
   --m_listener->m_open_requests;
   m_since = SteadyTime();
   ++m_answers;
-  if (!m_keep_alive) {
+  const auto outlasts_listener =
+      m_ahead.empty() && m_since + m_kept_for > m_listener->m_end;
+  if (!m_keep_alive || outlasts_listener) {
     NoteClose(CloseReason::kAnswered);
     CloseAfterWrites();
     return;
