A host that exits has settled the turns that it answered

What callers saw: a program's next turn got 402 though its budget held it, after the host of the turn before was stopped.

Cause: settlements go out each 100 ms, but the exit followed within 25 ms of the last connection. The lead kept the whole reservation of the turn.

Change: the exit waits until the leads have got the settlements, for a second at most.

--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -30,6 +30,8 @@
 constexpr Duration kLameDuckTime = std::chrono::milliseconds(2800);
 /// Part of the stop grace period reserved for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
+/// Time behind the lame duck time in which leads may take the last settlements.
+constexpr Duration kSettleTime = std::chrono::seconds(1);
 /// Time before the exit in which requests without an answer get an error.
 constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
 /// Added to the longest retention of the routes, so that turns still running at
@@ -486,9 +488,11 @@
         [](CallExchange& exchange) { exchange.AnswerBeforeExit(); });
   }
   // A connection without an open request may be bringing one.
+  const auto settled =
+      m_grants.settled() || since > LameDuckTime() + kSettleTime;
   const auto over = m_callers.connections() == 0 &&
                     m_callers.closing_connections() == 0 &&
-                    m_relay_service.open() == 0;
+                    m_relay_service.open() == 0 && settled;
   if (over || since > exit) {
     LogEvent(LogEventId::kHostStopped,
              {{"open", std::to_string(m_callers.open_requests())},
--- a/src/libgateway/lead/grant_client.cc
+++ b/src/libgateway/lead/grant_client.cc
@@ -1,5 +1,6 @@
 #include "lead/grant_client.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -223,6 +224,12 @@
   }
 }
 
+auto GrantClient::settled() const -> bool {
+  return m_unanswered_settlements == 0 &&
+         std::all_of(m_settlements.begin(), m_settlements.end(),
+                     [](const auto& item) { return item.second.empty(); });
+}
+
 auto GrantClient::SendSettlements(const DomainId& domain) -> void {
   const auto lead = m_context.m_leads.find(domain);
   if (lead == m_context.m_leads.end()) {
@@ -237,10 +244,13 @@
     return;
   }
   const auto body = EncodeSettlements(batch);
+  const auto messages = batch.m_settlements.empty() ? 0 : 1;
+  m_unanswered_settlements += messages;
   CallPeer(m_context.m_loop, m_context.m_peer_connections, entry.m_peer_address,
            kSettlePath, body, kSettleTimeout,
-           [this, domain, batch = std::move(batch)](
+           [this, domain, messages, batch = std::move(batch)](
                const Result<std::string>& reply) mutable {
+             m_unanswered_settlements -= messages;
              if (!reply) {
                RequeueSettlements(domain, std::move(batch.m_settlements));
              }
