With an idle timeout of a second or more an answer states a time

With an idle timeout of 1 to 1.75 s nothing was stated, so that callers went by the timeout of the newest version, and a host that didn't know of a longer one yet closed connections in use.

Change: one second is stated from an idle timeout of one second on.

--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -31,8 +31,8 @@
   Duration m_idle_timeout = std::chrono::seconds(15);
   /// Longest time that answers state in Keep-Alive, in whole seconds. The
   /// connection stays open for it whatever becomes of the limits, and the other
-  /// side sends nothing later. Without it, or if the idle timeout leaves no
-  /// whole second, nothing is stated.
+  /// side sends nothing later. Without it, or with an idle timeout below a
+  /// second, nothing is stated.
   std::optional<std::chrono::seconds> m_kept_time;
   /// Requests on connections beyond this number get 503; from a tenth more on
   /// connections are closed at once.
--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -17,6 +17,8 @@
 
 /// Bytes of later requests that are read while one is open.
 constexpr std::size_t kMaxAheadBytes = 65536;
+/// The least time that an answer can state.
+constexpr std::chrono::seconds kOneSecond{1};
 /// Added to the time that an answer states, for requests that are on their way
 /// when it is over.
 constexpr Duration kKeptMargin = std::chrono::milliseconds(750);
@@ -358,8 +360,11 @@
 
 auto ServerConnection::StatedTime() const -> std::chrono::seconds {
   const auto& limits = m_listener->m_limits;
-  const auto reached = std::chrono::floor<std::chrono::seconds>(
-      limits.m_idle_timeout - kKeptMargin);
+  // Within the idle timeout, but for a second that it contains.
+  const auto most =
+      std::max(limits.m_idle_timeout - kKeptMargin,
+               std::min(limits.m_idle_timeout, Duration(kOneSecond)));
+  const auto reached = std::chrono::floor<std::chrono::seconds>(most);
   return std::min(reached,
                   limits.m_kept_time.value_or(std::chrono::seconds(0)));
 }
