--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -25,15 +25,6 @@
 constexpr Duration kTick = std::chrono::milliseconds(25);
 /// A tick that is later than this follows a pause of the process.
 constexpr Duration kMaxTickDelay = std::chrono::milliseconds(200);
-/// Time after SIGTERM in which new requests are still accepted: the load
-/// balancer needs two failed readiness probes, one second apart.
-constexpr Duration kLameDuckTime = std::chrono::milliseconds(2800);
-/// Part of the stop grace period reserved for the exit itself.
-constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-/// Time behind the lame duck time in which leads may take the last settlements.
-constexpr Duration kSettleTime = std::chrono::seconds(1);
-/// Time before the exit in which requests without an answer get an error.
-constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
 /// Added to the longest retention of the routes, so that turns still running at
 /// its end are counted.
 constexpr Duration kRetentionMargin = std::chrono::seconds(15);
@@ -378,7 +369,7 @@
             "quarantined");
 }
 
-// Periodic work and shutdown.
+// Periodic work.
 
 auto EntryHost::ArmTick() -> void {
   m_tick_timer.expires_after(kTick);
@@ -455,53 +446,4 @@
   }
 }
 
-auto EntryHost::Stop() -> void {
-  if (std::exchange(m_stopping, true)) {
-    return;
-  }
-  m_stop_started_at = SteadyTime();
-  m_callers.CloseAfterAnswers();
-  m_callers.SetEnd(m_stop_started_at + ExitTime());
-  m_lead.BeginStop();
-  m_relay_service.Stop();
-  LogEvent(LogEventId::kHostDraining,
-           {{"open", std::to_string(m_callers.open_requests())}});
-}
-
-auto EntryHost::LameDuckTime() const -> Duration {
-  return std::min(kLameDuckTime, m_context.m_settings.m_stop_grace / 2);
-}
-
-auto EntryHost::ExitTime() const -> Duration {
-  return m_context.m_settings.m_stop_grace - kExitMargin;
-}
-
-auto EntryHost::ContinueStop(TimePoint now) -> void {
-  const auto since = now - m_stop_started_at;
-  if (since < LameDuckTime()) {
-    return;
-  }
-  m_callers.StopListening();
-  const auto exit = ExitTime();
-  if (since > exit - kLastAnswersTime) {
-    ForEachExchange(
-        [](CallExchange& exchange) { exchange.AnswerBeforeExit(); });
-  }
-  // A connection without an open request may be bringing one.
-  const auto settled =
-      m_grants.settled() || since > LameDuckTime() + kSettleTime;
-  const auto over = m_callers.connections() == 0 &&
-                    m_callers.closing_connections() == 0 &&
-                    m_relay_service.open() == 0 && settled;
-  if (over || since > exit) {
-    LogEvent(LogEventId::kHostStopped,
-             {{"open", std::to_string(m_callers.open_requests())},
-              {"closing", std::to_string(m_callers.closing_connections())},
-              {"connections", std::to_string(m_callers.connections())},
-              {"exit_code", "0"}});
-    ForEachExchange([](CallExchange& exchange) { exchange.CutForExit(); });
-    m_context.m_loop.stop();
-  }
-}
-
 }  // namespace dotterelshed
