The soak asks nothing of connections that a host could not have accepted

Cause: a connection is there for its caller before the host can accept it. One that is made after the host has accepted its queue and before it has closed the socket is reset by the system; nothing of it was read, and its caller may send the request again.

Change: such a request (first of its connection, no byte of an answer, not run, host being stopped) isn't called LOST, but one in ten stops at most may reset one; more break the run.

The soak sends SIGHUP to a host that has just been started once its program ignores or handles it, which the system tells; to all others at any time as before.

--- a/soak/host_process.cc
+++ b/soak/host_process.cc
@@ -6,6 +6,9 @@
 #include <csignal>
 
 #include <array>
+#include <cstdint>
+#include <fstream>
+#include <string>
 #include <utility>
 
 #include "dotterelshed/error.h"
@@ -48,6 +51,20 @@
   }
 }
 
+auto HostProcess::withstands_hangup() const -> bool {
+  std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+  std::uint64_t withstood = 0;
+  for (std::string line; std::getline(status, line);) {
+    const auto name = line.substr(0, line.find(':'));
+    if (name == "SigBlk" || name == "SigIgn" || name == "SigCgt") {
+      constexpr int kHexadecimal = 16;
+      withstood |=
+          std::stoull(line.substr(name.size() + 1), nullptr, kHexadecimal);
+    }
+  }
+  return (withstood >> (SIGHUP - 1) & 1U) != 0;
+}
+
 auto HostProcess::Reap() -> std::optional<int> {
   int status = 0;
   if (!running() || waitpid(m_pid, &status, WNOHANG) != m_pid) {
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -56,6 +56,10 @@
   auto SetLimit(const std::string& program, int tokens) -> void {
     m_limits[program] = tokens;
   }
+  /// True if an endpoint has begun to work on the request.
+  auto HasRun(const std::string& id) const -> bool {
+    return m_runs.contains(id);
+  }
   /// Any other promise that doesn't hold.
   auto Break(const std::string& what) -> void { m_broken.push_back(what); }
   auto broken() const -> const std::vector<std::string>& { return m_broken; }
--- a/soak/soak_planned_work.cc
+++ b/soak/soak_planned_work.cc
@@ -42,6 +42,7 @@
 auto SoakWorld::StopInOrder(Host& host) -> void {
   Note("stop " + host.m_name);
   host.m_stopping = true;
+  ++m_stops;
   host.m_disturbed_until = SteadyTime() + kStopTime + kContactTime;
   host.m_process->Signal(SIGTERM);
   StartWhenGone(host);
@@ -67,11 +68,19 @@
   });
 }
 
+auto SoakWorld::Reload(const Host& host) const -> void {
+  const auto begins = SteadyTime() - host.m_started_at < kStartTime &&
+                      !host.m_process->withstands_hangup();
+  if (!begins) {
+    host.m_process->Signal(SIGHUP);
+  }
+}
+
 auto SoakWorld::ReloadAll() -> void {
   Note("reload all");
   for (const auto& host : m_hosts) {
     After(m_loop, DrawTime(0, 1000),
-          [raw = host.get()] { raw->m_process->Signal(SIGHUP); });
+          [this, raw = host.get()] { Reload(*raw); });
   }
 }
 
@@ -152,7 +161,7 @@
     case 3: {
       auto& host = RandomHost();
       Note("reload " + host.m_name);
-      host.m_process->Signal(SIGHUP);
+      Reload(host);
       return;
     }
     case 4:
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -28,6 +28,8 @@
 constexpr int kMostEnds = 3;
 constexpr int kMostLatePoison = 3;
 constexpr Duration kEndpointDown = std::chrono::milliseconds(1500);
+/// Stops in which one new connection at most may be reset unread.
+constexpr int kStopsPerReset = 10;
 constexpr int kIdleTimeoutMs = 15000;
 
 /// Idle timeout of a version; planned work changes it.
@@ -312,6 +314,16 @@
     ++m_cut_by_old;
     return;
   }
+  // A connection is there for its caller before the host can accept it. One
+  // that is made as the listening socket closes is reset unread.
+  const auto unread = (*host)->m_stopping && result.m_requests_before == 0 &&
+                      result.m_status == 0 &&
+                      !m_promises.HasRun(result.m_request);
+  if (unread) {
+    ++m_reset_by_stops;
+    Note("reset unread: " + result.m_request + " by " + result.m_host);
+    return;
+  }
   Note("LOST " + result.m_request + " by " + result.m_host + ", behind " +
        std::to_string(result.m_requests_before) + " others, status " +
        std::to_string(result.m_status));
@@ -344,6 +356,7 @@
        std::to_string(m_late_poison) + " of them late");
   for (const auto& host : m_hosts) {
     host->m_stopping = true;
+    ++m_stops;
     host->m_process->Signal(SIGTERM);
   }
   const auto any = [this] {
@@ -401,6 +414,10 @@
                      " of " + std::to_string(m_asked));
   }
   StopAll();
+  if (m_reset_by_stops * kStopsPerReset > m_stops) {
+    m_promises.Break("LOST: " + std::to_string(m_stops) + " stops reset " +
+                     std::to_string(m_reset_by_stops) + " new connections");
+  }
   if (m_cut_by_old > 0) {
     Note(std::to_string(m_cut_by_old) + " requests cut by the old program");
   }
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -96,6 +96,9 @@
   auto MayStop(const Host& host) const -> bool;
   auto StopInOrder(Host& host) -> void;
   auto StartWhenGone(Host& host) -> void;
+  /// Sends SIGHUP, unless the host has been started just now and its program
+  /// hasn't begun: its settings are read later anyway.
+  auto Reload(const Host& host) const -> void;
   auto ReloadAll() -> void;
   auto ChangeConfigOften() -> void;
   /// Number of hosts that run the old program.
@@ -160,6 +163,9 @@
   bool m_recovering = false;
   int m_asked = 0;
   int m_answered = 0;
+  /// Stops in order so far, and requests on new connections that they reset.
+  int m_stops = 0;
+  int m_reset_by_stops = 0;
   /// Requests that hosts of the old program cut.
   int m_cut_by_old = 0;
 };
