--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -360,7 +360,7 @@
 
 auto ServerConnection::StatedTime() const -> std::chrono::seconds {
   const auto& limits = m_listener->m_limits;
-  // Within the idle timeout, but for a second that it contains.
+  // The margin lies within the idle timeout, unless that would leave no second.
   const auto most =
       std::max(limits.m_idle_timeout - kKeptMargin,
                std::min(limits.m_idle_timeout, Duration(kOneSecond)));
