The soak notices when it stands still itself

Cause: the soak's process stood still for about 4 s, and with it the store. That is an outage of the store, in which a turn may get less than it asked for (OPERATIONS.md, "Cut in mid-stream"); the rule asks nothing beside an outage.

Change: a tick that comes more than a second late is noted, and answers that are cut up to 4 s after it aren't called LOST; requests cut without an answer are, as before.

--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -30,6 +30,10 @@
 constexpr Duration kEndpointDown = std::chrono::milliseconds(1500);
 /// Stops in which one new connection at most may be reset unread.
 constexpr int kStopsPerReset = 10;
+/// Time between two ticks from which hosts take the store for lost.
+constexpr Duration kStandstill = std::chrono::seconds(1);
+/// Hosts are in touch again this long after the store is back.
+constexpr Duration kContactTime = std::chrono::seconds(4);
 constexpr int kIdleTimeoutMs = 15000;
 
 /// Idle timeout of a version; planned work changes it.
@@ -45,7 +49,8 @@
     : m_options(options),
       m_random(options.m_seed),
       m_store(m_loop),
-      m_begun(SteadyTime()) {
+      m_begun(SteadyTime()),
+      m_last_tick(m_begun) {
   const auto listening =
       m_store.Listen({boost::asio::ip::address_v4::loopback(), 0});
   DOTTERELSHED_CHECK(listening.has_value());
@@ -185,8 +190,18 @@
   }
 }
 
+auto SoakWorld::NoteStandstill(TimePoint now) -> void {
+  const auto gap = now - std::exchange(m_last_tick, now);
+  if (gap > kStandstill) {
+    Note("this process, and so the store, stood still for " +
+         std::to_string(ToSeconds(gap)) + " s");
+    m_standstill_until = now + kContactTime;
+  }
+}
+
 auto SoakWorld::Tick() -> void {
   const auto now = SteadyTime();
+  NoteStandstill(now);
   m_store.Tick(now);
   for (const auto& endpoint : m_endpoints) {
     endpoint->Tick(now);
@@ -314,6 +329,13 @@
     ++m_cut_by_old;
     return;
   }
+  // While the store is silent a turn may get less than it asked for, and its
+  // answer is cut there.
+  const auto in_answer = result.m_status != 0;
+  if (in_answer && SteadyTime() < m_standstill_until) {
+    Note("cut in the answer behind a standstill: " + result.m_request);
+    return;
+  }
   // A connection is there for its caller before the host can accept it. One
   // that is made as the listening socket closes is reset unread.
   const auto unread = (*host)->m_stopping && result.m_requests_before == 0 &&
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -84,6 +84,8 @@
 
   auto RunFor(Duration time) -> void;
   auto Tick() -> void;
+  /// Notes that this process, with the store in it, got no processor time.
+  auto NoteStandstill(TimePoint now) -> void;
   auto WatchProcesses() -> void;
 
   auto StartHost(Host& host) -> void;
@@ -156,6 +158,9 @@
   int m_version = 0;
   TimePoint m_version_at;
   TimePoint m_begun;
+  TimePoint m_last_tick;
+  /// Until when hosts may still be out of touch with the store.
+  TimePoint m_standstill_until;
   int m_named = 0;
   /// Counts entries of endpoints: each is of a start of its own.
   std::int64_t m_starts = 0;
