--- a/src/libhttp/lost_connections_unittest.cc
+++ b/src/libhttp/lost_connections_unittest.cc
@@ -18,6 +18,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t kBodyBytes = std::size_t{32} << 20;
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// A listener whose event loop runs only when the test says so.
@@ -150,15 +151,15 @@
   host.Run();
   REQUIRE(host.m_requests == 1);
   // More than the system takes at once.
-  host.m_open.front()->Answer(200, {}, std::string(32000000, 'x'));
+  host.m_open.front()->Answer(200, {}, std::string(kBodyBytes, 'x'));
   host.m_listener.StopListening();
   REQUIRE(host.m_open.front()->pending_bytes() > 0);
   host.Run(milliseconds(1700));
-  for (int turn = 0; turn < 200 && caller.m_got.size() < 32000000; ++turn) {
+  for (int turn = 0; turn < 200 && caller.m_got.size() < kBodyBytes; ++turn) {
     caller.Read();
     host.Run(milliseconds(5));
   }
-  REQUIRE(caller.m_got.size() > 32000000);
+  REQUIRE(caller.m_got.size() > kBodyBytes);
   CHECK(caller.Got("Keep-Alive: timeout=1"));
   caller.Send();
   host.Run();
