--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -20,10 +20,10 @@
 constexpr Duration kPause = std::chrono::milliseconds(15);
 constexpr Duration kRetryPause = std::chrono::milliseconds(250);
 constexpr int kMaxTries = 3;
-/// Of callers that keep connections: longest rest, and one call in how many
-/// follows after a rest.
-constexpr int kMaxRestMs = 3500;
-constexpr int kCallsPerRest = 6;
+/// Maximum length of a pause of callers that keep connections, and number of
+/// calls of which one follows a pause.
+constexpr int kMaxPauseMs = 3500;
+constexpr int kCallsPerPause = 6;
 
 auto TargetOf(CallKind kind, std::mt19937& random) -> std::string {
   switch (kind) {
@@ -37,8 +37,8 @@
   return "/";
 }
 
-/// Time that an answer states in Keep-Alive, if any.
-auto StatedTime(const ResponseHead& head) -> std::optional<Duration> {
+/// Timeout that an answer announces in Keep-Alive, if any.
+auto KeepAliveTimeout(const ResponseHead& head) -> std::optional<Duration> {
   constexpr std::string_view kTimeout = "timeout=";
   const auto text = FieldText(head.m_fields, "keep-alive");
   int seconds = 0;
@@ -68,7 +68,7 @@
   std::string m_request;
   std::shared_ptr<ClientConnection> m_connection;
   std::unique_ptr<boost::asio::steady_timer> m_timer;
-  std::optional<Duration> m_kept_for;
+  std::optional<Duration> m_keep_alive;
   int m_tries = 0;
   bool m_over = false;
 };
@@ -138,9 +138,9 @@
 }
 
 auto Caller::DrawPause() -> Duration {
-  const auto rests =
-      m_options.m_keeps_connections && m_random() % kCallsPerRest == 0;
-  return rests ? std::chrono::milliseconds(m_random() % kMaxRestMs) : kPause;
+  const auto pauses =
+      m_options.m_keeps_connections && m_random() % kCallsPerPause == 0;
+  return pauses ? std::chrono::milliseconds(m_random() % kMaxPauseMs) : kPause;
 }
 
 auto Caller::Send(CallKind kind, int tries) -> void {
@@ -196,7 +196,7 @@
       {.m_on_head =
            [call](ResponseHead& head) {
              call->m_result.m_status = head.m_status;
-             call->m_kept_for = StatedTime(head);
+             call->m_keep_alive = KeepAliveTimeout(head);
              call->m_result.m_signed =
                  FindField(head.m_fields, "response-signature") != nullptr;
              const auto* id = FindField(head.m_fields, "request-id");
@@ -236,8 +236,8 @@
   m_ended(result);
   if (result.m_whole && call->m_connection->reusable()) {
     m_kept = call->m_connection;
-    m_kept_until =
-        call->m_kept_for ? SteadyTime() + *call->m_kept_for : TimePoint::max();
+    m_kept_until = call->m_keep_alive ? SteadyTime() + *call->m_keep_alive
+                                      : TimePoint::max();
   } else {
     call->m_connection->Close();
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -25,7 +25,7 @@
 };
 
 struct CallerOptions {
-  /// Uses a connection for as long as the host permits, and rests now and then.
+  /// Reuses a connection for as long as the host permits, and pauses sometimes.
   bool m_keeps_connections = false;
 };
 
--- a/soak/host_process.cc
+++ b/soak/host_process.cc
@@ -51,7 +51,7 @@
   }
 }
 
-auto HostProcess::withstands_hangup() const -> bool {
+auto HostProcess::handles_hangup() const -> bool {
   std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
   std::uint64_t withstood = 0;
   for (std::string line; std::getline(status, line);) {
--- a/soak/host_process.h
+++ b/soak/host_process.h
@@ -35,9 +35,9 @@
   }
   auto Signal(int signal) -> void;
   auto running() const -> bool { return m_pid > 0; }
-  /// True once the process ignores, handles or blocks SIGHUP; before its main
-  /// function begins it can't.
-  auto withstands_hangup() const -> bool;
+  /// Returns true if SIGHUP would not terminate the process: it ignores,
+  /// handles or blocks the signal. False until its main function has started.
+  auto handles_hangup() const -> bool;
   /// Starts of this process so far.
   auto incarnation() const -> int { return m_incarnation; }
   /// What wait says once the process has ended; empty while it runs.
--- a/soak/soak_planned_work.cc
+++ b/soak/soak_planned_work.cc
@@ -70,7 +70,7 @@
 
 auto SoakWorld::Reload(const Host& host) const -> void {
   const auto begins = SteadyTime() - host.m_started_at < kStartTime &&
-                      !host.m_process->withstands_hangup();
+                      !host.m_process->handles_hangup();
   if (!begins) {
     host.m_process->Signal(SIGHUP);
   }
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -28,16 +28,16 @@
 constexpr int kMostEnds = 3;
 constexpr int kMostLatePoison = 3;
 constexpr Duration kEndpointDown = std::chrono::milliseconds(1500);
-/// Stops in which one new connection at most may be reset unread.
+/// Number of stops of which one may reset a connection that it couldn't accept.
 constexpr int kStopsPerReset = 10;
-/// Time between two ticks from which the store may have missed a host's call: a
-/// lead gives up a write of its ledger after 300 ms.
-constexpr Duration kStandstill = std::chrono::milliseconds(250);
-/// Hosts are in touch again this long after the store is back.
+/// Time between two ticks that counts as a stall. Leads abandon a write of
+/// their ledger after 300 ms.
+constexpr Duration kMinStall = std::chrono::milliseconds(250);
+/// Time after a stall until hosts have read the store again.
 constexpr Duration kContactTime = std::chrono::seconds(4);
 constexpr int kIdleTimeoutMs = 15000;
 
-/// Idle timeout of a version; planned work changes it.
+/// Idle timeout of a configuration version, in milliseconds.
 auto IdleTimeoutOf(int version, bool planned) -> int {
   constexpr std::array kTimeouts{kIdleTimeoutMs, 3000, 1200, 6000};
   const auto at = static_cast<std::size_t>(version) % kTimeouts.size();
@@ -191,18 +191,18 @@
   }
 }
 
-auto SoakWorld::NoteStandstill(TimePoint now) -> void {
+auto SoakWorld::DetectStall(TimePoint now) -> void {
   const auto gap = now - std::exchange(m_last_tick, now);
-  if (gap > kStandstill) {
-    Note("this process, and so the store, stood still for " +
+  if (gap > kMinStall) {
+    Note("the soak, and the store in it, stalled for " +
          std::to_string(ToSeconds(gap)) + " s");
-    m_standstill_until = now + kContactTime;
+    m_stalled_until = now + kContactTime;
   }
 }
 
 auto SoakWorld::Tick() -> void {
   const auto now = SteadyTime();
-  NoteStandstill(now);
+  DetectStall(now);
   m_store.Tick(now);
   for (const auto& endpoint : m_endpoints) {
     endpoint->Tick(now);
@@ -322,36 +322,38 @@
   }
 }
 
-auto SoakWorld::CheckCut(const CallResult& result) -> void {
-  const auto host = std::find_if(
+auto SoakWorld::FindHost(const std::string& name) const -> const Host& {
+  return **std::find_if(
       m_hosts.begin(), m_hosts.end(),
-      [&result](const auto& one) { return one->m_name == result.m_host; });
-  if ((*host)->m_old) {
+      [&name](const auto& host) { return host->m_name == name; });
+}
+
+/// A client sees a connection as established before the host can accept it. If
+/// the listening socket is closed meanwhile, the connection is reset.
+auto SoakWorld::IsResetByStop(const CallResult& result, const Host& host) const
+    -> bool {
+  return host.m_stopping && result.m_requests_before == 0 &&
+         result.m_status == 0 && !m_promises.HasRun(result.m_request);
+}
+
+auto SoakWorld::CheckCut(const CallResult& result) -> void {
+  const auto& host = FindHost(result.m_host);
+  const auto place = result.m_request + " by " + result.m_host;
+  if (host.m_old) {
     ++m_cut_by_old;
-    return;
-  }
-  // While the store is silent a turn may get less than it asked for, and its
-  // answer is cut there.
-  const auto in_answer = result.m_status != 0;
-  if (in_answer && SteadyTime() < m_standstill_until) {
-    Note("cut in the answer behind a standstill: " + result.m_request);
-    return;
-  }
-  // A connection is there for its caller before the host can accept it. One
-  // that is made as the listening socket closes is reset unread.
-  const auto unread = (*host)->m_stopping && result.m_requests_before == 0 &&
-                      result.m_status == 0 &&
-                      !m_promises.HasRun(result.m_request);
-  if (unread) {
+  } else if (result.m_status != 0 && SteadyTime() < m_stalled_until) {
+    // While the store is silent, a lead may grant less than a turn needs.
+    Note("answer cut after a stall: " + place);
+  } else if (IsResetByStop(result, host)) {
     ++m_reset_by_stops;
-    Note("reset unread: " + result.m_request + " by " + result.m_host);
-    return;
+    Note("connection reset by a stop: " + place);
+  } else {
+    Note("LOST " + place + ", after " +
+         std::to_string(result.m_requests_before) + " others, status " +
+         std::to_string(result.m_status));
+    m_promises.Break("LOST: " + result.m_request + " was cut by " +
+                     result.m_host);
   }
-  Note("LOST " + result.m_request + " by " + result.m_host + ", behind " +
-       std::to_string(result.m_requests_before) + " others, status " +
-       std::to_string(result.m_status));
-  m_promises.Break("LOST: " + result.m_request + " was cut by " +
-                   result.m_host);
 }
 
 auto SoakWorld::OnCallEnded(const CallResult& result) -> void {
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -65,7 +65,7 @@
     /// Set while it is expected to end by itself.
     bool m_stopping = false;
     bool m_frozen = false;
-    /// It runs SoakOptions::m_production.
+    /// The process runs SoakOptions::m_production.
     bool m_old = false;
     TimePoint m_started_at;
     /// Newest version of the configuration whose effect was seen.
@@ -84,8 +84,8 @@
 
   auto RunFor(Duration time) -> void;
   auto Tick() -> void;
-  /// Notes that this process, with the store in it, got no processor time.
-  auto NoteStandstill(TimePoint now) -> void;
+  /// Notes if this process, which includes the store, did not run for a while.
+  auto DetectStall(TimePoint now) -> void;
   auto WatchProcesses() -> void;
 
   auto StartHost(Host& host) -> void;
@@ -98,8 +98,8 @@
   auto MayStop(const Host& host) const -> bool;
   auto StopInOrder(Host& host) -> void;
   auto StartWhenGone(Host& host) -> void;
-  /// Sends SIGHUP, unless the host has been started just now and its program
-  /// hasn't begun: its settings are read later anyway.
+  /// Sends SIGHUP, unless the host was started just now and its main function
+  /// has not begun.
   auto Reload(const Host& host) const -> void;
   auto ReloadAll() -> void;
   auto ChangeConfigOften() -> void;
@@ -124,6 +124,9 @@
   auto CheckVersion(const ServedRun& run, Host& host) -> void;
   auto OnPoison(const ServedRun& run, const Host& host) -> void;
   auto OnCallEnded(const CallResult& result) -> void;
+  auto FindHost(const std::string& name) const -> const Host&;
+  auto IsResetByStop(const CallResult& result, const Host& host) const -> bool;
+  /// Checks a request whose connection ended before its answer did.
   auto CheckCut(const CallResult& result) -> void;
   auto StopAll() -> void;
   auto Note(const std::string& what) -> void;
@@ -159,8 +162,8 @@
   TimePoint m_version_at;
   TimePoint m_begun;
   TimePoint m_last_tick;
-  /// Until when hosts may still be out of touch with the store.
-  TimePoint m_standstill_until;
+  /// Time until which hosts may be out of touch with the store after a stall.
+  TimePoint m_stalled_until;
   int m_named = 0;
   /// Counts entries of endpoints: each is of a start of its own.
   std::int64_t m_starts = 0;
--- a/src/dotterelshed_entry/main.cc
+++ b/src/dotterelshed_entry/main.cc
@@ -68,8 +68,8 @@
   std::function<void()> m_on_reload;
 };
 
-/// Leaves the signals of SignalWatch pending for the rest of the process, which
-/// one that comes while it exits would end otherwise.
+/// Blocks the signals of SignalWatch, whose default action would terminate the
+/// process during its shutdown.
 auto BlockSignals() -> void {
   sigset_t signals;
   sigemptyset(&signals);
@@ -182,7 +182,7 @@
   using dotterelshed::kRunError;
   // A closed peer is seen as an error of the write.
   std::signal(SIGPIPE, SIG_IGN);
-  // The settings haven't been read yet.
+  // Until SignalWatch handles it. The settings are read later anyway.
   std::signal(SIGHUP, SIG_IGN);
   try {
     const auto description = dotterelshed::MakeOptions();
--- a/src/include/dotterelshed/byte_stream.h
+++ b/src/include/dotterelshed/byte_stream.h
@@ -53,7 +53,7 @@
   auto pending_bytes() const -> std::size_t { return m_pending.size(); }
   /// Stops or resumes reading, to slow the sender down.
   auto SetReading(bool reading) -> void;
-  /// Hands on what has arrived without waiting for the event loop.
+  /// Passes received bytes on at once, without waiting for the event loop.
   auto ReadNow() -> void;
   /// Ends the connection at once; no handler runs any more.
   auto Close() -> void;
@@ -62,7 +62,7 @@
   /// seconds is dropped. No handler runs any more.
   auto CloseAfterWrites() -> void;
   auto closed() const -> bool { return m_closed; }
-  /// Bytes that have arrived and weren't read; 0 if the system can't say.
+  /// Number of received bytes that were not read; 0 if it is not known.
   auto unread_bytes() const -> std::size_t;
 
  private:
@@ -81,9 +81,9 @@
   ByteStreamHandlers m_handlers;
   std::string m_pending;
   std::unique_ptr<boost::asio::steady_timer> m_close_timer;
-  /// When this side's end was sent, and the bytes that were dropped since.
-  TimePoint m_ended_at;
-  std::size_t m_dropped_bytes = 0;
+  /// Time of CloseAfterWrites, and the number of bytes discarded since.
+  TimePoint m_closing_since;
+  std::size_t m_discarded_bytes = 0;
   bool m_reading = true;
   bool m_read_armed = false;
   bool m_write_armed = false;
--- a/src/include/dotterelshed/http_listener.h
+++ b/src/include/dotterelshed/http_listener.h
@@ -17,10 +17,11 @@
 /// Server side of HTTP/1.1: a listening socket and the connections that come in
 /// on it. Requests of one connection are handled one after the other.
 ///
-/// Each request that reaches the listener goes to its handler, also while the
-/// listener stops or its limits change. So a connection without an open request
-/// ends only after an answer that said so, or once the time is over that the
-/// last answer stated, and with nothing on it that has arrived.
+/// Every request that reaches the listener is passed to its handler, also while
+/// the listener stops or its limits change. A connection without an open
+/// request is therefore closed only after an answer with "Connection: close",
+/// or when its keep-alive timeout and idle timeout have passed, and only if no
+/// received bytes are left.
 
 namespace dotterelshed {
 
@@ -29,13 +30,13 @@
   ParserLimits m_parser;
   Duration m_header_timeout = std::chrono::seconds(3);
   Duration m_idle_timeout = std::chrono::seconds(15);
-  /// Longest time that answers state in Keep-Alive, in whole seconds. The
-  /// connection stays open for it whatever becomes of the limits, and the other
-  /// side sends nothing later. Without it, or with an idle timeout below a
-  /// second, nothing is stated.
-  std::optional<std::chrono::seconds> m_kept_time;
-  /// Requests on connections beyond this number get 503; from a tenth more on
-  /// connections are closed at once.
+  /// Upper bound of the timeout that answers announce in their Keep-Alive
+  /// field. A connection stays open for the announced time even if the limits
+  /// change or the listener stops. Nothing is announced without a value, or if
+  /// the idle timeout is shorter than a second.
+  std::optional<std::chrono::seconds> m_max_keep_alive;
+  /// Requests on connections beyond this number are refused with 503. If it is
+  /// exceeded by more than a tenth, further connections are closed at once.
   std::size_t m_max_connections = 2000;
 };
 
@@ -85,29 +86,32 @@
   auto OnBytes(std::string_view bytes) -> void;
   auto OnEnd() -> void;
   auto OnDrained() -> void;
-  /// Prepares for the next request, which the limits in force are asked of.
-  auto NewParser() -> void;
+  /// Starts to parse the next request, with the current limits.
+  auto ResetParser() -> void;
   auto ParseAhead() -> void;
   auto HandleParsed() -> void;
+  /// Passes the parsed request to the handler.
+  auto HandleRequest() -> void;
   auto Refuse(int status) -> void;
   auto FinishAnswer() -> void;
   auto Tick(TimePoint now) -> void;
-  /// Adds to an answer's fields whether and how long the connection is kept.
-  auto StateEnd(HttpFields& fields) -> void;
-  /// Time that the next answer states in Keep-Alive; zero for none.
-  auto StatedTime() const -> std::chrono::seconds;
-  /// How long the connection stays open at least after an answer that states
-  /// @p stated.
-  auto KeptTime(std::chrono::seconds stated) const -> Duration;
-  /// How long the connection may rest now.
-  auto RestTime() const -> Duration;
-  /// Answers 408 unless the rest of the request has arrived.
-  auto RefuseIfLate() -> void;
-  /// Closes the connection unless a request has begun to arrive on it.
+  /// Decides whether the connection is kept open after an answer, and adds its
+  /// Connection or Keep-Alive field.
+  auto AddConnectionFields(HttpFields& fields) -> void;
+  /// Timeout that the next answer announces in Keep-Alive; zero for none.
+  auto KeepAliveTimeout() const -> std::chrono::seconds;
+  /// Minimum time for which the connection stays open after an answer that
+  /// announces @p keep_alive.
+  auto MinOpenTime(std::chrono::seconds keep_alive) const -> Duration;
+  /// Time after which an idle connection is closed.
+  auto MaxIdleTime() const -> Duration;
+  /// Refuses a request with 408 unless the rest of it has arrived.
+  auto RefuseIfIncomplete() -> void;
+  /// Closes the connection unless bytes of a request have arrived.
   auto CloseIfIdle(CloseReason reason) -> void;
   /// Ends the connection once its last answer is out.
   auto CloseAfterWrites() -> void;
-  /// Reports the end of the connection by this host.
+  /// Logs and counts that this host closes the connection.
   auto NoteClose(CloseReason reason) const -> void;
   auto Forget() -> void;
 
@@ -119,11 +123,10 @@
   std::function<void()> m_on_gone;
   std::function<void()> m_on_drained;
   std::function<void(std::string_view)> m_take_bytes;
-  /// End of the last answer, or begin of the next request.
+  /// Time of the end of the last answer or of the first byte of a request.
   TimePoint m_since;
-  /// How long the connection stays open at least after the last answer, or
-  /// after it was accepted.
-  Duration m_kept_for;
+  /// Minimum time for which the connection stays open after m_since.
+  Duration m_min_open_time;
   int m_answers = 0;
   bool m_busy = false;
   bool m_begun = false;
@@ -131,8 +134,8 @@
   bool m_bodyless = false;
   bool m_keep_alive = true;
   bool m_continued = false;
-  /// One more than the listener may have: its request is refused.
-  bool m_surplus = false;
+  /// The listener had m_max_connections already; the request is refused.
+  bool m_over_limit = false;
 };
 
 class HttpListener {
@@ -153,12 +156,12 @@
 
   /// Answers from now on end their connections.
   auto CloseAfterAnswers() -> void { m_close_after_answers = true; }
-  /// Says when the process ends. A connection whose stated time would last
-  /// longer ends with its answer.
-  auto SetEnd(TimePoint end) -> void { m_end = end; }
-  /// Takes no new connections but those that wait to be accepted. Answers end
-  /// their connections from now on, and connections without a request end once
-  /// the time is over that their last answer stated.
+  /// Sets the time at which the process exits. A connection that would have to
+  /// stay open beyond it is closed at the end of its answer.
+  auto SetShutdownTime(TimePoint time) -> void { m_shutdown_at = time; }
+  /// Accepts the connections in the backlog and closes the listening socket.
+  /// From now on connections are closed at the end of an answer, or when their
+  /// keep-alive timeout has passed.
   auto StopListening() -> void;
   /// Requests that have no whole answer yet.
   auto open_requests() const -> int { return m_open_requests; }
@@ -173,11 +176,11 @@
 
   auto Accept() -> void;
   auto AcceptLater() -> void;
-  /// Accepts the connections that wait for it.
-  auto AcceptWaiting() -> void;
-  /// Takes an accepted connection, or closes it if there are far too many.
+  /// Accepts the connections in the backlog.
+  auto AcceptBacklog() -> void;
+  /// Adds an accepted connection, or closes it if there are far too many.
   auto Add(TcpSocket socket) -> void;
-  /// Takes a stream that ends once what was written is out.
+  /// Adds a stream that is closed when its written bytes have been sent.
   auto AddClosing(const std::shared_ptr<ByteStream>& stream) -> void;
 
   EventLoop& m_loop;
@@ -190,7 +193,7 @@
   std::vector<std::weak_ptr<ByteStream>> m_closing;
   int m_open_requests = 0;
   boost::asio::steady_timer m_accept_timer;
-  TimePoint m_end = TimePoint::max();
+  TimePoint m_shutdown_at = TimePoint::max();
   bool m_close_after_answers = false;
   bool m_stopped = false;
 };
--- a/src/libbase/log_events.cc
+++ b/src/libbase/log_events.cc
@@ -36,10 +36,10 @@
      "request may have run is in the fields. Attempts with the same content "
      "and caller are the same request, also under other request ids."},
     {LogEventId::kConnectionClosed, LogLevel::kInfo, "connection_closed",
-     "This host closed a connection without an answer to what may have been "
-     "on its way: why, how many requests it had answered there, how long it "
-     "had rested, and how many bytes it had read ahead, found unread or read "
-     "after the close."},
+     "This host closed a connection without an open request. The reason, the "
+     "number of answers on it, its idle time and the bytes that were buffered, "
+     "unread or discarded after the close are in the fields; such bytes may be "
+     "a request that raced with the close."},
     {LogEventId::kStreamOriginSought, LogLevel::kInfo, "stream_origin_sought",
      "A caller takes up a stream: the software version that began it was found "
      "here or at one of the disk hosts that were asked, or is unknown, so that "
--- a/src/libbase/metrics_catalogue.cc
+++ b/src/libbase/metrics_catalogue.cc
@@ -56,8 +56,8 @@
      "Time from a request's arrival to the first byte of its answer, by kind."},
     {MetricId::kConnectionsClosed, MetricKind::kCounter,
      "dotterelshed_connections_closed_total", "reason",
-     "Callers' and hosts' connections that this host closed while no request "
-     "was open, by reason; crossed: bytes arrived that it didn't handle."},
+     "Connections of callers and hosts that this host closed without an open "
+     "request, by reason; bytes_lost counts those that lost received bytes."},
     {MetricId::kTurnDecisions, MetricKind::kCounter,
      "dotterelshed_turn_decisions_total", "decision",
      "Turns that this lead decided on, by decision."},
--- a/src/libgateway/call/call_exchange.cc
+++ b/src/libgateway/call/call_exchange.cc
@@ -180,13 +180,13 @@
   }
 }
 
-auto CallExchange::AnswerBeforeExit() -> void {
+auto CallExchange::RespondBeforeShutdown() -> void {
   if (!m_finished && !m_forwarding) {
     GiveUp("stopping");
   }
 }
 
-auto CallExchange::CutForExit() -> void {
+auto CallExchange::AbortForShutdown() -> void {
   if (!m_finished) {
     AbortResponse("stopping");
   }
--- a/src/libgateway/call/call_exchange.h
+++ b/src/libgateway/call/call_exchange.h
@@ -52,11 +52,11 @@
   /// Enforces the deadline and the response timeout; call several times per
   /// second.
   auto Tick(TimePoint now) -> void;
-  /// Answers with an error, unless the response has begun. For a host that is
-  /// about to exit.
-  auto AnswerBeforeExit() -> void;
-  /// Breaks the response off, as the exit of the process would, and logs it.
-  auto CutForExit() -> void;
+  /// Responds with an error unless the response has started. To be called
+  /// shortly before the process exits.
+  auto RespondBeforeShutdown() -> void;
+  /// Aborts the response and logs that; to be called when the process exits.
+  auto AbortForShutdown() -> void;
 
  private:
   static constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
--- a/src/libgateway/entry_host.cc
+++ b/src/libgateway/entry_host.cc
@@ -248,9 +248,10 @@
     limits.m_header_timeout = stated.m_header_timeout;
     limits.m_idle_timeout = stated.m_idle_timeout;
   }
-  // So connections that are in use when a stop begins are over when it stops
-  // to take requests.
-  limits.m_kept_time = std::chrono::floor<std::chrono::seconds>(LameDuckTime());
+  // A connection that is in use at the start of a stop has timed out when the
+  // host stops accepting requests.
+  limits.m_max_keep_alive =
+      std::chrono::floor<std::chrono::seconds>(LameDuckTime());
   const auto spare =
       m_context.m_settings.m_max_descriptors - kReservedDescriptors;
   limits.m_max_connections = static_cast<std::size_t>(std::max(spare / 2, 1));
@@ -263,8 +264,8 @@
     const std::shared_ptr<ServerConnection>& connection,
     IncomingRequest request) -> void {
   if (m_stopping && SteadyTime() - m_stop_started_at >= LameDuckTime()) {
-    // The rest of the grace period may be too short for it. Another host can
-    // take it at once.
+    // The rest of the grace period may be too short to serve it, and another
+    // host can serve it at once.
     Refuse(connection, request, kStatusUnavailable, "stopping", std::nullopt);
     return;
   }
--- a/src/libgateway/entry_host.h
+++ b/src/libgateway/entry_host.h
@@ -88,9 +88,14 @@
   /// Periodic work of the host itself.
   auto TickHost(TimePoint now) -> void;
   auto ContinueStop(TimePoint now) -> void;
-  /// Time after SIGTERM in which new requests are still accepted.
+  /// Returns true if a stop has nothing left to wait for.
+  /// @param since_stop  Time since SIGTERM.
+  auto IsDrained(Duration since_stop) const -> bool;
+  /// Logs and aborts what is still open, and stops the event loop.
+  auto StopLoop() -> void;
+  /// Time after SIGTERM for which new requests are still accepted.
   auto LameDuckTime() const -> Duration;
-  /// Time after SIGTERM in which the process exits at the latest.
+  /// Time after SIGTERM at which the process exits at the latest.
   auto ExitTime() const -> Duration;
   auto ForEachExchange(const std::function<void(CallExchange&)>& visit) -> void;
   auto ArmTick() -> void;
--- a/src/libgateway/entry_host_stop.cc
+++ b/src/libgateway/entry_host_stop.cc
@@ -6,8 +6,9 @@
 #include "entry_host.h"
 
 /// @file
-/// Planned stop of an entry host: it takes requests for a while, answers those
-/// that reached it, and ends the event loop within the stop grace period.
+/// Graceful shutdown of an entry host: it accepts requests for a while,
+/// responds to all of them, and stops the event loop within the stop grace
+/// period.
 
 namespace dotterelshed {
 
@@ -18,10 +19,10 @@
 constexpr Duration kLameDuckTime = std::chrono::milliseconds(2800);
 /// Part of the stop grace period reserved for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-/// Time behind the lame duck time in which leads may take the last settlements.
+/// Time after kLameDuckTime to wait until leads have confirmed the settlements.
 constexpr Duration kSettleTime = std::chrono::seconds(1);
-/// Time before the exit in which requests without an answer get an error.
-constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
+/// Time before the exit at which open requests get an error response.
+constexpr Duration kFinalResponseTime = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -31,7 +32,7 @@
   }
   m_stop_started_at = SteadyTime();
   m_callers.CloseAfterAnswers();
-  m_callers.SetEnd(m_stop_started_at + ExitTime());
+  m_callers.SetShutdownTime(m_stop_started_at + ExitTime());
   m_lead.BeginStop();
   m_relay_service.Stop();
   LogEvent(LogEventId::kHostDraining,
@@ -52,26 +53,31 @@
     return;
   }
   m_callers.StopListening();
-  const auto exit = ExitTime();
-  if (since > exit - kLastAnswersTime) {
+  if (since > ExitTime() - kFinalResponseTime) {
     ForEachExchange(
-        [](CallExchange& exchange) { exchange.AnswerBeforeExit(); });
+        [](CallExchange& exchange) { exchange.RespondBeforeShutdown(); });
   }
-  const auto settled =
-      m_grants.settled() || since > LameDuckTime() + kSettleTime;
-  // A connection without an open request may be bringing one.
-  const auto over = m_callers.connections() == 0 &&
-                    m_callers.closing_connections() == 0 &&
-                    m_relay_service.open() == 0 && settled;
-  if (over || since > exit) {
-    LogEvent(LogEventId::kHostStopped,
-             {{"open", std::to_string(m_callers.open_requests())},
-              {"closing", std::to_string(m_callers.closing_connections())},
-              {"connections", std::to_string(m_callers.connections())},
-              {"exit_code", "0"}});
-    ForEachExchange([](CallExchange& exchange) { exchange.CutForExit(); });
-    m_context.m_loop.stop();
+  if (IsDrained(since) || since > ExitTime()) {
+    StopLoop();
   }
 }
 
+auto EntryHost::IsDrained(Duration since_stop) const -> bool {
+  const auto settled =
+      m_grants.settled() || since_stop > LameDuckTime() + kSettleTime;
+  // A connection without an open request may be receiving one.
+  return settled && m_callers.connections() == 0 &&
+         m_callers.closing_connections() == 0 && m_relay_service.open() == 0;
+}
+
+auto EntryHost::StopLoop() -> void {
+  LogEvent(LogEventId::kHostStopped,
+           {{"open", std::to_string(m_callers.open_requests())},
+            {"closing", std::to_string(m_callers.closing_connections())},
+            {"connections", std::to_string(m_callers.connections())},
+            {"exit_code", "0"}});
+  ForEachExchange([](CallExchange& exchange) { exchange.AbortForShutdown(); });
+  m_context.m_loop.stop();
+}
+
 }  // namespace dotterelshed
--- a/src/libgateway/history/disk_host.cc
+++ b/src/libgateway/history/disk_host.cc
@@ -19,13 +19,12 @@
 constexpr Duration kRetirementViewAge = std::chrono::seconds(5);
 constexpr Duration kTick = std::chrono::milliseconds(250);
 constexpr Duration kStopTick = std::chrono::milliseconds(20);
-/// A stopping host exits within this time. Other hosts wait for an answer of
-/// half a second at most, except for copies of turns.
-constexpr Duration kLongestStop = std::chrono::seconds(2);
+/// Maximum duration of a stop. Most requests of other hosts time out earlier.
+constexpr Duration kMaxStopTime = std::chrono::seconds(2);
 /// Part of the stop grace period reserved for the exit itself.
 constexpr Duration kExitMargin = std::chrono::milliseconds(300);
-/// Time before the exit in which requests without an answer are refused.
-constexpr Duration kLastAnswersTime = std::chrono::milliseconds(300);
+/// Time before the exit at which open requests are refused.
+constexpr Duration kFinalResponseTime = std::chrono::milliseconds(300);
 
 /// Returns the HTTP status that reports a journal error to a peer.
 auto StatusOf(const Error& error) -> int {
@@ -109,9 +108,9 @@
 
 auto DiskHost::ContinueStop(TimePoint now) -> void {
   const auto exit =
-      std::min(kLongestStop, m_settings.m_stop_grace - kExitMargin);
+      std::min(kMaxStopTime, m_settings.m_stop_grace - kExitMargin);
   const auto since = now - m_stop_started_at;
-  if (since > exit - kLastAnswersTime) {
+  if (since > exit - kFinalResponseTime) {
     RefuseWaiting();
   }
   const auto over =
--- a/src/libgateway/history/disk_host.h
+++ b/src/libgateway/history/disk_host.h
@@ -28,9 +28,9 @@
 
   /// Errors: kUnavailable if the address cannot be bound.
   auto Start() -> Status;
-  /// Takes no new connections, answers the requests that have reached this host
-  /// and then calls @p on_stopped, with the disk's files closed; all that
-  /// within the stop grace period.
+  /// Starts a graceful shutdown: answers the requests that have reached this
+  /// host, closes the disk's files and calls @p on_stopped, all within the stop
+  /// grace period.
   auto BeginStop(std::function<void()> on_stopped) -> void;
   /// Stops answering at once and closes the disk's files.
   auto Stop() -> void;
@@ -64,7 +64,7 @@
   boost::asio::steady_timer m_tick_timer;
   /// Version of the retirement request that was confirmed; 0 if none.
   ResourceVersion m_answered_version;
-  /// Connections of requests that were not answered at once.
+  /// Connections of open requests, for RefuseWaiting.
   std::vector<std::weak_ptr<ServerConnection>> m_waiting;
   /// Set while the host stops.
   std::function<void()> m_on_stopped;
--- a/src/libgateway/history/test_process.h
+++ b/src/libgateway/history/test_process.h
@@ -12,8 +12,8 @@
 
 namespace dotterelshed {
 
-/// A host with a loop of its own. When the process ends, its connections are
-/// closed and nothing that waits in its loop is done any more.
+/// A host with an event loop of its own. At its end its connections are closed
+/// and pending handlers are dropped, as at the end of a process.
 struct HostProcess {
   EntrySettings m_settings;
   std::unique_ptr<EventLoop> m_loop;
--- a/src/libgateway/lead/grant_client.h
+++ b/src/libgateway/lead/grant_client.h
@@ -28,7 +28,7 @@
       -> void;
   /// Reports the end of a granted turn; reports are sent in batches.
   auto Settle(const TurnSettlement& settlement) -> void;
-  /// Returns true if the leads have got all settlements.
+  /// Returns true if the leads have confirmed all settlements.
   auto settled() const -> bool;
   auto Tick(TimePoint now) -> void;
 
@@ -70,7 +70,7 @@
   /// Programs whose account is held by another domain's lead.
   std::map<ProgramId, AccountDomain> m_account_domains;
   std::map<DomainId, std::vector<TurnSettlement>> m_settlements;
-  /// Messages with settlements that leads haven't answered.
+  /// Number of messages with settlements that are waiting for a reply.
   int m_unanswered_settlements = 0;
   TimePoint m_last_settlement;
   TimePoint m_last_sweep;
--- a/src/libhttp/byte_stream.cc
+++ b/src/libhttp/byte_stream.cc
@@ -109,7 +109,7 @@
       return;
     }
     if (m_closing) {
-      m_dropped_bytes += size;
+      m_discarded_bytes += size;
     } else if (!HandleBytes({buffer.data(), size})) {
       return;
     }
@@ -205,8 +205,8 @@
   }
   m_closed = true;
   m_close_timer.reset();
-  if (m_dropped_bytes > 0) {
-    ReportBytesAfterClose(m_dropped_bytes, SteadyTime() - m_ended_at);
+  if (m_discarded_bytes > 0) {
+    ReportDiscardedBytes(m_discarded_bytes, SteadyTime() - m_closing_since);
   }
   ErrorCodeIn error;
   m_socket.close(error);
@@ -220,7 +220,7 @@
     return;
   }
   m_closing = true;
-  m_ended_at = SteadyTime();
+  m_closing_since = SteadyTime();
   asio::post(m_socket.get_executor(),
              [self = shared_from_this()] { self->m_handlers = {}; });
   if (m_pending.empty()) {
--- a/src/libhttp/connection_log.cc
+++ b/src/libhttp/connection_log.cc
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Label of closes beside which bytes arrived that were not handled.
-constexpr std::string_view kCrossed = "crossed";
+/// Label of closes that lost received bytes.
+constexpr std::string_view kBytesLost = "bytes_lost";
 
 }  // namespace
 
@@ -29,31 +29,31 @@
 }
 
 auto ReportClose(const ConnectionClose& close) -> void {
-  const auto crossed = close.m_ahead_bytes + close.m_unread_bytes > 0;
+  const auto bytes_lost = close.m_buffered_bytes + close.m_unread_bytes > 0;
   CountMetric(MetricId::kConnectionsClosed, ToString(close.m_reason));
-  if (crossed) {
-    CountMetric(MetricId::kConnectionsClosed, kCrossed);
+  if (bytes_lost) {
+    CountMetric(MetricId::kConnectionsClosed, kBytesLost);
   }
   const auto usual = close.m_reason == CloseReason::kIdle ||
                      close.m_reason == CloseReason::kAnswered;
-  if (usual && !crossed) {
+  if (usual && !bytes_lost) {
     return;
   }
   LogEvent(LogEventId::kConnectionClosed,
            {{"reason", std::string(ToString(close.m_reason))},
             {"answers", std::to_string(close.m_answers)},
-            {"rested_ms", FormatMs(close.m_rested)},
-            {"ahead_bytes", std::to_string(close.m_ahead_bytes)},
+            {"idle_ms", FormatMs(close.m_idle)},
+            {"buffered_bytes", std::to_string(close.m_buffered_bytes)},
             {"unread_bytes", std::to_string(close.m_unread_bytes)}},
-           crossed ? LogWeight::kUnusual : LogWeight::kOrdinary);
+           bytes_lost ? LogWeight::kUnusual : LogWeight::kOrdinary);
 }
 
-auto ReportBytesAfterClose(std::size_t bytes, Duration since_close) -> void {
-  CountMetric(MetricId::kConnectionsClosed, kCrossed);
+auto ReportDiscardedBytes(std::size_t bytes, Duration since_close) -> void {
+  CountMetric(MetricId::kConnectionsClosed, kBytesLost);
   LogEvent(LogEventId::kConnectionClosed,
-           {{"reason", "bytes_after_close"},
-            {"late_bytes", std::to_string(bytes)},
-            {"ms_after_close", FormatMs(since_close)}});
+           {{"reason", "discarded"},
+            {"discarded_bytes", std::to_string(bytes)},
+            {"closed_ms", FormatMs(since_close)}});
 }
 
 }  // namespace dotterelshed
--- a/src/libhttp/connection_log.h
+++ b/src/libhttp/connection_log.h
@@ -7,41 +7,42 @@
 #include "dotterelshed/units.h"
 
 /// @file
-/// Logs how connections end on which no request is open.
+/// Logs and counts connections that this host closes while they are idle.
 
 namespace dotterelshed {
 
-/// Why a host closed a connection on which no request was open.
+/// Why this host closed a connection without an open request.
 enum class CloseReason {
-  kIdle,      ///< It rested for longer than its idle timeout.
+  kIdle,      ///< The idle timeout has passed.
   kStop,      ///< The host is stopping.
-  kAnswered,  ///< Its last answer ended it.
-  kLimit,     ///< The host had as many connections as it may have.
+  kAnswered,  ///< The last answer had "Connection: close".
+  kLimit,     ///< The maximum number of connections was exceeded.
 };
 
 /// Stable lower-case name.
 auto ToString(CloseReason reason) -> std::string_view;
 
-/// The end of a connection, with what may have been a request beside it.
+/// A closed connection, and bytes that may be a request which raced with the
+/// close.
 struct ConnectionClose {
   CloseReason m_reason = CloseReason::kIdle;
   /// Requests that were answered on the connection.
   int m_answers = 0;
-  /// Time since the end of the last answer, or since it was accepted.
-  Duration m_rested{0};
-  /// Bytes that were read and not handled.
-  std::size_t m_ahead_bytes = 0;
-  /// Bytes that had arrived and were not read.
+  /// Time since the end of the last answer or since the accept.
+  Duration m_idle{0};
+  /// Bytes that were read but not handled.
+  std::size_t m_buffered_bytes = 0;
+  /// Bytes that were received but not read.
   std::size_t m_unread_bytes = 0;
 };
 
-/// Counts the close, and logs it: ends of connections with bytes beside them as
-/// unusual lines, closes by a stop as ordinary ones, others not at all.
+/// Counts and logs a close. The line is unusual if bytes were lost, ordinary
+/// for other closes by a stop or a limit, and omitted for the rest.
 auto ReportClose(const ConnectionClose& close) -> void;
 
-/// Counts and logs bytes that were read and dropped after a close.
-/// @param since_close  time since the close.
-auto ReportBytesAfterClose(std::size_t bytes, Duration since_close) -> void;
+/// Counts and logs bytes that were received after a close and discarded.
+/// @param since_close  Time since the close.
+auto ReportDiscardedBytes(std::size_t bytes, Duration since_close) -> void;
 
 }  // namespace dotterelshed
 
--- a/src/libhttp/http_listener.cc
+++ b/src/libhttp/http_listener.cc
@@ -15,8 +15,8 @@
 using ErrorCodeIn = boost::system::error_code;
 
 constexpr int kListenBacklog = 1024;
-/// Part of the greatest number of connections that may come beyond it.
-constexpr std::size_t kSurplusPart = 10;
+/// Part of the maximum number of connections by which it may be exceeded.
+constexpr std::size_t kOverLimitPart = 10;
 /// Wait after a connection couldn't be accepted, for lack of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -80,7 +80,7 @@
   });
 }
 
-auto HttpListener::AcceptWaiting() -> void {
+auto HttpListener::AcceptBacklog() -> void {
   ErrorCodeIn error;
   m_acceptor.non_blocking(true, error);
   while (!error) {
@@ -94,13 +94,13 @@
 
 auto HttpListener::Add(TcpSocket socket) -> void {
   const auto most = m_limits.m_max_connections;
-  if (m_connections.size() > most + most / kSurplusPart) {
+  if (m_connections.size() > most + most / kOverLimitPart) {
     ReportClose({.m_reason = CloseReason::kLimit});
     return;
   }
   auto connection =
       std::make_shared<ServerConnection>(*this, std::move(socket));
-  connection->m_surplus = m_connections.size() >= most;
+  connection->m_over_limit = m_connections.size() >= most;
   m_connections.insert(connection);
   connection->Start();
 }
@@ -141,7 +141,7 @@
   }
   m_close_after_answers = true;
   if (m_acceptor.is_open()) {
-    AcceptWaiting();
+    AcceptBacklog();
   }
   ErrorCodeIn error;
   m_acceptor.close(error);
--- a/src/libhttp/lost_connections_unittest.cc
+++ b/src/libhttp/lost_connections_unittest.cc
@@ -1,16 +1,13 @@
 #include <catch2/catch.hpp>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "dotterelshed/http_listener.h"
-#include "dotterelshed/steady_time.h"
+#include "test_listener.h"
 
 /// @file
-/// LOST: requests beside the end of a connection. Each case is a request that
-/// reached a listener, or a connection closed within the time for which it may
-/// be used.
+/// LOST: requests that race with the close of their connection, and connections
+/// that are closed while their callers may use them.
 
 namespace dotterelshed {
 namespace {
@@ -19,70 +16,10 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kBodyBytes = std::size_t{32} << 20;
-const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-
-/// A listener whose event loop runs only when the test says so.
-struct Host {
-  using OnRequest =
-      std::function<void(const std::shared_ptr<ServerConnection>&)>;
-
-  EventLoop m_loop;
-  HttpListener m_listener;
-  OnRequest m_on_request;
-  std::vector<std::shared_ptr<ServerConnection>> m_open;
-  int m_requests = 0;
-
-  Host()
-      : m_listener(m_loop,
-                   [this](const std::shared_ptr<ServerConnection>& connection,
-                          const IncomingRequest& /*request*/) {
-                     ++m_requests;
-                     m_open.push_back(connection);
-                     if (m_on_request) {
-                       m_on_request(connection);
-                     }
-                   }) {
-    REQUIRE(m_listener.Listen({boost::asio::ip::address_v4::loopback(), 0}));
+struct Caller : public TestConnection {
+  explicit Caller(TestListener& host) : TestConnection(host.m_loop) {
+    Connect(host.m_listener);
   }
-
-  auto Run(Duration time = milliseconds(50)) -> void {
-    const auto until = SteadyTime() + time;
-    while (SteadyTime() < until) {
-      m_loop.run_for(milliseconds(5));
-      m_listener.Tick(SteadyTime());
-    }
-  }
-};
-
-struct Caller {
-  explicit Caller(Host& host) : m_socket(host.m_loop) {
-    m_socket.connect(host.m_listener.local_address());
-  }
-
-  auto Send(const std::string& bytes = kRequest) -> void {
-    boost::system::error_code error;
-    m_socket.send(boost::asio::buffer(bytes), 0, error);
-  }
-
-  /// Takes what has come.
-  auto Read() -> void {
-    std::string buffer(65536, '\0');
-    boost::system::error_code error;
-    m_socket.non_blocking(true);
-    while (!error) {
-      const auto bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
-      m_got.append(buffer, 0, bytes);
-    }
-    m_ended = m_ended || error != boost::asio::error::would_block;
-  }
-
-  auto Got(const std::string& text) const -> bool {
-    return m_got.find(text) != std::string::npos;
-  }
-
-  TcpSocket m_socket;
-  std::string m_got;
-  bool m_ended = false;
 };
 
 auto AnswerOk(const std::shared_ptr<ServerConnection>& connection) -> void {
@@ -90,10 +27,10 @@
 }
 
 TEST_CASE("LOST: a stop closes a connection in use whose idle time is short") {
-  Host host;
+  TestListener host;
   host.m_on_request = AnswerOk;
   host.m_listener.SetLimits(
-      {.m_idle_timeout = milliseconds(1400), .m_kept_time = seconds(2)});
+      {.m_idle_timeout = milliseconds(1400), .m_max_keep_alive = seconds(2)});
   Caller caller(host);
   caller.Send();
   host.Run();
@@ -106,15 +43,15 @@
 }
 
 TEST_CASE("LOST: a short idle timeout is shortened while a connection rests") {
-  Host host;
+  TestListener host;
   host.m_on_request = AnswerOk;
   host.m_listener.SetLimits(
-      {.m_idle_timeout = milliseconds(1400), .m_kept_time = seconds(2)});
+      {.m_idle_timeout = milliseconds(1400), .m_max_keep_alive = seconds(2)});
   Caller caller(host);
   caller.Send();
   host.Run();
   host.m_listener.SetLimits(
-      {.m_idle_timeout = milliseconds(200), .m_kept_time = seconds(2)});
+      {.m_idle_timeout = milliseconds(200), .m_max_keep_alive = seconds(2)});
   host.Run(milliseconds(500));
   caller.Send();
   host.Run();
@@ -123,10 +60,10 @@
 
 TEST_CASE("LOST: a connection is closed behind an answer that keeps it") {
   // The request lies unread when the idle timeout is over.
-  Host host;
+  TestListener host;
   host.m_on_request = AnswerOk;
   const ListenerLimits limits{.m_idle_timeout = milliseconds(1600),
-                              .m_kept_time = seconds(1)};
+                              .m_max_keep_alive = seconds(1)};
   host.m_listener.SetLimits(limits);
   Caller caller(host);
   caller.Send();
@@ -144,8 +81,8 @@
 }
 
 TEST_CASE("LOST: the stated time begins before the answer has been taken") {
-  Host host;
-  host.m_listener.SetLimits({.m_kept_time = seconds(1)});
+  TestListener host;
+  host.m_listener.SetLimits({.m_max_keep_alive = seconds(1)});
   Caller caller(host);
   caller.Send();
   host.Run();
@@ -169,7 +106,7 @@
 TEST_CASE("a request that a close found may end the requests of others") {
   // The listener visits its connections in any order; some come later.
   constexpr int kOthers = 30;
-  Host host;
+  TestListener host;
   std::vector<std::unique_ptr<Caller>> others;
   for (int at = 0; at < kOthers; ++at) {
     others.push_back(std::make_unique<Caller>(host));
@@ -191,7 +128,7 @@
 }
 
 TEST_CASE("LOST: a request unread when the last answer says close") {
-  Host host;
+  TestListener host;
   Caller caller(host);
   caller.Send();
   host.Run();
@@ -204,7 +141,7 @@
 }
 
 TEST_CASE("LOST: a request on a connection beyond the greatest number") {
-  Host host;
+  TestListener host;
   host.m_on_request = AnswerOk;
   host.m_listener.SetLimits({.m_max_connections = 1});
   Caller first(host);
@@ -217,7 +154,7 @@
 }
 
 TEST_CASE("a request whose rest lies unread isn't called late") {
-  Host host;
+  TestListener host;
   Caller caller(host);
   caller.Send(kRequest.substr(0, 5));
   host.Run();
@@ -228,9 +165,9 @@
 }
 
 TEST_CASE("connections of callers that always read ahead end in a stop") {
-  Host host;
+  TestListener host;
   host.m_on_request = AnswerOk;
-  host.m_listener.SetLimits({.m_kept_time = seconds(1)});
+  host.m_listener.SetLimits({.m_max_keep_alive = seconds(1)});
   Caller caller(host);
   std::string many;
   for (int at = 0; at < 500; ++at) {
--- a/src/libhttp/lost_requests_unittest.cc
+++ b/src/libhttp/lost_requests_unittest.cc
@@ -1,9 +1,7 @@
 #include <catch2/catch.hpp>
-#include <memory>
 #include <string>
 
-#include "dotterelshed/http_listener.h"
-#include "dotterelshed/steady_time.h"
+#include "test_listener.h"
 
 /// @file
 /// LOST: requests that reached a listener while it stopped, or while its idle
@@ -12,55 +10,28 @@
 namespace dotterelshed {
 namespace {
 
-const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-
-/// A caller and a listener whose event loop runs only when the test says so, so
-/// that bytes wait unread as they do on a busy host.
-struct Caller {
-  EventLoop m_loop;
-  HttpListener m_listener;
-  std::shared_ptr<ServerConnection> m_open;
-  int m_requests = 0;
-  TcpSocket m_socket;
-  std::string m_got;
-  bool m_ended = false;
-
-  Caller()
-      : m_listener(m_loop,
-                   [this](const std::shared_ptr<ServerConnection>& connection,
-                          const IncomingRequest& /*request*/) {
-                     ++m_requests;
-                     m_open = connection;
-                   }),
-        m_socket(m_loop) {
-    REQUIRE(m_listener.Listen({boost::asio::ip::address_v4::loopback(), 0}));
-  }
+/// A listener and a connection to it.
+struct Caller : public TestListener, public TestConnection {
+  Caller() : TestConnection(m_loop) {}
 
-  auto Connect() -> void { m_socket.connect(m_listener.local_address()); }
-  auto Send() -> void { m_socket.send(boost::asio::buffer(kRequest)); }
+  auto Connect() -> void { TestConnection::Connect(m_listener); }
 
   /// Runs the listener, and reads what has come.
   auto Run(Duration time = std::chrono::milliseconds(50)) -> void {
-    const auto until = SteadyTime() + time;
-    while (SteadyTime() < until) {
-      m_loop.run_for(std::chrono::milliseconds(5));
-      m_listener.Tick(SteadyTime());
-    }
-    std::string buffer(4096, '\0');
-    boost::system::error_code error;
-    m_socket.non_blocking(true);
-    while (!error) {
-      const auto bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
-      m_got.append(buffer, 0, bytes);
-    }
-    m_ended = m_ended || error != boost::asio::error::would_block;
+    TestListener::Run(time);
+    Read();
   }
 
   /// Sends a request and answers it; the connection stays open.
   auto SendAndAnswer() -> void {
     Send();
     Run();
-    m_open->Answer(200, {}, "");
+    AnswerLast();
+  }
+
+  /// Answers the last request.
+  auto AnswerLast() -> void {
+    m_open.back()->Answer(200, {}, "");
     Run();
   }
 
@@ -82,14 +53,13 @@
   caller.m_listener.StopListening();
   caller.Run();
   REQUIRE(caller.m_requests == 2);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 2);
 }
 
 TEST_CASE("LOST: a request that comes after a stop on a connection in use") {
   Caller caller;
-  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.m_listener.SetLimits({.m_max_keep_alive = std::chrono::seconds(1)});
   caller.Connect();
   caller.SendAndAnswer();
   caller.m_listener.StopListening();
@@ -97,8 +67,7 @@
   caller.Send();
   caller.Run();
   REQUIRE(caller.m_requests == 2);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 2);
   CHECK(caller.m_got.find("Connection: close") != std::string::npos);
 }
@@ -110,8 +79,7 @@
   caller.m_listener.StopListening();
   caller.Run();
   REQUIRE(caller.m_requests == 1);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 1);
 }
 
@@ -121,16 +89,15 @@
   caller.Connect();
   caller.Send();
   caller.Run();
-  caller.m_open->BeginAnswer(200, "", {}, 1);
+  caller.m_open.back()->BeginAnswer(200, "", {}, 1);
   caller.Send();
   caller.Run();
   caller.m_listener.StopListening();
-  caller.m_open->SendBody("x");
-  caller.m_open->EndAnswer();
+  caller.m_open.back()->SendBody("x");
+  caller.m_open.back()->EndAnswer();
   caller.Run();
   REQUIRE(caller.m_requests == 2);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 2);
 }
 
@@ -142,29 +109,26 @@
   caller.Send();
   caller.Run();
   caller.m_listener.CloseAfterAnswers();
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   REQUIRE(caller.m_requests == 2);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 2);
   CHECK(caller.m_ended);
 }
 
 TEST_CASE("LOST: a request on a connection whose idle timeout was shortened") {
   Caller caller;
-  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.m_listener.SetLimits({.m_max_keep_alive = std::chrono::seconds(1)});
   caller.Connect();
   caller.SendAndAnswer();
   CHECK(caller.m_got.find("Keep-Alive: timeout=1") != std::string::npos);
   caller.m_listener.SetLimits({.m_idle_timeout = std::chrono::milliseconds(100),
-                               .m_kept_time = std::chrono::seconds(1)});
+                               .m_max_keep_alive = std::chrono::seconds(1)});
   caller.Run(std::chrono::milliseconds(900));
   caller.Send();
   caller.Run();
   REQUIRE(caller.m_requests == 2);
-  caller.m_open->Answer(200, {}, "");
-  caller.Run();
+  caller.AnswerLast();
   CHECK(caller.Answers() == 2);
 }
 
@@ -183,7 +147,7 @@
 TEST_CASE(
     "a stopping listener closes a connection once its stated time is over") {
   Caller caller;
-  caller.m_listener.SetLimits({.m_kept_time = std::chrono::seconds(1)});
+  caller.m_listener.SetLimits({.m_max_keep_alive = std::chrono::seconds(1)});
   caller.Connect();
   caller.SendAndAnswer();
   caller.m_listener.StopListening();
@@ -200,7 +164,7 @@
   Caller caller;
   caller.m_listener.SetLimits(
       {.m_idle_timeout = std::chrono::milliseconds(idle_ms),
-       .m_kept_time = std::chrono::seconds(2)});
+       .m_max_keep_alive = std::chrono::seconds(2)});
   caller.Connect();
   caller.SendAndAnswer();
   const auto field =
--- a/src/libhttp/server_connection.cc
+++ b/src/libhttp/server_connection.cc
@@ -17,17 +17,15 @@
 
 /// Bytes of later requests that are read while one is open.
 constexpr std::size_t kMaxAheadBytes = 65536;
-/// The least time that an answer can state.
-constexpr std::chrono::seconds kOneSecond{1};
-/// Added to the time that an answer states, for requests that are on their way
-/// when it is over.
-constexpr Duration kKeptMargin = std::chrono::milliseconds(750);
-/// Time in which the first request comes on a connection that was accepted in a
-/// stop.
+/// Shortest timeout that a Keep-Alive field can announce.
+constexpr std::chrono::seconds kMinKeepAlive{1};
+/// Added to the announced keep-alive timeout, for requests in transit.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(750);
+/// Time for the first request on a connection that is accepted during a stop.
 constexpr Duration kFirstRequestTime = std::chrono::seconds(1);
-/// Time in which the other side may take the last answer before the connection
-/// is ended behind it.
-constexpr Duration kTakeTime = std::chrono::seconds(10);
+/// Time for a slow caller to receive the last answer before its connection
+/// counts as idle.
+constexpr Duration kDeliveryTime = std::chrono::seconds(10);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto HasNoBody(int status) -> bool {
@@ -42,8 +40,8 @@
     : m_listener(&listener),
       m_stream(std::make_shared<ByteStream>(std::move(socket))),
       m_since(SteadyTime()),
-      m_kept_for(kFirstRequestTime) {
-  NewParser();
+      m_min_open_time(kFirstRequestTime) {
+  ResetParser();
 }
 
 auto ServerConnection::Start() -> void {
@@ -80,7 +78,7 @@
   if (!m_parser->started()) {
     m_since = SteadyTime();
     if (m_parser_limits != m_listener->m_limits.m_parser) {
-      NewParser();
+      ResetParser();
     }
   }
   m_ahead += bytes;
@@ -100,7 +98,7 @@
   }
 }
 
-auto ServerConnection::NewParser() -> void {
+auto ServerConnection::ResetParser() -> void {
   m_parser_limits = m_listener->m_limits.m_parser;
   m_parser = std::make_unique<RequestParser>(m_parser_limits);
 }
@@ -136,10 +134,14 @@
     case ParseState::kDone:
       break;
   }
-  if (m_surplus) {
+  if (m_over_limit) {
     Refuse(kStatusUnavailable);
-    return;
+  } else {
+    HandleRequest();
   }
+}
+
+auto ServerConnection::HandleRequest() -> void {
   m_busy = true;
   m_begun = false;
   ++m_listener->m_open_requests;
@@ -147,7 +149,7 @@
   m_bodyless = m_parser->head().m_method == "HEAD";
   IncomingRequest request{.m_head = std::move(m_parser->head()),
                           .m_body = std::move(m_parser->body())};
-  NewParser();
+  ResetParser();
   m_continued = false;
   m_listener->m_on_request(shared_from_this(), std::move(request));
 }
@@ -188,22 +190,23 @@
   } else if (m_chunked) {
     fields.push_back({"Transfer-Encoding", "chunked"});
   }
-  StateEnd(fields);
+  AddConnectionFields(fields);
   m_stream->Write(FormatResponseHead(status, reason, fields));
 }
 
-auto ServerConnection::StateEnd(HttpFields& fields) -> void {
-  // A request that has arrived already is answered as well; its answer says so.
+auto ServerConnection::AddConnectionFields(HttpFields& fields) -> void {
+  // A pipelined request that has arrived is answered before the close.
   const auto last = m_listener->m_close_after_answers && m_ahead.empty() &&
                     m_stream->unread_bytes() == 0;
   m_keep_alive = m_keep_alive && !last;
-  const auto stated = m_keep_alive ? StatedTime() : std::chrono::seconds(0);
-  m_kept_for = KeptTime(stated);
+  const auto keep_alive =
+      m_keep_alive ? KeepAliveTimeout() : std::chrono::seconds(0);
+  m_min_open_time = MinOpenTime(keep_alive);
   if (!m_keep_alive) {
     fields.push_back({"Connection", "close"});
-  } else if (stated.count() > 0) {
+  } else if (keep_alive.count() > 0) {
     fields.push_back(
-        {"Keep-Alive", "timeout=" + std::to_string(stated.count())});
+        {"Keep-Alive", "timeout=" + std::to_string(keep_alive.count())});
   }
 }
 
@@ -238,9 +241,9 @@
   --m_listener->m_open_requests;
   m_since = SteadyTime();
   ++m_answers;
-  const auto outlasts_listener =
-      m_ahead.empty() && m_since + m_kept_for > m_listener->m_end;
-  if (!m_keep_alive || outlasts_listener) {
+  const auto outlives_process =
+      m_ahead.empty() && m_since + m_min_open_time > m_listener->m_shutdown_at;
+  if (!m_keep_alive || outlives_process) {
     NoteClose(CloseReason::kAnswered);
     CloseAfterWrites();
     return;
@@ -313,34 +316,34 @@
 }
 
 auto ServerConnection::Tick(TimePoint now) -> void {
-  // A handler of another connection may have ended this one.
+  // The handler of another connection may have closed this one.
   if (m_busy || m_listener == nullptr) {
     return;
   }
   if (m_parser->started()) {
     if (now - m_since > m_listener->m_limits.m_header_timeout) {
-      RefuseIfLate();
+      RefuseIfIncomplete();
     }
     return;
   }
   const auto stopped = m_listener->m_stopped;
-  if (now - m_since > RestTime()) {
+  if (now - m_since > MaxIdleTime()) {
     CloseIfIdle(stopped ? CloseReason::kStop : CloseReason::kIdle);
   }
 }
 
-auto ServerConnection::RestTime() const -> Duration {
-  // The other side counts the stated time from when it has the answer.
-  if (pending_bytes() > 0 && m_kept_for > Duration{0}) {
-    return kTakeTime;
+auto ServerConnection::MaxIdleTime() const -> Duration {
+  // The caller's keep-alive timeout starts when it has received the answer.
+  if (pending_bytes() > 0 && m_min_open_time > Duration{0}) {
+    return kDeliveryTime;
   }
-  const auto ends_early = m_listener->m_stopped || m_surplus;
+  const auto ends_early = m_listener->m_stopped || m_over_limit;
   const auto idle_timeout =
       ends_early ? Duration{0} : m_listener->m_limits.m_idle_timeout;
-  return std::max(idle_timeout, m_kept_for);
+  return std::max(idle_timeout, m_min_open_time);
 }
 
-auto ServerConnection::RefuseIfLate() -> void {
+auto ServerConnection::RefuseIfIncomplete() -> void {
   const auto self = shared_from_this();
   m_stream->ReadNow();
   const auto waits = m_listener != nullptr && !m_busy && m_parser->started();
@@ -349,30 +352,33 @@
   }
 }
 
-auto ServerConnection::KeptTime(std::chrono::seconds stated) const -> Duration {
+auto ServerConnection::MinOpenTime(std::chrono::seconds keep_alive) const
+    -> Duration {
   const auto& limits = m_listener->m_limits;
-  if (!m_keep_alive || !limits.m_kept_time) {
+  if (!m_keep_alive || !limits.m_max_keep_alive) {
     return Duration{0};
   }
-  // Without a statement callers go by the idle timeout.
-  return stated.count() > 0 ? stated + kKeptMargin : limits.m_idle_timeout;
+  // Without an announced timeout callers rely on the idle timeout.
+  return keep_alive.count() > 0 ? keep_alive + kKeepAliveMargin
+                                : limits.m_idle_timeout;
 }
 
-auto ServerConnection::StatedTime() const -> std::chrono::seconds {
+auto ServerConnection::KeepAliveTimeout() const -> std::chrono::seconds {
   const auto& limits = m_listener->m_limits;
-  // The margin lies within the idle timeout, unless that would leave no second.
+  // The margin is taken off the idle timeout, but a second is always announced
+  // if the idle timeout permits one.
   const auto most =
-      std::max(limits.m_idle_timeout - kKeptMargin,
-               std::min(limits.m_idle_timeout, Duration(kOneSecond)));
+      std::max(limits.m_idle_timeout - kKeepAliveMargin,
+               std::min(limits.m_idle_timeout, Duration(kMinKeepAlive)));
   const auto reached = std::chrono::floor<std::chrono::seconds>(most);
   return std::min(reached,
-                  limits.m_kept_time.value_or(std::chrono::seconds(0)));
+                  limits.m_max_keep_alive.value_or(std::chrono::seconds(0)));
 }
 
 auto ServerConnection::CloseIfIdle(CloseReason reason) -> void {
   const auto self = shared_from_this();
   const auto answers = m_answers;
-  // What has arrived counts, read or not.
+  // A request may have arrived that was not read yet.
   m_stream->ReadNow();
   const auto gone = m_listener == nullptr;
   const auto used = m_answers != answers || m_busy || m_parser->started();
@@ -391,8 +397,8 @@
 auto ServerConnection::NoteClose(CloseReason reason) const -> void {
   ReportClose({.m_reason = reason,
                .m_answers = m_answers,
-               .m_rested = SteadyTime() - m_since,
-               .m_ahead_bytes = m_ahead.size(),
+               .m_idle = SteadyTime() - m_since,
+               .m_buffered_bytes = m_ahead.size(),
                .m_unread_bytes = m_stream->unread_bytes()});
 }
 
